--- /dev/null
+++ b/entry/internal/gate/gate.go
@@ -0,0 +1,197 @@
+// Package gate is the callers' side of an entry host: it knows who calls,
+// finds the route, and hands a request to package relay or package pass.
+package gate
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+
+	"fuchsiashelf.dev/entry/internal/pass"
+	"fuchsiashelf.dev/entry/internal/relay"
+	"fuchsiashelf.dev/parts/fault"
+	"fuchsiashelf.dev/parts/pool"
+	"fuchsiashelf.dev/parts/rule"
+	"fuchsiashelf.dev/parts/team"
+	"fuchsiashelf.dev/parts/trace"
+	"fuchsiashelf.dev/parts/view"
+)
+
+// Gate answers callers. Set the exported fields, then add Routes.
+type Gate struct {
+	View  *view.Holder
+	Relay *relay.Relay
+	Pass  *pass.Pass
+	Trace *trace.Line
+	Log   *slog.Logger
+	// Ready says whether the balancer may send callers here.
+	Ready func() bool
+
+	serial atomic.Uint64
+}
+
+// RequestHeader names the request in an answer.
+const RequestHeader = "Fuchsia-Request"
+
+// Routes adds the callers' calls.
+func (g *Gate) Routes(h *server.Hertz) {
+	g.Health(h)
+	h.POST("/v1/generate", g.generate)
+	h.NoRoute(g.plain)
+}
+
+// Health adds the balancer's calls.
+func (g *Gate) Health(h *server.Hertz) {
+	h.GET("/health", func(_ context.Context, c *app.RequestContext) { c.String(200, "ok\n") })
+	h.GET("/ready", func(_ context.Context, c *app.RequestContext) {
+		if g.Ready() {
+			c.String(200, "ready\n")
+			return
+		}
+		c.String(503, "not ready\n")
+	})
+}
+
+// next returns a request number that no other entry host gives.
+func (g *Gate) next(snap *view.Snapshot) string {
+	return fmt.Sprintf("%s-%d", snap.Self, g.serial.Add(1))
+}
+
+func caller(c *app.RequestContext, snap *view.Snapshot) (team.Team, *fault.Error) {
+	token, found := strings.CutPrefix(string(c.GetHeader("Authorization")), "Bearer ")
+	if found {
+		if t, known := snap.Teams.Find(token); known {
+			return t, nil
+		}
+	}
+	return team.Team{}, &fault.Error{
+		Code: fault.Unauthorized, Verdict: fault.NotRun, Field: "Authorization",
+		Message: "no team has this token",
+	}
+}
+
+func route(snap *view.Snapshot, service, team string) (pool.Pool, *fault.Error) {
+	p, ok := snap.Config.Route(service, team)
+	if !ok {
+		return p, &fault.Error{
+			Code: fault.NoRoute, Verdict: fault.NotRun,
+			Message: fmt.Sprintf("no rule leads service %s of team %s to a pool", service, team),
+		}
+	}
+	return p, nil
+}
+
+func refuse(c *app.RequestContext, e *fault.Error) {
+	c.Header(fault.Header, e.Verdict.String())
+	if e.RetryAfter > 0 {
+		seconds := int((e.RetryAfter + time.Second - 1) / time.Second)
+		c.Header("Retry-After", strconv.Itoa(seconds))
+	}
+	c.JSON(e.Status(), problem(e))
+}
+
+// trouble is the body of an error.
+type trouble struct {
+	Code         fault.Code    `json:"code"`
+	Verdict      fault.Verdict `json:"verdict"`
+	Field        string        `json:"field,omitempty"`
+	Message      string        `json:"message"`
+	RetryAfterMs int64         `json:"retryAfterMs,omitempty"`
+}
+
+func problem(e *fault.Error) trouble {
+	message := e.Message
+	if message == "" && e.Cause != nil {
+		message = e.Cause.Error()
+	}
+	return trouble{
+		Code: e.Code, Verdict: e.Verdict, Field: e.Field,
+		Message: message, RetryAfterMs: e.RetryAfter.Milliseconds(),
+	}
+}
+
+// service returns the service of a name, or of a plain call's path.
+func service(snap *view.Snapshot, match func(rule.Service) bool) (rule.Service, *fault.Error) {
+	if snap.Config != nil {
+		for _, s := range snap.Config.Services {
+			if match(s) {
+				return s, nil
+			}
+		}
+	}
+	return rule.Service{}, &fault.Error{
+		Code: fault.NoRoute, Verdict: fault.NotRun, Message: "no such service",
+	}
+}
+
+// ask is the body of a model request.
+type ask struct {
+	Service string `json:"service"`
+	Prompt  string `json:"prompt"`
+	Max     int    `json:"max"`
+}
+
+// maxTokens bounds the answer that a caller may ask for.
+const maxTokens = 65536
+
+func (g *Gate) generate(ctx context.Context, c *app.RequestContext) {
+	snap := g.View.Load()
+	who, e := caller(c, snap)
+	if e != nil {
+		refuse(c, e)
+		return
+	}
+	in, e := parse(c.Request.Body())
+	if e != nil {
+		refuse(c, e)
+		return
+	}
+	s, e := service(snap, func(s rule.Service) bool { return s.Name == in.Service && !s.IsPlain() })
+	if e != nil {
+		e.Field = "service"
+		refuse(c, e)
+		return
+	}
+	p, e := route(snap, s.Name, who.Name)
+	if e != nil {
+		refuse(c, e)
+		return
+	}
+	request := g.next(snap)
+	c.Header(RequestHeader, request)
+	g.Trace.Add("gate", request, "took a model request of team "+who.Name)
+	out := &answer{c: c}
+	count, e := g.Relay.Run(ctx, &relay.Ask{
+		Request: request, Team: who.Name, Pool: p, Prompt: in.Prompt, Max: in.Max,
+		Deadline: time.Now().Add(s.Limit()),
+	}, out)
+	out.finish(count, e)
+}
+
+func parse(body []byte) (ask, *fault.Error) {
+	var in ask
+	bad := func(field, message string) *fault.Error {
+		return &fault.Error{Code: fault.BadRequest, Verdict: fault.NotRun, Field: field, Message: message}
+	}
+	if err := json.Unmarshal(body, &in); err != nil {
+		return in, bad("body", err.Error())
+	}
+	if in.Service == "" {
+		return in, bad("service", "missing")
+	}
+	if in.Prompt == "" {
+		return in, bad("prompt", "missing")
+	}
+	if in.Max < 1 || in.Max > maxTokens {
+		return in, bad("max", fmt.Sprintf("want 1 to %d, not %d", maxTokens, in.Max))
+	}
+	return in, nil
+}
--- /dev/null
+++ b/entry/internal/gate/plain.go
@@ -0,0 +1,120 @@
+package gate
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"fuchsiashelf.dev/entry/internal/pass"
+	"fuchsiashelf.dev/parts/fault"
+	"fuchsiashelf.dev/parts/rule"
+	"fuchsiashelf.dev/parts/view"
+)
+
+// hopHeaders concern one connection only and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Proxy-Connection",
+}
+
+func (g *Gate) plain(ctx context.Context, c *app.RequestContext) {
+	snap := g.View.Load()
+	who, e := caller(c, snap)
+	if e != nil {
+		refuse(c, e)
+		return
+	}
+	s, e := plainService(snap, string(c.Path()))
+	if e != nil {
+		refuse(c, e)
+		return
+	}
+	p, e := route(snap, s.Name, who.Name)
+	if e != nil {
+		refuse(c, e)
+		return
+	}
+	request := g.next(snap)
+	c.Header(RequestHeader, request)
+	g.Trace.Add("gate", request, "took a call of team "+who.Name)
+	reply, e := g.Pass.Run(ctx, &pass.Call{
+		Request: request, Team: who.Name, ID: string(c.GetHeader(pass.IDHeader)),
+		Service: s, Pool: p, Method: string(c.Method()),
+		URI: string(c.Request.URI().RequestURI()), Header: requestHeader(c),
+		Body: c.Request.Body(), Deadline: time.Now().Add(s.Limit()),
+	})
+	if e != nil {
+		refuse(c, e)
+		return
+	}
+	respond(c, reply)
+}
+
+// plainService returns the service with the longest path that the call's
+// path is under.
+func plainService(snap *view.Snapshot, path string) (rule.Service, *fault.Error) {
+	best := rule.Service{}
+	if snap.Config != nil {
+		for _, s := range snap.Config.Services {
+			if under(path, s.Path) && len(s.Path) > len(best.Path) {
+				best = s
+			}
+		}
+	}
+	if best.Path == "" {
+		return best, &fault.Error{
+			Code: fault.NoRoute, Verdict: fault.NotRun, Field: "path",
+			Message: "no service has the path " + path,
+		}
+	}
+	return best, nil
+}
+
+func under(path, prefix string) bool {
+	rest, found := strings.CutPrefix(path, prefix)
+	return found && prefix != "" && (rest == "" || rest[0] == '/' || strings.HasSuffix(prefix, "/"))
+}
+
+func requestHeader(c *app.RequestContext) http.Header {
+	header := http.Header{}
+	c.Request.Header.VisitAll(func(key, value []byte) {
+		header.Add(string(key), string(value))
+	})
+	strip(header)
+	// The token is between the caller and the system.
+	header.Del("Authorization")
+	header.Del("Host")
+	header.Del("Content-Length")
+	return header
+}
+
+func strip(header http.Header) {
+	for _, named := range header.Values("Connection") {
+		for name := range strings.SplitSeq(named, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		header.Del(name)
+	}
+}
+
+func respond(c *app.RequestContext, reply *pass.Reply) {
+	strip(reply.Header)
+	reply.Header.Del("Content-Length")
+	for name, values := range reply.Header {
+		for i, value := range values {
+			if i == 0 {
+				c.Response.Header.Set(name, value)
+				continue
+			}
+			c.Response.Header.Add(name, value)
+		}
+	}
+	c.Header(fault.Header, fault.Ran.String())
+	c.Status(reply.Status)
+	c.Response.SetBody(reply.Body)
+}
--- /dev/null
+++ b/entry/internal/setup/setup.go
@@ -0,0 +1,106 @@
+// Package setup holds the settings of fsentry: flags, and environment
+// variables with the prefix FSENTRY_.
+package setup
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+
+	"fuchsiashelf.dev/parts/domain"
+)
+
+// Settings are the settings of one entry host.
+type Settings struct {
+	Name    string
+	Domain  string
+	Callers string
+	Peers   string
+	Desk    string
+	Ops     string
+	Store   string
+	// PeerSecret and DeskSecret are never logged.
+	PeerSecret string
+	DeskSecret string
+	MaxBody    int
+	Grace      time.Duration
+}
+
+// Prefix is the prefix of the environment variables.
+const Prefix = "FSENTRY"
+
+// Parse reads flags and environment, and checks every setting. The error
+// lists all faults, each with the name of its flag.
+func Parse(args []string, stderr io.Writer) (*Settings, error) {
+	s := &Settings{}
+	fs := s.Flags(stderr)
+	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix(Prefix)); err != nil {
+		return nil, err
+	}
+	return s, s.check()
+}
+
+// Flags returns the flags, bound to the settings.
+func (s *Settings) Flags(stderr io.Writer) *flag.FlagSet {
+	fs := flag.NewFlagSet("fsentry", flag.ContinueOnError)
+	fs.SetOutput(stderr)
+	fs.StringVar(&s.Name, "name", "", "name of this entry host (required)")
+	fs.StringVar(&s.Domain, "domain", "", "failure domain of this host (required)")
+	fs.StringVar(&s.Callers, "callers", "127.0.0.1:0", "host:port of the callers' listener")
+	fs.StringVar(&s.Peers, "peers", "127.0.0.1:0", "host:port of the peers' listener")
+	fs.StringVar(&s.Desk, "desk", "127.0.0.1:0", "host:port of the operators' listener")
+	fs.StringVar(&s.Ops, "ops", "127.0.0.1:0", "host:port of the metrics page")
+	fs.StringVar(&s.Store, "store", "", "host:port of the platform's object API (required)")
+	fs.StringVar(&s.PeerSecret, "peer-secret", "", "secret shared by all entry hosts (required)")
+	fs.StringVar(&s.DeskSecret, "desk-secret", "", "secret of the operators (required)")
+	fs.IntVar(&s.MaxBody, "max-body", 1<<20, "largest request body, in bytes")
+	fs.DurationVar(&s.Grace, "grace", 30*time.Second, "longest wait for requests in flight when stopping")
+	return fs
+}
+
+// Home returns the failure domain.
+func (s *Settings) Home() domain.Name {
+	return domain.Name(s.Domain)
+}
+
+func (s *Settings) check() error {
+	var faults []error
+	need := func(flag, value string) {
+		if value == "" {
+			faults = append(faults, fmt.Errorf("-%s: missing", flag))
+		}
+	}
+	address := func(flag, value string) {
+		if value == "" {
+			return
+		}
+		if _, _, err := net.SplitHostPort(value); err != nil {
+			faults = append(faults, fmt.Errorf("-%s: %q is not host:port", flag, value))
+		}
+	}
+	need("name", s.Name)
+	need("domain", s.Domain)
+	need("store", s.Store)
+	need("peer-secret", s.PeerSecret)
+	need("desk-secret", s.DeskSecret)
+	address("callers", s.Callers)
+	address("peers", s.Peers)
+	address("desk", s.Desk)
+	address("ops", s.Ops)
+	address("store", s.Store)
+	if s.MaxBody <= 0 {
+		faults = append(faults, fmt.Errorf("-max-body: %d is not above 0", s.MaxBody))
+	}
+	if s.Grace <= 0 {
+		faults = append(faults, fmt.Errorf("-grace: %s is not above 0", s.Grace))
+	}
+	if s.PeerSecret != "" && s.PeerSecret == s.DeskSecret {
+		faults = append(faults, errors.New("-desk-secret: must differ from -peer-secret"))
+	}
+	return errors.Join(faults...)
+}
--- /dev/null
+++ b/entry/prog/prog.go
@@ -0,0 +1,165 @@
+// Package prog is the program fsentry: the router on each entry host.
+package prog
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/rcrowley/go-metrics"
+
+	"fuchsiashelf.dev/entry/internal/feed"
+	"fuchsiashelf.dev/entry/internal/gate"
+	"fuchsiashelf.dev/entry/internal/mesh"
+	"fuchsiashelf.dev/entry/internal/pass"
+	"fuchsiashelf.dev/entry/internal/relay"
+	"fuchsiashelf.dev/entry/internal/seat"
+	"fuchsiashelf.dev/entry/internal/setup"
+	"fuchsiashelf.dev/parts/engine"
+	"fuchsiashelf.dev/parts/httpd"
+	"fuchsiashelf.dev/parts/store"
+	"fuchsiashelf.dev/parts/trace"
+	"fuchsiashelf.dev/parts/view"
+)
+
+// Version is the version of the program.
+const Version = "0.1.0"
+
+// The exit statuses.
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+// Main runs the program until the context ends and returns its exit status.
+func Main(ctx context.Context, args []string, _ io.Reader, stdout, stderr io.Writer) int {
+	if len(args) == 1 && args[0] == "version" {
+		fmt.Fprintln(stdout, "fsentry", Version)
+		return 0
+	}
+	settings, err := setup.Parse(args, stderr)
+	if errors.Is(err, flag.ErrHelp) {
+		return 0
+	}
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitSettings
+	}
+	d := &daemon{settings: settings, stdout: stdout}
+	d.log = slog.New(slog.NewTextHandler(stderr, nil)).With("entry", settings.Name)
+	if err := d.run(ctx); err != nil {
+		d.log.Error("prog: stopped", "err", err)
+		return exitFailed
+	}
+	return 0
+}
+
+// daemon is one running entry host.
+type daemon struct {
+	settings *setup.Settings
+	stdout   io.Writer
+	log      *slog.Logger
+	stopping atomic.Bool
+
+	callers, peers, desk, ops net.Listener
+}
+
+func (d *daemon) listen() error {
+	for _, l := range []struct {
+		flag, address string
+		into          *net.Listener
+	}{
+		{"callers", d.settings.Callers, &d.callers},
+		{"peers", d.settings.Peers, &d.peers},
+		{"desk", d.settings.Desk, &d.desk},
+		{"ops", d.settings.Ops, &d.ops},
+	} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return fmt.Errorf("-%s: %w", l.flag, err)
+		}
+		*l.into = listener
+	}
+	return nil
+}
+
+// run starts the parts and, when the context ends, stops them in order: no
+// new callers, requests in flight to their end, then the rest.
+func (d *daemon) run(ctx context.Context) error {
+	if err := d.listen(); err != nil {
+		return err
+	}
+	holder := view.New(d.settings.Name, d.settings.Home())
+	line := &trace.Line{Process: d.settings.Name}
+	api := &store.Client{Address: d.settings.Store}
+	feeder := &feed.Feed{Store: api, View: holder, Trace: line, Log: d.log}
+	peers := &mesh.Mesh{View: holder, Trace: line, Log: d.log, Secret: d.settings.PeerSecret}
+	desk := &seat.Seat{
+		View: holder, Store: api, Feed: feeder, Mesh: peers,
+		Trace: line, Log: d.log, Secret: d.settings.DeskSecret,
+	}
+	door := &gate.Gate{
+		View:  holder,
+		Relay: &relay.Relay{View: holder, Engine: &engine.Client{}, Trace: line, Log: d.log},
+		Pass:  &pass.Pass{View: holder, Store: api, Trace: line, Log: d.log},
+		Trace: line, Log: d.log,
+		Ready: func() bool {
+			snap := holder.Load()
+			return !d.stopping.Load() && snap.Config != nil && snap.HostsRevision > 0
+		},
+	}
+	inner, stopInner := context.WithCancel(context.Background())
+	defer stopInner()
+	var parts sync.WaitGroup
+	start := func(what string, run func(context.Context) error) {
+		parts.Go(func() {
+			if err := run(inner); err != nil && inner.Err() == nil {
+				d.log.Error("prog: part failed", "part", what, "err", err)
+			}
+		})
+	}
+	start("feed", func(ctx context.Context) error { feeder.Run(ctx); return nil })
+	start("mesh", func(ctx context.Context) error { return peers.Run(ctx, d.peers) })
+	start("seat", func(ctx context.Context) error { return desk.Run(ctx, d.desk) })
+	start("ops", func(ctx context.Context) error { return d.serveOps(ctx, door) })
+	fmt.Fprintf(d.stdout, "ready callers=%s peers=%s desk=%s ops=%s\n",
+		d.callers.Addr(), d.peers.Addr(), d.desk.Addr(), d.ops.Addr())
+	err := d.serveCallers(ctx, door)
+	stopInner()
+	parts.Wait()
+	return err
+}
+
+func (d *daemon) serveCallers(ctx context.Context, door *gate.Gate) error {
+	front := &httpd.Server{Listener: d.callers, MaxBody: d.settings.MaxBody}
+	front.Make()
+	door.Routes(front.Hertz)
+	go func() {
+		<-ctx.Done()
+		d.stopping.Store(true)
+		d.log.Info("prog: stopping")
+	}()
+	return front.Run(ctx, d.settings.Grace)
+}
+
+// opsGrace is how long the metrics page waits for its readers at a stop.
+const opsGrace = 200 * time.Millisecond
+
+func (d *daemon) serveOps(ctx context.Context, door *gate.Gate) error {
+	page := &httpd.Server{Listener: d.ops}
+	page.Make()
+	door.Health(page.Hertz)
+	page.Hertz.GET("/metrics", func(_ context.Context, c *app.RequestContext) {
+		c.Header("Content-Type", "application/json")
+		metrics.WriteJSONOnce(metrics.DefaultRegistry, c)
+	})
+	return page.Run(ctx, opsGrace)
+}
--- /dev/null
+++ b/load/cmd/fsload/main.go
@@ -0,0 +1,17 @@
+// Command fsload loads the system and measures it.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"fuchsiashelf.dev/load/prog"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	os.Exit(prog.Main(ctx, os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/parts/deal/deal.go
@@ -0,0 +1,14 @@
+// Package deal models the contract with a team: what share of the system it
+// may use, and how much at most.
+package deal
+
+// Deal is a team's contract.
+type Deal struct {
+	// Share is the team's weight when the system is full; at least 1.
+	Share int `json:"share"`
+	// Rate is the most requests per second over all entries; zero means no
+	// limit.
+	Rate float64 `json:"rate,omitempty"`
+	// Burst is the most requests that may come at once above Rate.
+	Burst int `json:"burst,omitempty"`
+}
--- /dev/null
+++ b/parts/fault/error.go
@@ -0,0 +1,121 @@
+package fault
+
+import (
+	"errors"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// Code names the kind of an error. It is part of the callers' interface.
+type Code string
+
+// The codes.
+const (
+	BadRequest    Code = "bad-request"
+	TooLarge      Code = "too-large"
+	Unauthorized  Code = "unauthorized"
+	NoRoute       Code = "no-route"
+	NoServer      Code = "no-server"
+	NoCover       Code = "no-cover"
+	Overloaded    Code = "overloaded"
+	OverLimit     Code = "over-limit"
+	Deadline      Code = "deadline"
+	Draining      Code = "draining"
+	Poisoned      Code = "poisoned"
+	StoreDown     Code = "store-down"
+	Conflict      Code = "conflict"
+	NotFound      Code = "not-found"
+	IDNeeded      Code = "id-needed"
+	IDReused      Code = "id-reused"
+	Repeated      Code = "repeated"
+	BrokenAnswer  Code = "broken-answer"
+	ServerFailed  Code = "server-failed"
+	ServerRefused Code = "server-refused"
+	Cancelled     Code = "cancelled"
+	Internal      Code = "internal"
+)
+
+// Error is an error on the request path.
+type Error struct {
+	// Code names the kind of the error.
+	Code Code
+	// Verdict says whether the request may have run.
+	Verdict Verdict
+	// Message tells a person what went wrong.
+	Message string
+	// Field names the faulty field of the input, if there is one.
+	Field string
+	// Server names the backend server that the error came from, if any.
+	Server string
+	// RetryAfter is when coming back helps; zero means that it does not.
+	RetryAfter time.Duration
+	// Cause is the error underneath, if any.
+	Cause error
+}
+
+// Error returns the code, the field and the message in one line.
+func (e *Error) Error() string {
+	var b strings.Builder
+	b.WriteString(string(e.Code))
+	if e.Field != "" {
+		b.WriteString(": ")
+		b.WriteString(e.Field)
+	}
+	if e.Message != "" {
+		b.WriteString(": ")
+		b.WriteString(e.Message)
+	}
+	if e.Cause != nil {
+		b.WriteString(": ")
+		b.WriteString(e.Cause.Error())
+	}
+	return b.String()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Cause
+}
+
+// As returns err as an *Error. Any other error becomes Internal and
+// MayHaveRun, since nothing is known about it.
+func As(err error) *Error {
+	if err == nil {
+		return nil
+	}
+	var known *Error
+	if errors.As(err, &known) {
+		return known
+	}
+	return &Error{Code: Internal, Verdict: MayHaveRun, Cause: err}
+}
+
+// Status returns the HTTP status code that a caller gets for the error.
+func (e *Error) Status() int {
+	switch e.Code {
+	case BadRequest, IDNeeded:
+		return http.StatusBadRequest
+	case TooLarge:
+		return http.StatusRequestEntityTooLarge
+	case Unauthorized:
+		return http.StatusUnauthorized
+	case NoRoute, NotFound:
+		return http.StatusNotFound
+	case OverLimit:
+		return http.StatusTooManyRequests
+	case Conflict, Repeated:
+		return http.StatusConflict
+	case IDReused, Poisoned:
+		return http.StatusUnprocessableEntity
+	case Deadline:
+		return http.StatusGatewayTimeout
+	case BrokenAnswer, ServerFailed, ServerRefused:
+		return http.StatusBadGateway
+	case NoServer, NoCover, Overloaded, Draining, StoreDown:
+		return http.StatusServiceUnavailable
+	case Cancelled, Internal:
+		return http.StatusInternalServerError
+	}
+	return http.StatusInternalServerError
+}
--- /dev/null
+++ b/parts/frame/frame.go
@@ -0,0 +1,93 @@
+// Package frame accepts or rejects the frames of an answer.
+//
+// A frame is accepted only for the current attempt of its request, with
+// exactly the next index, and with spans that tile all layers of the model.
+// So answers that arrive late or crossed cannot mix, and that each layer ran
+// once and in order is checked for every token.
+package frame
+
+import (
+	"fmt"
+
+	"fuchsiashelf.dev/parts/engine"
+	"fuchsiashelf.dev/parts/fault"
+)
+
+// Verdict is what to do with a frame.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Drop means that the frame belongs to another attempt or request.
+	Drop Verdict = iota
+	// Token means that the frame carries the next token.
+	Token
+	// End means that the answer is whole.
+	End
+	// Failed means that a server of the chain failed.
+	Failed
+	// Broken means that the attempt cannot be trusted any more.
+	Broken
+)
+
+// Check holds the state of one attempt. Set the fields, then call Next for
+// each frame.
+type Check struct {
+	Request string
+	Attempt int
+	Layers  int
+	// Index is the index that the next token must have.
+	Index int
+}
+
+// Next judges a frame and moves on past a token. The error is set with
+// Failed and Broken.
+func (c *Check) Next(f *engine.Frame) (Verdict, *fault.Error) {
+	if f.Request != c.Request || f.Attempt != c.Attempt {
+		return Drop, nil
+	}
+	if f.Fail != nil {
+		return Failed, &fault.Error{
+			Code: fault.ServerFailed, Verdict: fault.MayHaveRun,
+			Server: f.Fail.Server, Message: f.Fail.What,
+		}
+	}
+	if f.End {
+		if f.Count != c.Index {
+			return Broken, broken("the end counts %d tokens, %d came", f.Count, c.Index)
+		}
+		return End, nil
+	}
+	if f.Index != c.Index {
+		return Broken, broken("token %d came in place of %d", f.Index, c.Index)
+	}
+	if e := c.cover(f.Spans); e != nil {
+		return Broken, e
+	}
+	c.Index++
+	return Token, nil
+}
+
+// cover checks that the spans tile [0, Layers) in order.
+func (c *Check) cover(spans []engine.Span) *fault.Error {
+	at := 0
+	for _, s := range spans {
+		if s.First != at || s.End <= s.First {
+			e := broken("layers %d to %d ran where layer %d was due", s.First, s.End, at)
+			e.Server = s.Server
+			return e
+		}
+		at = s.End
+	}
+	if at != c.Layers {
+		return broken("layers ran up to %d of %d", at, c.Layers)
+	}
+	return nil
+}
+
+func broken(format string, args ...any) *fault.Error {
+	return &fault.Error{
+		Code: fault.BrokenAnswer, Verdict: fault.MayHaveRun,
+		Message: fmt.Sprintf(format, args...),
+	}
+}
--- /dev/null
+++ b/parts/httpd/httpd.go
@@ -0,0 +1,61 @@
+// Package httpd makes the HTTP servers that all programs share.
+package httpd
+
+import (
+	"context"
+	"io"
+	"net"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+)
+
+// Server is an HTTP server on one listener. Set the exported fields, then
+// call Make and add routes to Hertz, then Run.
+type Server struct {
+	// Listener is where the server accepts connections.
+	Listener net.Listener
+	// MaxBody is the largest request body, in bytes.
+	MaxBody int
+	// Hertz is the server that routes are added to. Make sets it.
+	Hertz *server.Hertz
+}
+
+// defaultMaxBody bounds a request body where the server sets nothing.
+const defaultMaxBody = 4 << 20
+
+// Make creates the underlying server. The context of a handler ends when its
+// client disconnects.
+func (s *Server) Make(more ...config.Option) {
+	hlog.SetOutput(io.Discard)
+	if s.MaxBody == 0 {
+		s.MaxBody = defaultMaxBody
+	}
+	options := []config.Option{
+		server.WithListener(s.Listener),
+		server.WithMaxRequestBodySize(s.MaxBody),
+		server.WithDisablePrintRoute(true),
+		server.WithExitWaitTime(0),
+		server.WithSenseClientDisconnection(true),
+		server.WithDisablePreParseMultipartForm(true),
+		server.WithRedirectTrailingSlash(false),
+	}
+	s.Hertz = server.New(append(options, more...)...)
+}
+
+// Run serves until the context ends and then waits for requests in flight,
+// at most for the given time.
+func (s *Server) Run(ctx context.Context, grace time.Duration) error {
+	failed := make(chan error, 1)
+	go func() { failed <- s.Hertz.Run() }()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	stop, cancel := context.WithTimeout(context.Background(), grace)
+	defer cancel()
+	return s.Hertz.Shutdown(stop)
+}
--- /dev/null
+++ b/parts/pool/pool.go
@@ -0,0 +1,22 @@
+// Package pool models a pool: the backend servers that together serve one
+// model, or one plain service.
+package pool
+
+// Pool is a set of backend servers. Data only; it is never changed in place.
+type Pool struct {
+	// Name is unique among pools.
+	Name string `json:"name"`
+	// Model is the model that the pool serves; empty for a plain pool.
+	Model string `json:"model,omitempty"`
+	// Layers is the number of layers of the model; zero for a plain pool.
+	Layers int `json:"layers,omitempty"`
+	// Servers are names of backend servers, sorted.
+	Servers []string `json:"servers"`
+	// Revision is the configuration revision that last changed the pool.
+	Revision uint64 `json:"revision"`
+}
+
+// IsPlain reports whether the pool serves a plain service.
+func (p Pool) IsPlain() bool {
+	return p.Model == ""
+}
--- /dev/null
+++ b/parts/view/view.go
@@ -0,0 +1,165 @@
+// Package view joins what an entry host knows about the world into one
+// immutable [Snapshot].
+//
+// The request path loads the current snapshot once per request from an atomic
+// pointer and works on that alone (read-copy-update). Writers make a changed
+// copy under a lock and publish it, so a request never sees half a change.
+package view
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"fuchsiashelf.dev/parts/conf"
+	"fuchsiashelf.dev/parts/domain"
+	"fuchsiashelf.dev/parts/host"
+	"fuchsiashelf.dev/parts/link"
+	"fuchsiashelf.dev/parts/server"
+	"fuchsiashelf.dev/parts/team"
+)
+
+// Reason says why a backend server gets no new work.
+type Reason string
+
+// The reasons.
+const (
+	// HostLeaving: the host list says that the host is leaving.
+	HostLeaving Reason = "host-leaving"
+	// Stopping: the operators have planned a stop, and it has begun.
+	Stopping Reason = "stopping"
+	// Refusing: the server itself has answered that it is leaving.
+	Refusing Reason = "refusing"
+	// PeerWord: another entry has said that the server is leaving.
+	PeerWord Reason = "peer-word"
+)
+
+// Peer is another entry host as this one sees it.
+type Peer struct {
+	// Name is the name of the entry host.
+	Name string
+	// Address is host:port of its peers' listener.
+	Address string
+	// Domain is its failure domain.
+	Domain domain.Name
+	// Incarnation tells one run of the entry from the next.
+	Incarnation uint64
+	// Revision is the configuration revision that it has in force.
+	Revision uint64
+	// Alive says that it answered lately or that others heard it.
+	Alive bool
+	// Left says that it said goodbye.
+	Left bool
+}
+
+// Snapshot is what an entry host knows at one moment. All of it is read only.
+type Snapshot struct {
+	// Self is the name of this entry host.
+	Self string
+	// Domain is the failure domain of this entry host.
+	Domain domain.Name
+	// Config is the configuration in force; nil before the first one.
+	Config *conf.Config
+	// ConfigAt is when Config was last confirmed as the newest.
+	ConfigAt time.Time
+	// Teams is the book of teams; nil before the first one.
+	Teams *team.Book
+	// Hosts is the host list by name.
+	Hosts map[string]host.Host
+	// HostsRevision is the revision of the host list.
+	HostsRevision uint64
+	// Out holds the backend servers that get no new work.
+	Out map[string]Reason
+	// Suspects holds backend servers that failed lately, with the time until
+	// which they are avoided.
+	Suspects map[string]time.Time
+	// Poison holds fingerprints of requests that are known to crash backend
+	// servers, with the time until which they are refused.
+	Poison map[string]time.Time
+	// Peers holds the other entry hosts by name.
+	Peers map[string]Peer
+	// Meters holds the figures of each backend server. The map is replaced
+	// with the snapshot; the meters themselves live on.
+	Meters map[string]*server.Meter
+	// Delays holds the measured one-way delay of links.
+	Delays map[link.Key]time.Duration
+}
+
+// Holder publishes snapshots. Make one with New.
+type Holder struct {
+	mu      sync.Mutex
+	current atomic.Pointer[Snapshot]
+	changed atomic.Pointer[chan struct{}]
+}
+
+// New returns a holder with an empty snapshot for the given entry host.
+func New(self string, in domain.Name) *Holder {
+	h := &Holder{}
+	wake := make(chan struct{})
+	h.changed.Store(&wake)
+	h.current.Store(&Snapshot{
+		Self:     self,
+		Domain:   in,
+		Hosts:    map[string]host.Host{},
+		Out:      map[string]Reason{},
+		Suspects: map[string]time.Time{},
+		Poison:   map[string]time.Time{},
+		Peers:    map[string]Peer{},
+		Meters:   map[string]*server.Meter{},
+		Delays:   map[link.Key]time.Duration{},
+	})
+	return h
+}
+
+// Load returns the current snapshot. It is never nil.
+func (h *Holder) Load() *Snapshot {
+	return h.current.Load()
+}
+
+// Update publishes a changed copy of the snapshot. The function gets a
+// shallow copy: it replaces maps (see Edit), and never writes into a map that
+// it found there, since readers may hold it.
+func (h *Holder) Update(change func(*Snapshot)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	next := *h.current.Load()
+	change(&next)
+	next.addMeters()
+	h.current.Store(&next)
+	wake := make(chan struct{})
+	close(*h.changed.Swap(&wake))
+}
+
+// Changed returns a channel that is closed at the next change. Call it before
+// Load to miss nothing.
+func (h *Holder) Changed() <-chan struct{} {
+	return *h.changed.Load()
+}
+
+// addMeters gives each newly listed host a meter.
+func (s *Snapshot) addMeters() {
+	var grown map[string]*server.Meter
+	for name := range s.Hosts {
+		if s.Meters[name] != nil {
+			continue
+		}
+		if grown == nil {
+			grown = maps.Clone(s.Meters)
+		}
+		grown[name] = &server.Meter{}
+	}
+	if grown != nil {
+		s.Meters = grown
+	}
+}
+
+// Edit returns a copy of a map after a change, for use within Update.
+func Edit[K comparable, V any](old map[K]V, change func(map[K]V)) map[K]V {
+	next := maps.Clone(old)
+	if next == nil {
+		next = map[K]V{}
+	}
+	change(next)
+	return next
+}
--- /dev/null
+++ b/sess/command_test.go
@@ -0,0 +1,345 @@
+package sess
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+
+	"github.com/rogpeppe/go-internal/testscript"
+	"golang.org/x/sync/errgroup"
+
+	"fuchsiashelf.dev/parts/domain"
+	"fuchsiashelf.dev/parts/host"
+	"fuchsiashelf.dev/sess/procs"
+)
+
+type mainFunc func(ctx context.Context, args []string, stdin io.Reader, stdout, stderr io.Writer) int
+
+// session is the state of one script.
+type session struct {
+	*procs.World
+	// transcript is what the script's commands printed.
+	transcript strings.Builder
+	jobs       map[string]*job
+}
+
+// job is a request that runs beside the script.
+type job struct {
+	done chan struct{}
+	out  string
+	err  error
+}
+
+type sessionKeyType struct{}
+
+var sessionKey sessionKeyType
+
+// commands are the commands of the scripts. Each that prints adds a line with
+// the command itself and then its output to the transcript.
+var commands = map[string]func(ts *testscript.TestScript, neg bool, args []string){
+	// town starts the usual world: two failure domains, a store, two engines
+	// for each of the layer ranges 0-8, 8-16 and 16-24 (one in each domain),
+	// two plain services, four entry hosts, and the routes to them.
+	"town": command("town", func(s *session, _ []string) (string, error) { return "", s.town() }),
+	// store TEAM...: starts the store with these teams.
+	"store": command("store", func(s *session, a []string) (string, error) { return "", s.StartStore(a...) }),
+	// engine NAME DOMAIN FIRST END [flags]
+	"engine": command("engine", func(s *session, a []string) (string, error) {
+		first, _ := strconv.Atoi(a[2])
+		end, _ := strconv.Atoi(a[3])
+		return "", s.StartEngine(a[0], domain.Name(a[1]), first, end, a[4:]...)
+	}),
+	// plain NAME DOMAIN
+	"plain": command("plain", func(s *session, a []string) (string, error) {
+		return "", s.StartPlain(a[0], domain.Name(a[1]))
+	}),
+	// entry NAME DOMAIN [flags]: starts an entry host.
+	"entry": command("entry", func(s *session, a []string) (string, error) {
+		return "", s.StartEntry(a[0], domain.Name(a[1]), a[2:]...)
+	}),
+	// ready ENTRY...: waits until these say that they are ready.
+	"ready": command("ready", func(s *session, a []string) (string, error) {
+		for _, name := range a {
+			if err := s.Ready(name); err != nil {
+				return "", err
+			}
+		}
+		return "", nil
+	}),
+	// restart NAME: starts an ended process again at its addresses.
+	"restart": command("restart", func(s *session, a []string) (string, error) {
+		_, err := s.Restart(a[0])
+		return "", err
+	}),
+	// list NAME DOMAIN live|leaving, unlist NAME
+	"list": command("list", func(s *session, a []string) (string, error) {
+		return "", s.List(a[0], domain.Name(a[1]), host.State(a[2]))
+	}),
+	"unlist": command("unlist", func(s *session, a []string) (string, error) { return "", s.Unlist(a[0]) }),
+	// fault NAME KIND [VALUE [COUNT]], heal NAME
+	"fault": command("fault", func(s *session, a []string) (string, error) {
+		a = append(a, "", "0")
+		count, _ := strconv.Atoi(a[3])
+		return "", s.Fault(a[0], a[1], a[2], count)
+	}),
+	"heal": command("heal", func(s *session, a []string) (string, error) { return "", s.Heal(a[0]) }),
+	// signal NAME KILL|STOP|CONT|TERM
+	"signal": command("signal", func(s *session, a []string) (string, error) { return "", s.signal(a[0], a[1]) }),
+	// exited NAME: waits until the process has ended, prints its status.
+	"exited": command("exited", func(s *session, a []string) (string, error) {
+		p, err := s.Get(a[0])
+		if err != nil {
+			return "", err
+		}
+		status, err := p.Wait()
+		return fmt.Sprintf("exit status %d\n", status), err
+	}),
+	// desk ENTRY LINE...: prints what fsdesk prints.
+	"desk": command("desk", func(s *session, a []string) (string, error) {
+		return s.Desk(a[0], a[1:]...)
+	}),
+	// ask ENTRY TEAM PROMPT MAX: sends a model request, prints its outcome.
+	"ask": command("ask", func(s *session, a []string) (string, error) { return s.ask(a) }),
+	// call ENTRY TEAM METHOD URI [ID [BODY]]: calls a plain service, prints
+	// status, verdict and body.
+	"call": command("call", func(s *session, a []string) (string, error) { return s.call(a) }),
+	// counts NAME: prints how often each call ran on a stand-in.
+	"counts": command("counts", func(s *session, a []string) (string, error) {
+		out, err := s.Control(a[0], "GET", "/counts", nil)
+		return out + "\n", err
+	}),
+	// start JOB ask|call|desk ...: runs a command beside the script.
+	"start": command("start", func(s *session, a []string) (string, error) { return "", s.start(a) }),
+	// await JOB: waits for it and prints what it printed.
+	"await": command("await", func(s *session, a []string) (string, error) {
+		j := s.jobs[a[0]]
+		if j == nil {
+			return "", fmt.Errorf("no job %s", a[0])
+		}
+		<-j.done
+		return j.out, j.err
+	}),
+	// until REGEXP COMMAND...: repeats desk, ask, call or counts until its
+	// output matches; prints nothing, since the number of tries varies.
+	"until": quiet(func(s *session, a []string) (string, error) {
+		pattern, err := regexp.Compile(a[0])
+		if err != nil {
+			return "", err
+		}
+		last := ""
+		err = procs.Until(strings.Join(a, " "), func() bool {
+			last, _ = s.run(a[1:])
+			return pattern.MatchString(last)
+		})
+		if err != nil {
+			err = fmt.Errorf("%w; last: %s", err, last)
+		}
+		return "", err
+	}),
+	// session: prints the transcript, for `cmp stdout want`.
+	"session": func(ts *testscript.TestScript, _ bool, _ []string) {
+		s := ts.Value(sessionKey).(*session)
+		fmt.Fprint(ts.Stdout(), s.transcript.String())
+	},
+}
+
+// command makes a script command of a function, and writes the transcript.
+func command(name string, run func(s *session, args []string) (string, error)) func(*testscript.TestScript, bool, []string) {
+	return script(name, run, true)
+}
+
+// quiet is a command that leaves the transcript alone.
+func quiet(run func(s *session, args []string) (string, error)) func(*testscript.TestScript, bool, []string) {
+	return script("until", run, false)
+}
+
+func script(name string, run func(s *session, args []string) (string, error), loud bool) func(*testscript.TestScript, bool, []string) {
+	return func(ts *testscript.TestScript, neg bool, args []string) {
+		s := ts.Value(sessionKey).(*session)
+		out, err := run(s, args)
+		if neg == (err == nil) {
+			ts.Fatalf("%v: %v", args, err)
+		}
+		out = s.rename(out)
+		if loud && out != "" {
+			fmt.Fprintf(&s.transcript, "$ %s %s\n%s", name, strings.Join(args, " "), out)
+		}
+		fmt.Fprint(ts.Stdout(), out)
+	}
+}
+
+// Texts that vary from run to run and what stands for them.
+var renames = []struct {
+	pattern *regexp.Regexp
+	with    string
+}{
+	{regexp.MustCompile(`\b[0-9a-f]{16}\b`), "ID"},
+	{regexp.MustCompile(`\d\d:\d\d:\d\d\.\d+`), "TIME"},
+	{regexp.MustCompile(`127\.0\.0\.1:\d+`), "ADDRESS"},
+}
+
+// rename replaces what varies from run to run.
+func (s *session) rename(out string) string {
+	for _, p := range s.All() {
+		for kind, address := range p.At {
+			out = strings.ReplaceAll(out, address, p.Name+"-"+kind)
+		}
+	}
+	for _, r := range renames {
+		out = r.pattern.ReplaceAllString(out, r.with)
+	}
+	return out
+}
+
+const (
+	townLayers = 24
+	townTeam   = "cantata"
+)
+
+func (s *session) town() error {
+	if err := s.StartStore(townTeam, "lyra"); err != nil {
+		return err
+	}
+	var starts errgroup.Group
+	for i, in := range []domain.Name{"a", "b"} {
+		for stage := range 3 {
+			name := fmt.Sprintf("%s%d", in, stage+1)
+			starts.Go(func() error { return s.StartEngine(name, in, stage*8, stage*8+8) })
+		}
+		starts.Go(func() error { return s.StartPlain(fmt.Sprintf("p%d", i+1), in) })
+	}
+	for i, in := range []domain.Name{"a", "a", "b", "b"} {
+		starts.Go(func() error { return s.StartEntry(fmt.Sprintf("e%d", i+1), in) })
+	}
+	if err := starts.Wait(); err != nil {
+		return err
+	}
+	return s.townLines()
+}
+
+// townLines writes the configuration of the usual world.
+func (s *session) townLines() error {
+	for _, line := range []string{
+		"create service assist model lotus",
+		"create service booking path /booking repeat no",
+		"create service notes path /notes",
+		"create pool lake model lotus layers 24 servers a1 a2 a3 b1 b2 b3",
+		"create pool books servers p1 p2",
+		"route service assist to pool lake",
+		"route service booking to pool books",
+		"route service notes to pool books",
+	} {
+		var out string
+		err := procs.Until(line, func() bool {
+			out, _ = s.Desk("e1", line)
+			return strings.Contains(out, "\ndone")
+		})
+		if err != nil {
+			return fmt.Errorf("%w: %s", err, out)
+		}
+	}
+	for _, name := range []string{"e1", "e2", "e3", "e4"} {
+		if err := s.Ready(name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+var signals = map[string]syscall.Signal{
+	"KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP,
+	"CONT": syscall.SIGCONT, "TERM": syscall.SIGTERM,
+}
+
+func (s *session) signal(name, which string) error {
+	p, err := s.Get(name)
+	if err != nil {
+		return err
+	}
+	if err := p.Signal(signals[which]); err != nil {
+		return err
+	}
+	if which == "KILL" {
+		_, err = p.Wait()
+	}
+	return err
+}
+
+func (s *session) ask(a []string) (string, error) {
+	max, err := strconv.Atoi(a[3])
+	if err != nil {
+		return "", err
+	}
+	answer, err := s.Ask(a[0], a[1], "assist", a[2], max)
+	if err != nil {
+		return "connection lost\n", nil
+	}
+	return answer.Judge(a[2], townLayers, max) + "\n", nil
+}
+
+func (s *session) call(a []string) (string, error) {
+	a = append(a, "", "")
+	reply, err := s.Call(a[0], a[1], a[2], a[3], a[4], a[5])
+	if err != nil {
+		return "connection lost\n", nil
+	}
+	body := serverField.ReplaceAllString(strings.TrimSpace(reply.Body), "")
+	return fmt.Sprintf("%d %s %s\n", reply.Status, reply.Verdict, body), nil
+}
+
+// serverField is left out of the transcript: which of the servers of a pool
+// takes a call is chosen at random.
+var serverField = regexp.MustCompile(`"server":"[^"]*",`)
+
+// run runs one of the commands that only print.
+func (s *session) run(a []string) (string, error) {
+	switch a[0] {
+	case "desk":
+		return s.Desk(a[1], a[2:]...)
+	case "ask":
+		return s.ask(a[1:])
+	case "call":
+		return s.call(a[1:])
+	case "counts":
+		return s.Control(a[1], "GET", "/counts", nil)
+	}
+	return "", fmt.Errorf("no command %s to run", a[0])
+}
+
+func (s *session) start(a []string) error {
+	j := &job{done: make(chan struct{})}
+	if s.jobs == nil {
+		s.jobs = map[string]*job{}
+	}
+	s.jobs[a[0]] = j
+	go func() {
+		defer close(j.done)
+		j.out, j.err = s.run(a[1:])
+	}()
+	return nil
+}
+
+// raceMark opens every report of the race detector.
+const raceMark = "WARNING: DATA RACE"
+
+// end ends the processes and fails the script if one of them raced.
+func (s *session) end(env *testscript.Env) {
+	if err := s.End(); err != nil {
+		env.T().Log("end:", err)
+	}
+	var once sync.Once
+	for _, p := range s.All() {
+		text, err := os.ReadFile(filepath.Join(s.Dir, p.Name+".log"))
+		if err == nil && strings.Contains(string(text), raceMark) {
+			once.Do(func() { env.T().Log(string(text)) })
+			env.T().Fatal(p.Name, "raced")
+		}
+	}
+}
--- /dev/null
+++ b/sess/procs/procs.go
@@ -0,0 +1,184 @@
+// Package procs starts the programs as separate processes and drives them,
+// for golden sessions, the demo and the benches.
+package procs
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Proc is one process.
+type Proc struct {
+	// Name is the name of the host that the process plays.
+	Name string
+	// Program is the file name of the program.
+	Program string
+	// Args are its arguments; the first is the role of a stand-in.
+	Args []string
+	// At holds the addresses that it listens on, by kind: serve and control
+	// for stand-ins; callers, peers, desk and ops for entry hosts.
+	At map[string]string
+	// Exited is closed when the process has ended.
+	Exited chan struct{}
+
+	cmd *exec.Cmd
+}
+
+// World holds the processes of one session. Set the exported fields, then
+// start processes; End ends all of them.
+type World struct {
+	// Path finds a program's file.
+	Path func(program string) (string, error)
+	// Dir is where the processes write their logs, one file each.
+	Dir string
+
+	mu    sync.Mutex
+	procs map[string]*Proc
+}
+
+// startWait is how long a process may take until it is ready. It is long
+// since a machine that runs many sessions with the race detector is slow.
+const startWait = 60 * time.Second
+
+// Start starts a program and waits until it says that it is ready.
+func (w *World) Start(name, program string, args ...string) (*Proc, error) {
+	file, err := w.Path(program)
+	if err != nil {
+		return nil, err
+	}
+	p := &Proc{Name: name, Program: program, Args: args, At: map[string]string{}, Exited: make(chan struct{})}
+	p.cmd = exec.Command(file, args...)
+	logs, err := os.OpenFile(filepath.Join(w.Dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, err
+	}
+	p.cmd.Stderr = logs
+	out, err := p.cmd.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := p.cmd.Start(); err != nil {
+		return nil, err
+	}
+	w.mu.Lock()
+	if w.procs == nil {
+		w.procs = map[string]*Proc{}
+	}
+	w.procs[name] = p
+	w.mu.Unlock()
+	ready := make(chan string, 1)
+	go func() {
+		scan := bufio.NewScanner(out)
+		for scan.Scan() {
+			if rest, ok := strings.CutPrefix(scan.Text(), "ready "); ok {
+				ready <- rest
+			}
+		}
+		_ = p.cmd.Wait()
+		_ = logs.Close()
+		close(p.Exited)
+	}()
+	return p, p.await(ready)
+}
+
+func (p *Proc) await(ready <-chan string) error {
+	timer := time.NewTimer(startWait)
+	defer timer.Stop()
+	select {
+	case line := <-ready:
+		for _, word := range strings.Fields(line) {
+			kind, address, _ := strings.Cut(word, "=")
+			p.At[kind] = address
+		}
+		return nil
+	case <-p.Exited:
+		return fmt.Errorf("procs: %s ended before it was ready", p.Name)
+	case <-timer.C:
+		return fmt.Errorf("procs: %s was not ready in %s", p.Name, startWait)
+	}
+}
+
+// Get returns a process by name.
+func (w *World) Get(name string) (*Proc, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	p := w.procs[name]
+	if p == nil {
+		return nil, fmt.Errorf("procs: no process %s", name)
+	}
+	return p, nil
+}
+
+// All returns all processes that were started, the ended ones included.
+func (w *World) All() []*Proc {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var all []*Proc
+	for _, p := range w.procs {
+		all = append(all, p)
+	}
+	return all
+}
+
+// Signal sends a signal to a process.
+func (p *Proc) Signal(s syscall.Signal) error {
+	return p.cmd.Process.Signal(s)
+}
+
+// exitWait is how long a process may take to end.
+const exitWait = 60 * time.Second
+
+// Wait waits until the process has ended and returns its exit status.
+func (p *Proc) Wait() (int, error) {
+	select {
+	case <-p.Exited:
+		return p.cmd.ProcessState.ExitCode(), nil
+	case <-time.After(exitWait):
+		return 0, fmt.Errorf("procs: %s did not end", p.Name)
+	}
+}
+
+// Restart starts a process that has ended again, at the same addresses.
+func (w *World) Restart(name string) (*Proc, error) {
+	old, err := w.Get(name)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := old.Wait(); err != nil {
+		return nil, err
+	}
+	args := old.Args
+	for kind, address := range old.At {
+		flag := kind
+		if kind == "serve" {
+			flag = "listen"
+		}
+		args = append(args, "-"+flag, address)
+	}
+	return w.Start(name, old.Program, args...)
+}
+
+// End ends all processes. A frozen one is thawed first, so that it can go.
+func (w *World) End() error {
+	var errs []error
+	for _, p := range w.All() {
+		select {
+		case <-p.Exited:
+			continue
+		default:
+		}
+		_ = p.Signal(syscall.SIGCONT)
+		_ = p.Signal(syscall.SIGKILL)
+		_, err := p.Wait()
+		errs = append(errs, err)
+	}
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/sess/session_test.go
@@ -0,0 +1,73 @@
+// Package sess holds the golden sessions: scripts that start the real
+// programs as processes, drive them, and compare the whole session.
+package sess
+
+import (
+	"context"
+	"flag"
+	"os"
+	"os/exec"
+	"os/signal"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	desk "fuchsiashelf.dev/desk/prog"
+	entry "fuchsiashelf.dev/entry/prog"
+	load "fuchsiashelf.dev/load/prog"
+	"fuchsiashelf.dev/sess/procs"
+	stand "fuchsiashelf.dev/stand/prog"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden sessions")
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"fsentry": program(entry.Main),
+		"fsdesk":  program(desk.Main),
+		"fsstand": program(stand.Main),
+		"fsload":  program(load.Main),
+	})
+}
+
+// program makes a command of the test binary out of a program.
+func program(run mainFunc) func() {
+	return func() {
+		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+		defer stop()
+		os.Exit(run(ctx, os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
+	}
+}
+
+func TestSession(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:           "testdata",
+		UpdateScripts: *update,
+		Cmds:          commands,
+		Setup: func(env *testscript.Env) error {
+			s := newSession(env)
+			env.Values[sessionKey] = s
+			env.Defer(func() { s.end(env) })
+			return nil
+		},
+	})
+}
+
+// newSession returns a session whose processes are commands of the test
+// binary.
+func newSession(env *testscript.Env) *session {
+	path := env.Getenv("PATH")
+	return &session{World: &procs.World{
+		Dir: env.WorkDir,
+		Path: func(program string) (string, error) {
+			for dir := range strings.SplitSeq(path, string(os.PathListSeparator)) {
+				if file, err := exec.LookPath(dir + "/" + program); err == nil {
+					return file, nil
+				}
+			}
+			return "", &exec.Error{Name: program, Err: exec.ErrNotFound}
+		},
+	}}
+}
--- /dev/null
+++ b/stand/inject/inject.go
@@ -0,0 +1,94 @@
+// Package inject holds the faults that a test switches on in a stand-in while
+// it runs.
+package inject
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+)
+
+// Kind names a fault.
+type Kind string
+
+// Fault is a fault that is switched on.
+type Fault struct {
+	// Kind names the fault.
+	Kind Kind `json:"kind"`
+	// Value is the fault's parameter, for example a prompt or a duration.
+	Value string `json:"value"`
+	// Count is how often the fault strikes; zero means always.
+	Count int `json:"count"`
+}
+
+// Set holds the faults of one stand-in. The zero value has none.
+type Set struct {
+	mu     sync.Mutex
+	faults map[Kind]*Fault
+}
+
+// Add switches a fault on.
+func (s *Set) Add(f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults == nil {
+		s.faults = map[Kind]*Fault{}
+	}
+	s.faults[f.Kind] = &f
+}
+
+// Clear switches all faults off.
+func (s *Set) Clear() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = nil
+}
+
+// On reports whether a fault is on, without using it up.
+func (s *Set) On(kind Kind) (Fault, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.faults[kind]
+	if f == nil {
+		return Fault{}, false
+	}
+	return *f, true
+}
+
+// Strike reports whether a fault strikes now, and uses it up by one.
+func (s *Set) Strike(kind Kind) (Fault, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.faults[kind]
+	if f == nil {
+		return Fault{}, false
+	}
+	hit := *f
+	if f.Count > 0 {
+		f.Count--
+		if f.Count == 0 {
+			delete(s.faults, kind)
+		}
+	}
+	return hit, true
+}
+
+// Routes adds the control calls to a server: POST /fault and DELETE /fault.
+func (s *Set) Routes(h *server.Hertz) {
+	h.POST("/fault", func(_ context.Context, c *app.RequestContext) {
+		var f Fault
+		if err := json.Unmarshal(c.Request.Body(), &f); err != nil || f.Kind == "" {
+			c.String(400, "fault: need a kind: %v", err)
+			return
+		}
+		s.Add(f)
+		c.String(200, "on")
+	})
+	h.DELETE("/fault", func(_ context.Context, c *app.RequestContext) {
+		s.Clear()
+		c.String(200, "off")
+	})
+}
--- /dev/null
+++ b/stand/prog/prog.go
@@ -0,0 +1,161 @@
+// Package prog is the program fsstand: stand-ins for what lies outside the
+// system, one role a process.
+package prog
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"fuchsiashelf.dev/parts/httpd"
+	"fuchsiashelf.dev/stand/inject"
+	"fuchsiashelf.dev/stand/internal/engine"
+	"fuchsiashelf.dev/stand/internal/object"
+	"fuchsiashelf.dev/stand/internal/plain"
+)
+
+// Version is the version of the program.
+const Version = "0.1.0"
+
+// role is what a stand-in serves.
+type role interface {
+	Routes(h *server.Hertz)
+	Control(h *server.Hertz)
+}
+
+// grace is how long a stand-in waits for requests in flight when it stops.
+const grace = 200 * time.Millisecond
+
+// Main runs the program until the context ends and returns its exit status.
+func Main(ctx context.Context, args []string, _ io.Reader, stdout, stderr io.Writer) int {
+	root := &ffcli.Command{
+		Name:       "fsstand",
+		ShortUsage: "fsstand store|engine|plain|version [flags]",
+		FlagSet:    flags("fsstand", stderr),
+		Exec:       func(context.Context, []string) error { return flag.ErrHelp },
+		Subcommands: []*ffcli.Command{
+			storeCommand(stdout, stderr), engineCommand(stdout, stderr),
+			plainCommand(stdout, stderr), versionCommand(stdout, stderr),
+		},
+	}
+	err := root.ParseAndRun(ctx, args)
+	if errors.Is(err, flag.ErrHelp) {
+		return 2
+	}
+	if err != nil {
+		fmt.Fprintln(stderr, "fsstand:", err)
+		return 1
+	}
+	return 0
+}
+
+func flags(name string, stderr io.Writer) *flag.FlagSet {
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	fs.SetOutput(stderr)
+	return fs
+}
+
+func options() []ff.Option {
+	return []ff.Option{ff.WithEnvVarPrefix("FSSTAND")}
+}
+
+// shell holds the settings that all roles share.
+type shell struct {
+	name, listen, control string
+	stdout                io.Writer
+}
+
+func (s *shell) register(fs *flag.FlagSet) {
+	fs.StringVar(&s.name, "name", "stand", "name of this backend server")
+	fs.StringVar(&s.listen, "listen", "127.0.0.1:0", "address to serve on")
+	fs.StringVar(&s.control, "control", "127.0.0.1:0", "address for switching faults")
+}
+
+// serve runs a role on both listeners and says where on standard output.
+func (s *shell) serve(ctx context.Context, r role) error {
+	front, err := net.Listen("tcp", s.listen)
+	if err != nil {
+		return err
+	}
+	back, err := net.Listen("tcp", s.control)
+	if err != nil {
+		return err
+	}
+	serve := &httpd.Server{Listener: front}
+	serve.Make()
+	r.Routes(serve.Hertz)
+	control := &httpd.Server{Listener: back}
+	control.Make()
+	r.Control(control.Hertz)
+	fmt.Fprintf(s.stdout, "ready serve=%s control=%s\n", front.Addr(), back.Addr())
+	failed := make(chan error, 2)
+	go func() { failed <- serve.Run(ctx, grace) }()
+	go func() { failed <- control.Run(ctx, grace) }()
+	return errors.Join(<-failed, <-failed)
+}
+
+func storeCommand(stdout, stderr io.Writer) *ffcli.Command {
+	s := &shell{stdout: stdout}
+	fs := flags("fsstand store", stderr)
+	s.register(fs)
+	return &ffcli.Command{
+		Name: "store", ShortUsage: "fsstand store [flags]", FlagSet: fs, Options: options(),
+		ShortHelp: "the platform's object API and host list",
+		Exec: func(ctx context.Context, _ []string) error {
+			return s.serve(ctx, &object.Face{Store: object.New(), Faults: &inject.Set{}})
+		},
+	}
+}
+
+func engineCommand(stdout, stderr io.Writer) *ffcli.Command {
+	s := &shell{stdout: stdout}
+	fs := flags("fsstand engine", stderr)
+	s.register(fs)
+	e := &engine.Engine{Faults: &inject.Set{}}
+	fs.StringVar(&e.Model, "model", "lotus", "model whose layers it holds")
+	fs.IntVar(&e.First, "first", 0, "first layer")
+	fs.IntVar(&e.End, "end", 32, "one past the last layer")
+	fs.StringVar(&e.Kind, "kind", "std", "kind of accelerator")
+	fs.DurationVar(&e.TokenTime, "token-time", time.Millisecond, "time for one token")
+	fs.IntVar(&e.Capacity, "capacity", 8, "requests that run at once")
+	fs.DurationVar(&e.LinkDelay, "link-delay", 0, "one-way delay to other servers")
+	return &ffcli.Command{
+		Name: "engine", ShortUsage: "fsstand engine [flags]", FlagSet: fs, Options: options(),
+		ShortHelp: "a model engine that holds a range of layers",
+		Exec: func(ctx context.Context, _ []string) error {
+			e.Name = s.name
+			return s.serve(ctx, e)
+		},
+	}
+}
+
+func plainCommand(stdout, stderr io.Writer) *ffcli.Command {
+	s := &shell{stdout: stdout}
+	fs := flags("fsstand plain", stderr)
+	s.register(fs)
+	return &ffcli.Command{
+		Name: "plain", ShortUsage: "fsstand plain [flags]", FlagSet: fs, Options: options(),
+		ShortHelp: "a plain service",
+		Exec: func(ctx context.Context, _ []string) error {
+			return s.serve(ctx, &plain.Service{Name: s.name, Faults: &inject.Set{}})
+		},
+	}
+}
+
+func versionCommand(stdout, stderr io.Writer) *ffcli.Command {
+	return &ffcli.Command{
+		Name: "version", ShortUsage: "fsstand version", FlagSet: flags("fsstand version", stderr),
+		Exec: func(context.Context, []string) error {
+			fmt.Fprintln(stdout, "fsstand", Version)
+			return nil
+		},
+	}
+}
