sess: end processes without the race detector's pause

Cause: a program built with the race detector sleeps 1 s at exit, and the usual world runs eight desk lines. Ruled out: slow start of the processes (the demo takes 0.9 s in all). Change: GORACE=atexit_sleep_ms=0.

--- a/sess/session_test.go
+++ b/sess/session_test.go
@@ -24,6 +24,9 @@
 var update = flag.Bool("update", false, "rewrite the golden sessions")
 
 func TestMain(m *testing.M) {
+	// A program with the race detector sleeps a second before it exits; the
+	// sessions run many short ones.
+	_ = os.Setenv("GORACE", "atexit_sleep_ms=0")
 	testscript.Main(m, map[string]func(){
 		"fsentry": program(entry.Main),
 		"fsdesk":  program(desk.Main),
