view, stand: join sources of leaving servers, and take orders

Cause: every refresh of the host list replaced the whole set of servers that get no new work, so a mark set by another source (a server's own refusal, a peer's word) was lost with the next list. Engines had no orders at all. Wire form: a refused order is 409 with Not-Run fenced or lapsed.

--- a/entry/internal/feed/feed.go
+++ b/entry/internal/feed/feed.go
@@ -84,7 +84,7 @@
 		newer = true
 		s.Config = c
 		s.ConfigAt = time.Now()
-		s.Out = out(s, time.Now())
+		out(s, time.Now())
 	})
 	if newer {
 		f.Trace.Add("feed", "", "configuration in force")
@@ -111,7 +111,7 @@
 			for _, h := range list.Hosts {
 				s.Hosts[h.Name] = h
 			}
-			s.Out = out(s, time.Now())
+			out(s, time.Now())
 		})
 	}
 }
@@ -127,29 +127,29 @@
 		case <-ctx.Done():
 			return
 		case now := <-tick.C:
-			f.View.Update(func(s *view.Snapshot) { s.Out = out(s, now) })
+			f.View.Update(func(s *view.Snapshot) { out(s, now) })
 		}
 	}
 }
 
-// out returns the servers that get no new work, by the host list and the
-// planned stops.
-func out(s *view.Snapshot, now time.Time) map[string]view.Reason {
-	set := map[string]view.Reason{}
+// out takes servers out of new work by the host list and the planned stops.
+func out(s *view.Snapshot, now time.Time) {
+	leaving := map[string]bool{}
 	for name, h := range s.Hosts {
 		if h.State == host.Leaving {
-			set[name] = view.HostLeaving
+			leaving[name] = true
 		}
 	}
-	if s.Config == nil {
-		return set
-	}
-	for name, stop := range s.Config.Stops {
-		if stop.Begun(now) {
-			set[name] = view.Stopping
+	s.SetOut(view.HostLeaving, leaving)
+	stopping := map[string]bool{}
+	if s.Config != nil {
+		for name, stop := range s.Config.Stops {
+			if stop.Begun(now) {
+				stopping[name] = true
+			}
 		}
 	}
-	return set
+	s.SetOut(view.Stopping, stopping)
 }
 
 func (f *Feed) rest(ctx context.Context, what string, err error) {
--- a/parts/engine/form.go
+++ b/parts/engine/form.go
@@ -89,3 +89,28 @@
 
 // NotRunHeader is set on an answer of a server that did not take the request.
 const NotRunHeader = "Not-Run"
+
+// Order tells an engine to load a model or to change its role.
+type Order struct {
+	// Order names what to do, for example load.
+	Order string `json:"order"`
+	Model string `json:"model,omitempty"`
+	// Holder is the entry host that holds the lease under which orders are
+	// given.
+	Holder string `json:"holder"`
+	// Number is the fencing number of the lease; it grows with each holder.
+	Number uint64 `json:"number"`
+	// DeadlineMs is when the order lapses, in Unix milliseconds; zero means
+	// never. An engine refuses an order that arrives later.
+	DeadlineMs int64 `json:"deadlineMs,omitempty"`
+}
+
+// Why an engine did not carry out an order, in NotRunHeader.
+const (
+	// Fenced: the engine has seen an order with a higher number.
+	Fenced = "fenced"
+	// Lapsed: the deadline of the order has passed.
+	Lapsed = "lapsed"
+	// Leaving: the server takes no new work since it is leaving.
+	Leaving = "leaving"
+)
--- /dev/null
+++ b/parts/view/out.go
@@ -0,0 +1,37 @@
+package view
+
+import "maps"
+
+// sources are the reasons in the order in which they are told: a server that
+// several sources take out is listed under the first of them.
+var sources = []Reason{HostLeaving, Stopping, Refusing, PeerWord}
+
+// SetOut replaces the servers that one source takes out, for use within
+// Update. A server stays out until the last source lets it in again: if one
+// source could clear what another has set, a server that is leaving would get
+// new work as soon as a late host list still calls it live.
+func (s *Snapshot) SetOut(source Reason, servers map[string]bool) {
+	if maps.Equal(s.Outs[source], servers) {
+		return
+	}
+	s.Outs = Edit(s.Outs, func(m map[Reason]map[string]bool) { m[source] = maps.Clone(servers) })
+	merged := map[string]Reason{}
+	for _, reason := range sources {
+		for name := range s.Outs[reason] {
+			if _, known := merged[name]; !known {
+				merged[name] = reason
+			}
+		}
+	}
+	s.Out = merged
+}
+
+// MarkOut takes one server out for one source, for use within Update.
+func (s *Snapshot) MarkOut(source Reason, server string) {
+	s.SetOut(source, Edit(s.Outs[source], func(m map[string]bool) { m[server] = true }))
+}
+
+// ClearOut ends what MarkOut began.
+func (s *Snapshot) ClearOut(source Reason, server string) {
+	s.SetOut(source, Edit(s.Outs[source], func(m map[string]bool) { delete(m, server) }))
+}
--- a/parts/view/view.go
+++ b/parts/view/view.go
@@ -8,6 +8,7 @@
 
 import (
 	"maps"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -69,8 +70,14 @@
 	Hosts map[string]host.Host
 	// HostsRevision is the revision of the host list.
 	HostsRevision uint64
-	// Out holds the backend servers that get no new work.
+	// Out holds the backend servers that get no new work: the union of Outs.
 	Out map[string]Reason
+	// Outs holds the same by source. Change it with SetOut, MarkOut and
+	// ClearOut only, which keep Out in step.
+	Outs map[Reason]map[string]bool
+	// Epoch grows whenever Config, Hosts or Out is replaced, so that what is
+	// derived from these can be kept until it does.
+	Epoch uint64
 	// Suspects holds backend servers that failed lately, with the time until
 	// which they are avoided.
 	Suspects map[string]time.Time
@@ -103,6 +110,7 @@
 		Domain:   in,
 		Hosts:    map[string]host.Host{},
 		Out:      map[string]Reason{},
+		Outs:     map[Reason]map[string]bool{},
 		Suspects: map[string]time.Time{},
 		Poison:   map[string]time.Time{},
 		Peers:    map[string]Peer{},
@@ -123,9 +131,13 @@
 func (h *Holder) Update(change func(*Snapshot)) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	next := *h.current.Load()
+	old := h.current.Load()
+	next := *old
 	change(&next)
 	next.addMeters()
+	if next.Config != old.Config || !same(next.Hosts, old.Hosts) || !same(next.Out, old.Out) {
+		next.Epoch = old.Epoch + 1
+	}
 	h.current.Store(&next)
 	wake := make(chan struct{})
 	close(*h.changed.Swap(&wake))
@@ -163,3 +175,8 @@
 	change(next)
 	return next
 }
+
+// same reports whether two variables hold one and the same map.
+func same[K comparable, V any](a, b map[K]V) bool {
+	return reflect.ValueOf(a).UnsafePointer() == reflect.ValueOf(b).UnsafePointer()
+}
--- a/stand/internal/engine/engine.go
+++ b/stand/internal/engine/engine.go
@@ -35,8 +35,12 @@
 	Capacity int
 	// LinkDelay is the one-way delay of the links to other servers.
 	LinkDelay time.Duration
-	Faults    *inject.Set
+	// Fencing says that the engine refuses an order whose number is older
+	// than one it has seen.
+	Fencing bool
+	Faults  *inject.Set
 
+	orders   orders
 	once     sync.Once
 	slots    chan struct{}
 	inFlight atomic.Int64
@@ -163,7 +167,7 @@
 		State:    state,
 		InFlight: int(e.inFlight.Load()), Waiting: int(e.waiting.Load()),
 		Capacity: e.Capacity, TokenUs: e.TokenTime.Microseconds(),
-		Links: map[string]int64{},
+		Links: map[string]int64{}, Number: e.orders.seen(),
 	}
 }
 
--- a/stand/internal/engine/serve.go
+++ b/stand/internal/engine/serve.go
@@ -17,6 +17,10 @@
 func (e *Engine) Routes(h *server.Hertz) {
 	h.POST("/v1/generate", e.generate)
 	h.POST("/v1/steps", e.steps)
+	h.POST("/v1/orders", e.order)
+	h.GET("/v1/orders", func(_ context.Context, c *app.RequestContext) {
+		c.JSON(200, e.orders.list())
+	})
 	h.GET("/v1/status", func(_ context.Context, c *app.RequestContext) {
 		c.JSON(200, e.Status())
 	})
--- a/stand/prog/prog.go
+++ b/stand/prog/prog.go
@@ -127,6 +127,7 @@
 	fs.DurationVar(&e.TokenTime, "token-time", time.Millisecond, "time for one token")
 	fs.IntVar(&e.Capacity, "capacity", 8, "requests that run at once")
 	fs.DurationVar(&e.LinkDelay, "link-delay", 0, "one-way delay to other servers")
+	fs.BoolVar(&e.Fencing, "fencing", true, "refuse an order whose fencing number is older than one seen")
 	return &ffcli.Command{
 		Name: "engine", ShortUsage: "fsstand engine [flags]", FlagSet: fs, Options: options(),
 		ShortHelp: "a model engine that holds a range of layers",
