stand: make the engine whole, with batching, links, lag and faults

Cause: the thin engine knew one fault and one link delay, and ran tokens in slots; none of the failures of the path could be brought about. Change: steps shared by up to -capacity tokens (at most Capacity/TokenTime tokens a second), -links and fault link, -report-lag, -prefill-time, and the faults die, diesat, crash, freeze, slow, late, cross, truncate, noend, swap and wrongrange; status 3 and 4 tell a session why an engine ended. A later stage refuses a chain it has not taken, and the failure says so.

--- a/parts/engine/form.go
+++ b/parts/engine/form.go
@@ -40,8 +40,10 @@
 	Server string `json:"server"`
 	First  int    `json:"first"`
 	End    int    `json:"end"`
-	// RunUs is the time that the server took, in microseconds.
+	// RunUs is the time that the step took on the server, in microseconds.
 	RunUs int64 `json:"runUs"`
+	// WaitUs is the time that the token waited for the step, in microseconds.
+	WaitUs int64 `json:"waitUs,omitempty"`
 	// LinkUs is the one-way delay of the link to the next server, in
 	// microseconds, as the sender last measured it.
 	LinkUs int64 `json:"linkUs,omitempty"`
@@ -51,6 +53,8 @@
 type Fail struct {
 	Server string `json:"server"`
 	What   string `json:"what"`
+	// Refused says that the server did not take the request.
+	Refused bool `json:"refused,omitempty"`
 }
 
 // Frame is one line of an engine's answer: a token, the end, or a failure.
@@ -77,7 +81,8 @@
 	InFlight int        `json:"inFlight"`
 	Waiting  int        `json:"waiting"`
 	Capacity int        `json:"capacity"`
-	// TokenUs is the time for one token, in microseconds.
+	// TokenUs is the time of one step, in microseconds. A step runs up to
+	// Capacity tokens together, so a server runs Capacity/TokenUs at most.
 	TokenUs int64 `json:"tokenUs"`
 	// Links holds one-way delays to other servers, in microseconds.
 	Links map[string]int64 `json:"links"`
--- a/sess/command_test.go
+++ b/sess/command_test.go
@@ -41,9 +41,12 @@
 
 var sessionKey sessionKeyType
 
+// scriptFunc runs one command of a script.
+type scriptFunc = func(ts *testscript.TestScript, neg bool, args []string)
+
 // commands are the commands of the scripts. Each that prints adds a line with
 // the command itself and then its output to the transcript.
-var commands = map[string]func(ts *testscript.TestScript, neg bool, args []string){
+var commands = map[string]scriptFunc{
 	// town starts the usual world: two failure domains, a store, two engines
 	// for each of the layer ranges 0-8, 8-16 and 16-24 (one in each domain),
 	// two plain services, four entry hosts, and the routes to them.
--- /dev/null
+++ b/sess/path_test.go
@@ -0,0 +1,121 @@
+package sess
+
+import (
+	"fmt"
+	"maps"
+	"strconv"
+	"strings"
+
+	"fuchsiashelf.dev/parts/domain"
+	"fuchsiashelf.dev/sess/procs"
+)
+
+// The commands of the sessions on the path of a model answer.
+func init() {
+	maps.Copy(commands, pathCommands)
+}
+
+var pathCommands = map[string]scriptFunc{
+	// lines ENTRY FILE: runs the lines of a file, each until it is done.
+	"lines": command("lines", func(s *session, a []string) (string, error) { return "", s.lines(a[0], a[1:]) }),
+	// dies ENTRY SERVER MAX: for each token index of an answer, lets the
+	// server die at that index while answers stream, and starts it again.
+	"dies": command("dies", func(s *session, a []string) (string, error) {
+		max, err := strconv.Atoi(a[2])
+		if err != nil {
+			return "", err
+		}
+		return s.dies(a[0], a[1], max)
+	}),
+	// asks ENTRY TEAM PROMPT MAX TIMES: asks so often, prints each outcome
+	// once with how often it came.
+	"asks": command("asks", func(s *session, a []string) (string, error) { return s.asks(a) }),
+}
+
+// lines runs lines of the operators' language, given as words parted by
+// slashes.
+func (s *session) lines(entry string, words []string) error {
+	for line := range strings.SplitSeq(strings.Join(words, " "), " / ") {
+		var out string
+		err := procs.Until(line, func() bool {
+			out, _ = s.Desk(entry, line)
+			return strings.Contains(out, "\ndone")
+		})
+		if err != nil {
+			return fmt.Errorf("%w: %s", err, out)
+		}
+	}
+	return nil
+}
+
+// dies returns an error unless each answer is whole at each index.
+func (s *session) dies(entry, server string, max int) (string, error) {
+	p, err := s.Get(server)
+	if err != nil {
+		return "", err
+	}
+	in := domain.Name(server[:1])
+	for index := range max {
+		if err := s.Fault(server, "diesat", strconv.Itoa(index), 0); err != nil {
+			return "", err
+		}
+		prompt := fmt.Sprintf("%s dies at %d", server, index)
+		if err := s.asksUntil(p, entry, prompt, max); err != nil {
+			return "", err
+		}
+		if p, err = s.Restart(server); err != nil {
+			return "", err
+		}
+		if err := s.List(server, in, "live"); err != nil {
+			return "", err
+		}
+	}
+	return fmt.Sprintf("whole at each of %d indexes\n", max), nil
+}
+
+// asksUntil asks until a process has ended, and wants each answer whole.
+func (s *session) asksUntil(p *procs.Proc, entry, prompt string, max int) error {
+	want := fmt.Sprintf("whole, %d tokens", max)
+	var wrong error
+	err := procs.Until(p.Name+" ended", func() bool {
+		answer, err := s.Ask(entry, townTeam, "assist", prompt, max)
+		if err != nil {
+			wrong = err
+			return true
+		}
+		if got := answer.Judge(prompt, townLayers, max); got != want {
+			wrong = fmt.Errorf("%s: %s: %+v", prompt, got, answer.Problem)
+			return true
+		}
+		select {
+		case <-p.Exited:
+			return true
+		default:
+			return false
+		}
+	})
+	if wrong != nil {
+		return wrong
+	}
+	return err
+}
+
+func (s *session) asks(a []string) (string, error) {
+	times, err := strconv.Atoi(a[4])
+	if err != nil {
+		return "", err
+	}
+	counts := map[string]int{}
+	for range times {
+		out, err := s.ask(a[:4])
+		if err != nil {
+			return "", err
+		}
+		counts[out]++
+	}
+	out := ""
+	for _, line := range procs.Sorted(counts) {
+		out += fmt.Sprintf("%d times %s", counts[line], line)
+	}
+	return out, nil
+}
--- a/sess/procs/procs.go
+++ b/sess/procs/procs.go
@@ -6,9 +6,11 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -182,3 +184,8 @@
 	}
 	return errors.Join(errs...)
 }
+
+// Sorted returns the keys of a map in order.
+func Sorted[V any](m map[string]V) []string {
+	return slices.Sorted(maps.Keys(m))
+}
--- a/stand/inject/inject.go
+++ b/stand/inject/inject.go
@@ -24,10 +24,18 @@
 	Count int `json:"count"`
 }
 
-// Set holds the faults of one stand-in. The zero value has none.
+// Set holds the faults of one stand-in. The zero value has none. Set the
+// exported fields before Routes.
 type Set struct {
-	mu     sync.Mutex
-	faults map[Kind]*Fault
+	// Added, if set, is called as a fault is switched on; its error tells
+	// what is wrong with the fault's value.
+	Added func(f Fault) error
+	// Cleared, if set, is called as all faults are switched off.
+	Cleared func()
+
+	mu      sync.Mutex
+	faults  map[Kind]*Fault
+	changed chan struct{}
 }
 
 // Add switches a fault on.
@@ -38,6 +46,36 @@
 		s.faults = map[Kind]*Fault{}
 	}
 	s.faults[f.Kind] = &f
+	s.wake()
+}
+
+// wake tells those who wait for a change. The lock is held.
+func (s *Set) wake() {
+	if s.changed != nil {
+		close(s.changed)
+		s.changed = nil
+	}
+}
+
+// Wait returns once a fault is off, or with the context's error.
+func (s *Set) Wait(ctx context.Context, kind Kind) error {
+	for {
+		s.mu.Lock()
+		if s.faults[kind] == nil {
+			s.mu.Unlock()
+			return nil
+		}
+		if s.changed == nil {
+			s.changed = make(chan struct{})
+		}
+		changed := s.changed
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
 }
 
 // Clear switches all faults off.
@@ -45,6 +83,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = nil
+	s.wake()
 }
 
 // On reports whether a fault is on, without using it up.
@@ -84,11 +123,20 @@
 			c.String(400, "fault: need a kind: %v", err)
 			return
 		}
+		if s.Added != nil {
+			if err := s.Added(f); err != nil {
+				c.String(400, "fault: value: %v", err)
+				return
+			}
+		}
 		s.Add(f)
 		c.String(200, "on")
 	})
 	h.DELETE("/fault", func(_ context.Context, c *app.RequestContext) {
 		s.Clear()
+		if s.Cleared != nil {
+			s.Cleared()
+		}
 		c.String(200, "off")
 	})
 }
--- /dev/null
+++ b/stand/internal/engine/batch.go
@@ -0,0 +1,95 @@
+package engine
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// batch runs tokens in steps. The zero value works.
+type batch struct {
+	mu      sync.Mutex
+	queue   []*turn
+	running bool
+}
+
+// turn is one token's place in a step.
+type turn struct {
+	// extra is time that the token adds to its step, for reading a prompt.
+	extra time.Duration
+	// began is when the step began, set before done is closed.
+	began time.Time
+	done  chan struct{}
+	gone  bool
+}
+
+// run waits for a step, spends it, and returns when it began.
+func (b *batch) run(ctx context.Context, capacity int, extra time.Duration, step func() time.Duration) (time.Time, error) {
+	t := &turn{extra: extra, done: make(chan struct{})}
+	b.mu.Lock()
+	b.queue = append(b.queue, t)
+	if !b.running {
+		b.running = true
+		go b.steps(max(capacity, 1), step)
+	}
+	b.mu.Unlock()
+	select {
+	case <-t.done:
+		return t.began, nil
+	case <-ctx.Done():
+		b.mu.Lock()
+		t.gone = true
+		b.mu.Unlock()
+		return time.Time{}, ctx.Err()
+	}
+}
+
+// steps runs steps until nothing waits.
+func (b *batch) steps(capacity int, step func() time.Duration) {
+	for {
+		turns := b.next(capacity)
+		if len(turns) == 0 {
+			return
+		}
+		began := time.Now()
+		length := step()
+		for _, t := range turns {
+			length += t.extra
+		}
+		pause(context.Background(), length)
+		for _, t := range turns {
+			t.began = began
+			close(t.done)
+		}
+	}
+}
+
+// next takes the tokens of the next step out of the queue, leaving out those
+// whose reader left. With none it marks the batch as idle.
+func (b *batch) next(capacity int) []*turn {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var turns []*turn
+	taken := 0
+	for _, t := range b.queue {
+		if len(turns) == capacity {
+			break
+		}
+		taken++
+		if !t.gone {
+			turns = append(turns, t)
+		}
+	}
+	b.queue = b.queue[taken:]
+	if len(turns) == 0 {
+		b.running = false
+	}
+	return turns
+}
+
+// waiting returns how many tokens wait for a step.
+func (b *batch) waiting() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.queue)
+}
--- a/stand/internal/engine/engine.go
+++ b/stand/internal/engine/engine.go
@@ -1,15 +1,15 @@
 // Package engine is a stand-in for a model engine that holds a range of
 // layers. It runs no model: it spends the time that a model would take and
 // derives its tokens with package token.
+//
+// An engine batches continuously: it works in steps, and a step runs up to
+// Capacity tokens of different requests together in TokenTime. So it runs at
+// most Capacity/TokenTime tokens a second, however they arrive.
 package engine
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"fmt"
-	"net"
-	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,7 +17,6 @@
 	wire "fuchsiashelf.dev/parts/engine"
 	"fuchsiashelf.dev/parts/host"
 	"fuchsiashelf.dev/stand/inject"
-	"fuchsiashelf.dev/stand/token"
 )
 
 // Engine is one stand-in engine. Set the exported fields before its first
@@ -29,146 +28,111 @@
 	First, End int
 	// Kind names the kind of accelerator.
 	Kind string
-	// TokenTime is the time for one token of one request.
+	// TokenTime is the time of one step.
 	TokenTime time.Duration
-	// Capacity is how many requests run at once; others wait.
+	// PrefillTime is the time to read one word of a prompt, or one token that
+	// the caller already has, before the first token.
+	PrefillTime time.Duration
+	// Capacity is how many tokens one step runs; others wait.
 	Capacity int
-	// LinkDelay is the one-way delay of the links to other servers.
+	// LinkDelay is the one-way delay of links that Links does not name.
 	LinkDelay time.Duration
+	// Links holds the one-way delays of links to other servers.
+	Links map[string]time.Duration
+	// ReportLag is how old the reports are.
+	ReportLag time.Duration
 	// Fencing says that the engine refuses an order whose number is older
 	// than one it has seen.
 	Fencing bool
 	Faults  *inject.Set
-
-	orders   orders
-	once     sync.Once
-	slots    chan struct{}
-	inFlight atomic.Int64
-	waiting  atomic.Int64
-	runs     atomic.Int64
+	// Exit ends the process; nil means os.Exit.
+	Exit func(status int)
+
+	orders orders
+	batch  batch
+	links  links
+	report report
+	known  known
+	swap   swap
+	count  counts
 }
 
-// The faults of an engine.
-const (
-	// Refuse: new requests are refused with Not-Run.
-	Refuse inject.Kind = "refuse"
-)
-
-// maxIdle bounds the idle connections kept to one server.
-const maxIdle = 256
-
-var handOn = &http.Client{Transport: &http.Transport{
-	DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
-	MaxIdleConnsPerHost: maxIdle,
-}}
-
-// step is what one server hands on to the next for one token.
-type step struct {
-	State token.State  `json:"state"`
-	Rest  []wire.Stage `json:"rest"`
-	Spans []wire.Span  `json:"spans"`
-}
-
-// failure is an error of a server of the chain.
-type failure struct {
-	Server string `json:"server"`
-	What   string `json:"what"`
-}
+// counts tell what an engine did.
+type counts struct {
+	// runs counts tokens that the engine ran its layers for.
+	runs atomic.Int64
+	// taken counts chains that the engine took, as any stage of them.
+	taken atomic.Int64
+	// refused counts requests that it did not take.
+	refused atomic.Int64
+	// cancelled counts answers whose reader left before their end.
+	cancelled atomic.Int64
+	// inFlight counts the calls in progress.
+	inFlight atomic.Int64
 
-func (f *failure) Error() string {
-	return f.Server + ": " + f.What
+	mu sync.Mutex
+	// prompts counts the chains taken by prompt.
+	prompts map[string]int
 }
 
-func (e *Engine) take(ctx context.Context) error {
-	e.once.Do(func() { e.slots = make(chan struct{}, max(e.Capacity, 1)) })
-	e.waiting.Add(1)
-	defer e.waiting.Add(-1)
-	select {
-	case e.slots <- struct{}{}:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+// took counts a chain that the engine took.
+func (c *counts) took(prompt string) {
+	c.taken.Add(1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.prompts == nil {
+		c.prompts = map[string]int{}
 	}
+	c.prompts[prompt]++
 }
 
-func (e *Engine) release() {
-	<-e.slots
-}
-
-// run spends the time of one token, folds the engine's layers into the state
-// and hands on to the rest of the chain.
-func (e *Engine) run(ctx context.Context, s step) (step, error) {
-	stage := s.Rest[0]
-	if stage.First < e.First || stage.End > e.End {
-		return s, &failure{e.Name, fmt.Sprintf("holds layers %d to %d", e.First, e.End)}
-	}
-	began := time.Now()
-	if err := e.take(ctx); err != nil {
-		return s, err
-	}
-	pause(ctx, e.TokenTime)
-	e.release()
-	e.runs.Add(1)
-	s.State = s.State.Run(stage.First, stage.End)
-	s.Rest = s.Rest[1:]
-	span := wire.Span{
-		Server: e.Name, First: stage.First, End: stage.End,
-		RunUs: time.Since(began).Microseconds(),
-	}
-	if len(s.Rest) > 0 {
-		span.LinkUs = e.LinkDelay.Microseconds()
-	}
-	s.Spans = append(s.Spans, span)
-	if len(s.Rest) == 0 {
-		return s, nil
-	}
-	pause(ctx, e.LinkDelay)
-	return e.next(ctx, s)
+// Counts is what the control listener tells.
+type Counts struct {
+	Runs      int64          `json:"runs"`
+	Taken     int64          `json:"taken"`
+	Refused   int64          `json:"refused"`
+	Cancelled int64          `json:"cancelled"`
+	InFlight  int64          `json:"inFlight"`
+	Prompts   map[string]int `json:"prompts"`
 }
 
-func (e *Engine) next(ctx context.Context, s step) (step, error) {
-	to := s.Rest[0]
-	body, err := json.Marshal(s)
-	if err != nil {
-		return s, err
-	}
-	url := "http://" + to.Address + "/v1/steps"
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
-	if err != nil {
-		return s, err
+// Counts tells what the engine did.
+func (e *Engine) Counts() Counts {
+	c := &e.count
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	prompts := map[string]int{}
+	for prompt, n := range c.prompts {
+		prompts[prompt] = n
 	}
-	resp, err := handOn.Do(req)
-	if err != nil {
-		return s, &failure{to.Server, err.Error()}
+	return Counts{
+		Runs: c.runs.Load(), Taken: c.taken.Load(), Refused: c.refused.Load(),
+		Cancelled: c.cancelled.Load(), InFlight: c.inFlight.Load(), Prompts: prompts,
 	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		f := &failure{Server: to.Server}
-		if json.NewDecoder(resp.Body).Decode(f) != nil {
-			f.What = resp.Status
-		}
-		return s, f
-	}
-	var out step
-	if err := json.NewDecoder(resp.Body).Decode(&out); err != nil {
-		return s, &failure{to.Server, err.Error()}
-	}
-	return out, nil
 }
 
-// Status returns the engine's report.
+// Status returns the engine's report as of now, without the lag.
 func (e *Engine) Status() wire.Status {
 	state := host.Live
 	if _, on := e.Faults.On(Refuse); on {
 		state = host.Leaving
 	}
+	waiting := e.batch.waiting()
 	return wire.Status{
 		Name: e.Name, Model: e.Model, First: e.First, End: e.End, Kind: e.Kind,
 		State:    state,
-		InFlight: int(e.inFlight.Load()), Waiting: int(e.waiting.Load()),
-		Capacity: e.Capacity, TokenUs: e.TokenTime.Microseconds(),
-		Links: map[string]int64{}, Number: e.orders.seen(),
+		InFlight: int(e.count.inFlight.Load()), Waiting: waiting,
+		Capacity: e.Capacity, TokenUs: e.tokenTime().Microseconds(),
+		Links: e.links.list(), Number: e.orders.seen(),
+	}
+}
+
+func (e *Engine) exit(status int) {
+	if e.Exit != nil {
+		e.Exit(status)
+		return
 	}
+	os.Exit(status)
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- /dev/null
+++ b/stand/internal/engine/links.go
@@ -0,0 +1,93 @@
+package engine
+
+import (
+	"fmt"
+	"maps"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Cut is the value of a link that hands nothing on.
+const Cut = "cut"
+
+// links holds the delays of the links to other servers.
+type links struct {
+	mu      sync.Mutex
+	initial map[string]time.Duration
+	delays  map[string]time.Duration
+}
+
+// cut is the delay of a link that hands nothing on.
+const cut = time.Duration(-1)
+
+// ParseLinks reads "b1=20ms,b2=cut".
+func ParseLinks(text string) (map[string]time.Duration, error) {
+	delays := map[string]time.Duration{}
+	for item := range strings.SplitSeq(text, ",") {
+		if item == "" {
+			continue
+		}
+		name, value, found := strings.Cut(item, "=")
+		if !found {
+			return nil, fmt.Errorf("%q is not server=delay", item)
+		}
+		if value == Cut {
+			delays[name] = cut
+			continue
+		}
+		delay, err := time.ParseDuration(value)
+		if err != nil || delay < 0 {
+			return nil, fmt.Errorf("%q is not a delay", value)
+		}
+		delays[name] = delay
+	}
+	return delays, nil
+}
+
+// start sets the delays that reset goes back to.
+func (l *links) start(delays map[string]time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.initial, l.delays = delays, maps.Clone(delays)
+}
+
+// set changes some delays.
+func (l *links) set(delays map[string]time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.delays == nil {
+		l.delays = map[string]time.Duration{}
+	}
+	maps.Copy(l.delays, delays)
+}
+
+// reset goes back to the delays of the start.
+func (l *links) reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.delays = maps.Clone(l.initial)
+}
+
+// delay returns the one-way delay to a server.
+func (l *links) delay(server string, fallback time.Duration) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if delay, known := l.delays[server]; known {
+		return delay
+	}
+	return fallback
+}
+
+// list returns the delays in microseconds, without links that are cut.
+func (l *links) list() map[string]int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list := map[string]int64{}
+	for name, delay := range l.delays {
+		if delay != cut {
+			list[name] = delay.Microseconds()
+		}
+	}
+	return list
+}
--- a/stand/internal/engine/serve.go
+++ b/stand/internal/engine/serve.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
+	"strings"
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
@@ -15,14 +15,17 @@
 
 // Routes adds the calls of an engine.
 func (e *Engine) Routes(h *server.Hertz) {
+	e.start()
 	h.POST("/v1/generate", e.generate)
 	h.POST("/v1/steps", e.steps)
 	h.POST("/v1/orders", e.order)
 	h.GET("/v1/orders", func(_ context.Context, c *app.RequestContext) {
 		c.JSON(200, e.orders.list())
 	})
-	h.GET("/v1/status", func(_ context.Context, c *app.RequestContext) {
-		c.JSON(200, e.Status())
+	h.GET("/v1/status", func(ctx context.Context, c *app.RequestContext) {
+		if e.Faults.Wait(ctx, Freeze) == nil {
+			c.JSON(200, e.lagged())
+		}
 	})
 }
 
@@ -30,7 +33,7 @@
 func (e *Engine) Control(h *server.Hertz) {
 	e.Faults.Routes(h)
 	h.GET("/counts", func(_ context.Context, c *app.RequestContext) {
-		c.JSON(200, map[string]int64{"runs": e.runs.Load(), "inFlight": e.inFlight.Load()})
+		c.JSON(200, e.Counts())
 	})
 }
 
@@ -40,41 +43,80 @@
 		c.String(400, "bad request: %v", err)
 		return
 	}
-	if _, on := e.Faults.Strike(Refuse); on {
-		c.Header(wire.NotRunHeader, "leaving")
-		c.String(503, "leaving")
+	if e.Faults.Wait(ctx, Freeze) != nil {
+		return
+	}
+	first := step{Request: ask.Request, Attempt: ask.Attempt, Prompt: ask.Prompt}
+	if err := e.admit(&first); err != nil {
+		c.Header(wire.NotRunHeader, wire.Leaving)
+		c.String(503, wire.Leaving)
 		return
 	}
-	e.inFlight.Add(1)
-	defer e.inFlight.Add(-1)
+	e.count.inFlight.Add(1)
+	defer e.count.inFlight.Add(-1)
 	c.Header("Content-Type", "application/x-ndjson")
 	c.Response.HijackWriter(resp.NewChunkedBodyWriter(&c.Response, c.GetWriter()))
-	for index := len(ask.Sent); index < ask.Max; index++ {
-		out, err := e.run(ctx, step{State: token.Start(ask.Prompt, index), Rest: ask.Chain})
-		if err != nil {
-			e.fail(c, &ask, err)
-			return
+	a := &answer{Engine: e, ask: &ask, w: writer{c}}
+	if err := a.run(ctx); err != nil {
+		e.count.cancelled.Add(1)
+	}
+}
+
+// answer is one stream of tokens.
+type answer struct {
+	*Engine
+	ask *wire.Ask
+	w   writer
+	// pair is set while this stream is swapped with another.
+	pair *side
+}
+
+// run streams the answer. It fails only if the reader has left.
+func (a *answer) run(ctx context.Context) error {
+	if _, on := a.Faults.On(Swap); on {
+		a.pair = a.swap.join(ctx)
+	}
+	if a.pair != nil {
+		defer close(a.pair.left)
+	}
+	sent := len(a.ask.Sent)
+	read := len(strings.Fields(a.ask.Prompt)) + sent
+	for index := sent; index < a.ask.Max; index++ {
+		if a.closes(index - sent) {
+			return nil
+		}
+		out, err := a.Engine.run(ctx, step{
+			Request: a.ask.Request, Attempt: a.ask.Attempt, Index: index, Prompt: a.ask.Prompt,
+			Read: read, State: token.Start(a.ask.Prompt, index), Rest: a.ask.Chain,
+		})
+		if ctx.Err() != nil {
+			return ctx.Err()
 		}
-		f := wire.Frame{
-			Request: ask.Request, Attempt: ask.Attempt, Index: index,
-			Token: out.State.Text(), Spans: out.Spans,
+		if err != nil {
+			f := a.blame(err)
+			return a.send(ctx, wire.Frame{Fail: &wire.Fail{Server: f.Server, What: f.What, Refused: f.Refused}})
 		}
-		if write(c, &f) != nil {
-			return
+		read = 0
+		if err := a.send(ctx, wire.Frame{Index: index, Token: out.State.Text(), Spans: out.Spans}); err != nil {
+			return err
 		}
 	}
-	_ = write(c, &wire.Frame{Request: ask.Request, Attempt: ask.Attempt, End: true, Count: ask.Max})
+	if _, on := a.Faults.Strike(NoEnd); on {
+		return nil
+	}
+	return a.send(ctx, wire.Frame{End: true, Count: a.ask.Max})
 }
 
-func (e *Engine) fail(c *app.RequestContext, ask *wire.Ask, err error) {
-	var f *failure
-	if !errors.As(err, &f) {
-		f = &failure{e.Name, err.Error()}
-	}
-	_ = write(c, &wire.Frame{
-		Request: ask.Request, Attempt: ask.Attempt,
-		Fail: &wire.Fail{Server: f.Server, What: f.What},
-	})
+// send writes a frame of this answer, or what a fault makes of it.
+func (a *answer) send(ctx context.Context, f wire.Frame) error {
+	f.Request, f.Attempt = a.ask.Request, a.ask.Attempt
+	if a.pair != nil {
+		f = a.pair.trade(ctx, f)
+	}
+	if err := a.strays(a.w, f); err != nil {
+		return err
+	}
+	return a.w.write(&f)
 }
 
 func (e *Engine) steps(ctx context.Context, c *app.RequestContext) {
@@ -83,27 +125,34 @@
 		c.String(400, "bad step: %v", err)
 		return
 	}
-	e.inFlight.Add(1)
-	defer e.inFlight.Add(-1)
+	if e.Faults.Wait(ctx, Freeze) != nil {
+		return
+	}
+	e.count.inFlight.Add(1)
+	defer e.count.inFlight.Add(-1)
+	err := e.admit(&s)
+	if err != nil {
+		c.JSON(502, e.blame(err))
+		return
+	}
 	out, err := e.run(ctx, s)
 	if err != nil {
-		var f *failure
-		if !errors.As(err, &f) {
-			f = &failure{e.Name, err.Error()}
-		}
-		c.JSON(502, f)
+		c.JSON(502, e.blame(err))
 		return
 	}
 	c.JSON(200, out)
 }
 
-func write(c *app.RequestContext, f *wire.Frame) error {
+// writer writes frames, each at once.
+type writer struct{ c *app.RequestContext }
+
+func (w writer) write(f *wire.Frame) error {
 	line, err := json.Marshal(f)
 	if err != nil {
 		return err
 	}
-	if _, err := c.Write(append(line, '\n')); err != nil {
+	if _, err := w.c.Write(append(line, '\n')); err != nil {
 		return err
 	}
-	return c.Flush()
+	return w.c.Flush()
 }
--- a/stand/prog/prog.go
+++ b/stand/prog/prog.go
@@ -124,15 +124,23 @@
 	fs.IntVar(&e.First, "first", 0, "first layer")
 	fs.IntVar(&e.End, "end", 32, "one past the last layer")
 	fs.StringVar(&e.Kind, "kind", "std", "kind of accelerator")
-	fs.DurationVar(&e.TokenTime, "token-time", time.Millisecond, "time for one token")
-	fs.IntVar(&e.Capacity, "capacity", 8, "requests that run at once")
+	fs.DurationVar(&e.TokenTime, "token-time", time.Millisecond, "time of one step")
+	fs.DurationVar(&e.PrefillTime, "prefill-time", 0, "time to read one word of a prompt")
+	fs.IntVar(&e.Capacity, "capacity", 8, "tokens that one step runs together")
 	fs.DurationVar(&e.LinkDelay, "link-delay", 0, "one-way delay to other servers")
+	links := fs.String("links", "", "one-way delays to some servers, as in b1=20ms,b2=300us")
+	fs.DurationVar(&e.ReportLag, "report-lag", 0, "how old the load reports are")
 	fs.BoolVar(&e.Fencing, "fencing", true, "refuse an order whose fencing number is older than one seen")
 	return &ffcli.Command{
 		Name: "engine", ShortUsage: "fsstand engine [flags]", FlagSet: fs, Options: options(),
 		ShortHelp: "a model engine that holds a range of layers",
 		Exec: func(ctx context.Context, _ []string) error {
+			var err error
+			if e.Links, err = engine.ParseLinks(*links); err != nil {
+				return fmt.Errorf("-links: %w", err)
+			}
 			e.Name = s.name
+			go e.Run(ctx)
 			return s.serve(ctx, e)
 		},
 	}
