--- a/entry/internal/gate/gate.go
+++ b/entry/internal/gate/gate.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"log/slog"
 	"strconv"
@@ -32,6 +31,8 @@
 	Pass  *pass.Pass
 	Trace *trace.Line
 	Log   *slog.Logger
+	// MaxBody is the largest request body, in bytes.
+	MaxBody int
 	// Ready says whether the balancer may send callers here.
 	Ready func() bool
 
@@ -41,6 +42,14 @@
 // RequestHeader names the request in an answer.
 const RequestHeader = "Fuchsia-Request"
 
+// TooLarge answers a request whose body is too large.
+func (g *Gate) TooLarge(_ context.Context, c *app.RequestContext) {
+	refuse(c, &fault.Error{
+		Code: fault.TooLarge, Verdict: fault.NotRun, Field: "body",
+		Message: fmt.Sprintf("larger than %d bytes", g.MaxBody),
+	})
+}
+
 // Routes adds the callers' calls.
 func (g *Gate) Routes(h *server.Hertz) {
 	g.Health(h)
@@ -132,16 +141,6 @@
 	}
 }
 
-// ask is the body of a model request.
-type ask struct {
-	Service string `json:"service"`
-	Prompt  string `json:"prompt"`
-	Max     int    `json:"max"`
-}
-
-// maxTokens bounds the answer that a caller may ask for.
-const maxTokens = 65536
-
 func (g *Gate) generate(ctx context.Context, c *app.RequestContext) {
 	snap := g.View.Load()
 	who, e := caller(c, snap)
@@ -175,23 +174,3 @@
 	}, out)
 	out.finish(count, e)
 }
-
-func parse(body []byte) (ask, *fault.Error) {
-	var in ask
-	bad := func(field, message string) *fault.Error {
-		return &fault.Error{Code: fault.BadRequest, Verdict: fault.NotRun, Field: field, Message: message}
-	}
-	if err := json.Unmarshal(body, &in); err != nil {
-		return in, bad("body", err.Error())
-	}
-	if in.Service == "" {
-		return in, bad("service", "missing")
-	}
-	if in.Prompt == "" {
-		return in, bad("prompt", "missing")
-	}
-	if in.Max < 1 || in.Max > maxTokens {
-		return in, bad("max", fmt.Sprintf("want 1 to %d, not %d", maxTokens, in.Max))
-	}
-	return in, nil
-}
--- a/entry/prog/prog.go
+++ b/entry/prog/prog.go
@@ -110,7 +110,7 @@
 		View:  holder,
 		Relay: &relay.Relay{View: holder, Engine: &engine.Client{}, Trace: line, Log: d.log},
 		Pass:  &pass.Pass{View: holder, Store: api, Trace: line, Log: d.log},
-		Trace: line, Log: d.log,
+		Trace: line, Log: d.log, MaxBody: d.settings.MaxBody,
 		Ready: func() bool {
 			snap := holder.Load()
 			return !d.stopping.Load() && snap.Config != nil && snap.HostsRevision > 0
@@ -139,7 +139,7 @@
 }
 
 func (d *daemon) serveCallers(ctx context.Context, door *gate.Gate) error {
-	front := &httpd.Server{Listener: d.callers, MaxBody: d.settings.MaxBody}
+	front := &httpd.Server{Listener: d.callers, MaxBody: d.settings.MaxBody, TooLarge: door.TooLarge}
 	front.Make()
 	door.Routes(front.Hertz)
 	go func() {
--- a/parts/httpd/httpd.go
+++ b/parts/httpd/httpd.go
@@ -5,8 +5,10 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"time"
 
+	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
@@ -19,6 +21,9 @@
 	Listener net.Listener
 	// MaxBody is the largest request body, in bytes.
 	MaxBody int
+	// TooLarge answers a request whose body is larger than MaxBody; nil means
+	// a plain 413.
+	TooLarge app.HandlerFunc
 	// Hertz is the server that routes are added to. Make sets it.
 	Hertz *server.Hertz
 }
@@ -41,8 +46,44 @@
 		server.WithSenseClientDisconnection(true),
 		server.WithDisablePreParseMultipartForm(true),
 		server.WithRedirectTrailingSlash(false),
+		// hertz answers an oversize body by itself, with an answer that
+		// cannot be changed, unless bodies are streams. Then bound reads them.
+		server.WithStreamBody(true),
 	}
 	s.Hertz = server.New(append(options, more...)...)
+	s.Hertz.Use(s.bound)
+}
+
+// bound reads the request body, and answers one that is too large without
+// reading the rest of it.
+func (s *Server) bound(ctx context.Context, c *app.RequestContext) {
+	if c.Request.Header.ContentLength() > s.MaxBody {
+		s.tooLarge(ctx, c)
+		return
+	}
+	if !c.Request.IsBodyStream() {
+		return
+	}
+	body, err := io.ReadAll(io.LimitReader(c.Request.BodyStream(), int64(s.MaxBody)+1))
+	if err != nil {
+		c.AbortWithStatus(http.StatusBadRequest)
+		return
+	}
+	if len(body) > s.MaxBody {
+		s.tooLarge(ctx, c)
+		return
+	}
+	c.Request.SetBody(body)
+}
+
+func (s *Server) tooLarge(ctx context.Context, c *app.RequestContext) {
+	c.SetConnectionClose()
+	if s.TooLarge == nil {
+		c.AbortWithStatus(http.StatusRequestEntityTooLarge)
+		return
+	}
+	s.TooLarge(ctx, c)
+	c.Abort()
 }
 
 // Run serves until the context ends and then waits for requests in flight,
