stand: complete the faults of store and plain service

Faults of writes (drop, lose, hold) take a key prefix; hold keeps an answer back until the faults are cleared and counts what it holds, so that a test waits for a stated condition. cut refuses the entry hosts that it names by the Fuchsia-Entry header, waiting watches included. break, old, copy and restore, rates and host list lag are new, and so are close, freeze, hold, die, slow and the guard of the plain service, which counts by team and id.

Each fault of a write is tested for its effect and its verdict.

--- a/entry/prog/prog.go
+++ b/entry/prog/prog.go
@@ -99,7 +99,7 @@
 	}
 	holder := view.New(d.settings.Name, d.settings.Home())
 	line := &trace.Line{Process: d.settings.Name}
-	api := &store.Client{Address: d.settings.Store}
+	api := &store.Client{Address: d.settings.Store, Entry: d.settings.Name}
 	feeder := &feed.Feed{Store: api, View: holder, Trace: line, Log: d.log}
 	peers := &mesh.Mesh{View: holder, Trace: line, Log: d.log, Secret: d.settings.PeerSecret}
 	desk := &seat.Seat{
--- a/parts/store/client.go
+++ b/parts/store/client.go
@@ -21,6 +21,9 @@
 type Client struct {
 	// Address is host:port of the platform's service.
 	Address string
+	// Entry is the name of the entry host, sent with each call in
+	// EntryHeader; empty for other programs.
+	Entry string
 	// Wait is how long one watch waits for a change; zero means DefaultWait.
 	Wait time.Duration
 	// Timeout bounds any other call; zero means DefaultTimeout.
@@ -37,6 +40,9 @@
 // maxValue bounds what is read of one answer: a list may hold many objects.
 const maxValue = 64 << 20
 
+// EntryHeader names the entry host that makes a call.
+const EntryHeader = "Fuchsia-Entry"
+
 const versionHeader = "Object-Version"
 
 var transport = &http.Client{Transport: &http.Transport{
@@ -179,6 +185,9 @@
 	if version != nil {
 		req.Header.Set("If-Match", strconv.FormatUint(*version, 10))
 	}
+	if c.Entry != "" {
+		req.Header.Set(EntryHeader, c.Entry)
+	}
 	resp, err := transport.Do(req)
 	if err != nil {
 		return reply{}, down(sendVerdict(err), err)
--- a/stand/inject/inject.go
+++ b/stand/inject/inject.go
@@ -26,8 +26,10 @@
 
 // Set holds the faults of one stand-in. The zero value has none.
 type Set struct {
-	mu     sync.Mutex
-	faults map[Kind]*Fault
+	mu      sync.Mutex
+	faults  map[Kind]*Fault
+	changed chan struct{}
+	cleared chan struct{}
 }
 
 // Add switches a fault on.
@@ -38,13 +40,59 @@
 		s.faults = map[Kind]*Fault{}
 	}
 	s.faults[f.Kind] = &f
+	signal(&s.changed)
 }
 
-// Clear switches all faults off.
+// Clear switches all faults off, and releases whatever waits for Cleared.
 func (s *Set) Clear() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = nil
+	signal(&s.changed)
+	signal(&s.cleared)
+}
+
+// Changed returns a channel that is closed when a fault is switched on or
+// the faults are cleared. Take it before a look at the faults to miss nothing.
+func (s *Set) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return wake(&s.changed)
+}
+
+// Cleared returns a channel that is closed when the faults are cleared.
+func (s *Set) Cleared() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return wake(&s.cleared)
+}
+
+// Thawed waits while a fault is on.
+func (s *Set) Thawed(ctx context.Context, kind Kind) {
+	for ctx.Err() == nil {
+		changed := s.Changed()
+		if _, on := s.On(kind); !on {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func wake(c *chan struct{}) <-chan struct{} {
+	if *c == nil {
+		*c = make(chan struct{})
+	}
+	return *c
+}
+
+func signal(c *chan struct{}) {
+	if *c != nil {
+		close(*c)
+		*c = nil
+	}
 }
 
 // On reports whether a fault is on, without using it up.
@@ -60,10 +108,16 @@
 
 // Strike reports whether a fault strikes now, and uses it up by one.
 func (s *Set) Strike(kind Kind) (Fault, bool) {
+	return s.StrikeIf(kind, func(string) bool { return true })
+}
+
+// StrikeIf is Strike for a fault whose value meets a condition; it leaves
+// any other alone.
+func (s *Set) StrikeIf(kind Kind, meets func(value string) bool) (Fault, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f := s.faults[kind]
-	if f == nil {
+	if f == nil || !meets(f.Value) {
 		return Fault{}, false
 	}
 	hit := *f
--- a/stand/internal/object/object.go
+++ b/stand/internal/object/object.go
@@ -2,6 +2,7 @@
 package object
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -17,10 +18,19 @@
 	version uint64
 	objects map[string]store.Object
 	gone    map[string]uint64
+	former  map[string]store.Object
+	copied  *backup
 	hosts   map[string]host.Host
 	hostRev uint64
 	wake    chan struct{}
 	calls   map[string]int
+	byEntry map[string]map[string]int
+}
+
+// backup is a copy of all objects.
+type backup struct {
+	version uint64
+	objects map[string]store.Object
 }
 
 // New returns an empty store.
@@ -28,28 +38,76 @@
 	return &Store{
 		objects: map[string]store.Object{},
 		gone:    map[string]uint64{},
+		former:  map[string]store.Object{},
 		hosts:   map[string]host.Host{},
 		wake:    make(chan struct{}),
 		calls:   map[string]int{},
+		byEntry: map[string]map[string]int{},
 	}
 }
 
-// Count counts one call of a kind.
-func (s *Store) Count(kind string) {
+// Count counts one call of a kind from an entry host; the name may be empty.
+func (s *Store) Count(kind, entry string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls[kind]++
+	if entry == "" {
+		return
+	}
+	if s.byEntry[entry] == nil {
+		s.byEntry[entry] = map[string]int{}
+	}
+	s.byEntry[entry][kind]++
+}
+
+// CallsBy returns how often each entry host made each kind of call.
+func (s *Store) CallsBy() map[string]map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string]map[string]int{}
+	for entry, kinds := range s.byEntry {
+		out[entry] = maps.Clone(kinds)
+	}
+	return out
 }
 
 // Calls returns how often each kind of call was made.
 func (s *Store) Calls() map[string]int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := map[string]int{}
-	for kind, n := range s.calls {
-		out[kind] = n
+	return maps.Clone(s.calls)
+}
+
+// Former returns the value that an object had before its newest one, or the
+// newest if there was none before.
+func (s *Store) Former(key string) store.Object {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if o, ok := s.former[key]; ok {
+		return o
 	}
-	return out
+	return s.objects[key]
+}
+
+// Copy keeps a copy of all objects for Restore.
+func (s *Store) Copy() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copied = &backup{version: s.version, objects: maps.Clone(s.objects)}
+}
+
+// Restore puts the copy back, its version counter included, as a platform
+// does that lost its newest data. It reports whether there is a copy.
+func (s *Store) Restore() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.copied == nil {
+		return false
+	}
+	s.version, s.objects = s.copied.version, maps.Clone(s.copied.objects)
+	s.gone, s.former = map[string]uint64{}, map[string]store.Object{}
+	s.signal()
+	return true
 }
 
 // Get returns an object; its version is zero if there is none.
@@ -68,6 +126,9 @@
 		return old, false
 	}
 	s.version++
+	if old, ok := s.objects[key]; ok {
+		s.former[key] = old
+	}
 	s.objects[key] = store.Object{Key: key, Version: s.version, Value: slices.Clone(value)}
 	delete(s.gone, key)
 	s.signal()
--- a/stand/internal/object/serve.go
+++ b/stand/internal/object/serve.go
@@ -14,36 +14,35 @@
 	"fuchsiashelf.dev/stand/inject"
 )
 
-// The faults of the store.
-const (
-	// Outage: every call fails with 503.
-	Outage inject.Kind = "outage"
-	// DropReply: the write takes effect and the connection is closed without
-	// an answer.
-	DropReply inject.Kind = "drop"
-	// Slow: every call takes the given time longer.
-	Slow inject.Kind = "slow"
-)
-
 // Face serves a Store over HTTP.
 type Face struct {
 	Store  *Store
 	Faults *inject.Set
+	// Writes and Reads limit the calls a second; zero means no limit.
+	Writes, Reads int
+	// HostLag is how far the host list lags behind.
+	HostLag time.Duration
 }
 
 // Routes adds the calls of the object API and the host list.
 func (f *Face) Routes(h *server.Hertz) {
-	h.GET("/v1/objects", f.guard("list", f.list))
-	h.GET("/v1/objects/*key", f.guard("get", f.get))
-	h.PUT("/v1/objects/*key", f.guard("put", f.put))
-	h.DELETE("/v1/objects/*key", f.guard("delete", f.remove))
-	h.GET("/v1/hosts", f.guard("hosts", f.hosts))
+	reads, writes := newLimit(f.Reads), newLimit(f.Writes)
+	h.GET("/v1/objects", f.guard("list", reads, f.list))
+	h.GET("/v1/objects/*key", f.guard("get", reads, f.get))
+	h.PUT("/v1/objects/*key", f.guard("put", writes, f.put))
+	h.DELETE("/v1/objects/*key", f.guard("delete", writes, f.remove))
+	h.GET("/v1/hosts", f.guard("hosts", reads, f.hosts))
 }
 
 // Control adds the calls of the control listener.
 func (f *Face) Control(h *server.Hertz) {
 	f.Faults.Routes(h)
+	hosts := &late{by: f.HostLag}
 	h.GET("/counts", func(_ context.Context, c *app.RequestContext) {
+		if c.Query("by") == "entry" {
+			c.JSON(200, f.Store.CallsBy())
+			return
+		}
 		c.JSON(200, f.Store.Calls())
 	})
 	h.PUT("/hosts", func(_ context.Context, c *app.RequestContext) {
@@ -52,32 +51,32 @@
 			c.String(400, "hosts: need a host with a name: %v", err)
 			return
 		}
-		f.Store.SetHost(one)
+		hosts.do(func() { f.Store.SetHost(one) })
 		c.String(200, "set")
 	})
 	h.DELETE("/hosts/:name", func(_ context.Context, c *app.RequestContext) {
-		f.Store.DropHost(c.Param("name"))
+		name := c.Param("name")
+		hosts.do(func() { f.Store.DropHost(name) })
 		c.String(200, "dropped")
 	})
-}
-
-func (f *Face) guard(kind string, next app.HandlerFunc) app.HandlerFunc {
-	return func(ctx context.Context, c *app.RequestContext) {
-		f.Store.Count(kind)
-		if slow, on := f.Faults.On(Slow); on {
-			wait, _ := time.ParseDuration(slow.Value)
-			sleep(ctx, wait)
-		}
-		if _, on := f.Faults.On(Outage); on {
-			c.String(503, "outage")
+	h.POST("/copy", func(_ context.Context, c *app.RequestContext) {
+		f.Store.Copy()
+		c.String(200, "copied")
+	})
+	h.POST("/restore", func(_ context.Context, c *app.RequestContext) {
+		if !f.Store.Restore() {
+			c.String(409, "restore: no copy was made")
 			return
 		}
-		next(ctx, c)
-	}
+		c.String(200, "restored")
+	})
 }
 
 func (f *Face) get(_ context.Context, c *app.RequestContext) {
 	o := f.Store.Get(key(c))
+	if _, on := f.Faults.On(Old); on {
+		o = f.Store.Former(key(c))
+	}
 	if o.Version == 0 {
 		c.String(404, "no object")
 		return
@@ -86,28 +85,32 @@
 	c.Data(200, "application/octet-stream", o.Value)
 }
 
-func (f *Face) put(_ context.Context, c *app.RequestContext) {
-	f.write(c, func(version uint64) (uint64, bool) {
+func (f *Face) put(ctx context.Context, c *app.RequestContext) {
+	f.write(ctx, c, func(version uint64) (uint64, bool) {
 		return f.Store.Put(key(c), c.Request.Body(), version)
 	})
 }
 
-func (f *Face) remove(_ context.Context, c *app.RequestContext) {
-	f.write(c, func(version uint64) (uint64, bool) {
+func (f *Face) remove(ctx context.Context, c *app.RequestContext) {
+	f.write(ctx, c, func(version uint64) (uint64, bool) {
 		return f.Store.Delete(key(c), version)
 	})
 }
 
-func (f *Face) write(c *app.RequestContext, act func(uint64) (uint64, bool)) {
+func (f *Face) write(ctx context.Context, c *app.RequestContext, act func(uint64) (uint64, bool)) {
 	version, err := strconv.ParseUint(string(c.GetHeader("If-Match")), 10, 64)
 	if err != nil {
 		c.String(428, "need If-Match with a version")
 		return
 	}
+	if f.strikes(Lose, key(c)) {
+		hangUp(c)
+		return
+	}
 	now, ok := act(version)
-	if _, lost := f.Faults.Strike(DropReply); lost {
-		c.GetConn().Close()
-		c.Abort()
+	f.hold(ctx, c)
+	if f.strikes(DropReply, key(c)) {
+		hangUp(c)
 		return
 	}
 	c.Header("Object-Version", strconv.FormatUint(now, 10))
@@ -118,46 +121,77 @@
 	c.String(200, "ok")
 }
 
+// hold keeps an answer back until the faults are cleared.
+func (f *Face) hold(ctx context.Context, c *app.RequestContext) {
+	released := f.Faults.Cleared()
+	if !f.strikes(Hold, key(c)) {
+		return
+	}
+	f.Store.Count("held", entry(c))
+	select {
+	case <-released:
+	case <-ctx.Done():
+	}
+}
+
 func (f *Face) list(ctx context.Context, c *app.RequestContext) {
 	prefix := c.Query("prefix")
 	after, _ := strconv.ParseUint(c.Query("after"), 10, 64)
 	var changes store.Changes
-	f.wait(ctx, c, func() (bool, <-chan struct{}) {
+	whole := f.wait(ctx, c, func() (bool, <-chan struct{}) {
 		var wake <-chan struct{}
 		changes, wake = f.Store.Since(prefix, after)
 		return len(changes.Objects) > 0, wake
 	})
+	if !whole {
+		hangUp(c)
+		return
+	}
+	if _, on := f.Faults.On(Old); on {
+		for i, o := range changes.Objects {
+			changes.Objects[i] = f.Store.Former(o.Key)
+		}
+	}
 	c.JSON(200, changes)
 }
 
 func (f *Face) hosts(ctx context.Context, c *app.RequestContext) {
 	after, _ := strconv.ParseUint(c.Query("after"), 10, 64)
 	var list host.List
-	f.wait(ctx, c, func() (bool, <-chan struct{}) {
+	whole := f.wait(ctx, c, func() (bool, <-chan struct{}) {
 		var wake <-chan struct{}
 		list, wake = f.Store.Hosts()
 		return list.Revision > after, wake
 	})
+	if !whole {
+		hangUp(c)
+		return
+	}
 	c.JSON(200, list)
 }
 
 // wait polls until there is something new, the caller's wait is over, or the
-// caller has gone.
-func (f *Face) wait(ctx context.Context, c *app.RequestContext, poll func() (bool, <-chan struct{})) {
+// caller has gone. It reports false if a fault cuts the wait off.
+func (f *Face) wait(ctx context.Context, c *app.RequestContext, poll func() (bool, <-chan struct{})) bool {
 	ms, _ := strconv.Atoi(c.Query("waitMs"))
 	end := time.NewTimer(time.Duration(ms) * time.Millisecond)
 	defer end.Stop()
 	for {
+		changed := f.Faults.Changed()
+		if ms > 0 && f.disturbed(c) {
+			return false
+		}
 		found, wake := poll()
 		if found || ms == 0 {
-			return
+			return true
 		}
 		select {
 		case <-wake:
+		case <-changed:
 		case <-end.C:
-			return
+			return true
 		case <-ctx.Done():
-			return
+			return true
 		}
 	}
 }
@@ -169,12 +203,3 @@
 	}
 	return k
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/stand/internal/plain/plain.go
+++ b/stand/internal/plain/plain.go
@@ -10,22 +10,15 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 
-	wire "fuchsiashelf.dev/parts/engine"
 	"fuchsiashelf.dev/stand/inject"
 )
 
-// The faults of a plain service.
-const (
-	// Refuse: calls are refused with Not-Run.
-	Refuse inject.Kind = "refuse"
-	// DropReply: the call is counted and the connection closed unanswered.
-	DropReply inject.Kind = "drop"
-)
-
 // Service is one stand-in. Set the exported fields before its first request.
 type Service struct {
 	Name   string
 	Faults *inject.Set
+	// Guard refuses a call whose id has run before.
+	Guard bool
 
 	mu     sync.Mutex
 	counts map[string]int
@@ -54,25 +47,26 @@
 	})
 }
 
-// Counts returns how often the call with each id ran. Calls without an id
-// are counted under the empty one.
+// Counts returns how often the call with each id ran, by "team/id", or by
+// the id alone when the call names no team. Calls without an id are counted
+// under the empty one.
 func (s *Service) Counts() map[string]int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return maps.Clone(s.counts)
 }
 
-func (s *Service) call(_ context.Context, c *app.RequestContext) {
-	if _, on := s.Faults.Strike(Refuse); on {
-		c.Header(wire.NotRunHeader, "leaving")
-		c.String(503, "leaving")
+func (s *Service) call(ctx context.Context, c *app.RequestContext) {
+	if s.before(ctx, c) {
 		return
 	}
 	id := string(c.GetHeader("Idempotency-Key"))
-	n := s.count(id)
-	if _, on := s.Faults.Strike(DropReply); on {
-		c.GetConn().Close()
-		c.Abort()
+	n, ok := s.count(string(c.GetHeader(TeamHeader)), id)
+	if !ok {
+		c.String(409, "id %s has run before", id)
+		return
+	}
+	if s.after(ctx, c) {
 		return
 	}
 	c.JSON(200, reply{
@@ -85,12 +79,23 @@
 	})
 }
 
-func (s *Service) count(id string) int {
+// TeamHeader names the team of a call that an entry host passes on.
+const TeamHeader = "Fuchsia-Team"
+
+// count counts a call. It reports false if the guard refuses it.
+func (s *Service) count(team, id string) (int, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	key := id
+	if team != "" {
+		key = team + "/" + id
+	}
+	if s.Guard && id != "" && s.counts[key] > 0 {
+		return 0, false
+	}
 	if s.counts == nil {
 		s.counts = map[string]int{}
 	}
-	s.counts[id]++
-	return s.counts[id]
+	s.counts[key]++
+	return s.counts[key], true
 }
--- a/stand/prog/prog.go
+++ b/stand/prog/prog.go
@@ -106,11 +106,15 @@
 	s := &shell{stdout: stdout}
 	fs := flags("fsstand store", stderr)
 	s.register(fs)
+	f := &object.Face{Store: object.New(), Faults: &inject.Set{}}
+	fs.IntVar(&f.Writes, "writes", 0, "writes a second that it takes; 0 means any number")
+	fs.IntVar(&f.Reads, "reads", 0, "reads a second that it takes, each wait counted once; 0 means any number")
+	fs.DurationVar(&f.HostLag, "host-lag", 0, "how far the host list lags behind")
 	return &ffcli.Command{
 		Name: "store", ShortUsage: "fsstand store [flags]", FlagSet: fs, Options: options(),
 		ShortHelp: "the platform's object API and host list",
 		Exec: func(ctx context.Context, _ []string) error {
-			return s.serve(ctx, &object.Face{Store: object.New(), Faults: &inject.Set{}})
+			return s.serve(ctx, f)
 		},
 	}
 }
@@ -141,11 +145,14 @@
 	s := &shell{stdout: stdout}
 	fs := flags("fsstand plain", stderr)
 	s.register(fs)
+	p := &plain.Service{Faults: &inject.Set{}}
+	fs.BoolVar(&p.Guard, "guard", false, "refuse an id that has run before")
 	return &ffcli.Command{
 		Name: "plain", ShortUsage: "fsstand plain [flags]", FlagSet: fs, Options: options(),
 		ShortHelp: "a plain service",
 		Exec: func(ctx context.Context, _ []string) error {
-			return s.serve(ctx, &plain.Service{Name: s.name, Faults: &inject.Set{}})
+			p.Name = s.name
+			return s.serve(ctx, p)
 		},
 	}
 }
