--- a/entry/internal/mesh/mesh.go
+++ b/entry/internal/mesh/mesh.go
@@ -71,11 +71,11 @@
 	}
 	reply.Revision = snap.Config.Revision
 	for name := range snap.Config.Stops {
-		drain := &wire.Drain{Server: name, Revision: reply.Revision}
-		if meter := snap.Meters[name]; meter != nil {
-			drain.InFlight = meter.InFlight.Load()
+		if count, revision, out := m.View.InFlight(name); out {
+			reply.Draining = append(reply.Draining, &wire.Drain{
+				Server: name, InFlight: count, Revision: revision,
+			})
 		}
-		reply.Draining = append(reply.Draining, drain)
 	}
 	return reply
 }
--- a/entry/internal/pass/pass.go
+++ b/entry/internal/pass/pass.go
@@ -121,10 +121,10 @@
 		Rand:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	to := picker.One(usable)
-	if m := snap.Meters[to.Name]; m != nil {
-		m.InFlight.Add(1)
-		defer m.InFlight.Add(-1)
+	if !p.View.Enter(to.Name) {
+		return nil, &fault.Error{Code: fault.ServerRefused, Verdict: fault.NotRun, Message: "the server is leaving"}
 	}
+	defer p.View.Leave(to.Name)
 	return send(ctx, call, to)
 }
 
--- a/entry/internal/relay/relay.go
+++ b/entry/internal/relay/relay.go
@@ -103,12 +103,11 @@
 	if e != nil {
 		return e
 	}
-	for _, s := range stages {
-		if m := snap.Meters[s.Server]; m != nil {
-			m.InFlight.Add(1)
-			defer m.InFlight.Add(-1)
-		}
+	names := names(stages)
+	if !c.View.Enter(names...) {
+		return &fault.Error{Code: fault.ServerRefused, Verdict: fault.NotRun, Message: "a server is leaving"}
 	}
+	defer c.View.Leave(names...)
 	stream, err := c.Engine.Generate(ctx, &engine.Ask{
 		Request: c.ask.Request, Attempt: attempt, Model: c.ask.Pool.Model,
 		Prompt: c.ask.Prompt, Sent: c.sent, Max: c.ask.Max,
@@ -125,6 +124,15 @@
 	return c.failed(ctx, c.copy(stream, check), stages)
 }
 
+// names returns the servers of a chain.
+func names(stages []engine.Stage) []string {
+	all := make([]string, len(stages))
+	for i, s := range stages {
+		all[i] = s.Server
+	}
+	return all
+}
+
 func (c *carry) choose(snap *view.Snapshot) ([]engine.Stage, *fault.Error) {
 	var usable []host.Host
 	for _, name := range c.ask.Pool.Servers {
