load: send open-loop arrivals and measure them

There was no way to load the system. Closed-loop callers were ruled out: they wait for a slow system and so leave out the waits that matter.

fsload draws Poisson arrivals from a seed, sends each at its time whatever became of the ones before, and takes all times from the intended send. Tokens are compared with stand/token, and only tokens of whole and right answers count as goodput. A fault at a given second is sent to a stand-in's control listener, and the time to the next token of each open stream is reported. Calls open at once, their number and the run's length are bounded; shots beyond are counted as skipped, never left out in silence.

--- /dev/null
+++ b/load/internal/call/call_test.go
@@ -0,0 +1,99 @@
+package call_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fuchsiashelf.dev/load/internal/call"
+	"fuchsiashelf.dev/load/internal/plan"
+	"fuchsiashelf.dev/stand/token"
+)
+
+const layers = 24
+
+type watch struct{ tokens int }
+
+func (w *watch) Token(time.Time) { w.tokens++ }
+
+func events(lines ...string) string {
+	return strings.Join(lines, "\n\n") + "\n\n"
+}
+
+func event(kind, data string) string {
+	return "event: " + kind + "\ndata: " + data
+}
+
+// Answers that are late, crossed or cut look like answers. The load run must
+// not take any of them for goodput, or its figures hide the very failures
+// that callers suffer.
+func TestAnswersAreJudged(t *testing.T) {
+	right := token.Answer("p", layers, 2)
+	tokens := []string{}
+	for i, text := range right {
+		tokens = append(tokens, event("token", fmt.Sprintf(`{"index":%d,"token":%q}`, i, text)))
+	}
+	end := event("end", `{"count":2}`)
+	for _, test := range []struct {
+		name, body string
+		status     int
+		want       call.Outcome
+	}{
+		{"whole", events(tokens[0], tokens[1], end), 200, call.Outcome{Grade: call.Whole}},
+		{"cut", events(tokens[0], tokens[1]), 200, call.Outcome{Grade: call.Lost}},
+		{"short", events(tokens[0], event("end", `{"count":1}`)), 200, call.Outcome{Grade: call.Wrong}},
+		{"crossed", events(event("token", `{"index":0,"token":"x"}`), tokens[1], end), 200, call.Outcome{Grade: call.Wrong}},
+		{"doubled", events(tokens[0], tokens[0], tokens[1], end), 200, call.Outcome{Grade: call.Wrong}},
+		{
+			"failed", events(tokens[0], event("error", `{"code":"server-failed","verdict":"may-have-run"}`)), 200,
+			call.Outcome{Grade: call.Failed, Code: "server-failed", Verdict: "may-have-run"},
+		},
+		{
+			"refused", `{"code":"overloaded","verdict":"not-run"}`, 503,
+			call.Outcome{Grade: call.Refused, Code: "overloaded", Verdict: "not-run"},
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Type", "text/event-stream")
+				w.WriteHeader(test.status)
+				_, _ = io.WriteString(w, test.body)
+			}))
+			defer s.Close()
+			entry := s.Listener.Addr().String()
+			caller := &call.Caller{Entries: []string{entry}, Service: "assist", Layers: layers, Timeout: time.Minute}
+			got := caller.Do(context.Background(), plan.Shot{Team: "cantata", Prompt: "p", Tokens: 2}, &watch{})
+			test.want.Entry = entry
+			c.Assert(got, qt.Equals, test.want)
+		})
+	}
+}
+
+func TestPlainAnswersOfAnotherCallerAreWrong(t *testing.T) {
+	c := qt.New(t)
+	mine := true
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		if !mine {
+			body = []byte("another")
+		}
+		fmt.Fprintf(w, `{"body":%q}`, body)
+	}))
+	defer s.Close()
+	caller := &call.Caller{
+		Entries: []string{s.Listener.Addr().String()}, Timeout: time.Minute,
+		Plain: call.Plain{Method: http.MethodPost, URI: "/booking/x", ID: true},
+	}
+	shot := plan.Shot{Plain: true, Team: "cantata", Serial: 3}
+	c.Assert(caller.Do(context.Background(), shot, &watch{}).Grade, qt.Equals, call.Whole)
+	mine = false
+	c.Assert(caller.Do(context.Background(), shot, &watch{}).Grade, qt.Equals, call.Wrong)
+}
--- /dev/null
+++ b/load/internal/plan/plan_test.go
@@ -0,0 +1,87 @@
+package plan_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"fuchsiashelf.dev/load/internal/plan"
+)
+
+func newPlan(c *qt.C, rate string) *plan.Plan {
+	ramp, err := plan.ParseRamp(rate)
+	c.Assert(err, qt.IsNil)
+	teams, err := plan.ParseMix("cantata:10,lyra:1")
+	c.Assert(err, qt.IsNil)
+	sizes, err := plan.ParseSizes("16:3,64:1")
+	c.Assert(err, qt.IsNil)
+	return &plan.Plan{Seed: 7, Ramp: ramp, Until: 100 * time.Second, Teams: teams, Sizes: sizes, Prompts: 5}
+}
+
+func TestShotsRepeatWithTheSeed(t *testing.T) {
+	c := qt.New(t)
+	p := newPlan(c, "20")
+	first, second := slices.Collect(p.Shots()), slices.Collect(p.Shots())
+	c.Assert(first, qt.DeepEquals, second)
+	p.Seed++
+	c.Assert(slices.Collect(p.Shots()), qt.Not(qt.DeepEquals), first)
+}
+
+func TestShotsFollowRateAndWeights(t *testing.T) {
+	c := qt.New(t)
+	p := newPlan(c, "0s:0,100s:40")
+	shots := slices.Collect(p.Shots())
+	half := slices.IndexFunc(shots, func(s plan.Shot) bool { return s.At > 50*time.Second })
+	// A ramp from 0 to 40 sends 2,000, a quarter of them in the first half.
+	c.Assert(len(shots) > 1850 && len(shots) < 2150, qt.IsTrue, qt.Commentf("%d", len(shots)))
+	c.Assert(half > 420 && half < 580, qt.IsTrue, qt.Commentf("%d", half))
+	small := 0
+	for _, s := range shots {
+		if s.Team == "lyra" {
+			small++
+		}
+	}
+	c.Assert(small > 140 && small < 225, qt.IsTrue, qt.Commentf("%d", small))
+}
+
+func TestShotsAreBounded(t *testing.T) {
+	c := qt.New(t)
+	p := newPlan(c, "1000")
+	p.Limit = 17
+	c.Assert(slices.Collect(p.Shots()), qt.HasLen, 17)
+}
+
+func TestRampStaysBetweenItsPoints(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var r plan.Ramp
+		at, low, high := time.Duration(0), 1e9, 0.0
+		for range rapid.IntRange(1, 6).Draw(t, "points") {
+			rate := rapid.Float64Range(0, 1e4).Draw(t, "rate")
+			low, high = min(low, rate), max(high, rate)
+			r = append(r, plan.Point{At: at, Rate: rate})
+			at += time.Duration(rapid.IntRange(1, 1e9).Draw(t, "step"))
+		}
+		got := r.Rate(time.Duration(rapid.Int64Range(0, 7e9).Draw(t, "at")))
+		const slack = 1e-6
+		if got < low-slack || got > high+slack {
+			t.Fatalf("rate %v outside %v to %v", got, low, high)
+		}
+	})
+}
+
+func TestBadPlansAreRefused(t *testing.T) {
+	c := qt.New(t)
+	for _, text := range []string{"", "x", "-1", "5s:1,5s:2", "5s:1,2s:3", "q:1"} {
+		_, err := plan.ParseRamp(text)
+		c.Check(err, qt.ErrorMatches, "rate: .*", qt.Commentf("%q", text))
+	}
+	for _, text := range []string{"", "a:0", ":1", "a:x"} {
+		_, err := plan.ParseMix(text)
+		c.Check(err, qt.ErrorMatches, "mix: .*", qt.Commentf("%q", text))
+	}
+	_, err := plan.ParseSizes("16,many")
+	c.Assert(err, qt.ErrorMatches, "tokens: .*")
+}
--- /dev/null
+++ b/load/internal/strike/strike.go
@@ -0,0 +1,77 @@
+// Package strike switches faults on in stand-ins at given moments of a run.
+package strike
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// Strike is one fault at one moment.
+type Strike struct {
+	// At is when the fault begins, from the start of the run.
+	At time.Duration
+	// Control is the address of the stand-in's control listener.
+	Control string
+	// Kind and Value name the fault and its parameter. The kind "heal"
+	// switches all faults of the stand-in off.
+	Kind, Value string
+}
+
+// Heal is the kind that switches all faults of a stand-in off.
+const Heal = "heal"
+
+// Parse reads "10s ADDRESS KIND [VALUE]".
+func Parse(text string) (Strike, error) {
+	words := strings.Fields(text)
+	if len(words) < 3 || len(words) > 4 {
+		return Strike{}, fmt.Errorf("fault: %q is not TIME ADDRESS KIND [VALUE]", text)
+	}
+	at, err := time.ParseDuration(words[0])
+	if err != nil {
+		return Strike{}, fmt.Errorf("fault: %q is not a duration", words[0])
+	}
+	s := Strike{At: at, Control: words[1], Kind: words[2]}
+	if len(words) == 4 {
+		s.Value = words[3]
+	}
+	return s, nil
+}
+
+// String returns the strike without its address, which varies from run to
+// run.
+func (s Strike) String() string {
+	return strings.TrimSpace(fmt.Sprintf("%s %s %s", s.At, s.Kind, s.Value))
+}
+
+// body is the call that switches a fault on.
+type body struct {
+	Kind  string `json:"kind"`
+	Value string `json:"value"`
+}
+
+// Do begins the fault. A stand-in that dies of it may not answer, so an error
+// is for the log only.
+func (s Strike) Do(ctx context.Context) error {
+	value, err := json.Marshal(body{s.Kind, s.Value})
+	if err != nil {
+		return err
+	}
+	method := http.MethodPost
+	if s.Kind == Heal {
+		method = http.MethodDelete
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+s.Control+"/fault", bytes.NewReader(value))
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
--- a/load/prog/prog.go
+++ b/load/prog/prog.go
@@ -4,15 +4,78 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
+	"flag"
 	"fmt"
 	"io"
+	"os"
+	"strings"
+
+	"fuchsiashelf.dev/load/internal/tally"
 )
 
 // Version is the version of the program.
 const Version = "0.1.0"
 
-// Main runs the program and returns its exit status.
-func Main(_ context.Context, _ []string, _ io.Reader, stdout, _ io.Writer) int {
-	fmt.Fprintln(stdout, "fsload", Version)
+// The exit statuses.
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+// Main runs the program and returns its exit status. The status is 1 if an
+// answer was wrong, since no load excuses that.
+func Main(ctx context.Context, args []string, _ io.Reader, stdout, stderr io.Writer) int {
+	if len(args) == 1 && args[0] == "version" {
+		fmt.Fprintln(stdout, "fsload", Version)
+		return 0
+	}
+	s, err := parse(args, stderr)
+	if errors.Is(err, flag.ErrHelp) {
+		return 0
+	}
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitSettings
+	}
+	report, err := s.run(stderr).Do(ctx)
+	if err == nil {
+		err = s.write(report, stdout)
+	}
+	if err != nil {
+		fmt.Fprintln(stderr, "fsload:", err)
+		return exitFailed
+	}
+	if report.Wrong > 0 {
+		return exitFailed
+	}
 	return 0
 }
+
+// write writes the report, and the time series into its file.
+func (s *settings) write(r *tally.Report, stdout io.Writer) error {
+	if s.series != "" {
+		if err := writeSeries(s.series, r); err != nil {
+			return err
+		}
+	}
+	if s.format == "json" {
+		return json.NewEncoder(stdout).Encode(r)
+	}
+	r.Text(stdout)
+	return nil
+}
+
+// writeSeries writes CSV or, to a file named *.json, JSON.
+func writeSeries(name string, r *tally.Report) (err error) {
+	file, err := os.Create(name)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, file.Close()) }()
+	if strings.HasSuffix(name, ".json") {
+		return json.NewEncoder(file).Encode(r.Series)
+	}
+	return r.CSV(file)
+}
