--- a/sess/session_test.go
+++ b/sess/session_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"flag"
+	"maps"
 	"os"
 	"os/exec"
 	"os/signal"
@@ -48,7 +49,7 @@
 	testscript.Run(t, testscript.Params{
 		Dir:           "testdata",
 		UpdateScripts: *update,
-		Cmds:          commands,
+		Cmds:          allCommands(),
 		Setup: func(env *testscript.Env) error {
 			s := newSession(env)
 			env.Values[sessionKey] = s
@@ -58,6 +59,13 @@
 	})
 }
 
+// allCommands joins the commands of all areas.
+func allCommands() map[string]func(ts *testscript.TestScript, neg bool, args []string) {
+	all := maps.Clone(commands)
+	maps.Copy(all, loadCommands)
+	return all
+}
+
 // newSession returns a session whose processes are commands of the test
 // binary.
 func newSession(env *testscript.Env) *session {
