--- /dev/null
+++ b/parts/fault/example_test.go
@@ -0,0 +1,28 @@
+package fault_test
+
+import (
+	"errors"
+	"fmt"
+
+	"fuchsiashelf.dev/parts/fault"
+)
+
+// A request is NotRun only if each of its attempts is.
+func ExampleVerdict_Weaken() {
+	refused := fault.NotRun
+	lost := fault.MayHaveRun
+	fmt.Println(refused.Weaken(refused))
+	fmt.Println(refused.Weaken(lost))
+	fmt.Println(lost.Weaken(fault.Ran))
+	// Output:
+	// not-run
+	// may-have-run
+	// ran
+}
+
+// Nothing is known of an error from elsewhere, so it promises nothing.
+func ExampleAs() {
+	e := fault.As(errors.New("connection reset"))
+	fmt.Println(e.Code, e.Verdict, e.Status())
+	// Output: internal may-have-run 500
+}
