--- a/stand/inject/inject.go
+++ b/stand/inject/inject.go
@@ -27,15 +27,16 @@
 // Set holds the faults of one stand-in. The zero value has none. Set the
 // exported fields before Routes.
 type Set struct {
-	// Added, if set, is called as a fault is switched on; its error tells
+	// OnAdd, if set, is called as a fault is switched on; its error tells
 	// what is wrong with the fault's value.
-	Added func(f Fault) error
-	// Cleared, if set, is called as all faults are switched off.
-	Cleared func()
+	OnAdd func(f Fault) error
+	// OnClear, if set, is called as all faults are switched off.
+	OnClear func()
 
 	mu      sync.Mutex
 	faults  map[Kind]*Fault
 	changed chan struct{}
+	cleared chan struct{}
 }
 
 // Add switches a fault on.
@@ -46,44 +47,59 @@
 		s.faults = map[Kind]*Fault{}
 	}
 	s.faults[f.Kind] = &f
-	s.wake()
+	signal(&s.changed)
 }
 
-// wake tells those who wait for a change. The lock is held.
-func (s *Set) wake() {
-	if s.changed != nil {
-		close(s.changed)
-		s.changed = nil
-	}
+// Clear switches all faults off, and releases whatever waits for Cleared.
+func (s *Set) Clear() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = nil
+	signal(&s.changed)
+	signal(&s.cleared)
 }
 
-// Wait returns once a fault is off, or with the context's error.
-func (s *Set) Wait(ctx context.Context, kind Kind) error {
-	for {
-		s.mu.Lock()
-		if s.faults[kind] == nil {
-			s.mu.Unlock()
-			return nil
-		}
-		if s.changed == nil {
-			s.changed = make(chan struct{})
+// Changed returns a channel that is closed when a fault is switched on or
+// the faults are cleared. Take it before a look at the faults to miss nothing.
+func (s *Set) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return wake(&s.changed)
+}
+
+// Cleared returns a channel that is closed when the faults are cleared.
+func (s *Set) Cleared() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return wake(&s.cleared)
+}
+
+// Thawed waits while a fault is on.
+func (s *Set) Thawed(ctx context.Context, kind Kind) {
+	for ctx.Err() == nil {
+		changed := s.Changed()
+		if _, on := s.On(kind); !on {
+			return
 		}
-		changed := s.changed
-		s.mu.Unlock()
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return ctx.Err()
 		}
 	}
 }
 
-// Clear switches all faults off.
-func (s *Set) Clear() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.faults = nil
-	s.wake()
+func wake(c *chan struct{}) <-chan struct{} {
+	if *c == nil {
+		*c = make(chan struct{})
+	}
+	return *c
+}
+
+func signal(c *chan struct{}) {
+	if *c != nil {
+		close(*c)
+		*c = nil
+	}
 }
 
 // On reports whether a fault is on, without using it up.
@@ -99,10 +115,16 @@
 
 // Strike reports whether a fault strikes now, and uses it up by one.
 func (s *Set) Strike(kind Kind) (Fault, bool) {
+	return s.StrikeIf(kind, func(string) bool { return true })
+}
+
+// StrikeIf is Strike for a fault whose value meets a condition; it leaves
+// any other alone.
+func (s *Set) StrikeIf(kind Kind, meets func(value string) bool) (Fault, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	f := s.faults[kind]
-	if f == nil {
+	if f == nil || !meets(f.Value) {
 		return Fault{}, false
 	}
 	hit := *f
@@ -123,8 +145,8 @@
 			c.String(400, "fault: need a kind: %v", err)
 			return
 		}
-		if s.Added != nil {
-			if err := s.Added(f); err != nil {
+		if s.OnAdd != nil {
+			if err := s.OnAdd(f); err != nil {
 				c.String(400, "fault: value: %v", err)
 				return
 			}
@@ -134,8 +156,8 @@
 	})
 	h.DELETE("/fault", func(_ context.Context, c *app.RequestContext) {
 		s.Clear()
-		if s.Cleared != nil {
-			s.Cleared()
+		if s.OnClear != nil {
+			s.OnClear()
 		}
 		c.String(200, "off")
 	})
--- a/stand/internal/engine/faults.go
+++ b/stand/internal/engine/faults.go
@@ -54,8 +54,8 @@
 // start readies the parts that faults act on.
 func (e *Engine) start() {
 	e.links.start(e.Links)
-	e.Faults.Added = e.added
-	e.Faults.Cleared = e.links.reset
+	e.Faults.OnAdd = e.added
+	e.Faults.OnClear = e.links.reset
 }
 
 func (e *Engine) added(f inject.Fault) error {
@@ -98,7 +98,7 @@
 		slog.Error("engine: died", "server", e.Name, "request", s.Request, "index", s.Index)
 		e.exit(ExitDied)
 	}
-	return e.Faults.Wait(ctx, Freeze)
+	return e.thawed(ctx)
 }
 
 // strays writes the frames that late or crossed streams add before a frame.
@@ -129,3 +129,9 @@
 	_, on = e.Faults.Strike(Truncate)
 	return on
 }
+
+// thawed returns once the engine is not frozen, or with the context's error.
+func (e *Engine) thawed(ctx context.Context) error {
+	e.Faults.Thawed(ctx, Freeze)
+	return ctx.Err()
+}
--- a/stand/internal/engine/serve.go
+++ b/stand/internal/engine/serve.go
@@ -23,7 +23,7 @@
 		c.JSON(200, e.orders.list())
 	})
 	h.GET("/v1/status", func(ctx context.Context, c *app.RequestContext) {
-		if e.Faults.Wait(ctx, Freeze) == nil {
+		if e.thawed(ctx) == nil {
 			c.JSON(200, e.lagged())
 		}
 	})
@@ -43,7 +43,7 @@
 		c.String(400, "bad request: %v", err)
 		return
 	}
-	if e.Faults.Wait(ctx, Freeze) != nil {
+	if e.thawed(ctx) != nil {
 		return
 	}
 	first := step{Request: ask.Request, Attempt: ask.Attempt, Prompt: ask.Prompt}
@@ -125,7 +125,7 @@
 		c.String(400, "bad step: %v", err)
 		return
 	}
-	if e.Faults.Wait(ctx, Freeze) != nil {
+	if e.thawed(ctx) != nil {
 		return
 	}
 	e.count.inFlight.Add(1)
--- a/stand/internal/engine/step.go
+++ b/stand/internal/engine/step.go
@@ -86,7 +86,7 @@
 	if err != nil {
 		return s, err
 	}
-	if err := e.Faults.Wait(ctx, Freeze); err != nil {
+	if err := e.thawed(ctx); err != nil {
 		return s, err
 	}
 	e.count.runs.Add(1)
