claim: claim calls that may not be repeated in shards of the object API

A caller's resend through another entry host must find that its call was taken. Owner per key, lease per shard and object per request were weighed in the design; the conditional update of a shard object needs no clock and no agreement, and was taken.

Commit is the pure state machine of one batch: read, apply, conditional write, and after a lost reply read again. Writer runs commits, one write for all that waits for a shard, on an ants pool.

--- /dev/null
+++ b/parts/claim/writer.go
@@ -0,0 +1,328 @@
+package claim
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/panjf2000/ants/v2"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/time/rate"
+
+	"fuchsiashelf.dev/parts/fault"
+	"fuchsiashelf.dev/parts/store"
+)
+
+// Writer writes claims. All changes that wait for a shard go into one write
+// (group commit), so that a burst costs no more writes than shards. Set the
+// exported fields, then Run.
+type Writer struct {
+	// Store is the object API.
+	Store store.API
+	// Log gets what goes wrong.
+	Log *slog.Logger
+	// Writes is how many commits a second may start; zero means any number.
+	// What comes faster waits and shares a write.
+	Writes float64
+	// Workers is how many commits run at once; zero means DefaultWorkers.
+	Workers int
+	// Done is closed when Run has ended. Make it before Run.
+	Done chan struct{}
+
+	once  sync.Once
+	in    chan *item
+	out   chan *lane
+	lanes [Shards]*lane
+	ready []*lane
+	pool  *ants.Pool
+	limit *rate.Limiter
+}
+
+// The defaults and bounds of a Writer.
+const (
+	// DefaultWorkers is far above what the store takes at a time.
+	DefaultWorkers = 64
+	// maxBatch bounds the changes in one write.
+	maxBatch = 512
+	// drainWait bounds how long Run goes on after its context ended, for the
+	// outcomes that are not written yet.
+	drainWait = 2 * time.Second
+	// again is the mean pause before an outcome is written again.
+	again = 500 * time.Millisecond
+	// maxAgain bounds how often an outcome is written again, about a quarter
+	// of an hour.
+	maxAgain = 1800
+	// cacheBytes is the largest shard that is kept between writes. A larger
+	// one is read again each time, which bounds the memory of the whole.
+	cacheBytes = 64 << 10
+)
+
+// item is one op that waits.
+type item struct {
+	op    Op
+	found chan<- result
+	tries int
+}
+
+type result struct {
+	finding Finding
+	err     *fault.Error
+}
+
+// lane is one shard. Its fields belong to Run, and while it is busy to its
+// commit.
+type lane struct {
+	shard   int
+	waiting []*item
+	queued  bool
+	busy    bool
+	batch   []*item
+	commit  Commit
+	writes  int
+}
+
+func (w *Writer) setup() {
+	w.once.Do(func() {
+		w.in = make(chan *item, Shards)
+		// One place for each lane: a commit never waits to hand itself back.
+		w.out = make(chan *lane, Shards)
+		for i := range w.lanes {
+			w.lanes[i] = &lane{shard: i}
+		}
+	})
+}
+
+// Take claims a call and returns what came of it. After an error, or once
+// the context has ended, the claim may or may not be in the store; whoever
+// gets no grant sends no call, and calls Forsake.
+func (w *Writer) Take(ctx context.Context, t Take) (Finding, *fault.Error) {
+	found := make(chan result, 1)
+	if !w.send(ctx, &item{op: t, found: found}) {
+		return nil, gaveUp(ctx)
+	}
+	select {
+	case r := <-found:
+		return r.finding, r.err
+	case <-ctx.Done():
+		return nil, gaveUp(ctx)
+	case <-w.Done:
+		return nil, gaveUp(ctx)
+	}
+}
+
+func gaveUp(ctx context.Context) *fault.Error {
+	return &fault.Error{
+		Code: fault.StoreDown, Verdict: fault.NotRun, Message: "the claim was not written in time",
+		RetryAfter: time.Second, Cause: context.Cause(ctx),
+	}
+}
+
+// Settle records an outcome in the background. The channel is closed when it
+// is in the store; it stays open if that fails for long.
+func (w *Writer) Settle(s Settle) <-chan struct{} {
+	return w.behind(s)
+}
+
+// Forsake takes back a claim whose call was never sent, in the background.
+func (w *Writer) Forsake(v Void) <-chan struct{} {
+	return w.behind(v)
+}
+
+func (w *Writer) behind(op Op) <-chan struct{} {
+	found := make(chan result, 1)
+	written := make(chan struct{})
+	if !w.send(context.Background(), &item{op: op, found: found}) {
+		return written
+	}
+	go func() {
+		select {
+		case <-found:
+			close(written)
+		case <-w.Done:
+		}
+	}()
+	return written
+}
+
+func (w *Writer) send(ctx context.Context, i *item) bool {
+	w.setup()
+	select {
+	case w.in <- i:
+		return true
+	case <-ctx.Done():
+	case <-w.Done:
+	}
+	return false
+}
+
+// Run writes claims until the context ends, and then for a while what is
+// left of the outcomes.
+func (w *Writer) Run(ctx context.Context) error {
+	w.setup()
+	defer close(w.Done)
+	workers := w.Workers
+	if workers == 0 {
+		workers = DefaultWorkers
+	}
+	pool, err := ants.NewPool(workers)
+	if err != nil {
+		return err
+	}
+	defer pool.Release()
+	w.pool = pool
+	w.limit = rate.NewLimiter(rate.Inf, 0)
+	if w.Writes > 0 {
+		w.limit = rate.NewLimiter(rate.Limit(w.Writes), max(1, int(w.Writes/20)))
+	}
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	w.loop(ctx, work)
+	return nil
+}
+
+func (w *Writer) loop(ctx, work context.Context) {
+	tick := time.NewTimer(time.Hour)
+	defer tick.Stop()
+	var end <-chan time.Time
+	ended := ctx.Done()
+	for {
+		select {
+		case i := <-w.in:
+			w.add(i)
+		case l := <-w.out:
+			w.back(l)
+		case <-tick.C:
+		case <-ended:
+			ended = nil
+			timer := time.NewTimer(drainWait)
+			defer timer.Stop()
+			end = timer.C
+		case <-end:
+			return
+		}
+		if wait := w.launch(work); wait > 0 {
+			tick.Reset(wait)
+		}
+		if ended == nil && w.idle() {
+			return
+		}
+	}
+}
+
+func (w *Writer) idle() bool {
+	for _, l := range w.lanes {
+		if l.busy || len(l.waiting) > 0 {
+			return false
+		}
+	}
+	return len(w.in) == 0
+}
+
+func (w *Writer) add(i *item) {
+	l := w.lanes[i.op.key().Shard()]
+	l.waiting = append(l.waiting, i)
+	w.queue(l)
+}
+
+func (w *Writer) queue(l *lane) {
+	if l.busy || l.queued || len(l.waiting) == 0 {
+		return
+	}
+	l.queued = true
+	w.ready = append(w.ready, l)
+}
+
+// launch starts commits of the lanes that are ready, as far as the rate
+// allows, and returns how long to wait for the next.
+func (w *Writer) launch(work context.Context) time.Duration {
+	for len(w.ready) > 0 {
+		if w.pool.Free() == 0 {
+			return 0
+		}
+		r := w.limit.Reserve()
+		if wait := r.Delay(); wait > 0 {
+			r.Cancel()
+			return wait
+		}
+		l := w.ready[0]
+		w.ready = w.ready[1:]
+		l.queued, l.busy = false, true
+		n := min(len(l.waiting), maxBatch)
+		l.batch, l.waiting = l.waiting[:n], l.waiting[n:]
+		if err := w.pool.Submit(func() { w.commit(work, l) }); err != nil {
+			w.Log.Error("claim: commit not started", "err", err)
+			l.commit = Commit{failed: fault.As(err)}
+			w.out <- l
+		}
+	}
+	return 0
+}
+
+// commit brings the batch of a lane into the store and hands the lane back.
+func (w *Writer) commit(ctx context.Context, l *lane) {
+	defer func() { w.out <- l }()
+	c := &l.commit
+	*c = Commit{Shard: c.Shard, Version: c.Version, Seen: c.Seen}
+	for _, i := range l.batch {
+		c.Ops = append(c.Ops, i.op)
+	}
+	l.writes = 0
+	key := ObjectKey(l.shard)
+	for {
+		switch step := c.Next(time.Now()).(type) {
+		case DoRead:
+			c.Read(w.Store.Get(ctx, key))
+			metrics.GetOrRegisterCounter("claim.reads", nil).Inc(1)
+		case DoWrite:
+			c.Wrote(w.Store.Put(ctx, key, step.Value, step.Version))
+			metrics.GetOrRegisterCounter("claim.writes", nil).Inc(1)
+			l.writes++
+			if len(step.Value) > cacheBytes {
+				defer func() { c.Shard = nil }()
+			}
+		case Settled, Failed:
+			return
+		}
+	}
+}
+
+// back answers those who wait for a lane's batch.
+func (w *Writer) back(l *lane) {
+	l.busy = false
+	if l.writes > 1 {
+		w.limit.ReserveN(time.Now(), l.writes-1)
+	}
+	metrics.GetOrRegisterCounter("claim.ops", nil).Inc(int64(len(l.batch)))
+	for n, i := range l.batch {
+		if l.commit.failed == nil {
+			i.found <- result{finding: l.commit.findings[n]}
+			continue
+		}
+		w.failed(i, l.commit.failed)
+	}
+	l.batch = nil
+	w.queue(l)
+}
+
+// failed answers a Take with the error, and tries any other op again later:
+// nobody waits for it, and the store may be back.
+func (w *Writer) failed(i *item, e *fault.Error) {
+	if _, take := i.op.(Take); take {
+		metrics.GetOrRegisterCounter("claim.failed", nil).Inc(1)
+		i.found <- result{err: e}
+		return
+	}
+	i.tries++
+	if i.tries > maxAgain {
+		w.Log.Warn("claim: outcome not written", "err", e)
+		return
+	}
+	time.AfterFunc(again/2+rand.N(again), func() {
+		select {
+		case w.in <- i:
+		case <-w.Done:
+		}
+	})
+}
