peer: exchange bounded digests between entry hosts

Ruled out: full digests (320 members of 25 bytes each exchange are 8 KB); refutation by the member itself only, as it needs the suspicion to reach it, where its next beat refutes it anywhere.

Seen failing first: the seed of the others never learned their names, as ids alone do not introduce anyone (TestPeersFindEachOther, e1 knew nobody after 30 s). An answer to a stranger now says so, and the stranger introduces itself.

--- a/entry/internal/mesh/mesh.go
+++ b/entry/internal/mesh/mesh.go
@@ -1,21 +1,22 @@
-// Package mesh joins the entry hosts: it asks the others what they have in
-// force and answers the same of this one.
+// Package mesh joins the entry hosts: it embeds the membership of package
+// peer in the daemon, hands what peers tell on to the parts that act on it,
+// and answers their other calls.
 package mesh
 
 import (
 	"context"
-	"crypto/subtle"
 	"errors"
 	"log/slog"
 	"net"
-	"sync"
+	"slices"
 	"time"
 
-	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"fuchsiashelf.dev/parts/domain"
 	"fuchsiashelf.dev/parts/host"
+	"fuchsiashelf.dev/parts/peer"
 	"fuchsiashelf.dev/parts/trace"
 	"fuchsiashelf.dev/parts/view"
 	"fuchsiashelf.dev/parts/wire"
@@ -29,83 +30,208 @@
 	Trace  *trace.Line
 	Log    *slog.Logger
 	Secret string
-
-	mu    sync.Mutex
-	conns map[string]*drpcconn.Conn
+	// Address is host:port of the peers' listener.
+	Address string
+	// Domain is the failure domain of this entry host.
+	Domain domain.Name
+	// Seeds are peers' addresses for a start while the store is down.
+	Seeds []string
+	// Object returns the configuration object in force and its version in
+	// the store; nil means the one of the snapshot, its version unknown.
+	Object func() (value []byte, version uint64)
+	// Offer takes a configuration object that a peer has; nil drops it.
+	Offer func(value []byte, version uint64)
+	// Usages returns the rate of each team here, in requests per second; nil
+	// tells none.
+	Usages func() map[string]float64
+
+	peer   *peer.Peer
+	newer  chan peer.Newer
+	change chan struct{}
 }
 
-// dialTimeout bounds the time to reach another entry host.
-const dialTimeout = time.Second
-
-// errSecret is the answer to a wrong secret.
-var errSecret = errors.New("mesh: wrong secret")
-
-// Run answers the other entry hosts until the context ends.
+// Run talks to the other entry hosts until the context ends.
 func (m *Mesh) Run(ctx context.Context, listener net.Listener) error {
 	mux := drpcmux.New()
 	if err := wire.DRPCRegisterEntry(mux, m); err != nil {
 		return err
 	}
-	return drpcserver.New(mux).Serve(ctx, listener)
+	served := make(chan error, 1)
+	go func() { served <- drpcserver.New(mux).Serve(ctx, peer.Listener{Listener: listener}) }()
+	go m.fold(ctx)
+	err := m.peer.Run(ctx)
+	return errors.Join(err, <-served)
 }
 
-// Same compares secrets in constant time.
-func Same(a, b string) bool {
-	return subtle.ConstantTimeCompare([]byte(a), []byte(b)) == 1
+// Make prepares the mesh; call it once after the fields are set, before Run
+// and before other parts use the mesh.
+func (m *Mesh) Make() {
+	m.newer = make(chan peer.Newer, 1)
+	m.change = make(chan struct{}, 1)
+	m.peer = &peer.Peer{
+		Name: m.View.Load().Self, Address: m.Address, Domain: m.Domain,
+		Secret: m.Secret, Seeds: m.Seeds, Trace: m.Trace, Log: m.Log,
+		Hosts: m.hosts, Own: m.own, On: m.on,
+	}
 }
 
-// Status implements the call of the other entry hosts.
-func (m *Mesh) Status(_ context.Context, ask *wire.StatusAsk) (*wire.StatusReply, error) {
-	if !Same(ask.Secret, m.Secret) {
-		return nil, errSecret
+func (m *Mesh) hosts() map[string]host.Host {
+	snap := m.View.Load()
+	if snap.HostsRevision == 0 {
+		return nil
 	}
-	return m.Own(), nil
+	return snap.Hosts
 }
 
-// Own returns the status of this entry host.
-func (m *Mesh) Own() *wire.StatusReply {
+func (m *Mesh) own() peer.Own {
 	snap := m.View.Load()
-	reply := &wire.StatusReply{Name: snap.Self}
+	own := peer.Own{Drains: drains(snap)}
+	if snap.Config != nil {
+		own.Revision = snap.Config.Revision
+	}
+	if m.Usages != nil {
+		for team, rate := range m.Usages() {
+			own.Usages = append(own.Usages, peer.Usage{Team: team, Rate: rate})
+		}
+		slices.SortFunc(own.Usages, func(a, b peer.Usage) int {
+			if a.Team < b.Team {
+				return -1
+			}
+			return 1
+		})
+	}
+	return own
+}
+
+// drains returns this host's requests in flight on each server that is being
+// stopped.
+func drains(snap *view.Snapshot) []peer.Drain {
 	if snap.Config == nil {
-		return reply
+		return nil
 	}
-	reply.Revision = snap.Config.Revision
+	var all []peer.Drain
 	for name := range snap.Config.Stops {
-		drain := &wire.Drain{Server: name, Revision: reply.Revision}
+		d := peer.Drain{Server: name, Revision: snap.Config.Revision}
 		if meter := snap.Meters[name]; meter != nil {
-			drain.InFlight = meter.InFlight.Load()
+			d.InFlight = meter.InFlight.Load()
+		}
+		all = append(all, d)
+	}
+	return all
+}
+
+// on takes the events of the membership. It must not block, so the work is
+// left to fold.
+func (m *Mesh) on(e peer.Event) {
+	switch e := e.(type) {
+	case peer.Newer:
+		select {
+		case m.newer <- e:
+		default:
 		}
-		reply.Draining = append(reply.Draining, drain)
+	case peer.Marked:
+		m.takeMarks(e.Marks)
+	case peer.Changed:
+	}
+	select {
+	case m.change <- struct{}{}:
+	default:
 	}
-	return reply
 }
 
-// Timeline implements the call of the other entry hosts.
-func (m *Mesh) Timeline(_ context.Context, ask *wire.TimelineAsk) (*wire.TimelineReply, error) {
-	if !Same(ask.Secret, m.Secret) {
-		return nil, errSecret
+// foldTick bounds the age of the peers in the snapshot.
+const foldTick = time.Second
+
+// fold writes what the membership knows into the snapshot and fetches newer
+// configurations.
+func (m *Mesh) fold(ctx context.Context) {
+	tick := time.NewTicker(foldTick)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-m.newer:
+			m.fetch(ctx, e)
+		case <-m.change:
+			m.foldPeers()
+		case <-tick.C:
+			m.foldPeers()
+		}
 	}
-	reply := &wire.TimelineReply{}
-	for _, e := range m.Trace.Find(ask.Request) {
-		reply.Events = append(reply.Events, &wire.Event{
-			Clock: e.Clock, Process: e.Process, Part: e.Part, Request: e.Request, What: e.What,
-		})
+}
+
+func (m *Mesh) foldPeers() {
+	peers := map[string]view.Peer{}
+	for _, o := range m.peer.Others() {
+		peers[o.Name] = view.Peer{
+			Name: o.Name, Address: o.Address, Domain: o.Domain,
+			Incarnation: o.Incarnation, Revision: o.Revision,
+			Alive: o.State == peer.Alive && o.Incarnation > 0, Left: o.State == peer.Left,
+		}
 	}
-	return reply, nil
+	m.View.Update(func(s *view.Snapshot) { s.Peers = peers })
 }
 
-// Others returns the other entry hosts of the host list.
+// fetchWait bounds the time to get a configuration from a peer.
+const fetchWait = 2 * time.Second
+
+// fetch gets a newer configuration from the peer that told of it.
+func (m *Mesh) fetch(ctx context.Context, e peer.Newer) {
+	after := m.own().Revision
+	if m.Offer == nil || e.Revision <= after {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, fetchWait)
+	defer cancel()
+	ask := &wire.ConfigAsk{Secret: m.Secret, After: after}
+	reply, err := m.peer.Client(ctx, e.From.Address).Config(ctx, ask)
+	if err != nil {
+		m.Log.Warn("mesh: configuration not fetched", "peer", e.From.Name, "err", err)
+		return
+	}
+	if len(reply.Object) == 0 {
+		return
+	}
+	m.Trace.Add("mesh", "", "configuration fetched from "+e.From.Name)
+	m.Offer(reply.Object, reply.Version)
+	m.peer.Wake()
+}
+
+// Others returns the other entry hosts of the host list, and those that peers
+// told of. One that said goodbye is left out.
 func (m *Mesh) Others() []host.Host {
 	snap := m.View.Load()
-	var others []host.Host
+	known := map[string]host.Host{}
 	for _, h := range snap.Hosts {
 		if h.Role == host.Entry && h.Name != snap.Self {
-			others = append(others, h)
+			known[h.Name] = h
+		}
+	}
+	for _, o := range m.peer.Others() {
+		if o.State == peer.Left {
+			delete(known, o.Name)
+			continue
 		}
+		if _, ok := known[o.Name]; !ok {
+			known[o.Name] = host.Host{
+				Name: o.Name, Address: o.Address, Domain: o.Domain, Role: host.Entry, State: host.Live,
+			}
+		}
+	}
+	var others []host.Host
+	for _, h := range known {
+		others = append(others, h)
 	}
 	return others
 }
 
+// Rates returns the requests per second of each team on all other entry
+// hosts, as far as they have told. The map is read only.
+func (m *Mesh) Rates() map[string]float64 {
+	return m.peer.Rates()
+}
+
 // Ask asks another entry host for its status.
 func (m *Mesh) Ask(ctx context.Context, h host.Host) (*wire.StatusReply, error) {
 	client, err := m.Client(ctx, h)
@@ -115,32 +241,8 @@
 	return client.Status(ctx, &wire.StatusAsk{Secret: m.Secret})
 }
 
-// Client returns a connection to another entry host, and dials if needed.
+// Client returns a client of another entry host. It dials when it is first
+// used and no kept connection is free.
 func (m *Mesh) Client(ctx context.Context, h host.Host) (wire.DRPCEntryClient, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	conn := m.conns[h.Address]
-	if conn != nil && !closed(conn) {
-		return wire.NewDRPCEntryClient(conn), nil
-	}
-	dialer := net.Dialer{Timeout: dialTimeout}
-	raw, err := dialer.DialContext(ctx, "tcp", h.Address)
-	if err != nil {
-		return nil, err
-	}
-	if m.conns == nil {
-		m.conns = map[string]*drpcconn.Conn{}
-	}
-	conn = drpcconn.New(raw)
-	m.conns[h.Address] = conn
-	return wire.NewDRPCEntryClient(conn), nil
-}
-
-func closed(conn *drpcconn.Conn) bool {
-	select {
-	case <-conn.Closed():
-		return true
-	default:
-		return false
-	}
+	return m.peer.Client(ctx, h.Address), nil
 }
--- a/entry/internal/setup/setup.go
+++ b/entry/internal/setup/setup.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"time"
 
 	"github.com/peterbourgon/ff/v3"
@@ -24,6 +25,8 @@
 	Desk    string
 	Ops     string
 	Store   string
+	// Seeds are peers' addresses, separated by commas.
+	Seeds string
 	// PeerSecret and DeskSecret are never logged.
 	PeerSecret string
 	DeskSecret string
@@ -56,6 +59,7 @@
 	fs.StringVar(&s.Desk, "desk", "127.0.0.1:0", "host:port of the operators' listener")
 	fs.StringVar(&s.Ops, "ops", "127.0.0.1:0", "host:port of the metrics page")
 	fs.StringVar(&s.Store, "store", "", "host:port of the platform's object API (required)")
+	fs.StringVar(&s.Seeds, "seeds", "", "host:port of other entry hosts' peers listeners, separated by commas, for a start while the store is down")
 	fs.StringVar(&s.PeerSecret, "peer-secret", "", "secret shared by all entry hosts (required)")
 	fs.StringVar(&s.DeskSecret, "desk-secret", "", "secret of the operators (required)")
 	fs.IntVar(&s.MaxBody, "max-body", 1<<20, "largest request body, in bytes")
@@ -93,6 +97,9 @@
 	address("desk", s.Desk)
 	address("ops", s.Ops)
 	address("store", s.Store)
+	for seed := range strings.SplitSeq(s.Seeds, ",") {
+		address("seeds", seed)
+	}
 	if s.MaxBody <= 0 {
 		faults = append(faults, fmt.Errorf("-max-body: %d is not above 0", s.MaxBody))
 	}
--- a/entry/prog/prog.go
+++ b/entry/prog/prog.go
@@ -18,7 +18,6 @@
 
 	"fuchsiashelf.dev/entry/internal/feed"
 	"fuchsiashelf.dev/entry/internal/gate"
-	"fuchsiashelf.dev/entry/internal/mesh"
 	"fuchsiashelf.dev/entry/internal/pass"
 	"fuchsiashelf.dev/entry/internal/relay"
 	"fuchsiashelf.dev/entry/internal/seat"
@@ -101,7 +100,7 @@
 	line := &trace.Line{Process: d.settings.Name}
 	api := &store.Client{Address: d.settings.Store}
 	feeder := &feed.Feed{Store: api, View: holder, Trace: line, Log: d.log}
-	peers := &mesh.Mesh{View: holder, Trace: line, Log: d.log, Secret: d.settings.PeerSecret}
+	peers := d.mesh(holder, line, feeder)
 	desk := &seat.Seat{
 		View: holder, Store: api, Feed: feeder, Mesh: peers,
 		Trace: line, Log: d.log, Secret: d.settings.DeskSecret,
