peer: tell peers of servers that failed or refuse work

What an entry host itself saw (its suspects, a refusal, the host list's word that a host is leaving) goes to its peers as marks with an end; they avoid the server, or take it out under the source PeerWord. A word is renewed only by an entry host that saw the thing itself, so it cannot keep itself alive among peers.

--- a/entry/internal/mesh/mesh.go
+++ b/entry/internal/mesh/mesh.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"net"
 	"slices"
 	"time"
@@ -85,7 +86,7 @@
 
 func (m *Mesh) own() peer.Own {
 	snap := m.View.Load()
-	own := peer.Own{Drains: drains(snap)}
+	own := peer.Own{Drains: m.drains(snap)}
 	if snap.Config != nil {
 		own.Revision = snap.Config.Revision
 	}
@@ -105,17 +106,15 @@
 
 // drains returns this host's requests in flight on each server that is being
 // stopped.
-func drains(snap *view.Snapshot) []peer.Drain {
+func (m *Mesh) drains(snap *view.Snapshot) []peer.Drain {
 	if snap.Config == nil {
 		return nil
 	}
 	var all []peer.Drain
 	for name := range snap.Config.Stops {
-		d := peer.Drain{Server: name, Revision: snap.Config.Revision}
-		if meter := snap.Meters[name]; meter != nil {
-			d.InFlight = meter.InFlight.Load()
+		if count, revision, out := m.View.InFlight(name); out {
+			all = append(all, peer.Drain{Server: name, InFlight: count, Revision: revision})
 		}
-		all = append(all, d)
 	}
 	return all
 }
@@ -129,9 +128,7 @@
 		case m.newer <- e:
 		default:
 		}
-	case peer.Marked:
-		m.takeMarks(e.Marks)
-	case peer.Changed:
+	case peer.Marked, peer.Changed:
 	}
 	select {
 	case m.change <- struct{}{}:
@@ -148,19 +145,22 @@
 	tick := time.NewTicker(foldTick)
 	defer tick.Stop()
 	for {
+		changed := m.View.Changed()
+		m.foldPeers()
+		m.foldMarks(time.Now())
 		select {
 		case <-ctx.Done():
 			return
 		case e := <-m.newer:
 			m.fetch(ctx, e)
 		case <-m.change:
-			m.foldPeers()
+		case <-changed:
 		case <-tick.C:
-			m.foldPeers()
 		}
 	}
 }
 
+// foldPeers writes the other members into the snapshot.
 func (m *Mesh) foldPeers() {
 	peers := map[string]view.Peer{}
 	for _, o := range m.peer.Others() {
@@ -170,7 +170,9 @@
 			Alive: o.State == peer.Alive && o.Incarnation > 0, Left: o.State == peer.Left,
 		}
 	}
-	m.View.Update(func(s *view.Snapshot) { s.Peers = peers })
+	if !maps.Equal(peers, m.View.Load().Peers) {
+		m.View.Update(func(s *view.Snapshot) { s.Peers = peers })
+	}
 }
 
 // fetchWait bounds the time to get a configuration from a peer.
--- a/entry/internal/mesh/serve.go
+++ b/entry/internal/mesh/serve.go
@@ -58,7 +58,7 @@
 		return reply
 	}
 	reply.Revision = snap.Config.Revision
-	for _, d := range drains(snap) {
+	for _, d := range m.drains(snap) {
 		reply.Draining = append(reply.Draining, &wire.Drain{
 			Server: d.Server, InFlight: d.InFlight, Revision: d.Revision,
 		})
--- a/parts/peer/marks.go
+++ b/parts/peer/marks.go
@@ -112,11 +112,11 @@
 	}
 }
 
-// All returns the marks of a kind by name.
-func (s *Marks) All(kind Kind) map[string]Mark {
+// All returns the marks of a kind that have not ended, by name.
+func (s *Marks) All(kind Kind, now time.Time) map[string]Mark {
 	found := map[string]Mark{}
 	for key, e := range s.all {
-		if key.kind == kind {
+		if key.kind == kind && now.Before(e.Until) {
 			found[key.name] = e.Mark
 		}
 	}
--- a/parts/peer/peer.go
+++ b/parts/peer/peer.go
@@ -353,12 +353,12 @@
 	return news
 }
 
-// Marks returns the marks of a kind by name.
+// Marks returns the marks of a kind that have not ended, by name.
 func (p *Peer) Marks(kind Kind) map[string]Mark {
 	p.init()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.marks.All(kind)
+	return p.marks.All(kind, time.Now())
 }
 
 // Others returns the other members, by name.
--- a/parts/peer/table_test.go
+++ b/parts/peer/table_test.go
@@ -138,14 +138,14 @@
 	c.Assert(marks.Add(m, start), qt.IsFalse)
 	m.Until = start.Add(24 * time.Hour)
 	c.Assert(marks.Add(m, start), qt.IsTrue)
-	c.Assert(marks.All(SuspectServer)["a1"].Until, qt.Equals, start.Add(longest(SuspectServer)))
+	c.Assert(marks.All(SuspectServer, start)["a1"].Until, qt.Equals, start.Add(longest(SuspectServer)))
 	c.Assert(marks.Add(Mark{Name: "a2", Until: start}, start), qt.IsFalse)
 	marks.Sweep(start.Add(longest(SuspectServer)))
-	c.Assert(marks.All(SuspectServer), qt.HasLen, 0)
+	c.Assert(marks.All(SuspectServer, start), qt.HasLen, 0)
 	for i := range maxMarks + 10 {
 		marks.Add(Mark{Name: fmt.Sprint(i), Until: start.Add(time.Minute)}, start)
 	}
-	c.Assert(marks.All(SuspectServer), qt.HasLen, maxMarks)
+	c.Assert(marks.All(SuspectServer, start), qt.HasLen, maxMarks)
 }
 
 // A team's limit is corrected by what the others report. Reports from a part
