lang: add the full grammar with checks of the whole configuration

The thin language had five kinds of line, overwrote what existed and pointed to a column only for what the parser refused. Lines now create, change and delete services, pools and rules, add and remove servers, plan stops at a time or after a duration; errors point to the word at fault. A line that makes a pool lack layers or servers is refused with the ranges named, unless it ends in anyway.

--- a/entry/internal/seat/seat.go
+++ b/entry/internal/seat/seat.go
@@ -101,14 +101,13 @@
 	if err != nil {
 		return refused(err)
 	}
-	next := now.Clone()
-	thing, err := parsed.Apply(next, lang.World{Hosts: s.View.Load().Hosts, Now: time.Now()})
+	next, err := parsed.Apply(now, lang.World{Hosts: s.View.Load().Hosts, Now: time.Now()})
 	if err != nil {
 		return refused(err)
 	}
 	next.Record(conf.Line{
 		ID: line.Id, Revision: next.Revision, Operator: line.Operator,
-		Text: line.Text, Thing: thing, At: time.Now(),
+		Text: line.Text, Thing: parsed.Thing(), At: time.Now(),
 	})
 	value, err := next.Encode()
 	if err != nil {
@@ -183,13 +182,10 @@
 		}
 	case "stops":
 		s.showStops(ctx, add)
-	case "timeline":
-		s.showTimeline(ctx, show.Rest, add)
-	default:
-		return refused(&lang.Error{Message: "show: want services, pools, rules, stops or timeline, not " + show.What})
 	}
-	if show.What != "timeline" {
-		slices.Sort(answer.Rows)
+	slices.Sort(answer.Rows)
+	if show.Timeline != nil {
+		s.showTimeline(ctx, show.Timeline, add)
 	}
 	return answer
 }
@@ -216,10 +212,10 @@
 	}
 }
 
-func (s *Seat) showTimeline(ctx context.Context, rest []string, add func(string, ...any)) {
+func (s *Seat) showTimeline(ctx context.Context, of *lang.Timeline, add func(string, ...any)) {
 	request := ""
-	if len(rest) > 0 {
-		request = rest[len(rest)-1]
+	if of.Request != nil {
+		request = of.Request.Text
 	}
 	events := s.Trace.Find(request)
 	for _, h := range s.Mesh.Others() {
--- a/parts/lang/apply.go
+++ b/parts/lang/apply.go
@@ -3,16 +3,16 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 	"time"
 
-	"fuchsiashelf.dev/parts/chain"
 	"fuchsiashelf.dev/parts/conf"
 	"fuchsiashelf.dev/parts/host"
 	"fuchsiashelf.dev/parts/pool"
 	"fuchsiashelf.dev/parts/rule"
 )
 
-// World is what a line is checked against.
+// World is what a line is checked against besides the configuration.
 type World struct {
 	// Hosts is the host list by name.
 	Hosts map[string]host.Host
@@ -20,108 +20,241 @@
 	Now time.Time
 }
 
-// Apply changes a configuration, which must be a clone, as the line says. It
-// returns the name of the thing changed. A question changes nothing and
-// returns an empty name. On an error the configuration is to be thrown away.
-func (l *Line) Apply(c *conf.Config, w World) (string, error) {
-	c.Revision++
+// Apply returns the configuration that the line makes of another one, which
+// it leaves alone. The revision grows by one. The error is an *Error; then
+// there is no configuration.
+func (l *Line) Apply(before *conf.Config, w World) (*conf.Config, error) {
+	e := &edit{Config: before.Clone(), world: w, before: before, anyway: l.Anyway}
+	e.Revision++
+	if err := e.line(l); err != nil {
+		return nil, err
+	}
+	if err := e.check(); err != nil {
+		return nil, err
+	}
+	return e.Config, nil
+}
+
+// edit is a configuration that is being changed by one line.
+type edit struct {
+	*conf.Config
+	world  World
+	before *conf.Config
+	anyway bool
+	// at is the word that an error of the whole configuration points to.
+	at Word
+}
+
+// fault is an error that points to a word.
+func fault(at Word, format string, args ...any) *Error {
+	return &Error{Column: at.Pos.Column, Message: fmt.Sprintf(format, args...)}
+}
+
+func (e *edit) line(l *Line) error {
 	switch {
-	case l.Create != nil && l.Create.Service != nil:
-		return l.Create.Service.apply(c)
-	case l.Create != nil && l.Create.Pool != nil:
-		return l.Create.Pool.apply(c, w)
+	case l.Create != nil:
+		return e.create(l.Create)
+	case l.Change != nil:
+		return e.change(l.Change)
+	case l.Delete != nil:
+		return e.remove(l.Delete)
 	case l.Route != nil:
-		return l.Route.apply(c)
+		return e.route(l.Route)
+	case l.Add != nil:
+		return e.addServer(l.Add)
+	case l.Remove != nil:
+		return e.removeServer(l.Remove)
 	case l.Stop != nil:
-		return l.Stop.apply(c, w)
+		return e.stop(l.Stop)
 	case l.Resume != nil:
-		return l.Resume.apply(c)
+		return e.resume(l.Resume)
 	}
-	return "", nil
+	return &Error{Column: 1, Message: "a question changes nothing"}
 }
 
-func (s *Service) apply(c *conf.Config) (string, error) {
-	within, err := time.ParseDuration(orZero(s.Within))
-	if err != nil || within < 0 {
-		return "", &Error{Message: fmt.Sprintf("within %s: want a duration such as 5s", s.Within)}
+func (e *edit) create(c *Create) error {
+	switch {
+	case c.Service != nil:
+		return e.createService(c.Service)
+	case c.Pool != nil:
+		if old, exists := e.Pools[c.Pool.Name.Text]; exists {
+			return fault(c.Pool.Name, "pool %s exists since revision %d", old.Name, old.Revision)
+		}
+		return e.setPool(c.Pool)
 	}
-	c.Services[s.Name] = rule.Service{
-		Name: s.Name, Model: s.Model, Path: s.Path,
-		Repeat: s.Repeat != "no", FreeID: s.Ids == "free", Guarded: s.Guarded,
-		Deadline: within, Revision: c.Revision,
+	if at := e.findRule(&c.Rule.Target); at >= 0 {
+		return fault(c.Rule.Service, "there is a rule for %s since revision %d", c.Rule.label(), e.Rules[at].Revision)
 	}
-	return "service " + s.Name, nil
+	return e.route(c.Rule)
 }
 
-func orZero(duration string) string {
-	if duration == "" {
-		return "0s"
+func (e *edit) change(c *Change) error {
+	switch {
+	case c.Service != nil:
+		return e.changeService(c.Service)
+	case c.Pool != nil:
+		if _, err := e.pool(c.Pool.Name); err != nil {
+			return err
+		}
+		return e.setPool(c.Pool)
 	}
-	return duration
+	if e.findRule(&c.Rule.Target) < 0 {
+		return fault(c.Rule.Service, "there is no rule for %s", c.Rule.label())
+	}
+	return e.route(c.Rule)
+}
+
+func (e *edit) remove(d *Delete) error {
+	switch {
+	case d.Service != nil:
+		return e.deleteService(*d.Service)
+	case d.Pool != nil:
+		return e.deletePool(*d.Pool)
+	}
+	at := e.findRule(d.Rule)
+	if at < 0 {
+		return fault(d.Rule.Service, "there is no rule for %s", d.Rule.label())
+	}
+	e.Rules = slices.Delete(e.Rules, at, at+1)
+	return nil
 }
 
-func (p *Pool) apply(c *conf.Config, w World) (string, error) {
-	var servers []host.Host
-	for _, name := range p.Servers {
-		h, ok := w.Hosts[name]
-		if !ok {
-			return "", &Error{Message: fmt.Sprintf("server %s is not in the host list", name)}
+// pool returns a pool that must exist.
+func (e *edit) pool(name Word) (pool.Pool, error) {
+	p, ok := e.Pools[name.Text]
+	if !ok {
+		return p, fault(name, "there is no pool %s", name.Text)
+	}
+	return p, nil
+}
+
+func (e *edit) setPool(p *Pool) error {
+	e.at = p.Name
+	if err := name(p.Name); err != nil {
+		return err
+	}
+	next := pool.Pool{Name: p.Name.Text, Revision: e.Revision}
+	if p.Model != nil {
+		layers, err := strconv.Atoi(p.Layers.Text)
+		if err != nil || layers < 1 || layers > pool.MaxLayers {
+			return fault(*p.Layers, "layers: want 1 to %d, not %s", pool.MaxLayers, p.Layers.Text)
 		}
-		servers = append(servers, h)
+		next.Model, next.Layers = p.Model.Text, layers
 	}
-	if p.Model != "" {
-		if _, err := chain.Make(p.Layers, servers); err != nil {
-			return "", &Error{Message: err.Error()}
+	for _, s := range p.Servers {
+		if err := e.join(&next, s); err != nil {
+			return err
 		}
 	}
-	names := slices.Sorted(slices.Values(p.Servers))
-	c.Pools[p.Name] = pool.Pool{
-		Name: p.Name, Model: p.Model, Layers: p.Layers,
-		Servers: slices.Compact(names), Revision: c.Revision,
+	e.Pools[next.Name] = next
+	return nil
+}
+
+// join adds a server to a pool that is not published yet.
+func (e *edit) join(p *pool.Pool, s Word) error {
+	if slices.Contains(p.Servers, s.Text) {
+		return fault(s, "server %s is in pool %s already", s.Text, p.Name)
+	}
+	h, listed := e.world.Hosts[s.Text]
+	if !listed {
+		return fault(s, "server %s is not in the host list", s.Text)
+	}
+	if err := fits(*p, h); err != nil {
+		return fault(s, "%s", err)
 	}
-	return "pool " + p.Name, nil
+	p.Servers = append(slices.Clone(p.Servers), s.Text)
+	slices.Sort(p.Servers)
+	p.Revision = e.Revision
+	return nil
 }
 
-func (r *Route) apply(c *conf.Config) (string, error) {
-	if _, ok := c.Services[r.Service]; !ok {
-		return "", &Error{Message: fmt.Sprintf("there is no service %s", r.Service)}
+func (e *edit) addServer(a *Add) error {
+	e.at = a.Server
+	p, err := e.pool(a.Pool)
+	if err != nil {
+		return err
 	}
-	if _, ok := c.Pools[r.Pool]; !ok {
-		return "", &Error{Message: fmt.Sprintf("there is no pool %s", r.Pool)}
+	if err := e.join(&p, a.Server); err != nil {
+		return err
 	}
-	c.Rules = slices.DeleteFunc(c.Rules, func(old rule.Rule) bool {
-		return old.Service == r.Service && old.Team == r.Team
-	})
-	c.Rules = append(c.Rules, rule.Rule{
-		Service: r.Service, Team: r.Team, Pool: r.Pool, Revision: c.Revision,
-	})
-	return "route " + r.Service + " " + r.Team, nil
+	e.Pools[p.Name] = p
+	return nil
 }
 
-func (s *Stop) apply(c *conf.Config, w World) (string, error) {
-	if _, ok := w.Hosts[s.Server]; !ok {
-		return "", &Error{Message: fmt.Sprintf("server %s is not in the host list", s.Server)}
+func (e *edit) removeServer(r *Remove) error {
+	e.at = r.Server
+	p, err := e.pool(r.Pool)
+	if err != nil {
+		return err
+	}
+	at := slices.Index(p.Servers, r.Server.Text)
+	if at < 0 {
+		return fault(r.Server, "server %s is not in pool %s", r.Server.Text, p.Name)
 	}
-	at := w.Now
-	if s.At != "" {
-		clock, err := time.Parse("15:04", s.At)
-		if err != nil {
-			return "", &Error{Message: fmt.Sprintf("at %s: want a time such as 22:00", s.At)}
+	p.Servers = slices.Delete(slices.Clone(p.Servers), at, at+1)
+	p.Revision = e.Revision
+	e.Pools[p.Name] = p
+	return nil
+}
+
+func (e *edit) deletePool(at Word) error {
+	p, err := e.pool(at)
+	if err != nil {
+		return err
+	}
+	for _, r := range e.Rules {
+		if r.Pool == p.Name {
+			return fault(at, "pool %s is in use by the rule for %s", p.Name, label(r))
 		}
-		year, month, day := w.Now.UTC().Date()
-		at = time.Date(year, month, day, clock.Hour(), clock.Minute(), 0, 0, time.UTC)
-		if at.Before(w.Now) {
-			at = at.AddDate(0, 0, 1)
+	}
+	delete(e.Pools, p.Name)
+	return nil
+}
+
+// label names a rule of the configuration to operators.
+func label(r rule.Rule) string {
+	if r.Team == "" {
+		return r.Service
+	}
+	return r.Service + " " + r.Team
+}
+
+func (e *edit) findRule(t *Target) int {
+	return slices.IndexFunc(e.Rules, func(r rule.Rule) bool {
+		return r.Service == t.Service.Text && r.Team == t.team()
+	})
+}
+
+func (e *edit) route(r *Rule) error {
+	e.at = r.Pool
+	s, ok := e.Services[r.Service.Text]
+	if !ok {
+		return fault(r.Service, "there is no service %s", r.Service.Text)
+	}
+	p, err := e.pool(r.Pool)
+	if err != nil {
+		return err
+	}
+	if s.Model != p.Model {
+		return fault(r.Pool, "pool %s serves %s, service %s needs %s", p.Name, serves(p.Model), s.Name, serves(s.Model))
+	}
+	if r.Team != nil {
+		if err := name(*r.Team); err != nil {
+			return err
 		}
 	}
-	c.Stops[s.Server] = conf.Stop{Server: s.Server, At: at, Revision: c.Revision}
-	return "server " + s.Server, nil
+	next := rule.Rule{Service: s.Name, Team: r.team(), Pool: p.Name, Revision: e.Revision}
+	if at := e.findRule(&r.Target); at >= 0 {
+		e.Rules[at] = next
+		return nil
+	}
+	e.Rules = append(e.Rules, next)
+	return nil
 }
 
-func (r *Resume) apply(c *conf.Config) (string, error) {
-	if _, ok := c.Stops[r.Server]; !ok {
-		return "", &Error{Message: fmt.Sprintf("no stop of server %s is planned", r.Server)}
+func serves(model string) string {
+	if model == "" {
+		return "plain services"
 	}
-	delete(c.Stops, r.Server)
-	return "server " + r.Server, nil
+	return "model " + model
 }
--- a/parts/lang/lang.go
+++ b/parts/lang/lang.go
@@ -1,113 +1,156 @@
 // Package lang is the operators' command language: one readable line a step.
 //
 //	create service assist model lotus
-//	create service booking path /booking repeat no
-//	create pool lake model lotus layers 32 servers a1 a2 b1 b2
+//	create service booking path /booking repeat no within 5s
+//	create pool lake model lotus layers 24 servers a1 a2 a3
 //	route service assist to pool lake
-//	stop server a2
-//	show pools
+//	add server b1 to pool lake
+//	stop server a2 at 22:00
+//	show stops
+//
+// A [Line] is parsed by Parse and checked and carried out by Apply, which
+// works on a copy of the whole configuration. An [Error] of either points to
+// the column of the word at fault.
 package lang
 
-import (
-	"errors"
-
-	"github.com/alecthomas/participle/v2"
-	"github.com/alecthomas/participle/v2/lexer"
-)
+import "github.com/alecthomas/participle/v2/lexer"
 
-// Line is a parsed line. Exactly one field is set.
+// Line is a parsed line. Exactly one of the pointers is set.
 type Line struct {
-	Create *Create `parser:"  'create' @@"`
-	Route  *Route  `parser:"| 'route' @@"`
-	Stop   *Stop   `parser:"| 'stop' 'server' @@"`
-	Resume *Resume `parser:"| 'resume' 'server' @@"`
-	Show   *Show   `parser:"| 'show' @@"`
+	Create *Create `parser:"(  'create' @@"`
+	Change *Change `parser:" | 'change' @@"`
+	Delete *Delete `parser:" | 'delete' @@"`
+	Route  *Rule   `parser:" | 'route' @@"`
+	Add    *Add    `parser:" | 'add' @@"`
+	Remove *Remove `parser:" | 'remove' @@"`
+	Stop   *Stop   `parser:" | 'stop' @@"`
+	Resume *Resume `parser:" | 'resume' @@"`
+	Show   *Show   `parser:" | 'show' @@ )"`
+	// Anyway carries the line out although a pool is left without servers or
+	// with layers that no server holds.
+	Anyway bool `parser:"@'anyway'?"`
+}
+
+// Word is a word of a line that was chosen by the operator, with its place.
+type Word struct {
+	Pos  lexer.Position
+	Text string `parser:"(?! 'anyway' ) @Word"`
 }
 
-// Create makes a service or a pool.
+// Create makes a service, a pool or a rule that must not exist yet.
 type Create struct {
 	Service *Service `parser:"  'service' @@"`
 	Pool    *Pool    `parser:"| 'pool' @@"`
+	Rule    *Rule    `parser:"| 'rule' @@"`
 }
 
-// Service describes a service.
+// Change alters a service, a pool or a rule that exists.
+type Change struct {
+	Service *ServiceChange `parser:"  'service' @@"`
+	Pool    *Pool          `parser:"| 'pool' @@"`
+	Rule    *Rule          `parser:"| 'rule' @@"`
+}
+
+// Delete removes a service, a pool or a rule.
+type Delete struct {
+	Service *Word   `parser:"  'service' @@"`
+	Pool    *Word   `parser:"| 'pool' @@"`
+	Rule    *Target `parser:"| 'rule' @@"`
+}
+
+// Service describes a new service.
 type Service struct {
-	Name    string `parser:"@Word"`
-	Model   string `parser:"( 'model' @Word"`
-	Path    string `parser:"| 'path' @Path )"`
-	Repeat  string `parser:"( 'repeat' @( 'yes' | 'no' ) )?"`
-	Ids     string `parser:"( 'ids' @( 'needed' | 'free' ) )?"`
-	Guarded bool   `parser:"@'guarded'?"`
-	Within  string `parser:"( 'within' @Word )?"`
+	Name    Word      `parser:"@@"`
+	Model   *Word     `parser:"( 'model' @@"`
+	Path    *PathWord `parser:"| 'path' @@ )"`
+	Options Options   `parser:"@@"`
+}
+
+// PathWord is the path prefix of a plain service.
+type PathWord struct {
+	Pos  lexer.Position
+	Text string `parser:"@Path"`
+}
+
+// Options are what a service can be told besides; each is optional.
+type Options struct {
+	Pos     lexer.Position
+	Repeat  string   `parser:"( 'repeat' @( 'yes' | 'no' ) )?"`
+	Ids     string   `parser:"( 'ids' @( 'needed' | 'free' ) )?"`
+	Guarded *Guarded `parser:"@@?"`
+	Within  *Word    `parser:"( 'within' @@ )?"`
+}
+
+// Guarded says whether the backend servers themselves refuse repeats.
+type Guarded struct {
+	Value string `parser:"'guarded' @( 'yes' | 'no' )?"`
+}
+
+// ServiceChange names a service and what is to become of it.
+type ServiceChange struct {
+	Name    Word    `parser:"@@"`
+	Options Options `parser:"@@"`
 }
 
 // Pool describes a pool.
 type Pool struct {
-	Name    string   `parser:"@Word"`
-	Model   string   `parser:"( 'model' @Word"`
-	Layers  int      `parser:"  'layers' @Word )?"`
-	Servers []string `parser:"'servers' @Word+"`
+	Name    Word   `parser:"@@"`
+	Model   *Word  `parser:"( 'model' @@"`
+	Layers  *Word  `parser:"  'layers' @@ )?"`
+	Servers []Word `parser:"'servers' @@+"`
+}
+
+// Target names a rule: a service, and one team or every team.
+type Target struct {
+	Service Word  `parser:"'service' @@"`
+	Team    *Word `parser:"( 'team' @@ )?"`
+}
+
+// Rule leads the requests of a target to a pool.
+type Rule struct {
+	Target
+	Pool Word `parser:"'to' 'pool' @@"`
 }
 
-// Route describes a routing rule.
-type Route struct {
-	Service string `parser:"'service' @Word"`
-	Team    string `parser:"( 'team' @Word )?"`
-	Pool    string `parser:"'to' 'pool' @Word"`
+// Add puts a backend server into a pool.
+type Add struct {
+	Server Word `parser:"'server' @@"`
+	Pool   Word `parser:"'to' 'pool' @@"`
 }
 
-// Stop plans the stop of a backend server.
+// Remove takes a backend server out of a pool.
+type Remove struct {
+	Server Word `parser:"'server' @@"`
+	Pool   Word `parser:"'from' 'pool' @@"`
+}
+
+// Stop plans the stop of a backend server: at once, at a time of day (UTC),
+// or after a duration.
 type Stop struct {
-	Server string `parser:"@Word"`
-	At     string `parser:"( 'at' @Time )?"`
+	Server Word  `parser:"'server' @@"`
+	At     *Hour `parser:"( 'at' @@"`
+	In     *Word `parser:"| 'in' @@ )?"`
+}
+
+// Hour is a time of day such as 22:00.
+type Hour struct {
+	Pos  lexer.Position
+	Text string `parser:"@Time"`
 }
 
 // Resume takes a planned stop back.
 type Resume struct {
-	Server string `parser:"@Word"`
+	Server Word `parser:"'server' @@"`
 }
 
-// Show asks for something.
+// Show asks for something and changes nothing.
 type Show struct {
-	What string   `parser:"@Word"`
-	Rest []string `parser:"@Word*"`
-}
-
-var words = lexer.MustSimple([]lexer.SimpleRule{
-	{Name: "Time", Pattern: `\d\d:\d\d`},
-	{Name: "Path", Pattern: `/[A-Za-z0-9/_.-]*`},
-	{Name: "Word", Pattern: `[A-Za-z0-9][A-Za-z0-9_.-]*`},
-	{Name: "Space", Pattern: `\s+`},
-})
-
-var parser = participle.MustBuild[Line](
-	participle.Lexer(words),
-	participle.Elide("Space"),
-	participle.UseLookahead(2),
-)
-
-// Error is a fault in a line.
-type Error struct {
-	// Column is where the fault is, from 1.
-	Column int
-	// Message says what is wrong and what was expected.
-	Message string
-}
-
-// Error returns the message.
-func (e *Error) Error() string {
-	return e.Message
-}
-
-// Parse reads one line. The error is an *Error.
-func Parse(text string) (*Line, error) {
-	line, err := parser.ParseString("", text)
-	if err == nil {
-		return line, nil
-	}
-	var at participle.Error
-	if errors.As(err, &at) {
-		return nil, &Error{Column: at.Position().Column, Message: at.Message()}
-	}
-	return nil, &Error{Column: 1, Message: err.Error()}
+	What     string    `parser:"  @( 'services' | 'pools' | 'rules' | 'stops' | 'servers' | 'entries' | 'lines' )"`
+	Command  *Word     `parser:"| 'command' @@"`
+	Timeline *Timeline `parser:"| @@"`
+}
+
+// Timeline asks for the events of one request, or for all.
+type Timeline struct {
+	Request *Word `parser:"'timeline' ( 'request'? @@ )?"`
 }
--- a/parts/pool/pool.go
+++ b/parts/pool/pool.go
@@ -20,3 +20,6 @@
 func (p Pool) IsPlain() bool {
 	return p.Model == ""
 }
+
+// MaxLayers is the largest number of layers that a model may have.
+const MaxLayers = 10000
--- a/parts/rule/rule.go
+++ b/parts/rule/rule.go
@@ -55,3 +55,11 @@
 	// Revision is the configuration revision that last changed the rule.
 	Revision uint64 `json:"revision"`
 }
+
+// The bounds of a service's deadline. A shorter one would refuse calls that
+// merely cross a slow link; a longer one would hold claims on calls, and the
+// streams of a host that is to leave, for longer than operators can wait.
+const (
+	MinDeadline = 100 * time.Millisecond
+	MaxDeadline = 2 * time.Minute
+)
