seat, feed: answer truthfully and take only higher revisions

A line was called refused when the read before it failed, unknown whenever a reply was lost, and done by revision alone; a watch whose store went back waited for a version that never came. An entry host is ready only once it has asked store and peers; a store that holds an older configuration raises an alarm and gets the newer one put back, after all listed entry hosts have been asked for a newer one still.

--- a/entry/internal/feed/feed.go
+++ b/entry/internal/feed/feed.go
@@ -1,28 +1,66 @@
-// Package feed keeps the snapshot up to date from the platform's service:
-// the configuration, the book of teams and the host list.
+// Package feed keeps the snapshot up to date: the configuration, the book of
+// teams and the host list.
+//
+// All three come from the platform's service, through one waiting watch each.
+// A configuration also comes from other entry hosts, which hand on what they
+// have, so that an entry host cut off from the platform follows all the same.
+// Whatever the source, only a configuration with a higher revision than the
+// one in force is taken: nothing that was accepted is ever undone by an older
+// copy that turns up late.
 package feed
 
 import (
 	"context"
-	"encoding/json"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"fuchsiashelf.dev/parts/conf"
 	"fuchsiashelf.dev/parts/host"
 	"fuchsiashelf.dev/parts/store"
-	"fuchsiashelf.dev/parts/team"
 	"fuchsiashelf.dev/parts/trace"
 	"fuchsiashelf.dev/parts/view"
+	"fuchsiashelf.dev/parts/wire"
 )
 
-// Feed watches the platform's service. Set the exported fields, then Run.
+// Peers are the other entry hosts.
+type Peers interface {
+	// Others returns those known.
+	Others() []host.Host
+	// Client returns a client of one of them.
+	Client(ctx context.Context, h host.Host) (wire.DRPCEntryClient, error)
+}
+
+// Feed watches the platform's service. Make it with New, set the exported
+// fields, then Run.
 type Feed struct {
 	Store store.API
 	View  *view.Holder
 	Trace *trace.Line
 	Log   *slog.Logger
+	// Peers are asked for what they have before this entry host is ready.
+	Peers Peers
+	// Secret is the secret of the entry hosts.
+	Secret string
+	// Seeds are addresses of other entry hosts, for a start while the store
+	// is down.
+	Seeds []string
+
+	began  time.Time
+	heard  atomic.Int64
+	silent atomic.Bool
+	listed atomic.Bool
+	primed atomic.Bool
+	behind chan struct{}
+}
+
+// New returns a feed whose fields are not set yet.
+func New() *Feed {
+	return &Feed{began: time.Now(), behind: make(chan struct{}, 1)}
 }
 
 // retryWait is the mean pause after a failed call.
@@ -30,54 +68,55 @@
 
 // Run watches until the context ends.
 func (f *Feed) Run(ctx context.Context) {
-	done := make(chan struct{}, 3)
-	go func() { f.watchObjects(ctx); done <- struct{}{} }()
-	go func() { f.watchHosts(ctx); done <- struct{}{} }()
-	go func() { f.watchStops(ctx); done <- struct{}{} }()
-	for range cap(done) {
+	f.gauges()
+	tasks := []func(context.Context){f.watchObjects, f.watchHosts, f.watchStops, f.prime}
+	done := make(chan struct{}, len(tasks))
+	for _, task := range tasks {
+		go func() { task(ctx); done <- struct{}{} }()
+	}
+	for range tasks {
 		<-done
 	}
 }
 
-func (f *Feed) watchObjects(ctx context.Context) {
-	var after uint64
-	for ctx.Err() == nil {
-		changes, err := f.Store.Watch(ctx, conf.Prefix, after)
-		if err != nil {
-			f.rest(ctx, "watch objects", err)
-			continue
+func (f *Feed) gauges() {
+	_ = metrics.Register("feed.revision", metrics.NewFunctionalGauge(func() int64 {
+		if c := f.View.Load().Config; c != nil {
+			return int64(c.Revision)
 		}
-		for _, o := range changes.Objects {
-			f.take(o)
-		}
-		after = max(after, changes.Version)
-	}
+		return 0
+	}))
+	_ = metrics.Register("feed.age_ms", metrics.NewFunctionalGauge(func() int64 {
+		return f.Age().Milliseconds()
+	}))
 }
 
-func (f *Feed) take(o store.Object) {
-	switch o.Key {
-	case conf.Key:
-		c, err := conf.Decode(o.Value)
-		if err != nil {
-			f.Log.Error("feed: configuration unreadable", "err", err)
-			return
-		}
-		f.Offer(c)
-	case conf.TeamsKey:
-		book := &team.Book{Version: o.Version}
-		if err := json.Unmarshal(o.Value, book); err != nil {
-			f.Log.Error("feed: teams unreadable", "err", err)
-			return
-		}
-		f.View.Update(func(s *view.Snapshot) { s.Teams = book })
+// Age returns how long the object API has been silent here; zero while the
+// watch is up. An entry host that is cut off keeps serving on what it has.
+func (f *Feed) Age() time.Duration {
+	heard := f.heard.Load()
+	if heard == 0 {
+		return time.Since(f.began)
 	}
+	if !f.silent.Load() {
+		return 0
+	}
+	return time.Since(time.Unix(0, heard))
+}
+
+// Heard reports whether the object API ever answered here.
+func (f *Feed) Heard() bool {
+	return f.heard.Load() != 0
 }
 
-// Offer puts a configuration in force if it is newer than the one that is.
-// It reports whether it was.
+// Offer puts a configuration in force if its revision is higher than that of
+// the one that is. It reports whether it was.
 func (f *Feed) Offer(c *conf.Config) bool {
 	newer := false
 	f.View.Update(func(s *view.Snapshot) {
+		// An older copy comes from a store that was restored, a watch that
+		// lags, or a peer that was cut off. Taking it would undo lines that
+		// were answered with done.
 		if s.Config != nil && c.Revision <= s.Config.Revision {
 			return
 		}
@@ -87,77 +126,35 @@
 		out(s, time.Now())
 	})
 	if newer {
-		f.Trace.Add("feed", "", "configuration in force")
+		f.Trace.Add("feed", "", fmt.Sprintf("configuration in force: revision %d", c.Revision))
 		f.Log.Info("feed: configuration in force", "revision", c.Revision)
 	}
 	return newer
 }
 
-func (f *Feed) watchHosts(ctx context.Context) {
-	var after uint64
-	for ctx.Err() == nil {
-		list, err := f.Store.Hosts(ctx, after)
-		if err != nil {
-			f.rest(ctx, "watch hosts", err)
-			continue
-		}
-		if list.Revision <= after {
-			continue
-		}
-		after = list.Revision
-		f.View.Update(func(s *view.Snapshot) {
-			s.HostsRevision = list.Revision
-			s.Hosts = make(map[string]host.Host, len(list.Hosts))
-			for _, h := range list.Hosts {
-				s.Hosts[h.Name] = h
-			}
-			out(s, time.Now())
-		})
+// rest notes that a call failed, and waits before the next one.
+func (f *Feed) rest(ctx context.Context, what string, err error) {
+	if ctx.Err() != nil {
+		return
 	}
-}
-
-// stopTick is how often planned stops are looked at.
-const stopTick = 500 * time.Millisecond
-
-func (f *Feed) watchStops(ctx context.Context) {
-	tick := time.NewTicker(stopTick)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-tick.C:
-			f.View.Update(func(s *view.Snapshot) { out(s, now) })
-		}
+	if !f.silent.Swap(true) {
+		f.Log.Warn("feed: store does not answer", "call", what, "err", err)
+		f.Trace.Add("feed", "", "store does not answer")
 	}
+	pause(ctx, retryWait/2+rand.N(retryWait))
 }
 
-// out takes servers out of new work by the host list and the planned stops.
-func out(s *view.Snapshot, now time.Time) {
-	leaving := map[string]bool{}
-	for name, h := range s.Hosts {
-		if h.State == host.Leaving {
-			leaving[name] = true
-		}
-	}
-	s.SetOut(view.HostLeaving, leaving)
-	stopping := map[string]bool{}
-	if s.Config != nil {
-		for name, stop := range s.Config.Stops {
-			if stop.Begun(now) {
-				stopping[name] = true
-			}
-		}
+// answered notes that a call was answered.
+func (f *Feed) answered() {
+	f.heard.Store(time.Now().UnixNano())
+	if f.silent.Swap(false) {
+		f.Log.Info("feed: store answers again")
+		f.Trace.Add("feed", "", "store answers again")
 	}
-	s.SetOut(view.Stopping, stopping)
 }
 
-func (f *Feed) rest(ctx context.Context, what string, err error) {
-	if ctx.Err() != nil {
-		return
-	}
-	f.Log.Warn("feed: store does not answer", "call", what, "err", err)
-	t := time.NewTimer(retryWait/2 + rand.N(retryWait))
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
--- /dev/null
+++ b/entry/internal/feed/objects.go
@@ -0,0 +1,127 @@
+package feed
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/rcrowley/go-metrics"
+
+	"fuchsiashelf.dev/parts/conf"
+	"fuchsiashelf.dev/parts/store"
+	"fuchsiashelf.dev/parts/team"
+	"fuchsiashelf.dev/parts/view"
+)
+
+// errOld is why a watch that brought only old objects is asked again slowly.
+var errOld = errors.New("the watch brings objects that it has brought before")
+
+// watchObjects takes the configuration and the teams from a watch that goes
+// on from the newest version received.
+func (f *Feed) watchObjects(ctx context.Context) {
+	var after uint64
+	for ctx.Err() == nil {
+		changes, err := f.Store.Watch(ctx, conf.Prefix, after)
+		if err != nil {
+			f.rest(ctx, "watch objects", err)
+			continue
+		}
+		if changes.Version < after {
+			// The store's counter went back: it was restored from an older
+			// copy. A watch from the old count would miss all new versions
+			// up to it, without any error.
+			f.Log.Error("feed: store went back", "from", after, "to", changes.Version)
+			after = 0
+			continue
+		}
+		// The next watch goes on from what has come, not from the store's
+		// counter: with an answer from an older copy, the counter would
+		// step over a version that never came.
+		newest := after
+		for _, o := range changes.Objects {
+			f.take(ctx, o)
+			newest = max(newest, o.Version)
+		}
+		if len(changes.Objects) > 0 && newest == after {
+			f.rest(ctx, "watch objects", errOld)
+			continue
+		}
+		after = newest
+		f.listed.Store(true)
+		f.answered()
+	}
+}
+
+func (f *Feed) take(ctx context.Context, o store.Object) {
+	switch o.Key {
+	case conf.Key:
+		c, err := conf.Decode(o.Value)
+		if err != nil {
+			f.Log.Error("feed: configuration unreadable", "err", err)
+			return
+		}
+		if !f.Offer(c) {
+			f.compare(ctx, c.Revision)
+		}
+	case conf.TeamsKey:
+		f.offerTeams(o.Value, o.Version)
+	}
+}
+
+// offerTeams takes a book of teams of a higher version.
+func (f *Feed) offerTeams(value []byte, version uint64) {
+	book := &team.Book{Version: version}
+	if err := json.Unmarshal(value, book); err != nil {
+		f.Log.Error("feed: teams unreadable", "err", err)
+		return
+	}
+	f.View.Update(func(s *view.Snapshot) {
+		if s.Teams == nil || s.Teams.Version < version {
+			s.Teams = book
+		}
+	})
+}
+
+// compare raises an alarm if the store holds an older configuration than the
+// one in force. An event of the watch alone does not show that, since events
+// may lag behind what peers handed on: the object is read anew.
+func (f *Feed) compare(ctx context.Context, came uint64) {
+	own := f.revision()
+	if came >= own {
+		return
+	}
+	o, err := f.Store.Get(ctx, conf.Key)
+	if err != nil {
+		return
+	}
+	c, err := conf.Decode(o.Value)
+	if err != nil || c.Revision >= own {
+		return
+	}
+	metrics.GetOrRegisterCounter("feed.store_behind", nil).Inc(1)
+	f.Log.Error("feed: store holds an older configuration, kept the newer", "held", c.Revision, "in_force", own)
+	f.Trace.Add("feed", "", fmt.Sprintf("store holds revision %d, kept %d", c.Revision, own))
+	f.StillBehind()
+}
+
+func (f *Feed) revision() uint64 {
+	if c := f.View.Load().Config; c != nil {
+		return c.Revision
+	}
+	return 0
+}
+
+// Behind receives when the store holds an older configuration than the one
+// in force here, and the newer one has to be put back.
+func (f *Feed) Behind() <-chan struct{} {
+	return f.behind
+}
+
+// StillBehind makes Behind receive once more.
+func (f *Feed) StillBehind() {
+	select {
+	case f.behind <- struct{}{}:
+	default:
+	}
+}
--- a/entry/internal/mesh/mesh.go
+++ b/entry/internal/mesh/mesh.go
@@ -29,6 +29,8 @@
 	Trace  *trace.Line
 	Log    *slog.Logger
 	Secret string
+	// Condition tells what Own adds to the snapshot.
+	Condition Condition
 
 	mu    sync.Mutex
 	conns map[string]*drpcconn.Conn
@@ -54,32 +56,6 @@
 	return subtle.ConstantTimeCompare([]byte(a), []byte(b)) == 1
 }
 
-// Status implements the call of the other entry hosts.
-func (m *Mesh) Status(_ context.Context, ask *wire.StatusAsk) (*wire.StatusReply, error) {
-	if !Same(ask.Secret, m.Secret) {
-		return nil, errSecret
-	}
-	return m.Own(), nil
-}
-
-// Own returns the status of this entry host.
-func (m *Mesh) Own() *wire.StatusReply {
-	snap := m.View.Load()
-	reply := &wire.StatusReply{Name: snap.Self}
-	if snap.Config == nil {
-		return reply
-	}
-	reply.Revision = snap.Config.Revision
-	for name := range snap.Config.Stops {
-		if count, revision, out := m.View.InFlight(name); out {
-			reply.Draining = append(reply.Draining, &wire.Drain{
-				Server: name, InFlight: count, Revision: revision,
-			})
-		}
-	}
-	return reply
-}
-
 // Timeline implements the call of the other entry hosts.
 func (m *Mesh) Timeline(_ context.Context, ask *wire.TimelineAsk) (*wire.TimelineReply, error) {
 	if !Same(ask.Secret, m.Secret) {
--- /dev/null
+++ b/entry/internal/mesh/status.go
@@ -0,0 +1,86 @@
+package mesh
+
+import (
+	"context"
+	"time"
+
+	"fuchsiashelf.dev/entry/internal/feed"
+	"fuchsiashelf.dev/parts/wire"
+)
+
+// Condition is what other parts tell of this entry host. Any may be nil.
+type Condition struct {
+	// Age is how long the object API has been silent here, and Heard whether
+	// it ever answered.
+	Age   func() time.Duration
+	Heard func() bool
+	// Ready says that this entry host takes callers.
+	Ready func() bool
+	// Take puts a configuration that was handed on in force, if it is newer.
+	Take func(object []byte) bool
+}
+
+// Status implements the call of the other entry hosts.
+func (m *Mesh) Status(_ context.Context, ask *wire.StatusAsk) (*wire.StatusReply, error) {
+	if !Same(ask.Secret, m.Secret) {
+		return nil, errSecret
+	}
+	if len(ask.Object) > 0 && m.Condition.Take != nil {
+		m.Condition.Take(ask.Object)
+	}
+	reply := m.Own()
+	if ask.Line != "" {
+		_, reply.HasLine = m.View.Load().Config.Find(ask.Line)
+	}
+	return reply, nil
+}
+
+// Own returns the status of this entry host.
+func (m *Mesh) Own() *wire.StatusReply {
+	snap := m.View.Load()
+	reply := &wire.StatusReply{Name: snap.Self}
+	m.Condition.add(reply)
+	if snap.Config == nil {
+		return reply
+	}
+	reply.Revision = snap.Config.Revision
+	for name := range snap.Config.Stops {
+		if count, revision, out := m.View.InFlight(name); out {
+			reply.Draining = append(reply.Draining, &wire.Drain{
+				Server: name, InFlight: count, Revision: revision,
+			})
+		}
+	}
+	return reply
+}
+
+func (c *Condition) add(reply *wire.StatusReply) {
+	if c.Age != nil {
+		reply.AgeMs = c.Age().Milliseconds()
+	}
+	if c.Heard != nil && !c.Heard() {
+		reply.AgeMs = -1
+	}
+	if c.Ready != nil {
+		reply.Ready = c.Ready()
+	}
+}
+
+// Config implements the call of the other entry hosts.
+func (m *Mesh) Config(_ context.Context, ask *wire.ConfigAsk) (*wire.ConfigReply, error) {
+	if !Same(ask.Secret, m.Secret) {
+		return nil, errSecret
+	}
+	snap := m.View.Load()
+	reply := &wire.ConfigReply{}
+	if snap.Config != nil && snap.Config.Revision > ask.After {
+		var err error
+		if reply.Object, err = snap.Config.Encode(); err != nil {
+			return nil, err
+		}
+	}
+	if ask.World && snap.HostsRevision > 0 {
+		return reply, feed.World(snap, reply)
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/entry/internal/seat/stops.go
@@ -0,0 +1,83 @@
+package seat
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"fuchsiashelf.dev/parts/conf"
+	"fuchsiashelf.dev/parts/drain"
+	"fuchsiashelf.dev/parts/host"
+	"fuchsiashelf.dev/parts/wire"
+)
+
+// showStops tells for each planned stop whether it is safe by now. With an
+// entry host silent the answer is partly, and no stop is called safe.
+func (s *Seat) showStops(ctx context.Context, c *conf.Config, answer *wire.Answer, out *rows) {
+	ctx, cancel := context.WithTimeout(ctx, surveyWait)
+	defer cancel()
+	others := s.Mesh.Others()
+	replies := s.askAll(ctx, others, func(ctx context.Context, h host.Host) (*wire.StatusReply, error) {
+		return s.ask(ctx, h, &wire.StatusAsk{Secret: s.Mesh.Secret})
+	})
+	self := s.View.Load().Self
+	replies[self] = s.Mesh.Own()
+	entries := []string{self}
+	for _, h := range others {
+		entries = append(entries, h.Name)
+	}
+	if s.View.Load().HostsRevision == 0 {
+		answer.Outcome, answer.Message = Partly, "the host list is not known here, so neither are all entry hosts"
+		entries = nil
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.Stops)) {
+		stop := c.Stops[name]
+		outcome := drain.Judge(stop.Revision, entries, reports(name, replies))
+		out.add("stop server %s %s", name, state(stop, outcome))
+		if len(outcome.Silent) > 0 {
+			answer.Outcome, answer.Missing = Partly, outcome.Silent
+		}
+	}
+}
+
+// reports turns the replies into what they say about one server.
+func reports(server string, replies map[string]*wire.StatusReply) map[string]drain.Report {
+	all := map[string]drain.Report{}
+	for name, reply := range replies {
+		report := drain.Report{}
+		for _, d := range reply.Draining {
+			if d.Server == server {
+				report = drain.Report{Out: true, Revision: d.Revision, InFlight: d.InFlight}
+			}
+		}
+		all[name] = report
+	}
+	return all
+}
+
+// state puts what is known about a stop into words.
+func state(stop conf.Stop, o drain.Outcome) string {
+	if !stop.Begun(time.Now()) {
+		return "begins at " + stop.At.UTC().Format(time.DateTime)
+	}
+	if o.Safe {
+		return "safe"
+	}
+	var why []string
+	if o.InFlight > 0 {
+		why = append(why, fmt.Sprintf("%d requests in flight", o.InFlight))
+	}
+	if len(o.Silent) > 0 {
+		why = append(why, "no answer from "+strings.Join(o.Silent, " "))
+	}
+	if len(o.Behind) > 0 {
+		why = append(why, "not in force on "+strings.Join(o.Behind, " "))
+	}
+	if len(why) == 0 {
+		why = append(why, "entry hosts not known")
+	}
+	return "not safe: " + strings.Join(why, ", ")
+}
--- /dev/null
+++ b/entry/internal/seat/survey.go
@@ -0,0 +1,178 @@
+package seat
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"fuchsiashelf.dev/parts/conf"
+	"fuchsiashelf.dev/parts/host"
+	"fuchsiashelf.dev/parts/wire"
+)
+
+// survey is what the other entry hosts have in force.
+type survey struct {
+	// best is the host with the highest revision.
+	best     host.Host
+	revision uint64
+	// silent names the hosts that did not answer, sorted.
+	silent []string
+}
+
+// surveyWait bounds a survey. A live host answers in milliseconds.
+const surveyWait = time.Second
+
+// survey asks all other entry hosts for their revision.
+func (s *Seat) survey(ctx context.Context) survey {
+	ctx, cancel := context.WithTimeout(ctx, surveyWait)
+	defer cancel()
+	others := s.Mesh.Others()
+	replies := s.askAll(ctx, others, func(ctx context.Context, h host.Host) (*wire.StatusReply, error) {
+		return s.ask(ctx, h, &wire.StatusAsk{Secret: s.Mesh.Secret})
+	})
+	var found survey
+	for _, h := range others {
+		reply := replies[h.Name]
+		if reply == nil {
+			found.silent = append(found.silent, h.Name)
+			continue
+		}
+		if reply.Revision > found.revision {
+			found.best, found.revision = h, reply.Revision
+		}
+	}
+	slices.Sort(found.silent)
+	return found
+}
+
+// ask asks one entry host.
+func (s *Seat) ask(ctx context.Context, h host.Host, ask *wire.StatusAsk) (*wire.StatusReply, error) {
+	client, err := s.Mesh.Client(ctx, h)
+	if err != nil {
+		return nil, err
+	}
+	return client.Status(ctx, ask)
+}
+
+// askAll asks many hosts at once, as far as the workers allow. The map lacks
+// those that failed.
+func (s *Seat) askAll(
+	ctx context.Context, hosts []host.Host,
+	ask func(context.Context, host.Host) (*wire.StatusReply, error),
+) map[string]*wire.StatusReply {
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	replies := map[string]*wire.StatusReply{}
+	for _, h := range hosts {
+		all.Add(1)
+		err := s.Workers.Submit(func() {
+			defer all.Done()
+			reply, err := ask(ctx, h)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			replies[h.Name] = reply
+		})
+		if err != nil {
+			all.Done()
+		}
+	}
+	all.Wait()
+	return replies
+}
+
+// base returns the configuration that the next line is built on: the one that
+// the object API holds, unless an entry host has a newer one in force.
+//
+// That happens when the platform has restored the object API from an older
+// copy. Lines built on the older copy would undo what was accepted since, so
+// the newer one is the base. If some entry host does not answer, it may have
+// a newer one still, and no line is accepted until it answers or leaves the
+// host list. The survey was made before the object was read, so a line that
+// was accepted in between does not look like a loss.
+func (s *Seat) base(ctx context.Context, stored *conf.Config, known survey) (*conf.Config, error) {
+	own := s.View.Load().Config
+	highest := max(known.revision, revision(own))
+	if stored.Revision >= highest {
+		return stored, nil
+	}
+	metrics.GetOrRegisterCounter("seat.store_behind", nil).Inc(1)
+	s.Log.Error("seat: the object API holds an older configuration",
+		"held", stored.Revision, "in_force", highest)
+	if len(known.silent) > 0 {
+		return nil, fmt.Errorf("the object API holds revision %d, older than %d in force, and %s does not answer",
+			stored.Revision, highest, strings.Join(known.silent, " "))
+	}
+	if revision(own) >= highest {
+		return own, nil
+	}
+	return s.fetch(ctx, known.best)
+}
+
+// fetch gets the configuration in force on another entry host.
+func (s *Seat) fetch(ctx context.Context, from host.Host) (*conf.Config, error) {
+	client, err := s.Mesh.Client(ctx, from)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := client.Config(ctx, &wire.ConfigAsk{Secret: s.Mesh.Secret})
+	if err != nil {
+		return nil, err
+	}
+	if len(reply.Object) == 0 {
+		return nil, errors.New("no configuration came from " + from.Name)
+	}
+	return conf.Decode(reply.Object)
+}
+
+// backTick is the least pause between two tries to put a configuration back.
+const backTick = time.Second
+
+// putBack writes the newest configuration in force back into an object API
+// that has lost it, each time that the feed has seen that.
+func (s *Seat) putBack(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.Feed.Behind():
+		}
+		if err := s.putBackOnce(ctx); err != nil && ctx.Err() == nil {
+			s.Log.Warn("seat: configuration not put back", "err", err)
+			s.Feed.StillBehind()
+		}
+		pause(ctx, backTick)
+	}
+}
+
+func (s *Seat) putBackOnce(ctx context.Context) error {
+	known := s.survey(ctx)
+	object, stored, err := s.read(ctx)
+	if err != nil {
+		return err
+	}
+	base, err := s.base(ctx, stored, known)
+	if err != nil || base.Revision <= stored.Revision {
+		return err
+	}
+	value, err := base.Encode()
+	if err != nil {
+		return err
+	}
+	if _, err := s.Store.Put(ctx, conf.Key, value, object.Version); err != nil {
+		return err
+	}
+	s.Feed.Offer(base)
+	metrics.GetOrRegisterCounter("seat.put_back", nil).Inc(1)
+	s.Trace.Add("seat", "", fmt.Sprintf("configuration of revision %d put back into the store", base.Revision))
+	s.Log.Info("seat: configuration put back", "revision", base.Revision)
+	return nil
+}
--- /dev/null
+++ b/entry/prog/desk.go
@@ -0,0 +1,40 @@
+package prog
+
+import (
+	"github.com/panjf2000/ants/v2"
+
+	"fuchsiashelf.dev/entry/internal/feed"
+	"fuchsiashelf.dev/entry/internal/mesh"
+	"fuchsiashelf.dev/entry/internal/seat"
+	"fuchsiashelf.dev/parts/store"
+	"fuchsiashelf.dev/parts/trace"
+	"fuchsiashelf.dev/parts/view"
+)
+
+// seatWorkers bounds the questions that the operators' lines have out to
+// other entry hosts at one time.
+const seatWorkers = 64
+
+// deskParts makes the parts that put the operators' lines in force.
+func (d *daemon) deskParts(holder *view.Holder, line *trace.Line, api store.API) (*feed.Feed, *mesh.Mesh, *seat.Seat, error) {
+	workers, err := ants.NewPool(seatWorkers)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	feeder := feed.New()
+	feeder.Store, feeder.View, feeder.Trace, feeder.Log = api, holder, line, d.log
+	feeder.Secret = d.settings.PeerSecret
+	peers := &mesh.Mesh{View: holder, Trace: line, Log: d.log, Secret: d.settings.PeerSecret}
+	peers.Condition = mesh.Condition{Age: feeder.Age, Heard: feeder.Heard, Take: feeder.OfferObject}
+	feeder.Peers = peers
+	desk := &seat.Seat{
+		View: holder, Store: api, Feed: feeder, Mesh: peers,
+		Trace: line, Log: d.log, Secret: d.settings.DeskSecret, Workers: workers,
+	}
+	return feeder, peers, desk, nil
+}
+
+// ready says whether the balancer may send callers here.
+func (d *daemon) ready(feeder *feed.Feed) func() bool {
+	return func() bool { return !d.stopping.Load() && feeder.Primed() }
+}
--- a/entry/prog/prog.go
+++ b/entry/prog/prog.go
@@ -16,12 +16,9 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/rcrowley/go-metrics"
 
-	"fuchsiashelf.dev/entry/internal/feed"
 	"fuchsiashelf.dev/entry/internal/gate"
-	"fuchsiashelf.dev/entry/internal/mesh"
 	"fuchsiashelf.dev/entry/internal/pass"
 	"fuchsiashelf.dev/entry/internal/relay"
-	"fuchsiashelf.dev/entry/internal/seat"
 	"fuchsiashelf.dev/entry/internal/setup"
 	"fuchsiashelf.dev/parts/engine"
 	"fuchsiashelf.dev/parts/httpd"
@@ -100,22 +97,19 @@
 	holder := view.New(d.settings.Name, d.settings.Home())
 	line := &trace.Line{Process: d.settings.Name}
 	api := &store.Client{Address: d.settings.Store, Entry: d.settings.Name}
-	feeder := &feed.Feed{Store: api, View: holder, Trace: line, Log: d.log}
-	peers := &mesh.Mesh{View: holder, Trace: line, Log: d.log, Secret: d.settings.PeerSecret}
-	desk := &seat.Seat{
-		View: holder, Store: api, Feed: feeder, Mesh: peers,
-		Trace: line, Log: d.log, Secret: d.settings.DeskSecret,
+	feeder, peers, desk, err := d.deskParts(holder, line, api)
+	if err != nil {
+		return err
 	}
+	defer desk.Workers.Release()
 	door := &gate.Gate{
 		View:  holder,
 		Relay: &relay.Relay{View: holder, Engine: &engine.Client{}, Trace: line, Log: d.log},
 		Pass:  &pass.Pass{View: holder, Store: api, Trace: line, Log: d.log},
 		Trace: line, Log: d.log, MaxBody: d.settings.MaxBody,
-		Ready: func() bool {
-			snap := holder.Load()
-			return !d.stopping.Load() && snap.Config != nil && snap.HostsRevision > 0
-		},
+		Ready: d.ready(feeder),
 	}
+	peers.Condition.Ready = door.Ready
 	inner, stopInner := context.WithCancel(context.Background())
 	defer stopInner()
 	var parts sync.WaitGroup
@@ -132,7 +126,7 @@
 	start("ops", func(ctx context.Context) error { return d.serveOps(ctx, door) })
 	fmt.Fprintf(d.stdout, "ready callers=%s peers=%s desk=%s ops=%s\n",
 		d.callers.Addr(), d.peers.Addr(), d.desk.Addr(), d.ops.Addr())
-	err := d.serveCallers(ctx, door)
+	err = d.serveCallers(ctx, door)
 	stopInner()
 	parts.Wait()
 	return err
