--- a/entry/internal/seat/seat.go
+++ b/entry/internal/seat/seat.go
@@ -76,7 +76,7 @@
 func (d *desk) Run(ctx context.Context, line *wire.Line) (*wire.Answer, error) {
 	s := d.seat
 	if !mesh.Same(line.Secret, s.Secret) {
-		return nil, errors.New("seat: wrong secret")
+		return &wire.Answer{Outcome: Refused, Id: line.Id, Message: "wrong secret"}, nil
 	}
 	answer := s.run(ctx, line)
 	answer.Id = line.Id
--- /dev/null
+++ b/entry/internal/setup/setup_test.go
@@ -0,0 +1,43 @@
+package setup_test
+
+import (
+	"io"
+	"testing"
+
+	"github.com/frankban/quicktest"
+
+	"fuchsiashelf.dev/entry/internal/setup"
+)
+
+// All faults are told at once, each with its flag: a host is replaced by a
+// script, and one fault a try would cost as many tries.
+func TestParseFaults(t *testing.T) {
+	c := quicktest.New(t)
+	_, err := setup.Parse([]string{
+		"-callers", "here", "-store", "there", "-max-body", "0", "-grace", "-1s",
+		"-peer-secret", "same", "-desk-secret", "same",
+	}, io.Discard)
+	c.Assert(err, quicktest.IsNotNil)
+	for _, want := range []string{
+		"-name: missing", "-domain: missing", `-callers: "here" is not host:port`,
+		`-store: "there" is not host:port`, "-max-body: 0 is not above 0", "-grace: -1s is not above 0",
+		"-desk-secret: must differ from -peer-secret",
+	} {
+		c.Assert(err.Error(), quicktest.Contains, want)
+	}
+	// A secret never gets into an error, which ends up in logs.
+	c.Assert(err.Error(), quicktest.Not(quicktest.Contains), "same")
+}
+
+func TestParseEnvironment(t *testing.T) {
+	c := quicktest.New(t)
+	for name, value := range map[string]string{
+		"NAME": "e1", "DOMAIN": "pelotas", "STORE": "10.0.0.5:8080",
+		"PEER_SECRET": "one", "DESK_SECRET": "two", "MAX_BODY": "5",
+	} {
+		c.Setenv("FSENTRY_"+name, value)
+	}
+	s, err := setup.Parse([]string{"-name", "e2"}, io.Discard)
+	c.Assert(err, quicktest.IsNil)
+	c.Assert([]any{s.Name, s.Domain, s.MaxBody}, quicktest.DeepEquals, []any{"e2", "pelotas", 5})
+}
--- a/sess/command_test.go
+++ b/sess/command_test.go
@@ -331,6 +331,16 @@
 // raceMark opens every report of the race detector.
 const raceMark = "WARNING: DATA RACE"
 
+// leaked returns a secret that a log holds; empty for none.
+func leaked(log string) string {
+	for _, secret := range []string{procs.PeerSecret, procs.DeskSecret, procs.Token(townTeam)} {
+		if strings.Contains(log, secret) {
+			return secret
+		}
+	}
+	return ""
+}
+
 // end ends the processes and fails the script if one of them raced.
 func (s *session) end(env *testscript.Env) {
 	if err := s.End(); err != nil {
@@ -339,6 +349,9 @@
 	var once sync.Once
 	for _, p := range s.All() {
 		text, err := os.ReadFile(filepath.Join(s.Dir, p.Name+".log"))
+		if secret := leaked(string(text)); secret != "" {
+			env.T().Fatal(p.Name, "logged the secret", secret)
+		}
 		if err == nil && strings.Contains(string(text), raceMark) {
 			once.Do(func() { env.T().Log(string(text)) })
 			env.T().Fatal(p.Name, "raced")
