--- a/entry/internal/mesh/status.go
+++ b/entry/internal/mesh/status.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fuchsiashelf.dev/entry/internal/feed"
+	"fuchsiashelf.dev/parts/peer"
 	"fuchsiashelf.dev/parts/wire"
 )
 
@@ -23,7 +24,7 @@
 // Status implements the call of the other entry hosts.
 func (m *Mesh) Status(_ context.Context, ask *wire.StatusAsk) (*wire.StatusReply, error) {
 	if !Same(ask.Secret, m.Secret) {
-		return nil, errSecret
+		return nil, peer.ErrSecret
 	}
 	if len(ask.Object) > 0 && m.Condition.Take != nil {
 		m.Condition.Take(ask.Object)
@@ -38,18 +39,16 @@
 // Own returns the status of this entry host.
 func (m *Mesh) Own() *wire.StatusReply {
 	snap := m.View.Load()
-	reply := &wire.StatusReply{Name: snap.Self}
+	reply := &wire.StatusReply{Name: snap.Self, Incarnation: m.peer.Self().Incarnation}
 	m.Condition.add(reply)
 	if snap.Config == nil {
 		return reply
 	}
 	reply.Revision = snap.Config.Revision
-	for name := range snap.Config.Stops {
-		if count, revision, out := m.View.InFlight(name); out {
-			reply.Draining = append(reply.Draining, &wire.Drain{
-				Server: name, InFlight: count, Revision: revision,
-			})
-		}
+	for _, d := range m.drains(snap) {
+		reply.Draining = append(reply.Draining, &wire.Drain{
+			Server: d.Server, InFlight: d.InFlight, Revision: d.Revision,
+		})
 	}
 	return reply
 }
@@ -69,7 +68,7 @@
 // Config implements the call of the other entry hosts.
 func (m *Mesh) Config(_ context.Context, ask *wire.ConfigAsk) (*wire.ConfigReply, error) {
 	if !Same(ask.Secret, m.Secret) {
-		return nil, errSecret
+		return nil, peer.ErrSecret
 	}
 	snap := m.View.Load()
 	reply := &wire.ConfigReply{}
--- a/entry/prog/desk.go
+++ b/entry/prog/desk.go
@@ -24,9 +24,7 @@
 	feeder := feed.New()
 	feeder.Store, feeder.View, feeder.Trace, feeder.Log = api, holder, line, d.log
 	feeder.Secret = d.settings.PeerSecret
-	peers := &mesh.Mesh{View: holder, Trace: line, Log: d.log, Secret: d.settings.PeerSecret}
-	peers.Condition = mesh.Condition{Age: feeder.Age, Heard: feeder.Heard, Take: feeder.OfferObject}
-	feeder.Peers = peers
+	peers := d.mesh(holder, line, feeder)
 	desk := &seat.Seat{
 		View: holder, Store: api, Feed: feeder, Mesh: peers,
 		Trace: line, Log: d.log, Secret: d.settings.DeskSecret, Workers: workers,
