--- a/entry/internal/mesh/mesh.go
+++ b/entry/internal/mesh/mesh.go
@@ -31,6 +31,8 @@
 	Trace  *trace.Line
 	Log    *slog.Logger
 	Secret string
+	// Condition tells what Own adds to the snapshot.
+	Condition Condition
 	// Address is host:port of the peers' listener.
 	Address string
 	// Domain is the failure domain of this entry host.
--- a/entry/internal/mesh/serve.go
+++ b/entry/internal/mesh/serve.go
@@ -22,50 +22,6 @@
 	return m.peer.Members(ctx, ask)
 }
 
-// Config implements the call of the other entry hosts.
-func (m *Mesh) Config(_ context.Context, ask *wire.ConfigAsk) (*wire.ConfigReply, error) {
-	if !Same(ask.Secret, m.Secret) {
-		return nil, peer.ErrSecret
-	}
-	c := m.View.Load().Config
-	if c == nil || c.Revision <= ask.After {
-		return &wire.ConfigReply{}, nil
-	}
-	if m.Object != nil {
-		value, version := m.Object()
-		return &wire.ConfigReply{Object: value, Version: version}, nil
-	}
-	value, err := c.Encode()
-	if err != nil {
-		return nil, err
-	}
-	return &wire.ConfigReply{Object: value}, nil
-}
-
-// Status implements the call of the other entry hosts.
-func (m *Mesh) Status(_ context.Context, ask *wire.StatusAsk) (*wire.StatusReply, error) {
-	if !Same(ask.Secret, m.Secret) {
-		return nil, peer.ErrSecret
-	}
-	return m.Own(), nil
-}
-
-// Own returns the status of this entry host.
-func (m *Mesh) Own() *wire.StatusReply {
-	snap := m.View.Load()
-	reply := &wire.StatusReply{Name: snap.Self, Incarnation: m.peer.Self().Incarnation}
-	if snap.Config == nil {
-		return reply
-	}
-	reply.Revision = snap.Config.Revision
-	for _, d := range m.drains(snap) {
-		reply.Draining = append(reply.Draining, &wire.Drain{
-			Server: d.Server, InFlight: d.InFlight, Revision: d.Revision,
-		})
-	}
-	return reply
-}
-
 // Timeline implements the call of the other entry hosts.
 func (m *Mesh) Timeline(_ context.Context, ask *wire.TimelineAsk) (*wire.TimelineReply, error) {
 	if !Same(ask.Secret, m.Secret) {
--- a/entry/prog/mesh.go
+++ b/entry/prog/mesh.go
@@ -5,7 +5,6 @@
 
 	"fuchsiashelf.dev/entry/internal/feed"
 	"fuchsiashelf.dev/entry/internal/mesh"
-	"fuchsiashelf.dev/parts/conf"
 	"fuchsiashelf.dev/parts/trace"
 	"fuchsiashelf.dev/parts/view"
 )
@@ -15,18 +14,14 @@
 	m := &mesh.Mesh{
 		View: holder, Trace: line, Log: d.log, Secret: d.settings.PeerSecret,
 		Address: d.peers.Addr().String(), Domain: d.settings.Home(),
-		Offer: func(value []byte, _ uint64) {
-			c, err := conf.Decode(value)
-			if err != nil {
-				d.log.Error("mesh: configuration unreadable", "err", err)
-				return
-			}
-			feeder.Offer(c)
-		},
+		Offer:     func(value []byte, _ uint64) { feeder.OfferObject(value) },
+		Condition: mesh.Condition{Age: feeder.Age, Heard: feeder.Heard, Take: feeder.OfferObject},
 	}
 	if d.settings.Seeds != "" {
 		m.Seeds = strings.Split(d.settings.Seeds, ",")
+		feeder.Seeds = m.Seeds
 	}
 	m.Make()
+	feeder.Peers = m
 	return m
 }
