flow: compute what a pool's hardware can carry

Throughput had no bound to be measured against. The sum of each stage's rates was ruled out: it is wrong where a server holds the layers of two stages. A pool is a flow network from layer boundary 0 to the last one; the maximum flow is the bound, and the minimum cut names the servers and links that bind. rapid compares it with a cut found by trying every set.

It is for measurements and for operators, not for the request path.

--- /dev/null
+++ b/parts/flow/flow_test.go
@@ -0,0 +1,166 @@
+package flow_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"fuchsiashelf.dev/parts/flow"
+)
+
+func TestBound(t *testing.T) {
+	slow := flow.Server{Name: "slow", First: 0, End: 8, Rate: 100}
+	fast := flow.Server{Name: "fast", First: 0, End: 8, Rate: 600}
+	rest := flow.Server{Name: "rest", First: 8, End: 24, Rate: 500}
+	whole := flow.Server{Name: "whole", First: 0, End: 24, Rate: 50}
+	for _, test := range []struct {
+		name string
+		pool flow.Pool
+		want flow.Bound
+	}{
+		{"empty", flow.Pool{Layers: 24}, flow.Bound{}},
+		{"no cover", flow.Pool{Layers: 24, Servers: []flow.Server{slow, fast}}, flow.Bound{}},
+		{
+			"last stage binds",
+			flow.Pool{Layers: 24, Servers: []flow.Server{slow, fast, rest}},
+			flow.Bound{Rate: 500, Servers: []string{"rest"}},
+		},
+		{
+			"a whole server adds",
+			flow.Pool{Layers: 24, Servers: []flow.Server{whole, slow, rest}},
+			flow.Bound{Rate: 150, Servers: []string{"slow", "whole"}},
+		},
+		{
+			"a link binds",
+			flow.Pool{
+				Layers: 24, Servers: []flow.Server{slow, fast, rest},
+				Links: []flow.Link{{From: "fast", To: "rest", Rate: 30}},
+			},
+			flow.Bound{Rate: 130, Servers: []string{"slow"}, Links: []flow.Link{{From: "fast", To: "rest", Rate: 30}}},
+		},
+		{
+			"a link of no stage",
+			flow.Pool{
+				Layers: 24, Servers: []flow.Server{slow, rest},
+				Links: []flow.Link{{From: "rest", To: "slow", Rate: 1}, {From: "gone", To: "rest", Rate: 1}},
+			},
+			flow.Bound{Rate: 100, Servers: []string{"slow"}},
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			qt.New(t).Assert(test.pool.Bound(), qt.DeepEquals, test.want)
+		})
+	}
+}
+
+// The maximum flow equals the minimum cut, which the test finds by trying
+// every set of servers and links.
+func TestBoundIsTheMinimumCut(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := drawPool(t)
+		got := p.Bound()
+		if want := minimumCut(p); got.Rate != want {
+			t.Fatalf("bound %v, minimum cut %v of %+v", got.Rate, want, p)
+		}
+		if cut := rateOf(p, got); cut != got.Rate {
+			t.Fatalf("bound %v, but the named cut carries %v of %+v", got.Rate, cut, p)
+		}
+	})
+}
+
+func drawPool(t *rapid.T) *flow.Pool {
+	p := &flow.Pool{Layers: 4}
+	for i := range rapid.IntRange(0, 6).Draw(t, "servers") {
+		first := rapid.IntRange(0, 3).Draw(t, "first")
+		p.Servers = append(p.Servers, flow.Server{
+			Name: fmt.Sprint("s", i), First: first,
+			End:  rapid.IntRange(first+1, 4).Draw(t, "end"),
+			Rate: float64(rapid.IntRange(0, 9).Draw(t, "rate")),
+		})
+	}
+	seen := map[flow.Link]bool{}
+	for range rapid.IntRange(0, 4).Draw(t, "links") {
+		l := flow.Link{
+			From: fmt.Sprint("s", rapid.IntRange(0, 5).Draw(t, "from")),
+			To:   fmt.Sprint("s", rapid.IntRange(0, 5).Draw(t, "to")),
+		}
+		if seen[l] {
+			continue
+		}
+		seen[l] = true
+		l.Rate = float64(rapid.IntRange(0, 9).Draw(t, "link rate"))
+		p.Links = append(p.Links, l)
+	}
+	return p
+}
+
+// minimumCut tries every set of servers and links to take away.
+func minimumCut(p *flow.Pool) float64 {
+	best := math.Inf(1)
+	for set := range 1 << (len(p.Servers) + len(p.Links)) {
+		rate := 0.0
+		gone, closed := map[string]bool{}, map[[2]string]bool{}
+		for i, s := range p.Servers {
+			if set>>i&1 == 1 {
+				rate += s.Rate
+				gone[s.Name] = true
+			}
+		}
+		for i, l := range p.Links {
+			if set>>(len(p.Servers)+i)&1 == 1 {
+				rate += l.Rate
+				closed[[2]string{l.From, l.To}] = true
+			}
+		}
+		if rate < best && !passes(p, gone, closed, "", 0) {
+			best = rate
+		}
+	}
+	return best
+}
+
+// passes reports whether a chain is left from a boundary on.
+func passes(p *flow.Pool, gone map[string]bool, closed map[[2]string]bool, from string, at int) bool {
+	if at == p.Layers {
+		return true
+	}
+	for _, s := range p.Servers {
+		if s.First == at && !gone[s.Name] && !closed[[2]string{from, s.Name}] &&
+			passes(p, gone, closed, s.Name, s.End) {
+			return true
+		}
+	}
+	return false
+}
+
+func rateOf(p *flow.Pool, b flow.Bound) float64 {
+	rate := 0.0
+	for _, l := range b.Links {
+		rate += l.Rate
+	}
+	for _, name := range b.Servers {
+		for _, s := range p.Servers {
+			if s.Name == name {
+				rate += s.Rate
+			}
+		}
+	}
+	return rate
+}
+
+func BenchmarkBound(b *testing.B) {
+	p := &flow.Pool{Layers: 48}
+	speeds := []float64{1, 2.5, 6}
+	for i := range 600 {
+		first := i % 6 * 8
+		p.Servers = append(p.Servers, flow.Server{
+			Name: fmt.Sprint("s", i), First: first, End: first + 8, Rate: 100 * speeds[i/6%3],
+		})
+	}
+	for b.Loop() {
+		p.Bound()
+	}
+}
