path: resume on another chain at once, and choose by expected wait

Cause: the thin path drew two servers evenly, built its graph for each request, knew no frozen server, retried without a budget, avoided every failed server for 2 s, and could not use ranges that overlap.

--- /dev/null
+++ b/entry/internal/poll/poll_test.go
@@ -0,0 +1,96 @@
+package poll
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/panjf2000/ants/v2"
+	"go.uber.org/goleak"
+
+	"fuchsiashelf.dev/parts/engine"
+	"fuchsiashelf.dev/parts/host"
+	"fuchsiashelf.dev/parts/view"
+)
+
+func make1(address string) *Poll {
+	p := &Poll{
+		View: view.New("e1", "a"), Engine: &engine.Client{HTTP: &http.Client{Transport: &http.Transport{}}},
+		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Period: time.Millisecond, Rate: 1000,
+		Done: make(chan struct{}),
+	}
+	p.View.Update(func(s *view.Snapshot) {
+		s.Hosts = map[string]host.Host{"a1": {Name: "a1", Role: host.Engine, Address: address}}
+	})
+	return p
+}
+
+// A server refuses a request since it is leaving, and its report, which lags,
+// still calls it live. Were the report believed, the server would get new
+// work again.
+func TestLateReportDoesNotUndoARefusal(t *testing.T) {
+	c := quicktest.New(t)
+	p := make1("")
+	m := p.View.Load().Meters["a1"]
+	refused := time.Unix(100, 0)
+	m.RefusedAt.Store(refused.UnixNano())
+	p.View.Update(func(s *view.Snapshot) { s.MarkOut(view.Refusing, "a1") })
+	live := &engine.Status{State: host.Live, AgeMs: 2000}
+	p.take("a1", m, live, refused.Add(time.Second))
+	c.Assert(p.View.Load().Out["a1"], quicktest.Equals, view.Refusing)
+	p.take("a1", m, live, refused.Add(3*time.Second))
+	c.Assert(p.View.Load().Out, quicktest.HasLen, 0)
+	p.take("a1", m, &engine.Status{State: host.Leaving}, refused.Add(4*time.Second))
+	c.Assert(p.View.Load().Out["a1"], quicktest.Equals, view.Refusing)
+}
+
+// A server that does not answer is avoided for longer and longer, and taken
+// back by its first answer on a request.
+func TestMissesAddUp(t *testing.T) {
+	c := quicktest.New(t)
+	p := make1("")
+	m := p.View.Load().Meters["a1"]
+	now := time.Unix(100, 0)
+	p.miss("a1", m, now)
+	first := p.View.Load().Suspects["a1"]
+	c.Assert(first.After(now), quicktest.IsTrue)
+	p.miss("a1", m, now)
+	c.Assert(p.View.Load().Suspects["a1"].After(first), quicktest.IsTrue)
+	m.Observe(now.UnixNano(), time.Millisecond, 0)
+	c.Assert(m.Failures.Load(), quicktest.Equals, int64(0))
+}
+
+func TestRunAsksAndEnds(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	c := quicktest.New(t)
+	stand := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{"name":"a1","state":"leaving","capacity":7,"tokenUs":900,"waiting":3}`)
+	}))
+	defer stand.Close()
+	p := make1(stand.Listener.Addr().String())
+	defer p.Engine.HTTP.CloseIdleConnections()
+	workers, err := ants.NewPool(2)
+	c.Assert(err, quicktest.IsNil)
+	defer workers.Release()
+	p.Workers = workers
+	ctx, cancel := context.WithCancel(context.Background())
+	go p.Run(ctx)
+	for {
+		changed := p.View.Changed()
+		if p.View.Load().Out["a1"] == view.Refusing {
+			break
+		}
+		<-changed
+	}
+	cancel()
+	<-p.Done
+	m := p.View.Load().Meters["a1"]
+	c.Assert(m.Capacity.Load(), quicktest.Equals, int64(7))
+	c.Assert(m.Waiting.Load(), quicktest.Equals, int64(3))
+	c.Assert(m.Step.Now(), quicktest.Equals, 900*time.Microsecond)
+}
--- /dev/null
+++ b/entry/internal/relay/blame.go
@@ -0,0 +1,101 @@
+package relay
+
+import (
+	"time"
+
+	"fuchsiashelf.dev/parts/engine"
+	"fuchsiashelf.dev/parts/fault"
+	"fuchsiashelf.dev/parts/health"
+	"fuchsiashelf.dev/parts/view"
+)
+
+// linkFor is how long the links of a chain are avoided that fell silent while
+// all its servers were there.
+const linkFor = 5 * time.Second
+
+// blame marks the servers or links that a failure points to, so that the next
+// attempts avoid them.
+func (c *carry) blame(e *fault.Error, w *watch) {
+	switch e.Code {
+	case fault.ServerRefused:
+		c.refused(e)
+	case fault.ServerFailed, fault.BrokenAnswer:
+		if absent := w.absent(); len(absent) > 0 {
+			e.Server = absent[0]
+			c.suspect(absent...)
+			return
+		}
+		if e.Cause != nil && e.Server == "" && w.probes.Load() != nil {
+			c.avoidLinks()
+			return
+		}
+		if e.Server == "" {
+			e.Server = c.stages[0].Server
+		}
+		c.suspect(e.Server)
+		c.avoidLinkTo(e.Server)
+	}
+}
+
+// refused takes a server out that said that it is leaving. Any other refusal
+// is passing.
+func (c *carry) refused(e *fault.Error) {
+	if e.Server == "" {
+		return
+	}
+	if e.Message != engine.Leaving {
+		c.avoid(time.Now().Add(health.Avoid(1)), e.Server)
+		return
+	}
+	for i := range c.stages {
+		if c.stages[i].Server == e.Server {
+			c.hops[i].Meter.RefusedAt.Store(time.Now().UnixNano())
+		}
+	}
+	c.View.Update(func(s *view.Snapshot) { s.MarkOut(view.Refusing, e.Server) })
+	c.Trace.Add("relay", c.ask.Request, "server "+e.Server+" is leaving")
+}
+
+// suspect has failed servers avoided, the longer the more often they failed.
+func (c *carry) suspect(servers ...string) {
+	now := time.Now()
+	for i := range c.stages {
+		for _, name := range servers {
+			if c.stages[i].Server != name {
+				continue
+			}
+			failures := c.hops[i].Meter.Failures.Add(1)
+			c.avoid(now.Add(health.Avoid(failures)), name)
+			c.Log.Warn("relay: server suspected", "server", name, "failures", failures)
+		}
+	}
+}
+
+func (c *carry) avoid(until time.Time, server string) {
+	c.View.Update(func(s *view.Snapshot) {
+		if until.After(s.Suspects[server]) {
+			s.Suspects = view.Edit(s.Suspects, func(m map[string]time.Time) { m[server] = until })
+		}
+	})
+}
+
+// avoidLinkTo has the link avoided over which a failed server was reached: it
+// may be the link that failed.
+func (c *carry) avoidLinkTo(server string) {
+	for i := 1; i < len(c.stages); i++ {
+		if c.stages[i].Server == server {
+			c.hops[i-1].Link.Avoid(time.Now().Add(health.Avoid(1)))
+		}
+	}
+}
+
+// avoidLinks has all links of the chain avoided.
+func (c *carry) avoidLinks() {
+	until := time.Now().Add(linkFor)
+	for i := range c.hops {
+		if l := c.hops[i].Link; l != nil {
+			l.Avoid(until)
+		}
+	}
+	c.Log.Warn("relay: links suspected", "request", c.ask.Request)
+}
--- a/entry/internal/relay/relay.go
+++ b/entry/internal/relay/relay.go
@@ -1,22 +1,26 @@
 // Package relay carries a model request: it chooses a chain, checks each
 // frame of the answer, and goes on with another chain when one fails.
+//
+// The caller's stream goes on over such a change: the next chain is given the
+// prompt and the tokens that the caller already has, and its first token is
+// the one that is due.
 package relay
 
 import (
 	"context"
-	"errors"
-	"io"
 	"log/slog"
 	"math/rand/v2"
+	"sync"
 	"time"
 
-	"fuchsiashelf.dev/parts/chain"
+	"github.com/panjf2000/ants/v2"
+	"github.com/rcrowley/go-metrics"
+
 	"fuchsiashelf.dev/parts/engine"
 	"fuchsiashelf.dev/parts/fault"
-	"fuchsiashelf.dev/parts/frame"
-	"fuchsiashelf.dev/parts/host"
 	"fuchsiashelf.dev/parts/pick"
 	"fuchsiashelf.dev/parts/pool"
+	"fuchsiashelf.dev/parts/retry"
 	"fuchsiashelf.dev/parts/trace"
 	"fuchsiashelf.dev/parts/view"
 )
@@ -27,6 +31,13 @@
 	Engine *engine.Client
 	Trace  *trace.Line
 	Log    *slog.Logger
+	// Policy is how servers are chosen; nil means pick.Cost.
+	Policy pick.Policy
+	// Probes runs probes of servers; nil means a goroutine for each.
+	Probes *ants.Pool
+
+	pools sync.Map
+	asks  prober
 }
 
 // Ask is a model request of a caller.
@@ -45,172 +56,85 @@
 	Token(index int, text string) error
 }
 
-// maxAttempts bounds the chains that one request is sent to.
-const maxAttempts = 6
-
-// suspectFor is how long a server that failed is avoided.
-const suspectFor = 2 * time.Second
+// The figures of the metrics page.
+var (
+	attempts   = metrics.NewRegisteredCounter("relay.attempts", nil)
+	resumed    = metrics.NewRegisteredCounter("relay.resumed", nil)
+	silent     = metrics.NewRegisteredCounter("relay.silent", nil)
+	givenUp    = metrics.NewRegisteredCounter("relay.givenup", nil)
+	overBudget = metrics.NewRegisteredCounter("relay.overbudget", nil)
+	relayed    = metrics.NewRegisteredCounter("relay.tokens", nil)
+	// recovery is the time from the failure of a chain to the next token.
+	recovery = metrics.NewRegisteredTimer("relay.recovery", nil)
+)
 
 // Run carries a request and returns the number of tokens, or the error that
 // the caller is to see.
 func (r *Relay) Run(ctx context.Context, ask *Ask, sink Sink) (int, *fault.Error) {
+	caller := ctx
 	ctx, cancel := context.WithDeadline(ctx, ask.Deadline)
 	defer cancel()
-	c := &carry{Relay: r, ask: ask, sink: sink, verdict: fault.NotRun}
-	for attempt := 1; attempt <= maxAttempts; attempt++ {
-		e := c.attempt(ctx, attempt)
+	c := &carry{Relay: r, ask: ask, sink: sink, state: r.stateOf(ask.Pool.Name), verdict: fault.NotRun}
+	for c.number = 1; ; c.number++ {
+		e := c.attempt(ctx)
 		if e == nil {
 			return len(c.sent), nil
 		}
-		c.last = e
 		c.verdict = c.verdict.Weaken(e.Verdict)
-		if !c.again(ctx, e) {
-			break
+		failure := retry.Failure{
+			Error: e, Attempt: c.number, Left: time.Until(ask.Deadline),
+			Caller: caller.Err() == nil, Sent: len(c.sent),
+		}
+		if !c.again(failure) {
+			givenUp.Inc(1)
+			final := failure.Final(c.verdict)
+			r.Trace.Add("relay", ask.Request, "given up: "+final.Error())
+			return len(c.sent), final
 		}
 		r.Trace.Add("relay", ask.Request, "attempt failed: "+e.Error())
 	}
-	c.last.Verdict = c.verdict
-	return len(c.sent), c.last
 }
 
 // carry is the state of one request over its attempts.
 type carry struct {
 	*Relay
-	ask     *Ask
-	sink    Sink
+	ask   *Ask
+	sink  Sink
+	state *state
+	// number is that of the current attempt, from 1.
+	number  int
 	sent    []string
 	verdict fault.Verdict
-	last    *fault.Error
+	// failedAt is when the last attempt failed, zero if a token came since.
+	failedAt time.Time
+	hops     []pick.Hop
+	stages   []engine.Stage
 }
 
-// again reports whether another chain may help.
-func (c *carry) again(ctx context.Context, e *fault.Error) bool {
-	if ctx.Err() != nil {
+// again reports whether another chain is tried, and pays for it.
+func (c *carry) again(f retry.Failure) bool {
+	again, pay := f.Again()
+	if again && pay && !c.state.budget.Take() {
+		overBudget.Inc(1)
 		return false
 	}
-	switch e.Code {
-	case fault.ServerFailed, fault.ServerRefused, fault.BrokenAnswer:
-		return true
+	if again && len(c.sent) > 0 {
+		resumed.Inc(1)
 	}
-	return false
+	return again
 }
 
-func (c *carry) attempt(ctx context.Context, attempt int) *fault.Error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	snap := c.View.Load()
-	stages, e := c.choose(snap)
+// choose chooses the chain of the next attempt, into c.hops and c.stages.
+func (c *carry) choose(snap *view.Snapshot, now time.Time) *fault.Error {
+	table, e := c.state.table(snap, &c.ask.Pool, now)
 	if e != nil {
 		return e
 	}
-	names := names(stages)
-	if !c.View.Enter(names...) {
-		return &fault.Error{Code: fault.ServerRefused, Verdict: fault.NotRun, Message: "a server is leaving"}
-	}
-	defer c.View.Leave(names...)
-	stream, err := c.Engine.Generate(ctx, &engine.Ask{
-		Request: c.ask.Request, Attempt: attempt, Model: c.ask.Pool.Model,
-		Prompt: c.ask.Prompt, Sent: c.sent, Max: c.ask.Max,
-		DeadlineMs: c.ask.Deadline.UnixMilli(), Chain: stages,
-	})
-	if err != nil {
-		return c.failed(ctx, fault.As(err), stages)
-	}
-	defer stream.Close()
-	check := &frame.Check{
-		Request: c.ask.Request, Attempt: attempt,
-		Layers: c.ask.Pool.Layers, Index: len(c.sent),
-	}
-	return c.failed(ctx, c.copy(stream, check), stages)
-}
-
-// names returns the servers of a chain.
-func names(stages []engine.Stage) []string {
-	all := make([]string, len(stages))
-	for i, s := range stages {
-		all[i] = s.Server
-	}
-	return all
-}
-
-func (c *carry) choose(snap *view.Snapshot) ([]engine.Stage, *fault.Error) {
-	var usable []host.Host
-	for _, name := range c.ask.Pool.Servers {
-		h, listed := snap.Hosts[name]
-		_, out := snap.Out[name]
-		if listed && !out {
-			usable = append(usable, h)
-		}
-	}
-	g, err := chain.Make(c.ask.Pool.Layers, usable)
-	if err != nil {
-		return nil, fault.As(err)
-	}
-	now := time.Now()
-	p := &pick.Picker{
-		Meters: snap.Meters,
-		Avoid:  func(name string) bool { return now.Before(snap.Suspects[name]) },
-		Rand:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-	}
-	return p.Chain(g), nil
-}
-
-// copy passes tokens on until the answer is whole or the attempt fails.
-func (c *carry) copy(stream *engine.Stream, check *frame.Check) *fault.Error {
-	for {
-		f, err := stream.Next()
-		if errors.Is(err, io.EOF) {
-			return &fault.Error{Code: fault.BrokenAnswer, Message: "the stream ended without an end frame"}
-		}
-		if err != nil {
-			return &fault.Error{Code: fault.ServerFailed, Cause: err}
-		}
-		verdict, e := check.Next(&f)
-		switch verdict {
-		case frame.Drop:
-			continue
-		case frame.Token:
-			c.observe(&f)
-			c.sent = append(c.sent, f.Token)
-			if err := c.sink.Token(f.Index, f.Token); err != nil {
-				return &fault.Error{Code: fault.Cancelled, Cause: err}
-			}
-		case frame.End:
-			return nil
-		case frame.Failed, frame.Broken:
-			return e
-		}
-	}
-}
-
-func (c *carry) observe(f *engine.Frame) {
-	snap := c.View.Load()
-	for _, s := range f.Spans {
-		if m := snap.Meters[s.Server]; m != nil {
-			m.ObserveGap(time.Duration(s.RunUs) * time.Microsecond)
-		}
-	}
-}
-
-// failed marks the server that an error points to, so that the next attempt
-// avoids it.
-func (c *carry) failed(ctx context.Context, e *fault.Error, stages []engine.Stage) *fault.Error {
-	if e == nil {
-		return nil
-	}
-	if ctx.Err() != nil {
-		return &fault.Error{Code: fault.Deadline, Verdict: e.Verdict, Cause: ctx.Err()}
-	}
-	name := e.Server
-	if name == "" {
-		name = stages[0].Server
-	}
-	if e.Code != fault.Cancelled {
-		c.View.Update(func(s *view.Snapshot) {
-			s.Suspects = view.Edit(s.Suspects, func(m map[string]time.Time) {
-				m[name] = time.Now().Add(suspectFor)
-			})
-		})
+	chooser := pick.Chooser{Policy: c.Policy, Rand: rand.Uint64, Now: now.UnixNano(), Avoid: snap.Suspects}
+	c.hops = chooser.Chain(table, c.hops[:0])
+	c.stages = c.stages[:0]
+	for i := range c.hops {
+		c.stages = append(c.stages, table.Graph.Stage(c.hops[i].Hop))
 	}
-	return e
+	return nil
 }
--- /dev/null
+++ b/entry/internal/relay/watch.go
@@ -0,0 +1,125 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"math"
+	"sync/atomic"
+	"time"
+
+	"fuchsiashelf.dev/parts/retry"
+)
+
+// errSilent ends an attempt whose chain has sent nothing for too long.
+var errSilent = errors.New("relay: the chain is silent")
+
+// watch looks after the silence of one attempt. The stream only stores when
+// its last token came; a timer looks from time to time, so that a token costs
+// no timer.
+type watch struct {
+	carry  *carry
+	cancel context.CancelCauseFunc
+	timer  *time.Timer
+	// last is when the chain was last heard, in nanoseconds since the watch
+	// began, or paused.
+	last  atomic.Int64
+	began time.Time
+	// limits are those of the next token.
+	limits atomic.Pointer[retry.Limits]
+	over   atomic.Bool
+	// probes are the servers asked whether they are there. Only the timer
+	// touches it before the attempt ends.
+	probes atomic.Pointer[[]*probe]
+	// gaps are the chain's own; only the stream touches them.
+	gaps retry.Gaps
+}
+
+// paused stands for a last token in the far future.
+const paused = math.MaxInt64 / 2
+
+// watch begins to look after an attempt.
+func (c *carry) watch(cancel context.CancelCauseFunc, now time.Time) *watch {
+	limits := c.firstLimits()
+	w := &watch{carry: c, cancel: cancel, began: now, gaps: c.state.usual.Gaps()}
+	w.limits.Store(&limits)
+	w.timer = time.AfterFunc(limits.Probe, w.look)
+	return w
+}
+
+// token notes that a token came and was passed on.
+func (w *watch) token(now time.Time) {
+	limits := w.gaps.Limits()
+	w.limits.Store(&limits)
+	w.last.Store(int64(now.Sub(w.began)))
+}
+
+// pause stops the clock while the caller reads.
+func (w *watch) pause() {
+	w.last.Store(paused)
+}
+
+// stop ends the watch.
+func (w *watch) stop() {
+	w.over.Store(true)
+	w.timer.Stop()
+}
+
+// look runs as the timer fires.
+func (w *watch) look() {
+	if w.over.Load() {
+		return
+	}
+	limits := *w.limits.Load()
+	last := w.last.Load()
+	if last == paused {
+		w.probes.Store(nil)
+		w.timer.Reset(limits.Probe)
+		return
+	}
+	idle := time.Since(w.began) - time.Duration(last)
+	phase, wait := limits.Next(idle, len(w.absent()) == 0)
+	switch phase {
+	case retry.Listening:
+		w.probes.Store(nil)
+	case retry.Probing, retry.Doubting:
+		if w.probes.Load() == nil {
+			w.probe()
+			wait = min(wait, retry.ProbeWait)
+		}
+	case retry.Silent:
+		if w.probes.Load() == nil {
+			// The timer came late; the servers are asked all the same, so that
+			// none is blamed for it.
+			w.probe()
+			wait = retry.ProbeWait
+			break
+		}
+		silent.Inc(1)
+		w.cancel(errSilent)
+		return
+	}
+	w.timer.Reset(max(wait, time.Millisecond))
+}
+
+func (w *watch) probe() {
+	var probes []*probe
+	for _, s := range w.carry.stages {
+		probes = append(probes, w.carry.ping(s.Server, s.Address))
+	}
+	w.probes.Store(&probes)
+}
+
+// absent returns the servers that were asked and have not answered.
+func (w *watch) absent() []string {
+	probes := w.probes.Load()
+	if probes == nil {
+		return nil
+	}
+	var names []string
+	for _, p := range *probes {
+		if p.asked.Load() && !p.answered.Load() {
+			names = append(names, p.server)
+		}
+	}
+	return names
+}
--- a/entry/internal/setup/setup.go
+++ b/entry/internal/setup/setup.go
@@ -14,6 +14,7 @@
 	"github.com/peterbourgon/ff/v3"
 
 	"fuchsiashelf.dev/parts/domain"
+	"fuchsiashelf.dev/parts/pick"
 )
 
 // Settings are the settings of one entry host.
@@ -32,6 +33,11 @@
 	DeskSecret string
 	MaxBody    int
 	Grace      time.Duration
+	// Policy names how servers are chosen.
+	Policy string
+	// Poll and PollRate say how often engines are asked for their reports.
+	Poll     time.Duration
+	PollRate float64
 }
 
 // Prefix is the prefix of the environment variables.
@@ -64,6 +70,9 @@
 	fs.StringVar(&s.DeskSecret, "desk-secret", "", "secret of the operators (required)")
 	fs.IntVar(&s.MaxBody, "max-body", 1<<20, "largest request body, in bytes")
 	fs.DurationVar(&s.Grace, "grace", 30*time.Second, "longest wait for requests in flight when stopping")
+	fs.StringVar(&s.Policy, "policy", "cost", "how servers are chosen: "+pick.Policies)
+	fs.DurationVar(&s.Poll, "poll", time.Second, "time between two questions to an engine for its report")
+	fs.Float64Var(&s.PollRate, "poll-rate", 50, "most such questions a second, to all engines together")
 	return fs
 }
 
@@ -106,6 +115,15 @@
 	if s.Grace <= 0 {
 		faults = append(faults, fmt.Errorf("-grace: %s is not above 0", s.Grace))
 	}
+	if _, err := pick.Parse(s.Policy); err != nil {
+		faults = append(faults, fmt.Errorf("-policy: %w", err))
+	}
+	if s.Poll <= 0 {
+		faults = append(faults, fmt.Errorf("-poll: %s is not above 0", s.Poll))
+	}
+	if s.PollRate <= 0 {
+		faults = append(faults, fmt.Errorf("-poll-rate: %v is not above 0", s.PollRate))
+	}
 	if s.PeerSecret != "" && s.PeerSecret == s.DeskSecret {
 		faults = append(faults, errors.New("-desk-secret: must differ from -peer-secret"))
 	}
--- a/entry/prog/prog.go
+++ b/entry/prog/prog.go
@@ -18,9 +18,7 @@
 
 	"fuchsiashelf.dev/entry/internal/gate"
 	"fuchsiashelf.dev/entry/internal/pass"
-	"fuchsiashelf.dev/entry/internal/relay"
 	"fuchsiashelf.dev/entry/internal/setup"
-	"fuchsiashelf.dev/parts/engine"
 	"fuchsiashelf.dev/parts/httpd"
 	"fuchsiashelf.dev/parts/store"
 	"fuchsiashelf.dev/parts/trace"
@@ -102,9 +100,14 @@
 		return err
 	}
 	defer desk.Workers.Release()
+	path, err := d.path(holder, line)
+	if err != nil {
+		return err
+	}
+	defer path.release()
 	door := &gate.Gate{
 		View:  holder,
-		Relay: &relay.Relay{View: holder, Engine: &engine.Client{}, Trace: line, Log: d.log},
+		Relay: path.relay,
 		Pass:  &pass.Pass{View: holder, Store: api, Trace: line, Log: d.log},
 		Trace: line, Log: d.log, MaxBody: d.settings.MaxBody,
 		Ready: d.ready(feeder),
@@ -121,6 +124,7 @@
 		})
 	}
 	start("feed", func(ctx context.Context) error { feeder.Run(ctx); return nil })
+	start("poll", func(ctx context.Context) error { path.poll.Run(ctx); return nil })
 	start("mesh", func(ctx context.Context) error { return peers.Run(ctx, d.peers) })
 	start("seat", func(ctx context.Context) error { return desk.Run(ctx, d.desk) })
 	start("ops", func(ctx context.Context) error { return d.serveOps(ctx, door) })
--- a/parts/chain/chain.go
+++ b/parts/chain/chain.go
@@ -1,80 +1,127 @@
 // Package chain finds chains: backend servers that together run all layers
 // of a model, in order, with no layer missing or doubled.
 //
-// A server that holds the layers [first, end) is an edge from boundary first
-// to boundary end; a chain is a path from boundary 0 to the number of layers.
+// Boundaries lie between layers; boundary 0 is before the first layer. A
+// server that holds the layers [first, end) can go on from any boundary
+// within them, and then runs up to its end: a hop. A chain is a path of hops
+// from boundary 0 to the last one. So servers whose ranges overlap can follow
+// each other, and each layer still runs once.
 package chain
 
 import (
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 
 	"fuchsiashelf.dev/parts/engine"
 	"fuchsiashelf.dev/parts/fault"
 	"fuchsiashelf.dev/parts/host"
 )
 
-// Graph holds the usable servers of a pool by the boundary that they start
-// at, without those that no chain can use.
+// Last is the Next of a hop that runs the last layer.
+const Last = -1
+
+// Hop is one server's part in a chain.
+type Hop struct {
+	// Server is the index of the server in Graph.Servers.
+	Server int
+	// First and End bound the layers that it runs.
+	First, End int
+	// Next is the index in Graph.Hops of the boundary that it ends at, or
+	// Last.
+	Next int
+}
+
+// Graph holds the hops of a pool, without those that no chain can use. It is
+// never changed.
 type Graph struct {
 	// Layers is the number of layers of the model.
 	Layers int
-	// From holds the servers that start at each boundary.
-	From map[int][]host.Host
+	// Servers are the servers of the pool that hold layers of the model.
+	Servers []host.Host
+	// Hops holds the hops by the boundary that they start at; Hops[0] starts
+	// at layer 0.
+	Hops [][]Hop
 }
 
 // Make builds the graph of the given servers. It fails with NoCover, naming
-// the first layers that no chain reaches, if they do not cover the model.
+// each range of layers that no server holds, if they do not cover the model.
 func Make(layers int, servers []host.Host) (*Graph, error) {
-	ends := map[int]bool{layers: true}
-	byEnd := map[int][]host.Host{}
-	for _, s := range servers {
-		byEnd[s.End] = append(byEnd[s.End], s)
-	}
-	// Walk back from the last layer, so that every edge kept leads there.
-	g := &Graph{Layers: layers, From: map[int][]host.Host{}}
-	for at := layers; at > 0; at-- {
-		if !ends[at] {
-			continue
-		}
-		for _, s := range byEnd[at] {
-			g.From[s.First] = append(g.From[s.First], s)
-			ends[s.First] = true
-		}
-	}
-	if len(g.From[0]) == 0 {
-		first, end := missing(layers, servers)
+	g := &Graph{Layers: layers, Servers: usable(layers, servers)}
+	if gaps := g.gaps(); len(gaps) > 0 || layers < 1 {
 		return nil, &fault.Error{
 			Code: fault.NoCover, Verdict: fault.NotRun,
-			Message: fmt.Sprintf("no server covers layers %d to %d", first, end),
+			Message: "no server covers layers " + strings.Join(gaps, " and "),
+		}
+	}
+	// Without a gap, a server goes on from every boundary that is reached.
+	bounds := g.reached()
+	index := map[int]int{layers: Last}
+	for i, at := range bounds {
+		index[at] = i
+	}
+	g.Hops = make([][]Hop, len(bounds))
+	for i, at := range bounds {
+		for n, s := range g.Servers {
+			if s.First <= at && at < s.End {
+				g.Hops[i] = append(g.Hops[i], Hop{Server: n, First: at, End: s.End, Next: index[s.End]})
+			}
 		}
 	}
 	return g, nil
 }
 
-// missing returns the first range that a walk from layer 0 cannot pass.
-func missing(layers int, servers []host.Host) (first, end int) {
-	reached := map[int]bool{0: true}
-	for at := range layers {
-		if !reached[at] {
+// usable returns the servers that hold layers of the model, cut to these.
+func usable(layers int, servers []host.Host) []host.Host {
+	var kept []host.Host
+	for _, s := range servers {
+		s.End = min(s.End, layers)
+		if s.First >= 0 && s.First < s.End {
+			kept = append(kept, s)
+		}
+	}
+	return kept
+}
+
+// reached returns the boundaries that hops from layer 0 reach, in order and
+// without the last one.
+func (g *Graph) reached() []int {
+	found := map[int]bool{0: true}
+	for at := range g.Layers {
+		if !found[at] {
 			continue
 		}
-		first = at
-		for _, s := range servers {
-			if s.First == at {
-				reached[s.End] = true
+		for _, s := range g.Servers {
+			if s.First <= at && at < s.End {
+				found[s.End] = true
 			}
 		}
 	}
-	end = layers
-	for _, s := range servers {
-		if s.First > first && s.First < end {
-			end = s.First
+	delete(found, g.Layers)
+	return slices.Sorted(maps.Keys(found))
+}
+
+// gaps returns the ranges of layers that no server holds.
+func (g *Graph) gaps() []string {
+	byFirst := slices.Clone(g.Servers)
+	slices.SortFunc(byFirst, func(a, b host.Host) int { return a.First - b.First })
+	var gaps []string
+	at := 0
+	for _, s := range byFirst {
+		if s.First > at {
+			gaps = append(gaps, fmt.Sprintf("%d to %d", at, s.First))
 		}
+		at = max(at, s.End)
+	}
+	if at < g.Layers {
+		gaps = append(gaps, fmt.Sprintf("%d to %d", at, g.Layers))
 	}
-	return first, end
+	return gaps
 }
 
-// Stage returns the stage that a whole server makes.
-func Stage(h host.Host) engine.Stage {
-	return engine.Stage{Server: h.Name, Address: h.Address, First: h.First, End: h.End}
+// Stage returns the stage that a hop makes.
+func (g *Graph) Stage(h Hop) engine.Stage {
+	s := &g.Servers[h.Server]
+	return engine.Stage{Server: s.Name, Address: s.Address, First: h.First, End: h.End}
 }
--- a/parts/frame/frame.go
+++ b/parts/frame/frame.go
@@ -36,6 +36,9 @@
 	Request string
 	Attempt int
 	Layers  int
+	// Chain is the chain that the request was sent to. Each token has to come
+	// from exactly these servers and ranges; nil leaves that unchecked.
+	Chain []engine.Stage
 	// Index is the index that the next token must have.
 	Index int
 }
@@ -47,10 +50,7 @@
 		return Drop, nil
 	}
 	if f.Fail != nil {
-		return Failed, &fault.Error{
-			Code: fault.ServerFailed, Verdict: fault.MayHaveRun,
-			Server: f.Fail.Server, Message: f.Fail.What,
-		}
+		return Failed, failed(f.Fail)
 	}
 	if f.End {
 		if f.Count != c.Index {
@@ -68,11 +68,24 @@
 	return Token, nil
 }
 
+// failed is the error that a failure frame stands for. A server that refused
+// did not run the request, but those before it in the chain may have.
+func failed(f *engine.Fail) *fault.Error {
+	e := &fault.Error{
+		Code: fault.ServerFailed, Verdict: fault.MayHaveRun,
+		Server: f.Server, Message: f.What,
+	}
+	if f.Refused {
+		e.Code = fault.ServerRefused
+	}
+	return e
+}
+
 // cover checks that the spans tile [0, Layers) in order.
 func (c *Check) cover(spans []engine.Span) *fault.Error {
 	at := 0
 	for _, s := range spans {
-		if s.First != at || s.End <= s.First {
+		if s.First != at || s.End <= s.First || s.End > c.Layers {
 			e := broken("layers %d to %d ran where layer %d was due", s.First, s.End, at)
 			e.Server = s.Server
 			return e
@@ -82,6 +95,28 @@
 	if at != c.Layers {
 		return broken("layers ran up to %d of %d", at, c.Layers)
 	}
+	return c.same(spans)
+}
+
+// same checks that the spans are the stages of the chain. Spans of other
+// servers that happen to tile the layers too come from another request's
+// chain, or from a server that handed on to one that it was not told of.
+func (c *Check) same(spans []engine.Span) *fault.Error {
+	if c.Chain == nil {
+		return nil
+	}
+	if len(spans) != len(c.Chain) {
+		return broken("%d servers ran, not the %d of the chain", len(spans), len(c.Chain))
+	}
+	for i, s := range spans {
+		due := &c.Chain[i]
+		if s.Server != due.Server || s.First != due.First || s.End != due.End {
+			e := broken("server %s ran layers %d to %d, not %s %d to %d",
+				s.Server, s.First, s.End, due.Server, due.First, due.End)
+			e.Server = due.Server
+			return e
+		}
+	}
 	return nil
 }
 
--- /dev/null
+++ b/parts/frame/frame_test.go
@@ -0,0 +1,133 @@
+package frame
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"fuchsiashelf.dev/parts/engine"
+	"fuchsiashelf.dev/parts/fault"
+)
+
+var stages = []engine.Stage{
+	{Server: "a1", First: 0, End: 8}, {Server: "a2", First: 8, End: 16}, {Server: "a3", First: 16, End: 24},
+}
+
+func check() *Check {
+	return &Check{Request: "r1", Attempt: 2, Layers: 24, Index: 3, Chain: stages}
+}
+
+// good is the frame that is due.
+func good() engine.Frame {
+	f := engine.Frame{Request: "r1", Attempt: 2, Index: 3, Token: "t"}
+	for _, s := range stages {
+		f.Spans = append(f.Spans, engine.Span{Server: s.Server, First: s.First, End: s.End})
+	}
+	return f
+}
+
+// Frames come late, crossed, from an older attempt, or from servers that ran
+// other layers than they were told. Passed on, a caller would read a token of
+// another answer, or one that no model gave.
+func TestNext(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(*engine.Frame)
+		want   Verdict
+	}{
+		{"the next token", func(*engine.Frame) {}, Token},
+		{"another request", func(f *engine.Frame) { f.Request = "r2" }, Drop},
+		{"an older attempt", func(f *engine.Frame) { f.Attempt = 1 }, Drop},
+		{"an end of an older attempt", func(f *engine.Frame) { f.Attempt, f.End, f.Count = 1, true, 3 }, Drop},
+		{"a failure of an older attempt", func(f *engine.Frame) { f.Attempt, f.Fail = 1, &engine.Fail{} }, Drop},
+		{"a doubled token", func(f *engine.Frame) { f.Index = 2 }, Broken},
+		{"a skipped token", func(f *engine.Frame) { f.Index = 4 }, Broken},
+		{"no spans", func(f *engine.Frame) { f.Spans = nil }, Broken},
+		{"a missing stage", func(f *engine.Frame) { f.Spans = f.Spans[:2] }, Broken},
+		{"a doubled stage", func(f *engine.Frame) { f.Spans = append(f.Spans[:2], f.Spans[1:]...) }, Broken},
+		{"a gap", func(f *engine.Frame) { f.Spans[1].First = 9 }, Broken},
+		{"an overlap", func(f *engine.Frame) { f.Spans[1].First = 7 }, Broken},
+		{"layers beyond the model", func(f *engine.Frame) { f.Spans[2].End = 25 }, Broken},
+		{"another server", func(f *engine.Frame) { f.Spans[1].Server = "b2" }, Broken},
+		{"another cut between two servers", func(f *engine.Frame) { f.Spans[0].End, f.Spans[1].First = 9, 9 }, Broken},
+		{"the end", func(f *engine.Frame) { f.End, f.Count = true, 3 }, End},
+		{"an early end", func(f *engine.Frame) { f.End, f.Count = true, 4 }, Broken},
+		{"a failure", func(f *engine.Frame) { f.Fail = &engine.Fail{Server: "a2"} }, Failed},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := quicktest.New(t)
+			f := good()
+			test.change(&f)
+			state := check()
+			verdict, e := state.Next(&f)
+			c.Assert(verdict, quicktest.Equals, test.want)
+			c.Assert(e != nil, quicktest.Equals, verdict == Broken || verdict == Failed)
+			if e != nil {
+				c.Assert(e.Verdict, quicktest.Equals, fault.MayHaveRun)
+			}
+			c.Assert(state.Index, quicktest.Equals, map[bool]int{true: 4, false: 3}[verdict == Token])
+		})
+	}
+}
+
+// However the frames of two attempts and of another request are mixed, the
+// tokens taken are those of the current attempt, each once and in order.
+func TestMixedFrames(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		state := &Check{Request: "r1", Attempt: 2, Layers: 24, Chain: stages}
+		var taken []string
+		for range rapid.IntRange(0, 60).Draw(t, "frames") {
+			f := good()
+			f.Request = rapid.SampledFrom([]string{"r1", "r1", "r2"}).Draw(t, "request")
+			f.Attempt = rapid.SampledFrom([]int{1, 2, 2}).Draw(t, "attempt")
+			f.Index = rapid.IntRange(0, 5).Draw(t, "index")
+			f.Token = f.Request + string(rune('0'+f.Attempt)) + string(rune('0'+f.Index))
+			if verdict, _ := state.Next(&f); verdict == Token {
+				taken = append(taken, f.Token)
+			}
+		}
+		for i, token := range taken {
+			if want := "r12" + string(rune('0'+i)); token != want {
+				t.Fatalf("token %d is %s, not %s", i, token, want)
+			}
+		}
+	})
+}
+
+// FuzzNext gives the check any line that an engine could send. A token is
+// taken only if it is due and its spans tile all layers.
+func FuzzNext(f *testing.F) {
+	for _, frame := range []engine.Frame{good(), {Request: "r1", Attempt: 2, End: true, Count: 3}} {
+		line, err := json.Marshal(frame)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(line)
+	}
+	f.Fuzz(func(t *testing.T, line []byte) {
+		var in engine.Frame
+		if json.Unmarshal(line, &in) != nil {
+			return
+		}
+		state := &Check{Request: "r1", Attempt: 2, Layers: 24, Index: 3}
+		verdict, e := state.Next(&in)
+		if (e != nil) != (verdict == Broken || verdict == Failed) {
+			t.Fatalf("verdict %d with error %v", verdict, e)
+		}
+		if verdict != Token {
+			return
+		}
+		at := 0
+		for _, s := range in.Spans {
+			if s.First != at {
+				t.Fatalf("took spans %v", in.Spans)
+			}
+			at = s.End
+		}
+		if at != 24 || in.Index != 3 || in.Request != "r1" || in.Attempt != 2 {
+			t.Fatalf("took %+v", in)
+		}
+	})
+}
--- /dev/null
+++ b/parts/pick/one.go
@@ -0,0 +1,47 @@
+package pick
+
+import (
+	"math/rand/v2"
+
+	"fuchsiashelf.dev/parts/host"
+	"fuchsiashelf.dev/parts/server"
+)
+
+// Picker chooses single servers, for services that need no chain. Set the
+// exported fields before first use.
+type Picker struct {
+	// Meters holds the figures of each server.
+	Meters map[string]*server.Meter
+	// Avoid reports servers that are used only if there is no other.
+	Avoid func(name string) bool
+	// Rand is the random source.
+	Rand *rand.Rand
+}
+
+// One chooses the better of two servers taken at random (power of two
+// choices). It panics if there is none.
+func (p *Picker) One(servers []host.Host) host.Host {
+	if len(servers) == 1 {
+		return servers[0]
+	}
+	i := p.Rand.IntN(len(servers))
+	j := p.Rand.IntN(len(servers) - 1)
+	if j >= i {
+		j++
+	}
+	if p.cost(servers[j].Name) < p.cost(servers[i].Name) {
+		i = j
+	}
+	return servers[i]
+}
+
+func (p *Picker) cost(name string) float64 {
+	cost := 0.0
+	if m := p.Meters[name]; m != nil {
+		cost = float64(m.InFlight.Load()+1) * float64(m.Step.Now()+1)
+	}
+	if p.Avoid != nil && p.Avoid(name) {
+		cost += shunned
+	}
+	return cost
+}
--- a/parts/pick/pick.go
+++ b/parts/pick/pick.go
@@ -1,63 +1,162 @@
 // Package pick chooses a backend server for each stage of a chain.
+//
+// The shipped policy draws two servers of a stage, in proportion to their
+// measured capacity, and takes the one with the lower cost: the wait to
+// expect there, the time of a step, and the delay of the link from the
+// server before. Two choices spread load almost as well as comparing all of
+// them, cost little, and do not send every entry host to the server that
+// looked idle in an old report.
 package pick
 
 import (
-	"math/rand/v2"
+	"time"
 
 	"fuchsiashelf.dev/parts/chain"
-	"fuchsiashelf.dev/parts/engine"
-	"fuchsiashelf.dev/parts/host"
+	"fuchsiashelf.dev/parts/link"
 	"fuchsiashelf.dev/parts/server"
 )
 
-// Picker chooses chains. Set the exported fields before first use.
-type Picker struct {
-	// Meters holds the figures of each server.
-	Meters map[string]*server.Meter
-	// Avoid reports servers that are used only if there is no other.
-	Avoid func(name string) bool
-	// Rand is the random source.
-	Rand *rand.Rand
+// Hop is one stage of a chosen chain, with the meters that its figures go to.
+type Hop struct {
+	chain.Hop
+	// Meter holds the figures of the server.
+	Meter *server.Meter
+	// Link holds the figures of the link to the next server; nil at the last.
+	Link *link.Meter
 }
 
-// Chain chooses a server for each stage, from the first layer to the last.
-func (p *Picker) Chain(g *chain.Graph) []engine.Stage {
-	var stages []engine.Stage
-	for at := 0; at < g.Layers; {
-		s := p.One(g.From[at])
-		stages = append(stages, chain.Stage(s))
-		at = s.End
+// Chooser chooses chains. It may be shared by several threads if Rand may.
+type Chooser struct {
+	// Policy is how to choose; nil means Cost.
+	Policy Policy
+	// Rand returns 64 random bits.
+	Rand func() uint64
+	// Now is the time of the choice, in Unix nanoseconds.
+	Now int64
+	// Avoid holds servers that are used only if there is no other, with the
+	// time until which that is so.
+	Avoid map[string]time.Time
+}
+
+// Chain chooses a server for each stage, from the first layer to the last,
+// and appends them to hops.
+func (c *Chooser) Chain(t *Table, hops []Hop) []Hop {
+	var before *choice
+	for at := 0; at != chain.Last; {
+		s := &t.stages[at]
+		i := c.one(s, before)
+		if before != nil {
+			hops[len(hops)-1].Link = before.links[i]
+		}
+		before = &s.choices[i]
+		hops = append(hops, Hop{Hop: before.hop, Meter: before.meter})
+		at = before.hop.Next
 	}
-	return stages
+	return hops
 }
 
-// One chooses the better of two servers taken at random (power of two
-// choices). It panics if there is none.
-func (p *Picker) One(servers []host.Host) host.Host {
-	if len(servers) == 1 {
-		return servers[0]
+// one returns the index of the choice for a stage.
+func (c *Chooser) one(s *stage, before *choice) int {
+	if len(s.choices) == 1 {
+		return 0
 	}
-	i := p.Rand.IntN(len(servers))
-	j := p.Rand.IntN(len(servers) - 1)
-	if j >= i {
-		j++
+	i := c.draw(s, before)
+	if len(c.Avoid) > 0 && c.avoided(&s.choices[i]) {
+		// Few servers fail at a time; only then is it worth a look at all.
+		return c.scan(s, before)
+	}
+	return i
+}
+
+func (c *Chooser) draw(s *stage, before *choice) int {
+	n := uint64(len(s.choices))
+	switch p := c.Policy.(type) {
+	case Random:
+		return int(c.Rand() % n)
+	case *Robin:
+		return int(uint64(p.next.Add(1)) % n)
+	case Least:
+		return c.least(s)
 	}
-	if p.cost(servers[j].Name) < p.cost(servers[i].Name) {
-		i = j
+	bits := c.Rand()
+	i, j := s.odds.draw(uint32(bits)), s.odds.draw(uint32(bits>>32))
+	if i == j || c.cost(s, i, before) <= c.cost(s, j, before) {
+		return i
 	}
-	return servers[i]
+	return j
 }
 
-// avoided is added to the cost of a server that is to be avoided.
-const avoided = 1e12
+// least returns the choice with the fewest requests in flight, from a random
+// one on, so that entry hosts without load do not all begin with the first.
+func (c *Chooser) least(s *stage) int {
+	n := len(s.choices)
+	best := int(c.Rand() % uint64(n))
+	from := best
+	for k := 1; k < n; k++ {
+		i := (from + k) % n
+		if s.choices[i].meter.InFlight.Load() < s.choices[best].meter.InFlight.Load() {
+			best = i
+		}
+	}
+	return best
+}
 
-func (p *Picker) cost(name string) float64 {
-	cost := 0.0
-	if m := p.Meters[name]; m != nil {
-		cost = float64(m.InFlight.Load()+1) * float64(m.Gap()+1)
+// scan returns the cheapest choice that is not avoided, or the cheapest of
+// all if there is none.
+func (c *Chooser) scan(s *stage, before *choice) int {
+	best, bestCost := 0, 0.0
+	for i := range s.choices {
+		cost := c.cost(s, i, before)
+		if c.avoided(&s.choices[i]) {
+			cost += shunned
+		}
+		if i == 0 || cost < bestCost {
+			best, bestCost = i, cost
+		}
 	}
-	if p.Avoid != nil && p.Avoid(name) {
-		cost += avoided
+	return best
+}
+
+func (c *Chooser) avoided(o *choice) bool {
+	until, found := c.Avoid[o.name]
+	return found && c.Now < until.UnixNano()
+}
+
+// shunned is added to the cost of what is used only if there is no other, in
+// nanoseconds: more than any delay.
+const shunned = 1e15
+
+// The ages at which a figure counts half, in nanoseconds. An old report says
+// little about the load of now, and a wait that was measured on one's own
+// requests is fresher and worth more.
+const (
+	halfReport = 250e6
+	halfWait   = 500e6
+)
+
+// cost is the time to expect for a token, in nanoseconds: the step, the wait
+// before it, and the link from the server before.
+func (c *Chooser) cost(s *stage, i int, before *choice) float64 {
+	m := s.choices[i].meter
+	step := float64(m.Step.Now())
+	share := step / max(float64(m.Capacity.Load()), 1)
+	cost := step + float64(m.InFlight.Load()+1)*share + c.queue(m, share)
+	if before != nil {
+		l := before.links[i]
+		cost += float64(l.Delay.Now())
+		if l.AvoidUntil.Load() > c.Now {
+			cost += shunned / 2
+		}
 	}
 	return cost
 }
+
+// queue is the wait that others cause: as measured on own requests, or as
+// reported, whichever is longer after its age is taken off.
+func (c *Chooser) queue(m *server.Meter, share float64) float64 {
+	measured, at := m.Wait()
+	wait := float64(measured) * halfWait / (halfWait + float64(c.Now-at))
+	waiting := float64(m.Waiting.Load()) * share
+	reported := waiting * halfReport / (halfReport + float64(c.Now-m.ReportedAt.Load()))
+	return max(wait, reported)
+}
--- /dev/null
+++ b/parts/retry/gaps.go
@@ -0,0 +1,132 @@
+package retry
+
+import (
+	"math/bits"
+	"sync"
+	"time"
+)
+
+// Gaps follows the time between the tokens of one chain: its mean and its
+// mean deviation, as TCP does for its round trips.
+type Gaps struct {
+	mean, dev float64
+	known     bool
+}
+
+// The weights of one new gap in the mean and in the deviation.
+const (
+	meanWeight = 1.0 / 8
+	devWeight  = 1.0 / 4
+)
+
+// Observe folds one gap in.
+func (g *Gaps) Observe(gap time.Duration) {
+	value := float64(gap)
+	if !g.known {
+		g.mean, g.dev, g.known = value, value/2, true
+		return
+	}
+	off := value - g.mean
+	g.mean += meanWeight * off
+	if off < 0 {
+		off = -off
+	}
+	g.dev += devWeight * (off - g.dev)
+}
+
+// Limits say when a chain that has sent nothing is looked at.
+type Limits struct {
+	// Probe is when its servers are asked whether they are there.
+	Probe time.Duration
+	// Silent is when it counts as failed though all of them answer.
+	Silent time.Duration
+}
+
+// The limits in terms of the usual gap. Below the floors, a pause of the
+// host's scheduler would look like a failure.
+const (
+	probeTimes, probeDevs   = 3, 4
+	silentTimes, silentDevs = 16, 16
+	probeFloor              = 100 * time.Millisecond
+	silentFloor             = 400 * time.Millisecond
+	// The floors for a first token are higher, since it may have to wait for
+	// other requests and its prompt has to be read.
+	firstProbeFloor  = 250 * time.Millisecond
+	firstSilentFloor = 2 * time.Second
+)
+
+// unknown are the limits while nothing is known of a pool.
+var unknown = Limits{Probe: firstProbeFloor, Silent: 10 * time.Second}
+
+func (g *Gaps) limits(probe, silent time.Duration) Limits {
+	if !g.known {
+		return unknown
+	}
+	return Limits{
+		Probe:  max(probe, time.Duration(probeTimes*g.mean+probeDevs*g.dev)),
+		Silent: max(silent, time.Duration(silentTimes*g.mean+silentDevs*g.dev)),
+	}
+}
+
+// Limits returns the limits for the next token of a chain.
+func (g *Gaps) Limits() Limits {
+	return g.limits(probeFloor, silentFloor)
+}
+
+// Usual is what a pool's chains usually take. It stands in for a chain's own
+// figures until there are any.
+type Usual struct {
+	mu    sync.Mutex
+	gap   Gaps
+	first [sizes]Gaps
+}
+
+// sizes is the number of classes of prompts by length; each is twice as long
+// as the one before. A long prompt takes long to read.
+const sizes = 24
+
+func size(length int) int {
+	return min(bits.Len(uint(length)), sizes-1)
+}
+
+// ObserveFirst folds in the time to the first token of an attempt that had
+// to read so many bytes.
+func (u *Usual) ObserveFirst(length int, d time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.first[size(length)].Observe(d)
+}
+
+// First returns the limits for the first token of an attempt. A length that
+// was not seen yet is judged by the next shorter one, and given the more time
+// the longer it is.
+func (u *Usual) First(length int) Limits {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	class := size(length)
+	for below := class; below >= 0; below-- {
+		if u.first[below].known {
+			l := u.first[below].limits(firstProbeFloor, firstSilentFloor)
+			return Limits{Probe: l.Probe << (class - below), Silent: l.Silent << (class - below)}
+		}
+	}
+	return unknown
+}
+
+// ObserveGaps folds in what one chain usually took.
+func (u *Usual) ObserveGaps(g Gaps) {
+	if !g.known {
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.gap.Observe(time.Duration(g.mean))
+	u.gap.dev = max(u.gap.dev, g.dev)
+}
+
+// Gaps returns the figures that a new chain begins with.
+func (u *Usual) Gaps() Gaps {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.gap
+}
--- a/parts/server/server.go
+++ b/parts/server/server.go
@@ -4,8 +4,12 @@
 
 import (
 	"math"
+	"sync"
 	"sync/atomic"
 	"time"
+
+	"fuchsiashelf.dev/parts/health"
+	"fuchsiashelf.dev/parts/link"
 )
 
 // Meter holds the figures of one backend server. It survives changes of the
@@ -13,37 +17,79 @@
 type Meter struct {
 	// InFlight counts this entry's requests on the server.
 	InFlight atomic.Int64
-	// Reported is the load that the server last reported, in requests.
-	Reported atomic.Int64
-	// ReportedAt is when the report was made, in Unix nanoseconds.
+	// Waiting is the number of tokens that waited for a step when the server
+	// last reported.
+	Waiting atomic.Int64
+	// ReportedAt is when that was so, in Unix nanoseconds.
 	ReportedAt atomic.Int64
+	// Capacity is the number of tokens that one step runs; zero if unknown.
+	Capacity atomic.Int64
 	// Failures counts failures in a row since the last success.
 	Failures atomic.Int64
-	gap      atomic.Uint64
+	// Step is the time of one step, compared with its own past.
+	Step health.Trend
+	// RefusedAt is when the server last refused a request since it is leaving,
+	// in Unix nanoseconds.
+	RefusedAt atomic.Int64
+	// EjectedUntil is until when the server is left out as degraded, in Unix
+	// nanoseconds.
+	EjectedUntil atomic.Int64
+
+	wait   atomic.Uint64
+	waitAt atomic.Int64
+
+	mu    sync.Mutex
+	links atomic.Pointer[map[string]*link.Meter]
 }
 
-// gapWeight is the weight of one new observation in the moving average of
-// the token gap. An eighth follows a change of speed within some ten tokens
-// and still smooths a single slow one.
-const gapWeight = 0.125
+// waitWeight is the weight of one new observation in the moving average of
+// the wait. An eighth follows a change of load within some ten tokens and
+// still smooths a single slow one.
+const waitWeight = 0.125
+
+// Observe folds the figures of one token into the meter. The step is the time
+// that the server took for it, the wait that before the step.
+func (m *Meter) Observe(now int64, step, wait time.Duration) {
+	m.Step.Observe(step)
+	old := math.Float64frombits(m.wait.Load())
+	m.wait.Store(math.Float64bits(old + waitWeight*(float64(wait)-old)))
+	m.waitAt.Store(now)
+	if m.Failures.Load() != 0 {
+		m.Failures.Store(0)
+	}
+}
 
-// Gap returns the moving average of the time that the server takes for one
-// token, or zero if none was observed yet.
-func (m *Meter) Gap() time.Duration {
-	return time.Duration(math.Float64frombits(m.gap.Load()))
+// Wait returns the moving average of the wait and when it was last updated,
+// in Unix nanoseconds.
+func (m *Meter) Wait() (time.Duration, int64) {
+	return time.Duration(math.Float64frombits(m.wait.Load())), m.waitAt.Load()
+}
+
+// Link returns the meter of the link to another server.
+func (m *Meter) Link(to string) *link.Meter {
+	if known := m.Links()[to]; known != nil {
+		return known
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	old := m.Links()
+	if known := old[to]; known != nil {
+		return known
+	}
+	next := make(map[string]*link.Meter, len(old)+1)
+	for name, l := range old {
+		next[name] = l
+	}
+	next[to] = &link.Meter{}
+	m.links.Store(&next)
+	return next[to]
 }
 
-// ObserveGap folds one observed token time into the moving average.
-func (m *Meter) ObserveGap(gap time.Duration) {
-	for {
-		old := m.gap.Load()
-		mean := math.Float64frombits(old)
-		next := float64(gap)
-		if mean > 0 {
-			next = mean + gapWeight*(float64(gap)-mean)
-		}
-		if m.gap.CompareAndSwap(old, math.Float64bits(next)) {
-			return
-		}
+// Links returns the meters of the links from the server. The map is read
+// only.
+func (m *Meter) Links() map[string]*link.Meter {
+	if links := m.links.Load(); links != nil {
+		return *links
 	}
+	return nil
 }
