--- a/parts/frame/frame.go
+++ b/parts/frame/frame.go
@@ -83,6 +83,12 @@
 
 // cover checks that the spans tile [0, Layers) in order.
 func (c *Check) cover(spans []engine.Span) *fault.Error {
+	// A server that stops short leaves a gap before the next one. Compared
+	// with the chain first, the error names the server that is at fault; were
+	// the next one blamed, each later attempt would meet the faulty one again.
+	if e := c.same(spans); e != nil {
+		return e
+	}
 	at := 0
 	for _, s := range spans {
 		if s.First != at || s.End <= s.First || s.End > c.Layers {
@@ -95,7 +101,7 @@
 	if at != c.Layers {
 		return broken("layers ran up to %d of %d", at, c.Layers)
 	}
-	return c.same(spans)
+	return nil
 }
 
 // same checks that the spans are the stages of the chain. Spans of other
--- a/parts/frame/frame_test.go
+++ b/parts/frame/frame_test.go
@@ -72,6 +72,15 @@
 	}
 }
 
+// A server leaves its last layer out, and the next one begins where it should.
+// The error has to name the first: it is the one that the next chain avoids.
+func TestFaultyServerIsNamed(t *testing.T) {
+	f := good()
+	f.Spans[1].End = 15
+	_, e := check().Next(&f)
+	quicktest.Assert(t, e.Server, quicktest.Equals, "a2")
+}
+
 // However the frames of two attempts and of another request are mixed, the
 // tokens taken are those of the current attempt, each once and in order.
 func TestMixedFrames(t *testing.T) {
