relay: test recovery from freeze, cut and leaving; mend what it showed

Found by session recover and its twins in package relay, each with a test: - the watch's timer could fire before its field was set, and looked at the slices of the next attempt (both seen as data races in the session); - a link that was to be avoided was taken when both draws met it: with two of three links cut, request after request met one (41 s for 8 answers); - one slow first token made silence on the next last 20 s (16 means and deviations); first tokens have limits of their own now (4 and 8); - a cut link was tried again every 5 s; its avoidance doubles now.

--- a/entry/internal/relay/attempt.go
+++ b/entry/internal/relay/attempt.go
@@ -146,7 +146,7 @@
 		s, hop := &f.Spans[i], &c.hops[i]
 		hop.Meter.Observe(at, time.Duration(s.RunUs)*time.Microsecond, time.Duration(s.WaitUs)*time.Microsecond)
 		if hop.Link != nil {
-			hop.Link.Delay.Observe(time.Duration(s.LinkUs) * time.Microsecond)
+			hop.Link.Observe(time.Duration(s.LinkUs) * time.Microsecond)
 		}
 	}
 }
--- a/entry/internal/relay/blame.go
+++ b/entry/internal/relay/blame.go
@@ -9,10 +9,6 @@
 	"fuchsiashelf.dev/parts/view"
 )
 
-// linkFor is how long the links of a chain are avoided that fell silent while
-// all its servers were there.
-const linkFor = 5 * time.Second
-
 // blame marks the servers or links that a failure points to, so that the next
 // attempts avoid them.
 func (c *carry) blame(e *fault.Error, w *watch) {
@@ -89,13 +85,14 @@
 	}
 }
 
-// avoidLinks has all links of the chain avoided.
+// avoidLinks has all links of a chain avoided that fell silent while all its
+// servers were there.
 func (c *carry) avoidLinks() {
-	until := time.Now().Add(linkFor)
+	now := time.Now()
 	for i := range c.hops {
 		if l := c.hops[i].Link; l != nil {
-			l.Avoid(until)
+			l.Fail(now)
 		}
 	}
-	c.Log.Warn("relay: links suspected", "request", c.ask.Request)
+	c.Log.Warn("relay: links suspected", "request", c.ask.Request, "chain", names(c.stages))
 }
--- a/entry/internal/relay/relay.go
+++ b/entry/internal/relay/relay.go
@@ -124,6 +124,9 @@
 	return again
 }
 
+// usualStages is a length of chains that is seldom passed.
+const usualStages = 8
+
 // choose chooses the chain of the next attempt, into c.hops and c.stages.
 func (c *carry) choose(snap *view.Snapshot, now time.Time) *fault.Error {
 	table, e := c.state.table(snap, &c.ask.Pool, now)
@@ -131,8 +134,10 @@
 		return e
 	}
 	chooser := pick.Chooser{Policy: c.Policy, Rand: rand.Uint64, Now: now.UnixNano(), Avoid: snap.Suspects}
-	c.hops = chooser.Chain(table, c.hops[:0])
-	c.stages = c.stages[:0]
+	// The watch of the attempt before may still look at its stages, so each
+	// attempt has slices of its own.
+	c.hops = chooser.Chain(table, make([]pick.Hop, 0, usualStages))
+	c.stages = make([]engine.Stage, 0, len(c.hops))
 	for i := range c.hops {
 		c.stages = append(c.stages, table.Graph.Stage(c.hops[i].Hop))
 	}
--- a/entry/internal/relay/watch.go
+++ b/entry/internal/relay/watch.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"fuchsiashelf.dev/parts/engine"
 	"fuchsiashelf.dev/parts/retry"
 )
 
@@ -17,7 +18,8 @@
 // its last token came; a timer looks from time to time, so that a token costs
 // no timer.
 type watch struct {
-	carry  *carry
+	relay  *Relay
+	stages []engine.Stage
 	cancel context.CancelCauseFunc
 	timer  *time.Timer
 	// last is when the chain was last heard, in nanoseconds since the watch
@@ -40,9 +42,14 @@
 // watch begins to look after an attempt.
 func (c *carry) watch(cancel context.CancelCauseFunc, now time.Time) *watch {
 	limits := c.firstLimits()
-	w := &watch{carry: c, cancel: cancel, began: now, gaps: c.state.usual.Gaps()}
+	w := &watch{
+		relay: c.Relay, stages: c.stages, cancel: cancel,
+		began: now, gaps: c.state.usual.Gaps(),
+	}
 	w.limits.Store(&limits)
-	w.timer = time.AfterFunc(limits.Probe, w.look)
+	// Started only once the field is set: look uses it.
+	w.timer = time.AfterFunc(math.MaxInt64, w.look)
+	w.timer.Reset(limits.Probe)
 	return w
 }
 
@@ -103,8 +110,8 @@
 
 func (w *watch) probe() {
 	var probes []*probe
-	for _, s := range w.carry.stages {
-		probes = append(probes, w.carry.ping(s.Server, s.Address))
+	for _, s := range w.stages {
+		probes = append(probes, w.relay.ping(s.Server, s.Address))
 	}
 	w.probes.Store(&probes)
 }
--- a/parts/pick/pick.go
+++ b/parts/pick/pick.go
@@ -61,8 +61,9 @@
 		return 0
 	}
 	i := c.draw(s, before)
-	if len(c.Avoid) > 0 && c.avoided(&s.choices[i]) {
-		// Few servers fail at a time; only then is it worth a look at all.
+	if len(c.Avoid) > 0 && c.avoided(&s.choices[i]) || c.shuns(before, i) {
+		// Few servers and links fail at a time; only then is it worth a look
+		// at all. Two draws alone may both meet what is to be avoided.
 		return c.scan(s, before)
 	}
 	return i
@@ -122,6 +123,11 @@
 	return found && c.Now < until.UnixNano()
 }
 
+// shuns reports whether the link from the server before is to be avoided.
+func (c *Chooser) shuns(before *choice, i int) bool {
+	return before != nil && before.links[i].AvoidUntil.Load() > c.Now
+}
+
 // shunned is added to the cost of what is used only if there is no other, in
 // nanoseconds: more than any delay.
 const shunned = 1e15
@@ -142,9 +148,8 @@
 	share := step / max(float64(m.Capacity.Load()), 1)
 	cost := step + float64(m.InFlight.Load()+1)*share + c.queue(m, share)
 	if before != nil {
-		l := before.links[i]
-		cost += float64(l.Delay.Now())
-		if l.AvoidUntil.Load() > c.Now {
+		cost += float64(before.links[i].Delay.Now())
+		if c.shuns(before, i) {
 			cost += shunned / 2
 		}
 	}
--- a/parts/pick/pick_test.go
+++ b/parts/pick/pick_test.go
@@ -105,10 +105,7 @@
 	for range 200 {
 		hops := chooser.Chain(table, nil)
 		crossed := hops[0].Server == 0 && hops[1].Server == 2
-		// Both draws may give the same server; the other link is then not seen.
-		if crossed && hops[0].Link.AvoidUntil.Load() <= chooser.Now {
-			t.Fatal("the degraded link is not marked")
-		}
+		c.Assert(crossed, quicktest.IsFalse)
 	}
 	c.Assert(l.AvoidUntil.Load() > second, quicktest.IsTrue)
 }
--- a/parts/retry/gaps.go
+++ b/parts/retry/gaps.go
@@ -52,25 +52,36 @@
 	// The floors for a first token are higher, since it may have to wait for
 	// other requests and its prompt has to be read.
 	firstProbeFloor  = 250 * time.Millisecond
-	firstSilentFloor = 2 * time.Second
+	firstSilentFloor = time.Second
+	// It is much longer than a gap, so fewer of it are time enough.
+	firstTimes, firstDevs = 4, 8
 )
 
 // unknown are the limits while nothing is known of a pool.
-var unknown = Limits{Probe: firstProbeFloor, Silent: 10 * time.Second}
+var unknown = Limits{Probe: firstProbeFloor, Silent: 5 * time.Second}
 
-func (g *Gaps) limits(probe, silent time.Duration) Limits {
+// Limits returns the limits for the next token of a chain.
+func (g *Gaps) Limits() Limits {
 	if !g.known {
 		return unknown
 	}
 	return Limits{
-		Probe:  max(probe, time.Duration(probeTimes*g.mean+probeDevs*g.dev)),
-		Silent: max(silent, time.Duration(silentTimes*g.mean+silentDevs*g.dev)),
+		Probe:  max(probeFloor, g.times(probeTimes, probeDevs)),
+		Silent: max(silentFloor, g.times(silentTimes, silentDevs)),
 	}
 }
 
-// Limits returns the limits for the next token of a chain.
-func (g *Gaps) Limits() Limits {
-	return g.limits(probeFloor, silentFloor)
+// first returns the limits for a first token, if these are times to first
+// tokens.
+func (g *Gaps) first() Limits {
+	return Limits{
+		Probe:  max(firstProbeFloor, g.times(probeTimes, probeDevs)),
+		Silent: max(firstSilentFloor, g.times(firstTimes, firstDevs)),
+	}
+}
+
+func (g *Gaps) times(means, devs float64) time.Duration {
+	return time.Duration(means*g.mean + devs*g.dev)
 }
 
 // Usual is what a pool's chains usually take. It stands in for a chain's own
@@ -106,7 +117,7 @@
 	class := size(length)
 	for below := class; below >= 0; below-- {
 		if u.first[below].known {
-			l := u.first[below].limits(firstProbeFloor, firstSilentFloor)
+			l := u.first[below].first()
 			return Limits{Probe: l.Probe << (class - below), Silent: l.Silent << (class - below)}
 		}
 	}
--- a/sess/path_test.go
+++ b/sess/path_test.go
@@ -27,6 +27,18 @@
 		}
 		return s.dies(a[0], a[1], max)
 	}),
+	// leave ENTRY TEAM PROMPT MAX TOKENS: asks, and leaves after some tokens.
+	"leave": command("leave", func(s *session, a []string) (string, error) {
+		max, err := strconv.Atoi(a[3])
+		if err != nil {
+			return "", err
+		}
+		tokens, err := strconv.Atoi(a[4])
+		if err != nil {
+			return "", err
+		}
+		return "", s.AskAndLeave(a[0], a[1], "assist", a[2], max, tokens)
+	}),
 	// asks ENTRY TEAM PROMPT MAX TIMES: asks so often, prints each outcome
 	// once with how often it came.
 	"asks": command("asks", func(s *session, a []string) (string, error) { return s.asks(a) }),
--- a/sess/procs/calls.go
+++ b/sess/procs/calls.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -73,30 +74,55 @@
 
 // Ask sends a model request to an entry host.
 func (w *World) Ask(entry, team, service, prompt string, max int) (*Answer, error) {
-	p, err := w.Get(entry)
+	resp, err := w.ask(context.Background(), entry, team, service, prompt, max)
 	if err != nil {
 		return nil, err
 	}
-	body, err := json.Marshal(map[string]any{"service": service, "prompt": prompt, "max": max})
+	defer resp.Body.Close()
+	a := &Answer{Status: resp.StatusCode, Header: resp.Header}
+	if resp.StatusCode != http.StatusOK {
+		a.Problem = &Problem{}
+		return a, json.NewDecoder(resp.Body).Decode(a.Problem)
+	}
+	return a, a.read(resp.Body)
+}
+
+// AskAndLeave sends a model request and leaves after so many tokens.
+func (w *World) AskAndLeave(entry, team, service, prompt string, max, tokens int) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	resp, err := w.ask(ctx, entry, team, service, prompt, max)
 	if err != nil {
-		return nil, err
+		return err
+	}
+	defer resp.Body.Close()
+	for scan := bufio.NewScanner(resp.Body); tokens > 0; {
+		if !scan.Scan() {
+			return fmt.Errorf("the stream ended %d tokens early: %w", tokens, scan.Err())
+		}
+		if strings.HasPrefix(scan.Text(), "data:") {
+			tokens--
+		}
 	}
-	req, err := http.NewRequest(http.MethodPost, "http://"+p.At["callers"]+"/v1/generate", bytes.NewReader(body))
+	return nil
+}
+
+func (w *World) ask(ctx context.Context, entry, team, service, prompt string, max int) (*http.Response, error) {
+	p, err := w.Get(entry)
 	if err != nil {
 		return nil, err
 	}
-	req.Header.Set("Authorization", "Bearer "+Token(team))
-	resp, err := client.Do(req)
+	body, err := json.Marshal(map[string]any{"service": service, "prompt": prompt, "max": max})
 	if err != nil {
 		return nil, err
 	}
-	defer resp.Body.Close()
-	a := &Answer{Status: resp.StatusCode, Header: resp.Header}
-	if resp.StatusCode != http.StatusOK {
-		a.Problem = &Problem{}
-		return a, json.NewDecoder(resp.Body).Decode(a.Problem)
+	url := "http://" + p.At["callers"] + "/v1/generate"
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
 	}
-	return a, a.read(resp.Body)
+	req.Header.Set("Authorization", "Bearer "+Token(team))
+	return client.Do(req)
 }
 
 // read reads server-sent events until the stream ends.
