sess: force, what the desk has accepted never reverts

One session with the store slow, a reply lost, a write lost, watches cut, the store down right after it took a line, an entry host started during the outage, an older copy answering, and a store restored from one; seats race with -seen and -id.

Seen on the way: a line whose reply was held waited its full 8 s and was then called unknown although it was in force everywhere, because the seat only looked at the store; it now also looks at what is in force here (held: done). An outage kept a line that had certainly changed nothing waiting 8 s; it is refused after 3 s. A store that went back was noticed by the watch only after 20 s; watches now wait 5 s.

--- a/desk/prog/print.go
+++ b/desk/prog/print.go
@@ -35,11 +35,11 @@
 	for _, row := range a.Rows {
 		fmt.Fprintln(d.stdout, " ", row)
 	}
-	fmt.Fprintln(d.stdout, summary(a))
+	fmt.Fprintln(d.stdout, summary(text, a))
 }
 
 // summary is the answer in one line.
-func summary(a *wire.Answer) string {
+func summary(text string, a *wire.Answer) string {
 	out := a.Outcome
 	if a.Revision > 0 {
 		out += fmt.Sprintf(" at revision %d", a.Revision)
@@ -50,7 +50,7 @@
 	if a.Message != "" {
 		out += ": " + a.Message
 	}
-	if a.Outcome == unknown {
+	if question := strings.HasPrefix(text, "show"); a.Outcome == unknown && !question {
 		out += "; ask: show command " + a.Id
 	}
 	return out
--- a/entry/internal/seat/accept.go
+++ b/entry/internal/seat/accept.go
@@ -17,6 +17,9 @@
 // object API's usual few milliseconds, so that a slow one still answers.
 const acceptWait = 8 * time.Second
 
+// outageWait is how long a line that certainly changed nothing is tried again.
+const outageWait = 3 * time.Second
+
 // retryPause is the mean pause between two tries.
 const retryPause = 60 * time.Millisecond
 
@@ -62,31 +65,40 @@
 func (o *offer) run(ctx context.Context) (conf.Line, *wire.Answer) {
 	ctx, cancel := context.WithTimeout(ctx, acceptWait)
 	defer cancel()
+	began := time.Now()
 	known := o.survey(ctx)
 	var last error
 	for {
-		object, stored, err := o.read(ctx)
-		if err == nil {
-			var accepted *conf.Line
-			var answer *wire.Answer
-			accepted, answer, err = o.step(ctx, object, stored, known)
-			if answer != nil {
-				return conf.Line{}, answer
-			}
-			if accepted != nil {
-				return *accepted, nil
-			}
+		accepted, answer, err := o.try(ctx, known)
+		if answer != nil {
+			return conf.Line{}, answer
+		}
+		if accepted != nil {
+			return *accepted, nil
 		}
-		if err != nil && ctx.Err() == nil {
+		if ctx.Err() == nil {
 			last = err
 		}
 		pause(ctx, retryPause/2+rand.N(retryPause))
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || time.Since(began) > outageWait && !o.write.Uncertain() {
 			return conf.Line{}, o.gaveUp(last)
 		}
 	}
 }
 
+// try reads the object and does what follows. Without an answer of the object
+// API the line may still be seen in force here, by a watch or a peer.
+func (o *offer) try(ctx context.Context, known survey) (*conf.Line, *wire.Answer, error) {
+	object, stored, err := o.read(ctx)
+	if err == nil {
+		return o.step(ctx, object, stored, known)
+	}
+	if line := o.find(nil); line != nil && line.Text == o.line.Text {
+		return line, nil, nil
+	}
+	return nil, nil, err
+}
+
 // read returns the configuration object and what it holds.
 func (s *Seat) read(ctx context.Context) (store.Object, *conf.Config, error) {
 	object, err := s.Store.Get(ctx, conf.Key)
@@ -104,6 +116,9 @@
 	if last != nil {
 		message = last.Error()
 	}
+	if fault.As(last) != nil && fault.As(last).Code == fault.Conflict {
+		message = "other lines were always faster, or the object API answers with an older copy"
+	}
 	if o.write.Uncertain() {
 		return &wire.Answer{Outcome: Unknown, Message: message}
 	}
--- a/entry/prog/prog.go
+++ b/entry/prog/prog.go
@@ -59,6 +59,11 @@
 	return 0
 }
 
+// watchWait is how long one watch of the object API waits. It bounds how late
+// an entry host notices a watch that was cut without a sign, or a store that
+// went back; at 320 entry hosts two watches each are 128 calls a second.
+const watchWait = 5 * time.Second
+
 // daemon is one running entry host.
 type daemon struct {
 	settings *setup.Settings
@@ -96,7 +101,7 @@
 	}
 	holder := view.New(d.settings.Name, d.settings.Home())
 	line := &trace.Line{Process: d.settings.Name}
-	api := &store.Client{Address: d.settings.Store, Entry: d.settings.Name}
+	api := &store.Client{Address: d.settings.Store, Entry: d.settings.Name, Wait: watchWait}
 	feeder, peers, desk, err := d.deskParts(holder, line, api)
 	if err != nil {
 		return err
--- /dev/null
+++ b/sess/desk_test.go
@@ -0,0 +1,117 @@
+package sess
+
+import (
+	"encoding/json"
+	"fmt"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"fuchsiashelf.dev/parts/conf"
+	"fuchsiashelf.dev/sess/procs"
+)
+
+// deskCommands are the commands of sessions about what the operators set.
+var deskCommands = map[string]func(ts *testscript.TestScript, neg bool, args []string){
+	// script ENTRY FILE [flags]: sends the lines of a file.
+	"script": command("script", func(s *session, a []string) (string, error) {
+		return s.Desk(a[0], append([]string{"-f", filepath.Join(s.Dir, a[1])}, a[2:]...)...)
+	}),
+	// stored: prints the revision that the store holds.
+	"stored": command("stored", func(s *session, _ []string) (string, error) { return s.stored() }),
+	// untilstored REVISION: waits until the store holds it.
+	"untilstored": quiet(func(s *session, a []string) (string, error) {
+		return "", procs.Until("store holds "+a[0], func() bool {
+			out, _ := s.stored()
+			return out == "revision "+a[0]+"\n"
+		})
+	}),
+	// backup copy|restore: copies the store's objects, or puts the copy back.
+	"backup": command("backup", func(s *session, a []string) (string, error) {
+		_, err := s.Control(procs.StoreName, "POST", "/"+a[0], nil)
+		return "", err
+	}),
+	// tally JOB...: waits for jobs of one line each and prints their
+	// outcomes, sorted, since it is open which of them comes first.
+	"tally": command("tally", func(s *session, a []string) (string, error) {
+		var all []string
+		for _, name := range a {
+			j := s.jobs[name]
+			<-j.done
+			if j.err != nil {
+				return "", j.err
+			}
+			lines := strings.Split(strings.TrimSpace(j.out), "\n")
+			outcome, _, _ := strings.Cut(lines[len(lines)-1], ":")
+			all = append(all, outcome)
+		}
+		slices.Sort(all)
+		return strings.Join(all, "\n") + "\n", nil
+	}),
+	// rejoin ENTRY SEED...: starts an ended entry host again, which knows
+	// these others.
+	"rejoin": command("rejoin", func(s *session, a []string) (string, error) {
+		var seeds []string
+		for _, name := range a[1:] {
+			p, err := s.Get(name)
+			if err != nil {
+				return "", err
+			}
+			seeds = append(seeds, p.At["peers"])
+		}
+		_, err := s.Restart(a[0], "-seeds", strings.Join(seeds, ","))
+		return "", err
+	}),
+	// expect ENTRY METRIC: fails unless the counter of an entry host is above
+	// zero.
+	"expect": quiet(func(s *session, a []string) (string, error) {
+		n, err := s.metric(a[0], a[1])
+		if err == nil && n == 0 {
+			err = fmt.Errorf("%s of %s is zero", a[1], a[0])
+		}
+		return "", err
+	}),
+}
+
+func (s *session) stored() (string, error) {
+	p, err := s.Get(procs.StoreName)
+	if err != nil {
+		return "", err
+	}
+	value, err := procs.Fetch("http://" + p.At["serve"] + "/v1/objects/" + conf.Key)
+	if err != nil {
+		return "", err
+	}
+	c, err := conf.Decode([]byte(value))
+	if err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("revision %d\n", c.Revision), nil
+}
+
+// metric returns a counter or gauge of an entry host; zero if it has none.
+func (s *session) metric(entry, name string) (int64, error) {
+	p, err := s.Get(entry)
+	if err != nil {
+		return 0, err
+	}
+	page, err := procs.Fetch("http://" + p.At["ops"] + "/metrics")
+	if err != nil {
+		return 0, err
+	}
+	var all map[string]struct{ Count, Value int64 }
+	if err := json.Unmarshal([]byte(page), &all); err != nil {
+		return 0, err
+	}
+	return all[name].Count + all[name].Value, nil
+}
+
+func init() {
+	renames = append(renames, struct {
+		pattern *regexp.Regexp
+		with    string
+	}{regexp.MustCompile(`\d{4}-\d\d-\d\d \d\d:\d\d:\d\d`), "TIME"})
+}
--- a/sess/procs/calls.go
+++ b/sess/procs/calls.go
@@ -42,6 +42,11 @@
 	return string(value), nil
 }
 
+// Fetch returns what a GET of a URL answers.
+func Fetch(url string) (string, error) {
+	return do(http.MethodGet, url, nil)
+}
+
 // Answer is what a caller got for a model request.
 type Answer struct {
 	// Status is the HTTP status.
--- a/sess/procs/procs.go
+++ b/sess/procs/procs.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -146,8 +147,9 @@
 	}
 }
 
-// Restart starts a process that has ended again, at the same addresses.
-func (w *World) Restart(name string) (*Proc, error) {
+// Restart starts a process that has ended again, at the same addresses, with
+// more arguments.
+func (w *World) Restart(name string, more ...string) (*Proc, error) {
 	old, err := w.Get(name)
 	if err != nil {
 		return nil, err
@@ -155,7 +157,7 @@
 	if _, err := old.Wait(); err != nil {
 		return nil, err
 	}
-	args := old.Args
+	args := append(slices.Clone(old.Args), more...)
 	for kind, address := range old.At {
 		flag := kind
 		if kind == "serve" {
