--- /dev/null
+++ b/entry/internal/guard/case.go
@@ -0,0 +1,184 @@
+package guard
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"fuchsiashelf.dev/parts/fault"
+	"fuchsiashelf.dev/parts/peer"
+	"fuchsiashelf.dev/parts/poison"
+	"fuchsiashelf.dev/parts/wire"
+)
+
+// Case is what the guard knows of one copy of a request. It is used by the
+// one goroutine that carries the request.
+type Case struct {
+	guard   *Guard
+	request string
+	team    string
+	pool    string
+	body    []string
+
+	mark poison.Fingerprint
+	// dead holds the servers that died under this copy.
+	dead []string
+	// watched says that the book has to be asked before each attempt.
+	watched bool
+	// open says that the book has a case that a token would clear.
+	open     bool
+	reserved []string
+}
+
+// Begin opens the case of a request, which the body tells from others of its
+// team. It refuses one that is convicted.
+func (g *Guard) Begin(request, team, pool string, body ...string) (*Case, *fault.Error) {
+	c := &Case{guard: g, request: request, team: team, pool: pool, body: body}
+	if g == nil {
+		return c, nil
+	}
+	snap := g.View.Load()
+	if len(snap.Poison)+len(snap.Suspected) == 0 {
+		return c, nil
+	}
+	now := time.Now()
+	f := string(c.fingerprint())
+	if until := snap.Poison[f]; now.Before(until) {
+		metrics.GetOrRegisterCounter("guard.refused", nil).Inc(1)
+		g.Trace.Add("guard", request, "request refused: it crashed two servers")
+		return nil, refusal(until, fault.NotRun)
+	}
+	c.watched = now.Before(snap.Suspected[f])
+	return c, nil
+}
+
+func (c *Case) fingerprint() poison.Fingerprint {
+	if c.mark == "" {
+		c.mark = poison.Of(c.team, c.body...)
+	}
+	return c.mark
+}
+
+// Avoid reports whether a server is kept free for another request's trial.
+func (c *Case) Avoid(server string) bool {
+	return c.watched && slices.Contains(c.reserved, server)
+}
+
+const (
+	// trialWait bounds how long a suspect waits for its turn.
+	trialWait = 2 * time.Second
+	// trialTick is the pause between two questions for the turn.
+	trialTick = 10 * time.Millisecond
+	// suspectAfter is when a suspect that found no turn may come back.
+	suspectAfter = 2 * time.Second
+)
+
+// Admit asks whether the request may run now on a chain of servers that the
+// function chooses, and returns the chain once it may. A request that is not
+// suspected is never asked for and does not wait.
+func (c *Case) Admit(ctx context.Context, choose func() ([]string, *fault.Error)) *fault.Error {
+	end := time.Now().Add(trialWait)
+	for {
+		servers, e := choose()
+		if e != nil || !c.watched {
+			return e
+		}
+		reply := c.ask(ctx, &wire.PoisonAsk{Step: uint32(try), Servers: servers})
+		c.reserved = reply.Reserved
+		switch poison.Outcome(reply.Outcome) {
+		case poison.Free:
+			c.watched = false
+			return nil
+		case poison.Alone:
+			c.open = true
+			c.guard.Trace.Add("guard", c.request, "suspect tried alone")
+			return nil
+		case poison.Convicted:
+			return c.guard.convict(c.request, c.fingerprint())
+		case poison.Wait:
+		}
+		if ctx.Err() != nil || time.Now().After(end) {
+			e := refusal(time.Now().Add(suspectAfter), fault.NotRun)
+			e.Message = "this request is suspected of crashing backend servers, and could not be tried alone in time"
+			return e
+		}
+		pause(ctx, trialTick)
+	}
+}
+
+// Failed tells that an attempt failed at a server. Progressed says that the
+// attempt had got a token. The error is the final answer, if the request must
+// not go on.
+func (c *Case) Failed(ctx context.Context, server, address string, progressed bool) *fault.Error {
+	if c.guard == nil || !c.guard.dead(ctx, address) {
+		return nil
+	}
+	reply := c.ask(ctx, &wire.PoisonAsk{Step: uint32(died), Server: server, Progressed: progressed})
+	outcome := poison.Outcome(reply.Outcome)
+	c.reserved = reply.Reserved
+	c.guard.Trace.Add("guard", c.request, "server "+server+" died under the request: "+outcome.String())
+	if int(reply.Count) > len(c.dead) {
+		// A death that is laid to another request is none of this one's, also
+		// not for the next entry host that keeps the book.
+		c.dead = append(c.dead, server)
+	}
+	c.watched = outcome == poison.Alone
+	c.open = true
+	switch outcome {
+	case poison.Convicted:
+		return c.guard.convict(c.request, c.fingerprint())
+	case poison.Alone:
+		c.guard.Mesh.Mark(peer.Mark{
+			Kind: peer.PoisonRequest, Name: string(c.fingerprint()),
+			Until: time.Now().Add(suspectMark), Count: 1,
+		})
+	}
+	return nil
+}
+
+// Token tells that a token came: the request is cleared.
+func (c *Case) Token(ctx context.Context) {
+	if !c.open {
+		return
+	}
+	c.open, c.watched, c.dead = false, false, nil
+	c.ask(ctx, &wire.PoisonAsk{Step: uint32(passed)})
+	c.guard.Trace.Add("guard", c.request, "suspicion cleared by a token")
+}
+
+// Close ends the case. A trial without a result makes way for the next.
+func (c *Case) Close() {
+	if c.open && c.watched {
+		c.ask(context.Background(), &wire.PoisonAsk{Step: uint32(gave)})
+	}
+}
+
+func (c *Case) ask(ctx context.Context, ask *wire.PoisonAsk) *wire.PoisonReply {
+	ask.Pool, ask.Fingerprint = c.pool, string(c.fingerprint())
+	ask.Holder = c.guard.View.Load().Self + "/" + c.request
+	ask.Dead = c.dead
+	return c.guard.ask(ctx, ask)
+}
+
+// dead reports whether the process of a server is gone: its host refuses or
+// resets connections. One that answers lives, whatever became of the request;
+// silence may as well be a cut link or a pause, and proves nothing.
+func (g *Guard) dead(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeWait)
+	defer cancel()
+	_, err := g.Engine.Status(ctx, address)
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/entry/internal/mesh/marks.go
+++ b/entry/internal/mesh/marks.go
@@ -1,9 +1,11 @@
 package mesh
 
 import (
+	"maps"
 	"time"
 
 	"fuchsiashelf.dev/parts/peer"
+	"fuchsiashelf.dev/parts/poison"
 	"fuchsiashelf.dev/parts/view"
 )
 
@@ -16,22 +18,55 @@
 // servers, and writes what they told into the snapshot.
 func (m *Mesh) foldMarks(now time.Time) {
 	m.tellMarks(m.View.Load(), now)
-	suspects := m.peer.Marks(peer.SuspectServer)
-	poison := m.peer.Marks(peer.PoisonRequest)
-	refusing := map[string]bool{}
+	told := toldMarks{
+		suspects:  m.peer.Marks(peer.SuspectServer),
+		poison:    map[string]peer.Mark{},
+		suspected: map[string]peer.Mark{},
+		refusing:  map[string]bool{},
+	}
+	for name, mark := range m.peer.Marks(peer.PoisonRequest) {
+		if mark.Count >= poison.Deaths {
+			told.poison[name] = mark
+		} else {
+			told.suspected[name] = mark
+		}
+	}
 	for name := range m.peer.Marks(peer.RefusingServer) {
-		refusing[name] = true
+		told.refusing[name] = true
 	}
-	if !m.marksNew(m.View.Load(), suspects, poison, refusing) {
+	if !told.news(m.View.Load()) {
 		return
 	}
 	m.View.Update(func(s *view.Snapshot) {
-		s.Suspects = later(s.Suspects, suspects, now)
-		s.Poison = later(s.Poison, poison, now)
-		s.SetOut(view.PeerWord, refusing)
+		s.Suspects = later(s.Suspects, told.suspects, now)
+		s.Poison = later(s.Poison, told.poison, now)
+		s.Suspected = later(s.Suspected, told.suspected, now)
+		s.SetOut(view.PeerWord, told.refusing)
 	})
 }
 
+// toldMarks holds the marks by what they are about.
+type toldMarks struct {
+	suspects, poison, suspected map[string]peer.Mark
+	refusing                    map[string]bool
+}
+
+// news reports whether the snapshot lacks any of the marks, or holds a peer's
+// word that has ended.
+func (t *toldMarks) news(snap *view.Snapshot) bool {
+	return !maps.Equal(snap.Outs[view.PeerWord], t.refusing) ||
+		grows(snap.Suspects, t.suspects) || grows(snap.Poison, t.poison) || grows(snap.Suspected, t.suspected)
+}
+
+func grows(old map[string]time.Time, marks map[string]peer.Mark) bool {
+	for name, mark := range marks {
+		if mark.Until.After(old[name]) {
+			return true
+		}
+	}
+	return false
+}
+
 // tellMarks marks what this entry host itself has seen. What it has only been
 // told is not told on as its own, or a word would keep itself alive.
 func (m *Mesh) tellMarks(snap *view.Snapshot, now time.Time) {
@@ -48,31 +83,6 @@
 	}
 }
 
-// marksNew reports whether the snapshot lacks any of the marks, or holds a
-// peer's word that has ended.
-func (m *Mesh) marksNew(snap *view.Snapshot, suspects, poison map[string]peer.Mark, refusing map[string]bool) bool {
-	for name, mark := range suspects {
-		if mark.Until.After(snap.Suspects[name]) {
-			return true
-		}
-	}
-	for name, mark := range poison {
-		if mark.Until.After(snap.Poison[name]) {
-			return true
-		}
-	}
-	out := snap.Outs[view.PeerWord]
-	if len(out) != len(refusing) {
-		return true
-	}
-	for name := range refusing {
-		if !out[name] {
-			return true
-		}
-	}
-	return false
-}
-
 // later returns the map with the marks' times where they are later, and
 // without those that have ended.
 func later(old map[string]time.Time, marks map[string]peer.Mark, now time.Time) map[string]time.Time {
--- a/entry/internal/mesh/mesh.go
+++ b/entry/internal/mesh/mesh.go
@@ -46,6 +46,10 @@
 	// tells none.
 	Usages func() map[string]float64
 
+	// Judge answers the other entry hosts' questions about requests that
+	// crash servers; nil refuses them.
+	Judge func(*wire.PoisonAsk) *wire.PoisonReply
+
 	peer   *peer.Peer
 	newer  chan peer.Newer
 	change chan struct{}
@@ -234,6 +238,18 @@
 	return m.peer.Rates()
 }
 
+// Tell takes a mark and tells it to all living entry hosts at once; it returns
+// when they have it or the context ends. The own snapshot has it on return.
+func (m *Mesh) Tell(ctx context.Context, mark peer.Mark) {
+	m.peer.Tell(ctx, mark)
+	m.foldMarks(time.Now())
+}
+
+// Mark takes a mark and leaves it to the rounds to tell.
+func (m *Mesh) Mark(mark peer.Mark) {
+	m.peer.Mark(mark)
+}
+
 // Ask asks another entry host for its status.
 func (m *Mesh) Ask(ctx context.Context, h host.Host) (*wire.StatusReply, error) {
 	client, err := m.Client(ctx, h)
--- a/entry/internal/mesh/serve.go
+++ b/entry/internal/mesh/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"fuchsiashelf.dev/parts/peer"
 	"fuchsiashelf.dev/parts/wire"
@@ -42,6 +43,19 @@
 	return &wire.ConfigReply{Object: value}, nil
 }
 
+// Poison implements the call of the other entry hosts.
+func (m *Mesh) Poison(_ context.Context, ask *wire.PoisonAsk) (*wire.PoisonReply, error) {
+	if !Same(ask.Secret, m.Secret) {
+		return nil, peer.ErrSecret
+	}
+	if m.Judge == nil {
+		return nil, errNoBook
+	}
+	return m.Judge(ask), nil
+}
+
+var errNoBook = errors.New("mesh: this entry host keeps no book of poison")
+
 // Status implements the call of the other entry hosts.
 func (m *Mesh) Status(_ context.Context, ask *wire.StatusAsk) (*wire.StatusReply, error) {
 	if !Same(ask.Secret, m.Secret) {
--- a/parts/peer/digest.go
+++ b/parts/peer/digest.go
@@ -13,13 +13,13 @@
 // usages. With three exchanges begun and three answered a second, both ways,
 // it keeps a node under its 4 KB a second; docs/design/membership.md has the
 // sum.
-const digestBytes = 210
+const digestBytes = 180
 
 // The shares of a digest that marks and usages may fill. The rest, and what
 // they leave, is for members.
 const (
-	markBytes  = 100
-	usageBytes = 60
+	markBytes  = 90
+	usageBytes = 50
 )
 
 // Own is what this member says of itself in each digest.
@@ -65,13 +65,17 @@
 	}
 }
 
+func wireMark(m *Mark) *wire.Mark {
+	return &wire.Mark{
+		Kind: uint32(m.Kind), Name: m.Name, Until: m.Until.UnixMilli(), Count: uint32(m.Count),
+	}
+}
+
 // addMarks adds the marks that were told least and returns their bytes.
 func (p *Peer) addMarks(d *wire.Digest, room int) int {
 	used := 0
 	for _, e := range p.marks.next() {
-		m := &wire.Mark{
-			Kind: uint32(e.Kind), Name: e.Name, Until: e.Until.UnixMilli(), Count: uint32(e.Count),
-		}
+		m := wireMark(&e.Mark)
 		if used += size(m); used > room {
 			return used - size(m)
 		}
@@ -141,7 +145,7 @@
 
 // heard is what a digest told that the embedding daemon may have to act on.
 type heard struct {
-	// news says that something is worth passing on before the next round.
+	// news says that the state of a member or a mark changed.
 	news bool
 	// nameless holds members that are known only by id.
 	nameless []uint64
--- a/parts/peer/peer.go
+++ b/parts/peer/peer.go
@@ -77,16 +77,19 @@
 	// poolSize bounds the exchanges under way; more than a few are silent
 	// members on which a timeout runs.
 	poolSize = 16
+	// tellSize bounds the calls under way of one Tell.
+	tellSize = 32
 	// maxConns and connIdle bound the idle connections that are kept open.
 	maxConns = 64
 	connIdle = 5 * time.Minute
 	// askAgain is the least time between two questions for one name.
 	askAgain = 10 * time.Second
-	// Rounds ahead of time, for news: at most eagerBurst, then one in each
-	// eagerEvery; and not closer to each other than eagerGap.
-	eagerBurst = 8
-	eagerEvery = 5 * time.Second
-	eagerGap   = 100 * time.Millisecond
+	// Rounds ahead of time: eagerRounds for each news, at most eagerBurst,
+	// then one in each eagerEvery, eagerGap apart.
+	eagerRounds = 4
+	eagerBurst  = 12
+	eagerEvery  = 5 * time.Second
+	eagerGap    = 50 * time.Millisecond
 )
 
 // ErrSecret is the answer to a wrong secret.
@@ -137,25 +140,32 @@
 	eager := newBudget(eagerBurst, eagerEvery)
 	tick := time.NewTicker(p.Round)
 	defer tick.Stop()
+	hot := 0
 	for {
 		p.round(ctx)
-		select {
-		case <-ctx.Done():
-			p.goodbye()
-			return nil
-		case <-tick.C:
-			continue
-		case <-p.wake:
-		}
-		// News goes ahead of the next round, but never as a storm.
-		gap := p.Round
-		if eager.take(time.Now()) {
-			gap = eagerGap
+		// News goes ahead of the next round, a few times over, since a member
+		// may tell it to one that knows; but never as a storm.
+		var soon <-chan time.Time
+		if hot > 0 && eager.take(time.Now()) {
+			hot--
+			soon = time.After(eagerGap)
 		}
-		select {
-		case <-ctx.Done():
-		case <-tick.C:
-		case <-time.After(gap):
+		for waiting := true; waiting; {
+			select {
+			case <-ctx.Done():
+				p.goodbye()
+				return nil
+			case <-tick.C:
+				waiting = false
+			case <-soon:
+				waiting = false
+			case <-p.wake:
+				hot = eagerRounds
+				if soon == nil && eager.take(time.Now()) {
+					hot--
+					soon = time.After(eagerGap)
+				}
+			}
 		}
 	}
 }
@@ -277,7 +287,6 @@
 	p.Trace.Add("peer", "", "member does not answer: "+m.Name)
 	p.Log.Warn("peer: member does not answer", "member", m.Name, "err", err)
 	p.emit(Changed{})
-	p.Wake()
 }
 
 // learn takes a digest and acts on what is new in it.
@@ -294,13 +303,13 @@
 	}
 	if len(h.marks) > 0 {
 		p.emit(Marked{Marks: h.marks})
+		p.Wake()
 	}
 	if d.Revision > p.own().Revision && from.Address != "" {
 		p.emit(Newer{From: from, Revision: d.Revision})
 	}
 	if h.news {
 		p.emit(Changed{})
-		p.Wake()
 	}
 	if d.Stranger {
 		// The other side has no name for this member and so never talks to
@@ -353,6 +362,41 @@
 	return news
 }
 
+// Tell takes a mark like Mark, and tells it to all living members at once. It
+// returns when all have it or the context ends; its cost grows with the fleet,
+// so it is for the rare fact that must not wait for rounds.
+func (p *Peer) Tell(ctx context.Context, m Mark) {
+	p.init()
+	p.mu.Lock()
+	p.marks.Add(m, time.Now())
+	d := p.digest(&Own{})
+	d.Secret, d.Usages = p.Secret, nil
+	d.Members = d.Members[:1]
+	d.Marks = []*wire.Mark{wireMark(&m)}
+	members := p.table.Others()
+	p.mu.Unlock()
+	tells, err := ants.NewPool(tellSize)
+	if err != nil {
+		return
+	}
+	defer tells.Release()
+	var told sync.WaitGroup
+	for _, to := range members {
+		if to.State != Alive || to.Address == "" {
+			continue
+		}
+		told.Add(1)
+		err := tells.Submit(func() {
+			defer told.Done()
+			_, _ = p.Client(ctx, to.Address).Exchange(ctx, d)
+		})
+		if err != nil {
+			told.Done()
+		}
+	}
+	told.Wait()
+}
+
 // Marks returns the marks of a kind that have not ended, by name.
 func (p *Peer) Marks(kind Kind) map[string]Mark {
 	p.init()
--- a/parts/peer/table.go
+++ b/parts/peer/table.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -20,8 +19,15 @@
 	// spread is how many digests carry a change first. Each carrier infects
 	// others, so a small multiple of the logarithm of the fleet reaches all.
 	spread = 12
-	// near and across are the partners in a round.
+	// near and across are the partners in a round, in the own domain and in
+	// others.
 	near, across = 2, 1
+	// nearView and farView bound the members that partners are drawn from, so
+	// that connections stay open and few; one of each is replaced every
+	// viewTurn rounds. A random graph of this degree mixes as fast as the
+	// full one, and every member comes by in time.
+	nearView, farView = 10, 5
+	viewTurn          = 20
 	// retryOdds is one in how many rounds also tries a dead member. After a
 	// partition heals, both sides hold each other dead, and only this joins
 	// them again.
@@ -40,6 +46,8 @@
 	others map[ID]*Member
 	order  []ID
 	cursor int
+	// near and far are the members that partners are drawn from.
+	near, far []ID
 }
 
 // NewTable returns a table that knows only this member.
@@ -206,36 +214,3 @@
 func (t *Table) Leave() {
 	t.Self.State = Left
 }
-
-// Partners chooses whom to exchange with in a round: a few in the own domain,
-// one across, and now and then a dead one.
-func (t *Table) Partners(r *rand.Rand) []Member {
-	var own, far, lost []Member
-	for _, id := range t.order {
-		m := t.others[id]
-		switch {
-		case m.Address == "" || m.State == Left:
-		case m.State == Dead:
-			lost = append(lost, *m)
-		case m.Domain == t.Self.Domain:
-			own = append(own, *m)
-		default:
-			far = append(far, *m)
-		}
-	}
-	partners := append(sample(own, near, r), sample(far, across, r)...)
-	if len(partners) == 0 || r.IntN(retryOdds) == 0 {
-		partners = append(partners, sample(lost, 1, r)...)
-	}
-	return partners
-}
-
-// sample moves n random members to the front and returns them.
-func sample(all []Member, n int, r *rand.Rand) []Member {
-	n = min(n, len(all))
-	for i := range n {
-		j := i + r.IntN(len(all)-i)
-		all[i], all[j] = all[j], all[i]
-	}
-	return all[:n]
-}
--- a/parts/view/view.go
+++ b/parts/view/view.go
@@ -84,6 +84,10 @@
 	// Poison holds fingerprints of requests that are known to crash backend
 	// servers, with the time until which they are refused.
 	Poison map[string]time.Time
+	// Suspected holds fingerprints of requests that ran on a backend server
+	// when it died and are neither cleared nor convicted, with the time until
+	// which that is believed.
+	Suspected map[string]time.Time
 	// Peers holds the other entry hosts by name.
 	Peers map[string]Peer
 	// Meters holds the figures of each backend server. The map is replaced
