--- a/entry/internal/guard/case.go
+++ b/entry/internal/guard/case.go
@@ -77,9 +77,8 @@
 	suspectAfter = 2 * time.Second
 )
 
-// Admit asks whether the request may run now on a chain of servers that the
-// function chooses, and returns the chain once it may. A request that is not
-// suspected is never asked for and does not wait.
+// Admit calls choose until the request may run on the servers that it
+// returned last. A request that is not suspected runs on the first ones.
 func (c *Case) Admit(ctx context.Context, choose func() ([]string, *fault.Error)) *fault.Error {
 	end := time.Now().Add(trialWait)
 	for {
@@ -114,7 +113,7 @@
 // attempt had got a token. The error is the final answer, if the request must
 // not go on.
 func (c *Case) Failed(ctx context.Context, server, address string, progressed bool) *fault.Error {
-	if c.guard == nil || !c.guard.dead(ctx, address) {
+	if c.guard == nil || address == "" || !c.guard.dead(ctx, address) {
 		return nil
 	}
 	reply := c.ask(ctx, &wire.PoisonAsk{Step: uint32(died), Server: server, Progressed: progressed})
@@ -141,12 +140,12 @@
 }
 
 // Token tells that a token came: the request is cleared.
-func (c *Case) Token(ctx context.Context) {
+func (c *Case) Token() {
 	if !c.open {
 		return
 	}
 	c.open, c.watched, c.dead = false, false, nil
-	c.ask(ctx, &wire.PoisonAsk{Step: uint32(passed)})
+	c.ask(context.Background(), &wire.PoisonAsk{Step: uint32(passed)})
 	c.guard.Trace.Add("guard", c.request, "suspicion cleared by a token")
 }
 
--- a/stand/inject/inject.go
+++ b/stand/inject/inject.go
@@ -24,8 +24,15 @@
 	Count int `json:"count"`
 }
 
-// Set holds the faults of one stand-in. The zero value has none.
+// Set holds the faults of one stand-in. The zero value has none. Set the
+// exported fields before Routes.
 type Set struct {
+	// OnAdd, if set, is called as a fault is switched on; its error tells
+	// what is wrong with the fault's value.
+	OnAdd func(f Fault) error
+	// OnClear, if set, is called as all faults are switched off.
+	OnClear func()
+
 	mu      sync.Mutex
 	faults  map[Kind]*Fault
 	changed chan struct{}
@@ -138,11 +145,20 @@
 			c.String(400, "fault: need a kind: %v", err)
 			return
 		}
+		if s.OnAdd != nil {
+			if err := s.OnAdd(f); err != nil {
+				c.String(400, "fault: value: %v", err)
+				return
+			}
+		}
 		s.Add(f)
 		c.String(200, "on")
 	})
 	h.DELETE("/fault", func(_ context.Context, c *app.RequestContext) {
 		s.Clear()
+		if s.OnClear != nil {
+			s.OnClear()
+		}
 		c.String(200, "off")
 	})
 }
