--- a/entry/internal/feed/hosts.go
+++ b/entry/internal/feed/hosts.go
@@ -13,10 +13,10 @@
 	for ctx.Err() == nil {
 		list, err := f.Store.Hosts(ctx, after)
 		if err != nil {
-			f.rest(ctx, "watch hosts", err)
+			f.failed(ctx, &f.hosts, "hosts", err)
 			continue
 		}
-		f.answered()
+		f.answered(&f.hosts, "hosts")
 		if list.Revision <= after {
 			continue
 		}
--- a/entry/prog/prog.go
+++ b/entry/prog/prog.go
@@ -109,7 +109,7 @@
 	defer desk.Workers.Release()
 	door := &gate.Gate{
 		View:  holder,
-		Relay: &relay.Relay{View: holder, Engine: &engine.Client{}, Trace: line, Log: d.log},
+		Relay: &relay.Relay{View: holder, Engine: &engine.Client{}, Guard: d.guard(holder, line, peers), Trace: line, Log: d.log},
 		Pass:  &pass.Pass{View: holder, Store: api, Trace: line, Log: d.log},
 		Trace: line, Log: d.log, MaxBody: d.settings.MaxBody,
 		Ready: d.ready(feeder),
--- a/sess/desk_test.go
+++ b/sess/desk_test.go
@@ -65,14 +65,38 @@
 		_, err := s.Restart(a[0], "-seeds", strings.Join(seeds, ","))
 		return "", err
 	}),
-	// expect ENTRY METRIC: fails unless the counter of an entry host is above
-	// zero.
-	"expect": quiet(func(s *session, a []string) (string, error) {
-		n, err := s.metric(a[0], a[1])
-		if err == nil && n == 0 {
-			err = fmt.Errorf("%s of %s is zero", a[1], a[0])
+	// inforce ENTRY...: prints the revision that each has in force now.
+	"inforce": command("inforce", func(s *session, a []string) (string, error) {
+		out := ""
+		for _, name := range a {
+			n, err := s.metric(name, "feed.revision")
+			if err != nil {
+				return "", err
+			}
+			out += fmt.Sprintf("%s %d\n", name, n)
 		}
-		return "", err
+		return out, nil
+	}),
+	// watching ENTRY...: waits until the watches of these are up.
+	"watching": quiet(func(s *session, a []string) (string, error) {
+		for _, name := range a {
+			err := procs.Until(name+" watches", func() bool {
+				age, err := s.metric(name, "feed.age_ms")
+				return err == nil && age == 0
+			})
+			if err != nil {
+				return "", err
+			}
+		}
+		return "", nil
+	}),
+	// above ENTRY METRIC: waits until a counter of an entry host is above
+	// zero.
+	"above": quiet(func(s *session, a []string) (string, error) {
+		return "", procs.Until(a[1]+" of "+a[0]+" above zero", func() bool {
+			n, err := s.metric(a[0], a[1])
+			return err == nil && n > 0
+		})
 	}),
 }
 
