certs: secure the listeners of peers and operators with TLS

Cause: the secrets of peers and operators crossed the network in the clear; who reads them can change the configuration or pose as an entry host.

Before: with the two secrets alone a desk could stop a server. After: it gets `unknown` or `refused` and nothing changes, and an entry host of another authority gets no answer from any peer.

--- a/desk/prog/desk.go
+++ b/desk/prog/desk.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/hex"
 	"fmt"
 	"io"
@@ -77,8 +78,7 @@
 func (d *desk) ask(ctx context.Context, entry string, line *wire.Line) (reply *wire.Answer, sent bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, d.timeout)
 	defer cancel()
-	dialer := net.Dialer{Timeout: dialWait}
-	raw, err := dialer.DialContext(ctx, "tcp", entry)
+	raw, err := d.dial(ctx, entry)
 	if err != nil {
 		return nil, false, err
 	}
@@ -91,6 +91,24 @@
 // dialWait bounds the time to reach one entry host.
 const dialWait = 3 * time.Second
 
+// dial connects to an entry host. With TLS it waits until the entry host has
+// shown a certificate of our authority, so that no line is sent to a stranger.
+// The entry host judges ours only after that: a line that it turns away for
+// its certificate is answered with unknown, though nothing was changed.
+func (d *desk) dial(ctx context.Context, entry string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialWait)
+	defer cancel()
+	dialer := &net.Dialer{}
+	config, err := d.certs.Client()
+	if err != nil {
+		return nil, err
+	}
+	if config == nil {
+		return dialer.DialContext(ctx, "tcp", entry)
+	}
+	return (&tls.Dialer{NetDialer: dialer, Config: config}).DialContext(ctx, "tcp", entry)
+}
+
 // idBytes makes ids that no two operators draw alike.
 const idBytes = 8
 
--- a/desk/prog/settings.go
+++ b/desk/prog/settings.go
@@ -11,6 +11,8 @@
 	"regexp"
 	"strings"
 	"time"
+
+	"fuchsiashelf.dev/parts/certs"
 )
 
 // prefix is the prefix of the environment variables.
@@ -23,6 +25,7 @@
 	seen    uint64
 	more    bool
 	timeout time.Duration
+	certs   certs.Bundle
 }
 
 func (s *settings) flags(stderr io.Writer) *flag.FlagSet {
@@ -37,6 +40,7 @@
 	fs.Uint64Var(&s.seen, "seen", 0, "revision that the operator saw; 0 for that of the last answer in a script, and for the newest before the first")
 	fs.BoolVar(&s.more, "continue", false, "go on after a line that is not done")
 	fs.DurationVar(&s.timeout, "timeout", 30*time.Second, "longest wait for one answer")
+	s.certs.Flags(fs)
 	return fs
 }
 
@@ -67,6 +71,9 @@
 	if s.id != "" && lines != 1 {
 		faults = append(faults, fmt.Errorf("-id: is for one line, not %d", lines))
 	}
+	if err := s.certs.Check(certs.Desk); err != nil {
+		faults = append(faults, err)
+	}
 	if s.timeout <= 0 {
 		faults = append(faults, fmt.Errorf("-timeout: %s is not above 0", s.timeout))
 	}
--- a/entry/internal/mesh/mesh.go
+++ b/entry/internal/mesh/mesh.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"log/slog"
 	"maps"
@@ -37,6 +38,8 @@
 	Address string
 	// Domain is the failure domain of this entry host.
 	Domain domain.Name
+	// TLS is for connections to other entry hosts; nil for none.
+	TLS *tls.Config
 	// Seeds are peers' addresses for a start while the store is down.
 	Seeds []string
 	// Object returns the configuration object in force and its version in
@@ -77,7 +80,7 @@
 	m.change = make(chan struct{}, 1)
 	m.peer = &peer.Peer{
 		Name: m.View.Load().Self, Address: m.Address, Domain: m.Domain,
-		Secret: m.Secret, Seeds: m.Seeds, Trace: m.Trace, Log: m.Log,
+		Secret: m.Secret, TLS: m.TLS, Seeds: m.Seeds, Trace: m.Trace, Log: m.Log,
 		Hosts: m.hosts, Own: m.own, On: m.on,
 	}
 }
--- a/entry/internal/setup/setup.go
+++ b/entry/internal/setup/setup.go
@@ -13,6 +13,7 @@
 
 	"github.com/peterbourgon/ff/v3"
 
+	"fuchsiashelf.dev/parts/certs"
 	"fuchsiashelf.dev/parts/domain"
 )
 
@@ -32,6 +33,8 @@
 	DeskSecret string
 	MaxBody    int
 	Grace      time.Duration
+	// Certs secure the listeners of peers and operators.
+	Certs certs.Bundle
 }
 
 // Prefix is the prefix of the environment variables.
@@ -64,6 +67,7 @@
 	fs.StringVar(&s.DeskSecret, "desk-secret", "", "secret of the operators (required)")
 	fs.IntVar(&s.MaxBody, "max-body", 1<<20, "largest request body, in bytes")
 	fs.DurationVar(&s.Grace, "grace", 30*time.Second, "longest wait for requests in flight when stopping")
+	s.Certs.Flags(fs)
 	return fs
 }
 
@@ -103,6 +107,9 @@
 	if s.MaxBody <= 0 {
 		faults = append(faults, fmt.Errorf("-max-body: %d is not above 0", s.MaxBody))
 	}
+	if err := s.Certs.Check(certs.Entry); err != nil {
+		faults = append(faults, err)
+	}
 	if s.Grace <= 0 {
 		faults = append(faults, fmt.Errorf("-grace: %s is not above 0", s.Grace))
 	}
--- a/entry/prog/desk.go
+++ b/entry/prog/desk.go
@@ -24,7 +24,10 @@
 	feeder := feed.New()
 	feeder.Store, feeder.View, feeder.Trace, feeder.Log = api, holder, line, d.log
 	feeder.Secret = d.settings.PeerSecret
-	peers := d.mesh(holder, line, feeder)
+	peers, err := d.mesh(holder, line, feeder)
+	if err != nil {
+		return nil, nil, nil, err
+	}
 	desk := &seat.Seat{
 		View: holder, Store: api, Feed: feeder, Mesh: peers,
 		Trace: line, Log: d.log, Secret: d.settings.DeskSecret, Workers: workers,
--- a/entry/prog/mesh.go
+++ b/entry/prog/mesh.go
@@ -10,9 +10,13 @@
 )
 
 // mesh makes the part that joins this entry host to the others.
-func (d *daemon) mesh(holder *view.Holder, line *trace.Line, feeder *feed.Feed) *mesh.Mesh {
+func (d *daemon) mesh(holder *view.Holder, line *trace.Line, feeder *feed.Feed) (*mesh.Mesh, error) {
+	config, err := d.settings.Certs.Client()
+	if err != nil {
+		return nil, err
+	}
 	m := &mesh.Mesh{
-		View: holder, Trace: line, Log: d.log, Secret: d.settings.PeerSecret,
+		View: holder, Trace: line, Log: d.log, Secret: d.settings.PeerSecret, TLS: config,
 		Address: d.peers.Addr().String(), Domain: d.settings.Home(),
 		Offer:     func(value []byte, _ uint64) { feeder.OfferObject(value) },
 		Condition: mesh.Condition{Age: feeder.Age, Heard: feeder.Heard, Take: feeder.OfferObject},
@@ -23,5 +27,5 @@
 	}
 	m.Make()
 	feeder.Peers = m
-	return m
+	return m, nil
 }
--- a/entry/prog/prog.go
+++ b/entry/prog/prog.go
@@ -85,7 +85,7 @@
 		}
 		*l.into = listener
 	}
-	return nil
+	return d.secure()
 }
 
 // run starts the parts and, when the context ends, stops them in order: no
--- a/parts/peer/peer.go
+++ b/parts/peer/peer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/subtle"
+	"crypto/tls"
 	"errors"
 	"log/slog"
 	"math/rand/v2"
@@ -34,6 +35,8 @@
 	Domain  domain.Name
 	// Secret is shared by all members.
 	Secret string
+	// TLS is for connections to other members; nil for none.
+	TLS *tls.Config
 	// Seeds are addresses to begin with while the host list is not known.
 	Seeds []string
 	// Round is the time between rounds; zero means a second.
@@ -428,14 +431,22 @@
 // dials when it is first used and none is free.
 func (p *Peer) Client(ctx context.Context, address string) wire.DRPCEntryClient {
 	p.init()
-	return wire.NewDRPCEntryClient(p.conns.Get(ctx, address, dial))
+	return wire.NewDRPCEntryClient(p.conns.Get(ctx, address, p.dial))
 }
 
-func dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
+func (p *Peer) dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
 	dialer := net.Dialer{Timeout: dialWait}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	return drpcconn.New(&counted{raw, bytesIn, bytesOut}), nil
+	counts := &counted{raw, bytesIn, bytesOut}
+	if p.TLS == nil {
+		return drpcconn.New(counts), nil
+	}
+	secure := tls.Client(counts, p.TLS)
+	if err := secure.HandshakeContext(ctx); err != nil {
+		return nil, errors.Join(err, raw.Close())
+	}
+	return drpcconn.New(secure), nil
 }
--- a/sess/procs/calls.go
+++ b/sess/procs/calls.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"os/exec"
 	"strings"
 	"time"
@@ -214,7 +215,9 @@
 		return "", err
 	}
 	args := append([]string{"-entry", p.At["desk"], "-secret", DeskSecret}, line...)
-	out, err := exec.Command(file, args...).CombinedOutput()
+	cmd := exec.Command(file, args...)
+	cmd.Env = append(os.Environ(), w.Env...)
+	out, err := cmd.CombinedOutput()
 	if _, exited := err.(*exec.ExitError); exited {
 		err = nil
 	}
--- a/sess/procs/procs.go
+++ b/sess/procs/procs.go
@@ -39,6 +39,8 @@
 type World struct {
 	// Path finds a program's file.
 	Path func(program string) (string, error)
+	// Env is added to the environment of each program.
+	Env []string
 	// Dir is where the processes write their logs, one file each.
 	Dir string
 
@@ -58,6 +60,7 @@
 	}
 	p := &Proc{Name: name, Program: program, Args: args, At: map[string]string{}, Exited: make(chan struct{})}
 	p.cmd = exec.Command(file, args...)
+	p.cmd.Env = append(os.Environ(), w.Env...)
 	logs, err := os.OpenFile(filepath.Join(w.Dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return nil, err
--- a/sess/session_test.go
+++ b/sess/session_test.go
@@ -63,6 +63,7 @@
 func allCommands() map[string]func(ts *testscript.TestScript, neg bool, args []string) {
 	all := maps.Clone(commands)
 	maps.Copy(all, loadCommands)
+	maps.Copy(all, secureCommands)
 	return all
 }
 
