certs: test a stranger who knows the authority's certificate

Cause: no case had a client with a foreign certificate that trusts our authority, which anybody can, since its certificate is no secret. Change: that case. Before: a listener that takes any certificate (RequireAnyClientCert) passed the table. After: it fails in the new case alone; as shipped, the table passes.

--- a/parts/certs/certs_test.go
+++ b/parts/certs/certs_test.go
@@ -55,6 +55,9 @@
 	theirs, err := certs.NewAuthority(time.Hour)
 	qt.Assert(t, err, qt.IsNil)
 	entry := issue(t, ours, certs.Entry)
+	// A stranger who knows our authority's certificate, which is no secret.
+	forged := issue(t, theirs, certs.Entry)
+	forged.CA = entry.CA
 	for _, test := range []struct {
 		name   string
 		server certs.Bundle
@@ -67,6 +70,7 @@
 		{"desk as entry", entry, certs.Entry, issue(t, ours, certs.Desk), false},
 		{"entry as desk", entry, certs.Desk, issue(t, ours, certs.Entry), false},
 		{"other authority", entry, certs.Entry, issue(t, theirs, certs.Entry), false},
+		{"other authority that knows ours", entry, certs.Entry, forged, false},
 		{"no TLS", entry, certs.Entry, certs.Bundle{}, false},
 		{"server is no entry host", issue(t, ours, certs.Desk), certs.Entry, entry, false},
 	} {
