--- a/sess/session_test.go
+++ b/sess/session_test.go
@@ -64,6 +64,7 @@
 	all := maps.Clone(commands)
 	maps.Copy(all, loadCommands)
 	maps.Copy(all, secureCommands)
+	maps.Copy(all, deskCommands)
 	return all
 }
 
