pass: claim calls that may not be repeated before they are sent

A call with an id is now claimed, sent once by the claim's holder, and its outcome recorded if it is small. A resend finds it done and gets the recorded answer, in flight and joins it at its holder, or claimed by a holder that does not tell, which is "may-have-run" and never sent again. What its holder never sent is claimed anew. A call under a ticket is sent by the entry host and incarnation that issued it, out of its memory. The verdict weakens in the connection's first Write, where the age of the claim is looked at last. Connections of the mesh carry one call at a time, so calls between entry hosts have their own.

A body that net/http can read twice fails TestClosedConnection for all 12 of its calls; a connection that does not look at the claim's age fails TestLateDeparture.

--- a/entry/internal/gate/gate.go
+++ b/entry/internal/gate/gate.go
@@ -54,6 +54,7 @@
 func (g *Gate) Routes(h *server.Hertz) {
 	g.Health(h)
 	h.POST("/v1/generate", g.generate)
+	h.POST("/v1/tickets", g.ticket)
 	h.NoRoute(g.plain)
 }
 
--- a/entry/internal/gate/plain.go
+++ b/entry/internal/gate/plain.go
@@ -40,7 +40,7 @@
 	request := g.next(snap)
 	c.Header(RequestHeader, request)
 	g.Trace.Add("gate", request, "took a call of team "+who.Name)
-	reply, e := g.Pass.Run(ctx, &pass.Call{
+	reply, e := g.Pass.Call(ctx, &pass.Call{
 		Request: request, Team: who.Name, ID: string(c.GetHeader(pass.IDHeader)),
 		Service: s, Pool: p, Method: string(c.Method()),
 		URI: string(c.Request.URI().RequestURI()), Header: requestHeader(c),
@@ -84,6 +84,14 @@
 		header.Add(string(key), string(value))
 	})
 	strip(header)
+	// A caller's word must not be taken for the system's.
+	for name := range header {
+		if strings.HasPrefix(name, pass.HeaderPrefix) {
+			header.Del(name)
+		}
+	}
+	// The whole body is here already.
+	header.Del("Expect")
 	// The token is between the caller and the system.
 	header.Del("Authorization")
 	header.Del("Host")
@@ -102,15 +110,18 @@
 	}
 }
 
+// respond writes an answer. Several callers may get the same one, so it is
+// left as it is.
 func respond(c *app.RequestContext, reply *pass.Reply) {
-	strip(reply.Header)
-	reply.Header.Del("Content-Length")
-	for name, values := range reply.Header {
-		for i, value := range values {
-			if i == 0 {
-				c.Response.Header.Set(name, value)
-				continue
-			}
+	header := reply.Header.Clone()
+	strip(header)
+	header.Del("Content-Length")
+	for name, values := range header {
+		if strings.HasPrefix(name, pass.HeaderPrefix) {
+			continue
+		}
+		c.Response.Header.Del(name)
+		for _, value := range values {
 			c.Response.Header.Add(name, value)
 		}
 	}
--- a/entry/internal/mesh/mesh.go
+++ b/entry/internal/mesh/mesh.go
@@ -44,6 +44,8 @@
 	Object func() (value []byte, version uint64)
 	// Offer takes a configuration object that a peer has; nil drops it.
 	Offer func(value []byte, version uint64)
+	// Calls answers about calls that may not be repeated; nil answers none.
+	Calls Answerer
 	// Usages returns the rate of each team here, in requests per second; nil
 	// tells none.
 	Usages func() map[string]float64
--- a/entry/internal/pass/pass.go
+++ b/entry/internal/pass/pass.go
@@ -1,34 +1,69 @@
 // Package pass hands calls through to plain services, and back.
+//
+// A call of a service that may be repeated goes to another backend server
+// when one fails. Any other call runs at most once, in one of three ways:
+// under a claim in the object API (package claim), under a ticket that this
+// or another entry host issued (package ticket), or, where the service asks
+// for no id, as a call of its own.
 package pass
 
 import (
-	"bytes"
 	"context"
-	"errors"
-	"io"
 	"log/slog"
-	"math/rand/v2"
-	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
-	"fuchsiashelf.dev/parts/engine"
+	"fuchsiashelf.dev/parts/claim"
 	"fuchsiashelf.dev/parts/fault"
-	"fuchsiashelf.dev/parts/host"
-	"fuchsiashelf.dev/parts/pick"
 	"fuchsiashelf.dev/parts/pool"
 	"fuchsiashelf.dev/parts/rule"
-	"fuchsiashelf.dev/parts/store"
+	"fuchsiashelf.dev/parts/ticket"
 	"fuchsiashelf.dev/parts/trace"
 	"fuchsiashelf.dev/parts/view"
 )
 
-// Pass hands calls through. Set the exported fields before first use.
+// Pass hands calls through. Set the exported fields, then Run.
 type Pass struct {
 	View  *view.Holder
-	Store store.API
 	Trace *trace.Line
 	Log   *slog.Logger
+	// Claims writes claims.
+	Claims *claim.Writer
+	// Terms are the times that claims rest on.
+	Terms claim.Terms
+	// Holder is this run of this entry host.
+	Holder claim.Holder
+	// Started is when this run began.
+	Started time.Time
+	// Signer issues and reads tickets.
+	Signer ticket.Signer
+	// Peers reaches the other entry hosts.
+	Peers Peers
+	// Done is closed when Run has ended. Make it before Run.
+	Done chan struct{}
+
+	table  claim.Table[end]
+	serial atomic.Uint64
+}
+
+// Peers asks other entry hosts about calls.
+type Peers interface {
+	// Join asks the holder of a claim what has become of its call, and waits
+	// a while for its answer.
+	Join(ctx context.Context, holder claim.Holder, call *Call, nonce uint64) Told
+	// Forward hands a call to the entry host that issued its ticket.
+	Forward(ctx context.Context, entry string, call *Call) (*Reply, *fault.Error)
+}
+
+// Told is what a holder says of a call that it has claimed.
+type Told struct {
+	// Never says that the call was not sent and never will be.
+	Never bool
+	// Reply is the answer, if it has come.
+	Reply *Reply
+	// Waiting says that the holder is there and the call is under way.
+	Waiting bool
 }
 
 // Call is a call of a caller.
@@ -54,113 +89,68 @@
 	Body   []byte
 }
 
-// maxReply bounds the body of an answer, in bytes.
-const maxReply = 16 << 20
-
-// maxAttempts bounds the servers that a repeatable call is sent to.
-const maxAttempts = 3
+// end is how a call ended: one of the two.
+type end struct {
+	reply *Reply
+	err   *fault.Error
+}
 
 // IDHeader carries the caller's id of a call.
 const IDHeader = "Idempotency-Key"
 
-var client = &http.Client{
-	Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
-		MaxIdleConnsPerHost: 64,
-		DisableCompression:  true,
-	},
-	CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-}
+// sweepTick is how often forgotten flights are looked for.
+const sweepTick = 30 * time.Second
 
-// Run hands a call through and returns the answer, or the error that the
-// caller is to see.
-func (p *Pass) Run(ctx context.Context, call *Call) (*Reply, *fault.Error) {
-	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
-	defer cancel()
-	if !call.Service.Repeat && call.ID == "" && !call.Service.FreeID {
-		return nil, &fault.Error{
-			Code: fault.IDNeeded, Verdict: fault.NotRun, Field: IDHeader,
-			Message: "calls of service " + call.Service.Name + " need an id",
-		}
-	}
-	verdict := fault.NotRun
-	var last *fault.Error
-	for range maxAttempts {
-		reply, e := p.attempt(ctx, call)
-		if e == nil {
-			return reply, nil
-		}
-		verdict = verdict.Weaken(e.Verdict)
-		last = e
-		if !call.Service.Repeat && verdict != fault.NotRun || e.Code == fault.NoServer {
-			break
+// Run forgets calls that can't be sent again any more, until the context
+// ends.
+func (p *Pass) Run(ctx context.Context) error {
+	defer close(p.Done)
+	tick := time.NewTicker(sweepTick)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-tick.C:
+			p.table.Sweep(now)
 		}
 	}
-	last.Verdict = verdict
-	return nil, last
 }
 
-func (p *Pass) attempt(ctx context.Context, call *Call) (*Reply, *fault.Error) {
-	snap := p.View.Load()
-	var usable []host.Host
-	for _, name := range call.Pool.Servers {
-		h, listed := snap.Hosts[name]
-		_, out := snap.Out[name]
-		if listed && !out {
-			usable = append(usable, h)
-		}
-	}
-	if len(usable) == 0 {
-		return nil, &fault.Error{
-			Code: fault.NoServer, Verdict: fault.NotRun, RetryAfter: time.Second,
-			Message: "no server of pool " + call.Pool.Name + " takes calls",
-		}
-	}
-	picker := &pick.Picker{
-		Meters: snap.Meters,
-		Rand:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-	}
-	to := picker.One(usable)
-	if !p.View.Enter(to.Name) {
-		return nil, &fault.Error{Code: fault.ServerRefused, Verdict: fault.NotRun, Message: "the server is leaving"}
+// Call hands a call through and returns the answer, or the error that the
+// caller is to see.
+func (p *Pass) Call(ctx context.Context, call *Call) (*Reply, *fault.Error) {
+	reply, e := p.route(ctx, call)
+	if e != nil {
+		p.Trace.Add("pass", call.Request, "refused: "+e.Verdict.String()+": "+e.Error())
+		count("pass.refused." + e.Verdict.String())
 	}
-	defer p.View.Leave(to.Name)
-	return send(ctx, call, to)
+	return reply, e
 }
 
-// once is a body that cannot be read twice. With it net/http never resends a
-// call by itself, which it otherwise does for one without a body that carries
-// an Idempotency-Key when a pooled connection turns out closed.
-type once struct{ io.Reader }
-
-func send(ctx context.Context, call *Call, to host.Host) (*Reply, *fault.Error) {
-	body := once{bytes.NewReader(call.Body)}
-	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+to.Address+call.URI, body)
-	if err != nil {
-		return nil, &fault.Error{Code: fault.BadRequest, Verdict: fault.NotRun, Cause: err}
-	}
-	req.ContentLength = int64(len(call.Body))
-	req.Header = call.Header
-	resp, err := client.Do(req)
-	if err != nil {
-		return nil, &fault.Error{Code: fault.ServerFailed, Verdict: sendVerdict(err), Server: to.Name, Cause: err}
+func (p *Pass) route(ctx context.Context, call *Call) (*Reply, *fault.Error) {
+	if call.Service.Repeat {
+		ctx, cancel := context.WithDeadline(ctx, call.Deadline)
+		defer cancel()
+		return p.repeat(ctx, call)
 	}
-	defer resp.Body.Close()
-	if why := resp.Header.Get(engine.NotRunHeader); why != "" && resp.StatusCode == http.StatusServiceUnavailable {
-		return nil, &fault.Error{Code: fault.ServerRefused, Verdict: fault.NotRun, Server: to.Name, Message: why}
+	// A claim outlives any call by far only if no call lasts longer.
+	if latest := time.Now().Add(p.Terms.Longest); call.Deadline.After(latest) {
+		call.Deadline = latest
 	}
-	value, err := io.ReadAll(io.LimitReader(resp.Body, maxReply+1))
-	if err != nil || len(value) > maxReply {
-		return nil, &fault.Error{Code: fault.BrokenAnswer, Server: to.Name, Message: "half an answer came", Cause: err}
+	// A call that was sent runs on without its caller, to learn its outcome.
+	work, cancel := context.WithDeadline(context.WithoutCancel(ctx), call.Deadline)
+	defer cancel()
+	switch {
+	case ticket.Is(call.ID):
+		return p.ticketed(ctx, work, call)
+	case call.ID != "":
+		return p.claimed(ctx, work, call)
+	case call.Service.FreeID:
+		return p.once(work, call, func() bool { return time.Now().Before(call.Deadline) })
 	}
-	return &Reply{Status: resp.StatusCode, Header: resp.Header, Body: value}, nil
-}
-
-// sendVerdict is NotRun only if no connection was ever made.
-func sendVerdict(err error) fault.Verdict {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return fault.NotRun
+	return nil, &fault.Error{
+		Code: fault.IDNeeded, Verdict: fault.NotRun, Field: IDHeader,
+		Message: "calls of service " + call.Service.Name + " need an id",
 	}
-	return fault.MayHaveRun
 }
--- /dev/null
+++ b/entry/internal/pass/send_test.go
@@ -0,0 +1,136 @@
+package pass
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fuchsiashelf.dev/parts/fault"
+	"fuchsiashelf.dev/parts/host"
+)
+
+// backend answers every call, but closes a connection unanswered when a
+// second call has come over it.
+type backend struct {
+	net.Listener
+	mu    sync.Mutex
+	calls map[string]int
+}
+
+func newBackend(t *testing.T) *backend {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	b := &backend{Listener: l, calls: map[string]int{}}
+	var conns sync.WaitGroup
+	conns.Go(func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns.Go(func() { b.serve(conn) })
+		}
+	})
+	t.Cleanup(func() {
+		l.Close()
+		client.CloseIdleConnections()
+		conns.Wait()
+	})
+	return b
+}
+
+func (b *backend) serve(conn net.Conn) {
+	defer conn.Close()
+	from := bufio.NewReader(conn)
+	for first := true; ; first = false {
+		req, err := http.ReadRequest(from)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		b.mu.Lock()
+		b.calls[req.Header.Get(IDHeader)]++
+		b.mu.Unlock()
+		if !first {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	}
+}
+
+func (b *backend) count(id string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.calls[id]
+}
+
+func newCall(method, id, body string) *Call {
+	return &Call{
+		Method: method, URI: "/booking", Header: http.Header{IDHeader: {id}},
+		Body: []byte(body), Deadline: time.Now().Add(time.Minute),
+	}
+}
+
+func always() bool { return true }
+
+// A backend server closes a kept-alive connection when a call has been
+// written over it, and has run the call. net/http sends some calls again by
+// itself then: a seat would be paid twice without the router's knowledge.
+func TestClosedConnection(t *testing.T) {
+	for _, method := range []string{"POST", "PUT", "GET", "DELETE", "HEAD", "OPTIONS"} {
+		for _, body := range []string{"", "two"} {
+			t.Run(method+" "+body, func(t *testing.T) {
+				b := newBackend(t)
+				to := host.Host{Name: "p1", Address: b.Addr().String()}
+				_, e := send(t.Context(), newCall("POST", "first", "x"), to, always)
+				qt.Assert(t, e == nil, qt.IsTrue)
+				_, e = send(t.Context(), newCall(method, "second", body), to, always)
+				qt.Assert(t, e != nil, qt.IsTrue)
+				qt.Assert(t, e.Verdict, qt.Equals, fault.MayHaveRun)
+				qt.Assert(t, b.count("second"), qt.Equals, 1)
+			})
+		}
+	}
+}
+
+// The entry host is paused after the connection is chosen, past the claim's
+// age. Not a byte leaves, over a new or a kept-alive connection, and the
+// caller hears truthfully that the call was not run.
+func TestLateDeparture(t *testing.T) {
+	b := newBackend(t)
+	to := host.Host{Name: "p1", Address: b.Addr().String()}
+	late := func() bool { return false }
+	for _, warm := range []bool{false, true} {
+		if warm {
+			_, e := send(t.Context(), newCall("POST", "first", "x"), to, always)
+			qt.Assert(t, e == nil, qt.IsTrue)
+		}
+		_, e := send(t.Context(), newCall("POST", "late", "x"), to, late)
+		qt.Assert(t, e != nil, qt.IsTrue)
+		qt.Assert(t, e.Verdict, qt.Equals, fault.NotRun)
+		qt.Assert(t, e.Code, qt.Equals, fault.Deadline)
+	}
+	qt.Assert(t, b.count("late"), qt.Equals, 0)
+}
+
+// No connection comes about: the call has not left, and says so.
+func TestNoConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	to := host.Host{Name: "p1", Address: l.Addr().String()}
+	l.Close()
+	_, e := send(t.Context(), newCall("POST", "x", "x"), to, always)
+	qt.Assert(t, e.Verdict, qt.Equals, fault.NotRun)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, e = send(ctx, newCall("POST", "x", "x"), to, always)
+	qt.Assert(t, e.Verdict, qt.Equals, fault.NotRun)
+	qt.Assert(t, e.Code, qt.Equals, fault.Cancelled)
+}
--- a/entry/internal/setup/setup.go
+++ b/entry/internal/setup/setup.go
@@ -13,6 +13,7 @@
 
 	"github.com/peterbourgon/ff/v3"
 
+	"fuchsiashelf.dev/parts/claim"
 	"fuchsiashelf.dev/parts/domain"
 )
 
@@ -32,6 +33,11 @@
 	DeskSecret string
 	MaxBody    int
 	Grace      time.Duration
+	// ClaimLongest and ClaimExpiry are the times that claims rest on.
+	ClaimLongest time.Duration
+	ClaimExpiry  time.Duration
+	// ClaimWrites is the number of claim writes a second.
+	ClaimWrites float64
 }
 
 // Prefix is the prefix of the environment variables.
@@ -64,9 +70,20 @@
 	fs.StringVar(&s.DeskSecret, "desk-secret", "", "secret of the operators (required)")
 	fs.IntVar(&s.MaxBody, "max-body", 1<<20, "largest request body, in bytes")
 	fs.DurationVar(&s.Grace, "grace", 30*time.Second, "longest wait for requests in flight when stopping")
+	fs.DurationVar(&s.ClaimLongest, "claim-longest", 30*time.Second,
+		"longest deadline of a call that may not be repeated; the same on all entry hosts")
+	fs.DurationVar(&s.ClaimExpiry, "claim-expiry", claim.Margin*30*time.Second,
+		"how long an id is remembered, at least 1000 times -claim-longest; the same on all entry hosts")
+	fs.Float64Var(&s.ClaimWrites, "claim-writes", 75,
+		"claim writes a second of this entry host, its share of what the store takes; 0 means any number")
 	return fs
 }
 
+// Terms returns the times that claims rest on.
+func (s *Settings) Terms() claim.Terms {
+	return claim.Terms{Longest: s.ClaimLongest, Expiry: s.ClaimExpiry}
+}
+
 // Home returns the failure domain.
 func (s *Settings) Home() domain.Name {
 	return domain.Name(s.Domain)
@@ -109,5 +126,11 @@
 	if s.PeerSecret != "" && s.PeerSecret == s.DeskSecret {
 		faults = append(faults, errors.New("-desk-secret: must differ from -peer-secret"))
 	}
+	if err := s.Terms().Check(); err != nil {
+		faults = append(faults, fmt.Errorf("-claim-expiry: %w", err))
+	}
+	if s.ClaimWrites < 0 {
+		faults = append(faults, fmt.Errorf("-claim-writes: %g is below 0", s.ClaimWrites))
+	}
 	return errors.Join(faults...)
 }
--- /dev/null
+++ b/entry/prog/calls.go
@@ -0,0 +1,35 @@
+package prog
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"fuchsiashelf.dev/entry/internal/mesh"
+	"fuchsiashelf.dev/entry/internal/pass"
+	"fuchsiashelf.dev/entry/internal/refer"
+	"fuchsiashelf.dev/parts/claim"
+	"fuchsiashelf.dev/parts/store"
+	"fuchsiashelf.dev/parts/ticket"
+	"fuchsiashelf.dev/parts/trace"
+	"fuchsiashelf.dev/parts/view"
+)
+
+// calls makes the parts that hand calls through to plain services.
+func (d *daemon) calls(holder *view.Holder, line *trace.Line, api store.API, peers *mesh.Mesh) *pass.Pass {
+	others := &refer.Refer{View: holder, Secret: d.settings.PeerSecret, Conns: refer.Pool()}
+	p := &pass.Pass{
+		View: holder, Trace: line, Log: d.log,
+		Claims: &claim.Writer{
+			Store: api, Log: d.log, Writes: d.settings.ClaimWrites, Done: make(chan struct{}),
+		},
+		Terms:   d.settings.Terms(),
+		Holder:  claim.Holder{Entry: d.settings.Name, Incarnation: rand.Uint64()},
+		Started: time.Now(),
+		Signer:  ticket.Signer{Secret: d.settings.PeerSecret},
+		Peers:   others,
+		Done:    make(chan struct{}),
+	}
+	others.Pass = p
+	peers.Calls = others
+	return p
+}
--- a/entry/prog/prog.go
+++ b/entry/prog/prog.go
@@ -17,7 +17,6 @@
 	"github.com/rcrowley/go-metrics"
 
 	"fuchsiashelf.dev/entry/internal/gate"
-	"fuchsiashelf.dev/entry/internal/pass"
 	"fuchsiashelf.dev/entry/internal/relay"
 	"fuchsiashelf.dev/entry/internal/setup"
 	"fuchsiashelf.dev/parts/engine"
@@ -102,10 +101,11 @@
 		return err
 	}
 	defer desk.Workers.Release()
+	calls := d.calls(holder, line, api, peers)
 	door := &gate.Gate{
 		View:  holder,
 		Relay: &relay.Relay{View: holder, Engine: &engine.Client{}, Trace: line, Log: d.log},
-		Pass:  &pass.Pass{View: holder, Store: api, Trace: line, Log: d.log},
+		Pass:  calls,
 		Trace: line, Log: d.log, MaxBody: d.settings.MaxBody,
 		Ready: d.ready(feeder),
 	}
@@ -123,6 +123,8 @@
 	start("feed", func(ctx context.Context) error { feeder.Run(ctx); return nil })
 	start("mesh", func(ctx context.Context) error { return peers.Run(ctx, d.peers) })
 	start("seat", func(ctx context.Context) error { return desk.Run(ctx, d.desk) })
+	start("claims", calls.Claims.Run)
+	start("calls", calls.Run)
 	start("ops", func(ctx context.Context) error { return d.serveOps(ctx, door) })
 	fmt.Fprintf(d.stdout, "ready callers=%s peers=%s desk=%s ops=%s\n",
 		d.callers.Addr(), d.peers.Addr(), d.desk.Addr(), d.ops.Addr())
--- a/parts/claim/commit.go
+++ b/parts/claim/commit.go
@@ -28,6 +28,7 @@
 	Ops []Op
 
 	fresh    bool
+	doubt    bool
 	tries    int
 	pending  []Finding
 	findings []Finding
@@ -38,6 +39,8 @@
 // against another entry host's write, or its reply was lost.
 const maxTries = 8
 
+const noStore = "the object API does not take claims"
+
 // Step is what a Commit needs next: DoRead, DoWrite, Settled or Failed.
 type Step interface{ step() }
 
@@ -53,9 +56,13 @@
 // Settled ends a commit; there is a finding for each op.
 type Settled struct{ Findings []Finding }
 
-// Failed ends a commit whose ops are in the store or not: nothing is known.
-// No Take of it was granted.
-type Failed struct{ Err *fault.Error }
+// Failed ends a commit that could not be brought into the store. No Take of
+// it was granted.
+type Failed struct {
+	Err *fault.Error
+	// Doubt says that a write of it may be in the store, or may land later.
+	Doubt bool
+}
 
 func (DoRead) step()  {}
 func (DoWrite) step() {}
@@ -66,7 +73,7 @@
 func (c *Commit) Next(now time.Time) Step {
 	switch {
 	case c.failed != nil:
-		return Failed{c.failed}
+		return Failed{c.failed, c.doubt}
 	case c.findings != nil:
 		return Settled{c.findings}
 	case c.Shard == nil:
@@ -83,12 +90,12 @@
 	}
 	if c.tries == maxTries {
 		c.fail("the shard is written by too many at once", nil)
-		return Failed{c.failed}
+		return Failed{c.failed, c.doubt}
 	}
 	value, err := c.Shard.Encode()
 	if err != nil {
 		c.fail("the shard can't be encoded", err)
-		return Failed{c.failed}
+		return Failed{c.failed, c.doubt}
 	}
 	c.tries++
 	c.pending = findings
@@ -101,7 +108,7 @@
 func doubtful(findings []Finding) bool {
 	for _, f := range findings {
 		switch f.(type) {
-		case Granted, Noted:
+		case Granted, Noted, Unknown:
 		case Held, Ended, Reused, Full:
 			return true
 		}
@@ -112,7 +119,7 @@
 // Read takes the answer to DoRead.
 func (c *Commit) Read(o store.Object, err error) {
 	if err != nil {
-		c.fail("the shard can't be read", err)
+		c.fail(noStore, err)
 		return
 	}
 	// A store that was restored from an older copy has lost claims. One
@@ -139,10 +146,14 @@
 	e := fault.As(err)
 	c.Shard = nil
 	// Lost against another write, or the reply was lost: read again.
-	if e.Code == fault.Conflict || e.Verdict != fault.NotRun {
+	if e.Code == fault.Conflict {
+		return
+	}
+	if e.Verdict != fault.NotRun {
+		c.doubt = true
 		return
 	}
-	c.fail("the shard can't be written", err)
+	c.fail(noStore, err)
 }
 
 // fail ends the commit. The verdict is NotRun: no call is sent without a
--- a/parts/claim/explore_test.go
+++ b/parts/claim/explore_test.go
@@ -175,7 +175,7 @@
 		if k.flight != nil {
 			k.node.table.Forget(k.flight)
 		}
-	case Reused, Full:
+	case Reused, Full, Unknown:
 		w.t.Fatalf("unexpected %T", found)
 	}
 }
--- a/parts/claim/op.go
+++ b/parts/claim/op.go
@@ -38,8 +38,8 @@
 func (s Settle) key() Key { return s.Record.Key }
 func (v Void) key() Key   { return v.Key }
 
-// Finding is what came of an Op: Granted, Held, Ended, Reused or Full for a
-// Take, and Noted for the others.
+// Finding is what came of an Op: Granted, Held, Ended, Reused, Full or Unknown
+// for a Take, and Noted for the others.
 type Finding interface{ finding() }
 
 // Granted means that the claim is in the store: its holder, and nobody else,
@@ -58,6 +58,10 @@
 // Full means that the shard has no room for another claim.
 type Full struct{}
 
+// Unknown means that a write of the claim may be in the store, or may land
+// later. The call is not sent.
+type Unknown struct{}
+
 // Noted means that a Settle or Void is in the store, or that there is no
 // such claim any more.
 type Noted struct{}
@@ -67,6 +71,7 @@
 func (Ended) finding()   {}
 func (Reused) finding()  {}
 func (Full) finding()    {}
+func (Unknown) finding() {}
 func (Noted) finding()   {}
 
 // Apply makes changes to the shard and returns what came of each, and
--- a/parts/claim/writer.go
+++ b/parts/claim/writer.go
@@ -34,10 +34,15 @@
 	once  sync.Once
 	in    chan *item
 	out   chan *lane
+	again chan *lane
 	lanes [Shards]*lane
 	ready []*lane
 	pool  *ants.Pool
 	limit *rate.Limiter
+	// hung is the error of a store that hangs; probe is the lane that tries
+	// it.
+	hung  *fault.Error
+	probe *lane
 }
 
 // The defaults and bounds of a Writer.
@@ -49,11 +54,13 @@
 	// drainWait bounds how long Run goes on after its context ended, for the
 	// outcomes that are not written yet.
 	drainWait = 2 * time.Second
-	// again is the mean pause before an outcome is written again.
-	again = 500 * time.Millisecond
-	// maxAgain bounds how often an outcome is written again, about a quarter
-	// of an hour.
-	maxAgain = 1800
+	// again is the mean pause before outcomes of a shard are written again.
+	again = time.Second
+	// maxParked bounds the outcomes of a shard that wait to be written again.
+	maxParked = 4096
+	// slowFail is how long a commit takes to fail if the store hangs. While
+	// it does, one claim at a time tries it and others are refused at once.
+	slowFail = time.Second
 	// cacheBytes is the largest shard that is kept between writes. A larger
 	// one is read again each time, which bounds the memory of the whole.
 	cacheBytes = 64 << 10
@@ -63,7 +70,6 @@
 type item struct {
 	op    Op
 	found chan<- result
-	tries int
 }
 
 type result struct {
@@ -81,6 +87,10 @@
 	batch   []*item
 	commit  Commit
 	writes  int
+	took    time.Duration
+	// parked holds outcomes that could not be written, until timed ends.
+	parked []*item
+	timed  bool
 }
 
 func (w *Writer) setup() {
@@ -88,15 +98,16 @@
 		w.in = make(chan *item, Shards)
 		// One place for each lane: a commit never waits to hand itself back.
 		w.out = make(chan *lane, Shards)
+		w.again = make(chan *lane, Shards)
 		for i := range w.lanes {
 			w.lanes[i] = &lane{shard: i}
 		}
 	})
 }
 
-// Take claims a call and returns what came of it. After an error, or once
-// the context has ended, the claim may or may not be in the store; whoever
-// gets no grant sends no call, and calls Forsake.
+// Take claims a call and returns what came of it. Whoever gets no grant
+// sends no call. An error comes with Unknown if the claim may be in the
+// store; it should then be taken back with Forsake.
 func (w *Writer) Take(ctx context.Context, t Take) (Finding, *fault.Error) {
 	found := make(chan result, 1)
 	if !w.send(ctx, &item{op: t, found: found}) {
@@ -106,15 +117,18 @@
 	case r := <-found:
 		return r.finding, r.err
 	case <-ctx.Done():
-		return nil, gaveUp(ctx)
 	case <-w.Done:
-		return nil, gaveUp(ctx)
 	}
+	return Unknown{}, gaveUp(ctx)
 }
 
 func gaveUp(ctx context.Context) *fault.Error {
+	code := fault.StoreDown
+	if ctx.Err() != nil {
+		code = fault.Deadline
+	}
 	return &fault.Error{
-		Code: fault.StoreDown, Verdict: fault.NotRun, Message: "the claim was not written in time",
+		Code: code, Verdict: fault.NotRun, Message: "the claim was not written in time",
 		RetryAfter: time.Second, Cause: context.Cause(ctx),
 	}
 }
@@ -193,6 +207,9 @@
 			w.add(i)
 		case l := <-w.out:
 			w.back(l)
+		case l := <-w.again:
+			l.timed = false
+			w.unpark(l)
 		case <-tick.C:
 		case <-ended:
 			ended = nil
@@ -222,6 +239,13 @@
 
 func (w *Writer) add(i *item) {
 	l := w.lanes[i.op.key().Shard()]
+	if _, take := i.op.(Take); take && w.hung != nil {
+		if w.probe != nil {
+			w.refuse(i, nil, w.hung)
+			return
+		}
+		w.probe = l
+	}
 	l.waiting = append(l.waiting, i)
 	w.queue(l)
 }
@@ -269,6 +293,8 @@
 		c.Ops = append(c.Ops, i.op)
 	}
 	l.writes = 0
+	began := time.Now()
+	defer func() { l.took = time.Since(began) }()
 	key := ObjectKey(l.shard)
 	for {
 		switch step := c.Next(time.Now()).(type) {
@@ -295,34 +321,67 @@
 		w.limit.ReserveN(time.Now(), l.writes-1)
 	}
 	metrics.GetOrRegisterCounter("claim.ops", nil).Inc(int64(len(l.batch)))
+	w.judge(l)
 	for n, i := range l.batch {
 		if l.commit.failed == nil {
 			i.found <- result{finding: l.commit.findings[n]}
 			continue
 		}
-		w.failed(i, l.commit.failed)
+		w.failed(l, i)
 	}
 	l.batch = nil
+	if l.commit.failed == nil {
+		w.unpark(l)
+	}
 	w.queue(l)
 }
 
-// failed answers a Take with the error, and tries any other op again later:
+// judge notices that the store hangs, and that it does so no more. A caller
+// would otherwise wait for the store's timeout to hear that its call was
+// refused.
+func (w *Writer) judge(l *lane) {
+	if w.probe == l {
+		w.probe = nil
+	}
+	switch {
+	case l.commit.failed == nil:
+		w.hung = nil
+	case l.took >= slowFail:
+		w.hung = l.commit.failed
+	}
+}
+
+// failed answers a Take with the error, and keeps any other op for later:
 // nobody waits for it, and the store may be back.
-func (w *Writer) failed(i *item, e *fault.Error) {
+func (w *Writer) failed(l *lane, i *item) {
 	if _, take := i.op.(Take); take {
-		metrics.GetOrRegisterCounter("claim.failed", nil).Inc(1)
-		i.found <- result{err: e}
+		var found Finding
+		if l.commit.doubt {
+			found = Unknown{}
+		}
+		w.refuse(i, found, l.commit.failed)
 		return
 	}
-	i.tries++
-	if i.tries > maxAgain {
-		w.Log.Warn("claim: outcome not written", "err", e)
+	if len(l.parked) == maxParked {
+		w.Log.Warn("claim: outcome not written", "err", l.commit.failed)
 		return
 	}
-	time.AfterFunc(again/2+rand.N(again), func() {
-		select {
-		case w.in <- i:
-		case <-w.Done:
-		}
-	})
+	l.parked = append(l.parked, i)
+	if l.timed {
+		return
+	}
+	l.timed = true
+	time.AfterFunc(again/2+rand.N(again), func() { w.again <- l })
+}
+
+func (w *Writer) refuse(i *item, found Finding, e *fault.Error) {
+	metrics.GetOrRegisterCounter("claim.failed", nil).Inc(1)
+	i.found <- result{finding: found, err: e}
+}
+
+// unpark lets the outcomes of a lane be written again.
+func (w *Writer) unpark(l *lane) {
+	l.waiting = append(l.waiting, l.parked...)
+	l.parked = nil
+	w.queue(l)
 }
--- /dev/null
+++ b/sess/claims_test.go
@@ -0,0 +1,105 @@
+package sess
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net/http"
+	"strings"
+	"syscall"
+
+	"fuchsiashelf.dev/sess/procs"
+)
+
+// The commands of the sessions on calls that may not be repeated.
+func init() {
+	maps.Copy(commands, claimCommands)
+}
+
+var claimCommands = map[string]scriptFunc{
+	// ran TEAM/ID...: prints how often each call ran on all plain services.
+	"ran": command("ran", func(s *session, a []string) (string, error) { return s.ran(a) }),
+	// release NAME KIND: switches one fault off and lets go what it held.
+	"release": command("release", func(s *session, a []string) (string, error) {
+		_, err := s.Control(a[0], "DELETE", "/fault?kind="+a[1], nil)
+		return "", err
+	}),
+	// verdict JOB: waits for a call and prints its status and verdict only.
+	"verdict": command("verdict", func(s *session, a []string) (string, error) {
+		j := s.jobs[a[0]]
+		if j == nil {
+			return "", fmt.Errorf("no job %s", a[0])
+		}
+		<-j.done
+		words := strings.Fields(j.out)
+		return strings.Join(words[:min(2, len(words))], " ") + "\n", j.err
+	}),
+	// ticket LABEL ENTRY TEAM: asks for a ticket; "call" takes @LABEL as id.
+	"ticket": command("ticket", func(s *session, a []string) (string, error) { return "", s.ticket(a[0], a[1], a[2]) }),
+	// big ENTRY TEAM METHOD URI ID BYTES: a call with a body of that length;
+	// prints status, verdict and code.
+	"big": command("big", func(s *session, a []string) (string, error) {
+		var n int
+		if _, err := fmt.Sscan(a[5], &n); err != nil {
+			return "", err
+		}
+		reply, err := s.Call(a[0], a[1], a[2], a[3], a[4], strings.Repeat("x", n))
+		if err != nil {
+			return "connection lost\n", nil
+		}
+		var p procs.Problem
+		_ = json.Unmarshal([]byte(reply.Body), &p)
+		return fmt.Sprintf("%d %s %s\n", reply.Status, reply.Verdict, p.Code), nil
+	}),
+}
+
+// ran sums the counts of all plain services that are alive.
+func (s *session) ran(keys []string) (string, error) {
+	counts := map[string]int{}
+	for _, p := range s.All() {
+		if len(p.Args) == 0 || p.Args[0] != "plain" || p.Signal(syscall.Signal(0)) != nil {
+			continue
+		}
+		text, err := s.Control(p.Name, "GET", "/counts", nil)
+		if err != nil {
+			return "", err
+		}
+		var own map[string]int
+		if err := json.Unmarshal([]byte(text), &own); err != nil {
+			return "", err
+		}
+		for key, n := range own {
+			counts[key] += n
+		}
+	}
+	var out strings.Builder
+	for _, key := range keys {
+		fmt.Fprintf(&out, "%s %d\n", s.id(key), counts[s.id(key)])
+	}
+	return out.String(), nil
+}
+
+// id returns the ticket for an id such as @seat or team/@seat.
+func (s *session) id(text string) string {
+	before, label, found := strings.Cut(text, "@")
+	if !found {
+		return text
+	}
+	return before + s.tickets[label]
+}
+
+func (s *session) ticket(label, entry, team string) error {
+	reply, err := s.Call(entry, team, http.MethodPost, "/v1/tickets", "", "")
+	if err != nil {
+		return err
+	}
+	var got struct{ Ticket string }
+	if err := json.Unmarshal([]byte(reply.Body), &got); err != nil || got.Ticket == "" {
+		return fmt.Errorf("no ticket: %d %s", reply.Status, reply.Body)
+	}
+	if s.tickets == nil {
+		s.tickets = map[string]string{}
+	}
+	s.tickets[label] = got.Ticket
+	return nil
+}
--- a/sess/command_test.go
+++ b/sess/command_test.go
@@ -28,6 +28,8 @@
 	// transcript is what the script's commands printed.
 	transcript strings.Builder
 	jobs       map[string]*job
+	// tickets are the tickets that entry hosts have issued, by label.
+	tickets map[string]string
 }
 
 // job is a request that runs beside the script.
@@ -183,6 +185,7 @@
 	pattern *regexp.Regexp
 	with    string
 }{
+	{regexp.MustCompile(`fst1\.[A-Za-z0-9_-]+`), "TICKET"},
 	{regexp.MustCompile(`\b[0-9a-f]{16}\b`), "ID"},
 	{regexp.MustCompile(`\d\d:\d\d:\d\d\.\d+`), "TIME"},
 	{regexp.MustCompile(`127\.0\.0\.1:\d+`), "ADDRESS"},
@@ -291,7 +294,7 @@
 
 func (s *session) call(a []string) (string, error) {
 	a = append(a, "", "")
-	reply, err := s.Call(a[0], a[1], a[2], a[3], a[4], a[5])
+	reply, err := s.Call(a[0], a[1], a[2], a[3], s.id(a[4]), a[5])
 	if err != nil {
 		return "connection lost\n", nil
 	}
@@ -312,6 +315,8 @@
 		return s.ask(a[1:])
 	case "call":
 		return s.call(a[1:])
+	case "ran":
+		return s.ran(a[1:])
 	case "counts":
 		return s.Control(a[1], "GET", "/counts", nil)
 	}
--- a/stand/inject/inject.go
+++ b/stand/inject/inject.go
@@ -50,11 +50,17 @@
 	signal(&s.changed)
 }
 
-// Clear switches all faults off, and releases whatever waits for Cleared.
-func (s *Set) Clear() {
+// Clear switches faults off, all if none is named, and releases whatever
+// waits for Cleared.
+func (s *Set) Clear(kinds ...Kind) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.faults = nil
+	if len(kinds) == 0 {
+		s.faults = nil
+	}
+	for _, kind := range kinds {
+		delete(s.faults, kind)
+	}
 	signal(&s.changed)
 	signal(&s.cleared)
 }
@@ -137,7 +143,8 @@
 	return hit, true
 }
 
-// Routes adds the control calls to a server: POST /fault and DELETE /fault.
+// Routes adds the control calls to a server: POST /fault, and DELETE /fault
+// for all faults or DELETE /fault?kind=KIND for one.
 func (s *Set) Routes(h *server.Hertz) {
 	h.POST("/fault", func(_ context.Context, c *app.RequestContext) {
 		var f Fault
@@ -155,7 +162,11 @@
 		c.String(200, "on")
 	})
 	h.DELETE("/fault", func(_ context.Context, c *app.RequestContext) {
-		s.Clear()
+		if kind := c.Query("kind"); kind != "" {
+			s.Clear(Kind(kind))
+		} else {
+			s.Clear()
+		}
 		if s.OnClear != nil {
 			s.OnClear()
 		}
