--- a/entry/internal/mesh/mesh.go
+++ b/entry/internal/mesh/mesh.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"log/slog"
 	"maps"
@@ -37,6 +38,8 @@
 	Address string
 	// Domain is the failure domain of this entry host.
 	Domain domain.Name
+	// TLS is for connections to other entry hosts; nil for none.
+	TLS *tls.Config
 	// Seeds are peers' addresses for a start while the store is down.
 	Seeds []string
 	// Object returns the configuration object in force and its version in
@@ -50,6 +53,10 @@
 	// tells none.
 	Usages func() map[string]float64
 
+	// Judge answers the other entry hosts' questions about requests that
+	// crash servers; nil refuses them.
+	Judge func(*wire.PoisonAsk) *wire.PoisonReply
+
 	peer   *peer.Peer
 	newer  chan peer.Newer
 	change chan struct{}
@@ -75,7 +82,7 @@
 	m.change = make(chan struct{}, 1)
 	m.peer = &peer.Peer{
 		Name: m.View.Load().Self, Address: m.Address, Domain: m.Domain,
-		Secret: m.Secret, Seeds: m.Seeds, Trace: m.Trace, Log: m.Log,
+		Secret: m.Secret, TLS: m.TLS, Seeds: m.Seeds, Trace: m.Trace, Log: m.Log,
 		Hosts: m.hosts, Own: m.own, On: m.on,
 	}
 }
@@ -238,6 +245,18 @@
 	return m.peer.Rates()
 }
 
+// Tell takes a mark and tells it to all living entry hosts at once; it returns
+// when they have it or the context ends. The own snapshot has it on return.
+func (m *Mesh) Tell(ctx context.Context, mark peer.Mark) {
+	m.peer.Tell(ctx, mark)
+	m.foldMarks(time.Now())
+}
+
+// Mark takes a mark and leaves it to the rounds to tell.
+func (m *Mesh) Mark(mark peer.Mark) {
+	m.peer.Mark(mark)
+}
+
 // Ask asks another entry host for its status.
 func (m *Mesh) Ask(ctx context.Context, h host.Host) (*wire.StatusReply, error) {
 	client, err := m.Client(ctx, h)
--- a/entry/internal/refer/refer.go
+++ b/entry/internal/refer/refer.go
@@ -5,13 +5,9 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
-	"storj.io/drpc/drpcconn"
-	"storj.io/drpc/drpcpool"
-
 	"fuchsiashelf.dev/entry/internal/pass"
 	"fuchsiashelf.dev/parts/claim"
 	"fuchsiashelf.dev/parts/fault"
@@ -21,22 +17,19 @@
 )
 
 // Refer talks to the other entry hosts about calls. Set the exported fields
-// before first use, and Close after last use.
+// before first use.
 type Refer struct {
 	View   *view.Holder
 	Secret string
 	// Pass runs the calls of this entry host.
 	Pass *pass.Pass
-	// Conns holds idle connections; a connection carries one call at a time,
-	// and a call may take long, so they are not those of the mesh.
-	Conns *drpcpool.Pool[string, *drpcconn.Conn]
+	// Client returns a client of another entry host.
+	Client func(ctx context.Context, h host.Host) (wire.DRPCEntryClient, error)
 }
 
 var _ pass.Peers = (*Refer)(nil)
 
 const (
-	// dialTimeout bounds the time to reach another entry host.
-	dialTimeout = time.Second
 	// joinWait bounds the time that a caller waits for a holder's answer. A
 	// holder that is frozen doesn't answer, and the caller had better hear
 	// soon that its call may have run.
@@ -44,31 +37,19 @@
 	// lateBy is how much earlier than the caller the holder gives up, so that
 	// its word arrives.
 	lateBy = 200 * time.Millisecond
-	// maxIdle bounds the idle connections to one entry host.
-	maxIdle = 8
-	// idleTime is how long a connection may be idle.
-	idleTime = time.Minute
 	// maxForward bounds an answer that is handed on, well below the largest
 	// message of drpc.
 	maxForward = 3 << 20
 )
 
-// Pool returns a pool for Conns.
-func Pool() *drpcpool.Pool[string, *drpcconn.Conn] {
-	return drpcpool.New[string, *drpcconn.Conn](drpcpool.Options{
-		Expiration: idleTime, KeyCapacity: maxIdle,
-	})
-}
-
-func (r *Refer) client(ctx context.Context, address string) wire.DRPCEntryClient {
-	return wire.NewDRPCEntryClient(r.Conns.Get(ctx, address,
-		func(ctx context.Context, address string) (*drpcconn.Conn, error) {
-			conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", address)
-			if err != nil {
-				return nil, err
-			}
-			return drpcconn.New(conn), nil
-		}))
+// call makes a call to another entry host.
+func (r *Refer) call(ctx context.Context, h host.Host, ask *wire.CallAsk) (*wire.CallReply, error) {
+	client, err := r.Client(ctx, h)
+	if err != nil {
+		return nil, err
+	}
+	ask.Secret = r.Secret
+	return client.Call(ctx, ask)
 }
 
 func (r *Refer) find(entry string) (host.Host, bool) {
@@ -88,8 +69,8 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
-	reply, err := r.client(ctx, h.Address).Call(ctx, &wire.CallAsk{
-		Secret: r.Secret, Team: call.Team, Id: call.ID, Nonce: nonce,
+	reply, err := r.call(ctx, h, &wire.CallAsk{
+		Team: call.Team, Id: call.ID, Nonce: nonce,
 		Incarnation: holder.Incarnation, DeadlineMs: end.Add(-lateBy).UnixMilli(),
 	})
 	switch {
@@ -113,8 +94,8 @@
 	if !listed {
 		return nil, lost("entry host "+entry+", which issued the ticket, is not listed", nil)
 	}
-	reply, err := r.client(ctx, h.Address).Call(ctx, &wire.CallAsk{
-		Secret: r.Secret, Team: call.Team, Id: call.ID, Service: call.Service.Name,
+	reply, err := r.call(ctx, h, &wire.CallAsk{
+		Team: call.Team, Id: call.ID, Service: call.Service.Name,
 		Method: call.Method, Uri: call.URI, Headers: headers(call.Header), Body: call.Body,
 		DeadlineMs: call.Deadline.Add(-lateBy).UnixMilli(),
 	})
--- a/entry/internal/relay/relay.go
+++ b/entry/internal/relay/relay.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"time"
 
+	"fuchsiashelf.dev/entry/internal/guard"
 	"fuchsiashelf.dev/parts/chain"
 	"fuchsiashelf.dev/parts/engine"
 	"fuchsiashelf.dev/parts/fault"
@@ -25,8 +26,10 @@
 type Relay struct {
 	View   *view.Holder
 	Engine *engine.Client
-	Trace  *trace.Line
-	Log    *slog.Logger
+	// Guard keeps requests that crash servers from going on; nil lets all.
+	Guard *guard.Guard
+	Trace *trace.Line
+	Log   *slog.Logger
 }
 
 // Ask is a model request of a caller.
@@ -56,7 +59,12 @@
 func (r *Relay) Run(ctx context.Context, ask *Ask, sink Sink) (int, *fault.Error) {
 	ctx, cancel := context.WithDeadline(ctx, ask.Deadline)
 	defer cancel()
-	c := &carry{Relay: r, ask: ask, sink: sink, verdict: fault.NotRun}
+	suspicion, e := r.Guard.Begin(ask.Request, ask.Team, ask.Pool.Name, ask.Pool.Model, ask.Prompt)
+	if e != nil {
+		return 0, e
+	}
+	defer suspicion.Close()
+	c := &carry{Relay: r, ask: ask, sink: sink, suspicion: suspicion, verdict: fault.NotRun}
 	for attempt := 1; attempt <= maxAttempts; attempt++ {
 		e := c.attempt(ctx, attempt)
 		if e == nil {
@@ -76,9 +84,13 @@
 // carry is the state of one request over its attempts.
 type carry struct {
 	*Relay
-	ask     *Ask
-	sink    Sink
-	sent    []string
+	ask  *Ask
+	sink Sink
+	// suspicion is what the guard knows of this request.
+	suspicion *guard.Case
+	sent      []string
+	// began is how many tokens had been sent when the attempt began.
+	began   int
 	verdict fault.Verdict
 	last    *fault.Error
 }
@@ -98,8 +110,12 @@
 func (c *carry) attempt(ctx context.Context, attempt int) *fault.Error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	snap := c.View.Load()
-	stages, e := c.choose(snap)
+	c.began = len(c.sent)
+	var stages []engine.Stage
+	e := c.suspicion.Admit(ctx, func() (_ []string, e *fault.Error) {
+		stages, e = c.choose(c.View.Load())
+		return names(stages), e
+	})
 	if e != nil {
 		return e
 	}
@@ -149,7 +165,7 @@
 	now := time.Now()
 	p := &pick.Picker{
 		Meters: snap.Meters,
-		Avoid:  func(name string) bool { return now.Before(snap.Suspects[name]) },
+		Avoid:  func(name string) bool { return now.Before(snap.Suspects[name]) || c.suspicion.Avoid(name) },
 		Rand:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	return p.Chain(g), nil
@@ -171,6 +187,7 @@
 			continue
 		case frame.Token:
 			c.observe(&f)
+			c.suspicion.Token()
 			c.sent = append(c.sent, f.Token)
 			if err := c.sink.Token(f.Index, f.Token); err != nil {
 				return &fault.Error{Code: fault.Cancelled, Cause: err}
@@ -212,5 +229,20 @@
 			})
 		})
 	}
+	if e.Code == fault.ServerFailed || e.Code == fault.BrokenAnswer {
+		if final := c.suspicion.Failed(ctx, name, address(stages, name), len(c.sent) > c.began); final != nil {
+			return final
+		}
+	}
 	return e
 }
+
+// address returns the address of a server of the chain.
+func address(stages []engine.Stage, server string) string {
+	for _, s := range stages {
+		if s.Server == server {
+			return s.Address
+		}
+	}
+	return ""
+}
--- a/entry/prog/calls.go
+++ b/entry/prog/calls.go
@@ -16,13 +16,13 @@
 
 // calls makes the parts that hand calls through to plain services.
 func (d *daemon) calls(holder *view.Holder, line *trace.Line, api store.API, peers *mesh.Mesh) *pass.Pass {
-	others := &refer.Refer{View: holder, Secret: d.settings.PeerSecret, Conns: refer.Pool()}
+	others := &refer.Refer{View: holder, Secret: d.settings.PeerSecret, Client: peers.Client}
 	p := &pass.Pass{
 		View: holder, Trace: line, Log: d.log,
 		Claims: &claim.Writer{
-			Store: api, Log: d.log, Writes: d.settings.ClaimWrites, Done: make(chan struct{}),
+			Store: api, Log: d.log, Writes: d.settings.Claims.Writes, Done: make(chan struct{}),
 		},
-		Terms:   d.settings.Terms(),
+		Terms:   d.settings.Claims.Terms,
 		Holder:  claim.Holder{Entry: d.settings.Name, Incarnation: rand.Uint64()},
 		Started: time.Now(),
 		Signer:  ticket.Signer{Secret: d.settings.PeerSecret},
