--- a/entry/internal/refer/refer.go
+++ b/entry/internal/refer/refer.go
@@ -42,8 +42,13 @@
 	maxForward = 3 << 20
 )
 
-// call makes a call to another entry host.
+// call makes a call to another entry host, and gives it up when the peers
+// suspect that host. One that is frozen keeps its connections, so a caller
+// would otherwise wait for its whole deadline.
 func (r *Refer) call(ctx context.Context, h host.Host, ask *wire.CallAsk) (*wire.CallReply, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go r.giveUp(ctx, cancel, h.Name)
 	client, err := r.Client(ctx, h)
 	if err != nil {
 		return nil, err
@@ -52,6 +57,22 @@
 	return client.Call(ctx, ask)
 }
 
+// giveUp cancels a call to an entry host once that is no longer alive.
+func (r *Refer) giveUp(ctx context.Context, cancel context.CancelFunc, entry string) {
+	for {
+		changed := r.View.Changed()
+		if p, known := r.View.Load().Peers[entry]; known && !p.Alive {
+			cancel()
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func (r *Refer) find(entry string) (host.Host, bool) {
 	h, listed := r.View.Load().Hosts[entry]
 	return h, listed && h.Role == host.Entry
@@ -100,7 +121,9 @@
 		DeadlineMs: call.Deadline.Add(-lateBy).UnixMilli(),
 	})
 	if err != nil {
-		return nil, lost("entry host "+entry+", which issued the ticket, does not answer", err)
+		e := lost("entry host "+entry+", which issued the ticket, does not answer", err)
+		e.RetryAfter = time.Second
+		return nil, e
 	}
 	if reply.Code != "" {
 		return nil, failed(reply)
