--- a/entry/internal/setup/setup.go
+++ b/entry/internal/setup/setup.go
@@ -33,6 +33,7 @@
 	DeskSecret string
 	MaxBody    int
 	Grace      time.Duration
+	Claims     Claims
 	// Certs secure the listeners of peers and operators.
 	Certs certs.Bundle
 }
@@ -68,6 +69,7 @@
 	fs.IntVar(&s.MaxBody, "max-body", 1<<20, "largest request body, in bytes")
 	fs.DurationVar(&s.Grace, "grace", 30*time.Second, "longest wait for requests in flight when stopping")
 	s.Certs.Flags(fs)
+	s.Claims.flags(fs)
 	return fs
 }
 
@@ -116,5 +118,8 @@
 	if s.PeerSecret != "" && s.PeerSecret == s.DeskSecret {
 		faults = append(faults, errors.New("-desk-secret: must differ from -peer-secret"))
 	}
+	if err := s.Claims.check(); err != nil {
+		faults = append(faults, err)
+	}
 	return errors.Join(faults...)
 }
