--- a/entry/internal/guard/case.go
+++ b/entry/internal/guard/case.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"syscall"
 	"time"
 
@@ -30,8 +29,9 @@
 	// watched says that the book has to be asked before each attempt.
 	watched bool
 	// open says that the book has a case that a token would clear.
-	open     bool
-	reserved []string
+	open bool
+	// began is when the attempt under way began.
+	began time.Time
 }
 
 // Begin opens the case of a request, which the body tells from others of its
@@ -63,11 +63,6 @@
 	return c.mark
 }
 
-// Avoid reports whether a server is kept free for another request's trial.
-func (c *Case) Avoid(server string) bool {
-	return c.watched && slices.Contains(c.reserved, server)
-}
-
 const (
 	// trialWait bounds how long a suspect waits for its turn.
 	trialWait = 2 * time.Second
@@ -82,12 +77,12 @@
 func (c *Case) Admit(ctx context.Context, choose func() ([]string, *fault.Error)) *fault.Error {
 	end := time.Now().Add(trialWait)
 	for {
+		c.began = time.Now()
 		servers, e := choose()
 		if e != nil || !c.watched {
 			return e
 		}
 		reply := c.ask(ctx, &wire.PoisonAsk{Step: uint32(try), Servers: servers})
-		c.reserved = reply.Reserved
 		switch poison.Outcome(reply.Outcome) {
 		case poison.Free:
 			c.watched = false
@@ -116,9 +111,11 @@
 	if c.guard == nil || address == "" || !c.guard.dead(ctx, address) {
 		return nil
 	}
+	if c.guard.goneBefore(server, c.began) {
+		return nil
+	}
 	reply := c.ask(ctx, &wire.PoisonAsk{Step: uint32(died), Server: server, Progressed: progressed})
 	outcome := poison.Outcome(reply.Outcome)
-	c.reserved = reply.Reserved
 	c.guard.Trace.Add("guard", c.request, "server "+server+" died under the request: "+outcome.String())
 	if int(reply.Count) > len(c.dead) {
 		// A death that is laid to another request is none of this one's, also
@@ -163,6 +160,24 @@
 	return c.guard.ask(ctx, ask)
 }
 
+// goneBefore reports whether a server was found dead before a time, and notes
+// that it is dead now. A chain may lead to a server that is dead already; what
+// was sent there did not kill it.
+func (g *Guard) goneBefore(server string, at time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	since, known := g.gone[server]
+	if known && now.Sub(since) < goneFor {
+		return since.Before(at)
+	}
+	if g.gone == nil {
+		g.gone = map[string]time.Time{}
+	}
+	g.gone[server] = now
+	return false
+}
+
 // dead reports whether the process of a server is gone: its host refuses or
 // resets connections. One that answers lives, whatever became of the request;
 // silence may as well be a cut link or a pause, and proves nothing.
--- a/entry/internal/guard/guard.go
+++ b/entry/internal/guard/guard.go
@@ -36,6 +36,8 @@
 
 	mu    sync.Mutex
 	books map[string]*poison.Book
+	// gone holds servers that were found dead, and when.
+	gone map[string]time.Time
 }
 
 const (
@@ -52,6 +54,9 @@
 	// suspectMark is how long one death is told to the others. It is short,
 	// since a mark cannot be taken back; asking the book is always right.
 	suspectMark = 3 * time.Second
+	// goneFor is how long a server that was found dead is taken for dead. One
+	// that is back sooner and dies again has its second death missed.
+	goneFor = 5 * time.Second
 	// probeWait bounds the question whether a server is dead.
 	probeWait = 100 * time.Millisecond
 )
@@ -85,7 +90,6 @@
 		book.Gave(f, ask.Holder)
 	}
 	reply.Count = uint32(book.Count(f))
-	reply.Reserved = book.Reserved(f, now)
 	return reply
 }
 
--- a/entry/internal/relay/relay.go
+++ b/entry/internal/relay/relay.go
@@ -165,7 +165,7 @@
 	now := time.Now()
 	p := &pick.Picker{
 		Meters: snap.Meters,
-		Avoid:  func(name string) bool { return now.Before(snap.Suspects[name]) || c.suspicion.Avoid(name) },
+		Avoid:  func(name string) bool { return now.Before(snap.Suspects[name]) },
 		Rand:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	return p.Chain(g), nil
@@ -229,7 +229,8 @@
 			})
 		})
 	}
-	if e.Code == fault.ServerFailed || e.Code == fault.BrokenAnswer {
+	// A server that never got the request did not die of it.
+	if e.Verdict != fault.NotRun && (e.Code == fault.ServerFailed || e.Code == fault.BrokenAnswer) {
 		if final := c.suspicion.Failed(ctx, name, address(stages, name), len(c.sent) > c.began); final != nil {
 			return final
 		}
--- a/parts/poison/poison.go
+++ b/parts/poison/poison.go
@@ -271,19 +271,6 @@
 	return 0
 }
 
-// Reserved returns the servers on which trials are under way, but for those
-// of the given request.
-func (b *Book) Reserved(f Fingerprint, now time.Time) []string {
-	var all []string
-	for other, r := range b.cases {
-		if other != f && r.onTrial(now) {
-			all = append(all, r.servers...)
-		}
-	}
-	slices.Sort(all)
-	return slices.Compact(all)
-}
-
 func (b *Book) sweep(now time.Time) {
 	for f, r := range b.cases {
 		if !now.Before(r.until) && !r.onTrial(now) {
--- /dev/null
+++ b/sess/peers_test.go
@@ -0,0 +1,98 @@
+package sess
+
+import (
+	"fmt"
+	"maps"
+	"strconv"
+	"strings"
+
+	"fuchsiashelf.dev/parts/fault"
+)
+
+// The commands of the sessions on how entry hosts act together.
+func init() {
+	maps.Copy(commands, peerCommands)
+}
+
+var peerCommands = map[string]scriptFunc{
+	// crasher ENTRY TEAM PROMPT MAX: asks, and prints with the outcome whether
+	// the caller was told when to come back.
+	"crasher": command("crasher", func(s *session, a []string) (string, error) { return s.crasher(a) }),
+	// lost NAME...: prints how many of the processes have ended.
+	"lost": command("lost", func(s *session, a []string) (string, error) {
+		n, err := s.lost(a)
+		return fmt.Sprintf("%d lost\n", n), err
+	}),
+	// streams N MAX: starts streams through all entry hosts in turn; joined
+	// waits for them and prints their outcomes.
+	"streams": command("streams", func(s *session, a []string) (string, error) { return "", s.streams(a) }),
+	"joined":  command("joined", func(s *session, _ []string) (string, error) { return s.joined() }),
+}
+
+func (s *session) crasher(a []string) (string, error) {
+	max, err := strconv.Atoi(a[3])
+	if err != nil {
+		return "", err
+	}
+	answer, err := s.Ask(a[0], a[1], "assist", a[2], max)
+	if err != nil {
+		return "", err
+	}
+	out := answer.Judge(a[2], townLayers, max)
+	if p := answer.Problem; p != nil && p.Code == fault.Poisoned {
+		out += fmt.Sprintf(", come back later %v", p.RetryAfterMs > 0)
+	}
+	return out + "\n", nil
+}
+
+func (s *session) lost(names []string) (int, error) {
+	n := 0
+	for _, name := range names {
+		p, err := s.Get(name)
+		if err != nil {
+			return 0, err
+		}
+		select {
+		case <-p.Exited:
+			n++
+		default:
+		}
+	}
+	return n, nil
+}
+
+// streams starts requests whose prompts all differ.
+func (s *session) streams(a []string) error {
+	n, err := strconv.Atoi(a[0])
+	if err != nil {
+		return err
+	}
+	for i := range n {
+		entry := fmt.Sprintf("e%d", i%4+1)
+		ask := []string{"ask", entry, townTeam, fmt.Sprintf("stream-%d", i), a[1]}
+		if err := s.start(append([]string{fmt.Sprintf("stream-%d", i)}, ask...)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *session) joined() (string, error) {
+	outcomes := map[string]int{}
+	for name, j := range s.jobs {
+		if !strings.HasPrefix(name, "stream-") {
+			continue
+		}
+		<-j.done
+		if j.err != nil {
+			return "", j.err
+		}
+		outcomes[strings.TrimSpace(j.out)]++
+		delete(s.jobs, name)
+	}
+	out := ""
+	for outcome, n := range outcomes {
+		out += fmt.Sprintf("%d times %s\n", n, outcome)
+	}
+	return out, nil
+}
