--- a/sess/procs/procs.go
+++ b/sess/procs/procs.go
@@ -39,6 +39,8 @@
 type World struct {
 	// Path finds a program's file.
 	Path func(program string) (string, error)
+	// Env is added to the environment of each program.
+	Env []string
 	// Dir is where the processes write their logs, one file each.
 	Dir string
 
@@ -58,6 +60,7 @@
 	}
 	p := &Proc{Name: name, Program: program, Args: args, At: map[string]string{}, Exited: make(chan struct{})}
 	p.cmd = exec.Command(file, args...)
+	p.cmd.Env = append(os.Environ(), w.Env...)
 	logs, err := os.OpenFile(filepath.Join(w.Dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return nil, err
@@ -148,8 +151,9 @@
 	}
 }
 
-// Restart starts a process that has ended again, at the same addresses.
-func (w *World) Restart(name string) (*Proc, error) {
+// Restart starts a process that has ended again, at the same addresses, with
+// more arguments.
+func (w *World) Restart(name string, more ...string) (*Proc, error) {
 	old, err := w.Get(name)
 	if err != nil {
 		return nil, err
@@ -157,7 +161,7 @@
 	if _, err := old.Wait(); err != nil {
 		return nil, err
 	}
-	args := old.Args
+	args := append(slices.Clone(old.Args), more...)
 	for kind, address := range old.At {
 		flag := kind
 		if kind == "serve" {
