httpd, sess: let a stop finish what is in flight

An entry host that was told to stop cut its streams: session stop saw "cut after 1 tokens" for the answer that ran over the SIGTERM, since the exit wait of hertz was 0 and its shutdown waits for connections, not for requests. The server now counts requests, goes on taking callers for -linger while it is not ready, then refuses new ones (draining, not-run) and waits for those in flight; after -grace it ends all the same and exits 1.

--- a/entry/internal/gate/gate.go
+++ b/entry/internal/gate/gate.go
@@ -50,6 +50,22 @@
 	})
 }
 
+// Draining answers a request that comes after this entry host has stopped
+// taking callers.
+func (g *Gate) Draining(_ context.Context, c *app.RequestContext) {
+	if string(c.Path()) == healthPath {
+		c.String(200, "ok\n")
+		return
+	}
+	refuse(c, &fault.Error{
+		Code: fault.Draining, Verdict: fault.NotRun, RetryAfter: time.Second,
+		Message: "this entry host is stopping",
+	})
+}
+
+// healthPath is where a process is asked whether it lives.
+const healthPath = "/health"
+
 // Routes adds the callers' calls.
 func (g *Gate) Routes(h *server.Hertz) {
 	g.Health(h)
@@ -59,7 +75,7 @@
 
 // Health adds the balancer's calls.
 func (g *Gate) Health(h *server.Hertz) {
-	h.GET("/health", func(_ context.Context, c *app.RequestContext) { c.String(200, "ok\n") })
+	h.GET(healthPath, func(_ context.Context, c *app.RequestContext) { c.String(200, "ok\n") })
 	h.GET("/ready", func(_ context.Context, c *app.RequestContext) {
 		if g.Ready() {
 			c.String(200, "ready\n")
--- a/entry/internal/setup/setup.go
+++ b/entry/internal/setup/setup.go
@@ -33,6 +33,8 @@
 	DeskSecret string
 	MaxBody    int
 	Grace      time.Duration
+	// Linger is how long callers are taken after the stop began.
+	Linger time.Duration
 	// Certs secure the listeners of peers and operators.
 	Certs certs.Bundle
 }
@@ -66,6 +68,7 @@
 	fs.StringVar(&s.PeerSecret, "peer-secret", "", "secret shared by all entry hosts (required)")
 	fs.StringVar(&s.DeskSecret, "desk-secret", "", "secret of the operators (required)")
 	fs.IntVar(&s.MaxBody, "max-body", 1<<20, "largest request body, in bytes")
+	fs.DurationVar(&s.Linger, "linger", 2*time.Second, "how long callers are still taken when stopping, so that the balancer sees in time that this host is not ready")
 	fs.DurationVar(&s.Grace, "grace", 30*time.Second, "longest wait for requests in flight when stopping")
 	s.Certs.Flags(fs)
 	return fs
@@ -110,6 +113,9 @@
 	if err := s.Certs.Check(certs.Entry); err != nil {
 		faults = append(faults, err)
 	}
+	if s.Linger < 0 {
+		faults = append(faults, fmt.Errorf("-linger: %s is below 0", s.Linger))
+	}
 	if s.Grace <= 0 {
 		faults = append(faults, fmt.Errorf("-grace: %s is not above 0", s.Grace))
 	}
--- a/entry/prog/prog.go
+++ b/entry/prog/prog.go
@@ -138,7 +138,10 @@
 }
 
 func (d *daemon) serveCallers(ctx context.Context, door *gate.Gate) error {
-	front := &httpd.Server{Listener: d.callers, MaxBody: d.settings.MaxBody, TooLarge: door.TooLarge}
+	front := &httpd.Server{
+		Listener: d.callers, MaxBody: d.settings.MaxBody, TooLarge: door.TooLarge,
+		Linger: d.settings.Linger, Draining: door.Draining,
+	}
 	front.Make()
 	door.Routes(front.Hertz)
 	go func() {
--- a/parts/httpd/httpd.go
+++ b/parts/httpd/httpd.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -24,8 +25,15 @@
 	// TooLarge answers a request whose body is larger than MaxBody; nil means
 	// a plain 413.
 	TooLarge app.HandlerFunc
+	// Linger is how long the server goes on taking requests after its stop
+	// began, so that a balancer notices in time.
+	Linger time.Duration
+	// Draining answers requests that come after that; nil answers a bare 503.
+	Draining app.HandlerFunc
 	// Hertz is the server that routes are added to. Make sets it.
 	Hertz *server.Hertz
+
+	traffic traffic
 }
 
 // defaultMaxBody bounds a request body where the server sets nothing.
@@ -42,7 +50,7 @@
 		server.WithListener(s.Listener),
 		server.WithMaxRequestBodySize(s.MaxBody),
 		server.WithDisablePrintRoute(true),
-		server.WithExitWaitTime(0),
+		server.WithExitWaitTime(settle),
 		server.WithSenseClientDisconnection(true),
 		server.WithDisablePreParseMultipartForm(true),
 		server.WithRedirectTrailingSlash(false),
@@ -51,7 +59,7 @@
 		server.WithStreamBody(true),
 	}
 	s.Hertz = server.New(append(options, more...)...)
-	s.Hertz.Use(s.bound)
+	s.Hertz.Use(s.count, s.bound)
 }
 
 // bound reads the request body, and answers one that is too large without
@@ -86,8 +94,8 @@
 	c.Abort()
 }
 
-// Run serves until the context ends and then waits for requests in flight,
-// at most for the given time.
+// Run serves until the context ends. Then it goes on for Linger, refuses new
+// requests and waits for those in flight, at most for the given time.
 func (s *Server) Run(ctx context.Context, grace time.Duration) error {
 	failed := make(chan error, 1)
 	go func() { failed <- s.Hertz.Run() }()
@@ -96,7 +104,21 @@
 		return err
 	case <-ctx.Done():
 	}
+	select {
+	case err := <-failed:
+		return err
+	case <-time.After(s.Linger):
+	}
 	stop, cancel := context.WithTimeout(context.Background(), grace)
 	defer cancel()
-	return s.Hertz.Shutdown(stop)
+	whole := s.drain(stop)
+	// What is left of the time of a shutdown is for answers on their way.
+	err := s.Hertz.Shutdown(context.Background())
+	if !whole {
+		return errors.Join(ErrCut, err)
+	}
+	return err
 }
+
+// ErrCut says that requests were still in flight when the time was over.
+var ErrCut = errors.New("httpd: requests in flight were cut")
--- a/sess/command_test.go
+++ b/sess/command_test.go
@@ -28,6 +28,9 @@
 	// transcript is what the script's commands printed.
 	transcript strings.Builder
 	jobs       map[string]*job
+	flows      map[string]*flow
+	// marks holds how many requests servers had taken at the command mark.
+	marks map[string]int
 }
 
 // job is a request that runs beside the script.
--- a/sess/session_test.go
+++ b/sess/session_test.go
@@ -65,6 +65,7 @@
 	maps.Copy(all, loadCommands)
 	maps.Copy(all, secureCommands)
 	maps.Copy(all, deskCommands)
+	maps.Copy(all, leaveCommands)
 	return all
 }
 
