--- /dev/null
+++ b/parts/admit/limit.go
@@ -0,0 +1,100 @@
+package admit
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+)
+
+// Limit adapts how many requests of a pool run at once to what the engines
+// report on each token.
+//
+// An engine works in steps; a token that finds the engine below its capacity
+// waits on average half a step for the running one to end. When more tokens
+// wait than a step takes, each waits for whole steps, and more requests at
+// once make all of them slower and none of the hardware faster. So the wait
+// of a token in units of its run time tells how full the pool is, whatever
+// the speeds of its servers and the delays of its links.
+type Limit struct {
+	// Target is the wait to aim at, in units of the run time.
+	Target float64
+	// Least and Most bound the limit.
+	Least, Most float64
+	// Value is the limit; it starts where it is set.
+	Value float64
+
+	settled time.Time
+}
+
+// The steps of the limit. It grows slowly, since the wait shows the effect of
+// a new request only after its first tokens, and shrinks at most by a fifth
+// at a time, since what runs already isn't cut.
+const (
+	growth      = 1.05
+	deepest     = 0.8
+	nearBinding = 0.9
+	deadBand    = 0.1
+)
+
+// Settle is the least time between two changes of the limit.
+const Settle = 250 * time.Millisecond
+
+// Adapt changes the limit by the mean wait of the latest tokens, in units of
+// their run time, and by how many requests run. It reports whether the limit
+// has changed. A limit that doesn't bind says nothing about the pool and
+// stays.
+func (l *Limit) Adapt(now time.Time, wait float64, running int) bool {
+	if now.Sub(l.settled) < Settle || !l.binds(running) {
+		return false
+	}
+	next := l.Value
+	switch {
+	case wait > l.Target*(1+deadBand):
+		if float64(running) > l.Value+1 {
+			// The last cut has not taken effect yet.
+			return false
+		}
+		next *= max(deepest, l.Target/wait)
+	case wait < l.Target*(1-deadBand):
+		next = max(next*growth, next+1)
+	}
+	next = min(max(next, l.Least), l.Most)
+	if next == l.Value {
+		return false
+	}
+	l.Value, l.settled = next, now
+	return true
+}
+
+// binds reports whether the limit holds requests back, or nearly so. A limit
+// of a few requests does as soon as one less than it runs.
+func (l *Limit) binds(running int) bool {
+	return float64(running) >= min(nearBinding*l.Value, l.Value-1)
+}
+
+// Wait measures the wait of tokens as a moving average. It is safe for
+// several goroutines; the zero value has seen none.
+type Wait struct {
+	bits atomic.Uint64
+}
+
+// waitWeight is the weight of one token. A pool makes hundreds a second, so
+// the average still follows within the time that Limit settles in.
+const waitWeight = 1.0 / 128
+
+// Observe takes one token's wait, in units of its run time.
+func (w *Wait) Observe(wait float64) {
+	for {
+		old := w.bits.Load()
+		mean := math.Float64frombits(old)
+		next := math.Float64bits(mean + waitWeight*(wait-mean))
+		if w.bits.CompareAndSwap(old, next) {
+			return
+		}
+	}
+}
+
+// Mean returns the average.
+func (w *Wait) Mean() float64 {
+	return math.Float64frombits(w.bits.Load())
+}
--- /dev/null
+++ b/parts/admit/limit_test.go
@@ -0,0 +1,58 @@
+package admit_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"fuchsiashelf.dev/parts/admit"
+)
+
+// pool is what a limit meets: up to full requests the wait is half a step,
+// and beyond it each further one adds to the wait of all.
+func waitAt(running, full float64) float64 {
+	return 0.5 + max(0, running/full-1)
+}
+
+func TestLimitFindsTheCapacity(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		full := rapid.Float64Range(4, 400).Draw(t, "full")
+		l := &admit.Limit{Target: 1.5, Least: 1, Most: 1e4, Value: rapid.Float64Range(1, 1000).Draw(t, "start")}
+		now := start
+		for range 400 {
+			now = now.Add(admit.Settle)
+			l.Adapt(now, waitAt(l.Value, full), int(l.Value))
+		}
+		got := waitAt(l.Value, full)
+		if got < 1.25 || got > 1.75 {
+			t.Fatalf("limit %v of %v, wait %v", l.Value, full, got)
+		}
+	})
+}
+
+// Callers that send little keep the pool idle. If that made the limit grow,
+// the first crowd after a quiet night would all be let in at once; if it made
+// the limit shrink, they would be refused while there is room.
+func TestLimitThatDoesNotBindStays(t *testing.T) {
+	c := qt.New(t)
+	l := &admit.Limit{Target: 1.5, Least: 1, Most: 100, Value: 50}
+	for i := range 100 {
+		now := start.Add(time.Duration(i) * time.Second)
+		c.Assert(l.Adapt(now, float64(i%2)*9, 10), qt.IsFalse)
+	}
+	c.Assert(l.Value, qt.Equals, 50.0)
+}
+
+// After a cut, requests that run already still hold the pool for a while. If
+// each report of them cut again, the limit would fall far below the capacity.
+func TestLimitIsCutOnceForTheSameRequests(t *testing.T) {
+	c := qt.New(t)
+	l := &admit.Limit{Target: 1.5, Least: 1, Most: 1000, Value: 100}
+	c.Assert(l.Adapt(start.Add(time.Minute), 15, 100), qt.IsTrue)
+	c.Assert(l.Value, qt.Equals, 80.0)
+	for i := range 10 {
+		c.Assert(l.Adapt(start.Add(time.Duration(70+i)*time.Second), 15, 100), qt.IsFalse)
+	}
+}
