--- /dev/null
+++ b/entry/internal/mesh/serve.go
@@ -0,0 +1,51 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+
+	"fuchsiashelf.dev/parts/peer"
+	"fuchsiashelf.dev/parts/wire"
+)
+
+// Same compares secrets in constant time.
+func Same(a, b string) bool {
+	return peer.Same(a, b)
+}
+
+// Exchange implements the call of the other entry hosts.
+func (m *Mesh) Exchange(ctx context.Context, d *wire.Digest) (*wire.Digest, error) {
+	return m.peer.Exchange(ctx, d)
+}
+
+// Members implements the call of the other entry hosts.
+func (m *Mesh) Members(ctx context.Context, ask *wire.MembersAsk) (*wire.MembersReply, error) {
+	return m.peer.Members(ctx, ask)
+}
+
+// Poison implements the call of the other entry hosts.
+func (m *Mesh) Poison(_ context.Context, ask *wire.PoisonAsk) (*wire.PoisonReply, error) {
+	if !Same(ask.Secret, m.Secret) {
+		return nil, peer.ErrSecret
+	}
+	if m.Judge == nil {
+		return nil, errNoBook
+	}
+	return m.Judge(ask), nil
+}
+
+var errNoBook = errors.New("mesh: this entry host keeps no book of poison")
+
+// Timeline implements the call of the other entry hosts.
+func (m *Mesh) Timeline(_ context.Context, ask *wire.TimelineAsk) (*wire.TimelineReply, error) {
+	if !Same(ask.Secret, m.Secret) {
+		return nil, peer.ErrSecret
+	}
+	reply := &wire.TimelineReply{}
+	for _, e := range m.Trace.Find(ask.Request) {
+		reply.Events = append(reply.Events, &wire.Event{
+			Clock: e.Clock, Process: e.Process, Part: e.Part, Request: e.Request, What: e.What,
+		})
+	}
+	return reply, nil
+}
--- a/parts/engine/form.go
+++ b/parts/engine/form.go
@@ -40,8 +40,10 @@
 	Server string `json:"server"`
 	First  int    `json:"first"`
 	End    int    `json:"end"`
-	// RunUs is the time that the server took, in microseconds.
+	// RunUs is the time that the step took on the server, in microseconds.
 	RunUs int64 `json:"runUs"`
+	// WaitUs is the time that the token waited for the step, in microseconds.
+	WaitUs int64 `json:"waitUs,omitempty"`
 	// LinkUs is the one-way delay of the link to the next server, in
 	// microseconds, as the sender last measured it.
 	LinkUs int64 `json:"linkUs,omitempty"`
@@ -51,6 +53,8 @@
 type Fail struct {
 	Server string `json:"server"`
 	What   string `json:"what"`
+	// Refused says that the server did not take the request.
+	Refused bool `json:"refused,omitempty"`
 }
 
 // Frame is one line of an engine's answer: a token, the end, or a failure.
@@ -77,7 +81,8 @@
 	InFlight int        `json:"inFlight"`
 	Waiting  int        `json:"waiting"`
 	Capacity int        `json:"capacity"`
-	// TokenUs is the time for one token, in microseconds.
+	// TokenUs is the time of one step, in microseconds. A step runs up to
+	// Capacity tokens together, so a server runs Capacity/TokenUs at most.
 	TokenUs int64 `json:"tokenUs"`
 	// Links holds one-way delays to other servers, in microseconds.
 	Links map[string]int64 `json:"links"`
@@ -89,3 +94,28 @@
 
 // NotRunHeader is set on an answer of a server that did not take the request.
 const NotRunHeader = "Not-Run"
+
+// Order tells an engine to load a model or to change its role.
+type Order struct {
+	// Order names what to do, for example load.
+	Order string `json:"order"`
+	Model string `json:"model,omitempty"`
+	// Holder is the entry host that holds the lease under which orders are
+	// given.
+	Holder string `json:"holder"`
+	// Number is the fencing number of the lease; it grows with each holder.
+	Number uint64 `json:"number"`
+	// DeadlineMs is when the order lapses, in Unix milliseconds; zero means
+	// never. An engine refuses an order that arrives later.
+	DeadlineMs int64 `json:"deadlineMs,omitempty"`
+}
+
+// Why an engine did not carry out an order, in NotRunHeader.
+const (
+	// Fenced: the engine has seen an order with a higher number.
+	Fenced = "fenced"
+	// Lapsed: the deadline of the order has passed.
+	Lapsed = "lapsed"
+	// Leaving: the server takes no new work since it is leaving.
+	Leaving = "leaving"
+)
--- a/stand/prog/prog.go
+++ b/stand/prog/prog.go
@@ -106,11 +106,15 @@
 	s := &shell{stdout: stdout}
 	fs := flags("fsstand store", stderr)
 	s.register(fs)
+	f := &object.Face{Store: object.New(), Faults: &inject.Set{}}
+	fs.IntVar(&f.Writes, "writes", 0, "writes a second that it takes; 0 means any number")
+	fs.IntVar(&f.Reads, "reads", 0, "reads a second that it takes, each wait counted once; 0 means any number")
+	fs.DurationVar(&f.HostLag, "host-lag", 0, "how far the host list lags behind")
 	return &ffcli.Command{
 		Name: "store", ShortUsage: "fsstand store [flags]", FlagSet: fs, Options: options(),
 		ShortHelp: "the platform's object API and host list",
 		Exec: func(ctx context.Context, _ []string) error {
-			return s.serve(ctx, &object.Face{Store: object.New(), Faults: &inject.Set{}})
+			return s.serve(ctx, f)
 		},
 	}
 }
@@ -124,14 +128,23 @@
 	fs.IntVar(&e.First, "first", 0, "first layer")
 	fs.IntVar(&e.End, "end", 32, "one past the last layer")
 	fs.StringVar(&e.Kind, "kind", "std", "kind of accelerator")
-	fs.DurationVar(&e.TokenTime, "token-time", time.Millisecond, "time for one token")
-	fs.IntVar(&e.Capacity, "capacity", 8, "requests that run at once")
+	fs.DurationVar(&e.TokenTime, "token-time", time.Millisecond, "time of one step")
+	fs.DurationVar(&e.PrefillTime, "prefill-time", 0, "time to read one word of a prompt")
+	fs.IntVar(&e.Capacity, "capacity", 8, "tokens that one step runs together")
 	fs.DurationVar(&e.LinkDelay, "link-delay", 0, "one-way delay to other servers")
+	links := fs.String("links", "", "one-way delays to some servers, as in b1=20ms,b2=300us")
+	fs.DurationVar(&e.ReportLag, "report-lag", 0, "how old the load reports are")
+	fs.BoolVar(&e.Fencing, "fencing", true, "refuse an order whose fencing number is older than one seen")
 	return &ffcli.Command{
 		Name: "engine", ShortUsage: "fsstand engine [flags]", FlagSet: fs, Options: options(),
 		ShortHelp: "a model engine that holds a range of layers",
 		Exec: func(ctx context.Context, _ []string) error {
+			var err error
+			if e.Links, err = engine.ParseLinks(*links); err != nil {
+				return fmt.Errorf("-links: %w", err)
+			}
 			e.Name = s.name
+			go e.Run(ctx)
 			return s.serve(ctx, e)
 		},
 	}
@@ -141,11 +154,14 @@
 	s := &shell{stdout: stdout}
 	fs := flags("fsstand plain", stderr)
 	s.register(fs)
+	p := &plain.Service{Faults: &inject.Set{}}
+	fs.BoolVar(&p.Guard, "guard", false, "refuse an id that has run before")
 	return &ffcli.Command{
 		Name: "plain", ShortUsage: "fsstand plain [flags]", FlagSet: fs, Options: options(),
 		ShortHelp: "a plain service",
 		Exec: func(ctx context.Context, _ []string) error {
-			return s.serve(ctx, &plain.Service{Name: s.name, Faults: &inject.Set{}})
+			p.Name = s.name
+			return s.serve(ctx, p)
 		},
 	}
 }
