--- a/sess/command_test.go
+++ b/sess/command_test.go
@@ -30,7 +30,7 @@
 	jobs       map[string]*job
 	// tickets are the tickets that entry hosts have issued, by label.
 	tickets map[string]string
-	flows      map[string]*flow
+	flows   map[string]*flow
 	// marks holds how many requests servers had taken at the command mark.
 	marks map[string]int
 }
