--- a/entry/internal/feed/objects.go
+++ b/entry/internal/feed/objects.go
@@ -24,7 +24,7 @@
 	for ctx.Err() == nil {
 		changes, err := f.Store.Watch(ctx, conf.Prefix, after)
 		if err != nil {
-			f.rest(ctx, "watch objects", err)
+			f.failed(ctx, &f.objects, "objects", err)
 			continue
 		}
 		if changes.Version < after {
@@ -44,12 +44,12 @@
 			newest = max(newest, o.Version)
 		}
 		if len(changes.Objects) > 0 && newest == after {
-			f.rest(ctx, "watch objects", errOld)
+			f.failed(ctx, &f.objects, "objects", errOld)
 			continue
 		}
 		after = newest
 		f.listed.Store(true)
-		f.answered()
+		f.answered(&f.objects, "objects")
 	}
 }
 
--- a/entry/internal/mesh/serve.go
+++ b/entry/internal/mesh/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"fuchsiashelf.dev/parts/peer"
 	"fuchsiashelf.dev/parts/wire"
@@ -22,6 +23,19 @@
 	return m.peer.Members(ctx, ask)
 }
 
+// Poison implements the call of the other entry hosts.
+func (m *Mesh) Poison(_ context.Context, ask *wire.PoisonAsk) (*wire.PoisonReply, error) {
+	if !Same(ask.Secret, m.Secret) {
+		return nil, peer.ErrSecret
+	}
+	if m.Judge == nil {
+		return nil, errNoBook
+	}
+	return m.Judge(ask), nil
+}
+
+var errNoBook = errors.New("mesh: this entry host keeps no book of poison")
+
 // Timeline implements the call of the other entry hosts.
 func (m *Mesh) Timeline(_ context.Context, ask *wire.TimelineAsk) (*wire.TimelineReply, error) {
 	if !Same(ask.Secret, m.Secret) {
--- a/entry/internal/relay/attempt.go
+++ b/entry/internal/relay/attempt.go
@@ -15,10 +15,14 @@
 // attempt sends the request to one chain and passes its tokens on.
 func (c *carry) attempt(parent context.Context) *fault.Error {
 	attempts.Inc(1)
-	now := time.Now()
-	if e := c.choose(c.View.Load(), now); e != nil {
+	e := c.suspicion.Admit(parent, func() ([]string, *fault.Error) {
+		e := c.choose(c.View.Load(), time.Now())
+		return names(c.stages), e
+	})
+	if e != nil {
 		return e
 	}
+	now := time.Now()
 	names := names(c.stages)
 	if !c.View.Enter(names...) {
 		return &fault.Error{Code: fault.ServerRefused, Verdict: fault.NotRun, Message: "a server is leaving"}
@@ -33,7 +37,7 @@
 	w := c.watch(cancel, now)
 	defer w.stop()
 	had := len(c.sent)
-	e := c.stream(ctx, w, now)
+	e = c.stream(ctx, w, now)
 	c.earn(w, len(c.sent)-had)
 	if e == nil {
 		return nil
@@ -48,6 +52,27 @@
 		e = &fault.Error{Code: fault.ServerFailed, Cause: cause}
 	}
 	c.blame(e, w)
+	return c.crashed(parent, e, len(c.sent) > had)
+}
+
+// crashed tells the guard of a server that may have died of this request, and
+// returns the final answer if the request must not go on. A server that never
+// got the request did not die of it, and one that hangs has not died.
+func (c *carry) crashed(ctx context.Context, e *fault.Error, progressed bool) *fault.Error {
+	if e.Verdict == fault.NotRun || errors.Is(e.Cause, errSilent) {
+		return e
+	}
+	if e.Code != fault.ServerFailed && e.Code != fault.BrokenAnswer {
+		return e
+	}
+	for i := range c.stages {
+		if c.stages[i].Server != e.Server {
+			continue
+		}
+		if final := c.suspicion.Failed(ctx, e.Server, c.stages[i].Address, progressed); final != nil {
+			return final
+		}
+	}
 	return e
 }
 
@@ -122,6 +147,7 @@
 // is not listened to, and its silence says nothing.
 func (c *carry) pass(f *engine.Frame, w *watch) *fault.Error {
 	w.pause()
+	c.suspicion.Token()
 	c.sent = append(c.sent, f.Token)
 	if err := c.sink.Token(f.Index, f.Token); err != nil {
 		return &fault.Error{Code: fault.Cancelled, Cause: err}
--- a/entry/internal/relay/blame.go
+++ b/entry/internal/relay/blame.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"errors"
 	"time"
 
 	"fuchsiashelf.dev/parts/engine"
@@ -21,7 +22,7 @@
 			c.suspect(absent...)
 			return
 		}
-		if e.Cause != nil && e.Server == "" && w.probes.Load() != nil {
+		if errors.Is(e.Cause, errSilent) {
 			c.avoidLinks()
 			return
 		}
--- a/entry/internal/relay/relay.go
+++ b/entry/internal/relay/relay.go
@@ -16,6 +16,7 @@
 	"github.com/panjf2000/ants/v2"
 	"github.com/rcrowley/go-metrics"
 
+	"fuchsiashelf.dev/entry/internal/guard"
 	"fuchsiashelf.dev/parts/engine"
 	"fuchsiashelf.dev/parts/fault"
 	"fuchsiashelf.dev/parts/pick"
@@ -29,8 +30,10 @@
 type Relay struct {
 	View   *view.Holder
 	Engine *engine.Client
-	Trace  *trace.Line
-	Log    *slog.Logger
+	// Guard keeps requests that crash servers from going on; nil lets all.
+	Guard *guard.Guard
+	Trace *trace.Line
+	Log   *slog.Logger
 	// Policy is how servers are chosen; nil means pick.Cost.
 	Policy pick.Policy
 	// Probes runs probes of servers; nil means a goroutine for each.
@@ -74,7 +77,15 @@
 	caller := ctx
 	ctx, cancel := context.WithDeadline(ctx, ask.Deadline)
 	defer cancel()
-	c := &carry{Relay: r, ask: ask, sink: sink, state: r.stateOf(ask.Pool.Name), verdict: fault.NotRun}
+	suspicion, e := r.Guard.Begin(ask.Request, ask.Team, ask.Pool.Name, ask.Pool.Model, ask.Prompt)
+	if e != nil {
+		return 0, e
+	}
+	defer suspicion.Close()
+	c := &carry{
+		Relay: r, ask: ask, sink: sink, suspicion: suspicion,
+		state: r.stateOf(ask.Pool.Name), verdict: fault.NotRun,
+	}
 	for c.number = 1; ; c.number++ {
 		e := c.attempt(ctx)
 		if e == nil {
@@ -98,9 +109,11 @@
 // carry is the state of one request over its attempts.
 type carry struct {
 	*Relay
-	ask   *Ask
-	sink  Sink
-	state *state
+	ask  *Ask
+	sink Sink
+	// suspicion is what the guard knows of this request.
+	suspicion *guard.Case
+	state     *state
 	// number is that of the current attempt, from 1.
 	number  int
 	sent    []string
--- a/entry/internal/setup/setup.go
+++ b/entry/internal/setup/setup.go
@@ -13,6 +13,7 @@
 
 	"github.com/peterbourgon/ff/v3"
 
+	"fuchsiashelf.dev/parts/certs"
 	"fuchsiashelf.dev/parts/domain"
 	"fuchsiashelf.dev/parts/pick"
 )
@@ -38,6 +39,11 @@
 	// Poll and PollRate say how often engines are asked for their reports.
 	Poll     time.Duration
 	PollRate float64
+	Claims   Claims
+	// Linger is how long callers are taken after the stop began.
+	Linger time.Duration
+	// Certs secure the listeners of peers and operators.
+	Certs certs.Bundle
 }
 
 // Prefix is the prefix of the environment variables.
@@ -69,10 +75,13 @@
 	fs.StringVar(&s.PeerSecret, "peer-secret", "", "secret shared by all entry hosts (required)")
 	fs.StringVar(&s.DeskSecret, "desk-secret", "", "secret of the operators (required)")
 	fs.IntVar(&s.MaxBody, "max-body", 1<<20, "largest request body, in bytes")
+	fs.DurationVar(&s.Linger, "linger", 2*time.Second, "how long callers are still taken when stopping, so that the balancer sees in time that this host is not ready")
 	fs.DurationVar(&s.Grace, "grace", 30*time.Second, "longest wait for requests in flight when stopping")
 	fs.StringVar(&s.Policy, "policy", "cost", "how servers are chosen: "+pick.Policies)
 	fs.DurationVar(&s.Poll, "poll", time.Second, "time between two questions to an engine for its report")
 	fs.Float64Var(&s.PollRate, "poll-rate", 50, "most such questions a second, to all engines together")
+	s.Certs.Flags(fs)
+	s.Claims.flags(fs)
 	return fs
 }
 
@@ -112,6 +121,12 @@
 	if s.MaxBody <= 0 {
 		faults = append(faults, fmt.Errorf("-max-body: %d is not above 0", s.MaxBody))
 	}
+	if err := s.Certs.Check(certs.Entry); err != nil {
+		faults = append(faults, err)
+	}
+	if s.Linger < 0 {
+		faults = append(faults, fmt.Errorf("-linger: %s is below 0", s.Linger))
+	}
 	if s.Grace <= 0 {
 		faults = append(faults, fmt.Errorf("-grace: %s is not above 0", s.Grace))
 	}
@@ -127,5 +142,8 @@
 	if s.PeerSecret != "" && s.PeerSecret == s.DeskSecret {
 		faults = append(faults, errors.New("-desk-secret: must differ from -peer-secret"))
 	}
+	if err := s.Claims.check(); err != nil {
+		faults = append(faults, err)
+	}
 	return errors.Join(faults...)
 }
--- a/entry/prog/prog.go
+++ b/entry/prog/prog.go
@@ -17,7 +17,6 @@
 	"github.com/rcrowley/go-metrics"
 
 	"fuchsiashelf.dev/entry/internal/gate"
-	"fuchsiashelf.dev/entry/internal/pass"
 	"fuchsiashelf.dev/entry/internal/setup"
 	"fuchsiashelf.dev/parts/httpd"
 	"fuchsiashelf.dev/parts/store"
@@ -57,6 +56,11 @@
 	return 0
 }
 
+// watchWait is how long one watch of the object API waits. It bounds how late
+// an entry host notices a watch that was cut without a sign, or a store that
+// went back; at 320 entry hosts two watches each are 128 calls a second.
+const watchWait = 5 * time.Second
+
 // daemon is one running entry host.
 type daemon struct {
 	settings *setup.Settings
@@ -83,7 +87,7 @@
 		}
 		*l.into = listener
 	}
-	return nil
+	return d.secure()
 }
 
 // run starts the parts and, when the context ends, stops them in order: no
@@ -94,7 +98,7 @@
 	}
 	holder := view.New(d.settings.Name, d.settings.Home())
 	line := &trace.Line{Process: d.settings.Name}
-	api := &store.Client{Address: d.settings.Store, Entry: d.settings.Name}
+	api := &store.Client{Address: d.settings.Store, Entry: d.settings.Name, Wait: watchWait}
 	feeder, peers, desk, err := d.deskParts(holder, line, api)
 	if err != nil {
 		return err
@@ -105,10 +109,12 @@
 		return err
 	}
 	defer path.release()
+	path.relay.Guard = d.guard(holder, line, peers)
+	calls := d.calls(holder, line, api, peers)
 	door := &gate.Gate{
 		View:  holder,
 		Relay: path.relay,
-		Pass:  &pass.Pass{View: holder, Store: api, Trace: line, Log: d.log},
+		Pass:  calls,
 		Trace: line, Log: d.log, MaxBody: d.settings.MaxBody,
 		Ready: d.ready(feeder),
 	}
@@ -127,6 +133,8 @@
 	start("poll", func(ctx context.Context) error { path.poll.Run(ctx); return nil })
 	start("mesh", func(ctx context.Context) error { return peers.Run(ctx, d.peers) })
 	start("seat", func(ctx context.Context) error { return desk.Run(ctx, d.desk) })
+	start("claims", calls.Claims.Run)
+	start("calls", calls.Run)
 	start("ops", func(ctx context.Context) error { return d.serveOps(ctx, door) })
 	fmt.Fprintf(d.stdout, "ready callers=%s peers=%s desk=%s ops=%s\n",
 		d.callers.Addr(), d.peers.Addr(), d.desk.Addr(), d.ops.Addr())
@@ -137,7 +145,10 @@
 }
 
 func (d *daemon) serveCallers(ctx context.Context, door *gate.Gate) error {
-	front := &httpd.Server{Listener: d.callers, MaxBody: d.settings.MaxBody, TooLarge: door.TooLarge}
+	front := &httpd.Server{
+		Listener: d.callers, MaxBody: d.settings.MaxBody, TooLarge: door.TooLarge,
+		Linger: d.settings.Linger, Draining: door.Draining,
+	}
 	front.Make()
 	door.Routes(front.Hertz)
 	go func() {
--- a/sess/procs/calls.go
+++ b/sess/procs/calls.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"os/exec"
 	"strings"
 	"time"
@@ -43,6 +44,11 @@
 	return string(value), nil
 }
 
+// Fetch returns what a GET of a URL answers.
+func Fetch(url string) (string, error) {
+	return do(http.MethodGet, url, nil)
+}
+
 // Answer is what a caller got for a model request.
 type Answer struct {
 	// Status is the HTTP status.
@@ -240,7 +246,9 @@
 		return "", err
 	}
 	args := append([]string{"-entry", p.At["desk"], "-secret", DeskSecret}, line...)
-	out, err := exec.Command(file, args...).CombinedOutput()
+	cmd := exec.Command(file, args...)
+	cmd.Env = append(os.Environ(), w.Env...)
+	out, err := cmd.CombinedOutput()
 	if _, exited := err.(*exec.ExitError); exited {
 		err = nil
 	}
