conf: explore seats that race, lose replies and meet a restored store

What a line is built on, what may come into force and what a lost reply means are now pure decisions (Choose, Replaces, Write), and an exploration interleaves three entry hosts with lost and late copies, older answers and restores.

A configuration now replaces another only if it holds the newest line of it, and one that is put back ends the store's history with an epoch.

--- a/entry/internal/feed/feed.go
+++ b/entry/internal/feed/feed.go
@@ -112,14 +112,15 @@
 }
 
 // Offer puts a configuration in force if its revision is higher than that of
-// the one that is. It reports whether it was.
+// the one that is and it holds all its lines. It reports whether it was.
 func (f *Feed) Offer(c *conf.Config) bool {
-	newer := false
+	newer, diverged := false, false
 	f.View.Update(func(s *view.Snapshot) {
 		// An older copy comes from a store that was restored, a watch that
 		// lags, or a peer that was cut off. Taking it would undo lines that
 		// were answered with done.
-		if s.Config != nil && c.Revision <= s.Config.Revision {
+		if !c.Replaces(s.Config) {
+			diverged = s.Config.Revision < c.Revision
 			return
 		}
 		newer = true
@@ -127,6 +128,14 @@
 		s.ConfigAt = time.Now()
 		out(s, time.Now())
 	})
+	if diverged {
+		// Only after a restored store: lines were accepted on top of the
+		// older copy that lack lines in force here.
+		metrics.GetOrRegisterCounter("feed.diverged", nil).Inc(1)
+		f.Log.Error("feed: configuration lacks lines that are in force, not taken", "revision", c.Revision)
+		f.Trace.Add("feed", "", fmt.Sprintf("revision %d lacks lines in force, not taken", c.Revision))
+		f.StillBehind()
+	}
 	if newer {
 		f.Trace.Add("feed", "", fmt.Sprintf("configuration in force: revision %d", c.Revision))
 		f.Log.Info("feed: configuration in force", "revision", c.Revision)
--- a/entry/internal/seat/accept.go
+++ b/entry/internal/seat/accept.go
@@ -128,7 +128,7 @@
 // step does what follows from one reading of the object. It returns the
 // accepted line, or the answer, or an error after which to read again.
 func (o *offer) step(ctx context.Context, object store.Object, stored *conf.Config, known survey) (*conf.Line, *wire.Answer, error) {
-	switch step := o.write.Read(object.Version, o.find(stored)).(type) {
+	switch step := o.write.Read(object.Version, stored, o.find(stored)).(type) {
 	case conf.Accepted:
 		if step.Line.Text != o.line.Text {
 			return nil, o.reused(step.Line), nil
@@ -143,9 +143,9 @@
 		if err := o.build(base); err != nil {
 			return nil, refused(err), nil
 		}
-		return o.send(ctx, object.Version)
+		return o.send(ctx, object.Version, stored)
 	case conf.Resend:
-		return o.send(ctx, object.Version)
+		return o.send(ctx, object.Version, stored)
 	case conf.Reread:
 		return nil, nil, &staleError{}
 	}
@@ -213,11 +213,12 @@
 	return nil
 }
 
-// send writes what was built, conditional on a version.
-func (o *offer) send(ctx context.Context, version uint64) (*conf.Line, *wire.Answer, error) {
+// send writes what was built, conditional on the version at which the object
+// held a configuration.
+func (o *offer) send(ctx context.Context, version uint64, held *conf.Config) (*conf.Line, *wire.Answer, error) {
 	_, err := o.Store.Put(ctx, conf.Key, o.value, version)
 	if err != nil {
-		o.write.Sent(version, fault.As(err).Verdict)
+		o.write.Sent(version, held, fault.As(err).Verdict)
 		return nil, nil, err
 	}
 	o.Feed.Offer(o.sent)
--- a/entry/internal/seat/survey.go
+++ b/entry/internal/seat/survey.go
@@ -89,32 +89,34 @@
 	return replies
 }
 
-// base returns the configuration that the next line is built on: the one that
-// the object API holds, unless an entry host has a newer one in force.
-//
-// That happens when the platform has restored the object API from an older
-// copy. Lines built on the older copy would undo what was accepted since, so
-// the newer one is the base. If some entry host does not answer, it may have
-// a newer one still, and no line is accepted until it answers or leaves the
-// host list. The survey was made before the object was read, so a line that
-// was accepted in between does not look like a loss.
+// base returns the configuration that the next line is built on; see
+// conf.Choose. The survey was made before the object was read.
 func (s *Seat) base(ctx context.Context, stored *conf.Config, known survey) (*conf.Config, error) {
 	own := s.View.Load().Config
-	highest := max(known.revision, revision(own))
-	if stored.Revision >= highest {
+	basis := conf.Choose(stored, own, known.revision, len(known.silent) > 0)
+	if basis == conf.Stored {
 		return stored, nil
 	}
+	highest := max(known.revision, revision(own))
 	metrics.GetOrRegisterCounter("seat.store_behind", nil).Inc(1)
-	s.Log.Error("seat: the object API holds an older configuration",
+	s.Log.Error("seat: the object API lacks lines that are in force",
 		"held", stored.Revision, "in_force", highest)
-	if len(known.silent) > 0 {
-		return nil, fmt.Errorf("the object API holds revision %d, older than %d in force, and %s does not answer",
+	base := own
+	switch basis {
+	case conf.Peers:
+		fetched, err := s.fetch(ctx, known.best)
+		if err != nil {
+			return nil, err
+		}
+		if !fetched.Replaces(own) {
+			return nil, fmt.Errorf("%s has other lines in force than this entry host", known.best.Name)
+		}
+		base = fetched
+	case conf.None:
+		return nil, fmt.Errorf("the object API holds revision %d and lacks lines of revision %d in force, and %s does not answer",
 			stored.Revision, highest, strings.Join(known.silent, " "))
 	}
-	if revision(own) >= highest {
-		return own, nil
-	}
-	return s.fetch(ctx, known.best)
+	return base.Over(stored), nil
 }
 
 // fetch gets the configuration in force on another entry host.
@@ -160,9 +162,13 @@
 		return err
 	}
 	base, err := s.base(ctx, stored, known)
-	if err != nil || base.Revision <= stored.Revision {
+	if err != nil || base == stored {
 		return err
 	}
+	if base.Revision == stored.Revision {
+		// The store holds other lines under this revision; see conf.Choose.
+		base.Revision++
+	}
 	value, err := base.Encode()
 	if err != nil {
 		return err
--- a/parts/conf/clash.go
+++ b/parts/conf/clash.go
@@ -14,12 +14,3 @@
 	}
 	return line, clash, complete
 }
-
-// Newer returns the configuration with the higher revision; the first if they
-// are equal. Either may be nil.
-func Newer(a, b *Config) *Config {
-	if b == nil || a != nil && a.Revision >= b.Revision {
-		return a
-	}
-	return b
-}
--- a/parts/conf/conf.go
+++ b/parts/conf/conf.go
@@ -59,6 +59,9 @@
 type Config struct {
 	// Revision grows by one with each accepted line.
 	Revision uint64 `json:"revision"`
+	// Epoch grows each time that a configuration is put back over one that
+	// lacks its lines, which ends the history that the object API held.
+	Epoch uint64 `json:"epoch,omitempty"`
 	// Services by name.
 	Services map[string]rule.Service `json:"services"`
 	// Pools by name.
