--- a/entry/internal/gate/gate.go
+++ b/entry/internal/gate/gate.go
@@ -70,6 +70,7 @@
 func (g *Gate) Routes(h *server.Hertz) {
 	g.Health(h)
 	h.POST("/v1/generate", g.generate)
+	h.POST("/v1/tickets", g.ticket)
 	h.NoRoute(g.plain)
 }
 
--- a/entry/internal/setup/setup.go
+++ b/entry/internal/setup/setup.go
@@ -33,6 +33,7 @@
 	DeskSecret string
 	MaxBody    int
 	Grace      time.Duration
+	Claims     Claims
 	// Linger is how long callers are taken after the stop began.
 	Linger time.Duration
 	// Certs secure the listeners of peers and operators.
@@ -71,6 +72,7 @@
 	fs.DurationVar(&s.Linger, "linger", 2*time.Second, "how long callers are still taken when stopping, so that the balancer sees in time that this host is not ready")
 	fs.DurationVar(&s.Grace, "grace", 30*time.Second, "longest wait for requests in flight when stopping")
 	s.Certs.Flags(fs)
+	s.Claims.flags(fs)
 	return fs
 }
 
@@ -122,5 +124,8 @@
 	if s.PeerSecret != "" && s.PeerSecret == s.DeskSecret {
 		faults = append(faults, errors.New("-desk-secret: must differ from -peer-secret"))
 	}
+	if err := s.Claims.check(); err != nil {
+		faults = append(faults, err)
+	}
 	return errors.Join(faults...)
 }
