--- a/entry/internal/feed/feed.go
+++ b/entry/internal/feed/feed.go
@@ -49,6 +49,8 @@
 	// Seeds are addresses of other entry hosts, for a start while the store
 	// is down.
 	Seeds []string
+	// Done is closed when Run has ended; nil if nobody waits.
+	Done chan struct{}
 
 	began time.Time
 	// objects and hosts are the states of the two watches.
@@ -69,6 +71,9 @@
 
 // Run watches until the context ends.
 func (f *Feed) Run(ctx context.Context) {
+	if f.Done != nil {
+		defer close(f.Done)
+	}
 	f.gauges()
 	tasks := []func(context.Context){f.watchObjects, f.watchHosts, f.watchStops, f.prime}
 	done := make(chan struct{}, len(tasks))
--- a/entry/internal/seat/confirm.go
+++ b/entry/internal/seat/confirm.go
@@ -32,7 +32,7 @@
 		answer.Outcome, answer.Message = Partly, "the host list is not known here, so neither are all entry hosts"
 	}
 	others := s.Mesh.Others()
-	replies := s.askAll(ctx, others, func(ctx context.Context, h host.Host) (*wire.StatusReply, error) {
+	replies := askAll(ctx, s, others, func(ctx context.Context, h host.Host) (*wire.StatusReply, error) {
 		return s.confirmOne(ctx, h, line.ID)
 	})
 	// Hosts that left the list or said goodbye meanwhile need not confirm.
--- a/entry/internal/seat/seat.go
+++ b/entry/internal/seat/seat.go
@@ -38,6 +38,8 @@
 	// Workers runs the questions to other entry hosts. Its size bounds how
 	// many are out at once.
 	Workers *ants.Pool
+	// Done is closed when Run has ended; nil if nobody waits.
+	Done chan struct{}
 }
 
 // The outcomes of a line.
@@ -55,6 +57,9 @@
 
 // Run answers operators until the context ends.
 func (s *Seat) Run(ctx context.Context, listener net.Listener) error {
+	if s.Done != nil {
+		defer close(s.Done)
+	}
 	mux := drpcmux.New()
 	if err := wire.DRPCRegisterDesk(mux, &desk{seat: s}); err != nil {
 		return err
--- a/entry/internal/seat/show.go
+++ b/entry/internal/seat/show.go
@@ -166,12 +166,8 @@
 
 // showEntries asks every entry host what it has in force.
 func (s *Seat) showEntries(ctx context.Context, answer *wire.Answer, out *rows) {
-	ctx, cancel := context.WithTimeout(ctx, surveyWait)
-	defer cancel()
 	others := s.Mesh.Others()
-	replies := s.askAll(ctx, others, func(ctx context.Context, h host.Host) (*wire.StatusReply, error) {
-		return s.ask(ctx, h, &wire.StatusAsk{Secret: s.Mesh.Secret})
-	})
+	replies := s.statuses(ctx, others)
 	snap := s.View.Load()
 	replies[snap.Self] = s.Mesh.Own()
 	all := append(others, host.Host{Name: snap.Self, Domain: snap.Domain})
@@ -212,16 +208,19 @@
 		request = of.Request.Text
 	}
 	events := s.Trace.Find(request)
-	for _, h := range s.Mesh.Others() {
+	others := s.Mesh.Others()
+	ctx, cancel := context.WithTimeout(ctx, surveyWait)
+	defer cancel()
+	replies := askAll(ctx, s, others, func(ctx context.Context, h host.Host) (*wire.TimelineReply, error) {
 		client, err := s.Mesh.Client(ctx, h)
 		if err != nil {
-			continue
+			return nil, err
 		}
-		ask := &wire.TimelineAsk{Secret: s.Mesh.Secret, Request: request}
-		one, cancel := context.WithTimeout(ctx, surveyWait)
-		reply, err := client.Timeline(one, ask)
-		cancel()
-		if err != nil {
+		return client.Timeline(ctx, &wire.TimelineAsk{Secret: s.Mesh.Secret, Request: request})
+	})
+	for _, h := range others {
+		reply := replies[h.Name]
+		if reply == nil {
 			out.add("entry %s does not answer", h.Name)
 			continue
 		}
--- a/entry/internal/seat/stops.go
+++ b/entry/internal/seat/stops.go
@@ -10,19 +10,14 @@
 
 	"fuchsiashelf.dev/parts/conf"
 	"fuchsiashelf.dev/parts/drain"
-	"fuchsiashelf.dev/parts/host"
 	"fuchsiashelf.dev/parts/wire"
 )
 
 // showStops tells for each planned stop whether it is safe by now. With an
 // entry host silent the answer is partly, and no stop is called safe.
 func (s *Seat) showStops(ctx context.Context, c *conf.Config, answer *wire.Answer, out *rows) {
-	ctx, cancel := context.WithTimeout(ctx, surveyWait)
-	defer cancel()
 	others := s.Mesh.Others()
-	replies := s.askAll(ctx, others, func(ctx context.Context, h host.Host) (*wire.StatusReply, error) {
-		return s.ask(ctx, h, &wire.StatusAsk{Secret: s.Mesh.Secret})
-	})
+	replies := s.statuses(ctx, others)
 	self := s.View.Load().Self
 	replies[self] = s.Mesh.Own()
 	entries := []string{self}
--- a/entry/internal/seat/survey.go
+++ b/entry/internal/seat/survey.go
@@ -30,12 +30,8 @@
 
 // survey asks all other entry hosts for their revision.
 func (s *Seat) survey(ctx context.Context) survey {
-	ctx, cancel := context.WithTimeout(ctx, surveyWait)
-	defer cancel()
 	others := s.Mesh.Others()
-	replies := s.askAll(ctx, others, func(ctx context.Context, h host.Host) (*wire.StatusReply, error) {
-		return s.ask(ctx, h, &wire.StatusAsk{Secret: s.Mesh.Secret})
-	})
+	replies := s.statuses(ctx, others)
 	var found survey
 	for _, h := range others {
 		reply := replies[h.Name]
@@ -62,13 +58,12 @@
 
 // askAll asks many hosts at once, as far as the workers allow. The map lacks
 // those that failed.
-func (s *Seat) askAll(
-	ctx context.Context, hosts []host.Host,
-	ask func(context.Context, host.Host) (*wire.StatusReply, error),
-) map[string]*wire.StatusReply {
+func askAll[T any](
+	ctx context.Context, s *Seat, hosts []host.Host, ask func(context.Context, host.Host) (T, error),
+) map[string]T {
 	var mu sync.Mutex
 	var all sync.WaitGroup
-	replies := map[string]*wire.StatusReply{}
+	replies := map[string]T{}
 	for _, h := range hosts {
 		all.Add(1)
 		err := s.Workers.Submit(func() {
@@ -89,6 +84,15 @@
 	return replies
 }
 
+// statuses asks hosts for their status, within surveyWait.
+func (s *Seat) statuses(ctx context.Context, hosts []host.Host) map[string]*wire.StatusReply {
+	ctx, cancel := context.WithTimeout(ctx, surveyWait)
+	defer cancel()
+	return askAll(ctx, s, hosts, func(ctx context.Context, h host.Host) (*wire.StatusReply, error) {
+		return s.ask(ctx, h, &wire.StatusAsk{Secret: s.Mesh.Secret})
+	})
+}
+
 // base returns the configuration that the next line is built on; see
 // conf.Choose. The survey was made before the object was read.
 func (s *Seat) base(ctx context.Context, stored *conf.Config, known survey) (*conf.Config, error) {
