--- /dev/null
+++ b/entry/internal/setup/claims.go
@@ -0,0 +1,46 @@
+package setup
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"time"
+
+	"fuchsiashelf.dev/parts/claim"
+)
+
+// Claims are the settings of claims.
+type Claims struct {
+	// Terms are the times that claims rest on.
+	claim.Terms
+	// Writes is the number of claim writes a second.
+	Writes float64
+}
+
+// The defaults of the claims' settings.
+const (
+	defaultLongest = 30 * time.Second
+	// defaultWrites is a quarter of what the platform's object API takes for
+	// claims, for four entry hosts.
+	defaultWrites = 75
+)
+
+func (c *Claims) flags(fs *flag.FlagSet) {
+	fs.DurationVar(&c.Longest, "claim-longest", defaultLongest,
+		"longest deadline of a call that may not be repeated; the same on all entry hosts")
+	fs.DurationVar(&c.Expiry, "claim-expiry", claim.Margin*defaultLongest,
+		"how long an id is remembered, at least 1000 times -claim-longest; the same on all entry hosts")
+	fs.Float64Var(&c.Writes, "claim-writes", defaultWrites,
+		"claim writes a second of this entry host, its share of what the store takes; 0 means any number")
+}
+
+func (c *Claims) check() error {
+	var faults []error
+	if err := c.Terms.Check(); err != nil {
+		faults = append(faults, fmt.Errorf("-claim-expiry: %w", err))
+	}
+	if c.Writes < 0 {
+		faults = append(faults, fmt.Errorf("-claim-writes: %g is below 0", c.Writes))
+	}
+	return errors.Join(faults...)
+}
