gate: admit requests by deal, share and room

Every request went straight to the engines: nothing bounded what ran, one team could take all, and a deal's rate was not looked at. A request now passes the rate limit of its team's deal, divided by the entry hosts that the platform lists, and the door of its pool. Refusals are answered on arrival, not-run, with when to come back. The rate is divided by hosts listed and not by hosts alive: hosts that can't reach each other then stay within the limit together.

The limit of a pool is a fixed generous one until the meters of package server tell the wait of tokens. Counters and timers of requests, refusals by code, tokens, first token, gap and queue go to the metrics page, the timers once an answer.

--- /dev/null
+++ b/entry/internal/gate/admission.go
@@ -0,0 +1,117 @@
+package gate
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"fuchsiashelf.dev/parts/admit"
+	"fuchsiashelf.dev/parts/fault"
+	"fuchsiashelf.dev/parts/host"
+	"fuchsiashelf.dev/parts/pool"
+	"fuchsiashelf.dev/parts/team"
+	"fuchsiashelf.dev/parts/trace"
+	"fuchsiashelf.dev/parts/view"
+)
+
+// Admission lets requests through to their pools, each team by its deal. Set
+// the exported fields before first use. A nil Admission lets all through.
+type Admission struct {
+	View  *view.Holder
+	Trace *trace.Line
+	// Bounds are those of each pool's queue.
+	Bounds admit.Bounds
+	// Target is the mean wait of tokens at engines to aim at, in units of
+	// their run time.
+	Target float64
+
+	rates admit.Rates
+	// doors holds a *admit.Door for each pool by its name.
+	doors sync.Map
+}
+
+// entering is a request at the door of its pool.
+type entering struct {
+	request  string
+	team     team.Team
+	pool     pool.Pool
+	cost     int
+	bytes    int
+	deadline time.Time
+}
+
+// enter returns when the request may run, and the function that is called
+// when it has ended. The error is NotRun.
+func (a *Admission) enter(ctx context.Context, snap *view.Snapshot, in *entering) (func(), *fault.Error) {
+	if a == nil {
+		return func() {}, nil
+	}
+	e := a.rates.Take(time.Now(), in.team.Name, in.team.Deal, entryHosts(snap))
+	if e != nil {
+		return nil, a.refused(in, e)
+	}
+	leave, e := a.door(snap, in.pool).Enter(ctx, admit.Ask{
+		Team: in.team.Name, Weight: float64(in.team.Deal.Share), Cost: float64(in.cost),
+		Bytes: in.bytes, Deadline: in.deadline,
+	})
+	if e != nil {
+		return nil, a.refused(in, e)
+	}
+	return leave, nil
+}
+
+func (a *Admission) refused(in *entering, e *fault.Error) *fault.Error {
+	a.Trace.Add("gate", in.request, "refused: "+e.Error())
+	return e
+}
+
+// The limits of a pool before anything was measured, for each of its servers.
+// A model pool starts with more than it can carry, since too low a limit
+// would refuse while there is room; the first measurements cut it. A plain
+// service reports nothing, so its limit stays.
+const (
+	startPerServer = 32
+	mostPerServer  = 256
+	plainPerServer = 256
+	leastStart     = 16
+)
+
+// door returns the door of a pool.
+func (a *Admission) door(snap *view.Snapshot, p pool.Pool) *admit.Door {
+	if known, ok := a.doors.Load(p.Name); ok {
+		return known.(*admit.Door)
+	}
+	servers := float64(len(p.Servers))
+	part := max(servers/float64(entryHosts(snap)), 1)
+	d := &admit.Door{Bounds: a.Bounds, Limit: admit.Limit{
+		Target: a.Target, Least: 1, Most: mostPerServer * servers,
+		Value: max(startPerServer*part, leastStart),
+	}}
+	if p.IsPlain() {
+		d.Limit.Value = plainPerServer * part
+	}
+	held, _ := a.doors.LoadOrStore(p.Name, d)
+	return held.(*admit.Door)
+}
+
+// known returns the door of a pool that a request has passed, or nil.
+func (a *Admission) known(name string) *admit.Door {
+	if a == nil {
+		return nil
+	}
+	d, _ := a.doors.Load(name)
+	return d.(*admit.Door)
+}
+
+// entryHosts returns how many entry hosts the platform lists, this one
+// included. Those that can't be reached count too: they may still let their
+// part of a team's requests through.
+func entryHosts(snap *view.Snapshot) int {
+	n := 0
+	for _, h := range snap.Hosts {
+		if h.Role == host.Entry {
+			n++
+		}
+	}
+	return max(n, 1)
+}
--- /dev/null
+++ b/entry/internal/gate/admission_test.go
@@ -0,0 +1,90 @@
+package gate
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fuchsiashelf.dev/parts/admit"
+	"fuchsiashelf.dev/parts/deal"
+	"fuchsiashelf.dev/parts/fault"
+	"fuchsiashelf.dev/parts/host"
+	"fuchsiashelf.dev/parts/pool"
+	"fuchsiashelf.dev/parts/team"
+	"fuchsiashelf.dev/parts/view"
+)
+
+func newAdmission(entries ...string) *Admission {
+	holder := view.New("e1", "a")
+	holder.Update(func(s *view.Snapshot) {
+		s.Hosts = map[string]host.Host{}
+		for _, name := range entries {
+			s.Hosts[name] = host.Host{Name: name, Role: host.Entry, State: host.Live}
+		}
+	})
+	return &Admission{View: holder, Target: 1.5, Bounds: admit.Bounds{Wait: time.Second, Requests: 10, Bytes: 1 << 20}}
+}
+
+func model(d deal.Deal) *entering {
+	return &entering{
+		request: "r1", team: team.Team{Name: "cantata", Deal: d},
+		pool: pool.Pool{Name: "lake", Model: "lotus", Servers: []string{"a1"}}, cost: 4,
+		deadline: time.Now().Add(time.Minute),
+	}
+}
+
+// A team sends more than its deal allows, through one of four entry hosts.
+// The host lets a quarter through, and the rest is told so at once, with the
+// word that it did not run.
+func TestTeamsBeyondTheirRateAreRefused(t *testing.T) {
+	c := qt.New(t)
+	a := newAdmission("e1", "e2", "e3", "e4")
+	snap := a.View.Load()
+	passed := 0
+	for range 100 {
+		leave, e := a.enter(context.Background(), snap, model(deal.Deal{Share: 1, Rate: 0.01, Burst: 40}))
+		if e == nil {
+			leave()
+			passed++
+			continue
+		}
+		c.Assert(e.Code, qt.Equals, fault.OverLimit)
+		c.Assert(e.Verdict, qt.Equals, fault.NotRun)
+		c.Assert(e.RetryAfter > 0, qt.IsTrue)
+	}
+	c.Assert(passed, qt.Equals, 10)
+}
+
+// More requests come than the pool runs at once and than may wait. Each gets
+// its answer on arrival, and one that ends makes room for the next.
+func TestFullPoolRefusesAtOnce(t *testing.T) {
+	c := qt.New(t)
+	a := newAdmission("e1")
+	a.Bounds.Requests = 0
+	snap := a.View.Load()
+	var leaves []func()
+	var last *fault.Error
+	for last == nil {
+		leave, e := a.enter(context.Background(), snap, model(deal.Deal{Share: 1}))
+		if last = e; e == nil {
+			leaves = append(leaves, leave)
+		}
+	}
+	c.Assert(len(leaves), qt.Equals, startPerServer)
+	c.Assert(last.Code, qt.Equals, fault.Overloaded)
+	c.Assert(last.Verdict, qt.Equals, fault.NotRun)
+	leaves[0]()
+	_, e := a.enter(context.Background(), snap, model(deal.Deal{Share: 1}))
+	c.Assert(e == nil, qt.IsTrue)
+}
+
+func TestNoAdmissionLetsAllThrough(t *testing.T) {
+	c := qt.New(t)
+	var none *Admission
+	leave, e := none.enter(context.Background(), nil, model(deal.Deal{}))
+	c.Assert(e == nil, qt.IsTrue)
+	leave()
+	c.Assert(none.known("lake"), qt.IsNil)
+}
--- a/entry/internal/gate/gate.go
+++ b/entry/internal/gate/gate.go
@@ -29,8 +29,11 @@
 	View  *view.Holder
 	Relay *relay.Relay
 	Pass  *pass.Pass
-	Trace *trace.Line
-	Log   *slog.Logger
+	// Admission holds requests back when their pool is full; nil lets all
+	// through.
+	Admission *Admission
+	Trace     *trace.Line
+	Log       *slog.Logger
 	// MaxBody is the largest request body, in bytes.
 	MaxBody int
 	// Ready says whether the balancer may send callers here.
@@ -116,6 +119,7 @@
 }
 
 func refuse(c *app.RequestContext, e *fault.Error) {
+	countRefusal(e.Code)
 	c.Header(fault.Header, e.Verdict.String())
 	if e.RetryAfter > 0 {
 		seconds := int((e.RetryAfter + time.Second - 1) / time.Second)
@@ -184,10 +188,33 @@
 	request := g.next(snap)
 	c.Header(RequestHeader, request)
 	g.Trace.Add("gate", request, "took a model request of team "+who.Name)
-	out := &answer{c: c}
+	g.answer(ctx, c, snap, &entering{
+		request: request, team: who, pool: p, cost: in.Max,
+		bytes: len(c.Request.Body()), deadline: time.Now().Add(s.Limit()),
+	}, in.Prompt)
+}
+
+// answer carries a model request once its pool has room.
+func (g *Gate) answer(ctx context.Context, c *app.RequestContext, snap *view.Snapshot, in *entering, prompt string) {
+	out := &timed{answer: &answer{c: c}, began: time.Now()}
+	taken.Inc(1)
+	leave, e := g.Admission.enter(ctx, snap, in)
+	if e != nil {
+		refuse(c, e)
+		return
+	}
+	defer leave()
+	queueWait.UpdateSince(out.began)
+	open.Inc(1)
+	defer open.Dec(1)
+	out.door = g.Admission.known(in.pool.Name)
+	defer out.done()
 	count, e := g.Relay.Run(ctx, &relay.Ask{
-		Request: request, Team: who.Name, Pool: p, Prompt: in.Prompt, Max: in.Max,
-		Deadline: time.Now().Add(s.Limit()),
+		Request: in.request, Team: in.team.Name, Pool: in.pool, Prompt: prompt, Max: in.cost,
+		Deadline: in.deadline,
 	}, out)
+	if e != nil && out.count > 0 {
+		countRefusal(e.Code)
+	}
 	out.finish(count, e)
 }
--- /dev/null
+++ b/entry/internal/gate/meter.go
@@ -0,0 +1,63 @@
+package gate
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"fuchsiashelf.dev/parts/admit"
+	"fuchsiashelf.dev/parts/fault"
+)
+
+// The figures of the metrics page.
+var (
+	taken     = metrics.NewRegisteredCounter("gate.requests", nil)
+	tokens    = metrics.NewRegisteredCounter("gate.tokens", nil)
+	open      = metrics.NewRegisteredCounter("gate.open", nil)
+	firstWait = metrics.NewRegisteredTimer("gate.first", nil)
+	tokenGap  = metrics.NewRegisteredTimer("gate.gap", nil)
+	queueWait = metrics.NewRegisteredTimer("gate.queue", nil)
+)
+
+// countRefusal counts an answer that is an error, by its code.
+func countRefusal(code fault.Code) {
+	metrics.GetOrRegisterCounter("gate.refusals."+string(code), nil).Inc(1)
+}
+
+// timed is a sink that measures an answer on its way to the caller. Its
+// figures go to the metrics page once, at the end of the answer, so that a
+// token costs a clock reading and no lock.
+type timed struct {
+	*answer
+	door        *admit.Door
+	began       time.Time
+	first, last time.Time
+	count       int
+}
+
+// Token implements relay.Sink.
+func (t *timed) Token(index int, text string) error {
+	t.last = time.Now()
+	if t.count == 0 {
+		t.first = t.last
+	}
+	t.count++
+	return t.answer.Token(index, text)
+}
+
+// done reports the figures of the answer.
+func (t *timed) done() {
+	tokens.Inc(int64(t.count))
+	if t.count == 0 {
+		return
+	}
+	firstWait.Update(t.first.Sub(t.began))
+	if t.count == 1 {
+		return
+	}
+	gap := t.last.Sub(t.first) / time.Duration(t.count-1)
+	tokenGap.Update(gap)
+	if t.door != nil {
+		t.door.ObserveGap(gap)
+	}
+}
--- a/entry/internal/gate/plain.go
+++ b/entry/internal/gate/plain.go
@@ -40,11 +40,21 @@
 	request := g.next(snap)
 	c.Header(RequestHeader, request)
 	g.Trace.Add("gate", request, "took a call of team "+who.Name)
+	taken.Inc(1)
+	deadline := time.Now().Add(s.Limit())
+	leave, e := g.Admission.enter(ctx, snap, &entering{
+		request: request, team: who, pool: p, cost: 1, bytes: len(c.Request.Body()), deadline: deadline,
+	})
+	if e != nil {
+		refuse(c, e)
+		return
+	}
+	defer leave()
 	reply, e := g.Pass.Call(ctx, &pass.Call{
 		Request: request, Team: who.Name, ID: string(c.GetHeader(pass.IDHeader)),
 		Service: s, Pool: p, Method: string(c.Method()),
 		URI: string(c.Request.URI().RequestURI()), Header: requestHeader(c),
-		Body: c.Request.Body(), Deadline: time.Now().Add(s.Limit()),
+		Body: c.Request.Body(), Deadline: deadline,
 	})
 	if e != nil {
 		refuse(c, e)
--- a/entry/internal/setup/setup.go
+++ b/entry/internal/setup/setup.go
@@ -34,6 +34,7 @@
 	MaxBody    int
 	Grace      time.Duration
 	Claims     Claims
+	Admit      Admit
 	// Linger is how long callers are taken after the stop began.
 	Linger time.Duration
 	// Certs secure the listeners of peers and operators.
@@ -73,6 +74,7 @@
 	fs.DurationVar(&s.Grace, "grace", 30*time.Second, "longest wait for requests in flight when stopping")
 	s.Certs.Flags(fs)
 	s.Claims.flags(fs)
+	s.Admit.flags(fs)
 	return fs
 }
 
@@ -124,6 +126,7 @@
 	if s.PeerSecret != "" && s.PeerSecret == s.DeskSecret {
 		faults = append(faults, errors.New("-desk-secret: must differ from -peer-secret"))
 	}
+	faults = append(faults, s.Admit.check()...)
 	if err := s.Claims.check(); err != nil {
 		faults = append(faults, err)
 	}
--- a/entry/prog/prog.go
+++ b/entry/prog/prog.go
@@ -110,7 +110,7 @@
 	door := &gate.Gate{
 		View:  holder,
 		Relay: &relay.Relay{View: holder, Engine: &engine.Client{}, Guard: d.guard(holder, line, peers), Trace: line, Log: d.log},
-		Pass:  calls,
+		Pass:  calls, Admission: d.admission(holder, line),
 		Trace: line, Log: d.log, MaxBody: d.settings.MaxBody,
 		Ready: d.ready(feeder),
 	}
--- a/parts/admit/door.go
+++ b/parts/admit/door.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,15 +20,17 @@
 	Bounds Bounds
 	// Limit adapts how many requests run at once.
 	Limit Limit
-	// Wait is told of each token; the limit follows it.
-	Wait Wait
-	// Gap is the mean time between two tokens, in nanoseconds; zero while it
-	// is not known. The caller keeps it up to date.
-	Gap atomic.Int64
-
-	mu    sync.Mutex
-	once  sync.Once
-	queue Queue
+	// Measure returns the mean wait of the latest tokens, in units of their
+	// run time, and false if there are none. The limit follows it. Without it
+	// the limit stays.
+	Measure  func(now time.Time) (float64, bool)
+	mu       sync.Mutex
+	once     sync.Once
+	queue    Queue
+	measured time.Time
+	// gap is the mean time between two tokens in nanoseconds, as a float's
+	// bits; zero while it is not known.
+	gap atomic.Uint64
 }
 
 func (d *Door) start() {
@@ -38,7 +41,7 @@
 // calls when it has ended. The error is always NotRun: the request was never
 // let run.
 func (d *Door) Enter(ctx context.Context, ask Ask) (func(), *fault.Error) {
-	ask.Needs = time.Duration(float64(d.Gap.Load()) * ask.Cost)
+	ask.Needs = time.Duration(math.Float64frombits(d.gap.Load()) * ask.Cost)
 	d.mu.Lock()
 	d.once.Do(d.start)
 	item, e := d.queue.Arrive(time.Now(), ask)
@@ -55,6 +58,25 @@
 	return d.await(ctx, item)
 }
 
+// gapWeight is the weight of one answer in the mean gap.
+const gapWeight = 1.0 / 16
+
+// ObserveGap takes the mean gap between the tokens of one answer. With it, a
+// request that can't end before its deadline is refused on arrival.
+func (d *Door) ObserveGap(gap time.Duration) {
+	for {
+		old := d.gap.Load()
+		next := math.Float64frombits(old)
+		if old == 0 {
+			next = float64(gap)
+		}
+		next += gapWeight * (float64(gap) - next)
+		if d.gap.CompareAndSwap(old, math.Float64bits(next)) {
+			return
+		}
+	}
+}
+
 // await waits for the turn of a request.
 func (d *Door) await(ctx context.Context, item *Item) (func(), *fault.Error) {
 	timer := time.NewTimer(time.Until(item.Deadline))
@@ -88,14 +110,25 @@
 func (d *Door) leave(item *Item) {
 	now := time.Now()
 	d.mu.Lock()
-	if d.Limit.Adapt(now, d.Wait.Mean(), d.queue.Running()) {
-		d.queue.Limit = d.Limit.Value
-	}
+	d.adapt(now)
 	next := d.queue.Done(now, item)
 	d.mu.Unlock()
 	wake(next)
 }
 
+// adapt lets the limit follow the pool. It measures no more often than the
+// limit may change.
+func (d *Door) adapt(now time.Time) {
+	if d.Measure == nil || now.Sub(d.measured) < Settle {
+		return
+	}
+	d.measured = now
+	wait, known := d.Measure(now)
+	if known && d.Limit.Adapt(now, wait, d.queue.Running()) {
+		d.queue.Limit = d.Limit.Value
+	}
+}
+
 // Load is what a door holds.
 type Load struct {
 	// Limit is how many requests run at once at most.
--- a/parts/admit/limit.go
+++ b/parts/admit/limit.go
@@ -1,10 +1,6 @@
 package admit
 
-import (
-	"math"
-	"sync/atomic"
-	"time"
-)
+import "time"
 
 // Limit adapts how many requests of a pool run at once to what the engines
 // report on each token.
@@ -71,30 +67,3 @@
 func (l *Limit) binds(running int) bool {
 	return float64(running) >= min(nearBinding*l.Value, l.Value-1)
 }
-
-// Wait measures the wait of tokens as a moving average. It is safe for
-// several goroutines; the zero value has seen none.
-type Wait struct {
-	bits atomic.Uint64
-}
-
-// waitWeight is the weight of one token. A pool makes hundreds a second, so
-// the average still follows within the time that Limit settles in.
-const waitWeight = 1.0 / 128
-
-// Observe takes one token's wait, in units of its run time.
-func (w *Wait) Observe(wait float64) {
-	for {
-		old := w.bits.Load()
-		mean := math.Float64frombits(old)
-		next := math.Float64bits(mean + waitWeight*(wait-mean))
-		if w.bits.CompareAndSwap(old, next) {
-			return
-		}
-	}
-}
-
-// Mean returns the average.
-func (w *Wait) Mean() float64 {
-	return math.Float64frombits(w.bits.Load())
-}
--- a/sess/cmd/bench/main.go
+++ b/sess/cmd/bench/main.go
@@ -8,8 +8,10 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"time"
 
 	"fuchsiashelf.dev/sess/procs"
@@ -69,7 +71,18 @@
 		return err
 	}
 	w := &procs.World{Dir: dir, Path: b.path}
+	// A bench that is ended must not leave its processes behind.
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		if <-ended != nil {
+			_ = w.End()
+			os.Exit(1)
+		}
+	}()
 	defer func() {
+		signal.Stop(ended)
+		close(ended)
 		err = errors.Join(err, w.End())
 		if err == nil {
 			err = os.RemoveAll(dir)
--- a/sess/cmd/bench/rig.go
+++ b/sess/cmd/bench/rig.go
@@ -146,12 +146,13 @@
 		fmt.Sprintf("create pool lake model lotus layers %d servers %s", layers, strings.Join(names, " ")),
 		"route service assist to pool lake",
 	} {
+		last := ""
 		err := procs.Until(line, func() bool {
-			out, err := w.Desk("desk", line)
-			return err == nil && strings.Contains(out, "\ndone")
+			last, _ = w.Desk("desk", line)
+			return strings.Contains(last, "\ndone")
 		})
 		if err != nil {
-			return err
+			return fmt.Errorf("%w: %s", err, last)
 		}
 	}
 	return nil
