sess: cut failure domains off from each other; peers: measure the cost

procs.relays stands between the processes and holds bytes back between parted domains, by the process that has the calling socket open. The command peers runs a fleet in one process and prints bytes, processor time and memory a node, also with TLS. The view is now smaller and turns every 60; to be measured again.

The host list's address of a member goes before what members say of each other.

--- a/parts/peer/table.go
+++ b/parts/peer/table.go
@@ -26,8 +26,8 @@
 	// that connections stay open and few; one of each is replaced every
 	// viewTurn rounds. A random graph of this degree mixes as fast as the
 	// full one, and every member comes by in time.
-	nearView, farView = 10, 5
-	viewTurn          = 20
+	nearView, farView = 6, 3
+	viewTurn          = 60
 	// retryOdds is one in how many rounds also tries a dead member. After a
 	// partition heals, both sides hold each other dead, and only this joins
 	// them again.
@@ -104,12 +104,17 @@
 	}
 }
 
-// Introduce tells the name, address and domain of a member.
+// Introduce tells the name, address and domain of a member. For a member that
+// the host list has, the list's word holds: what members say of others may be
+// older, or an address that only they can reach.
 func (t *Table) Introduce(name, address string, in domain.Name, now time.Time) {
 	if name == t.Self.Name || name == "" {
 		return
 	}
 	m := t.add(IDOf(name), now)
+	if m.Listed {
+		return
+	}
 	if m.Address != address {
 		m.missed = 0
 	}
@@ -121,8 +126,10 @@
 func (t *Table) List(hosts map[string]host.Host, now time.Time) {
 	for _, h := range hosts {
 		if h.Role == host.Entry && h.Name != t.Self.Name {
+			m := t.add(IDOf(h.Name), now)
+			m.Listed = false
 			t.Introduce(h.Name, h.Address, h.Domain, now)
-			t.others[IDOf(h.Name)].Listed = true
+			m.Listed = true
 		}
 	}
 	for _, id := range slices.Clone(t.order) {
--- a/sess/cmd/peers/fleet.go
+++ b/sess/cmd/peers/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
@@ -15,6 +16,7 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"fuchsiashelf.dev/parts/certs"
 	"fuchsiashelf.dev/parts/domain"
 	"fuchsiashelf.dev/parts/host"
 	"fuchsiashelf.dev/parts/peer"
@@ -63,19 +65,47 @@
 	nodes []*member
 	hosts map[string]host.Host
 	done  sync.WaitGroup
+	// client and server are the settings of TLS; nil for none.
+	client, server *tls.Config
 }
 
-func newFleet(n int) (*fleet, error) {
+// certify gives the fleet a certificate, if it is to be secure.
+func (f *fleet) certify(secure bool) error {
+	if !secure {
+		return nil
+	}
+	authority, err := certs.NewAuthority(time.Hour)
+	if err != nil {
+		return err
+	}
+	bundle, err := authority.Issue(certs.Entry)
+	if err != nil {
+		return err
+	}
+	if f.client, err = bundle.Client(); err != nil {
+		return err
+	}
+	f.server, err = bundle.Server(certs.Entry)
+	return err
+}
+
+func newFleet(n int, secure bool) (*fleet, error) {
 	f := &fleet{hosts: map[string]host.Host{}}
+	if err := f.certify(secure); err != nil {
+		return nil, err
+	}
 	for i := range n {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			return nil, err
 		}
-		m := &member{listener: listener}
+		m := &member{listener: peer.Listener{Listener: listener}}
+		if f.server != nil {
+			m.listener = tls.NewListener(m.listener, f.server)
+		}
 		m.Peer = &peer.Peer{
 			Name: fmt.Sprintf("entry-%d", i), Address: listener.Addr().String(),
-			Domain: domain.Name(fmt.Sprintf("domain-%d", i%domains)), Secret: secret,
+			Domain: domain.Name(fmt.Sprintf("domain-%d", i%domains)), Secret: secret, TLS: f.client,
 			Hosts: func() map[string]host.Host { return f.hosts },
 			Own:   m.own, On: m.on, Trace: &trace.Line{},
 		}
@@ -118,7 +148,7 @@
 		if err := wire.DRPCRegisterEntry(mux, m.Peer); err != nil {
 			return err
 		}
-		f.done.Go(func() { _ = drpcserver.New(mux).Serve(ctx, peer.Listener{Listener: m.listener}) })
+		f.done.Go(func() { _ = drpcserver.New(mux).Serve(ctx, m.listener) })
 		f.done.Go(func() { _ = m.Run(ctx) })
 	}
 	return nil
@@ -139,11 +169,11 @@
 	return time.Since(began), nil
 }
 
-func measure(ctx context.Context, n int, warm, span time.Duration) (point, error) {
+func measure(ctx context.Context, n int, secure bool, warm, span time.Duration) (point, error) {
 	ctx, stop := context.WithCancel(ctx)
 	p := point{nodes: n}
 	before := memory()
-	f, err := newFleet(n)
+	f, err := newFleet(n, secure)
 	if err != nil {
 		stop()
 		return p, err
--- a/sess/cmd/peers/main.go
+++ b/sess/cmd/peers/main.go
@@ -21,21 +21,22 @@
 	nodes := flag.String("nodes", "4,16,64,128,320", "sizes of the fleet, the last one being the largest")
 	warm := flag.Duration("warm", 8*time.Second, "time before the measurement")
 	span := flag.Duration("span", 10*time.Second, "time of the measurement")
+	secure := flag.Bool("tls", true, "join the nodes by TLS")
 	flag.Parse()
-	if err := run(*nodes, *warm, *span); err != nil {
+	if err := run(*nodes, *secure, *warm, *span); err != nil {
 		fmt.Fprintln(os.Stderr, "peers:", err)
 		os.Exit(1)
 	}
 }
 
-func run(nodes string, warm, span time.Duration) error {
+func run(nodes string, secure bool, warm, span time.Duration) error {
 	var points []point
 	for text := range strings.SplitSeq(nodes, ",") {
 		n, err := strconv.Atoi(text)
 		if err != nil || n < 2 {
 			return fmt.Errorf("-nodes: %q is not a number above 1", text)
 		}
-		p, err := measure(context.Background(), n, warm, span)
+		p, err := measure(context.Background(), n, secure, warm, span)
 		if err != nil {
 			return err
 		}
--- a/sess/peers_test.go
+++ b/sess/peers_test.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 
+	"fuchsiashelf.dev/parts/domain"
 	"fuchsiashelf.dev/parts/fault"
 )
 
@@ -15,6 +16,14 @@
 }
 
 var peerCommands = map[string]scriptFunc{
+	// cuttable: lets failure domains be cut off; comes before town.
+	"cuttable": command("cuttable", func(s *session, _ []string) (string, error) { s.Cuttable(); return "", nil }),
+	// island DOMAIN: cuts a failure domain off from the others and the store;
+	// mainland ends it.
+	"island": command("island", func(s *session, a []string) (string, error) {
+		return "", s.Island(domain.Name(a[0]))
+	}),
+	"mainland": command("mainland", func(s *session, _ []string) (string, error) { return "", s.Rejoin() }),
 	// crasher ENTRY TEAM PROMPT MAX: asks, and prints with the outcome whether
 	// the caller was told when to come back.
 	"crasher": command("crasher", func(s *session, a []string) (string, error) { return s.crasher(a) }),
--- a/sess/procs/procs.go
+++ b/sess/procs/procs.go
@@ -44,6 +44,8 @@
 	// Dir is where the processes write their logs, one file each.
 	Dir string
 
+	relays *relays
+
 	mu    sync.Mutex
 	procs map[string]*Proc
 }
@@ -174,6 +176,9 @@
 
 // End ends all processes. A frozen one is thawed first, so that it can go.
 func (w *World) End() error {
+	if w.relays != nil {
+		defer w.relays.close()
+	}
 	var errs []error
 	for _, p := range w.All() {
 		select {
--- a/sess/procs/town.go
+++ b/sess/procs/town.go
@@ -103,6 +103,11 @@
 	default:
 		h.Role, h.Address = host.Plain, p.At["serve"]
 	}
+	if w.relays != nil {
+		if h.Address, err = w.relays.address(name, in, h.Address); err != nil {
+			return err
+		}
+	}
 	value, err := json.Marshal(h)
 	if err != nil {
 		return err
