--- a/entry/internal/feed/feed.go
+++ b/entry/internal/feed/feed.go
@@ -50,9 +50,10 @@
 	// is down.
 	Seeds []string
 
-	began  time.Time
-	heard  atomic.Int64
-	silent atomic.Bool
+	began time.Time
+	// objects and hosts are the states of the two watches.
+	objects, hosts watch
+
 	listed atomic.Bool
 	primed atomic.Bool
 	behind chan struct{}
@@ -91,14 +92,15 @@
 	}))
 }
 
-// Age returns how long the object API has been silent here; zero while the
-// watch is up. An entry host that is cut off keeps serving on what it has.
+// Age returns how long the object API has been silent here about the
+// configuration; zero while the watch is up. An entry host that is cut off
+// keeps serving on what it has.
 func (f *Feed) Age() time.Duration {
-	heard := f.heard.Load()
+	heard := f.objects.heard.Load()
 	if heard == 0 {
 		return time.Since(f.began)
 	}
-	if !f.silent.Load() {
+	if !f.objects.silent.Load() {
 		return 0
 	}
 	return time.Since(time.Unix(0, heard))
@@ -106,7 +108,7 @@
 
 // Heard reports whether the object API ever answered here.
 func (f *Feed) Heard() bool {
-	return f.heard.Load() != 0
+	return f.objects.heard.Load() != 0
 }
 
 // Offer puts a configuration in force if its revision is higher than that of
@@ -132,24 +134,32 @@
 	return newer
 }
 
-// rest notes that a call failed, and waits before the next one.
-func (f *Feed) rest(ctx context.Context, what string, err error) {
+// watch is the state of one watch.
+type watch struct {
+	// heard is when the last call was answered, in Unix nanoseconds.
+	heard atomic.Int64
+	// silent says that the last call was not answered.
+	silent atomic.Bool
+}
+
+// failed notes that a call of a watch failed, and waits before the next one.
+func (f *Feed) failed(ctx context.Context, w *watch, what string, err error) {
 	if ctx.Err() != nil {
 		return
 	}
-	if !f.silent.Swap(true) {
-		f.Log.Warn("feed: store does not answer", "call", what, "err", err)
-		f.Trace.Add("feed", "", "store does not answer")
+	if !w.silent.Swap(true) {
+		f.Log.Warn("feed: store does not answer", "watch", what, "err", err)
+		f.Trace.Add("feed", "", "store does not answer about "+what)
 	}
 	pause(ctx, retryWait/2+rand.N(retryWait))
 }
 
-// answered notes that a call was answered.
-func (f *Feed) answered() {
-	f.heard.Store(time.Now().UnixNano())
-	if f.silent.Swap(false) {
-		f.Log.Info("feed: store answers again")
-		f.Trace.Add("feed", "", "store answers again")
+// answered notes that a call of a watch was answered.
+func (f *Feed) answered(w *watch, what string) {
+	w.heard.Store(time.Now().UnixNano())
+	if w.silent.Swap(false) {
+		f.Log.Info("feed: store answers again", "watch", what)
+		f.Trace.Add("feed", "", "store answers again about "+what)
 	}
 }
 
