--- a/entry/internal/setup/setup.go
+++ b/entry/internal/setup/setup.go
@@ -40,6 +40,7 @@
 	Poll     time.Duration
 	PollRate float64
 	Claims   Claims
+	Admit    Admit
 	// Linger is how long callers are taken after the stop began.
 	Linger time.Duration
 	// Certs secure the listeners of peers and operators.
@@ -82,6 +83,7 @@
 	fs.Float64Var(&s.PollRate, "poll-rate", 50, "most such questions a second, to all engines together")
 	s.Certs.Flags(fs)
 	s.Claims.flags(fs)
+	s.Admit.flags(fs)
 	return fs
 }
 
@@ -142,6 +144,7 @@
 	if s.PeerSecret != "" && s.PeerSecret == s.DeskSecret {
 		faults = append(faults, errors.New("-desk-secret: must differ from -peer-secret"))
 	}
+	faults = append(faults, s.Admit.check()...)
 	if err := s.Claims.check(); err != nil {
 		faults = append(faults, err)
 	}
--- a/entry/prog/prog.go
+++ b/entry/prog/prog.go
@@ -114,7 +114,7 @@
 	door := &gate.Gate{
 		View:  holder,
 		Relay: path.relay,
-		Pass:  calls,
+		Pass:  calls, Admission: d.admission(holder, line),
 		Trace: line, Log: d.log, MaxBody: d.settings.MaxBody,
 		Ready: d.ready(feeder),
 	}
