engine, relay: keep the frame and the limits of a stream in place

Cause: of 9.3 allocations a token, one was the frame (it escapes into the decoder) and one the limits of the watch. Change: the stream decodes into a frame of its own; the watch keeps its two limits as atomic numbers. Before, BenchmarkRelay, busy machine: 3456-3722 ns/token, 9.3 allocs, 525 B. After: 2600-3288 ns/token, 7.3 allocs, 384-413 B.

--- a/entry/internal/relay/watch.go
+++ b/entry/internal/relay/watch.go
@@ -26,9 +26,10 @@
 	// began, or paused.
 	last  atomic.Int64
 	began time.Time
-	// limits are those of the next token.
-	limits atomic.Pointer[retry.Limits]
-	over   atomic.Bool
+	// probeAt and silentAt are the limits of the next token. One of them may be
+	// read before and one after a change, which does no harm.
+	probeAt, silentAt atomic.Int64
+	over              atomic.Bool
 	// probes are the servers asked whether they are there. Only the timer
 	// touches it before the attempt ends.
 	probes atomic.Pointer[[]*probe]
@@ -46,7 +47,7 @@
 		relay: c.Relay, stages: c.stages, cancel: cancel,
 		began: now, gaps: c.state.usual.Gaps(),
 	}
-	w.limits.Store(&limits)
+	w.limit(limits)
 	// Started only once the field is set: look uses it.
 	w.timer = time.AfterFunc(math.MaxInt64, w.look)
 	w.timer.Reset(limits.Probe)
@@ -55,11 +56,15 @@
 
 // token notes that a token came and was passed on.
 func (w *watch) token(now time.Time) {
-	limits := w.gaps.Limits()
-	w.limits.Store(&limits)
+	w.limit(w.gaps.Limits())
 	w.last.Store(int64(now.Sub(w.began)))
 }
 
+func (w *watch) limit(l retry.Limits) {
+	w.probeAt.Store(int64(l.Probe))
+	w.silentAt.Store(int64(l.Silent))
+}
+
 // pause stops the clock while the caller reads.
 func (w *watch) pause() {
 	w.last.Store(paused)
@@ -76,7 +81,9 @@
 	if w.over.Load() {
 		return
 	}
-	limits := *w.limits.Load()
+	limits := retry.Limits{
+		Probe: time.Duration(w.probeAt.Load()), Silent: time.Duration(w.silentAt.Load()),
+	}
 	last := w.last.Load()
 	if last == paused {
 		w.probes.Store(nil)
--- a/parts/engine/client.go
+++ b/parts/engine/client.go
@@ -50,7 +50,7 @@
 type Stream struct {
 	body  io.ReadCloser
 	scan  *bufio.Scanner
-	spans []Span
+	frame Frame
 }
 
 // Generate sends a request to the first server of its chain. The error is a
@@ -114,15 +114,14 @@
 		}
 		return Frame{}, io.EOF
 	}
-	var f Frame
-	// Spans that the line does not fill must not keep those of the last one.
-	clear(s.spans[:cap(s.spans)])
-	f.Spans = s.spans[:0]
-	if err := frames.Unmarshal(s.scan.Bytes(), &f); err != nil {
+	// What the line does not fill must not keep the values of the last one.
+	spans := s.frame.Spans
+	clear(spans[:cap(spans)])
+	s.frame = Frame{Spans: spans[:0]}
+	if err := frames.Unmarshal(s.scan.Bytes(), &s.frame); err != nil {
 		return Frame{}, fmt.Errorf("engine: bad frame: %w", err)
 	}
-	s.spans = f.Spans
-	return f, nil
+	return s.frame, nil
 }
 
 // Close cancels the answer.
