bench: measure what an entry host costs, idle and busy

A desk line whose first answer was partly or unknown is in force; the bench now takes the later refusal as done in place of waiting for a done that can't come (seen: recovery stopped at its second rig).

--- a/sess/cmd/bench/main.go
+++ b/sess/cmd/bench/main.go
@@ -22,7 +22,7 @@
 	flag.StringVar(&b.bin, "bin", "bin", "directory with the programs")
 	flag.DurationVar(&b.cell, "cell", 8*time.Second, "length of one measurement")
 	flag.StringVar(&b.series, "series", "", "directory for the time series, if wanted")
-	only := flag.String("only", "throughput,recovery,control", "parts to run")
+	only := flag.String("only", "throughput,recovery,costs,control", "parts to run")
 	flag.Parse()
 	if err := b.run(strings.Split(*only, ",")); err != nil {
 		fmt.Fprintln(os.Stderr, "bench:", err)
@@ -40,7 +40,7 @@
 
 func (b *bench) run(parts []string) error {
 	steps := map[string]func() error{
-		"throughput": b.throughput, "recovery": b.recovery, "control": b.control,
+		"throughput": b.throughput, "recovery": b.recovery, "control": b.control, "costs": b.costs,
 	}
 	for _, part := range parts {
 		step := steps[part]
--- a/sess/cmd/bench/rig.go
+++ b/sess/cmd/bench/rig.go
@@ -148,8 +148,10 @@
 	} {
 		last := ""
 		err := procs.Until(line, func() bool {
+			// A line whose first answer was partly or unknown is in force, and
+			// refused when it comes again.
 			last, _ = w.Desk("desk", line)
-			return strings.Contains(last, "\ndone")
+			return strings.Contains(last, "\ndone") || strings.Contains(last, "exists since")
 		})
 		if err != nil {
 			return fmt.Errorf("%w: %s", err, last)
