boot: start all programs through one piece of code

Ruled out: leaving them, since a signal added to one would be missing in the others, as SIGINT was in the sessions. Change: package boot. Sessions path and input and the settings page pass, behaviour is the same.

--- a/load/cmd/fsload/main.go
+++ b/load/cmd/fsload/main.go
@@ -2,16 +2,10 @@
 package main
 
 import (
-	"context"
-	"os"
-	"os/signal"
-	"syscall"
-
 	"fuchsiashelf.dev/load/prog"
+	"fuchsiashelf.dev/parts/boot"
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	os.Exit(prog.Main(ctx, os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
+	boot.Run(prog.Main)
 }
--- a/sess/command_test.go
+++ b/sess/command_test.go
@@ -1,9 +1,7 @@
 package sess
 
 import (
-	"context"
 	"fmt"
-	"io"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -20,8 +18,6 @@
 	"fuchsiashelf.dev/sess/procs"
 )
 
-type mainFunc func(ctx context.Context, args []string, stdin io.Reader, stdout, stderr io.Writer) int
-
 // session is the state of one script.
 type session struct {
 	*procs.World
--- a/sess/session_test.go
+++ b/sess/session_test.go
@@ -3,14 +3,11 @@
 package sess
 
 import (
-	"context"
 	"flag"
 	"maps"
 	"os"
 	"os/exec"
-	"os/signal"
 	"strings"
-	"syscall"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -18,6 +15,7 @@
 	desk "fuchsiashelf.dev/desk/prog"
 	entry "fuchsiashelf.dev/entry/prog"
 	load "fuchsiashelf.dev/load/prog"
+	"fuchsiashelf.dev/parts/boot"
 	"fuchsiashelf.dev/sess/procs"
 	stand "fuchsiashelf.dev/stand/prog"
 )
@@ -37,12 +35,8 @@
 }
 
 // program makes a command of the test binary out of a program.
-func program(run mainFunc) func() {
-	return func() {
-		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
-		defer stop()
-		os.Exit(run(ctx, os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
-	}
+func program(main boot.Main) func() {
+	return func() { boot.Run(main) }
 }
 
 func TestSession(t *testing.T) {
--- a/sess/settings_test.go
+++ b/sess/settings_test.go
@@ -13,6 +13,7 @@
 	desk "fuchsiashelf.dev/desk/prog"
 	entry "fuchsiashelf.dev/entry/prog"
 	load "fuchsiashelf.dev/load/prog"
+	"fuchsiashelf.dev/parts/boot"
 	stand "fuchsiashelf.dev/stand/prog"
 )
 
@@ -22,7 +23,7 @@
 // helps are the programs that the page describes.
 var helps = []struct {
 	program string
-	run     mainFunc
+	run     boot.Main
 	// roles are subcommands; empty for none.
 	roles []string
 }{
@@ -68,7 +69,7 @@
 `
 
 // help returns what a program prints for -h.
-func help(run mainFunc, role string) string {
+func help(run boot.Main, role string) string {
 	args := []string{"-h"}
 	if role != "" {
 		args = []string{role, "-h"}
