relay: test two failures under one answer

A second server dies under the answer that the first one's death moved to it, at each pair of tokens; the tokens are the fault-free ones. No code changed for it.

--- a/entry/internal/relay/relay_test.go
+++ b/entry/internal/relay/relay_test.go
@@ -55,6 +55,34 @@
 	}
 }
 
+// Two servers die one after the other under the same answer, each at some
+// token, the second perhaps before it gave one.
+func TestTwoFailures(t *testing.T) {
+	c := quicktest.New(t)
+	const max = 4
+	for first := range max {
+		for second := first; second < max; second++ {
+			w := newWorld(t, "a1", "a2", "a3")
+			ends := []int{first, second}
+			for _, f := range w.fakes {
+				f.play(func(r *reply, ask *engine.Ask) bool {
+					if ask.Attempt > len(ends) {
+						return false
+					}
+					for i := len(ask.Sent); i < ends[ask.Attempt-1]; i++ {
+						r.token(i)
+					}
+					return true
+				})
+			}
+			got := &sink{}
+			_, e := w.relay.Run(context.Background(), w.ask("q", max), got)
+			c.Assert(e == nil, quicktest.IsTrue, quicktest.Commentf("%v", e))
+			c.Assert(got.tokens, quicktest.DeepEquals, answer("q", max))
+		}
+	}
+}
+
 // A server freezes in the middle of an answer: its connections stay open, and
 // it answers no probe. The caller gets the rest from another, and the frozen
 // server is told to stop.
