relay: leave a server whose links are all down at the first try

Each attempt avoided only the link that it had used and met the same server on the next one; six attempts ended the request. Change: a request avoids the whole chain that fell silent, where it has a choice; a server in two silent chains in a row without a token is suspected, the others clear themselves by tokens. All streams that fail with a server count as one failure, since 20 at once had meant an avoidance of 16 s. TestServerWithoutLinks; mutations that fail it: no chain left out, no count of silences, each stream counted.

--- a/entry/internal/relay/blame.go
+++ b/entry/internal/relay/blame.go
@@ -23,7 +23,7 @@
 			return
 		}
 		if errors.Is(e.Cause, errSilent) {
-			c.avoidLinks()
+			c.silenced()
 			return
 		}
 		if e.Server == "" {
@@ -53,12 +53,34 @@
 	c.Trace.Add("relay", c.ask.Request, "server "+e.Server+" is leaving")
 }
 
+// silenceMost is how many chains in a row may fall silent with a server in
+// them, without a token from it in between, before it is suspected itself.
+const silenceMost = 2
+
+// silenced deals with a chain that fell silent though all its servers were
+// there. One of its links must be down, and nothing tells which. The links are
+// avoided; this request avoids the servers too, where it has a choice, since a
+// server whose links are all down would meet it again on each. A server that
+// is in one silent chain after the other, and gives no token, is suspected:
+// the others clear themselves by tokens of other chains.
+func (c *carry) silenced() {
+	c.avoidLinks()
+	for i := range c.hops {
+		c.skip = append(c.skip, c.stages[i].Server)
+		if c.hops[i].Meter.Silences.Add(1) >= silenceMost {
+			c.suspect(c.stages[i].Server)
+		}
+	}
+}
+
 // suspect has failed servers avoided, the longer the more often they failed.
+// All streams of a server fail with it at one time; that counts once.
 func (c *carry) suspect(servers ...string) {
 	now := time.Now()
+	known := c.View.Load().Suspects
 	for i := range c.stages {
 		for _, name := range servers {
-			if c.stages[i].Server != name {
+			if c.stages[i].Server != name || now.Before(known[name]) {
 				continue
 			}
 			failures := c.hops[i].Meter.Failures.Add(1)
--- a/entry/internal/relay/fake_test.go
+++ b/entry/internal/relay/fake_test.go
@@ -121,6 +121,23 @@
 	return w
 }
 
+// layer gives each server one layer, in place of the whole model.
+func (w *world) layer(layers ...int) {
+	w.pool.Layers = layers[len(layers)-1] + 1
+	w.relay.View.Update(func(s *view.Snapshot) {
+		s.Hosts = view.Edit(s.Hosts, func(hosts map[string]host.Host) {
+			for i, name := range w.pool.Servers {
+				h := hosts[name]
+				h.First, h.End = layers[i], layers[i]+1
+				hosts[name] = h
+			}
+		})
+		next := s.Config.Clone()
+		next.Pools["lake"] = w.pool
+		s.Config = next
+	})
+}
+
 // ask returns a request.
 func (w *world) ask(prompt string, max int) *Ask {
 	return &Ask{Request: "r-" + prompt, Pool: w.pool, Prompt: prompt, Max: max, Deadline: time.Now().Add(time.Minute)}
--- a/entry/internal/relay/relay.go
+++ b/entry/internal/relay/relay.go
@@ -120,8 +120,10 @@
 	verdict fault.Verdict
 	// failedAt is when the last attempt failed, zero if a token came since.
 	failedAt time.Time
-	hops     []pick.Hop
-	stages   []engine.Stage
+	// skip holds servers that this request avoids besides the suspects.
+	skip   []string
+	hops   []pick.Hop
+	stages []engine.Stage
 }
 
 // again reports whether another chain is tried, and pays for it.
@@ -137,6 +139,18 @@
 	return again
 }
 
+// avoided returns the servers that this request avoids.
+func (c *carry) avoided(snap *view.Snapshot) map[string]time.Time {
+	if len(c.skip) == 0 {
+		return snap.Suspects
+	}
+	return view.Edit(snap.Suspects, func(m map[string]time.Time) {
+		for _, name := range c.skip {
+			m[name] = c.ask.Deadline
+		}
+	})
+}
+
 // usualStages is a length of chains that is seldom passed.
 const usualStages = 8
 
@@ -146,7 +160,7 @@
 	if e != nil {
 		return e
 	}
-	chooser := pick.Chooser{Policy: c.Policy, Rand: rand.Uint64, Now: now.UnixNano(), Avoid: snap.Suspects}
+	chooser := pick.Chooser{Policy: c.Policy, Rand: rand.Uint64, Now: now.UnixNano(), Avoid: c.avoided(snap)}
 	// The watch of the attempt before may still look at its stages, so each
 	// attempt has slices of its own.
 	c.hops = chooser.Chain(table, make([]pick.Hop, 0, usualStages))
--- a/entry/internal/relay/relay_test.go
+++ b/entry/internal/relay/relay_test.go
@@ -10,7 +10,6 @@
 
 	"fuchsiashelf.dev/parts/engine"
 	"fuchsiashelf.dev/parts/fault"
-	"fuchsiashelf.dev/parts/host"
 	"fuchsiashelf.dev/parts/pool"
 	"fuchsiashelf.dev/parts/retry"
 	"fuchsiashelf.dev/parts/view"
@@ -123,6 +122,49 @@
 	}
 }
 
+// All links of a server are down, and the server itself answers. Its streams
+// fall silent all at once, and a request that only avoids the link it used
+// meets the same server again on each of the others.
+func TestServerWithoutLinks(t *testing.T) {
+	c := quicktest.New(t)
+	w := newWorld(t, "a1", "a2", "b1", "b2", "b3")
+	w.layer(0, 0, 1, 1, 1)
+	silent := func() *carry {
+		r := &carry{Relay: w.relay, ask: w.ask("q", 5), state: w.relay.stateOf("lake")}
+		for len(r.stages) == 0 || r.stages[0].Server != "a1" {
+			c.Assert(r.choose(w.relay.View.Load(), time.Now()) == nil, quicktest.IsTrue)
+		}
+		r.silenced()
+		return r
+	}
+	// The request itself stays away from the whole chain.
+	r := silent()
+	chain := names(r.stages)
+	for range 100 {
+		c.Assert(r.choose(w.relay.View.Load(), time.Now()) == nil, quicktest.IsTrue)
+		c.Assert(r.stages[0].Server, quicktest.Equals, "a2")
+		c.Assert(r.stages[1].Server, quicktest.Not(quicktest.Equals), chain[1])
+	}
+	// A token over another chain clears the other end of the link.
+	c.Assert(w.relay.View.Load().Suspects, quicktest.HasLen, 0)
+	clear := func() {
+		for _, name := range []string{"b1", "b2", "b3"} {
+			w.relay.View.Load().Meters[name].Observe(1, time.Millisecond, 0)
+		}
+	}
+	clear()
+	r = silent()
+	clear()
+	suspects := w.relay.View.Load().Suspects
+	c.Assert(suspects, quicktest.HasLen, 1)
+	c.Assert(suspects["a1"].IsZero(), quicktest.IsFalse)
+	// A hundred streams that fail with the server count as one failure.
+	for range 100 {
+		r.suspect("a1")
+	}
+	c.Assert(w.relay.View.Load().Meters["a1"].Failures.Load(), quicktest.Equals, int64(1))
+}
+
 // A caller leaves while its answer streams. Nothing may go on running for it,
 // or callers who stay would wait for the work of those who left.
 func TestCallerLeaves(t *testing.T) {
@@ -282,19 +324,7 @@
 func BenchmarkRelay(b *testing.B) {
 	const max = 1000
 	w := newWorld(b, "a1", "a2", "a3")
-	w.relay.View.Update(func(s *view.Snapshot) {
-		s.Hosts = view.Edit(s.Hosts, func(hosts map[string]host.Host) {
-			for i, name := range w.pool.Servers {
-				h := hosts[name]
-				h.First, h.End = i, i+1
-				hosts[name] = h
-			}
-		})
-		next := s.Config.Clone()
-		w.pool.Layers = len(w.pool.Servers)
-		next.Pools["lake"] = w.pool
-		s.Config = next
-	})
+	w.layer(0, 1, 2)
 	ask := w.ask("q", max)
 	wire := &engine.Ask{Request: ask.Request, Attempt: 1, Prompt: "q"}
 	for i, name := range w.pool.Servers {
--- a/parts/server/server.go
+++ b/parts/server/server.go
@@ -26,6 +26,9 @@
 	Capacity atomic.Int64
 	// Failures counts failures in a row since the last success.
 	Failures atomic.Int64
+	// Silences counts chains in a row that fell silent with the server in them,
+	// since the last token that it had a part in.
+	Silences atomic.Int64
 	// Step is the time of one step, compared with its own past.
 	Step health.Trend
 	// RefusedAt is when the server last refused a request since it is leaving,
@@ -57,6 +60,9 @@
 	if m.Failures.Load() != 0 {
 		m.Failures.Store(0)
 	}
+	if m.Silences.Load() != 0 {
+		m.Silences.Store(0)
+	}
 }
 
 // Wait returns the moving average of the wait and when it was last updated,
