--- a/parts/pick/pick_test.go
+++ b/parts/pick/pick_test.go
@@ -67,6 +67,24 @@
 	c.Assert(got[7] > 0.42 && got[7] < 0.5, quicktest.IsTrue, quicktest.Commentf("%v", got))
 }
 
+// A baseline that does not reach every server of every stage would make the
+// shipped policy look better than it is.
+func TestRobinIsEven(t *testing.T) {
+	c := quicktest.New(t)
+	table, _ := fleet(t, 3, 6, time.Millisecond)
+	chooser := &Chooser{Policy: NewRobin(), Rand: source(5), Now: second}
+	counts := map[int]int{}
+	for range 60 {
+		for _, h := range chooser.Chain(table, nil) {
+			counts[h.Server]++
+		}
+	}
+	c.Assert(counts, quicktest.HasLen, 18)
+	for server, n := range counts {
+		c.Check(n, quicktest.Equals, 10, quicktest.Commentf("server %d", server))
+	}
+}
+
 // A suspect gets work only if there is no other server.
 func TestAvoid(t *testing.T) {
 	c := quicktest.New(t)
@@ -75,7 +93,7 @@
 	for _, n := range []int{0, 1, 2} {
 		avoid[fmt.Sprintf("s0-%d", n)] = time.Unix(10, 0)
 	}
-	for _, p := range []Policy{Cost{}, Random{}, &Robin{}, Least{}} {
+	for _, p := range []Policy{Cost{}, Random{}, NewRobin(), Least{}} {
 		chooser := &Chooser{Policy: p, Rand: source(2), Now: second, Avoid: avoid}
 		for range 50 {
 			c.Assert(chooser.Chain(table, nil)[0].Server, quicktest.Equals, 3)
--- a/parts/pick/policy.go
+++ b/parts/pick/policy.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"sync/atomic"
 )
 
@@ -16,8 +17,24 @@
 // Random takes any server.
 type Random struct{}
 
-// Robin takes the servers in turn.
-type Robin struct{ next atomic.Uint32 }
+// Robin takes the servers of each stage in turn. Make one with NewRobin.
+type Robin struct{ next sync.Map }
+
+// NewRobin returns a Robin.
+func NewRobin() *Robin {
+	return &Robin{}
+}
+
+// turn returns the next number of a stage. Each stage counts for itself: with
+// one count for all, a chain of three stages would meet every third server of
+// each only.
+func (p *Robin) turn(stage int) uint64 {
+	next, found := p.next.Load(stage)
+	if !found {
+		next, _ = p.next.LoadOrStore(stage, &atomic.Uint64{})
+	}
+	return next.(*atomic.Uint64).Add(1)
+}
 
 // Least takes the server with the fewest of this entry's requests in flight.
 type Least struct{}
@@ -38,7 +55,7 @@
 	case "random":
 		return Random{}, nil
 	case "robin":
-		return &Robin{}, nil
+		return NewRobin(), nil
 	case "least":
 		return Least{}, nil
 	}
--- a/parts/pick/table.go
+++ b/parts/pick/table.go
@@ -21,6 +21,8 @@
 
 // stage holds the hops that start at one boundary.
 type stage struct {
+	// at is the index of the boundary.
+	at      int
 	choices []choice
 	odds    odds
 }
@@ -47,7 +49,7 @@
 			name := g.Servers[h.Server].Name
 			all[n] = choice{hop: h, name: name, meter: meters[name]}
 		}
-		t.stages[i].choices = eject(all, now)
+		t.stages[i].at, t.stages[i].choices = i, eject(all, now)
 	}
 	for i := range t.stages {
 		t.stages[i].odds = deal(t.stages[i].choices)
