retry: keep the usual figures without locks, and probe long prompts as soon

Cause: each attempt took a mutex of its pool four times, on the request path; and a prompt in a class of lengths not seen yet had its probe put off with the class, up to minutes, so that a frozen server was not found before its deadline. Change: figures are replaced by compare and swap; only the silence limit grows with the class. The view's Delays and link.Key go: links have their meters.

--- a/parts/link/link.go
+++ b/parts/link/link.go
@@ -10,12 +10,6 @@
 	"fuchsiashelf.dev/parts/health"
 )
 
-// Key names the directed link between two backend servers.
-type Key struct {
-	// From and To are names of backend servers.
-	From, To string
-}
-
 // Meter holds the measured one-way delay of one link. It survives changes of
 // the snapshot, and the request path updates it without locks.
 type Meter struct {
--- a/parts/pick/table.go
+++ b/parts/pick/table.go
@@ -40,7 +40,9 @@
 // tried again.
 const ejectFor = 10 * time.Second
 
-// Make makes a table. Every server of the graph must have a meter.
+// Make makes a table. Every server of the graph must have a meter. Servers and
+// links that have become degraded are marked in their meters, so that they are
+// left out for a while.
 func Make(g *chain.Graph, meters map[string]*server.Meter, now time.Time) *Table {
 	t := &Table{Graph: g, stages: make([]stage, len(g.Hops))}
 	for i, hops := range g.Hops {
--- a/parts/retry/gaps.go
+++ b/parts/retry/gaps.go
@@ -2,7 +2,7 @@
 
 import (
 	"math/bits"
-	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -85,11 +85,10 @@
 }
 
 // Usual is what a pool's chains usually take. It stands in for a chain's own
-// figures until there are any.
+// figures until there are any. Threads may use it together without locks.
 type Usual struct {
-	mu    sync.Mutex
-	gap   Gaps
-	first [sizes]Gaps
+	gap   atomic.Pointer[Gaps]
+	first [sizes]atomic.Pointer[Gaps]
 }
 
 // sizes is the number of classes of prompts by length; each is twice as long
@@ -100,25 +99,38 @@
 	return min(bits.Len(uint(length)), sizes-1)
 }
 
+// update replaces figures by changed ones.
+func update(at *atomic.Pointer[Gaps], change func(*Gaps)) {
+	for {
+		old := at.Load()
+		next := Gaps{}
+		if old != nil {
+			next = *old
+		}
+		change(&next)
+		if at.CompareAndSwap(old, &next) {
+			return
+		}
+	}
+}
+
 // ObserveFirst folds in the time to the first token of an attempt that had
 // to read so many bytes.
 func (u *Usual) ObserveFirst(length int, d time.Duration) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.first[size(length)].Observe(d)
+	update(&u.first[size(length)], func(g *Gaps) { g.Observe(d) })
 }
 
 // First returns the limits for the first token of an attempt. A length that
 // was not seen yet is judged by the next shorter one, and given the more time
-// the longer it is.
+// the longer it is. Its servers are asked no later for that: a server that is
+// there answers while it reads.
 func (u *Usual) First(length int) Limits {
-	u.mu.Lock()
-	defer u.mu.Unlock()
 	class := size(length)
 	for below := class; below >= 0; below-- {
-		if u.first[below].known {
-			l := u.first[below].first()
-			return Limits{Probe: l.Probe << (class - below), Silent: l.Silent << (class - below)}
+		if g := u.first[below].Load(); g != nil {
+			l := g.first()
+			l.Silent <<= class - below
+			return l
 		}
 	}
 	return unknown
@@ -129,15 +141,16 @@
 	if !g.known {
 		return
 	}
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.gap.Observe(time.Duration(g.mean))
-	u.gap.dev = max(u.gap.dev, g.dev)
+	update(&u.gap, func(all *Gaps) {
+		all.Observe(time.Duration(g.mean))
+		all.dev = max(all.dev, g.dev)
+	})
 }
 
 // Gaps returns the figures that a new chain begins with.
 func (u *Usual) Gaps() Gaps {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.gap
+	if g := u.gap.Load(); g != nil {
+		return *g
+	}
+	return Gaps{}
 }
--- a/parts/retry/retry_test.go
+++ b/parts/retry/retry_test.go
@@ -90,6 +90,7 @@
 	short := u.First(100)
 	c.Assert(short.Silent < unknown.Silent, quicktest.IsTrue)
 	c.Assert(u.First(450).Silent, quicktest.Equals, 4*short.Silent)
+	c.Assert(u.First(60000).Probe, quicktest.Equals, short.Probe, quicktest.Commentf("a frozen server is found as soon"))
 	u.ObserveGaps(*settled(30 * ms))
 	begin := u.Gaps()
 	c.Assert(begin.Limits().Silent < 2*time.Second, quicktest.IsTrue)
--- a/parts/view/view.go
+++ b/parts/view/view.go
@@ -16,7 +16,6 @@
 	"fuchsiashelf.dev/parts/conf"
 	"fuchsiashelf.dev/parts/domain"
 	"fuchsiashelf.dev/parts/host"
-	"fuchsiashelf.dev/parts/link"
 	"fuchsiashelf.dev/parts/server"
 	"fuchsiashelf.dev/parts/team"
 )
@@ -93,8 +92,6 @@
 	// Meters holds the figures of each backend server. The map is replaced
 	// with the snapshot; the meters themselves live on.
 	Meters map[string]*server.Meter
-	// Delays holds the measured one-way delay of links.
-	Delays map[link.Key]time.Duration
 }
 
 // Holder publishes snapshots. Make one with New.
@@ -119,7 +116,6 @@
 		Poison:   map[string]time.Time{},
 		Peers:    map[string]Peer{},
 		Meters:   map[string]*server.Meter{},
-		Delays:   map[link.Key]time.Duration{},
 	})
 	return h
 }
