--- a/entry/internal/pass/attempt.go
+++ b/entry/internal/pass/attempt.go
@@ -38,16 +38,23 @@
 func (p *Pass) attempts(ctx context.Context, call *Call, may func() bool, again func(*fault.Error) bool) (*Reply, *fault.Error) {
 	verdict := fault.NotRun
 	tried := map[string]bool{}
+	var last *fault.Error
 	for {
 		reply, e := p.attempt(ctx, call, tried, may)
 		if e == nil {
 			return reply, nil
 		}
 		verdict = verdict.Weaken(e.Verdict)
-		if e.Code == fault.NoServer || len(tried) >= maxAttempts || !again(e) {
+		none := e.Code == fault.NoServer
+		// What the servers said tells more than that there is no other.
+		if none && last != nil {
+			e = last
+		}
+		if none || len(tried) >= maxAttempts || !again(e) {
 			e.Verdict = verdict
 			return nil, e
 		}
+		last = e
 		p.Trace.Add("pass", call.Request, "retry after: "+e.Error())
 		count("pass.retries")
 	}
@@ -58,7 +65,7 @@
 	snap := p.View.Load()
 	usable := servers(snap, call.Pool, tried)
 	if len(usable) == 0 {
-		return nil, noServer(call.Pool, len(tried) > 0)
+		return nil, noServer(call.Pool)
 	}
 	picker := &pick.Picker{
 		Meters: snap.Meters,
@@ -89,13 +96,10 @@
 	return usable
 }
 
-func noServer(from pool.Pool, others bool) *fault.Error {
-	message := "no server of pool " + from.Name + " takes calls"
-	if others {
-		message = "no other server of pool " + from.Name + " takes calls"
-	}
+func noServer(from pool.Pool) *fault.Error {
 	return &fault.Error{
-		Code: fault.NoServer, Verdict: fault.NotRun, Message: message, RetryAfter: time.Second,
+		Code: fault.NoServer, Verdict: fault.NotRun,
+		Message: "no server of pool " + from.Name + " takes calls", RetryAfter: time.Second,
 	}
 }
 
--- a/entry/internal/pass/send.go
+++ b/entry/internal/pass/send.go
@@ -150,7 +150,7 @@
 	}
 	e := &fault.Error{Code: code, Verdict: v, Server: to.Name, Message: "the backend server gave no answer", Cause: err}
 	if v == fault.NotRun {
-		e.RetryAfter = time.Second
+		e.Message, e.RetryAfter = "the call was not sent to a backend server", time.Second
 	}
 	return e
 }
--- a/parts/claim/claim_test.go
+++ b/parts/claim/claim_test.go
@@ -211,3 +211,25 @@
 	qt.Assert(t, table.Sweep(start), qt.Equals, 1)
 	qt.Assert(t, table.Sweep(start.Add(1)), qt.Equals, 0)
 }
+
+// A shard's object comes from the store, which others write too. Whatever it
+// holds, reading it fails cleanly or gives a shard that reads back the same.
+func FuzzDecode(f *testing.F) {
+	s := &Shard{}
+	s.Apply(start, []Op{take("a", 1), take("b", 2), done(take("a", 1))})
+	value, err := s.Encode()
+	qt.Assert(f, err, qt.IsNil)
+	f.Add(value)
+	f.Add([]byte{0x80})
+	f.Fuzz(func(t *testing.T, value []byte) {
+		s, err := Decode(value)
+		if err != nil {
+			return
+		}
+		again, err := s.Encode()
+		qt.Assert(t, err, qt.IsNil)
+		same, err := Decode(again)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, same.records, qt.DeepEquals, s.records)
+	})
+}
