order: give engines their orders under a lease

parts/lease decides who holds the lease object of the object API; its version is the fencing number. The holder counts its term from before the write, a contender a quarter more from its first read. parts/order says which engines are due a drain or a load; entry/internal/order gives them and checks the lease last, on the monotonic clock.

--- a/entry/internal/setup/setup.go
+++ b/entry/internal/setup/setup.go
@@ -34,12 +34,17 @@
 	MaxBody    int
 	Grace      time.Duration
 	Claims     Claims
+	// OrderTerm is how long one renewal of the lease of orders holds.
+	OrderTerm time.Duration
 	// Linger is how long callers are taken after the stop began.
 	Linger time.Duration
 	// Certs secure the listeners of peers and operators.
 	Certs certs.Bundle
 }
 
+// leastOrderTerm leaves a few round trips to the object API within a term.
+const leastOrderTerm = time.Second
+
 // Prefix is the prefix of the environment variables.
 const Prefix = "FSENTRY"
 
@@ -71,6 +76,7 @@
 	fs.IntVar(&s.MaxBody, "max-body", 1<<20, "largest request body, in bytes")
 	fs.DurationVar(&s.Linger, "linger", 2*time.Second, "how long callers are still taken when stopping, so that the balancer sees in time that this host is not ready")
 	fs.DurationVar(&s.Grace, "grace", 30*time.Second, "longest wait for requests in flight when stopping")
+	fs.DurationVar(&s.OrderTerm, "order-term", 10*time.Second, "how long one renewal of the lease of orders to engines holds")
 	s.Certs.Flags(fs)
 	s.Claims.flags(fs)
 	return fs
@@ -118,6 +124,9 @@
 	if s.Linger < 0 {
 		faults = append(faults, fmt.Errorf("-linger: %s is below 0", s.Linger))
 	}
+	if s.OrderTerm < leastOrderTerm {
+		faults = append(faults, fmt.Errorf("-order-term: %s is below %s", s.OrderTerm, leastOrderTerm))
+	}
 	if s.Grace <= 0 {
 		faults = append(faults, fmt.Errorf("-grace: %s is not above 0", s.Grace))
 	}
--- a/entry/prog/prog.go
+++ b/entry/prog/prog.go
@@ -130,6 +130,7 @@
 	start("seat", func(ctx context.Context) error { return desk.Run(ctx, d.desk) })
 	start("claims", calls.Claims.Run)
 	start("calls", calls.Run)
+	start("order", d.orders(holder, line, api).Run)
 	start("ops", func(ctx context.Context) error { return d.serveOps(ctx, door) })
 	fmt.Fprintf(d.stdout, "ready callers=%s peers=%s desk=%s ops=%s\n",
 		d.callers.Addr(), d.peers.Addr(), d.desk.Addr(), d.ops.Addr())
--- /dev/null
+++ b/parts/order/order_test.go
@@ -0,0 +1,34 @@
+package order
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fuchsiashelf.dev/parts/conf"
+	"fuchsiashelf.dev/parts/host"
+)
+
+// A stop begins, is ordered once, and is taken back.
+func TestOrdersFollowTheStops(t *testing.T) {
+	c := qt.New(t)
+	now := time.UnixMilli(1_800_000_000_000)
+	hosts := map[string]host.Host{
+		"a1": {Name: "a1", Role: host.Engine}, "a2": {Name: "a2", Role: host.Engine},
+		"p1": {Name: "p1", Role: host.Plain},
+	}
+	config := &conf.Config{Stops: map[string]conf.Stop{
+		"a1": {Server: "a1"}, "a2": {Server: "a2", At: now.Add(time.Minute)}, "p1": {Server: "p1"}, "gone": {},
+	}}
+	c.Assert(List(nil, hosts, nil, now), qt.HasLen, 0)
+	due := List(config, hosts, nil, now)
+	c.Assert(due, qt.DeepEquals, []Due{{Drain, hosts["a1"]}})
+	drained := Taken(nil, due[0])
+	c.Assert(List(config, hosts, drained, now), qt.HasLen, 0)
+	delete(config.Stops, "a1")
+	due = List(config, hosts, drained, now)
+	c.Assert(due, qt.DeepEquals, []Due{{Load, hosts["a1"]}})
+	c.Assert(Taken(drained, due[0]), qt.HasLen, 0)
+	c.Assert(Gone([]string{"a1", "b1"}, hosts), qt.DeepEquals, []string{"a1"})
+}
--- a/sess/command_test.go
+++ b/sess/command_test.go
@@ -320,6 +320,8 @@
 		return s.call(a[1:])
 	case "ran":
 		return s.ran(a[1:])
+	case "orders":
+		return s.orders(a[1])
 	case "counts":
 		return s.Control(a[1], "GET", "/counts", nil)
 	}
--- a/sess/peers_test.go
+++ b/sess/peers_test.go
@@ -1,12 +1,14 @@
 package sess
 
 import (
+	"context"
 	"fmt"
 	"maps"
 	"strconv"
 	"strings"
 
 	"fuchsiashelf.dev/parts/domain"
+	"fuchsiashelf.dev/parts/engine"
 	"fuchsiashelf.dev/parts/fault"
 )
 
@@ -23,6 +25,14 @@
 	"island": command("island", func(s *session, a []string) (string, error) {
 		return "", s.Island(domain.Name(a[0]))
 	}),
+	// part DOMAIN: cuts a failure domain off from the others only.
+	"part": command("part", func(s *session, a []string) (string, error) {
+		s.Part(domain.Name(a[0]))
+		return "", nil
+	}),
+	// orders NAME: prints the orders that took effect on an engine, and by
+	// which pair of entry hosts each was given.
+	"orders":   command("orders", func(s *session, a []string) (string, error) { return s.orders(a[0]) }),
 	"mainland": command("mainland", func(s *session, _ []string) (string, error) { return "", s.Rejoin() }),
 	// crasher ENTRY TEAM PROMPT MAX: asks, and prints with the outcome whether
 	// the caller was told when to come back.
@@ -105,3 +115,21 @@
 	}
 	return out, nil
 }
+
+// orders tells e1 and e2 from the entry hosts that came later.
+func (s *session) orders(name string) (string, error) {
+	p, err := s.Get(name)
+	if err != nil {
+		return "", err
+	}
+	taken, err := (&engine.Client{}).Orders(context.Background(), p.At["serve"])
+	out := ""
+	for _, order := range taken {
+		by := "a successor"
+		if order.Holder == "e1" || order.Holder == "e2" {
+			by = "the first holder"
+		}
+		out += fmt.Sprintf("%s by %s\n", order.Order, by)
+	}
+	return out, err
+}
--- a/sess/procs/relay.go
+++ b/sess/procs/relay.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"time"
 
 	"fuchsiashelf.dev/parts/domain"
 )
@@ -27,6 +28,8 @@
 	island domain.Name
 	// healed is closed when the island ends.
 	healed chan struct{}
+	// holding counts the connections whose bytes are held back.
+	holding sync.WaitGroup
 }
 
 // Cuttable lets failure domains be cut off from each other. Call it before
@@ -35,10 +38,17 @@
 	w.relays = &relays{world: w, byName: map[string]net.Listener{}, homes: map[string]domain.Name{}}
 }
 
+// Part cuts a failure domain off from the others, but not from the store.
+func (w *World) Part(in domain.Name) {
+	w.relays.mu.Lock()
+	defer w.relays.mu.Unlock()
+	w.relays.island, w.relays.healed = in, make(chan struct{})
+}
+
 // Island cuts a failure domain off from the others and from the store.
 func (w *World) Island(in domain.Name) error {
+	w.Part(in)
 	w.relays.mu.Lock()
-	w.relays.island, w.relays.healed = in, make(chan struct{})
 	var entries []string
 	for name, home := range w.relays.homes {
 		if home == in {
@@ -49,12 +59,14 @@
 	return w.Fault(StoreName, "cut", strings.Join(entries, ","), 0)
 }
 
-// Rejoin ends the island. Connections that were held up are closed.
+// Rejoin ends the island. What was held back arrives late, as after a
+// partition; Rejoin returns when it has been passed on.
 func (w *World) Rejoin() error {
 	w.relays.mu.Lock()
 	w.relays.island = ""
 	close(w.relays.healed)
 	w.relays.mu.Unlock()
+	w.relays.holding.Wait()
 	return w.Heal(StoreName)
 }
 
@@ -88,9 +100,10 @@
 func (r *relays) carry(conn net.Conn, in domain.Name, to string) {
 	defer conn.Close()
 	from := r.caller(conn)
-	if r.held(from, in) {
+	if from == "" {
 		return
 	}
+	r.hold(from, in)()
 	out, err := net.Dial("tcp", to)
 	if err != nil {
 		return
@@ -112,14 +125,14 @@
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := src.Read(buffer)
-		if r.held(from, in) {
-			return
-		}
+		release := r.hold(from, in)
 		if n > 0 {
 			if _, err := dst.Write(buffer[:n]); err != nil {
+				release()
 				return
 			}
 		}
+		release()
 		if err == io.EOF {
 			if half, ok := dst.(*net.TCPConn); ok {
 				_ = half.CloseWrite()
@@ -132,28 +145,40 @@
 	}
 }
 
-// held waits for as long as a process and a domain are parted, and reports
-// whether it had to.
-func (r *relays) held(from string, in domain.Name) bool {
+// hold waits for as long as a process and a domain are parted. The function
+// that it returns says that what was held back has been passed on.
+func (r *relays) hold(from string, in domain.Name) (release func()) {
 	r.mu.Lock()
 	home := r.homes[from]
 	parted := home != in && r.island != "" && (home == r.island || in == r.island)
 	healed := r.healed
-	r.mu.Unlock()
 	if parted {
-		<-healed
+		r.holding.Add(1)
+	}
+	r.mu.Unlock()
+	if !parted {
+		return func() {}
 	}
-	return parted
+	<-healed
+	return r.holding.Done
 }
 
+// lookups is how often the caller of a connection is looked for. The kernel's
+// table is not read in one piece, so that a look may miss a socket.
+const lookups = 50
+
 // caller names the process at the other end of a connection: the one that has
-// the socket open whose local address is the remote address here.
+// the socket open whose local address is the remote address here. It is empty
+// if the process has closed it already.
 func (r *relays) caller(conn net.Conn) string {
-	inode := socketInode(conn.RemoteAddr().(*net.TCPAddr))
-	for _, p := range r.world.All() {
-		if inode != "" && p.holds(inode) {
-			return p.Name
+	for range lookups {
+		inode := socketInode(conn.RemoteAddr().(*net.TCPAddr))
+		for _, p := range r.world.All() {
+			if inode != "" && p.holds(inode) {
+				return p.Name
+			}
 		}
+		time.Sleep(readyTick / lookups)
 	}
 	return ""
 }
