seat: ask entry hosts in rounds while a line is confirmed

One worker was held by each entry host for up to 4 s, so with as many cut off as there are workers, the others would not have been asked and been named as missing. A round now asks each once, 0.4 s at most, and the next round only those that have not confirmed.

--- a/entry/internal/seat/confirm.go
+++ b/entry/internal/seat/confirm.go
@@ -13,7 +13,7 @@
 // confirmWait is how long a line waits for all entry hosts to confirm.
 const confirmWait = 4 * time.Second
 
-// confirmTick is the pause between two questions to one entry host.
+// confirmTick is the pause between two rounds of questions.
 const confirmTick = 50 * time.Millisecond
 
 // handOnAfter is how long an entry host may lag before the configuration is
@@ -29,24 +29,30 @@
 	defer cancel()
 	answer := &wire.Answer{Outcome: Done, Revision: line.Revision}
 	if s.View.Load().HostsRevision == 0 {
-		answer.Outcome, answer.Message = Partly, "the host list is not known here, so neither are all entry hosts"
+		answer.Outcome, answer.Message = Partly, hostsUnknown
+	}
+	began := time.Now()
+	lagging := map[string]bool{}
+	missing := s.Mesh.Others()
+	for {
+		missing = s.confirmRound(ctx, line.ID, missing, lagging, time.Since(began) > handOnAfter)
+		if len(missing) == 0 || ctx.Err() != nil {
+			break
+		}
+		pause(ctx, confirmTick)
 	}
-	others := s.Mesh.Others()
-	replies := askAll(ctx, s, others, func(ctx context.Context, h host.Host) (*wire.StatusReply, error) {
-		return s.confirmOne(ctx, h, line.ID)
-	})
 	// Hosts that left the list or said goodbye meanwhile need not confirm.
 	still := map[string]bool{}
 	for _, h := range s.Mesh.Others() {
 		still[h.Name] = true
 	}
-	for _, h := range others {
-		if replies[h.Name] == nil && still[h.Name] {
+	for _, h := range missing {
+		if still[h.Name] {
 			answer.Missing = append(answer.Missing, h.Name)
 		}
 	}
-	if _, own := s.View.Load().Config.Find(line.ID); !own {
-		answer.Missing = append(answer.Missing, s.View.Load().Self)
+	if snap := s.View.Load(); !has(snap.Config, line.ID) {
+		answer.Missing = append(answer.Missing, snap.Self)
 	}
 	if len(answer.Missing) > 0 {
 		answer.Outcome = Partly
@@ -55,21 +61,41 @@
 	return answer
 }
 
-// confirmOne asks one entry host until it has the line in force.
-func (s *Seat) confirmOne(ctx context.Context, h host.Host, id string) (*wire.StatusReply, error) {
-	began := time.Now()
-	ask := &wire.StatusAsk{Secret: s.Mesh.Secret, Line: id}
-	for {
-		reply, err := s.ask(ctx, h, ask)
-		if err == nil && reply.HasLine {
-			return reply, nil
-		}
-		if err == nil && len(ask.Object) == 0 && time.Since(began) > handOnAfter {
-			ask.Object, _ = s.View.Load().Config.Encode()
+// hostsUnknown is why an answer about all entry hosts cannot be given.
+const hostsUnknown = "the host list is not known here, so neither are all entry hosts"
+
+func has(c *conf.Config, id string) bool {
+	_, found := c.Find(id)
+	return found
+}
+
+// confirmRound asks hosts once and returns those that have not confirmed. One
+// that answered in an earlier round, and is in lagging since, is handed the
+// configuration. A host that does not answer holds a worker for askWait only,
+// so that a failure domain that is cut off does not keep the others from being
+// asked.
+func (s *Seat) confirmRound(
+	ctx context.Context, id string, hosts []host.Host, lagging map[string]bool, handOn bool,
+) []host.Host {
+	var object []byte
+	if handOn && len(lagging) > 0 {
+		object, _ = s.View.Load().Config.Encode()
+	}
+	replies := askAll(ctx, s, hosts, func(ctx context.Context, h host.Host) (*wire.StatusReply, error) {
+		ask := &wire.StatusAsk{Secret: s.Mesh.Secret, Line: id}
+		if lagging[h.Name] {
+			ask.Object = object
 		}
-		pause(ctx, confirmTick)
-		if ctx.Err() != nil {
-			return nil, ctx.Err()
+		return s.ask(ctx, h, ask)
+	})
+	var missing []host.Host
+	for _, h := range hosts {
+		reply := replies[h.Name]
+		if reply != nil && reply.HasLine {
+			continue
 		}
+		lagging[h.Name] = reply != nil
+		missing = append(missing, h)
 	}
+	return missing
 }
--- a/entry/internal/seat/stops.go
+++ b/entry/internal/seat/stops.go
@@ -25,7 +25,7 @@
 		entries = append(entries, h.Name)
 	}
 	if s.View.Load().HostsRevision == 0 {
-		answer.Outcome, answer.Message = Partly, "the host list is not known here, so neither are all entry hosts"
+		answer.Outcome, answer.Message = Partly, hostsUnknown
 		entries = nil
 	}
 	for _, name := range slices.Sorted(maps.Keys(c.Stops)) {
--- a/entry/internal/seat/survey.go
+++ b/entry/internal/seat/survey.go
@@ -25,7 +25,8 @@
 	silent []string
 }
 
-// surveyWait bounds a survey. A live host answers in milliseconds.
+// surveyWait bounds a survey. A live host answers in milliseconds; the rest is
+// for many that do not.
 const surveyWait = time.Second
 
 // survey asks all other entry hosts for their revision.
@@ -47,8 +48,13 @@
 	return found
 }
 
+// askWait bounds one question to one entry host.
+const askWait = 400 * time.Millisecond
+
 // ask asks one entry host.
 func (s *Seat) ask(ctx context.Context, h host.Host, ask *wire.StatusAsk) (*wire.StatusReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, askWait)
+	defer cancel()
 	client, err := s.Mesh.Client(ctx, h)
 	if err != nil {
 		return nil, err
--- a/entry/prog/desk.go
+++ b/entry/prog/desk.go
@@ -13,7 +13,7 @@
 
 // seatWorkers bounds the questions that the operators' lines have out to
 // other entry hosts at one time.
-const seatWorkers = 64
+const seatWorkers = 128
 
 // deskParts makes the parts that put the operators' lines in force.
 func (d *daemon) deskParts(holder *view.Holder, line *trace.Line, api store.API) (*feed.Feed, *mesh.Mesh, *seat.Seat, error) {
