--- a/entry/prog/prog.go
+++ b/entry/prog/prog.go
@@ -17,9 +17,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"fuchsiashelf.dev/entry/internal/gate"
-	"fuchsiashelf.dev/entry/internal/relay"
 	"fuchsiashelf.dev/entry/internal/setup"
-	"fuchsiashelf.dev/parts/engine"
 	"fuchsiashelf.dev/parts/httpd"
 	"fuchsiashelf.dev/parts/store"
 	"fuchsiashelf.dev/parts/trace"
@@ -106,10 +104,16 @@
 		return err
 	}
 	defer desk.Workers.Release()
+	path, err := d.path(holder, line)
+	if err != nil {
+		return err
+	}
+	defer path.release()
+	path.relay.Guard = d.guard(holder, line, peers)
 	calls := d.calls(holder, line, api, peers)
 	door := &gate.Gate{
 		View:  holder,
-		Relay: &relay.Relay{View: holder, Engine: &engine.Client{}, Guard: d.guard(holder, line, peers), Trace: line, Log: d.log},
+		Relay: path.relay,
 		Pass:  calls, Admission: d.admission(holder, line),
 		Trace: line, Log: d.log, MaxBody: d.settings.MaxBody,
 		Ready: d.ready(feeder),
@@ -126,6 +130,7 @@
 		})
 	}
 	start("feed", func(ctx context.Context) error { feeder.Run(ctx); return nil })
+	start("poll", func(ctx context.Context) error { path.poll.Run(ctx); return nil })
 	start("mesh", func(ctx context.Context) error { return peers.Run(ctx, d.peers) })
 	start("seat", func(ctx context.Context) error { return desk.Run(ctx, d.desk) })
 	start("claims", calls.Claims.Run)
