seat: carry out no line before the host list is known

An entry host that has just started checked lines against an empty host list and asked nobody whether the store had lost something.

--- a/entry/internal/seat/accept.go
+++ b/entry/internal/seat/accept.go
@@ -66,6 +66,9 @@
 	ctx, cancel := context.WithTimeout(ctx, acceptWait)
 	defer cancel()
 	began := time.Now()
+	if !o.awaitHosts(ctx) {
+		return conf.Line{}, &wire.Answer{Outcome: Refused, Message: hostsUnknown + "; nothing was changed"}
+	}
 	known := o.survey(ctx)
 	var last error
 	for {
--- a/entry/internal/seat/survey.go
+++ b/entry/internal/seat/survey.go
@@ -29,6 +29,25 @@
 // for many that do not.
 const surveyWait = time.Second
 
+// awaitHosts waits until the host list is known, as it is moments after the
+// start of an entry host. Without it a line could not be checked, and a store
+// that lost what others have in force would not be noticed.
+func (s *Seat) awaitHosts(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, outageWait)
+	defer cancel()
+	for {
+		changed := s.View.Changed()
+		if s.View.Load().HostsRevision > 0 {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // survey asks all other entry hosts for their revision.
 func (s *Seat) survey(ctx context.Context) survey {
 	others := s.Mesh.Others()
@@ -166,6 +185,9 @@
 }
 
 func (s *Seat) putBackOnce(ctx context.Context) error {
+	if !s.awaitHosts(ctx) {
+		return errors.New(hostsUnknown)
+	}
 	known := s.survey(ctx)
 	object, stored, err := s.read(ctx)
 	if err != nil {
