--- a/sess/leave_test.go
+++ b/sess/leave_test.go
@@ -65,15 +65,16 @@
 	}),
 }
 
-// taken returns how many requests an engine or plain service has taken.
+// taken returns how many requests have reached an engine, the refused ones
+// included, or how many calls a plain service has taken.
 func (s *session) taken(name string) (int, error) {
 	page, err := s.Control(name, "GET", "/counts", nil)
 	if err != nil {
 		return 0, err
 	}
-	var engine struct{ Taken *int }
-	if err := json.Unmarshal([]byte(page), &engine); err == nil && engine.Taken != nil {
-		return *engine.Taken, nil
+	var engine struct{ Taken, Refused *int }
+	if err := json.Unmarshal([]byte(page), &engine); err == nil && engine.Taken != nil && engine.Refused != nil {
+		return *engine.Taken + *engine.Refused, nil
 	}
 	var calls map[string]int
 	if err := json.Unmarshal([]byte(page), &calls); err != nil {
