admit: let the limit follow the wait of tokens at engines

A pool's limit was fixed. It now follows the meters of package server: the mean wait of tokens in units of the step, at the fullest stage. It is now cut towards what runs times target over wait, a fifth at a time.

Limit, wait, running and waiting of each pool are on the metrics page.

--- a/entry/internal/gate/admission.go
+++ b/entry/internal/gate/admission.go
@@ -89,8 +89,13 @@
 	}}
 	if p.IsPlain() {
 		d.Limit.Value = plainPerServer * part
+	} else {
+		d.Measure = a.measure(p.Name)
+	}
+	held, found := a.doors.LoadOrStore(p.Name, d)
+	if !found {
+		show(p.Name, d)
 	}
-	held, _ := a.doors.LoadOrStore(p.Name, d)
 	return held.(*admit.Door)
 }
 
--- a/entry/internal/gate/meter.go
+++ b/entry/internal/gate/meter.go
@@ -24,6 +24,19 @@
 	metrics.GetOrRegisterCounter("gate.refusals."+string(code), nil).Inc(1)
 }
 
+// show puts what a door holds on the metrics page.
+func show(pool string, d *admit.Door) {
+	for name, of := range map[string]func(admit.Load) float64{
+		"limit":   func(l admit.Load) float64 { return l.Limit },
+		"running": func(l admit.Load) float64 { return float64(l.Running) },
+		"waiting": func(l admit.Load) float64 { return float64(l.Waiting) },
+		"wait":    func(l admit.Load) float64 { return l.Wait },
+	} {
+		gauge := metrics.NewFunctionalGaugeFloat64(func() float64 { return of(d.Load()) })
+		_ = metrics.Register("admit."+name+"."+pool, gauge)
+	}
+}
+
 // timed is a sink that measures an answer on its way to the caller. Its
 // figures go to the metrics page once, at the end of the answer, so that a
 // token costs a clock reading and no lock.
--- a/entry/internal/setup/admit.go
+++ b/entry/internal/setup/admit.go
@@ -22,7 +22,7 @@
 	fs.DurationVar(&a.Wait, "queue-wait", 200*time.Millisecond, "longest wait of a request for its pool; a request that would wait longer is refused at once")
 	fs.IntVar(&a.Requests, "queue-requests", 1024, "most requests that wait for one pool")
 	fs.IntVar(&a.Bytes, "queue-bytes", 16<<20, "most memory that requests waiting for one pool hold, in bytes")
-	fs.Float64Var(&a.Target, "queue-target", 1.5, "wait of a token at engines to aim at, in steps of the engine")
+	fs.Float64Var(&a.Target, "queue-target", 4, "wait of a token at engines to aim at, in steps of the engine")
 	fs.Float64Var(&a.Reserve, "queue-reserve", 0.2, "part above a pool's limit for teams below their share")
 }
 
--- a/parts/admit/door.go
+++ b/parts/admit/door.go
@@ -28,6 +28,7 @@
 	once     sync.Once
 	queue    Queue
 	measured time.Time
+	wait     float64
 	// gap is the mean time between two tokens in nanoseconds, as a float's
 	// bits; zero while it is not known.
 	gap atomic.Uint64
@@ -124,6 +125,7 @@
 	}
 	d.measured = now
 	wait, known := d.Measure(now)
+	d.wait = wait
 	if known && d.Limit.Adapt(now, wait, d.queue.Running()) {
 		d.queue.Limit = d.Limit.Value
 	}
@@ -134,6 +136,9 @@
 	// Limit is how many requests run at once at most.
 	Limit            float64
 	Running, Waiting int
+	// Wait is the mean wait of tokens when it was last measured, in units of
+	// their run time.
+	Wait float64
 }
 
 // Load returns what the door holds now.
@@ -141,5 +146,5 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.once.Do(d.start)
-	return Load{Limit: d.queue.Limit, Running: d.queue.Running(), Waiting: d.queue.Waiting()}
+	return Load{Limit: d.queue.Limit, Running: d.queue.Running(), Waiting: d.queue.Waiting(), Wait: d.wait}
 }
--- a/parts/admit/limit.go
+++ b/parts/admit/limit.go
@@ -22,14 +22,17 @@
 	settled time.Time
 }
 
-// The steps of the limit. It grows slowly, since the wait shows the effect of
-// a new request only after its first tokens, and shrinks at most by a fifth
-// at a time, since what runs already isn't cut.
+// The steps of the limit. It grows slowly near the target, since the wait
+// shows the effect of a new request only after its first tokens, and faster
+// far below it. It shrinks at most by a fifth at a time, since what runs
+// already isn't cut, and so that one burst doesn't take it far down.
 const (
 	growth      = 1.05
+	fastGrowth  = 1.25
 	deepest     = 0.8
 	nearBinding = 0.9
 	deadBand    = 0.1
+	farBelow    = 0.6
 )
 
 // Settle is the least time between two changes of the limit.
@@ -37,22 +40,21 @@
 
 // Adapt changes the limit by the mean wait of the latest tokens, in units of
 // their run time, and by how many requests run. It reports whether the limit
-// has changed. A limit that doesn't bind says nothing about the pool and
-// stays.
+// has changed.
 func (l *Limit) Adapt(now time.Time, wait float64, running int) bool {
-	if now.Sub(l.settled) < Settle || !l.binds(running) {
+	if now.Sub(l.settled) < Settle {
 		return false
 	}
 	next := l.Value
 	switch {
 	case wait > l.Target*(1+deadBand):
-		if float64(running) > l.Value+1 {
-			// The last cut has not taken effect yet.
-			return false
+		next = l.cut(wait, float64(running))
+	case wait < l.Target*(1-deadBand) && l.binds(running):
+		step := growth
+		if wait < l.Target*farBelow {
+			step = fastGrowth
 		}
-		next *= max(deepest, l.Target/wait)
-	case wait < l.Target*(1-deadBand):
-		next = max(next*growth, next+1)
+		next = max(next*step, next+1)
 	}
 	next = min(max(next, l.Least), l.Most)
 	if next == l.Value {
@@ -62,6 +64,14 @@
 	return true
 }
 
+// cut returns the limit of a pool that is too full. What runs now makes the
+// wait, so the limit goes towards the part of it that would make the target;
+// a limit below that has not taken effect yet, and stays.
+func (l *Limit) cut(wait, running float64) float64 {
+	fits := running * l.Target / wait
+	return min(l.Value, max(fits, deepest*l.Value))
+}
+
 // binds reports whether the limit holds requests back, or nearly so. A limit
 // of a few requests does as soon as one less than it runs.
 func (l *Limit) binds(running int) bool {
--- a/sess/cmd/bench/main.go
+++ b/sess/cmd/bench/main.go
@@ -22,6 +22,8 @@
 	flag.StringVar(&b.bin, "bin", "bin", "directory with the programs")
 	flag.DurationVar(&b.cell, "cell", 8*time.Second, "length of one measurement")
 	flag.StringVar(&b.series, "series", "", "directory for the time series, if wanted")
+	flag.StringVar(&b.policies, "policies", "cost,random,robin,least", "policies to compare")
+	flag.BoolVar(&b.quick, "quick", false, "measure throughput at the highest load only")
 	only := flag.String("only", "throughput,recovery,costs,control", "parts to run")
 	flag.Parse()
 	if err := b.run(strings.Split(*only, ",")); err != nil {
@@ -32,8 +34,10 @@
 
 // bench is one run of the bench.
 type bench struct {
-	bin, series string
-	cell        time.Duration
+	bin, series, policies string
+	// quick measures only the throughput at the highest load, for trials.
+	quick bool
+	cell  time.Duration
 	// last are the lines that end the output.
 	last []string
 }
