view: keep one rule for suspects, and drop those that are over

Cause: relay and poll each held the rule, and a suspect whose time was over stayed in the map, so that every choice looked servers up for good after the first failure. TestSuspect; relay and poll tests pass.

--- a/entry/internal/poll/poll.go
+++ b/entry/internal/poll/poll.go
@@ -114,11 +114,7 @@
 // would be tried by a request each time that its avoidance ends.
 func (p *Poll) miss(name string, m *server.Meter, now time.Time) {
 	until := now.Add(p.Period + health.Avoid(m.Failures.Add(1)))
-	p.View.Update(func(s *view.Snapshot) {
-		if until.After(s.Suspects[name]) {
-			s.Suspects = view.Edit(s.Suspects, func(m map[string]time.Time) { m[name] = until })
-		}
-	})
+	p.View.Update(func(s *view.Snapshot) { s.Suspect(name, until, now) })
 	p.Log.Warn("poll: server does not answer", "server", name)
 }
 
--- a/entry/internal/relay/blame.go
+++ b/entry/internal/relay/blame.go
@@ -91,11 +91,7 @@
 }
 
 func (c *carry) avoid(until time.Time, server string) {
-	c.View.Update(func(s *view.Snapshot) {
-		if until.After(s.Suspects[server]) {
-			s.Suspects = view.Edit(s.Suspects, func(m map[string]time.Time) { m[server] = until })
-		}
-	})
+	c.View.Update(func(s *view.Snapshot) { s.Suspect(server, until, time.Now()) })
 }
 
 // avoidLinkTo has the link avoided over which a failed server was reached: it
--- a/parts/view/out.go
+++ b/parts/view/out.go
@@ -1,6 +1,9 @@
 package view
 
-import "maps"
+import (
+	"maps"
+	"time"
+)
 
 // sources are the reasons in the order in which they are told: a server that
 // several sources take out is listed under the first of them.
@@ -35,3 +38,16 @@
 func (s *Snapshot) ClearOut(source Reason, server string) {
 	s.SetOut(source, Edit(s.Outs[source], func(m map[string]bool) { delete(m, server) }))
 }
+
+// Suspect has a server avoided until a time, or longer if it is already, for
+// use within Update. What is over is dropped, so that the request path looks
+// at nothing while all servers are well.
+func (s *Snapshot) Suspect(server string, until, now time.Time) {
+	if !until.After(s.Suspects[server]) {
+		return
+	}
+	s.Suspects = Edit(s.Suspects, func(m map[string]time.Time) {
+		maps.DeleteFunc(m, func(_ string, end time.Time) bool { return !now.Before(end) })
+		m[server] = until
+	})
+}
--- a/parts/view/out_test.go
+++ b/parts/view/out_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/frankban/quicktest"
 
@@ -23,6 +24,22 @@
 	c.Assert(h.Load().Out, quicktest.HasLen, 0)
 }
 
+// A server that is suspected twice is avoided for the longer of the two, and
+// one whose time is over is forgotten.
+func TestSuspect(t *testing.T) {
+	c := quicktest.New(t)
+	h := New("e1", "a")
+	at := func(s int64) time.Time { return time.Unix(s, 0) }
+	h.Update(func(s *Snapshot) { s.Suspect("a1", at(10), at(1)) })
+	before := h.Load()
+	h.Update(func(s *Snapshot) { s.Suspect("a1", at(5), at(1)) })
+	h.Update(func(s *Snapshot) { s.Suspect("a2", at(20), at(2)) })
+	c.Assert(h.Load().Suspects, quicktest.DeepEquals, map[string]time.Time{"a1": at(10), "a2": at(20)})
+	h.Update(func(s *Snapshot) { s.Suspect("a3", at(30), at(10)) })
+	c.Assert(h.Load().Suspects, quicktest.DeepEquals, map[string]time.Time{"a2": at(20), "a3": at(30)})
+	c.Assert(before.Suspects, quicktest.HasLen, 1)
+}
+
 func TestEpoch(t *testing.T) {
 	c := quicktest.New(t)
 	h := New("e1", "a")
