--- a/entry/internal/pass/send.go
+++ b/entry/internal/pass/send.go
@@ -22,6 +22,7 @@
 const (
 	HeaderPrefix   = "Fuchsia-"
 	TeamHeader     = "Fuchsia-Team"
+	RequestHeader  = "Fuchsia-Request"
 	DeadlineHeader = "Fuchsia-Deadline"
 )
 
@@ -136,6 +137,7 @@
 	req.ContentLength = int64(len(call.Body))
 	req.Header = call.Header.Clone()
 	req.Header.Set(TeamHeader, call.Team)
+	req.Header.Set(RequestHeader, call.Request)
 	req.Header.Set(DeadlineHeader, strconv.FormatInt(call.Deadline.UnixMilli(), 10))
 	return req, nil
 }
