--- a/sess/claims_test.go
+++ b/sess/claims_test.go
@@ -1,6 +1,7 @@
 package sess
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -8,6 +9,10 @@
 	"strings"
 	"syscall"
 
+	"fuchsiashelf.dev/parts/claim"
+	"fuchsiashelf.dev/parts/conf"
+	"fuchsiashelf.dev/parts/store"
+	"fuchsiashelf.dev/parts/team"
 	"fuchsiashelf.dev/sess/procs"
 )
 
@@ -36,6 +41,15 @@
 	}),
 	// ticket LABEL ENTRY TEAM: asks for a ticket; "call" takes @LABEL as id.
 	"ticket": command("ticket", func(s *session, a []string) (string, error) { return "", s.ticket(a[0], a[1], a[2]) }),
+	// claimfault KIND TEAM/ID: switches a fault of the store on that strikes
+	// the next write of the shard that holds the call's claim. Outcomes of
+	// earlier calls are written behind, into other shards.
+	"claimfault": command("claimfault", func(s *session, a []string) (string, error) {
+		team, id, _ := strings.Cut(a[1], "/")
+		return "", s.Fault(procs.StoreName, a[0], claim.ObjectKey(claim.KeyOf(team, id).Shard()), 1)
+	}),
+	// limit TEAM RATE BURST: changes what a team may send.
+	"limit": command("limit", func(s *session, a []string) (string, error) { return "", s.limit(a[0], a[1], a[2]) }),
 	// big ENTRY TEAM METHOD URI ID BYTES: a call with a body of that length;
 	// prints status, verdict and code.
 	"big": command("big", func(s *session, a []string) (string, error) {
@@ -103,3 +117,34 @@
 	s.tickets[label] = got.Ticket
 	return nil
 }
+
+// limit writes a team's deal into the book of teams, as the users' own
+// engineers do.
+func (s *session) limit(name, rate, burst string) error {
+	p, err := s.Get(procs.StoreName)
+	if err != nil {
+		return err
+	}
+	client := &store.Client{Address: p.At["serve"]}
+	o, err := client.Get(context.Background(), conf.TeamsKey)
+	if err != nil {
+		return err
+	}
+	var book team.Book
+	if err := json.Unmarshal(o.Value, &book); err != nil {
+		return err
+	}
+	for i := range book.Teams {
+		if book.Teams[i].Name == name {
+			if _, err := fmt.Sscan(rate+" "+burst, &book.Teams[i].Deal.Rate, &book.Teams[i].Deal.Burst); err != nil {
+				return err
+			}
+		}
+	}
+	value, err := json.Marshal(book)
+	if err != nil {
+		return err
+	}
+	_, err = client.Put(context.Background(), conf.TeamsKey, value, o.Version)
+	return err
+}
