--- a/entry/internal/order/order.go
+++ b/entry/internal/order/order.go
@@ -42,8 +42,10 @@
 
 	machine lease.Machine
 	pool    *ants.Pool
-	drained []string
-	holds   bool
+	// noted are the engines that may be drained, as the next renewal of the
+	// lease says; ordered are those that this holder told to drain.
+	noted, ordered []string
+	holds          bool
 }
 
 const (
@@ -114,7 +116,7 @@
 		o.holds = held
 		o.note("", fmt.Sprintf("holds the lease of orders: %v", held))
 		if held {
-			o.drained = o.machine.Note()
+			o.noted, o.ordered = o.machine.Note(), nil
 		}
 	}
 	if held {
@@ -133,7 +135,7 @@
 		o.Log.Error("order: lease unreadable")
 	}
 	o.machine.Read(object.Version, value, time.Now())
-	note := o.drained
+	note := o.noted
 	if !o.holds {
 		note = value.Note
 	}
@@ -156,26 +158,46 @@
 	if snap.HostsRevision == 0 {
 		return
 	}
-	o.drained = rules.Gone(o.drained, snap.Hosts)
-	due := rules.List(snap.Config, snap.Hosts, o.drained, time.Now())
+	o.noted = rules.Listed(o.noted, snap.Hosts)
+	o.ordered = rules.Listed(o.ordered, snap.Hosts)
+	due := o.recorded(rules.List(snap.Config, snap.Hosts, o.noted, o.ordered, time.Now()))
 	taken := make(chan rules.Due, len(due))
 	for _, d := range due {
 		err := o.pool.Submit(func() {
-			if o.order(ctx, d) {
-				taken <- d
-				return
+			if !o.order(ctx, d) {
+				d = rules.Due{}
 			}
-			taken <- rules.Due{}
+			taken <- d
 		})
 		if err != nil {
 			taken <- rules.Due{}
 		}
 	}
 	for range due {
-		if d := <-taken; d.Order != "" {
-			o.drained = rules.Taken(o.drained, d)
+		switch d := <-taken; d.Order {
+		case rules.Drain:
+			o.ordered = rules.With(o.ordered, d.Host.Name)
+		case rules.Load:
+			o.ordered = rules.Without(o.ordered, d.Host.Name)
+			o.noted = rules.Without(o.noted, d.Host.Name)
+		}
+	}
+}
+
+// recorded returns the orders that may be given now. A drain is first noted
+// in the lease, and given in the round after that.
+func (o *Orders) recorded(due []rules.Due) []rules.Due {
+	var ready []rules.Due
+	written := o.machine.Note()
+	for _, d := range due {
+		if d.Order == rules.Drain && !slices.Contains(written, d.Host.Name) {
+			o.noted = rules.With(o.noted, d.Host.Name)
+			o.machine.Renew()
+			continue
 		}
+		ready = append(ready, d)
 	}
+	return ready
 }
 
 // order gives one order. The lease is checked last, on the monotonic clock,
--- a/parts/lease/lease.go
+++ b/parts/lease/lease.go
@@ -46,6 +46,8 @@
 	// number and until are the own lease; until is zero without one.
 	number uint64
 	until  time.Time
+	// renew asks for a write ahead of time.
+	renew bool
 	// pending is a write whose outcome is not known.
 	pending Value
 	sentAt  time.Time
@@ -81,7 +83,7 @@
 		return Value{}, 0, false
 	}
 	m.pending = Value{Holder: m.Self, Nonce: nonce, TermMs: m.Term.Milliseconds(), Note: note}
-	m.sentAt = now
+	m.sentAt, m.renew = now, false
 	return m.pending, m.seen, true
 }
 
@@ -90,7 +92,7 @@
 	case m.seen == 0:
 		return true
 	case m.seen == m.number && now.Before(m.until):
-		return m.until.Sub(now) < m.Term*(renewals-1)/renewals
+		return m.renew || m.until.Sub(now) < m.Term*(renewals-1)/renewals
 	}
 	// Somebody's, also a former life's of this entry host: an order of that
 	// one may still be under way.
@@ -116,7 +118,12 @@
 	m.pending = Value{}
 }
 
-// Note returns what the last holder left for its successor.
+// Renew asks for a write ahead of time, since the note has changed.
+func (m *Machine) Renew() {
+	m.renew = true
+}
+
+// Note returns what the object was last seen to hold for a successor.
 func (m *Machine) Note() []string {
 	return m.value.Note
 }
--- a/parts/order/order.go
+++ b/parts/order/order.go
@@ -2,9 +2,10 @@
 //
 // An engine whose planned stop has begun is told to drain, so that it takes
 // no new work from anyone else either; one whose stop was taken back is told
-// to load again. What was ordered is kept by the holder of the lease and left
-// to its successor with each renewal; what was ordered since the last renewal
-// is ordered once more, which changes nothing.
+// to load again. The engines that may have been told to drain are noted in the
+// lease before they are: a holder that is gone right after the order would
+// otherwise leave an engine drained that nobody tells to load. A successor
+// orders them once more, which changes nothing.
 package order
 
 import (
@@ -28,20 +29,21 @@
 	Host  host.Host
 }
 
-// List returns the orders that are due, by name of the engine. Drained are the
-// engines that were told to drain and not to load since.
-func List(c *conf.Config, hosts map[string]host.Host, drained []string, now time.Time) []Due {
+// List returns the orders that are due, by name of the engine. Noted are the
+// engines that may have been told to drain and not to load since; ordered are
+// those that this holder told itself.
+func List(c *conf.Config, hosts map[string]host.Host, noted, ordered []string, now time.Time) []Due {
 	var due []Due
 	if c == nil {
 		return nil
 	}
 	for name, stop := range c.Stops {
 		h, listed := hosts[name]
-		if listed && h.Role == host.Engine && stop.Begun(now) && !slices.Contains(drained, name) {
+		if listed && h.Role == host.Engine && stop.Begun(now) && !slices.Contains(ordered, name) {
 			due = append(due, Due{Drain, h})
 		}
 	}
-	for _, name := range drained {
+	for _, name := range noted {
 		h, listed := hosts[name]
 		stop, stopped := c.Stops[name]
 		if listed && (!stopped || !stop.Begun(now)) {
@@ -57,20 +59,25 @@
 	return due
 }
 
-// Taken returns the drained engines after an order took effect.
-func Taken(drained []string, d Due) []string {
-	rest := slices.DeleteFunc(slices.Clone(drained), func(name string) bool { return name == d.Host.Name })
-	if d.Order == Drain {
-		rest = append(rest, d.Host.Name)
+// With returns a list of names, sorted, with one more.
+func With(names []string, name string) []string {
+	if slices.Contains(names, name) {
+		return names
 	}
-	slices.Sort(rest)
-	return rest
+	next := append(slices.Clone(names), name)
+	slices.Sort(next)
+	return next
 }
 
-// Gone returns the drained engines without those that are not listed any
-// more: a host that comes back under the name is a new one.
-func Gone(drained []string, hosts map[string]host.Host) []string {
-	return slices.DeleteFunc(slices.Clone(drained), func(name string) bool {
+// Without returns a list of names without one.
+func Without(names []string, name string) []string {
+	return slices.DeleteFunc(slices.Clone(names), func(n string) bool { return n == name })
+}
+
+// Listed returns the names that the host list has: a host that comes back
+// under a name is a new one.
+func Listed(names []string, hosts map[string]host.Host) []string {
+	return slices.DeleteFunc(slices.Clone(names), func(name string) bool {
 		_, listed := hosts[name]
 		return !listed
 	})
--- a/sess/procs/relay.go
+++ b/sess/procs/relay.go
@@ -1,29 +1,36 @@
 package procs
 
 import (
-	"fmt"
+	"bytes"
+	"encoding/json"
 	"io"
+	"log"
 	"net"
-	"os"
-	"path/filepath"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
+	"strconv"
 	"strings"
 	"sync"
-	"time"
 
 	"fuchsiashelf.dev/parts/domain"
+	"fuchsiashelf.dev/parts/host"
 )
 
 // relays stands between the processes of a world, so that failure domains can
-// be cut off from each other: the host list then names the address of a
-// relay for each host, and a relay passes no bytes between domains that are
-// parted. Parted processes see silence, as in a network partition, not a
-// closed connection.
+// be cut off from each other. Entry hosts reach the store through a face of
+// their own domain, whose host list names a relay for each host. A relay
+// passes no bytes between domains that are parted: what is sent arrives late,
+// as in a network partition.
 type relays struct {
-	world *World
-
-	mu     sync.Mutex
-	byName map[string]net.Listener
-	homes  map[string]domain.Name
+	mu sync.Mutex
+	// faces holds the addresses of the store's faces by domain.
+	faces map[domain.Name]string
+	// paths holds the relays' addresses by domain of the caller and address
+	// of the host.
+	paths     map[path]string
+	listeners []net.Listener
+	homes     map[string]domain.Name
 	// island is the domain that is cut off; empty for none.
 	island domain.Name
 	// healed is closed when the island ends.
@@ -32,10 +39,17 @@
 	holding sync.WaitGroup
 }
 
+type path struct {
+	from domain.Name
+	to   string
+}
+
 // Cuttable lets failure domains be cut off from each other. Call it before
-// any host is listed.
+// any entry host starts.
 func (w *World) Cuttable() {
-	w.relays = &relays{world: w, byName: map[string]net.Listener{}, homes: map[string]domain.Name{}}
+	w.relays = &relays{
+		faces: map[domain.Name]string{}, paths: map[path]string{}, homes: map[string]domain.Name{},
+	}
 }
 
 // Part cuts a failure domain off from the others, but not from the store.
@@ -70,39 +84,93 @@
 	return w.Heal(StoreName)
 }
 
-// address returns the address to list for a host.
-func (r *relays) address(name string, in domain.Name, to string) (string, error) {
+// face returns the address of the store as entry hosts of a domain see it.
+func (r *relays) face(name string, in domain.Name, store string) (string, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.homes[name] = in
-	if l := r.byName[name]; l != nil {
-		return l.Addr().String(), nil
+	if r.faces[in] != "" {
+		return r.faces[in], nil
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := r.listen()
+	if err != nil {
+		return "", err
+	}
+	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: store})
+	// A watch that is given up is no error worth a line.
+	proxy.ErrorLog = log.New(io.Discard, "", 0)
+	proxy.ModifyResponse = func(resp *http.Response) error { return r.rewrite(resp, in) }
+	go func() { _ = http.Serve(l, proxy) }()
+	r.faces[in] = l.Addr().String()
+	return r.faces[in], nil
+}
+
+// rewrite names a relay for each host of a host list.
+func (r *relays) rewrite(resp *http.Response, in domain.Name) error {
+	if resp.Request.URL.Path != "/v1/hosts" || resp.StatusCode != http.StatusOK {
+		return nil
+	}
+	var list host.List
+	if err := json.NewDecoder(resp.Body).Decode(&list); err != nil {
+		return err
+	}
+	for i, h := range list.Hosts {
+		address, err := r.relay(in, h.Domain, h.Address)
+		if err != nil {
+			return err
+		}
+		list.Hosts[i].Address = address
+	}
+	value, err := json.Marshal(list)
+	if err != nil {
+		return err
+	}
+	resp.Body = io.NopCloser(bytes.NewReader(value))
+	resp.ContentLength = int64(len(value))
+	resp.Header.Set("Content-Length", strconv.Itoa(len(value)))
+	return nil
+}
+
+// relay returns the address at which a domain reaches a host.
+func (r *relays) relay(from, in domain.Name, to string) (string, error) {
+	if from == in {
+		return to, nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	key := path{from, to}
+	if r.paths[key] != "" {
+		return r.paths[key], nil
+	}
+	l, err := r.listen()
 	if err != nil {
 		return "", err
 	}
-	r.byName[name] = l
-	go r.accept(l, in, to)
-	return l.Addr().String(), nil
+	go r.accept(l, from, in, to)
+	r.paths[key] = l.Addr().String()
+	return r.paths[key], nil
 }
 
-func (r *relays) accept(l net.Listener, in domain.Name, to string) {
+func (r *relays) listen() (net.Listener, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err == nil {
+		r.listeners = append(r.listeners, l)
+	}
+	return l, err
+}
+
+func (r *relays) accept(l net.Listener, from, in domain.Name, to string) {
 	for {
 		conn, err := l.Accept()
 		if err != nil {
 			return
 		}
-		go r.carry(conn, in, to)
+		go r.carry(conn, from, in, to)
 	}
 }
 
-func (r *relays) carry(conn net.Conn, in domain.Name, to string) {
+func (r *relays) carry(conn net.Conn, from, in domain.Name, to string) {
 	defer conn.Close()
-	from := r.caller(conn)
-	if from == "" {
-		return
-	}
 	r.hold(from, in)()
 	out, err := net.Dial("tcp", to)
 	if err != nil {
@@ -121,36 +189,28 @@
 
 // pass copies until either side ends, and holds bytes back while the two
 // domains are parted.
-func (r *relays) pass(dst, src net.Conn, from string, in domain.Name) {
+func (r *relays) pass(dst, src net.Conn, from, in domain.Name) {
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := src.Read(buffer)
 		release := r.hold(from, in)
 		if n > 0 {
-			if _, err := dst.Write(buffer[:n]); err != nil {
-				release()
-				return
+			if _, failed := dst.Write(buffer[:n]); failed != nil {
+				err = failed
 			}
 		}
 		release()
-		if err == io.EOF {
-			if half, ok := dst.(*net.TCPConn); ok {
-				_ = half.CloseWrite()
-			}
-			return
-		}
 		if err != nil {
 			return
 		}
 	}
 }
 
-// hold waits for as long as a process and a domain are parted. The function
-// that it returns says that what was held back has been passed on.
-func (r *relays) hold(from string, in domain.Name) (release func()) {
+// hold waits for as long as two domains are parted. The function that it
+// returns says that what was held back has been passed on.
+func (r *relays) hold(from, in domain.Name) (release func()) {
 	r.mu.Lock()
-	home := r.homes[from]
-	parted := home != in && r.island != "" && (home == r.island || in == r.island)
+	parted := r.island != "" && (from == r.island || in == r.island)
 	healed := r.healed
 	if parted {
 		r.holding.Add(1)
@@ -163,60 +223,11 @@
 	return r.holding.Done
 }
 
-// lookups is how often the caller of a connection is looked for. The kernel's
-// table is not read in one piece, so that a look may miss a socket.
-const lookups = 50
-
-// caller names the process at the other end of a connection: the one that has
-// the socket open whose local address is the remote address here. It is empty
-// if the process has closed it already.
-func (r *relays) caller(conn net.Conn) string {
-	for range lookups {
-		inode := socketInode(conn.RemoteAddr().(*net.TCPAddr))
-		for _, p := range r.world.All() {
-			if inode != "" && p.holds(inode) {
-				return p.Name
-			}
-		}
-		time.Sleep(readyTick / lookups)
-	}
-	return ""
-}
-
-// socketInode finds the socket with a local address in the kernel's table.
-func socketInode(local *net.TCPAddr) string {
-	table, err := os.ReadFile("/proc/self/net/tcp")
-	if err != nil {
-		return ""
-	}
-	ip := local.IP.To4()
-	want := fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], local.Port)
-	const localField, inodeField = 1, 9
-	for line := range strings.Lines(string(table)) {
-		fields := strings.Fields(line)
-		if len(fields) > inodeField && fields[localField] == want {
-			return fields[inodeField]
-		}
-	}
-	return ""
-}
-
-// holds reports whether the process has a socket open.
-func (p *Proc) holds(inode string) bool {
-	files, _ := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", p.cmd.Process.Pid))
-	for _, file := range files {
-		if target, err := os.Readlink(file); err == nil && target == "socket:["+inode+"]" {
-			return true
-		}
-	}
-	return false
-}
-
 // close ends all relays.
 func (r *relays) close() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, l := range r.byName {
+	for _, l := range r.listeners {
 		_ = l.Close()
 	}
 	if r.island != "" {
--- a/sess/procs/town.go
+++ b/sess/procs/town.go
@@ -73,8 +73,14 @@
 	if err != nil {
 		return err
 	}
+	api := s.At["serve"]
+	if w.relays != nil {
+		if api, err = w.relays.face(name, in, api); err != nil {
+			return err
+		}
+	}
 	args := append([]string{
-		"-name", name, "-domain", string(in), "-store", s.At["serve"],
+		"-name", name, "-domain", string(in), "-store", api,
 		"-peer-secret", PeerSecret, "-desk-secret", DeskSecret,
 	}, more...)
 	if _, err := w.Start(name, "fsentry", args...); err != nil {
@@ -103,11 +109,6 @@
 	default:
 		h.Role, h.Address = host.Plain, p.At["serve"]
 	}
-	if w.relays != nil {
-		if h.Address, err = w.relays.address(name, in, h.Address); err != nil {
-			return err
-		}
-	}
 	value, err := json.Marshal(h)
 	if err != nil {
 		return err
