--- a/entry/internal/mesh/serve.go
+++ b/entry/internal/mesh/serve.go
@@ -36,13 +36,19 @@
 
 var errNoBook = errors.New("mesh: this entry host keeps no book of poison")
 
+// maxEvents bounds one answer: the newest are told. It keeps the answers of a
+// large fleet, which one entry host merges, within a few hundred kilobytes
+// each.
+const maxEvents = 2000
+
 // Timeline implements the call of the other entry hosts.
 func (m *Mesh) Timeline(_ context.Context, ask *wire.TimelineAsk) (*wire.TimelineReply, error) {
 	if !Same(ask.Secret, m.Secret) {
 		return nil, peer.ErrSecret
 	}
 	reply := &wire.TimelineReply{}
-	for _, e := range m.Trace.Find(ask.Request) {
+	events := m.Trace.Find(ask.Request)
+	for _, e := range events[max(0, len(events)-maxEvents):] {
 		reply.Events = append(reply.Events, &wire.Event{
 			Clock: e.Clock, Process: e.Process, Part: e.Part, Request: e.Request, What: e.What,
 		})
--- a/parts/peer/peer_test.go
+++ b/parts/peer/peer_test.go
@@ -181,3 +181,27 @@
 		}
 	})
 }
+
+// The clock of one entry host is an hour behind. A fault there that follows
+// from a digest of another must not sort before its cause, or an operator
+// reads the time line backwards.
+func TestDigestsCarryTheClock(t *testing.T) {
+	c := qt.New(t)
+	ahead := &Peer{Name: "e1", Secret: "s", Trace: &trace.Line{Process: "e1"}}
+	behind := &Peer{Name: "e2", Secret: "s", Trace: &trace.Line{Process: "e2"}}
+	ahead.init()
+	ahead.Trace.Observe(uint64(time.Now().Add(time.Hour).UnixNano()))
+	ahead.Trace.Add("relay", "r1", "cause")
+	d := ahead.digest(&Own{})
+	d.Secret = "s"
+	reply, err := behind.Exchange(context.Background(), d)
+	c.Assert(err, qt.IsNil)
+	behind.Trace.Add("relay", "r1", "effect")
+	events := append(behind.Trace.Find("r1"), ahead.Trace.Find("r1")...)
+	trace.Sort(events)
+	c.Assert(events[0].What, qt.Equals, "cause")
+	c.Assert(events[1].What, qt.Equals, "effect")
+
+	// The answer carries it back as well.
+	c.Assert(reply.Clock > d.Clock, qt.IsTrue)
+}
--- a/parts/peer/table_test.go
+++ b/parts/peer/table_test.go
@@ -159,3 +159,22 @@
 	c.Assert(l.Rates(2, 8, start), qt.DeepEquals, map[string]float64{"lyra": 120})
 	c.Assert(l.Rates(2, 2, start.Add(usageAge+1)), qt.HasLen, 0)
 }
+
+// An entry host stops in order and is started again at the same address. Its
+// new run must count as alive although the old one said goodbye, and late
+// news of the old run must not put the new one out.
+func TestRestartAfterGoodbye(t *testing.T) {
+	c := qt.New(t)
+	table := NewTable(Member{Name: "e1"})
+	table.Introduce("e2", "h:1", "a", start)
+	id := IDOf("e2")
+	table.Merge(id, Record{Incarnation: 1, Beat: 90}, 0, start)
+	table.Merge(id, Record{Incarnation: 1, Beat: 91, State: Left}, 0, start)
+	c.Assert(table.Partners(rand.New(rand.NewPCG(1, 2))), qt.HasLen, 0)
+	table.Merge(id, Record{Incarnation: 2, Beat: 1}, 0, start)
+	table.Merge(id, Record{Incarnation: 1, Beat: 99, State: Left}, 0, start)
+	m, _ := table.Get(id)
+	c.Assert(m.State, qt.Equals, Alive)
+	c.Assert(m.Incarnation, qt.Equals, uint64(2))
+	c.Assert(table.Partners(rand.New(rand.NewPCG(1, 2))), qt.HasLen, 1)
+}
