--- a/parts/peer/names.go
+++ b/parts/peer/names.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"fuchsiashelf.dev/parts/domain"
@@ -49,9 +50,21 @@
 	return w
 }
 
+// reachable reports whether an address may lead to another host. A member
+// that listens on all its addresses without naming one tells 0.0.0.0, which
+// would lead whoever believes it to itself.
+func reachable(address string) bool {
+	name, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return false
+	}
+	ip := net.ParseIP(name)
+	return ip == nil || !ip.IsUnspecified()
+}
+
 // introduce takes a member with its name and address.
 func (p *Peer) introduce(m *wire.Member, now time.Time) {
-	if m.Address == p.Address {
+	if m.Address == p.Address || !reachable(m.Address) {
 		return
 	}
 	p.table.Introduce(m.Name, m.Address, domain.Name(m.Domain), now)
--- a/parts/peer/peer_test.go
+++ b/parts/peer/peer_test.go
@@ -205,3 +205,17 @@
 	// The answer carries it back as well.
 	c.Assert(reply.Clock > d.Clock, qt.IsTrue)
 }
+
+// A member is set to listen on all its addresses. Whoever took 0.0.0.0 for
+// its address would talk to itself.
+func TestUnspecifiedAddressIsNotBelieved(t *testing.T) {
+	c := qt.New(t)
+	p := &Peer{Name: "e1", Secret: "s", Address: "10.0.0.1:7000", Trace: &trace.Line{}}
+	for address, want := range map[string]int{"0.0.0.0:7000": 0, "[::]:7000": 0, "x": 0, "10.0.0.2:7000": 1} {
+		from := &wire.Member{Name: "e2", Address: address, Incarnation: 1}
+		_, err := p.Members(context.Background(), &wire.MembersAsk{Secret: "s", From: from})
+		c.Assert(err, qt.IsNil)
+		c.Assert(p.Others(), qt.HasLen, want, qt.Commentf("%s", address))
+		p.table.drop(IDOf("e2"))
+	}
+}
