feed: let what peers have in force go first at a start

At its start, what a peer has in force goes before what the store holds unless that holds all its lines, and an entry host confirms no line before it has asked both.

--- a/entry/internal/feed/feed.go
+++ b/entry/internal/feed/feed.go
@@ -119,13 +119,26 @@
 // Offer puts a configuration in force if its revision is higher than that of
 // the one that is and it holds all its lines. It reports whether it was.
 func (f *Feed) Offer(c *conf.Config) bool {
+	return f.offer(c, c.Replaces)
+}
+
+// offerOfPeer is Offer for a configuration that is in force on another entry
+// host.
+func (f *Feed) offerOfPeer(c *conf.Config) bool {
+	if f.primed.Load() {
+		return f.Offer(c)
+	}
+	return f.offer(c, c.Begins)
+}
+
+func (f *Feed) offer(c *conf.Config, fits func(*conf.Config) bool) bool {
 	newer, diverged := false, false
 	f.View.Update(func(s *view.Snapshot) {
 		// An older copy comes from a store that was restored, a watch that
 		// lags, or a peer that was cut off. Taking it would undo lines that
 		// were answered with done.
-		if !c.Replaces(s.Config) {
-			diverged = s.Config.Revision < c.Revision
+		if !fits(s.Config) {
+			diverged = s.Config != nil && s.Config.Revision < c.Revision
 			return
 		}
 		newer = true
--- a/entry/internal/feed/prime.go
+++ b/entry/internal/feed/prime.go
@@ -106,14 +106,15 @@
 	}
 }
 
-// OfferObject is Offer for a configuration in its stored form.
+// OfferObject takes a configuration in its stored form that another entry
+// host has in force.
 func (f *Feed) OfferObject(value []byte) bool {
 	c, err := conf.Decode(value)
 	if err != nil {
 		f.Log.Error("feed: a peer's configuration is unreadable", "err", err)
 		return false
 	}
-	return f.Offer(c)
+	return f.offerOfPeer(c)
 }
 
 // World returns the host list and the teams for a peer that starts while the
--- a/entry/internal/mesh/status.go
+++ b/entry/internal/mesh/status.go
@@ -17,6 +17,9 @@
 	Heard func() bool
 	// Ready says that this entry host takes callers.
 	Ready func() bool
+	// Primed says that this entry host has gathered what is in force. Before
+	// that it confirms nothing, since it may still take something else.
+	Primed func() bool
 	// Take puts a configuration that was handed on in force, if it is newer.
 	Take func(object []byte) bool
 }
@@ -30,7 +33,7 @@
 		m.Condition.Take(ask.Object)
 	}
 	reply := m.Own()
-	if ask.Line != "" {
+	if ask.Line != "" && (m.Condition.Primed == nil || m.Condition.Primed()) {
 		_, reply.HasLine = m.View.Load().Config.Find(ask.Line)
 	}
 	return reply, nil
--- a/entry/prog/mesh.go
+++ b/entry/prog/mesh.go
@@ -19,7 +19,7 @@
 		View: holder, Trace: line, Log: d.log, Secret: d.settings.PeerSecret, TLS: config,
 		Address: d.peers.Addr().String(), Domain: d.settings.Home(),
 		Offer:     func(value []byte, _ uint64) { feeder.OfferObject(value) },
-		Condition: mesh.Condition{Age: feeder.Age, Heard: feeder.Heard, Take: feeder.OfferObject},
+		Condition: mesh.Condition{Age: feeder.Age, Heard: feeder.Heard, Primed: feeder.Primed, Take: feeder.OfferObject},
 	}
 	if d.settings.Seeds != "" {
 		m.Seeds = strings.Split(d.settings.Seeds, ",")
--- a/parts/conf/basis.go
+++ b/parts/conf/basis.go
@@ -62,6 +62,15 @@
 	return old == nil || c.Revision > old.Revision && c.Holds(old)
 }
 
+// Begins reports whether a configuration that is in force on another entry
+// host may come in place of what an entry host has gathered at its start,
+// before it has served anybody. What is in force elsewhere goes before what a
+// restored store holds, also under a lower revision, unless the latter holds
+// all its lines.
+func (c *Config) Begins(gathered *Config) bool {
+	return c.Replaces(gathered) || !gathered.Holds(c)
+}
+
 // Over returns a configuration, chosen with Own or Peers, in the form in which
 // it is written over what the object API holds: above its revision, so that
 // no revision stands for two things, and with the next epoch.
--- a/parts/conf/explore_test.go
+++ b/parts/conf/explore_test.go
@@ -246,6 +246,32 @@
 	to.take(from.inForce)
 }
 
+// restart has an entry host begin anew: it takes the newest of what the store
+// and at least one other have, in any order.
+func (w *world) restart(t *rapid.T) {
+	s := w.pick(t)
+	if s.busy {
+		t.Skip("busy")
+	}
+	*s = seat{inForce: (*conf.Config)(nil).Clone()}
+	early := rapid.Bool().Draw(t, "store first")
+	if early {
+		s.take(w.store.config)
+	}
+	asked := false
+	for _, other := range w.seats {
+		if other != s && (!asked || rapid.Bool().Draw(t, "answers")) {
+			asked = true
+			if other.inForce.Begins(s.inForce) {
+				s.inForce = other.inForce
+			}
+		}
+	}
+	if !early {
+		s.take(w.store.config)
+	}
+}
+
 // confirm calls accepted lines done that are in force on every entry host.
 func (w *world) confirm(*rapid.T) {
 	for id, revision := range w.accepted {
@@ -316,7 +342,8 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"begin": w.begin, "read": w.read, "read again": w.read, "land late": w.landLate,
 			"give up": w.giveUp, "watch": w.watch, "hand on": w.handOn, "confirm": w.confirm,
-			"copy": w.copyStore, "restore": w.restore, "": w.check,
+			"restart": w.restart,
+			"copy":    w.copyStore, "restore": w.restore, "": w.check,
 		})
 	})
 }
--- a/parts/conf/write_test.go
+++ b/parts/conf/write_test.go
@@ -119,6 +119,17 @@
 	c.Assert(far.Replaces(lines("a", "b")), quicktest.IsTrue)
 }
 
+// An entry host starts after a restore, and hears the store before the others.
+func TestBegins(t *testing.T) {
+	c := quicktest.New(t)
+	inForce, fork := lines("a", "b"), lines("a", "x", "y")
+	c.Assert(inForce.Begins(nil), quicktest.IsTrue)
+	c.Assert(inForce.Begins(fork), quicktest.IsTrue)
+	c.Assert(fork.Replaces(inForce), quicktest.IsFalse)
+	c.Assert(inForce.Begins(lines("a", "b", "c")), quicktest.IsFalse)
+	c.Assert(inForce.Begins(lines("a")), quicktest.IsTrue)
+}
+
 func TestClash(t *testing.T) {
 	c := quicktest.New(t)
 	at := &conf.Config{Revision: 9, Tail: []conf.Line{
