--- a/entry/internal/setup/setup.go
+++ b/entry/internal/setup/setup.go
@@ -41,12 +41,17 @@
 	PollRate float64
 	Claims   Claims
 	Admit    Admit
+	// OrderTerm is how long one renewal of the lease of orders holds.
+	OrderTerm time.Duration
 	// Linger is how long callers are taken after the stop began.
 	Linger time.Duration
 	// Certs secure the listeners of peers and operators.
 	Certs certs.Bundle
 }
 
+// leastOrderTerm leaves a few round trips to the object API within a term.
+const leastOrderTerm = time.Second
+
 // Prefix is the prefix of the environment variables.
 const Prefix = "FSENTRY"
 
@@ -78,6 +83,7 @@
 	fs.IntVar(&s.MaxBody, "max-body", 1<<20, "largest request body, in bytes")
 	fs.DurationVar(&s.Linger, "linger", 2*time.Second, "how long callers are still taken when stopping, so that the balancer sees in time that this host is not ready")
 	fs.DurationVar(&s.Grace, "grace", 30*time.Second, "longest wait for requests in flight when stopping")
+	fs.DurationVar(&s.OrderTerm, "order-term", 10*time.Second, "how long one renewal of the lease of orders to engines holds")
 	fs.StringVar(&s.Policy, "policy", "cost", "how servers are chosen: "+pick.Policies)
 	fs.DurationVar(&s.Poll, "poll", time.Second, "time between two questions to an engine for its report")
 	fs.Float64Var(&s.PollRate, "poll-rate", 50, "most such questions a second, to all engines together")
@@ -129,6 +135,9 @@
 	if s.Linger < 0 {
 		faults = append(faults, fmt.Errorf("-linger: %s is below 0", s.Linger))
 	}
+	if s.OrderTerm < leastOrderTerm {
+		faults = append(faults, fmt.Errorf("-order-term: %s is below %s", s.OrderTerm, leastOrderTerm))
+	}
 	if s.Grace <= 0 {
 		faults = append(faults, fmt.Errorf("-grace: %s is not above 0", s.Grace))
 	}
