--- a/entry/internal/seat/seat_test.go
+++ b/entry/internal/seat/seat_test.go
@@ -36,6 +36,8 @@
 	// lose is how many replies to writes are lost after the effect.
 	lose int
 	puts int
+	// put receives after a write, if it is set.
+	put chan struct{}
 }
 
 func (f *fakeStore) Get(context.Context, string) (store.Object, error) {
@@ -52,6 +54,9 @@
 		return 0, &fault.Error{Code: fault.Conflict, Verdict: fault.NotRun}
 	}
 	f.object = store.Object{Key: key, Version: version + 1, Value: slices.Clone(value)}
+	if f.put != nil {
+		f.put <- struct{}{}
+	}
 	if f.lose > 0 {
 		f.lose--
 		return 0, &fault.Error{Code: fault.StoreDown, Verdict: fault.MayHaveRun, Cause: errors.New("reply lost")}
@@ -204,3 +209,26 @@
 	_, kept := stored.Find("b")
 	c.Assert(kept, quicktest.IsTrue)
 }
+
+// The store was restored from an older copy while nobody sends lines. If the
+// newest configuration were not put back, it would be gone with the last
+// entry host that has it in force.
+func TestPutBack(t *testing.T) {
+	c := quicktest.New(t)
+	one := newEntry(c, "e1")
+	know(one)
+	inForce := (*conf.Config)(nil).Clone()
+	inForce.Revision = 1
+	inForce.Record(conf.Line{ID: "a", Revision: 1})
+	one.feed.Offer(inForce)
+	api := &fakeStore{object: store.Object{Key: conf.Key, Version: 7}, put: make(chan struct{}, 1)}
+	operator(c, one, api)
+	one.feed.StillBehind()
+	<-api.put
+	object, err := api.Get(context.Background(), conf.Key)
+	c.Assert(err, quicktest.IsNil)
+	stored, err := conf.Decode(object.Value)
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(stored.Holds(inForce), quicktest.IsTrue)
+	c.Assert([]uint64{stored.Revision, stored.Epoch}, quicktest.DeepEquals, []uint64{1, 1})
+}
