--- a/sess/cmd/bench/cost.go
+++ b/sess/cmd/bench/cost.go
@@ -18,7 +18,50 @@
 	if err := b.idle(); err != nil {
 		return err
 	}
-	return b.busy()
+	if err := b.busy(); err != nil {
+		return err
+	}
+	return b.open()
+}
+
+// open prints the memory that an open stream takes in an entry host. The
+// engines are so slow that no stream ends meanwhile.
+func (b *bench) open() error {
+	return b.in(func(w *procs.World) error {
+		r := even()
+		for i := range r.engines {
+			r.engines[i].step, r.engines[i].atOnce = 300*time.Millisecond, 100
+		}
+		if err := r.start(w, "cantata"); err != nil {
+			return err
+		}
+		if err := w.StartEntry("open", "a"); err != nil {
+			return err
+		}
+		if err := w.Ready("open"); err != nil {
+			return err
+		}
+		p, err := w.Get("open")
+		if err != nil {
+			return err
+		}
+		before := resident(p.PID())
+		done := make(chan error, 1)
+		go func() {
+			_, err := b.load(w, "open", []string{"open"}, "-tokens", "100", "-rate", "100",
+				"-duration", "6s", "-warm", "0s", "-drain", "1s")
+			done <- err
+		}()
+		time.Sleep(5 * time.Second)
+		page, err := metricsOf(p.At["ops"])
+		if err != nil {
+			return err
+		}
+		streams, now := page["gate.open"]["count"].asNumber(), resident(p.PID())
+		fmt.Printf("%.0f streams open: %.1f MB before, %.1f MB now, %.0f KB a stream\n",
+			streams, before, now, (now-before)*1000/max(streams, 1))
+		return <-done
+	})
 }
 
 // idleSpan is how long idle entry hosts are measured.
