--- a/entry/internal/gate/gate.go
+++ b/entry/internal/gate/gate.go
@@ -198,12 +198,12 @@
 func (g *Gate) answer(ctx context.Context, c *app.RequestContext, snap *view.Snapshot, in *entering, prompt string) {
 	out := &timed{answer: &answer{c: c}, began: time.Now()}
 	taken.Inc(1)
-	leave, e := g.Admission.enter(ctx, snap, in)
+	grant, e := g.Admission.enter(ctx, snap, in)
 	if e != nil {
 		refuse(c, e)
 		return
 	}
-	defer leave()
+	defer grant.Leave()
 	queueWait.UpdateSince(out.began)
 	open.Inc(1)
 	defer open.Dec(1)
@@ -211,7 +211,7 @@
 	defer out.done()
 	count, e := g.Relay.Run(ctx, &relay.Ask{
 		Request: in.request, Team: in.team.Name, Pool: in.pool, Prompt: prompt, Max: in.cost,
-		Deadline: in.deadline,
+		Deadline: in.deadline, Priority: priority(grant),
 	}, out)
 	if e != nil && out.count > 0 {
 		countRefusal(e.Code)
--- a/entry/internal/gate/plain.go
+++ b/entry/internal/gate/plain.go
@@ -42,14 +42,14 @@
 	g.Trace.Add("gate", request, "took a call of team "+who.Name)
 	taken.Inc(1)
 	deadline := time.Now().Add(s.Limit())
-	leave, e := g.Admission.enter(ctx, snap, &entering{
+	grant, e := g.Admission.enter(ctx, snap, &entering{
 		request: request, team: who, pool: p, cost: 1, bytes: len(c.Request.Body()), deadline: deadline,
 	})
 	if e != nil {
 		refuse(c, e)
 		return
 	}
-	defer leave()
+	defer grant.Leave()
 	reply, e := g.Pass.Call(ctx, &pass.Call{
 		Request: request, Team: who.Name, ID: string(c.GetHeader(pass.IDHeader)),
 		Service: s, Pool: p, Method: string(c.Method()),
--- a/entry/internal/relay/attempt.go
+++ b/entry/internal/relay/attempt.go
@@ -98,7 +98,7 @@
 	stream, err := c.Engine.Generate(ctx, &engine.Ask{
 		Request: c.ask.Request, Attempt: c.number, Model: c.ask.Pool.Model,
 		Prompt: c.ask.Prompt, Sent: c.sent, Max: c.ask.Max,
-		DeadlineMs: c.ask.Deadline.UnixMilli(), Chain: c.stages,
+		DeadlineMs: c.ask.Deadline.UnixMilli(), Priority: c.ask.Priority, Chain: c.stages,
 	})
 	if err != nil {
 		return fault.As(err)
--- a/entry/internal/relay/relay.go
+++ b/entry/internal/relay/relay.go
@@ -52,6 +52,8 @@
 	Max     int
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
+	// Priority is passed on to engines.
+	Priority int
 }
 
 // Sink receives the tokens of an answer, in order and each once.
--- a/parts/admit/queue.go
+++ b/parts/admit/queue.go
@@ -37,6 +37,8 @@
 	Ask
 	// Running says that the request was let run.
 	Running bool
+	// Credit says that its team had credit left when it was let run.
+	Credit bool
 
 	arrived, began time.Time
 	start          float64
@@ -157,6 +159,7 @@
 }
 
 func (q *Queue) run(now time.Time, l *line, item *Item) {
+	item.Credit = item.start < q.virtual
 	q.virtual = max(q.virtual, item.start)
 	q.running++
 	l.running++
--- a/parts/engine/form.go
+++ b/parts/engine/form.go
@@ -31,8 +31,11 @@
 	// Max is the number of tokens of the whole answer, Sent included.
 	Max int `json:"max"`
 	// DeadlineMs is when the caller stops waiting, in Unix milliseconds.
-	DeadlineMs int64   `json:"deadlineMs"`
-	Chain      []Stage `json:"chain"`
+	DeadlineMs int64 `json:"deadlineMs"`
+	// Priority is 1 for a request whose team uses less than its share, else 0.
+	// Engines take tokens of higher priority first when they are full.
+	Priority int     `json:"priority,omitempty"`
+	Chain    []Stage `json:"chain"`
 }
 
 // Span says which server ran which layers for one token.
--- a/stand/internal/engine/batch.go
+++ b/stand/internal/engine/batch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 )
@@ -17,6 +18,8 @@
 type turn struct {
 	// extra is time that the token adds to its step, for reading a prompt.
 	extra time.Duration
+	// priority is that of the request; a step takes the highest first.
+	priority int
 	// began is when the step began, set before done is closed.
 	began time.Time
 	done  chan struct{}
@@ -24,10 +27,10 @@
 }
 
 // run waits for a step, spends it, and returns when it began.
-func (b *batch) run(ctx context.Context, capacity int, extra time.Duration, step func() time.Duration) (time.Time, error) {
-	t := &turn{extra: extra, done: make(chan struct{})}
+func (b *batch) run(ctx context.Context, capacity int, t *turn, step func() time.Duration) (time.Time, error) {
+	t.done = make(chan struct{})
 	b.mu.Lock()
-	b.queue = append(b.queue, t)
+	b.join(t)
 	if !b.running {
 		b.running = true
 		go b.steps(max(capacity, 1), step)
@@ -44,6 +47,15 @@
 	}
 }
 
+// join puts a turn behind all of its priority.
+func (b *batch) join(t *turn) {
+	at := len(b.queue)
+	for at > 0 && b.queue[at-1].priority < t.priority {
+		at--
+	}
+	b.queue = slices.Insert(b.queue, at, t)
+}
+
 // steps runs steps until nothing waits. A step begins when the one before it
 // was due to end, not when its timer woke up: timers wake late, by up to a
 // millisecond, and the sum would take a fifth off the rate of a fast engine.
--- a/stand/internal/engine/serve.go
+++ b/stand/internal/engine/serve.go
@@ -87,7 +87,7 @@
 		}
 		out, err := a.Engine.run(ctx, step{
 			Request: a.ask.Request, Attempt: a.ask.Attempt, Index: index, Prompt: a.ask.Prompt,
-			Read: read, State: token.Start(a.ask.Prompt, index), Rest: a.ask.Chain,
+			Priority: a.ask.Priority, Read: read, State: token.Start(a.ask.Prompt, index), Rest: a.ask.Chain,
 		})
 		if ctx.Err() != nil {
 			return ctx.Err()
--- a/stand/internal/engine/step.go
+++ b/stand/internal/engine/step.go
@@ -28,6 +28,8 @@
 	Attempt int    `json:"attempt"`
 	Index   int    `json:"index"`
 	Prompt  string `json:"prompt"`
+	// Priority is that of the request.
+	Priority int `json:"priority,omitempty"`
 	// Read is how many words and tokens are read before this token.
 	Read  int          `json:"read"`
 	State token.State  `json:"state"`
@@ -82,7 +84,9 @@
 		return s, err
 	}
 	arrived := time.Now()
-	began, err := e.batch.run(ctx, e.Capacity, time.Duration(s.Read)*e.PrefillTime, e.tokenTime)
+	began, err := e.batch.run(ctx, e.Capacity, &turn{
+		extra: time.Duration(s.Read) * e.PrefillTime, priority: s.Priority,
+	}, e.tokenTime)
 	if err != nil {
 		return s, err
 	}
