pick: let round robin take all servers of each stage

One count served all stages, and a chain of three stages moves it on by three, so of six servers a stage only two were ever used. Each stage counts for itself now.

--- a/parts/pick/pick.go
+++ b/parts/pick/pick.go
@@ -75,7 +75,7 @@
 	case Random:
 		return int(c.Rand() % n)
 	case *Robin:
-		return int(uint64(p.next.Add(1)) % n)
+		return int(p.turn(s) % n)
 	case Least:
 		return c.least(s)
 	}
--- a/parts/pick/pick_test.go
+++ b/parts/pick/pick_test.go
@@ -173,3 +173,21 @@
 		})
 	}
 }
+
+// A baseline that leaves servers idle would make any policy look good beside
+// it.
+func TestRobinUsesAllServersOfEachStage(t *testing.T) {
+	c := quicktest.New(t)
+	table, _ := fleet(t, 3, 6, time.Millisecond)
+	chooser := &Chooser{Policy: &Robin{}, Rand: source(4), Now: second}
+	seen := map[int]int{}
+	for range 60 {
+		for _, hop := range chooser.Chain(table, nil) {
+			seen[hop.Server]++
+		}
+	}
+	c.Assert(seen, quicktest.HasLen, 18)
+	for _, n := range seen {
+		c.Assert(n, quicktest.Equals, 10)
+	}
+}
--- a/parts/pick/policy.go
+++ b/parts/pick/policy.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"sync/atomic"
 )
 
@@ -16,8 +17,19 @@
 // Random takes any server.
 type Random struct{}
 
-// Robin takes the servers in turn.
-type Robin struct{ next atomic.Uint32 }
+// Robin takes the servers of each stage in turn. A count for all stages
+// together would take the same few of each, since a chain moves it on by the
+// number of stages.
+type Robin struct {
+	// next holds an *atomic.Uint32 for each stage by its first server.
+	next sync.Map
+}
+
+// turn returns the next turn of a stage.
+func (r *Robin) turn(s *stage) uint64 {
+	count, _ := r.next.LoadOrStore(s.choices[0].name, &atomic.Uint32{})
+	return uint64(count.(*atomic.Uint32).Add(1))
+}
 
 // Least takes the server with the fewest of this entry's requests in flight.
 type Least struct{}
