--- /dev/null
+++ b/parts/retry/example_test.go
@@ -0,0 +1,25 @@
+package retry_test
+
+import (
+	"fmt"
+	"time"
+
+	"fuchsiashelf.dev/parts/retry"
+)
+
+// A chain whose tokens come every 20 ms has sent nothing for a while.
+func ExampleLimits_Next() {
+	var gaps retry.Gaps
+	for range 100 {
+		gaps.Observe(20 * time.Millisecond)
+	}
+	limits := gaps.Limits()
+	for _, idle := range []time.Duration{50, 120, 260} {
+		phase, wait := limits.Next(idle*time.Millisecond, false)
+		fmt.Println(phase == retry.Silent, wait)
+	}
+	// Output:
+	// false 50ms
+	// false 130ms
+	// true 0s
+}
