relay: meet a dead server once, also when all others are suspected

Change: a request avoids most what it failed on itself, the latest first of all; of servers to be avoided, the one that is to be for the shortest time goes first. TestDeadAmongSuspects failed before with that error, and passes.

--- a/entry/internal/relay/blame.go
+++ b/entry/internal/relay/blame.go
@@ -41,6 +41,7 @@
 		return
 	}
 	if e.Message != engine.Leaving {
+		c.skip = append(c.skip, e.Server)
 		c.avoid(time.Now().Add(health.Avoid(1)), e.Server)
 		return
 	}
@@ -76,6 +77,7 @@
 // suspect has failed servers avoided, the longer the more often they failed.
 // All streams of a server fail with it at one time; that counts once.
 func (c *carry) suspect(servers ...string) {
+	c.skip = append(c.skip, servers...)
 	now := time.Now()
 	known := c.View.Load().Suspects
 	for i := range c.stages {
--- a/entry/internal/relay/relay.go
+++ b/entry/internal/relay/relay.go
@@ -141,14 +141,16 @@
 	return again
 }
 
-// avoided returns the servers that this request avoids.
+// avoided returns the servers that this request avoids. Those that it failed
+// on itself are avoided most, the latest first of all: when all servers of a
+// stage are suspected, each attempt would else meet the same dead one.
 func (c *carry) avoided(snap *view.Snapshot) map[string]time.Time {
 	if len(c.skip) == 0 {
 		return snap.Suspects
 	}
 	return view.Edit(snap.Suspects, func(m map[string]time.Time) {
-		for _, name := range c.skip {
-			m[name] = c.ask.Deadline
+		for i, name := range c.skip {
+			m[name] = c.ask.Deadline.Add(time.Duration(i+1) * time.Hour)
 		}
 	})
 }
--- a/entry/internal/relay/relay_test.go
+++ b/entry/internal/relay/relay_test.go
@@ -275,6 +275,26 @@
 	c.Assert(e.Verdict, quicktest.Equals, fault.NotRun)
 }
 
+// One server is dead, and the only other one is suspected too, since it was
+// slow to answer a poll. Each attempt of the request must not meet the dead
+// one again.
+func TestDeadAmongSuspects(t *testing.T) {
+	c := quicktest.New(t)
+	for dead := range 2 {
+		w := newWorld(t, "a1", "a2")
+		w.fakes[dead].Close()
+		w.relay.View.Update(func(s *view.Snapshot) {
+			now := time.Now()
+			s.Suspect("a1", now.Add(time.Minute), now)
+			s.Suspect("a2", now.Add(time.Minute), now)
+		})
+		got := &sink{}
+		_, e := w.relay.Run(context.Background(), w.ask("q", 3), got)
+		c.Assert(e == nil, quicktest.IsTrue, quicktest.Commentf("%v", e))
+		c.Assert(got.tokens, quicktest.DeepEquals, answer("q", 3))
+	}
+}
+
 // The fault of a whole pool must not multiply its load by the number of
 // attempts of each request.
 func TestBudgetEnds(t *testing.T) {
--- a/parts/pick/pick.go
+++ b/parts/pick/pick.go
@@ -109,7 +109,9 @@
 	for i := range s.choices {
 		cost := c.cost(s, i, before)
 		if c.avoided(&s.choices[i]) {
-			cost += shunned
+			// Of servers to be avoided, the one that is to be for the shortest
+			// time comes first.
+			cost += shunned + float64(c.Avoid[s.choices[i].name].UnixNano()-c.Now)
 		}
 		if i == 0 || cost < bestCost {
 			best, bestCost = i, cost
