gate: refuse a call with two ids, or an overlong one

Of two Idempotency-Key headers the system would go by the first and a backend server perhaps by the last, and neither would see a repeat. Both are refused, "not-run", naming the header; TestCallID covers them.

--- a/entry/internal/gate/plain.go
+++ b/entry/internal/gate/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"time"
@@ -37,6 +38,11 @@
 		refuse(c, e)
 		return
 	}
+	id, e := callID(c)
+	if e != nil {
+		refuse(c, e)
+		return
+	}
 	request := g.next(snap)
 	c.Header(RequestHeader, request)
 	g.Trace.Add("gate", request, "took a call of team "+who.Name)
@@ -51,7 +57,7 @@
 	}
 	defer leave()
 	reply, e := g.Pass.Call(ctx, &pass.Call{
-		Request: request, Team: who.Name, ID: string(c.GetHeader(pass.IDHeader)),
+		Request: request, Team: who.Name, ID: id,
 		Service: s, Pool: p, Method: string(c.Method()),
 		URI: string(c.Request.URI().RequestURI()), Header: requestHeader(c),
 		Body: c.Request.Body(), Deadline: deadline,
@@ -63,6 +69,27 @@
 	respond(c, reply)
 }
 
+// maxID bounds the caller's id of a call, in bytes.
+const maxID = 1024
+
+// callID returns the caller's id of a call. Of two ids the system could go by
+// one and the backend server by the other, and neither would see a repeat.
+func callID(c *app.RequestContext) (string, *fault.Error) {
+	bad := func(message string) *fault.Error {
+		return &fault.Error{Code: fault.BadRequest, Verdict: fault.NotRun, Field: pass.IDHeader, Message: message}
+	}
+	ids := c.Request.Header.GetAll(pass.IDHeader)
+	switch {
+	case len(ids) == 0:
+		return "", nil
+	case len(ids) > 1:
+		return "", bad("given more than once")
+	case len(ids[0]) > maxID:
+		return "", bad(fmt.Sprintf("longer than %d bytes", maxID))
+	}
+	return ids[0], nil
+}
+
 // plainService returns the service with the longest path that the call's
 // path is under.
 func plainService(snap *view.Snapshot, path string) (rule.Service, *fault.Error) {
--- a/entry/internal/gate/plain_test.go
+++ b/entry/internal/gate/plain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -72,3 +73,31 @@
 	}
 	qt.Assert(t, reply.Header.Get("X-Hop"), qt.Equals, "1")
 }
+
+// A caller gives an id twice, or one that is no id. Going by either of two
+// would let the call run again under the other.
+func TestCallID(t *testing.T) {
+	for _, test := range []struct {
+		ids  []string
+		want string
+		good bool
+	}{
+		{nil, "", true},
+		{[]string{"seat-1"}, "seat-1", true},
+		{[]string{strings.Repeat("x", maxID)}, strings.Repeat("x", maxID), true},
+		{[]string{strings.Repeat("x", maxID+1)}, "", false},
+		{[]string{"seat-1", "seat-2"}, "", false},
+		{[]string{"seat-1", "seat-1"}, "", false},
+	} {
+		var c app.RequestContext
+		for _, id := range test.ids {
+			c.Request.Header.Add("idempotency-key", id)
+		}
+		got, e := callID(&c)
+		qt.Check(t, got, qt.Equals, test.want)
+		qt.Check(t, e == nil, qt.Equals, test.good)
+		if e != nil {
+			qt.Check(t, e.Field, qt.Equals, pass.IDHeader)
+		}
+	}
+}
