sess: tell why a stream of session poison was not whole

One of the streams was answered server-failed in a series of runs at a load above 100 on 12 cores; which attempts it had lost was not to be seen.

--- a/sess/peers_test.go
+++ b/sess/peers_test.go
@@ -109,11 +109,22 @@
 		outcomes[strings.TrimSpace(j.out)]++
 		delete(s.jobs, name)
 	}
-	out := ""
+	out, whole := "", true
 	for outcome, n := range outcomes {
 		out += fmt.Sprintf("%d times %s\n", n, outcome)
+		whole = whole && strings.HasPrefix(outcome, "whole")
+	}
+	if whole {
+		return out, nil
+	}
+	// Why an answer was given up is told by the time line alone.
+	events, _ := s.Desk("e1", "show", "timeline")
+	for line := range strings.Lines(events) {
+		if strings.Contains(line, " relay ") || strings.Contains(line, " guard ") {
+			out += line
+		}
 	}
-	return out, nil
+	return "", fmt.Errorf("not all whole:\n%s", out)
 }
 
 // orders tells e1 and e2 from the entry hosts that came later.
