--- a/parts/pick/policy.go
+++ b/parts/pick/policy.go
@@ -17,18 +17,23 @@
 // Random takes any server.
 type Random struct{}
 
-// Robin takes the servers of each stage in turn. A count for all stages
-// together would take the same few of each, since a chain moves it on by the
-// number of stages.
-type Robin struct {
-	// next holds an *atomic.Uint32 for each stage by its first server.
-	next sync.Map
+// Robin takes the servers of each stage in turn. Make one with NewRobin.
+type Robin struct{ next sync.Map }
+
+// NewRobin returns a Robin.
+func NewRobin() *Robin {
+	return &Robin{}
 }
 
-// turn returns the next turn of a stage.
-func (r *Robin) turn(s *stage) uint64 {
-	count, _ := r.next.LoadOrStore(s.choices[0].name, &atomic.Uint32{})
-	return uint64(count.(*atomic.Uint32).Add(1))
+// turn returns the next number of a stage. Each stage counts for itself: with
+// one count for all, a chain of three stages would meet every third server of
+// each only.
+func (p *Robin) turn(stage int) uint64 {
+	next, found := p.next.Load(stage)
+	if !found {
+		next, _ = p.next.LoadOrStore(stage, &atomic.Uint64{})
+	}
+	return next.(*atomic.Uint64).Add(1)
 }
 
 // Least takes the server with the fewest of this entry's requests in flight.
@@ -50,7 +55,7 @@
 	case "random":
 		return Random{}, nil
 	case "robin":
-		return &Robin{}, nil
+		return NewRobin(), nil
 	case "least":
 		return Least{}, nil
 	}
