--- a/sess/cmd/bench/throughput.go
+++ b/sess/cmd/bench/throughput.go
@@ -97,8 +97,10 @@
 // answer that is not whole by then counts for nothing.
 const drain = 3 * time.Second
 
-// warm is the first part of each measurement that is not counted.
-const warm = 2 * time.Second
+// warm is the first part of each measurement that is not counted. It is as
+// long as a long answer takes; before that the streams under way still grow
+// in number, and goodput lags behind what is offered.
+const warm = 4 * time.Second
 
 func (b *bench) cellOf(w *procs.World, r *rig, hosts []string, c cell) (cell, error) {
 	bound := r.bound()
