admit: divide a team's rate as its requests come

Cause: each entry host let an even part of a team's rate through. A balancer that sends the team to one of four hosts got most of it refused while the team was below its limit. The peers' reports of use were there and unread.

Ruled out: a counter in the object API (a write a request), a lease of tokens (an owner a team), dividing by living hosts (both sides of a partition would let the whole limit through).

Change: admit.Part divides by demand; hosts that cannot be reached keep their even part; demand is counted with atomics and told once a second.

--- a/entry/internal/gate/admission.go
+++ b/entry/internal/gate/admission.go
@@ -25,6 +25,10 @@
 	// their run time.
 	Target float64
 
+	// Others returns the requests per second of each team on other entry
+	// hosts, as far as they have told; nil for none.
+	Others func() map[string]float64
+
 	rates admit.Rates
 	// doors holds a *admit.Door for each pool by its name.
 	doors sync.Map
@@ -46,7 +50,7 @@
 	if a == nil {
 		return admit.Grant{}, nil
 	}
-	e := a.rates.Take(time.Now(), in.team.Name, in.team.Deal, entryHosts(snap))
+	e := a.rates.Take(time.Now(), in.team.Name, in.team.Deal, a.fleet(snap))
 	if e != nil {
 		return admit.Grant{}, a.refused(in, e)
 	}
@@ -60,6 +64,25 @@
 	return grant, nil
 }
 
+// Usage returns the requests per second of each team here.
+func (a *Admission) Usage() map[string]float64 {
+	return a.rates.Usage(time.Now())
+}
+
+// fleet returns what is known of the other entry hosts.
+func (a *Admission) fleet(snap *view.Snapshot) admit.Fleet {
+	f := admit.Fleet{Listed: entryHosts(snap), Reached: 1}
+	for name, p := range snap.Peers {
+		if p.Alive && name != snap.Self && snap.Hosts[name].Role == host.Entry {
+			f.Reached++
+		}
+	}
+	if a.Others != nil {
+		f.Others = func(team string) float64 { return a.Others()[team] }
+	}
+	return f
+}
+
 func (a *Admission) refused(in *entering, e *fault.Error) *fault.Error {
 	a.Trace.Add("gate", in.request, "refused: "+e.Error())
 	return e
--- a/entry/prog/prog.go
+++ b/entry/prog/prog.go
@@ -114,7 +114,7 @@
 	door := &gate.Gate{
 		View:  holder,
 		Relay: path.relay,
-		Pass:  calls, Admission: d.admission(holder, line),
+		Pass:  calls, Admission: d.admission(holder, line, peers),
 		Trace: line, Log: d.log, MaxBody: d.settings.MaxBody,
 		Ready: d.ready(feeder),
 	}
--- a/parts/admit/rates.go
+++ b/parts/admit/rates.go
@@ -12,61 +12,97 @@
 )
 
 // Rates keeps the rate limits of teams on one entry host. A deal's limit
-// holds over all entry hosts; each lets an equal part of it through, so that
-// no message is needed for a request and hosts that can't reach each other
-// stay within the limit together. The zero value is ready.
+// holds over all entry hosts; each lets a part of it through, as [Part] says,
+// so that no message is needed for a request. The zero value is ready.
 type Rates struct {
-	teams sync.Map
+	teams sync.Map // of team to *account
 }
 
-// bucket is the rate limit of one team at one deal and number of hosts.
+// account is what is kept of one team.
+type account struct {
+	demand demand
+	bucket atomic.Pointer[bucket]
+}
+
+// bucket is the rate limit of one team by one deal and size of the fleet.
 type bucket struct {
-	deal    deal.Deal
-	entries int
-	limiter *rate.Limiter
+	deal            deal.Deal
+	listed, reached int
+	limiter         *rate.Limiter
 }
 
-// Take takes one request of a team, or refuses it. Entries is the number of
-// entry hosts that the platform lists, this one included: a host that is
-// listed and can't be reached may still let its part through.
-func (r *Rates) Take(now time.Time, team string, d deal.Deal, entries int) *fault.Error {
+// Take takes one request of a team, or refuses it.
+func (r *Rates) Take(now time.Time, team string, d deal.Deal, fleet Fleet) *fault.Error {
 	if d.Rate <= 0 {
 		return nil
 	}
-	b := r.bucket(now, team, d, max(entries, 1))
-	if b.limiter.AllowN(now, 1) {
+	held, found := r.teams.Load(team)
+	if !found {
+		held, _ = r.teams.LoadOrStore(team, &account{})
+	}
+	a := held.(*account)
+	a.demand.count.Add(1)
+	limiter := a.limiter(now, team, d, fleet)
+	if limiter.AllowN(now, 1) {
 		return nil
 	}
-	next := time.Duration((1 - b.limiter.TokensAt(now)) / float64(b.limiter.Limit()) * float64(time.Second))
+	next := time.Duration((1 - limiter.TokensAt(now)) / float64(limiter.Limit()) * float64(time.Second))
 	return &fault.Error{
 		Code: fault.OverLimit, Verdict: fault.NotRun, RetryAfter: max(next, retryFloor),
 		Message: "team " + team + " sends more requests than its deal allows",
 	}
 }
 
-// bucket returns the team's bucket. When the deal or the number of hosts has
-// changed the limiter is set anew and keeps what it had left: a full one would
+// Usage returns the rate at which each team's requests come here, in requests
+// per second; a team that sends next to nothing is left out.
+func (r *Rates) Usage(now time.Time) map[string]float64 {
+	usage := map[string]float64{}
+	r.teams.Range(func(team, held any) bool {
+		a := held.(*account)
+		a.demand.fold(now)
+		if rate := a.demand.rate(); rate >= leastUsage {
+			usage[team.(string)] = rate
+		}
+		return true
+	})
+	return usage
+}
+
+// leastUsage is the lowest rate that is worth telling, in requests per second.
+const leastUsage = 0.01
+
+// limiter returns the team's limiter, with its part of the limit up to date.
+// When the part changes the limiter keeps what it had left: a full one would
 // let a team through anew at every change.
-func (r *Rates) bucket(now time.Time, team string, d deal.Deal, entries int) *bucket {
-	held, _ := r.teams.LoadOrStore(team, &atomic.Pointer[bucket]{})
-	pointer := held.(*atomic.Pointer[bucket])
+func (a *account) limiter(now time.Time, team string, d deal.Deal, fleet Fleet) *rate.Limiter {
+	due := a.demand.fold(now)
 	for {
-		old := pointer.Load()
-		if old != nil && old.deal == d && old.entries == entries {
-			return old
+		old := a.bucket.Load()
+		same := old != nil && old.deal == d && old.listed == fleet.Listed && old.reached == fleet.Reached
+		if same && !due {
+			return old.limiter
 		}
-		next := &bucket{deal: d, entries: entries}
-		part, burst := rate.Limit(d.Rate/float64(entries)), max(1, d.Burst/entries)
+		part := a.part(team, d, fleet)
+		burst := max(1, int(float64(d.Burst)*part/d.Rate))
+		next := &bucket{deal: d, listed: fleet.Listed, reached: fleet.Reached}
 		if old == nil {
-			next.limiter = rate.NewLimiter(part, burst)
+			next.limiter = rate.NewLimiter(rate.Limit(part), burst)
 		} else {
 			next.limiter = old.limiter
 		}
-		if !pointer.CompareAndSwap(old, next) {
+		if !a.bucket.CompareAndSwap(old, next) {
 			continue
 		}
-		next.limiter.SetLimitAt(now, part)
+		next.limiter.SetLimitAt(now, rate.Limit(part))
 		next.limiter.SetBurstAt(now, burst)
-		return next
+		return next.limiter
+	}
+}
+
+func (a *account) part(team string, d deal.Deal, fleet Fleet) float64 {
+	others := 0.0
+	if fleet.Others != nil {
+		others = fleet.Others(team)
 	}
+	return Part(d.Rate, a.demand.rate(), others, fleet.Reached, fleet.Listed)
 }
--- a/parts/admit/rates_test.go
+++ b/parts/admit/rates_test.go
@@ -19,7 +19,7 @@
 	for i := range 200 {
 		at := now.Add(time.Duration(i) * 10 * time.Millisecond)
 		for _, r := range hosts {
-			if r.Take(at, "cantata", d, listed) == nil {
+			if r.Take(at, "cantata", d, admit.Fleet{Listed: listed, Reached: 1}) == nil {
 				n++
 			}
 		}
@@ -44,8 +44,8 @@
 	r := &admit.Rates{}
 	d := deal.Deal{Rate: 0.5, Burst: 1}
 	now := time.Now()
-	c.Assert(r.Take(now, "cantata", d, 1) == nil, qt.IsTrue)
-	e := r.Take(now, "cantata", d, 1)
+	c.Assert(r.Take(now, "cantata", d, admit.Fleet{Listed: 1, Reached: 1}) == nil, qt.IsTrue)
+	e := r.Take(now, "cantata", d, admit.Fleet{Listed: 1, Reached: 1})
 	c.Assert(e.Code, qt.Equals, fault.OverLimit)
 	c.Assert(e.Verdict, qt.Equals, fault.NotRun)
 	c.Assert(e.RetryAfter > 1900*time.Millisecond && e.RetryAfter < 2100*time.Millisecond, qt.IsTrue)
@@ -61,7 +61,7 @@
 	now := time.Now()
 	n := 0
 	for i := range 400 {
-		if r.Take(now, "cantata", d, 1+i%2) == nil {
+		if r.Take(now, "cantata", d, admit.Fleet{Listed: 1 + i%2, Reached: 1}) == nil {
 			n++
 		}
 	}
