store: believe only 4xx and 503 to mean that a write was not taken

Cause: the client called every error status of a write NotRun. A 500, 502 or 504 may come from what stands before the service, after the write took effect; a line in force would then be answered with `refused`, a claim that is held would be called free.

Ruled out: calling all of them MayHaveRun; the platform's own 503 in an outage is a plain no, and every line would be `unknown` for its length.

Also, since the same lines stood two and six times: fault.Sending for the verdict of a failed sending, wait.For for a pause that ends with its context.

Conclusion: the rule for lost replies now covers these statuses too.

--- a/entry/internal/feed/feed.go
+++ b/entry/internal/feed/feed.go
@@ -24,6 +24,7 @@
 	"fuchsiashelf.dev/parts/store"
 	"fuchsiashelf.dev/parts/trace"
 	"fuchsiashelf.dev/parts/view"
+	"fuchsiashelf.dev/parts/wait"
 	"fuchsiashelf.dev/parts/wire"
 )
 
@@ -178,7 +179,7 @@
 		f.Log.Warn("feed: store does not answer", "watch", what, "err", err)
 		f.Trace.Add("feed", "", "store does not answer about "+what)
 	}
-	pause(ctx, retryWait/2+rand.N(retryWait))
+	wait.For(ctx, retryWait/2+rand.N(retryWait))
 }
 
 // answered notes that a call of a watch was answered.
@@ -189,12 +190,3 @@
 		f.Trace.Add("feed", "", "store answers again about "+what)
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/entry/internal/feed/prime.go
+++ b/entry/internal/feed/prime.go
@@ -10,6 +10,7 @@
 	"fuchsiashelf.dev/parts/conf"
 	"fuchsiashelf.dev/parts/host"
 	"fuchsiashelf.dev/parts/view"
+	"fuchsiashelf.dev/parts/wait"
 	"fuchsiashelf.dev/parts/wire"
 )
 
@@ -41,7 +42,7 @@
 			f.primed.Store(true)
 			return
 		}
-		pause(ctx, retryWait)
+		wait.For(ctx, retryWait)
 	}
 }
 
--- a/entry/internal/guard/case.go
+++ b/entry/internal/guard/case.go
@@ -11,6 +11,7 @@
 	"fuchsiashelf.dev/parts/fault"
 	"fuchsiashelf.dev/parts/peer"
 	"fuchsiashelf.dev/parts/poison"
+	"fuchsiashelf.dev/parts/wait"
 	"fuchsiashelf.dev/parts/wire"
 )
 
@@ -100,7 +101,7 @@
 			e.Message = "this request is suspected of crashing backend servers, and could not be tried alone in time"
 			return e
 		}
-		pause(ctx, trialTick)
+		wait.For(ctx, trialTick)
 	}
 }
 
@@ -187,12 +188,3 @@
 	_, err := g.Engine.Status(ctx, address)
 	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/entry/internal/poll/poll.go
+++ b/entry/internal/poll/poll.go
@@ -21,6 +21,7 @@
 	"fuchsiashelf.dev/parts/server"
 	"fuchsiashelf.dev/parts/trace"
 	"fuchsiashelf.dev/parts/view"
+	"fuchsiashelf.dev/parts/wait"
 )
 
 // Poll asks engines. Set the exported fields, then Run.
@@ -64,11 +65,11 @@
 				open.Add(-1)
 			}
 		}
-		rest(ctx, p.Period-time.Since(round))
+		wait.For(ctx, p.Period-time.Since(round))
 	}
 	// A worker that is still asking ends soon, since its context has.
 	for open.Load() > 0 {
-		rest(context.Background(), time.Millisecond)
+		wait.For(context.Background(), time.Millisecond)
 	}
 }
 
@@ -117,15 +118,3 @@
 	p.View.Update(func(s *view.Snapshot) { s.Suspect(name, until, now) })
 	p.Log.Warn("poll: server does not answer", "server", name)
 }
-
-func rest(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/entry/internal/seat/accept.go
+++ b/entry/internal/seat/accept.go
@@ -10,6 +10,7 @@
 	"fuchsiashelf.dev/parts/fault"
 	"fuchsiashelf.dev/parts/lang"
 	"fuchsiashelf.dev/parts/store"
+	"fuchsiashelf.dev/parts/wait"
 	"fuchsiashelf.dev/parts/wire"
 )
 
@@ -82,7 +83,7 @@
 		if ctx.Err() == nil {
 			last = err
 		}
-		pause(ctx, retryPause/2+rand.N(retryPause))
+		wait.For(ctx, retryPause/2+rand.N(retryPause))
 		if ctx.Err() != nil || time.Since(began) > outageWait && !o.write.Uncertain() {
 			return conf.Line{}, o.gaveUp(last)
 		}
@@ -228,12 +229,3 @@
 	line, _ := o.sent.Find(o.line.Id)
 	return &line, nil, nil
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/entry/internal/seat/confirm.go
+++ b/entry/internal/seat/confirm.go
@@ -7,6 +7,7 @@
 
 	"fuchsiashelf.dev/parts/conf"
 	"fuchsiashelf.dev/parts/host"
+	"fuchsiashelf.dev/parts/wait"
 	"fuchsiashelf.dev/parts/wire"
 )
 
@@ -39,7 +40,7 @@
 		if len(missing) == 0 || ctx.Err() != nil {
 			break
 		}
-		pause(ctx, confirmTick)
+		wait.For(ctx, confirmTick)
 	}
 	// Hosts that left the list or said goodbye meanwhile need not confirm.
 	still := map[string]bool{}
--- a/entry/internal/seat/putback.go
+++ b/entry/internal/seat/putback.go
@@ -10,6 +10,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"fuchsiashelf.dev/parts/conf"
+	"fuchsiashelf.dev/parts/wait"
 )
 
 // The pauses before a configuration is put back. The first is drawn up to
@@ -24,24 +25,24 @@
 // putBack writes the newest configuration in force back into an object API
 // that has lost it, each time that the feed has seen that.
 func (s *Seat) putBack(ctx context.Context) {
-	wait := backFirst
+	pause := backFirst
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-s.Feed.Behind():
 		}
-		pause(ctx, rand.N(wait))
+		wait.For(ctx, rand.N(pause))
 		if ctx.Err() != nil {
 			return
 		}
 		if err := s.putBackOnce(ctx); err != nil {
 			s.Log.Warn("seat: configuration not put back", "err", err)
 			s.Feed.StillBehind()
-			wait = min(2*wait, backMost)
+			pause = min(2*pause, backMost)
 			continue
 		}
-		wait = backFirst
+		pause = backFirst
 	}
 }
 
--- a/parts/engine/client.go
+++ b/parts/engine/client.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -71,7 +70,7 @@
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := c.http().Do(req)
 	if err != nil {
-		return nil, &fault.Error{Code: fault.ServerFailed, Verdict: sendVerdict(err), Server: first.Server, Cause: err}
+		return nil, &fault.Error{Code: fault.ServerFailed, Verdict: fault.Sending(err), Server: first.Server, Cause: err}
 	}
 	if resp.StatusCode != http.StatusOK {
 		defer resp.Body.Close()
@@ -82,15 +81,6 @@
 	return &Stream{body: resp.Body, scan: scan}, nil
 }
 
-// sendVerdict is NotRun only if no connection was ever made.
-func sendVerdict(err error) fault.Verdict {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return fault.NotRun
-	}
-	return fault.MayHaveRun
-}
-
 func refusal(resp *http.Response, server string) *fault.Error {
 	e := &fault.Error{Code: fault.ServerFailed, Verdict: fault.MayHaveRun, Server: server}
 	e.Message = fmt.Sprintf("status %d", resp.StatusCode)
--- a/parts/store/client.go
+++ b/parts/store/client.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -143,7 +142,20 @@
 			Message: fmt.Sprintf("%s is at version %d", key, r.version),
 		}
 	}
-	return 0, down(fault.NotRun, fmt.Errorf("status %d", r.status))
+	return 0, down(failing(r.status), fmt.Errorf("status %d", r.status))
+}
+
+// failing is the verdict of a write that was answered with an error status.
+// The platform's form (docs/design/wire.md) says of 4xx and 503 that the
+// write was not taken. Any other may come after the write took effect, for
+// example from a balancer that lost its answer; taken for not run, a line in
+// force would be answered with refused.
+func failing(status int) fault.Verdict {
+	refused := status >= http.StatusBadRequest && status < http.StatusInternalServerError
+	if refused || status == http.StatusServiceUnavailable {
+		return fault.NotRun
+	}
+	return fault.MayHaveRun
 }
 
 func (c *Client) ask(ctx context.Context, path string, into any) error {
@@ -190,7 +202,7 @@
 	}
 	resp, err := transport.Do(req)
 	if err != nil {
-		return reply{}, down(sendVerdict(err), err)
+		return reply{}, down(fault.Sending(err), err)
 	}
 	defer resp.Body.Close()
 	value, err := io.ReadAll(io.LimitReader(resp.Body, maxValue))
@@ -201,15 +213,6 @@
 	return reply{status: resp.StatusCode, version: at, body: value}, nil
 }
 
-// sendVerdict is NotRun only if no connection was ever made.
-func sendVerdict(err error) fault.Verdict {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return fault.NotRun
-	}
-	return fault.MayHaveRun
-}
-
 func down(v fault.Verdict, cause error) *fault.Error {
 	return &fault.Error{
 		Code: fault.StoreDown, Verdict: v, Message: "the object API does not answer",
--- a/stand/internal/engine/batch.go
+++ b/stand/internal/engine/batch.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"fuchsiashelf.dev/parts/wait"
 )
 
 // batch runs tokens in steps. The zero value works.
@@ -70,7 +72,7 @@
 		for _, t := range turns {
 			length += t.extra
 		}
-		pause(context.Background(), time.Until(began.Add(length)))
+		wait.For(context.Background(), time.Until(began.Add(length)))
 		for _, t := range turns {
 			t.began = began
 			close(t.done)
--- a/stand/internal/engine/engine.go
+++ b/stand/internal/engine/engine.go
@@ -8,7 +8,6 @@
 package engine
 
 import (
-	"context"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -134,15 +133,3 @@
 	}
 	os.Exit(status)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/stand/internal/engine/step.go
+++ b/stand/internal/engine/step.go
@@ -11,6 +11,7 @@
 	"time"
 
 	wire "fuchsiashelf.dev/parts/engine"
+	"fuchsiashelf.dev/parts/wait"
 	"fuchsiashelf.dev/stand/token"
 )
 
@@ -120,7 +121,7 @@
 		return s, ctx.Err()
 	}
 	s.Spans[len(s.Spans)-1].LinkUs = delay.Microseconds()
-	pause(ctx, delay)
+	wait.For(ctx, delay)
 	body, err := json.Marshal(s)
 	if err != nil {
 		return s, err
--- a/stand/internal/object/fault.go
+++ b/stand/internal/object/fault.go
@@ -9,6 +9,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 
 	"fuchsiashelf.dev/parts/store"
+	"fuchsiashelf.dev/parts/wait"
 	"fuchsiashelf.dev/stand/inject"
 )
 
@@ -52,8 +53,8 @@
 			return
 		}
 		if slow, on := f.Faults.On(Slow); on {
-			wait, _ := time.ParseDuration(slow.Value)
-			sleep(ctx, wait)
+			more, _ := time.ParseDuration(slow.Value)
+			wait.For(ctx, more)
 		}
 		if _, on := f.Faults.On(Outage); on {
 			c.String(503, "outage")
@@ -93,12 +94,3 @@
 	_ = c.GetConn().Close()
 	c.Abort()
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
