boot: keep version and exit statuses of all programs in one place

Cause: four constants for one version, three pairs of exit statuses. Ruled out: nothing. Behaviour is the same: tests of desk, load and the settings page pass.

--- a/desk/prog/desk.go
+++ b/desk/prog/desk.go
@@ -12,6 +12,7 @@
 
 	"storj.io/drpc/drpcconn"
 
+	"fuchsiashelf.dev/parts/boot"
 	"fuchsiashelf.dev/parts/wire"
 )
 
@@ -42,7 +43,7 @@
 		if answer.Outcome == done {
 			continue
 		}
-		status = exitNotDone
+		status = boot.ExitFailed
 		if !d.more && i+1 < len(lines) {
 			fmt.Fprintf(d.stdout, "stopped, %d lines not sent\n", len(lines)-i-1)
 			return status
--- a/desk/prog/prog.go
+++ b/desk/prog/prog.go
@@ -10,22 +10,14 @@
 	"io"
 
 	"github.com/peterbourgon/ff/v3"
-)
-
-// Version is the version of the program.
-const Version = "0.1.0"
 
-// The exit statuses.
-const (
-	exitNotDone  = 1
-	exitSettings = 2
+	"fuchsiashelf.dev/parts/boot"
 )
 
 // Main runs the program and returns its exit status: 0 only if every line was
 // answered with done.
 func Main(ctx context.Context, args []string, stdin io.Reader, stdout, stderr io.Writer) int {
-	if len(args) == 1 && args[0] == "version" {
-		fmt.Fprintln(stdout, "fsdesk", Version)
+	if boot.TellVersion("fsdesk", args, stdout) {
 		return 0
 	}
 	s := &settings{}
@@ -41,7 +33,7 @@
 	}
 	if err != nil {
 		fmt.Fprintln(stderr, err)
-		return exitSettings
+		return boot.ExitSettings
 	}
 	d := &desk{settings: s, stdout: stdout}
 	return d.runAll(ctx, lines)
--- a/entry/prog/prog.go
+++ b/entry/prog/prog.go
@@ -18,25 +18,16 @@
 
 	"fuchsiashelf.dev/entry/internal/gate"
 	"fuchsiashelf.dev/entry/internal/setup"
+	"fuchsiashelf.dev/parts/boot"
 	"fuchsiashelf.dev/parts/httpd"
 	"fuchsiashelf.dev/parts/store"
 	"fuchsiashelf.dev/parts/trace"
 	"fuchsiashelf.dev/parts/view"
 )
 
-// Version is the version of the program.
-const Version = "0.1.0"
-
-// The exit statuses.
-const (
-	exitFailed   = 1
-	exitSettings = 2
-)
-
 // Main runs the program until the context ends and returns its exit status.
 func Main(ctx context.Context, args []string, _ io.Reader, stdout, stderr io.Writer) int {
-	if len(args) == 1 && args[0] == "version" {
-		fmt.Fprintln(stdout, "fsentry", Version)
+	if boot.TellVersion("fsentry", args, stdout) {
 		return 0
 	}
 	settings, err := setup.Parse(args, stderr)
@@ -45,13 +36,13 @@
 	}
 	if err != nil {
 		fmt.Fprintln(stderr, err)
-		return exitSettings
+		return boot.ExitSettings
 	}
 	d := &daemon{settings: settings, stdout: stdout}
 	d.log = slog.New(slog.NewTextHandler(stderr, nil)).With("entry", settings.Name)
 	if err := d.run(ctx); err != nil {
 		d.log.Error("prog: stopped", "err", err)
-		return exitFailed
+		return boot.ExitFailed
 	}
 	return 0
 }
--- a/load/prog/prog.go
+++ b/load/prog/prog.go
@@ -13,22 +13,13 @@
 	"strings"
 
 	"fuchsiashelf.dev/load/internal/tally"
-)
-
-// Version is the version of the program.
-const Version = "0.1.0"
-
-// The exit statuses.
-const (
-	exitFailed   = 1
-	exitSettings = 2
+	"fuchsiashelf.dev/parts/boot"
 )
 
 // Main runs the program and returns its exit status. The status is 1 if an
 // answer was wrong, since no load excuses that.
 func Main(ctx context.Context, args []string, _ io.Reader, stdout, stderr io.Writer) int {
-	if len(args) == 1 && args[0] == "version" {
-		fmt.Fprintln(stdout, "fsload", Version)
+	if boot.TellVersion("fsload", args, stdout) {
 		return 0
 	}
 	s, err := parse(args, stderr)
@@ -37,7 +28,7 @@
 	}
 	if err != nil {
 		fmt.Fprintln(stderr, err)
-		return exitSettings
+		return boot.ExitSettings
 	}
 	report, err := s.run(stderr).Do(ctx)
 	if err == nil {
@@ -45,10 +36,10 @@
 	}
 	if err != nil {
 		fmt.Fprintln(stderr, "fsload:", err)
-		return exitFailed
+		return boot.ExitFailed
 	}
 	if report.Wrong > 0 {
-		return exitFailed
+		return boot.ExitFailed
 	}
 	return 0
 }
--- a/parts/boot/boot.go
+++ b/parts/boot/boot.go
@@ -4,12 +4,34 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"os"
 	"os/signal"
 	"syscall"
 )
 
+// Version is the version of all programs; they are released together.
+const Version = "0.1.0"
+
+// The exit statuses of all programs, beside 0.
+const (
+	// ExitFailed: the program ran and did not do what was asked.
+	ExitFailed = 1
+	// ExitSettings: the settings are faulty, and nothing was done.
+	ExitSettings = 2
+)
+
+// TellVersion prints name and version if the arguments ask for it, and reports
+// whether they do.
+func TellVersion(name string, args []string, stdout io.Writer) bool {
+	if len(args) != 1 || args[0] != "version" {
+		return false
+	}
+	fmt.Fprintln(stdout, name, Version)
+	return true
+}
+
 // Main is a program. It ends when the context does, and returns its exit
 // status.
 type Main func(ctx context.Context, args []string, stdin io.Reader, stdout, stderr io.Writer) int
--- a/parts/claim/bench_test.go
+++ b/parts/claim/bench_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"fuchsiashelf.dev/parts/store"
+	"fuchsiashelf.dev/parts/wait"
 )
 
 // slow is a store that answers after a round trip.
@@ -23,12 +24,12 @@
 
 func (s *slow) Get(ctx context.Context, key string) (store.Object, error) {
 	s.reads.Add(1)
-	time.Sleep(s.trip)
+	wait.For(ctx, s.trip)
 	return s.memory.Get(ctx, key)
 }
 
 func (s *slow) Put(ctx context.Context, key string, value []byte, version uint64) (uint64, error) {
-	time.Sleep(s.trip)
+	wait.For(ctx, s.trip)
 	return s.memory.Put(ctx, key, value, version)
 }
 
@@ -68,7 +69,7 @@
 	began := time.Now()
 	for i := range offered {
 		due := began.Add(time.Duration(i) * time.Second / time.Duration(perSecond))
-		time.Sleep(time.Until(due))
+		wait.For(context.Background(), time.Until(due))
 		all.Go(func() {
 			w, t := writers[i%entries], take(fmt.Sprint(i), rand.Uint64()|1)
 			t.Record.Until = time.Now().Add(time.Hour).UnixMilli()
--- a/stand/prog/prog.go
+++ b/stand/prog/prog.go
@@ -15,6 +15,7 @@
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"fuchsiashelf.dev/parts/boot"
 	"fuchsiashelf.dev/parts/httpd"
 	"fuchsiashelf.dev/stand/inject"
 	"fuchsiashelf.dev/stand/internal/engine"
@@ -22,9 +23,6 @@
 	"fuchsiashelf.dev/stand/internal/plain"
 )
 
-// Version is the version of the program.
-const Version = "0.1.0"
-
 // role is what a stand-in serves.
 type role interface {
 	Routes(h *server.Hertz)
@@ -170,7 +168,7 @@
 	return &ffcli.Command{
 		Name: "version", ShortUsage: "fsstand version", FlagSet: flags("fsstand version", stderr),
 		Exec: func(context.Context, []string) error {
-			fmt.Fprintln(stdout, "fsstand", Version)
+			fmt.Fprintln(stdout, "fsstand", boot.Version)
 			return nil
 		},
 	}
