lang: refuse a deadline that the entry hosts would cut

Cause: a service with `repeat no` could be given a deadline above -claim-longest; the entry hosts then cut it without a word, so the line was answered with done and was not what ran. Ruled out: cutting with a note in the answer (an operator who works from a script acts on the outcome, not on notes). Change: the line is refused and names the bound. Before: `create service slow path /slow repeat no within 45s` gave done with 30 s in force. After: refused, at the column of the duration; so is a change to `repeat no` of a service whose deadline is longer.

--- a/entry/internal/seat/accept.go
+++ b/entry/internal/seat/accept.go
@@ -198,7 +198,7 @@
 		return fmt.Errorf("revision %d was seen, which is too long ago to compare with %d", o.seen, base.Revision)
 	}
 	now := time.Now()
-	next, err := o.parsed.Apply(base, lang.World{Hosts: o.View.Load().Hosts, Now: now})
+	next, err := o.parsed.Apply(base, lang.World{Hosts: o.View.Load().Hosts, Now: now, Longest: o.Longest})
 	if err != nil {
 		return err
 	}
--- a/entry/internal/seat/seat.go
+++ b/entry/internal/seat/seat.go
@@ -11,6 +11,7 @@
 	"errors"
 	"log/slog"
 	"net"
+	"time"
 
 	"github.com/panjf2000/ants/v2"
 	"github.com/rcrowley/go-metrics"
@@ -35,6 +36,8 @@
 	Trace  *trace.Line
 	Log    *slog.Logger
 	Secret string
+	// Longest is the longest time for a call that may not be repeated.
+	Longest time.Duration
 	// Workers runs the questions to other entry hosts. Its size bounds how
 	// many are out at once.
 	Workers *ants.Pool
--- a/entry/prog/desk.go
+++ b/entry/prog/desk.go
@@ -31,6 +31,7 @@
 	desk := &seat.Seat{
 		View: holder, Store: api, Feed: feeder, Mesh: peers,
 		Trace: line, Log: d.log, Secret: d.settings.DeskSecret, Workers: workers,
+		Longest: d.settings.Claims.Longest,
 	}
 	return feeder, peers, desk, nil
 }
--- a/parts/lang/apply.go
+++ b/parts/lang/apply.go
@@ -18,6 +18,9 @@
 	Hosts map[string]host.Host
 	// Now is the time of the line.
 	Now time.Time
+	// Longest is the longest time for a call that may not be repeated, as the
+	// entry hosts are set; zero means no bound.
+	Longest time.Duration
 }
 
 // Apply returns the configuration that the line makes of another one, which
--- a/parts/lang/lang_test.go
+++ b/parts/lang/lang_test.go
@@ -80,7 +80,7 @@
 		parsed, err := lang.Parse(line)
 		if err == nil {
 			var next *conf.Config
-			next, err = parsed.Apply(at, lang.World{Hosts: hosts(), Now: now})
+			next, err = parsed.Apply(at, lang.World{Hosts: hosts(), Now: now, Longest: 30 * time.Second})
 			if err == nil {
 				at = next
 				fmt.Fprintf(&out, "%s\n", parsed.Thing())
--- a/parts/lang/service.go
+++ b/parts/lang/service.go
@@ -95,11 +95,28 @@
 		}
 		s.Deadline = within
 	}
+	if err := e.longest(s, o); err != nil {
+		return err
+	}
 	s.Revision = e.Revision
 	e.Services[s.Name] = s
 	return nil
 }
 
+// longest refuses a deadline above what claims are kept for. The entry hosts
+// would cut it, and callers would get less time than the line says.
+func (e *edit) longest(s rule.Service, o *Options) error {
+	if s.Repeat || e.world.Longest == 0 || s.Limit() <= e.world.Longest {
+		return nil
+	}
+	at := Word{Pos: o.Pos}
+	if o.Within != nil {
+		at = *o.Within
+	}
+	return fault(at, "within: calls that may not be repeated have at most %s here, not %s",
+		e.world.Longest, s.Limit())
+}
+
 func (e *edit) deleteService(at Word) error {
 	s, ok := e.Services[at.Text]
 	if !ok {
