sess: run demo and benches in one kind of scratch world

Cause: three copies of the code that makes a temporary world, and only one of them ended its processes when it was told to end itself. Ruled out: leaving it; an interrupted demo left fifteen processes behind. Change: procs.Scratch and procs.In.

--- a/sess/cmd/bench/control.go
+++ b/sess/cmd/bench/control.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"os/exec"
 	"strings"
+
+	"fuchsiashelf.dev/sess/procs"
 )
 
 // controlLines begin the lines of the peers bench that this one repeats.
@@ -13,7 +15,7 @@
 // first seconds of a fleet cost several times what comes after, so that a line
 // through smaller ones, measured early, is far off.
 func (b *bench) control() error {
-	file, err := b.path("peers")
+	file, err := procs.In(b.bin)("peers")
 	if err != nil {
 		return err
 	}
--- a/sess/cmd/bench/main.go
+++ b/sess/cmd/bench/main.go
@@ -4,14 +4,10 @@
 package main
 
 import (
-	"errors"
 	"flag"
 	"fmt"
 	"os"
-	"os/signal"
-	"path/filepath"
 	"strings"
-	"syscall"
 	"time"
 
 	"fuchsiashelf.dev/sess/procs"
@@ -69,32 +65,6 @@
 }
 
 // in runs a function in a world of its own and ends its processes.
-func (b *bench) in(run func(w *procs.World) error) (err error) {
-	dir, err := os.MkdirTemp("", "fuchsiashelf-bench-")
-	if err != nil {
-		return err
-	}
-	w := &procs.World{Dir: dir, Path: b.path}
-	// A bench that is ended must not leave its processes behind.
-	ended := make(chan os.Signal, 1)
-	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT)
-	go func() {
-		if <-ended != nil {
-			_ = w.End()
-			os.Exit(1)
-		}
-	}()
-	defer func() {
-		signal.Stop(ended)
-		close(ended)
-		err = errors.Join(err, w.End())
-		if err == nil {
-			err = os.RemoveAll(dir)
-		}
-	}()
-	return run(w)
-}
-
-func (b *bench) path(program string) (string, error) {
-	return filepath.Abs(filepath.Join(b.bin, program))
+func (b *bench) in(run func(w *procs.World) error) error {
+	return procs.Scratch(b.bin, run)
 }
--- a/sess/cmd/demo/main.go
+++ b/sess/cmd/demo/main.go
@@ -7,7 +7,6 @@
 	"flag"
 	"fmt"
 	"os"
-	"path/filepath"
 	"strings"
 
 	"fuchsiashelf.dev/parts/domain"
@@ -29,20 +28,13 @@
 // errShown says that a step of the session did not end as it should.
 var errShown = errors.New("a step failed, see above")
 
-func run(bin string) (err error) {
-	dir, err := os.MkdirTemp("", "fuchsiashelf-demo-")
-	if err != nil {
-		return err
-	}
-	defer os.RemoveAll(dir)
-	w := &procs.World{Dir: dir, Path: func(program string) (string, error) {
-		return filepath.Abs(filepath.Join(bin, program))
-	}}
-	defer func() { err = errors.Join(err, w.End()) }()
-	if err := start(w); err != nil {
-		return err
-	}
-	return session(w)
+func run(bin string) error {
+	return procs.Scratch(bin, func(w *procs.World) error {
+		if err := start(w); err != nil {
+			return err
+		}
+		return session(w)
+	})
 }
 
 func start(w *procs.World) error {
--- a/sess/cmd/inforce/main.go
+++ b/sess/cmd/inforce/main.go
@@ -6,11 +6,9 @@
 package main
 
 import (
-	"errors"
 	"flag"
 	"fmt"
 	"os"
-	"path/filepath"
 	"time"
 
 	"fuchsiashelf.dev/parts/domain"
@@ -29,21 +27,14 @@
 
 var entries = []string{"e1", "e2", "e3", "e4"}
 
-func run(bin string, lines int) (err error) {
-	dir, err := os.MkdirTemp("", "fuchsiashelf-inforce-")
-	if err != nil {
-		return err
-	}
-	defer os.RemoveAll(dir)
-	w := &procs.World{Dir: dir, Path: func(program string) (string, error) {
-		return filepath.Abs(filepath.Join(bin, program))
-	}}
-	defer func() { err = errors.Join(err, w.End()) }()
-	if err := start(w); err != nil {
-		return err
-	}
-	b := &bench{World: w, lines: lines}
-	return b.all()
+func run(bin string, lines int) error {
+	return procs.Scratch(bin, func(w *procs.World) error {
+		if err := start(w); err != nil {
+			return err
+		}
+		b := &bench{World: w, lines: lines}
+		return b.all()
+	})
 }
 
 func start(w *procs.World) error {
