--- a/sess/cmd/bench/throughput.go
+++ b/sess/cmd/bench/throughput.go
@@ -93,8 +93,10 @@
 }
 
 // drain is the longest wait for open calls at the end of a measurement. An
-// answer that is not whole by then counts for nothing.
-const drain = 3 * time.Second
+// answer that is not whole by then counts for nothing, also what came of it
+// before the end, so it is longer than a long answer takes. What comes during
+// the drain is not counted.
+const drain = 10 * time.Second
 
 // warm is the first part of each measurement that is not counted. It is as
 // long as a long answer takes; before that the streams under way still grow
