--- a/sess/cmd/bench/main.go
+++ b/sess/cmd/bench/main.go
@@ -20,7 +20,7 @@
 	flag.StringVar(&b.series, "series", "", "directory for the time series, if wanted")
 	flag.StringVar(&b.policies, "policies", "cost,random,robin,least", "policies to compare")
 	flag.BoolVar(&b.quick, "quick", false, "measure throughput at the highest load only")
-	only := flag.String("only", "throughput,recovery,fair,control", "parts to run")
+	only := flag.String("only", "throughput,recovery,fair,control", "parts to run, of throughput, recovery, losses, fair, control and costs")
 	flag.Parse()
 	if err := b.run(strings.Split(*only, ",")); err != nil {
 		fmt.Fprintln(os.Stderr, "bench:", err)
@@ -41,6 +41,7 @@
 func (b *bench) run(parts []string) error {
 	steps := map[string]func() error{
 		"throughput": b.throughput, "recovery": b.recovery, "control": b.control, "costs": b.costs, "fair": b.fair,
+		"losses": b.losses,
 	}
 	for _, part := range parts {
 		step := steps[part]
--- a/sess/cmd/bench/recovery.go
+++ b/sess/cmd/bench/recovery.go
@@ -15,12 +15,15 @@
 // blow is a failure that the bench brings about while streams run.
 type blow struct {
 	name string
-	// victim is the engine that fails.
-	victim string
-	// fault returns fsload's fault without its time.
+	// victims are the processes that fail.
+	victims []string
+	// fault returns fsload's fault of one victim without its time.
 	fault func(w *procs.World, r *rig, victim string) (string, error)
 	// lost are the engines that the pool has less afterwards.
 	lost []string
+	// callers is the share of callers whose entry host is lost. fsload goes
+	// on sending to it, as the platform's balancer does until it notices.
+	callers float64
 }
 
 // The load of the recovery rig: streams of 4 s whose tokens come every 20 ms.
@@ -33,27 +36,55 @@
 
 func (b *bench) recovery() error {
 	blows := []blow{
-		{"kill first stage", "e0-1", signalled("KILL"), []string{"e0-1"}},
-		{"kill last stage", "e2-1", signalled("KILL"), []string{"e2-1"}},
-		{"freeze", "e1-1", signalled("STOP"), []string{"e1-1"}},
-		{"freeze first stage", "e0-1", signalled("STOP"), []string{"e0-1"}},
-		{"link cut", "e0-2", cut, nil},
-		{"no fault", "", nil, nil},
+		engineLost("kill first stage", "e0-1", "KILL"),
+		engineLost("kill last stage", "e2-1", "KILL"),
+		engineLost("freeze", "e1-1", "STOP"),
+		engineLost("freeze first stage", "e0-1", "STOP"),
+		{name: "link cut", victims: []string{"e0-2"}, fault: cut},
+		{name: "no fault"},
+	}
+	worst, err := b.blows(blows)
+	if err != nil {
+		return err
 	}
+	b.note("recovery-kill-p95-ms", worst["kill"])
+	b.note("recovery-freeze-p95-ms", worst["freeze"])
+	return nil
+}
+
+// losses measures the loss of what is more than one engine.
+func (b *bench) losses() error {
+	second := []string{"e0-1", "e1-1", "e2-1"}
+	_, err := b.blows([]blow{
+		{name: "store down", victims: []string{procs.StoreName}, fault: outage},
+		{name: "entry killed", victims: []string{"entry-1"}, fault: signalled("KILL"), callers: 0.25},
+		{
+			name: "domain killed", victims: append([]string{"entry-1", "entry-3"}, second...),
+			fault: signalled("KILL"), lost: second, callers: 0.5,
+		},
+	})
+	return err
+}
+
+func engineLost(name, victim, signal string) blow {
+	return blow{name: name, victims: []string{victim}, fault: signalled(signal), lost: []string{victim}}
+}
+
+// blows measures one blow after the other. It returns the worst p95 of the
+// time to the next token by the first word of the blows' names.
+func (b *bench) blows(blows []blow) (map[string]float64, error) {
 	fmt.Printf("%-20s %7s %8s %8s %8s %6s %6s %10s\n",
 		"failure", "streams", "next p50", "next p95", "next max", "cut", "wrong", "back ms")
 	worst := map[string]float64{}
 	for _, blow := range blows {
 		p95, err := b.blow(blow)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		kind, _, _ := strings.Cut(blow.name, " ")
 		worst[kind] = max(worst[kind], p95)
 	}
-	b.note("recovery-kill-p95-ms", worst["kill"])
-	b.note("recovery-freeze-p95-ms", worst["freeze"])
-	return nil
+	return worst, nil
 }
 
 // blow runs streams on a rig of its own, strikes, and prints what became of
@@ -79,8 +110,8 @@
 	args := []string{
 		"-rate", streamRate, "-tokens", streamTokens, "-duration", streamEnd.String(), "-warm", warm.String(),
 	}
-	if blow.fault != nil {
-		text, err := blow.fault(w, r, blow.victim)
+	for _, victim := range blow.victims {
+		text, err := blow.fault(w, r, victim)
 		if err != nil {
 			return 0, err
 		}
@@ -90,7 +121,8 @@
 	if err != nil {
 		return 0, err
 	}
-	resumed, err := sum(w, hosts, "relay.resumed")
+	left := slices.DeleteFunc(slices.Clone(hosts), func(h string) bool { return contains(blow.victims, h) })
+	resumed, err := sum(w, left, "relay.resumed")
 	if err != nil {
 		return 0, err
 	}
@@ -98,7 +130,7 @@
 	p95 := quantile(next, 0.95)
 	bad := report.Failed + report.Lost
 	fmt.Printf("%-20s %7d %8.1f %8.1f %8.1f %6d %6d %10.0f\n", blow.name, resumed,
-		quantile(next, 0.5), p95, quantile(next, 1), bad, report.Wrong, back(report, r.bound(blow.lost...)))
+		quantile(next, 0.5), p95, quantile(next, 1), bad, report.Wrong, back(report, r.bound(blow.lost...), 1-blow.callers))
 	return p95, nil
 }
 
@@ -113,6 +145,15 @@
 	}
 }
 
+// outage takes the victim, the platform's store, down.
+func outage(w *procs.World, _ *rig, victim string) (string, error) {
+	p, err := w.Get(victim)
+	if err != nil {
+		return "", err
+	}
+	return p.At["control"] + " outage", nil
+}
+
 // cut cuts all links from the victim to the next stage.
 func cut(w *procs.World, r *rig, victim string) (string, error) {
 	p, err := w.Get(victim)
@@ -147,15 +188,16 @@
 }
 
 // back returns how long after the fault goodput was, for half a second, at
-// 95% of what it was before or of what remains, whichever is less.
-func back(r *report, remains float64) float64 {
+// 95% of what it was before, for the share of callers that still has an entry
+// host, or of what remains, whichever is less.
+func back(r *report, remains, callers float64) float64 {
 	if len(r.Faults) == 0 {
 		return 0
 	}
 	const window, enough = 5, 0.95
 	at := int(r.Faults[0].AtMs / r.TickMs)
 	first := int(float64(warm.Milliseconds()) / r.TickMs)
-	want := enough * min(mean(r.Series[first:at]), remains*r.TickMs/1000)
+	want := enough * min(callers*mean(r.Series[first:at]), remains*r.TickMs/1000)
 	for i := at; i+window < len(r.Series); i++ {
 		if mean(r.Series[i:i+window]) >= want {
 			return max(0, r.Series[i].AtMs-r.Faults[0].AtMs)
