pass: avoid failing servers and bound repeats by the pool's budget

Cause: plain calls knew no suspects and no budget. A server that is gone has nothing in flight, so it looked the least busy, and every second call met it first; with all servers failing each call was sent three times.

Ruled out: taking such a server out altogether (with no other left it is still tried, and its refusals are true); a poller of plain services (they have no report).

Change: a failure, a refusal or half an answer has the server avoided for 250 ms and twice that each further time, as for engines; a repeat that may run twice is paid for from the pool's budget, ten answers for one.

--- a/entry/internal/pass/attempt.go
+++ b/entry/internal/pass/attempt.go
@@ -8,21 +8,42 @@
 	"github.com/rcrowley/go-metrics"
 
 	"fuchsiashelf.dev/parts/fault"
+	"fuchsiashelf.dev/parts/health"
 	"fuchsiashelf.dev/parts/host"
 	"fuchsiashelf.dev/parts/pick"
 	"fuchsiashelf.dev/parts/pool"
+	"fuchsiashelf.dev/parts/retry"
+	"fuchsiashelf.dev/parts/server"
 	"fuchsiashelf.dev/parts/view"
 )
 
 // maxAttempts bounds the servers that a call is sent to.
 const maxAttempts = 3
 
+// earned is what an answered call adds to the budget of its pool, in tokens:
+// ten answers pay for one repeat.
+const earned = 5
+
 // repeat sends a call that may be repeated, to another server when one
-// fails.
+// fails. A repeat that may run a second time is paid for from the pool's
+// budget; one that nobody ran costs the servers next to nothing.
 func (p *Pass) repeat(ctx context.Context, call *Call) (*Reply, *fault.Error) {
-	return p.attempts(ctx, call, func() bool { return ctx.Err() == nil }, func(e *fault.Error) bool {
-		return ctx.Err() == nil
+	budget := p.budget(call.Pool.Name)
+	reply, e := p.attempts(ctx, call, func() bool { return ctx.Err() == nil }, func(e *fault.Error) bool {
+		return ctx.Err() == nil && (e.Verdict == fault.NotRun || budget.Take())
 	})
+	if e == nil {
+		budget.Earn(earned, 0)
+	}
+	return reply, e
+}
+
+func (p *Pass) budget(pool string) *retry.Budget {
+	if known, ok := p.budgets.Load(pool); ok {
+		return known.(*retry.Budget)
+	}
+	held, _ := p.budgets.LoadOrStore(pool, retry.NewBudget())
+	return held.(*retry.Budget)
 }
 
 // once sends a call that may not be repeated. It goes to another server only
@@ -67,8 +88,10 @@
 	if len(usable) == 0 {
 		return nil, noServer(call.Pool)
 	}
+	now := time.Now()
 	picker := &pick.Picker{
 		Meters: snap.Meters,
+		Avoid:  func(name string) bool { return now.Before(snap.Suspects[name]) },
 		Rand:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	to := picker.One(usable)
@@ -81,7 +104,35 @@
 	}
 	defer p.View.Leave(to.Name)
 	count("pass.attempts")
-	return send(ctx, call, to, may)
+	reply, e := send(ctx, call, to, may)
+	p.judge(snap.Meters[to.Name], to.Name, e)
+	return reply, e
+}
+
+// judge has a server avoided after a failure or a refusal, the longer the more
+// often it failed in a row. A server that is gone has nothing in flight, so
+// that it looks the least busy of all: without this every second call would
+// meet it first, and wait for the connection to fail. It is still used when
+// there is no other.
+func (p *Pass) judge(m *server.Meter, name string, e *fault.Error) {
+	if m == nil {
+		return
+	}
+	if e == nil {
+		m.Failures.Store(0)
+		return
+	}
+	switch e.Code {
+	case fault.ServerFailed, fault.ServerRefused, fault.BrokenAnswer:
+		now := time.Now()
+		// All calls on a server fail with it at one time; that counts once.
+		if now.Before(p.View.Load().Suspects[name]) {
+			return
+		}
+		until := now.Add(health.Avoid(m.Failures.Add(1)))
+		p.View.Update(func(s *view.Snapshot) { s.Suspect(name, until, now) })
+		p.Log.Warn("pass: server suspected", "server", name, "err", e)
+	}
 }
 
 func servers(snap *view.Snapshot, from pool.Pool, tried map[string]bool) []host.Host {
--- a/entry/internal/pass/pass.go
+++ b/entry/internal/pass/pass.go
@@ -11,6 +11,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -45,6 +46,8 @@
 
 	table  claim.Table[end]
 	serial atomic.Uint64
+	// budgets holds a *retry.Budget for each pool by its name.
+	budgets sync.Map
 }
 
 // Peers asks other entry hosts about calls.
