--- a/parts/wait/wait.go
+++ b/parts/wait/wait.go
@@ -1,4 +1,4 @@
-// Package wait waits.
+// Package wait pauses until some time has passed or a context has ended.
 package wait
 
 import (
