make: install the tools of a fresh clone outside the workspace

Cause: in a fresh clone `make test` ended with 'bin/tools/gofumpt: Permission denied'. `go install tool` ran inside the workspace, which does not have the tools module, installed nothing (a warning only), and touch left an empty file. In this work tree the tools were there from before the workspace was. Ruled out: the registry (the tools come from the module cache). Change: GOWORK=off, and a mark of its own in place of one of the tools. Before: lint fails in a fresh clone.

--- a/Makefile
+++ b/Makefile
@@ -31,10 +31,11 @@
 	@$(TOOLS)/gofumpt -w $(GOFILES)
 	@$(TOOLS)/gci write --skip-generated -s standard -s default -s 'prefix(fuchsiashelf.dev)' $(GOFILES) >/dev/null
 
-tools: $(TOOLS)/gofumpt
-$(TOOLS)/gofumpt: tools/go.mod
-	@mkdir -p $(TOOLS) && cd tools && GOBIN=$(CURDIR)/$(TOOLS) go install tool
-	@touch $(TOOLS)/gofumpt
+# The tools are a module of their own, outside the workspace.
+tools: $(TOOLS)/installed
+$(TOOLS)/installed: tools/go.mod
+	@mkdir -p $(TOOLS) && cd tools && GOWORK=off GOBIN=$(CURDIR)/$(TOOLS) go install tool
+	@touch $(TOOLS)/installed
 
 golden:
 	@cd sess && go test -race -run TestSession . -update
