--- /dev/null
+++ b/entry/belief/belief.go
@@ -0,0 +1,332 @@
+// Package belief joins what an entry host knows into what a request reads: the
+// configuration in force and the backend servers as they are believed to be.
+//
+// Both are immutable and stand behind atomic pointers. The configuration never
+// goes back to an older version. A backend server whose entry vanished right
+// after an outage of the object API is kept for a moment: entries lapse while
+// it is away, and those of living servers come back.
+package belief
+
+import (
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"fuchsiashelf.dev/parts/fleet"
+	"fuchsiashelf.dev/parts/mirror"
+	"fuchsiashelf.dev/parts/route"
+)
+
+// Decoder reads the objects of the object API.
+type Decoder interface {
+	Table(spec []byte) (*route.Table, error)
+	Server(id string, spec []byte) (fleet.Server, error)
+}
+
+// The times of the belief.
+const (
+	// lapse is how long a server is kept whose entry lapsed in an outage:
+	// those that live are back within two seconds of its end.
+	lapse = 1900 * time.Millisecond
+	// afterOutage is how long after the return of the object API a vanished
+	// entry is taken to have lapsed.
+	afterOutage = 1500 * time.Millisecond
+	// SuspectFor is how long a server is avoided after a failure that may have
+	// been its end: a crashed one is back after some seconds under a new ID,
+	// one behind a partition shows itself again in a report.
+	SuspectFor = 2 * time.Second
+)
+
+// State is the belief of one entry host. Set the exported fields before use.
+type State struct {
+	Decoder Decoder
+	Log     *slog.Logger
+	// Config and Servers are the mirrors that the state is built from.
+	Config, Servers *mirror.Mirror
+
+	table atomic.Pointer[route.Table]
+	view  atomic.Pointer[fleet.View]
+
+	mu sync.Mutex
+	// decoded holds the servers by ID, with the revision they were read at.
+	decoded map[string]known
+	// lapsed holds servers that are gone from the mirror but kept until then.
+	lapsed map[string]keep
+	// suspects holds until when a server is avoided.
+	suspects map[string]time.Time
+	// orders holds what servers were told to hold and have not reported yet.
+	orders map[string]ordered
+	// back is when the object API answered again after an outage.
+	back time.Time
+	// changed is closed and replaced when the view changes.
+	changed chan struct{}
+}
+
+type known struct {
+	revision uint64
+	server   fleet.Server
+}
+
+type keep struct {
+	server fleet.Server
+	until  time.Time
+}
+
+// ordered is the range of layers that a server was told to hold.
+type ordered struct {
+	first, end int
+}
+
+// Table returns the configuration in force, or nil before the first.
+func (s *State) Table() *route.Table {
+	return s.table.Load()
+}
+
+// View returns the backend servers.
+func (s *State) View() *fleet.View {
+	if v := s.view.Load(); v != nil {
+		return v
+	}
+	return fleet.New(nil)
+}
+
+// Changed returns a channel that is closed at the next change of the view.
+func (s *State) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.changed == nil {
+		s.changed = make(chan struct{})
+	}
+	return s.changed
+}
+
+// Returned notes that the object API answers again after an outage.
+func (s *State) Returned(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.back = now
+}
+
+// SettledAt returns the time from which vanished entries speak of servers that
+// are gone, not of an outage.
+func (s *State) SettledAt() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.back.Add(lapse + afterOutage)
+}
+
+// ReadConfig takes the configuration from its mirror.
+func (s *State) ReadConfig(name string) {
+	for _, item := range s.Config.Items() {
+		if item.Name != name {
+			continue
+		}
+		t, err := s.Decoder.Table(item.Spec)
+		if err != nil {
+			s.Log.Error("config: an unreadable configuration was left out", "revision", item.Revision, "error", err)
+			return
+		}
+		s.takeTable(t, item.Revision)
+	}
+}
+
+func (s *State) takeTable(t *route.Table, revision uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.table.Load()
+	if old != nil && t.Version <= old.Version {
+		return
+	}
+	t.Index()
+	s.table.Store(t)
+	s.Log.Info("config: taken", "version", t.Version, "revision", revision, "routes", len(t.Routes), "teams", len(t.Teams))
+}
+
+// ReadServers builds the view anew from the mirror of the servers.
+func (s *State) ReadServers(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.decode(now)
+	s.publish(now)
+}
+
+// decode reads the entries that changed, and keeps lapsed ones.
+func (s *State) decode(now time.Time) {
+	fresh := map[string]known{}
+	for _, item := range s.Servers.Items() {
+		old, seen := s.decoded[item.Name]
+		if seen && old.revision == item.Revision {
+			fresh[item.Name] = old
+			continue
+		}
+		server, err := s.Decoder.Server(item.Name, item.Spec)
+		if err != nil {
+			// Another writer's entry names no server; the others hold.
+			s.Log.Warn("servers: an unreadable entry was left out", "server", item.Name, "revision", item.Revision, "error", err)
+			continue
+		}
+		s.tell(old.server, server, seen, item.Revision)
+		fresh[item.Name] = known{revision: item.Revision, server: server}
+	}
+	if s.lapsed == nil {
+		s.lapsed = map[string]keep{}
+	}
+	gone := 0
+	for id := range s.decoded {
+		if _, stays := fresh[id]; !stays {
+			gone++
+		}
+	}
+	// Many entries that vanish at once lapsed in an outage of the object API
+	// that this entry host need not have seen itself.
+	outage := now.Before(s.back.Add(afterOutage)) || gone > 2 && gone*4 > len(s.decoded)
+	for id, old := range s.decoded {
+		if _, stays := fresh[id]; stays {
+			continue
+		}
+		if outage && !old.server.Leaving {
+			s.lapsed[id] = keep{server: old.server, until: now.Add(lapse)}
+		}
+		s.Log.Info("servers: gone", "server", id, "address", old.server.Address, "kept", outage)
+	}
+	for id := range fresh {
+		delete(s.lapsed, id)
+	}
+	s.decoded = fresh
+}
+
+func (s *State) tell(old, now fleet.Server, seen bool, revision uint64) {
+	if !seen {
+		s.Log.Info("servers: new", "server", now.ID, "service", now.Service, "address", now.Address,
+			"domain", now.Domain, "card", now.Card, "revision", revision)
+	}
+	if now.Leaving && !old.Leaving {
+		s.Log.Info("servers: leaving", "server", now.ID, "address", now.Address, "revision", revision)
+	}
+	if old.First != now.First || old.End != now.End {
+		s.Log.Info("servers: layers", "server", now.ID, "first", now.First, "end", now.End, "revision", revision)
+	}
+}
+
+// publish makes the view from the decoded entries, suspicions and orders.
+func (s *State) publish(now time.Time) {
+	list := make([]fleet.Server, 0, len(s.decoded)+len(s.lapsed))
+	for id, k := range s.decoded {
+		list = append(list, s.adjusted(id, k.server, now))
+	}
+	for id, k := range s.lapsed {
+		if now.Before(k.until) {
+			list = append(list, s.adjusted(id, k.server, now))
+			continue
+		}
+		delete(s.lapsed, id)
+	}
+	s.view.Store(fleet.New(list))
+	if s.changed != nil {
+		close(s.changed)
+		s.changed = nil
+	}
+}
+
+// adjusted applies what is known beyond a server's own entry.
+func (s *State) adjusted(id string, server fleet.Server, now time.Time) fleet.Server {
+	if until, suspected := s.suspects[id]; suspected {
+		server.Suspect = now.Before(until)
+		if !server.Suspect {
+			delete(s.suspects, id)
+		}
+	}
+	o, ordered := s.orders[id]
+	switch {
+	case !ordered:
+	case server.First == o.first && server.End == o.end:
+		delete(s.orders, id)
+	default:
+		// Layers that it gives up accept nothing more.
+		server.First, server.End = max(server.First, o.first), min(server.End, o.end)
+		if server.First >= server.End {
+			server.First, server.End = 0, 0
+		}
+	}
+	return server
+}
+
+// Sweep ends suspicions and lapses whose time is over.
+func (s *State) Sweep(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	due := false
+	for _, until := range s.suspects {
+		due = due || !now.Before(until)
+	}
+	for _, k := range s.lapsed {
+		due = due || !now.Before(k.until)
+	}
+	if due {
+		s.publish(now)
+	}
+}
+
+// Suspect avoids a server until the given time. It reports whether that is
+// news.
+func (s *State) Suspect(id string, until, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.suspects == nil {
+		s.suspects = map[string]time.Time{}
+	}
+	old, suspected := s.suspects[id]
+	if suspected && !until.After(old) {
+		return false
+	}
+	s.suspects[id] = until
+	if !suspected || !now.Before(old) {
+		s.publish(now)
+		return true
+	}
+	return false
+}
+
+// Clear ends the suspicion against a server that has just served.
+func (s *State) Clear(id string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, suspected := s.suspects[id]; suspected {
+		delete(s.suspects, id)
+		s.publish(now)
+	}
+}
+
+// Suspects returns until when which servers are avoided.
+func (s *State) Suspects() map[string]time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make(map[string]time.Time, len(s.suspects))
+	for id, until := range s.suspects {
+		list[id] = until
+	}
+	return list
+}
+
+// Ordered notes that a server was told to hold layers, so that none that it
+// gives up is asked of it.
+func (s *State) Ordered(id string, first, end int, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.orders == nil {
+		s.orders = map[string]ordered{}
+	}
+	s.orders[id] = ordered{first: first, end: end}
+	s.publish(now)
+}
+
+// Unordered notes that an order was not carried out.
+func (s *State) Unordered(id string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, known := s.orders[id]; known {
+		delete(s.orders, id)
+		s.publish(now)
+	}
+}
--- /dev/null
+++ b/entry/call/call.go
@@ -0,0 +1,172 @@
+// Package call holds what the parts of the request path hand to each other:
+// a caller's request, what is sent to a backend server, and its answer.
+//
+// The forms on the wire are the business of a [Codec] and of an [Engine].
+// Each outside system that the entry host runs in front of brings its own.
+package call
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"fuchsiashelf.dev/parts/fleet"
+	"fuchsiashelf.dev/parts/hops"
+	"fuchsiashelf.dev/parts/route"
+)
+
+// Ask is a caller's request.
+type Ask struct {
+	// ID names this attempt of the caller.
+	ID string
+	// Method, Host, Path and Target are those of the request line; Target is
+	// the path with its query, byte for byte.
+	Method, Host, Path, Target string
+	// Header is forwarded to the backend server.
+	Header http.Header
+	Body   []byte
+	// Key is what the caller proves its team with; empty if it sent none.
+	Key string
+	// Patience is how long the caller waits; zero if it did not say.
+	Patience time.Duration
+	// Prompt is the number of prompt tokens, Most the highest number of tokens
+	// of the answer, and Hint the caller's guess of it; zero if not told.
+	Prompt, Most, Hint int
+	// LastEvent is the last event that the caller has of a resumed stream.
+	LastEvent string
+	// Arrived is when the request had been read.
+	Arrived time.Time
+}
+
+// Answer returns the number of tokens that the answer is expected to have.
+func (a *Ask) Answer(e *route.Engine) int {
+	expected := a.Hint
+	if expected <= 0 {
+		expected = e.UsualAnswer
+	}
+	if a.Most > 0 {
+		expected = min(expected, a.Most)
+	}
+	return expected
+}
+
+// Send is what the entry host adds to a request that it passes on.
+type Send struct {
+	Server *fleet.Server
+	// Chain is nil for a plain service.
+	Chain hops.Chain
+	// Left is the time after which the answer is of no use; zero if unbounded.
+	Left time.Duration
+	// Team is the name of the caller's team, if the request needs one.
+	Team string
+	// Priority is the rank of the request; negative means none.
+	Priority int
+	// LastEvent resumes a stream after the event, if set.
+	LastEvent string
+}
+
+// Reply is the head of a backend server's answer.
+type Reply struct {
+	Status int
+	// ID is the request that it answers.
+	ID string
+	// NotRun says that the backend server did not and will not run the
+	// request.
+	NotRun bool
+	// Misdirected says that the server is another than the one expected, or
+	// holds other layers.
+	Misdirected bool
+	// Fault is the address of the server of the chain that refused.
+	Fault string
+	// Signed says that the answer carries the backend server's signature.
+	Signed bool
+	// Leaving says that the backend server closes this connection.
+	Leaving bool
+	// Idle is how long the backend server keeps an unused connection; zero if
+	// it did not say.
+	Idle time.Duration
+}
+
+// Codec is the form of requests and answers of an outside system.
+type Codec interface {
+	// Ask reads a caller's request, all but its body. An error is a
+	// *fault.Error with the status that the caller gets.
+	Ask(r *http.Request) (*Ask, error)
+	// Request builds what is sent to a backend server.
+	Request(a *Ask, s Send) *http.Request
+	// Reply reads the head of a backend server's answer.
+	Reply(r *http.Response) Reply
+	// Refuse writes when to come back into the header of a refusal.
+	Refuse(h http.Header, after time.Duration)
+}
+
+// Stalled is a request that waits for a server of its chain.
+type Stalled struct {
+	// ID names the request.
+	ID string
+	// Address is that of the server which does not answer.
+	Address string
+}
+
+// Report is what an engine says of itself. It is as old as the engine's
+// report lag.
+type Report struct {
+	// Born is the time of its start.
+	Born time.Time
+	// Orders counts the orders that it has begun to carry out since.
+	Orders uint64
+	// Busy says that an order is being carried out.
+	Busy bool
+	// First and End bound the layers that it holds.
+	First, End int
+	// Stalled are the requests that it is the first server of, and that wait
+	// for another one.
+	Stalled []Stalled
+}
+
+// Taken is the outcome of an order.
+type Taken uint8
+
+// The outcomes of an order.
+const (
+	// TakenUnknown means that no answer came: the order may be carried out
+	// now, later, or not at all.
+	TakenUnknown Taken = iota
+	// TakenBegun means that it is being carried out or done.
+	TakenBegun
+	// TakenConflict means that the engine has had other orders since, or that
+	// the order does not fit its state.
+	TakenConflict
+	// TakenAbsent means that the engine does not know the request.
+	TakenAbsent
+	// TakenRefused means that the order can never be carried out.
+	TakenRefused
+)
+
+// Engine gives orders to engines and asks for their reports.
+type Engine interface {
+	Report(ctx context.Context, address string) (Report, error)
+	// Place tells a server to hold the layers [first, end), if it has begun no
+	// order since its count of orders was the given one.
+	Place(ctx context.Context, s *fleet.Server, first, end int, orders uint64) (Taken, error)
+	// Reroute changes the chain of a request that runs; its first part stays.
+	// If a server of the chain cannot take part, its address is returned.
+	Reroute(ctx context.Context, id string, chain hops.Chain) (taken Taken, at string, err error)
+}
+
+// String returns the name of the outcome.
+func (t Taken) String() string {
+	switch t {
+	case TakenBegun:
+		return "begun"
+	case TakenConflict:
+		return "conflict"
+	case TakenAbsent:
+		return "absent"
+	case TakenRefused:
+		return "refused"
+	case TakenUnknown:
+		return "unknown"
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/entry/front/front.go
@@ -0,0 +1,172 @@
+// Package front serves callers over HTTP: it finds out where a request
+// belongs, refuses what may not pass, and hands the rest to a flow.
+//
+// It runs on net/http, not on hertz: a caller that leaves while its answer is
+// awaited must be noticed at once, so that backend servers stop working for
+// nobody, and hertz does so only on its own transport, which polls descriptors
+// in ways that small hosts do not allow.
+package front
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"fuchsiashelf.dev/entry/belief"
+	"fuchsiashelf.dev/entry/call"
+	"fuchsiashelf.dev/parts/fault"
+	"fuchsiashelf.dev/parts/route"
+)
+
+// Flow passes a request on and answers the caller.
+type Flow interface {
+	Serve(ctx context.Context, w http.ResponseWriter, j *call.Job) call.Outcome
+}
+
+// Handler answers callers. Set the exported fields before use.
+type Handler struct {
+	Codec call.Codec
+	State *belief.State
+	// Streams serves services with engines, Plain all others.
+	Streams, Plain Flow
+	Log            *slog.Logger
+	Meter          *Meter
+	// Stopping says that the process is about to end: connections are closed
+	// after their answers.
+	Stopping atomic.Bool
+
+	active atomic.Int64
+}
+
+// longest bounds requests of which neither caller nor route says how long
+// they may take.
+const longest = 10 * time.Minute
+
+// Active returns the number of requests under way.
+func (h *Handler) Active() int64 {
+	return h.active.Load()
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.active.Add(1)
+	defer h.active.Add(-1)
+	if h.Stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	start := time.Now()
+	j, err := h.job(w, r, start)
+	if err != nil {
+		e := fault.As(err)
+		out := call.Outcome{Error: e, Status: call.Refuse(w, h.Codec, e)}
+		h.note(j, r, out, start)
+		return
+	}
+	flow := h.Plain
+	if j.Service.Engine != nil {
+		flow = h.Streams
+	}
+	out := flow.Serve(r.Context(), w, j)
+	h.note(j, r, out, start)
+	if out.Broken {
+		// The connection is closed, so that a half answer looks like one.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// job reads a request and finds out where it belongs.
+func (h *Handler) job(w http.ResponseWriter, r *http.Request, start time.Time) (*call.Job, error) {
+	table := h.State.Table()
+	if table == nil {
+		return nil, &fault.Error{Code: fault.NoServer, Verdict: fault.NotRun, Message: "no configuration is known yet", RetryAfter: time.Second}
+	}
+	ask, err := h.Codec.Ask(r)
+	if err != nil {
+		return nil, err
+	}
+	matched := table.Match(ask.Host, ask.Path)
+	if matched == nil {
+		return nil, &fault.Error{Code: fault.NoRoute, Verdict: fault.NotRun, Message: "no route"}
+	}
+	j := &call.Job{Ask: ask, Route: matched, Priority: matched.Priority}
+	if table.NeedsKey(matched) {
+		team := table.Team(ask.Key)
+		if team == nil {
+			return nil, &fault.Error{Code: fault.Unauthorized, Verdict: fault.NotRun, Message: "unknown key"}
+		}
+		j.Team, j.Priority = team.Name, team.Priority
+	}
+	service, known := table.Services[matched.Pick(rand.Float64())]
+	if !known {
+		return nil, &fault.Error{Code: fault.NoServer, Verdict: fault.NotRun, Message: "the route's service is unknown", RetryAfter: time.Second}
+	}
+	j.Service = &service
+	j.Deadline = start.Add(patience(ask, matched))
+	ask.Body, err = body(w, r, table.Limits, j.Deadline)
+	ask.Arrived = start
+	return j, err
+}
+
+func patience(a *call.Ask, r *route.Route) time.Duration {
+	wait := longest
+	if a.Patience > 0 {
+		wait = min(wait, a.Patience)
+	}
+	if r.Timeout > 0 {
+		wait = min(wait, r.Timeout)
+	}
+	return wait
+}
+
+// body reads a request's body, which a caller may send slowly, but not beyond
+// the request's time.
+func body(w http.ResponseWriter, r *http.Request, limits route.Limits, until time.Time) ([]byte, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	control := http.NewResponseController(w)
+	if err := control.SetReadDeadline(until); err != nil {
+		return nil, &fault.Error{Code: fault.Internal, Verdict: fault.NotRun, Cause: err}
+	}
+	from := io.Reader(r.Body)
+	if limits.BodyBytes > 0 {
+		from = http.MaxBytesReader(w, r.Body, int64(limits.BodyBytes))
+	}
+	read, err := io.ReadAll(from)
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return nil, &fault.Error{Code: fault.TooLarge, Verdict: fault.NotRun, Message: "the body is too large"}
+	}
+	if err != nil {
+		return nil, &fault.Error{Code: fault.BadRequest, Verdict: fault.NotRun, Message: "the body could not be read", Cause: err}
+	}
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		return nil, &fault.Error{Code: fault.Internal, Verdict: fault.NotRun, Cause: err}
+	}
+	return read, nil
+}
+
+// note counts a request and logs what was not a plain success.
+func (h *Handler) note(j *call.Job, r *http.Request, out call.Outcome, start time.Time) {
+	took := time.Since(start)
+	h.Meter.note(j, out, took)
+	late := j != nil && j.Route.Target > 0 && out.First > j.Route.Target
+	if out.Error == nil && !out.Broken && !late && out.Sends <= 1 {
+		return
+	}
+	attrs := []any{"status", out.Status, "took", took, "sends", out.Sends, "events", out.Events, "broken", out.Broken, "first", out.First}
+	if j != nil {
+		attrs = append(attrs, "request", j.ID, "route", j.Route.Name, "team", j.Team, "server", out.Server)
+	} else {
+		attrs = append(attrs, "path", r.URL.Path)
+	}
+	if out.Error != nil {
+		attrs = append(attrs, "verdict", out.Error.Verdict.String(), "error", out.Error)
+	}
+	h.Log.Info("request: ended", attrs...)
+}
--- /dev/null
+++ b/entry/front/meter.go
@@ -0,0 +1,82 @@
+package front
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"fuchsiashelf.dev/entry/call"
+)
+
+// Meter counts requests by outcome, and keeps their times by route kind.
+type Meter struct {
+	// Registry holds the counters and histograms.
+	Registry metrics.Registry
+}
+
+// samples is how many times of each histogram are kept.
+const samples = 512
+
+func (m *Meter) note(j *call.Job, out call.Outcome, took time.Duration) {
+	m.Count("requests." + outcome(out))
+	if j == nil {
+		return
+	}
+	kind := j.Route.Kind.String()
+	m.Count("requests." + kind)
+	m.time("took."+kind, took)
+	if out.First > 0 {
+		m.time("first."+kind, out.First)
+	}
+	if out.Sends > 1 {
+		m.Count("repeats." + kind)
+	}
+}
+
+// Count adds one to a counter.
+func (m *Meter) Count(name string) {
+	metrics.GetOrRegisterCounter(name, m.Registry).Inc(1)
+}
+
+// Gauge sets a gauge.
+func (m *Meter) Gauge(name string, value int64) {
+	metrics.GetOrRegisterGauge(name, m.Registry).Update(value)
+}
+
+func (m *Meter) time(name string, d time.Duration) {
+	h := m.Registry.GetOrRegister(name, func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewUniformSample(samples))
+	})
+	if histogram, ok := h.(metrics.Histogram); ok {
+		histogram.Update(d.Milliseconds())
+	}
+}
+
+func outcome(out call.Outcome) string {
+	switch {
+	case out.Broken:
+		return "broken"
+	case out.Error != nil:
+		return string(out.Error.Code)
+	case out.Status >= 200 && out.Status < 300:
+		return "ok"
+	}
+	return fmt.Sprintf("status-%d", out.Status)
+}
+
+// Write prints all counters and histograms as text, a line each.
+func (m *Meter) Write(w io.Writer) {
+	m.Registry.Each(func(name string, item any) {
+		switch item := item.(type) {
+		case metrics.Counter:
+			fmt.Fprintf(w, "%s %d\n", name, item.Count())
+		case metrics.Gauge:
+			fmt.Fprintf(w, "%s %d\n", name, item.Value())
+		case metrics.Histogram:
+			p := item.Percentiles([]float64{0.5, 0.95, 0.99})
+			fmt.Fprintf(w, "%s count %d p50 %.0f p95 %.0f p99 %.0f ms\n", name, item.Count(), p[0], p[1], p[2])
+		}
+	})
+}
--- /dev/null
+++ b/entry/front/server.go
@@ -0,0 +1,173 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"log"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"fuchsiashelf.dev/parts/route"
+)
+
+// idleSlack is how much longer than the configuration says an unused
+// connection is kept: a caller that reuses one in time must not find it closed.
+const idleSlack = 2 * time.Second
+
+// usualLimits hold until the first configuration is known.
+var usualLimits = route.Limits{HeaderBytes: 16 << 10, HeaderTime: 3 * time.Second, Idle: 15 * time.Second}
+
+// Server accepts callers' connections. Limits on headers can change while it
+// runs: each change begins a new http.Server for the connections to come, and
+// connections that are open keep the limits that they began with, but for the
+// time that they may stay unused.
+type Server struct {
+	Listener net.Listener
+	Handler  http.Handler
+	Log      *slog.Logger
+
+	mu      sync.Mutex
+	limits  route.Limits
+	servers []*http.Server
+	queue   *queue
+	idle    map[net.Conn]time.Time
+	stopped bool
+}
+
+// Run accepts connections until Stop.
+func (s *Server) Run() {
+	s.Limit(usualLimits)
+	for {
+		c, err := s.Listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			s.Log.Error("front: a connection was not accepted", "error", err)
+			time.Sleep(acceptPause)
+			continue
+		}
+		s.mu.Lock()
+		q := s.queue
+		s.mu.Unlock()
+		q.conns <- c
+	}
+}
+
+// acceptPause follows a failed accept, for want of descriptors for example.
+const acceptPause = 20 * time.Millisecond
+
+// Limit puts limits in force.
+func (s *Server) Limit(l route.Limits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	same := s.queue != nil && l.HeaderBytes == s.limits.HeaderBytes && l.HeaderTime == s.limits.HeaderTime
+	s.limits = l
+	if same || s.stopped {
+		return
+	}
+	s.queue = &queue{conns: make(chan net.Conn), address: s.Listener.Addr()}
+	server := &http.Server{
+		Handler: s.Handler, ReadHeaderTimeout: l.HeaderTime, MaxHeaderBytes: l.HeaderBytes,
+		ConnState: s.state, ErrorLog: log.New(discard{}, "", 0),
+	}
+	s.servers = append(s.servers, server)
+	go s.serve(server, s.queue)
+}
+
+func (s *Server) serve(server *http.Server, q *queue) {
+	if err := server.Serve(q); !errors.Is(err, http.ErrServerClosed) {
+		s.Log.Error("front: a server ended", "error", err)
+	}
+}
+
+// discard takes net/http's own log: it tells of callers' broken connections,
+// which the request log covers.
+type discard struct{}
+
+func (discard) Write(b []byte) (int, error) { return len(b), nil }
+
+func (s *Server) state(c net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.idle == nil {
+		s.idle = map[net.Conn]time.Time{}
+	}
+	if state == http.StateIdle {
+		s.idle[c] = time.Now()
+		return
+	}
+	delete(s.idle, c)
+}
+
+// Sweep closes connections that have been unused for longer than the limits
+// in force allow.
+func (s *Server) Sweep(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.limits.Idle <= 0 {
+		return
+	}
+	for c, since := range s.idle {
+		if now.Sub(since) > s.limits.Idle+idleSlack {
+			c.Close()
+		}
+	}
+}
+
+// Stop closes the listener and waits for the requests under way until the
+// context ends.
+func (s *Server) Stop(ctx context.Context) {
+	s.mu.Lock()
+	s.stopped = true
+	servers := s.servers
+	s.mu.Unlock()
+	if err := s.Listener.Close(); err != nil {
+		s.Log.Error("front: the listener did not close", "error", err)
+	}
+	for _, server := range servers {
+		if err := server.Shutdown(ctx); err != nil {
+			s.Log.Warn("front: requests were cut off", "error", err)
+		}
+	}
+}
+
+// queue is a listener that hands on accepted connections.
+type queue struct {
+	conns   chan net.Conn
+	address net.Addr
+	once    sync.Once
+	closed  chan struct{}
+	mu      sync.Mutex
+}
+
+func (q *queue) done() chan struct{} {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.closed == nil {
+		q.closed = make(chan struct{})
+	}
+	return q.closed
+}
+
+// Accept implements net.Listener.
+func (q *queue) Accept() (net.Conn, error) {
+	select {
+	case c := <-q.conns:
+		return c, nil
+	case <-q.done():
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (q *queue) Close() error {
+	q.once.Do(func() { close(q.done()) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (q *queue) Addr() net.Addr { return q.address }
--- /dev/null
+++ b/entry/gossip/drpc.go
@@ -0,0 +1,111 @@
+package gossip
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcserver"
+)
+
+// exchangeCall is the name of the only call.
+const exchangeCall = "/fuchsiashelf.Gossip/Exchange"
+
+// codec writes messages as CBOR.
+type codec struct{}
+
+// Marshal implements drpc.Encoding.
+func (codec) Marshal(m drpc.Message) ([]byte, error) {
+	return cbor.Marshal(m)
+}
+
+// Unmarshal implements drpc.Encoding.
+func (codec) Unmarshal(b []byte, m drpc.Message) error {
+	return cbor.Unmarshal(b, m)
+}
+
+// HandleRPC implements drpc.Handler.
+func (p *Peer) HandleRPC(stream drpc.Stream, rpc string) error {
+	if rpc != exchangeCall {
+		return fmt.Errorf("gossip: unknown call %q", rpc)
+	}
+	asked := &Message{}
+	if err := stream.MsgRecv(asked, codec{}); err != nil {
+		return err
+	}
+	return errors.Join(stream.MsgSend(p.Answer(asked), codec{}), stream.CloseSend())
+}
+
+func (p *Peer) serve(ctx context.Context, l net.Listener) {
+	err := drpcserver.New(p).Serve(ctx, l)
+	if err != nil && ctx.Err() == nil {
+		p.Log.Error("peers: the server ended", "error", err)
+	}
+}
+
+// client is a connection to another entry host. It serves one exchange at a
+// time.
+type client struct {
+	address string
+	// cursors are those that the other told last.
+	cursors map[string]uint64
+	failing bool
+
+	mu   sync.Mutex
+	busy bool
+	conn *drpcconn.Conn
+}
+
+// take reserves the client, and reports whether it was free.
+func (c *client) take() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.busy {
+		return false
+	}
+	c.busy = true
+	return true
+}
+
+func (c *client) give() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy = false
+}
+
+func (c *client) call(ctx context.Context, said, heard *Message) error {
+	if c.conn == nil {
+		var d net.Dialer
+		raw, err := d.DialContext(ctx, "tcp", c.address)
+		if err != nil {
+			return err
+		}
+		c.conn = drpcconn.New(raw)
+	}
+	err := c.conn.Invoke(ctx, exchangeCall, codec{}, said, heard)
+	if err != nil {
+		// The connection may have fallen silent for good.
+		err = errors.Join(err, c.conn.Close())
+		c.conn = nil
+	}
+	return err
+}
+
+// close ends the connection once no exchange is under way.
+func (c *client) close() {
+	if !c.take() {
+		return
+	}
+	defer c.give()
+	if c.conn != nil {
+		if err := c.conn.Close(); err != nil {
+			c.failing = true
+		}
+		c.conn = nil
+	}
+}
--- /dev/null
+++ b/entry/line/line.go
@@ -0,0 +1,296 @@
+// Package line sends requests to backend servers over kept connections.
+//
+// It is built on net/http's reading and writing of messages, not on its
+// client: that one sends some requests again by itself when a kept connection
+// turns out closed, and a request that may run once would run twice. Here a
+// request is written once, and an error says whether any of it was written.
+//
+// A backend server may send a second answer late, where the next one is
+// expected on the same connection. An answer that belongs to another request
+// is read past, and a connection with bytes beyond an answer is not kept.
+package line
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"fuchsiashelf.dev/parts/fault"
+)
+
+// The times of connections.
+const (
+	// dialTime bounds the making of a connection. It takes a millisecond; a
+	// lost opening packet is sent again after a second, by when another server
+	// serves sooner.
+	dialTime = 600 * time.Millisecond
+	// silentPeer is how long sent bytes may stay unconfirmed before the kernel
+	// gives the connection up. A network partition sends no reset.
+	silentPeer = 1500 * time.Millisecond
+	// usualIdle is how long a connection is kept unused if the backend server
+	// does not say.
+	usualIdle = 4 * time.Second
+	// idleShare is the part of the told time for which one is reused, so that
+	// a request does not cross the backend server's close.
+	idleShare = 0.7
+	// maxOthers bounds the answers to other requests that are read past.
+	maxOthers = 3
+)
+
+// Pool keeps connections to backend servers. The zero value is ready.
+type Pool struct {
+	mu   sync.Mutex
+	idle map[string][]*conn
+	// Opened counts the connections made.
+	opened int64
+}
+
+type conn struct {
+	net.Conn
+	br    *bufio.Reader
+	until time.Time
+	since time.Time
+}
+
+// Head is what a caller of the pool reads of an answer's header.
+type Head struct {
+	// Other says that the answer belongs to another request.
+	Other bool
+	// Close says that the connection must not be used again, Idle for how long
+	// it may be kept.
+	Close bool
+	Idle  time.Duration
+}
+
+// Answer is an answer whose header has been read.
+type Answer struct {
+	*http.Response
+	pool    *Pool
+	address string
+	conn    *conn
+	head    Head
+	stop    func() bool
+	ended   bool
+	once    sync.Once
+}
+
+// Options of one request.
+type Options struct {
+	// Fresh is how long ago a kept connection must have been used at most.
+	// Zero permits any. One that has been closed meanwhile leaves open whether
+	// the request ran.
+	Fresh time.Duration
+	// New asks for a new connection.
+	New bool
+	// Head reads an answer's header.
+	Head func(*http.Response) Head
+}
+
+// Do writes a request and reads the header of its answer. The context ends the
+// answer too: its connection is closed then. An error is a *fault.Error:
+// NotRun if nothing was written.
+func (p *Pool) Do(ctx context.Context, address string, req *http.Request, o Options) (*Answer, error) {
+	c, err := p.get(ctx, address, o)
+	if err != nil {
+		return nil, &fault.Error{Code: fault.ServerFailed, Verdict: fault.NotRun, Message: "no connection", Server: address, Cause: err}
+	}
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	a, err := p.exchange(c, req, o)
+	if err != nil {
+		stop()
+		c.Close()
+		if ctx.Err() != nil {
+			err = errors.Join(context.Cause(ctx), err)
+		}
+		return nil, &fault.Error{Code: fault.ServerFailed, Verdict: fault.MayHaveRun, Message: "no answer", Server: address, Cause: err}
+	}
+	a.pool, a.address, a.stop = p, address, stop
+	return a, nil
+}
+
+func (p *Pool) exchange(c *conn, req *http.Request, o Options) (*Answer, error) {
+	// One write for header and body: two would be two packets.
+	bw := bufio.NewWriterSize(c.Conn, 2048+int(min(req.ContentLength, 32<<10)))
+	if err := req.Write(bw); err != nil {
+		return nil, err
+	}
+	if err := bw.Flush(); err != nil {
+		return nil, err
+	}
+	for range maxOthers {
+		resp, err := http.ReadResponse(c.br, req)
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode < http.StatusOK {
+			continue
+		}
+		head := o.Head(resp)
+		if !head.Other {
+			return &Answer{Response: resp, conn: c, head: head}, nil
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			return nil, err
+		}
+		if resp.Close {
+			return nil, io.ErrUnexpectedEOF
+		}
+	}
+	return nil, errors.New("only answers to other requests")
+}
+
+// Read reads the body. It notes the end, after which the connection may be
+// kept.
+func (a *Answer) Read(b []byte) (int, error) {
+	n, err := a.Body.Read(b)
+	if err == io.EOF {
+		a.ended = true
+	}
+	return n, err
+}
+
+// Close gives the connection back if the answer was read to its end, and
+// closes it otherwise, which tells the backend server to stop.
+func (a *Answer) Close() {
+	a.once.Do(func() {
+		alive := a.stop()
+		keep := alive && a.ended && !a.Response.Close && !a.head.Close && a.conn.br.Buffered() == 0
+		if !keep {
+			a.conn.Close()
+			return
+		}
+		a.pool.put(a.address, a.conn, a.head.Idle)
+	})
+}
+
+// Reset closes the connection while another goroutine may be reading from it.
+func (a *Answer) Reset() {
+	a.conn.Close()
+}
+
+func (p *Pool) get(ctx context.Context, address string, o Options) (*conn, error) {
+	now := time.Now()
+	for !o.New {
+		c := p.pop(address)
+		if c == nil {
+			break
+		}
+		stale := now.After(c.until) || o.Fresh > 0 && now.Sub(c.since) > o.Fresh
+		if !stale && quiet(c.Conn) {
+			return c, nil
+		}
+		c.Close()
+	}
+	return dial(ctx, address)
+}
+
+func (p *Pool) pop(address string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[address] = list[:len(list)-1]
+	return c
+}
+
+func (p *Pool) put(address string, c *conn, idle time.Duration) {
+	if idle <= 0 {
+		idle = usualIdle
+	}
+	c.since = time.Now()
+	c.until = c.since.Add(time.Duration(float64(idle) * idleShare))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.idle == nil {
+		p.idle = map[string][]*conn{}
+	}
+	p.idle[address] = append(p.idle[address], c)
+}
+
+// Forget closes the kept connections to an address, for example because the
+// server there fell silent.
+func (p *Pool) Forget(address string) {
+	p.mu.Lock()
+	list := p.idle[address]
+	delete(p.idle, address)
+	p.mu.Unlock()
+	for _, c := range list {
+		c.Close()
+	}
+}
+
+// Sweep closes the connections that are kept beyond their time.
+func (p *Pool) Sweep(now time.Time) {
+	var old []*conn
+	p.mu.Lock()
+	for address, list := range p.idle {
+		var kept []*conn
+		for _, c := range list {
+			if now.After(c.until) {
+				old = append(old, c)
+				continue
+			}
+			kept = append(kept, c)
+		}
+		p.idle[address] = kept
+		if len(kept) == 0 {
+			delete(p.idle, address)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range old {
+		c.Close()
+	}
+}
+
+func dial(ctx context.Context, address string) (*conn, error) {
+	d := net.Dialer{Timeout: dialTime, KeepAlive: -1, Control: Bound}
+	c, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: c, br: bufio.NewReader(c)}, nil
+}
+
+// tcpUserTimeout is TCP_USER_TIMEOUT, which the standard library does not name
+// on all systems.
+const tcpUserTimeout = 0x12
+
+// Bound makes the kernel give up a connection whose sent bytes stay
+// unconfirmed, for [net.Dialer.Control].
+func Bound(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(silentPeer.Milliseconds()))
+	})
+	return errors.Join(err, failed)
+}
+
+// quiet reports whether a kept connection is open and holds no unread bytes.
+func quiet(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	clean := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		clean = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && clean
+}
--- /dev/null
+++ b/entry/placer/placer.go
@@ -0,0 +1,212 @@
+// Package placer gives servers the layers that package place decides on.
+//
+// One entry host at a time does so: of those that are alive and reached by the
+// object API, the one whose name comes first. There is no lease, since nothing
+// rests on there being only one. Each order carries the server's count of
+// orders that its giver has just read, and the server begins none with another
+// count. So an order that is carried out seconds late, or comes from an entry
+// host that froze or was cut off, does nothing once another has been taken;
+// and two that decide at once from the same entries come to the same orders.
+package placer
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"fuchsiashelf.dev/entry/belief"
+	"fuchsiashelf.dev/entry/call"
+	"fuchsiashelf.dev/parts/fleet"
+	"fuchsiashelf.dev/parts/place"
+	"fuchsiashelf.dev/parts/route"
+)
+
+// The times of placing.
+const (
+	// lookEvery is how often it is decided anew.
+	lookEvery = 200 * time.Millisecond
+	// quietFor is how long the list of servers must be unchanged before the
+	// first placing: it fills over more than a heartbeat of the servers, and
+	// the first to come would get everything.
+	quietFor = 700 * time.Millisecond
+	// reportTime and orderTime bound a question and an order; both are
+	// answered within milliseconds.
+	reportTime = 300 * time.Millisecond
+	orderTime  = 500 * time.Millisecond
+	// again is when a server that did not answer, or had another order, is
+	// looked at again.
+	again = 600 * time.Millisecond
+	// heartbeats is how long a server's own entry may lag behind what it was
+	// told, beyond the time of its load.
+	heartbeats = 4 * time.Second
+)
+
+// Placer decides and orders. Set the exported fields before Run.
+type Placer struct {
+	State  *belief.State
+	Engine call.Engine
+	// Leads reports whether this entry host is the one to place.
+	Leads func() bool
+	Log   *slog.Logger
+
+	mu sync.Mutex
+	// told holds what servers were told, or reported themselves, and have not
+	// shown in their entries yet.
+	told map[string]told
+	// seen and since tell when the list of servers last changed.
+	seen  map[string]bool
+	since time.Time
+	leads bool
+}
+
+type told struct {
+	first, end int
+	until      time.Time
+	// settled says that the server has confirmed it.
+	settled bool
+}
+
+// Run places until the context ends.
+func (p *Placer) Run(ctx context.Context) {
+	tick := time.NewTicker(lookEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			p.look(ctx, now)
+		}
+	}
+}
+
+func (p *Placer) look(ctx context.Context, now time.Time) {
+	table := p.State.Table()
+	if table == nil {
+		return
+	}
+	leads := p.Leads()
+	if leads != p.leads {
+		p.Log.Info("placer: lead", "leads", leads)
+		p.leads = leads
+	}
+	if !leads || now.Before(p.State.SettledAt()) {
+		return
+	}
+	view := p.State.View()
+	if !p.quiet(view, now) {
+		return
+	}
+	for _, service := range table.Services {
+		if service.Engine != nil {
+			p.place(ctx, service.Engine, view.Service(service.Name), now)
+		}
+	}
+}
+
+// quiet reports whether the list of servers is complete enough to place from.
+// Once servers hold layers, each change is acted on at once.
+func (p *Placer) quiet(view *fleet.View, now time.Time) bool {
+	holding := false
+	grown := false
+	seen := map[string]bool{}
+	for i := range view.Servers {
+		s := &view.Servers[i]
+		seen[s.ID] = true
+		holding = holding || s.Holds() > 0
+		grown = grown || !p.seen[s.ID]
+	}
+	p.seen = seen
+	if grown || p.since.IsZero() {
+		p.since = now
+	}
+	return holding || now.Sub(p.since) >= quietFor
+}
+
+// place decides for one service and sends the orders.
+func (p *Placer) place(ctx context.Context, e *route.Engine, servers []*fleet.Server, now time.Time) {
+	believed := make([]*fleet.Server, len(servers))
+	p.mu.Lock()
+	for i, s := range servers {
+		believed[i] = p.believed(s, now)
+	}
+	p.mu.Unlock()
+	for _, o := range place.Decide(e, believed) {
+		p.mu.Lock()
+		t, waits := p.told[o.Server.ID]
+		if waits && now.Before(t.until) && o.Server.Holds() == 0 {
+			// It was just asked, and is looked at again later.
+			p.mu.Unlock()
+			continue
+		}
+		p.tell(o.Server.ID, told{first: o.First, end: o.End, until: now.Add(again)})
+		p.mu.Unlock()
+		go p.order(ctx, e, o)
+	}
+}
+
+func (p *Placer) tell(id string, t told) {
+	if p.told == nil {
+		p.told = map[string]told{}
+	}
+	p.told[id] = t
+}
+
+// believed joins a server's entry with what it was told. The mutex is held.
+func (p *Placer) believed(s *fleet.Server, now time.Time) *fleet.Server {
+	t, known := p.told[s.ID]
+	if !known {
+		return s
+	}
+	if now.After(t.until) || t.settled && s.First == t.first && s.End == t.end {
+		delete(p.told, s.ID)
+		return s
+	}
+	changed := *s
+	changed.First, changed.End = t.first, t.end
+	return &changed
+}
+
+// order asks a server what it holds now and tells it what to hold.
+func (p *Placer) order(ctx context.Context, e *route.Engine, o place.Order) {
+	rctx, cancel := context.WithTimeout(ctx, reportTime)
+	report, err := p.Engine.Report(rctx, o.Server.Address)
+	cancel()
+	if err != nil {
+		p.Log.Warn("placer: no report", "server", o.Server.ID, "error", err)
+		return
+	}
+	if report.Busy {
+		p.Log.Info("placer: busy", "server", o.Server.ID, "orders", report.Orders)
+		return
+	}
+	if o.Server.Holds() == 0 && report.End > report.First {
+		// Its entry lags behind: it holds layers already.
+		p.settle(o.Server.ID, report.First, report.End, time.Now().Add(heartbeats))
+		return
+	}
+	octx, cancel := context.WithTimeout(ctx, orderTime)
+	taken, err := p.Engine.Place(octx, o.Server, o.First, o.End, report.Orders)
+	cancel()
+	p.Log.Info("placer: ordered", "server", o.Server.ID, "first", o.First, "end", o.End,
+		"held", o.Server.Holds(), "orders", report.Orders, "taken", taken.String(), "error", err)
+	now := time.Now()
+	if taken != call.TakenBegun {
+		return
+	}
+	p.settle(o.Server.ID, o.First, o.End, now.Add(loadTime(e, o.End-o.First)+heartbeats))
+	p.State.Ordered(o.Server.ID, o.First, o.End, now)
+}
+
+// loadTime is how long a load may take while others run.
+func loadTime(e *route.Engine, layers int) time.Duration {
+	alone := e.Load * time.Duration(layers) / time.Duration(max(e.Layers, 1))
+	return 2 * alone
+}
+
+func (p *Placer) settle(id string, first, end int, until time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.tell(id, told{first: first, end: end, until: until, settled: true})
+}
--- /dev/null
+++ b/entry/plain/plain.go
@@ -0,0 +1,234 @@
+// Package plain passes requests on to backend servers of plain services, each
+// of which gives a whole answer by itself.
+//
+// A request of a route that may not be repeated is sent to one server once; if
+// the sending leaves open whether it ran, the caller is told no more than
+// that. A repeatable one that fails, or is silent for too long, goes to
+// another server while the budget of repeats allows it. An answer is read to
+// its end before the caller gets any of it, so that one that breaks off can
+// still be had elsewhere.
+package plain
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"fuchsiashelf.dev/entry/belief"
+	"fuchsiashelf.dev/entry/call"
+	"fuchsiashelf.dev/entry/line"
+	"fuchsiashelf.dev/parts/domain"
+	"fuchsiashelf.dev/parts/fault"
+	"fuchsiashelf.dev/parts/fleet"
+	"fuchsiashelf.dev/parts/retry"
+	"fuchsiashelf.dev/parts/route"
+)
+
+const (
+	// held is how much of an answer is read before the caller gets it. Larger
+	// ones are passed on as they come.
+	held = 1 << 20
+	// freshOnce is how lately a kept connection must have been used for a
+	// request that may run once: one that the server has closed meanwhile
+	// leaves open whether it ran. A new connection takes a millisecond.
+	freshOnce = time.Second
+	// comeBack is when a refused caller should come again: queues of a plain
+	// service empty within some tens of milliseconds.
+	comeBack = 200 * time.Millisecond
+	// silentShare of the time that counts as on time is how long a repeatable
+	// request waits for one server while another may be tried. The rest is
+	// enough for a second answer of usual length.
+	silentShare = 0.6
+)
+
+// Flow passes requests on. Set the exported fields before use.
+type Flow struct {
+	Codec  call.Codec
+	Pool   *line.Pool
+	State  *belief.State
+	Scores *Scores
+	Home   domain.Name
+	// Budget returns the budget of repeats of a service.
+	Budget func(service string) *retry.Share
+}
+
+// attempt is the outcome of one sending.
+type attempt struct {
+	reply  call.Reply
+	header http.Header
+	body   []byte
+	// rest is set for an answer larger than what is held.
+	rest *line.Answer
+	err  *fault.Error
+}
+
+// Serve passes a request on and answers the caller.
+func (f *Flow) Serve(ctx context.Context, w http.ResponseWriter, j *call.Job) call.Outcome {
+	out := call.Outcome{}
+	budget := f.Budget(j.Service.Name)
+	budget.Note(time.Now())
+	ctx, cancel := context.WithDeadlineCause(ctx, j.Deadline, context.DeadlineExceeded)
+	defer cancel()
+	avoid := map[string]bool{}
+	verdict := fault.NotRun
+	for {
+		server := f.Scores.Pick(f.State.View().Service(j.Service.Name), f.Home, avoid)
+		if server == nil {
+			return f.fail(ctx, w, out, verdict, &fault.Error{
+				Code: fault.NoServer, Verdict: fault.NotRun, Message: "no backend server", RetryAfter: time.Second,
+			})
+		}
+		avoid[server.Address] = true
+		more := out.Sends+1 < j.Route.Attempts
+		a := f.send(ctx, j, server, more)
+		if a.err == nil || a.err.Verdict != fault.NotRun || a.reply.Status != 0 {
+			out.Sends++
+		}
+		if a.err != nil {
+			verdict = verdict.Weaken(a.err.Verdict)
+		}
+		if a.err == nil && !f.another(j, a, more, budget) {
+			out.Server = server.ID
+			return f.deliver(w, out, j, a)
+		}
+		if a.err != nil && !f.again(ctx, j, a, out.Sends, budget) {
+			return f.fail(ctx, w, out, verdict, a.err)
+		}
+	}
+}
+
+// another reports whether an answer that tells of a failure is worth a second
+// server.
+func (f *Flow) another(j *call.Job, a attempt, more bool, budget *retry.Share) bool {
+	failed := a.reply.Status >= http.StatusInternalServerError
+	return failed && more && a.rest == nil && j.Route.Repeatable() && budget.Take(time.Now())
+}
+
+// again reports whether a failed sending is followed by another.
+func (f *Flow) again(ctx context.Context, j *call.Job, a attempt, sends int, budget *retry.Share) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	neverLeft := a.err.Verdict == fault.NotRun && a.reply.Status == 0
+	if neverLeft {
+		return true
+	}
+	if sends >= j.Route.Attempts {
+		return false
+	}
+	if !j.Route.Repeatable() && a.err.Verdict != fault.NotRun {
+		return false
+	}
+	return budget.Take(time.Now())
+}
+
+// send passes the request to one server and reads its answer.
+func (f *Flow) send(ctx context.Context, j *call.Job, server *fleet.Server, more bool) attempt {
+	done := f.Scores.Begin(server.ID)
+	start := time.Now()
+	a := f.exchange(ctx, j, server, more)
+	failed := a.err != nil && !call.Gone(ctx) || a.err == nil && a.reply.Status >= http.StatusInternalServerError
+	done(time.Since(start), failed)
+	if a.err != nil && a.reply.Status == 0 && !call.Gone(ctx) {
+		f.Pool.Forget(server.Address)
+	}
+	return a
+}
+
+func (f *Flow) exchange(ctx context.Context, j *call.Job, server *fleet.Server, more bool) attempt {
+	sctx, cancel := context.WithCancel(ctx)
+	if more && j.Route.Repeatable() && j.Route.Target > 0 {
+		cancel()
+		wait := time.Duration(float64(j.Route.Target) * silentShare)
+		sctx, cancel = context.WithTimeoutCause(ctx, wait, errSilent)
+	}
+	defer cancel()
+	var reply call.Reply
+	o := line.Options{Head: func(r *http.Response) line.Head {
+		reply = f.Codec.Reply(r)
+		return line.Head{Other: reply.ID != "" && reply.ID != j.ID, Close: reply.Leaving, Idle: reply.Idle}
+	}}
+	if j.Route.Kind == route.Once {
+		o.Fresh = freshOnce
+	}
+	req := f.Codec.Request(j.Ask, call.Send{Server: server, Left: j.Left(), Team: j.Team, Priority: j.Priority})
+	answer, err := f.Pool.Do(sctx, server.Address, req, o)
+	if err != nil {
+		return attempt{err: fault.As(err)}
+	}
+	a := attempt{reply: reply, header: answer.Header}
+	a.body, err = io.ReadAll(io.LimitReader(answer, held))
+	if err != nil {
+		answer.Close()
+		a.err = &fault.Error{Code: fault.BrokenAnswer, Verdict: fault.MayHaveRun, Message: "the answer broke off", Server: server.ID, Cause: err}
+		return a
+	}
+	if len(a.body) == held && j.Route.Kind != route.Idempotent {
+		a.rest = answer
+	} else if len(a.body) == held {
+		a.err = &fault.Error{Code: fault.BrokenAnswer, Verdict: fault.MayHaveRun, Message: "the answer is too large", Server: server.ID}
+		answer.Close()
+		return a
+	} else {
+		answer.Close()
+	}
+	if reply.NotRun {
+		a.err = &fault.Error{Code: fault.ServerRefused, Verdict: fault.NotRun, Message: "the backend server refused", Server: server.ID, RetryAfter: comeBack}
+	}
+	return a
+}
+
+var errSilent = errors.New("silent for too long")
+
+// deliver gives the caller an answer.
+func (f *Flow) deliver(w http.ResponseWriter, out call.Outcome, j *call.Job, a attempt) call.Outcome {
+	switch a.reply.Status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		// Towards callers these statuses promise that the request did not
+		// run, and this server did not say so.
+		e := &fault.Error{Code: fault.ServerFailed, Verdict: fault.MayHaveRun, Message: "the backend server failed", Server: out.Server}
+		out.Error = e
+		out.Status = call.Refuse(w, f.Codec, e)
+		return out
+	}
+	call.CopyHeader(w.Header(), a.header)
+	out.Status = a.reply.Status
+	out.First = time.Since(j.Arrived)
+	w.WriteHeader(a.reply.Status)
+	_, err := io.Copy(w, bytes.NewReader(a.body))
+	if a.rest == nil {
+		out.Broken = err != nil
+		return out
+	}
+	defer a.rest.Close()
+	if err == nil {
+		_, err = io.Copy(w, a.rest)
+	}
+	if err != nil {
+		out.Broken = true
+	}
+	return out
+}
+
+// fail tells the caller that the request was given up.
+func (f *Flow) fail(ctx context.Context, w http.ResponseWriter, out call.Outcome, verdict fault.Verdict, e *fault.Error) call.Outcome {
+	final := *e
+	final.Verdict = verdict
+	if call.Gone(ctx) {
+		final.Code = fault.Cancelled
+		out.Error = &final
+		return out
+	}
+	if ctx.Err() != nil {
+		final.Code = fault.Deadline
+	}
+	if verdict == fault.NotRun && final.RetryAfter == 0 {
+		final.RetryAfter = comeBack
+	}
+	out.Error = &final
+	out.Status = call.Refuse(w, f.Codec, &final)
+	return out
+}
--- /dev/null
+++ b/entry/source/source.go
@@ -0,0 +1,210 @@
+// Package source follows the objects of the platform's object API into
+// mirrors.
+//
+// One watch waits for changes of each kind. A watch can fall silent for good,
+// without an end of its connection, for one entry host alone; so a cheap read
+// of possibly old data goes out every second beside it. When that read fails,
+// the object API counts as away; when it succeeds again, or shows something
+// that the watch has not told, the watch is begun anew.
+package source
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"fuchsiashelf.dev/parts/mirror"
+)
+
+// ErrHistory says that the changes after a revision are no longer known.
+var ErrHistory = errors.New("source: history is gone")
+
+// Store is the part of the object API that is followed.
+type Store interface {
+	// List returns all objects of a kind, and the revision of the list.
+	List(ctx context.Context, kind string) ([]mirror.Item, uint64, error)
+	// Watch returns the changes after a revision as soon as there are any, or
+	// none when the wait ends. It fails with ErrHistory if they are forgotten.
+	Watch(ctx context.Context, kind string, after uint64, wait time.Duration) (mirror.Batch, error)
+	// Peek returns the revision of one object, perhaps seconds old.
+	Peek(ctx context.Context, kind, name string) (uint64, error)
+}
+
+// The times of following.
+const (
+	// watchWait is how long a watch waits. Each watch is a priced call.
+	watchWait = 10 * time.Second
+	// watchSlack is how much longer an answer may take.
+	watchSlack = time.Second
+	// listTime bounds a list, peekTime a peek; both take milliseconds.
+	listTime = 1500 * time.Millisecond
+	peekTime = 500 * time.Millisecond
+	// peekEvery bounds how long a silent object API goes unnoticed; a peek
+	// costs a tenth of a call.
+	peekEvery = time.Second
+	// firstPause and longestPause bound the pause after a failed call. It
+	// doubles, so that an outage costs a call a second.
+	firstPause   = 100 * time.Millisecond
+	longestPause = time.Second
+)
+
+// Follow keeps the mirror of one kind up to date. Set the exported fields
+// before Run.
+type Follow struct {
+	Store  Store
+	Mirror *mirror.Mirror
+	Log    *slog.Logger
+	// Changed is called after the mirror changed.
+	Changed func()
+
+	mu     sync.Mutex
+	cancel context.CancelFunc
+}
+
+// Run follows until the context ends.
+func (f *Follow) Run(ctx context.Context) {
+	pause := firstPause
+	again := f.Mirror.Cursor() == 0
+	for ctx.Err() == nil {
+		err := f.step(ctx, again)
+		again = errors.Is(err, ErrHistory) || f.Mirror.Cursor() == 0
+		if err == nil || errors.Is(err, ErrHistory) {
+			pause = firstPause
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		f.Log.Warn("store: no answer", "kind", f.Mirror.Kind, "error", err, "pause", pause)
+		rest(ctx, pause/2+rand.N(pause))
+		pause = min(2*pause, longestPause)
+	}
+}
+
+// Nudge begins the watch anew.
+func (f *Follow) Nudge() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cancel != nil {
+		f.cancel()
+	}
+}
+
+func (f *Follow) step(ctx context.Context, whole bool) error {
+	if whole {
+		return f.list(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	defer cancel()
+	f.mu.Lock()
+	f.cancel = cancel
+	f.mu.Unlock()
+	after := f.Mirror.Cursor()
+	b, err := f.Store.Watch(ctx, f.Mirror.Kind, after, watchWait)
+	if err != nil {
+		if ctx.Err() == context.Canceled {
+			return nil
+		}
+		return err
+	}
+	if f.Mirror.Merge(b) {
+		f.Changed()
+	}
+	return nil
+}
+
+func (f *Follow) list(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, listTime)
+	defer cancel()
+	items, cursor, err := f.Store.List(ctx, f.Mirror.Kind)
+	if err != nil {
+		return err
+	}
+	dropped, newer := f.Mirror.Replace(items, cursor)
+	f.Log.Info("store: listed", "kind", f.Mirror.Kind, "objects", len(items), "revision", cursor, "dropped", len(dropped))
+	if newer {
+		f.Changed()
+	}
+	return nil
+}
+
+// Pulse tells whether the object API answers. Set the exported fields before
+// Run.
+type Pulse struct {
+	Store Store
+	// Kind and Name are the object that is read; Mirror is that of its kind.
+	Kind, Name string
+	Mirror     *mirror.Mirror
+	Follows    []*Follow
+	Log        *slog.Logger
+	// Returned is called when the object API answers again.
+	Returned func()
+
+	mu    sync.Mutex
+	alive bool
+	seen  time.Time
+}
+
+// Alive reports whether the last read was answered, and when the last answer
+// came.
+func (p *Pulse) Alive() (bool, time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.alive, p.seen
+}
+
+// Run reads until the context ends.
+func (p *Pulse) Run(ctx context.Context) {
+	p.set(true)
+	for ctx.Err() == nil {
+		rest(ctx, peekEvery)
+		p.beat(ctx)
+	}
+}
+
+func (p *Pulse) beat(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, peekTime)
+	defer cancel()
+	revision, err := p.Store.Peek(ctx, p.Kind, p.Name)
+	was := p.set(err == nil)
+	switch {
+	case err != nil && was:
+		p.Log.Warn("store: lost", "error", err)
+	case err == nil && !was:
+		p.Log.Info("store: regained")
+		p.Returned()
+		p.nudge()
+	case err == nil && revision > p.Mirror.Cursor():
+		p.Log.Warn("store: a watch missed a change", "revision", revision, "cursor", p.Mirror.Cursor())
+		p.nudge()
+	}
+}
+
+func (p *Pulse) nudge() {
+	for _, f := range p.Follows {
+		f.Nudge()
+	}
+}
+
+func (p *Pulse) set(alive bool) (was bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	was = p.alive
+	p.alive = alive
+	if alive {
+		p.seen = time.Now()
+	}
+	return was
+}
+
+func rest(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/entry/stream/flow.go
@@ -0,0 +1,325 @@
+// Package stream passes requests on to chains of engines and their answers,
+// series of events, back to the callers as they arrive.
+//
+// An answer outlives the servers that give it. If a server in the midst of a
+// chain fails, the first one lives and holds on; the [Watch] notices the
+// silence and gives the request another way behind the first server. If the
+// first server fails, a resumable stream is begun anew elsewhere behind the
+// last event that the caller has, within the same answer. Only whole events
+// are passed on, so the two runs join without a piece missing or doubled.
+package stream
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"fuchsiashelf.dev/entry/belief"
+	"fuchsiashelf.dev/entry/call"
+	"fuchsiashelf.dev/entry/line"
+	"fuchsiashelf.dev/parts/domain"
+	"fuchsiashelf.dev/parts/fault"
+	"fuchsiashelf.dev/parts/hops"
+	"fuchsiashelf.dev/parts/retry"
+)
+
+const (
+	// comeBack is when a caller that was refused for want of room should come
+	// again: about the time in which a tenth of the answers under way end.
+	comeBack = 700 * time.Millisecond
+	// healTime is when a model whose layers are not all held is whole again:
+	// a load of some layers takes one to two seconds.
+	healTime = 2 * time.Second
+	// fresh is how lately a kept connection must have been used.
+	fresh = 3 * time.Second
+	// readSize holds several events.
+	readSize = 4 << 10
+	// waitShare of the time that counts as on time is how long a request waits
+	// for room: the rest is enough to read its prompt.
+	waitShare = 0.5
+	// waitStep is how often a waiting request looks for room.
+	waitStep = 20 * time.Millisecond
+)
+
+// Flow passes requests on. Set the exported fields before use.
+type Flow struct {
+	Codec  call.Codec
+	Pool   *line.Pool
+	State  *belief.State
+	Ledger *hops.Ledger
+	Watch  *Watch
+	Home   domain.Name
+	Log    *slog.Logger
+	// Budget returns the budget of repeats of a service.
+	Budget func(service string) *retry.Share
+}
+
+// run is one request on its way.
+type run struct {
+	*Flow
+	job    *call.Job
+	w      http.ResponseWriter
+	out    call.Outcome
+	events events
+	// began says that the caller has the header of the answer.
+	began bool
+	// avoid holds addresses that failed this request.
+	avoid   map[string]bool
+	verdict fault.Verdict
+	// ran counts sendings that may have run.
+	ran int
+}
+
+// Serve passes a request on and answers the caller.
+func (f *Flow) Serve(ctx context.Context, w http.ResponseWriter, j *call.Job) call.Outcome {
+	budget := f.Budget(j.Service.Name)
+	budget.Note(time.Now())
+	ctx, cancel := context.WithDeadlineCause(ctx, j.Deadline, context.DeadlineExceeded)
+	defer cancel()
+	r := &run{Flow: f, job: j, w: w, avoid: map[string]bool{}, verdict: fault.NotRun}
+	r.events.last = j.LastEvent
+	for {
+		chain, err := r.choose(ctx)
+		if err == nil {
+			err = r.attempt(ctx, chain)
+		}
+		if err == nil {
+			return r.out
+		}
+		if !r.again(ctx, err, budget) {
+			return r.fail(ctx, err)
+		}
+	}
+}
+
+// query describes the choice of a chain for a job.
+func (f *Flow) query(j *call.Job) *hops.Query {
+	return &hops.Query{
+		Engine: j.Service.Engine, Servers: f.State.View().Service(j.Service.Name), Home: f.Home,
+		Prompt: j.Prompt, Answer: j.Answer(j.Service.Engine), Used: f.Ledger.Used,
+	}
+}
+
+// choose finds a chain. A request for which there is no room now waits for a
+// part of the time in which its answer would be on time.
+func (r *run) choose(ctx context.Context) (hops.Chain, *fault.Error) {
+	until := time.Now().Add(time.Duration(float64(r.job.Route.Target) * waitShare))
+	for {
+		q := r.query(r.job)
+		q.Avoid = r.avoid
+		if chain := q.Pick(); chain != nil {
+			return chain, nil
+		}
+		q.Crowded = true
+		if q.Pick() == nil {
+			return nil, &fault.Error{Code: fault.NoCover, Verdict: fault.NotRun, Message: "no chain of servers holds all layers", RetryAfter: healTime}
+		}
+		if !time.Now().Add(waitStep).Before(until) {
+			return nil, &fault.Error{Code: fault.Overloaded, Verdict: fault.NotRun, Message: "no server has room", RetryAfter: comeBack}
+		}
+		select {
+		case <-ctx.Done():
+			return nil, &fault.Error{Code: fault.Cancelled, Verdict: fault.NotRun, Message: "ended while it waited for room"}
+		case <-time.After(waitStep):
+		}
+	}
+}
+
+// attempt runs the request on one chain and passes the answer on.
+func (r *run) attempt(ctx context.Context, chain hops.Chain) *fault.Error {
+	first := chain[0].Server
+	actx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	live := r.Watch.add(r.job, chain, cancel)
+	defer r.Watch.remove(live)
+	var reply call.Reply
+	o := line.Options{Fresh: fresh, Head: func(resp *http.Response) line.Head {
+		reply = r.Codec.Reply(resp)
+		return line.Head{Other: reply.ID != "" && reply.ID != r.job.ID, Close: reply.Leaving, Idle: reply.Idle}
+	}}
+	req := r.Codec.Request(r.job.Ask, call.Send{
+		Server: first, Chain: chain, Left: r.job.Left(), Team: r.job.Team,
+		Priority: r.job.Priority, LastEvent: r.events.last,
+	})
+	r.out.Sends++
+	r.out.Server = first.ID
+	answer, err := r.Pool.Do(actx, first.Address, req, o)
+	if err != nil {
+		e := fault.As(err)
+		if e.Verdict != fault.NotRun {
+			r.ran++
+		}
+		r.blame(actx, first.Address, e)
+		return e
+	}
+	defer answer.Close()
+	if reply.NotRun {
+		return r.refused(first.Address, reply)
+	}
+	r.ran++
+	if reply.Status != http.StatusOK {
+		return r.failed(answer, reply)
+	}
+	return r.relay(actx, answer, live)
+}
+
+// refused handles the word of a server that it did not run the request.
+func (r *run) refused(first string, reply call.Reply) *fault.Error {
+	at := reply.Fault
+	if at == "" {
+		at = first
+	}
+	r.avoid[at] = true
+	r.Log.Info("stream: refused by a server", "request", r.job.ID, "status", reply.Status, "server", at, "first", first)
+	return &fault.Error{Code: fault.ServerRefused, Verdict: fault.NotRun, Message: "a backend server refused", Server: at, RetryAfter: comeBack}
+}
+
+// failed passes on a server's own failure, if it is the first thing that the
+// caller sees of the answer.
+func (r *run) failed(answer *line.Answer, reply call.Reply) *fault.Error {
+	body, err := io.ReadAll(io.LimitReader(answer, readSize))
+	e := &fault.Error{Code: fault.ServerFailed, Verdict: fault.MayHaveRun, Message: "the backend server failed", Server: r.out.Server, Cause: err}
+	promises := reply.Status == http.StatusServiceUnavailable || reply.Status == http.StatusTooManyRequests ||
+		reply.Status == http.StatusRequestTimeout || reply.Status == http.StatusMisdirectedRequest
+	last := !r.job.Route.Repeatable() || r.ran >= r.job.Route.Attempts
+	if r.began || err != nil || promises || !last {
+		return e
+	}
+	call.CopyHeader(r.w.Header(), answer.Header)
+	r.w.WriteHeader(reply.Status)
+	r.out.Status = reply.Status
+	if _, err := r.w.Write(body); err != nil {
+		r.out.Broken = true
+	}
+	return nil
+}
+
+// relay passes the events of an answer on until its end.
+func (r *run) relay(ctx context.Context, answer *line.Answer, live *live) *fault.Error {
+	r.events.resume()
+	r.begin(answer)
+	flush := http.NewResponseController(r.w)
+	buffer := make([]byte, readSize)
+	for {
+		n, err := answer.Read(buffer)
+		if n > 0 {
+			live.touch()
+			if whole := r.events.add(buffer[:n]); len(whole) > 0 {
+				if e := r.pass(whole, flush); e != nil {
+					return e
+				}
+			}
+		}
+		if err == io.EOF && !r.events.partial() && !r.events.gap {
+			r.out.Status = http.StatusOK
+			return nil
+		}
+		if err != nil || r.events.gap || len(r.events.pending) > maxEvent {
+			return r.broken(ctx, answer, err)
+		}
+	}
+}
+
+// begin gives the caller the header of the first run's answer.
+func (r *run) begin(answer *line.Answer) {
+	if r.began {
+		return
+	}
+	call.CopyHeader(r.w.Header(), answer.Header)
+	r.w.WriteHeader(answer.StatusCode)
+	r.began = true
+}
+
+// pass gives whole events to the caller.
+func (r *run) pass(whole []byte, flush *http.ResponseController) *fault.Error {
+	if r.out.First == 0 {
+		r.out.First = time.Since(r.job.Arrived)
+	}
+	r.out.Events = r.events.count
+	_, err := r.w.Write(whole)
+	if err == nil {
+		err = flush.Flush()
+	}
+	if err != nil {
+		return &fault.Error{Code: fault.Cancelled, Verdict: fault.Ran, Message: "the caller has left", Cause: err}
+	}
+	return nil
+}
+
+// broken explains an answer that ended early.
+func (r *run) broken(ctx context.Context, answer *line.Answer, err error) *fault.Error {
+	answer.Reset()
+	if r.events.gap {
+		err = errors.New("an event is missing")
+	}
+	e := &fault.Error{
+		Code: fault.BrokenAnswer, Verdict: fault.MayHaveRun, Message: "the answer broke off",
+		Server: r.out.Server, Cause: err,
+	}
+	if cause := context.Cause(ctx); cause != nil {
+		e.Cause = cause
+	}
+	r.blame(ctx, answer.Request.URL.Host, e)
+	return e
+}
+
+// blame avoids the first server of a failed attempt, and suspects it unless
+// the attempt was ended from this side.
+func (r *run) blame(ctx context.Context, address string, e *fault.Error) {
+	if call.Gone(ctx) || errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		return
+	}
+	r.avoid[address] = true
+	r.Pool.Forget(address)
+	if context.Cause(ctx) == nil {
+		r.Watch.suspect(address, e.Error())
+	}
+}
+
+// again reports whether another chain is tried.
+func (r *run) again(ctx context.Context, e *fault.Error, budget *retry.Share) bool {
+	if ctx.Err() != nil || e.Code == fault.Cancelled {
+		return false
+	}
+	if e.Code == fault.NoCover || e.Code == fault.Overloaded {
+		return false
+	}
+	if e.Verdict != fault.NotRun && !r.job.Route.Repeatable() {
+		return false
+	}
+	if r.out.Sends > maxSends || r.ran > r.job.Route.Attempts {
+		return false
+	}
+	r.verdict = r.verdict.Weaken(e.Verdict)
+	allowed := budget.Take(time.Now())
+	r.Log.Info("stream: tried again", "request", r.job.ID, "allowed", allowed, "sends", r.out.Sends,
+		"events", r.events.count, "error", e)
+	return allowed
+}
+
+// maxSends bounds the chains that one request is sent to, refusals included.
+const maxSends = 3
+
+// fail ends a request that was given up.
+func (r *run) fail(ctx context.Context, e *fault.Error) call.Outcome {
+	final := *e
+	final.Verdict = r.verdict.Weaken(e.Verdict)
+	r.out.Error = &final
+	if call.Gone(ctx) {
+		final.Code = fault.Cancelled
+		return r.out
+	}
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		final.Code = fault.Deadline
+	}
+	if r.began {
+		// The caller has half an answer: it must not look complete.
+		r.out.Broken = true
+		return r.out
+	}
+	r.out.Status = call.Refuse(r.w, r.Codec, &final)
+	return r.out
+}
--- /dev/null
+++ b/parts/fleet/fleet.go
@@ -0,0 +1,82 @@
+// Package fleet holds what is believed of the backend servers: which there
+// are, which layers each holds, which are leaving, and which are suspected of
+// having failed.
+//
+// A [View] is immutable; a request reads one from start to end.
+package fleet
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"fuchsiashelf.dev/parts/domain"
+)
+
+// Server is one run of a backend server.
+type Server struct {
+	// ID names the run; it changes with most restarts.
+	ID string
+	// Service and Address say what it serves and where.
+	Service string
+	Address string
+	Domain  domain.Name
+	// Card is the kind of its accelerator, if it has one.
+	Card string
+	// Slots is how many requests it works on at once.
+	Slots int
+	// First and End bound the layers that it holds; both zero means none.
+	First, End int
+	// Born is the time of its start; a run under an old ID is a new one if it
+	// was born later.
+	Born time.Time
+	// Leaving servers get no new requests.
+	Leaving bool
+	// Suspect servers have just failed requests and get none unless there is
+	// no other.
+	Suspect bool
+}
+
+// Holds returns the number of layers that the server holds.
+func (s *Server) Holds() int {
+	return s.End - s.First
+}
+
+// View is what is believed at one moment.
+type View struct {
+	// Servers are all known servers, ordered by service and ID.
+	Servers []Server
+
+	byService map[string][]*Server
+	byAddress map[string]*Server
+}
+
+// New returns a view of the servers.
+func New(servers []Server) *View {
+	v := &View{Servers: servers, byService: map[string][]*Server{}, byAddress: map[string]*Server{}}
+	slices.SortFunc(v.Servers, func(a, b Server) int {
+		if c := strings.Compare(a.Service, b.Service); c != 0 {
+			return c
+		}
+		return strings.Compare(a.ID, b.ID)
+	})
+	for i := range v.Servers {
+		s := &v.Servers[i]
+		v.byService[s.Service] = append(v.byService[s.Service], s)
+		known := v.byAddress[s.Address]
+		if known == nil || known.Born.Before(s.Born) {
+			v.byAddress[s.Address] = s
+		}
+	}
+	return v
+}
+
+// Service returns the servers of a service.
+func (v *View) Service(name string) []*Server {
+	return v.byService[name]
+}
+
+// At returns the youngest server with the address, or nil.
+func (v *View) At(address string) *Server {
+	return v.byAddress[address]
+}
--- /dev/null
+++ b/parts/hops/hops.go
@@ -0,0 +1,349 @@
+// Package hops chooses the chain of backend servers that a request passes
+// through: which servers run which layers, in order.
+//
+// A [Chain] tiles the layers of a model: the first part starts at layer 0,
+// each next one starts where the one before ends, and the last one ends at the
+// last layer. [Query.Pick] is the only way to get one, so no layer is left out
+// or run twice whatever is believed of the servers. It is a shortest path over
+// the boundaries between layers; a server may run a part of what it holds.
+//
+// The cost of a part is the time that the request will spend there: reading
+// its prompt and writing its answer at the pace of the card, lengthened by how
+// full the server's memory is. Crossing from one failure domain to another in
+// the midst of a chain moves the activations of the whole prompt over a link
+// that all share, so it is taken only where no other way is left.
+package hops
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+
+	"fuchsiashelf.dev/parts/domain"
+	"fuchsiashelf.dev/parts/fleet"
+	"fuchsiashelf.dev/parts/route"
+)
+
+// Part is what one server runs of a chain.
+type Part struct {
+	Server *fleet.Server
+	// First and End bound the layers that it runs.
+	First, End int
+}
+
+// Chain is a sequence of parts that tiles the layers of a model.
+type Chain []Part
+
+// Has reports whether the server with the address is part of the chain.
+func (c Chain) Has(address string) bool {
+	return slices.ContainsFunc(c, func(p Part) bool { return p.Server.Address == address })
+}
+
+// Tiles reports whether the chain runs each of the layers once and in order.
+func (c Chain) Tiles(layers int) bool {
+	at := 0
+	for _, p := range c {
+		if p.First != at || p.End <= p.First {
+			return false
+		}
+		at = p.End
+	}
+	return at == layers
+}
+
+// The weights of the choice.
+const (
+	// hopSeconds is what each further server adds: a transfer and the wait for
+	// the pass under way, some 2 ms each time the prompt or a token arrives.
+	hopSeconds = 0.004
+	// awaySeconds is the cost of starting a chain in another failure domain.
+	// Only events cross then. It keeps requests at home while home is at most
+	// some tens of milliseconds slower.
+	awaySeconds = 0.060
+	// crossWeight multiplies the time of a transfer between failure domains.
+	// At 16 ms a usual prompt, 60 crossings a second fill the link between
+	// them; at 1, a quiet day served 0.73 of its requests instead of 0.999.
+	crossWeight = 12
+	// suspectSeconds is the cost of a server that is suspected of having
+	// failed: more than any detour, less than no way at all.
+	suspectSeconds = 30
+	// keptWeight scales the cost of a server that already holds the request's
+	// tokens: it reads nothing again.
+	keptWeight = 0.3
+	// fullest is the share of a server's memory that may be promised. Answers
+	// that grow longer than their hint take the rest; beyond it the newest
+	// request is thrown out and read again.
+	fullest = 0.92
+)
+
+// Query is one choice.
+type Query struct {
+	Engine *route.Engine
+	// Servers are those of the service.
+	Servers []*fleet.Server
+	// Home is the failure domain of the entry host.
+	Home domain.Name
+	// Prompt and Answer are the expected sizes in tokens.
+	Prompt, Answer int
+	// Avoid holds addresses that must not be used.
+	Avoid map[string]bool
+	// Used says how many tokens x layers are taken on a server, and how many
+	// requests it works on.
+	Used func(id string) Usage
+	// Start is the first part, if it is fixed.
+	Start *Part
+	// Kept holds the addresses of servers that already hold the tokens.
+	Kept map[string]bool
+	// Crowded permits promising more than the memory of the servers, as
+	// far as the engines queue what does not fit.
+	Crowded bool
+}
+
+// Usage is what is taken of a server.
+type Usage struct {
+	// TokenLayers counts tokens x layers in memory.
+	TokenLayers float64
+	// Requests are those under way.
+	Requests float64
+}
+
+// Room returns how many tokens x layers a server has for requests.
+func Room(e *route.Engine, s *fleet.Server) float64 {
+	card, known := e.Cards[s.Card]
+	if !known || e.TokenBytes <= 0 {
+		return math.Inf(1)
+	}
+	free := (card.MemoryMB - float64(s.Holds())*e.LayerMB) * 1e6
+	return max(0, free) / (e.TokenBytes / float64(e.Layers))
+}
+
+// step is the way by which a boundary is reached.
+type step struct {
+	cost   float64
+	server *fleet.Server
+	from   int
+	prev   int
+}
+
+// Pick returns the cheapest chain, or nil if there is none.
+func (q *Query) Pick() Chain {
+	chain := q.search(false)
+	if chain != nil && repeats(chain) {
+		// A server would be passed through twice, which engines refuse. Where
+		// each server is left only at its end, none can come again.
+		chain = q.search(true)
+	}
+	if chain == nil || !chain.Tiles(q.Engine.Layers) {
+		return nil
+	}
+	return chain
+}
+
+func repeats(c Chain) bool {
+	seen := map[string]bool{}
+	for _, p := range c {
+		if seen[p.Server.Address] {
+			return true
+		}
+		seen[p.Server.Address] = true
+	}
+	return false
+}
+
+// search walks the boundaries in order. A state is a boundary and the server
+// that ran the layers before it, kept only as its failure domain.
+func (q *Query) search(whole bool) Chain {
+	layers := q.Engine.Layers
+	domains, index := q.domains()
+	best := make([][]step, layers+1)
+	for i := range best {
+		best[i] = make([]step, len(domains))
+		for d := range best[i] {
+			best[i][d].cost = math.Inf(1)
+		}
+	}
+	offers := q.offers(index)
+	ends := q.ends()
+	start := 0
+	if q.Start != nil {
+		start = q.Start.End
+		best[start][index[q.Start.Server.Domain]].cost = 0
+	} else {
+		for d, name := range domains {
+			best[0][d].cost = 0
+			if name != q.Home {
+				best[0][d].cost = awaySeconds
+			}
+		}
+	}
+	for at := start; at < layers; at++ {
+		for d := range domains {
+			if math.IsInf(best[at][d].cost, 1) {
+				continue
+			}
+			for _, o := range offers {
+				if o.server.First > at || o.server.End <= at {
+					continue
+				}
+				q.extend(best, ends, o, at, d, whole)
+			}
+		}
+	}
+	return q.trace(best, start)
+}
+
+// extend relaxes the boundaries that a server reaches from one state.
+func (q *Query) extend(best [][]step, ends []int, o offer, at, from int, whole bool) {
+	cost := best[at][from].cost + hopSeconds + o.fixed
+	if o.domain != from {
+		if at == 0 {
+			return
+		}
+		cost += q.crossing()
+	}
+	end := min(o.server.End, q.Engine.Layers)
+	for _, e := range ends {
+		if e <= at || e > end || whole && e != end {
+			continue
+		}
+		total := cost + o.perLayer*float64(e-at)
+		if total < best[e][o.domain].cost {
+			best[e][o.domain] = step{cost: total, server: o.server, from: at, prev: from}
+		}
+	}
+}
+
+// trace follows the cheapest way back from the last layer.
+func (q *Query) trace(best [][]step, start int) Chain {
+	at, d := q.Engine.Layers, 0
+	for i := range best[at] {
+		if best[at][i].cost < best[at][d].cost {
+			d = i
+		}
+	}
+	if len(best[at]) == 0 || math.IsInf(best[at][d].cost, 1) {
+		return nil
+	}
+	var chain Chain
+	for at > start {
+		s := best[at][d]
+		chain = append(chain, Part{Server: s.server, First: s.from, End: at})
+		at, d = s.from, s.prev
+	}
+	if q.Start != nil {
+		chain = append(chain, *q.Start)
+	}
+	slices.Reverse(chain)
+	return chain
+}
+
+// domains lists the failure domains of the servers, and where each stands.
+func (q *Query) domains() ([]domain.Name, map[domain.Name]int) {
+	var names []domain.Name
+	index := map[domain.Name]int{}
+	add := func(name domain.Name) {
+		if _, known := index[name]; !known {
+			index[name] = len(names)
+			names = append(names, name)
+		}
+	}
+	for _, s := range q.Servers {
+		add(s.Domain)
+	}
+	if q.Start != nil {
+		add(q.Start.Server.Domain)
+	}
+	return names, index
+}
+
+// ends lists the boundaries at which one server may follow another.
+func (q *Query) ends() []int {
+	list := []int{q.Engine.Layers}
+	for _, s := range q.Servers {
+		list = append(list, s.First, min(s.End, q.Engine.Layers))
+	}
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
+// offer is a server with the cost of using it.
+type offer struct {
+	server   *fleet.Server
+	domain   int
+	fixed    float64
+	perLayer float64
+}
+
+func (q *Query) offers(index map[domain.Name]int) []offer {
+	var list []offer
+	for _, s := range q.Servers {
+		if s.Holds() <= 0 || s.Leaving || q.Avoid[s.Address] {
+			continue
+		}
+		if q.Start != nil && s.Address == q.Start.Server.Address {
+			continue
+		}
+		if o, fits := q.offer(s); fits {
+			o.domain = index[s.Domain]
+			list = append(list, o)
+		}
+	}
+	return list
+}
+
+// offer works out what a layer costs on a server, and whether the request fits
+// into its memory.
+func (q *Query) offer(s *fleet.Server) (offer, bool) {
+	used := q.Used(s.ID)
+	room := Room(q.Engine, s)
+	need := float64(q.Prompt+q.Answer) * float64(s.Holds())
+	taken := (used.TokenLayers + need) / max(room, 1)
+	if taken > fullest && !q.Crowded && !q.Kept[s.Address] {
+		return offer{}, false
+	}
+	o := offer{server: s, perLayer: q.Seconds(s, used.Requests) / float64(q.Engine.Layers)}
+	taken = min(taken, 0.99)
+	o.perLayer *= 1 + 2*taken*taken/(1-taken)
+	if q.Kept[s.Address] {
+		o.perLayer *= keptWeight
+	}
+	if s.Suspect {
+		o.fixed += suspectSeconds
+	}
+	return o, true
+}
+
+// Seconds returns the time that the request takes for all layers at the pace
+// of a server which works on some others.
+func (q *Query) Seconds(s *fleet.Server, others float64) float64 {
+	e := q.Engine
+	card, known := e.Cards[s.Card]
+	if !known {
+		card = route.Card{Pace: 1, Read: 1}
+	}
+	step := e.Step.Seconds() + e.StepEach.Seconds()*others
+	write := step * card.Pace * float64(q.Answer)
+	read := float64(q.Prompt) / max(e.ReadPerSec, 1) * card.Read
+	return write + read
+}
+
+// crossing is the cost of moving the prompt's activations between domains.
+func (q *Query) crossing() float64 {
+	if q.Engine.PipeMbps <= 0 {
+		return hopSeconds
+	}
+	return crossWeight * float64(q.Prompt) * q.Engine.HopBytes * 8 / (q.Engine.PipeMbps * 1e6)
+}
+
+// String lists the parts, for logs.
+func (c Chain) String() string {
+	var b strings.Builder
+	for i, p := range c {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		fmt.Fprintf(&b, "%s=%d-%d", p.Server.ID, p.First, p.End)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/parts/hops/ledger.go
@@ -0,0 +1,77 @@
+package hops
+
+import "sync"
+
+// Ledger counts what the requests under way take of each server: those of
+// this entry host exactly, those of the others as they last told.
+type Ledger struct {
+	mu     sync.Mutex
+	own    map[string]Usage
+	others map[string]map[string]Usage
+}
+
+// Reserve books a chain for a request of the given size until release is
+// called.
+func (l *Ledger) Reserve(c Chain, tokens int) (release func()) {
+	l.add(c, float64(tokens), 1)
+	var once sync.Once
+	return func() {
+		once.Do(func() { l.add(c, -float64(tokens), -1) })
+	}
+}
+
+func (l *Ledger) add(c Chain, tokens, requests float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.own == nil {
+		l.own = map[string]Usage{}
+	}
+	for _, p := range c {
+		u := l.own[p.Server.ID]
+		u.TokenLayers += tokens * float64(p.End-p.First)
+		u.Requests += requests
+		if u.Requests <= 0 {
+			delete(l.own, p.Server.ID)
+			continue
+		}
+		l.own[p.Server.ID] = u
+	}
+}
+
+// Own returns what this entry host's requests take.
+func (l *Ledger) Own() map[string]Usage {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	own := make(map[string]Usage, len(l.own))
+	for id, u := range l.own {
+		own[id] = u
+	}
+	return own
+}
+
+// Tell replaces what another entry host's requests take; nil forgets it.
+func (l *Ledger) Tell(entry string, used map[string]Usage) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.others == nil {
+		l.others = map[string]map[string]Usage{}
+	}
+	if used == nil {
+		delete(l.others, entry)
+		return
+	}
+	l.others[entry] = used
+}
+
+// Used returns what all requests take of a server.
+func (l *Ledger) Used(id string) Usage {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	u := l.own[id]
+	for _, used := range l.others {
+		o := used[id]
+		u.TokenLayers += o.TokenLayers
+		u.Requests += o.Requests
+	}
+	return u
+}
--- /dev/null
+++ b/parts/route/route.go
@@ -0,0 +1,171 @@
+// Package route decides where a request belongs: which route of the
+// configuration it matches, which service it goes to, and whose team's key it
+// carries.
+//
+// A [Table] is one accepted configuration. It is built once, never changed
+// afterwards, and replaced as a whole, so a request sees one version of all of
+// it.
+package route
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind says what may be repeated.
+type Kind uint8
+
+// The kinds.
+const (
+	// Once requests run at most once for each attempt of the caller.
+	Once Kind = iota
+	// Idempotent requests may run more than once.
+	Idempotent
+	// Stream requests are answered by a series of events.
+	Stream
+)
+
+// String returns the name of the kind.
+func (k Kind) String() string {
+	switch k {
+	case Once:
+		return "once"
+	case Idempotent:
+		return "idempotent"
+	case Stream:
+		return "stream"
+	}
+	return "unknown"
+}
+
+// Share is a service's part of the requests of a route.
+type Share struct {
+	Service string
+	// Weight is relative to the sum of all weights of the route.
+	Weight int
+}
+
+// Route sends the requests for a host and a path prefix to services.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   Kind
+	Shares []Share
+	// Timeout is the longest time that a request may be kept waiting; zero
+	// means that only the caller's deadline bounds it.
+	Timeout time.Duration
+	// Target is the time to the answer, or to its first event, that counts
+	// as on time.
+	Target time.Duration
+	// Gap is the longest pause between two events that is still on time.
+	Gap time.Duration
+	// Attempts is how many backend servers one request may be sent to.
+	Attempts int
+	// Priority is the rank of the route; 0 is the highest.
+	Priority int
+	// Public requests need no key.
+	Public bool
+	// Resumable streams may go on at another backend server.
+	Resumable bool
+}
+
+// Repeatable reports whether a request of the route may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
+}
+
+// Pick returns the service of the share that a number drawn evenly from
+// [0, 1) falls into.
+func (r *Route) Pick(draw float64) string {
+	total := 0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	at := draw * float64(total)
+	for _, s := range r.Shares {
+		at -= float64(s.Weight)
+		if at < 0 {
+			return s.Service
+		}
+	}
+	return r.Shares[len(r.Shares)-1].Service
+}
+
+// Team is a team with its rank.
+type Team struct {
+	Name string
+	Keys []string
+	// Priority takes precedence over that of the route.
+	Priority int
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	// HeaderBytes and BodyBytes bound a request's header and body.
+	HeaderBytes, BodyBytes int
+	// HeaderTime bounds how long a caller may take to send a header, and Idle
+	// how long it may leave a connection unused.
+	HeaderTime, Idle time.Duration
+}
+
+// Table is one configuration.
+type Table struct {
+	Version  uint64
+	Routes   []Route
+	Services map[string]Service
+	Teams    []Team
+	Limits   Limits
+
+	byHost map[string][]*Route
+	byKey  map[string]*Team
+}
+
+// Index prepares the table for lookups. It is called once, before the table is
+// shared.
+func (t *Table) Index() {
+	t.byHost = map[string][]*Route{}
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		host := strings.ToLower(r.Host)
+		t.byHost[host] = append(t.byHost[host], r)
+	}
+	for _, routes := range t.byHost {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	t.byKey = map[string]*Team{}
+	for i := range t.Teams {
+		for _, key := range t.Teams[i].Keys {
+			t.byKey[key] = &t.Teams[i]
+		}
+	}
+}
+
+// Match returns the route of the host with the longest prefix that begins the
+// path, or nil.
+func (t *Table) Match(host, path string) *Route {
+	host = strings.ToLower(host)
+	routes, known := t.byHost[host]
+	if !known {
+		if name, _, found := strings.Cut(host, ":"); found {
+			routes = t.byHost[name]
+		}
+	}
+	for _, r := range routes {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Team returns the team that holds the key, or nil.
+func (t *Table) Team(key string) *Team {
+	return t.byKey[key]
+}
+
+// NeedsKey reports whether requests of the route must carry a key.
+func (t *Table) NeedsKey(r *Route) bool {
+	return len(t.Teams) > 0 && !r.Public
+}
--- /dev/null
+++ b/parts/route/service.go
@@ -0,0 +1,69 @@
+package route
+
+import "time"
+
+// Service is a group of backend servers that give the same answers.
+type Service struct {
+	Name string
+	// HealthPath answers 200 while a backend server is healthy.
+	HealthPath string
+	// Connections is how many connections one backend server accepts from
+	// all callers together.
+	Connections int
+	// Engine describes the backend servers of a model that is split by layers;
+	// nil for a plain service.
+	Engine *Engine
+}
+
+// Engine is what is known beforehand of the engines of a service.
+type Engine struct {
+	// Slots is how many requests a backend server runs at once as the first
+	// of a chain.
+	Slots int
+	// Layers is the number of layers of the model, and LayerMB the memory of
+	// one of them.
+	Layers  int
+	LayerMB float64
+	// TokenBytes is the memory that one token of a request takes over all
+	// layers.
+	TokenBytes float64
+	// HopBytes is what a token takes on the way from one backend server of a
+	// chain to the next.
+	HopBytes float64
+	// Step is the time of one token step over all layers on a card of pace 1,
+	// StepEach what each further request of the batch adds, and StepContext
+	// what 1,000 tokens of context add.
+	Step, StepEach, StepContext time.Duration
+	// ReadPerSec is how many prompt tokens a card of pace 1 reads in a second.
+	ReadPerSec float64
+	// PairsPerM is what a million pairs of a token and an earlier one add to
+	// reading.
+	PairsPerM time.Duration
+	// Stride is how many steps one pass makes, Chunk how many prompt tokens one
+	// step reads at most.
+	Stride, Chunk int
+	// PipeMbps is the rate of the link that all backend servers of two failure
+	// domains share.
+	PipeMbps float64
+	// Load is the time to load all layers, and LoadsAtOnce how many loads run
+	// at full speed.
+	Load        time.Duration
+	LoadsAtOnce int
+	// ReportLag is the age of what a backend server reports of its load.
+	ReportLag time.Duration
+	// Usual are the mean sizes of a prompt and of an answer, in tokens.
+	UsualPrompt, UsualAnswer int
+	// Cards are the kinds of accelerators by name.
+	Cards map[string]Card
+	// Model is the name of the model.
+	Model string
+}
+
+// Card is a kind of accelerator.
+type Card struct {
+	// MemoryMB holds the layers and the requests.
+	MemoryMB float64
+	// Pace and Read say how many times longer than the reference card it takes
+	// for a token step and for reading a prompt.
+	Pace, Read float64
+}
