place: leave room for requests, and close gaps from beside

Servers now hold what leaves room for 160 usual requests, and gaps are closed by the neighbours, which give nothing up. Ruled out: pass waits by number of servers (6, 8 and 9 parts all take twice their steps).

--- a/parts/hops/hops.go
+++ b/parts/hops/hops.go
@@ -54,11 +54,13 @@
 
 // The weights of the choice.
 const (
-	// passSeconds is how long a request waits at each server of its chain for
-	// the pass under way, each time that its prompt or a token arrives there.
-	// Streams through 11 servers took 52 ms an event where the steps alone
-	// take 27, so some 1 to 2 ms for each server.
-	passSeconds = 0.0012
+	// passSeconds is what each further server adds to a pass, beside the time
+	// that its layers take. On a quiet day chains of 6, 8 and 9 servers all
+	// took twice their steps an event, so it is little.
+	passSeconds = 0.0003
+	// busyPass multiplies the time of a step: a request that comes to a server
+	// waits for the pass under way.
+	busyPass = 1.3
 	// awaySeconds is the cost of starting a chain in another failure domain.
 	// Only events cross then. It keeps requests at home while home is at most
 	// some tens of milliseconds slower.
@@ -319,8 +321,9 @@
 	if !known {
 		card = route.Card{Pace: 1, Read: 1}
 	}
-	step := e.Step.Seconds() + e.StepEach.Seconds()*others
-	write := step * card.Pace * float64(q.Answer)
+	context := others * float64(e.UsualPrompt+e.UsualAnswer/2) / 1000
+	step := e.Step.Seconds() + e.StepEach.Seconds()*others + e.StepContext.Seconds()*context
+	write := busyPass * step * card.Pace * float64(q.Answer)
 	read := float64(q.Prompt) / max(e.ReadPerSec, 1) * card.Read
 	return write + read
 }
--- a/parts/place/place.go
+++ b/parts/place/place.go
@@ -1,14 +1,18 @@
 // Package place decides which layers each backend server holds.
 //
 // Each failure domain holds all layers, so that an answer need not cross to
-// another one; what memory is left holds requests, and second copies of the
-// layers whose holder is missed most. Domains too small for a copy of their
-// own share one.
+// another one. What memory the layers leave holds requests, and that is what
+// limits how many are served: a server gets only as many layers as leave room
+// for the requests of a busy hour. Domains too small for a copy of their own
+// share one.
 //
 // [Decide] is a pure function of what is believed of the servers. What servers
-// hold stays: only empty servers, and such whose layers others hold as well,
-// get an order. So entry hosts that see the same come to the same orders, and
-// one that takes over goes on where the last one stopped.
+// hold stays. Empty servers get the layers that are held worst. Where layers
+// are held by nobody, the servers beside the gap take them on top of their
+// own, which needs no request to move and loads only the few layers of the
+// gap; they give them up when another holds them again. So entry hosts that
+// see the same come to the same orders, and one that takes over goes on where
+// the last one stopped.
 package place
 
 import (
@@ -27,25 +31,32 @@
 	First, End int
 }
 
-// The shares of a server's memory that layers may take.
 const (
-	// usualFill leaves a fifth for requests: some 70 requests of usual size on
-	// each server, of which a failure domain of today runs 30 to 50 at once.
-	usualFill = 0.80
-	// highestFill is used where a domain cannot hold all layers otherwise.
+	// usualRequests of the usual size is what a server's memory should hold
+	// beside its layers. A failure domain of today runs 60 to 110 requests at
+	// once on an ordinary evening, and half as many more when another one is
+	// lost. At 70, half of the requests found no room as soon as one server
+	// was missing.
+	usualRequests = 160
+	// highestFill is the share of a server's memory that layers may take where
+	// a domain cannot hold all of them otherwise.
 	highestFill = 0.92
+	// trimFrom is by how many layers a server must be above its usual number
+	// before it gives some up.
+	trimFrom = 2
+	// cutOff is the share of a domain's servers that are suspected at once from
+	// which on a partition is more likely than so many deaths. What they hold
+	// is unknown then, and nothing is ordered there.
+	cutOff = 0.34
 )
 
-// The worth of holding a layer, by how many other servers hold it. A layer
-// that nobody holds goes before any number of second copies, and a second copy
-// before any number of third ones; a model has at most some hundred layers.
+// worthMissing is the worth of holding a layer that nobody holds; it goes
+// before any number of second copies. Those are worth the more the less room
+// for requests the holders of the layer have. worthAligned prefers ranges that
+// begin or end where others do, which makes chains with fewer parts.
 const (
 	worthMissing = 1e6
-	worthSecond  = 1e3
-	worthThird   = 1
-	// worthAligned prefers ranges that begin or end where others do, which
-	// makes chains with fewer parts.
-	worthAligned = 0.2
+	worthAligned = 0.01
 )
 
 // Decide returns the orders that improve what the servers hold. Servers that
@@ -58,37 +69,34 @@
 	return orders
 }
 
-// group is the servers that hold the layers together.
-type group struct {
-	engine  *route.Engine
-	servers []*fleet.Server
-	fill    float64
-	// held is the range that each server holds or is about to, by its ID.
-	held map[string][2]int
-	// count is how many servers hold a layer, and most is how many layers the
-	// largest of them holds.
-	count, most []int
-}
-
 // groups forms a group of each failure domain, and one of all those that are
-// too small.
+// too small. Domains that seem cut off are left out.
 func groups(e *route.Engine, servers []*fleet.Server) []*group {
 	byDomain := map[domain.Name][]*fleet.Server{}
-	var names []domain.Name
+	suspects := map[domain.Name]int{}
 	for _, s := range servers {
-		if s.Leaving || s.Suspect || e.Cards[s.Card].MemoryMB <= 0 {
+		if s.Leaving || e.Cards[s.Card].MemoryMB <= 0 {
 			continue
 		}
-		if byDomain[s.Domain] == nil {
-			names = append(names, s.Domain)
+		if s.Suspect {
+			suspects[s.Domain]++
+			continue
 		}
 		byDomain[s.Domain] = append(byDomain[s.Domain], s)
 	}
+	var names []domain.Name
+	for name, list := range byDomain {
+		all := len(list) + suspects[name]
+		if suspects[name] > 1 && float64(suspects[name]) > cutOff*float64(all) {
+			continue
+		}
+		names = append(names, name)
+	}
 	slices.Sort(names)
 	var list []*group
 	var small []*fleet.Server
 	for _, name := range names {
-		if layersOf(e, byDomain[name], highestFill) < e.Layers {
+		if most(e, byDomain[name]) < e.Layers {
 			small = append(small, byDomain[name]...)
 			continue
 		}
@@ -100,30 +108,58 @@
 	return list
 }
 
-// layersOf returns how many layers the servers hold at a fill.
-func layersOf(e *route.Engine, servers []*fleet.Server, fill float64) int {
+// most returns how many layers the servers can hold together.
+func most(e *route.Engine, servers []*fleet.Server) int {
 	sum := 0
 	for _, s := range servers {
-		sum += size(e, s, fill)
+		sum += largest(e, s)
 	}
 	return sum
 }
 
-// size returns how many layers a server holds at a fill.
-func size(e *route.Engine, s *fleet.Server, fill float64) int {
-	n := int(e.Cards[s.Card].MemoryMB * fill / e.LayerMB)
-	return min(n, e.Layers)
+// largest returns how many layers a server can hold at most.
+func largest(e *route.Engine, s *fleet.Server) int {
+	return min(int(e.Cards[s.Card].MemoryMB*highestFill/e.LayerMB), e.Layers)
+}
+
+// size returns how many layers a server can hold and leave room for so many
+// tokens of requests.
+func size(e *route.Engine, s *fleet.Server, tokens float64) int {
+	perLayer := e.LayerMB + tokens*e.TokenBytes/float64(e.Layers)/1e6
+	return min(int(e.Cards[s.Card].MemoryMB/perLayer), largest(e, s))
+}
+
+// room returns how many tokens of requests fit beside so many layers.
+func room(e *route.Engine, s *fleet.Server, layers int) float64 {
+	free := e.Cards[s.Card].MemoryMB - float64(layers)*e.LayerMB
+	perToken := float64(max(layers, 1)) * e.TokenBytes / float64(e.Layers) / 1e6
+	return max(0, free) / max(perToken, 1e-9)
 }
 
+// group is the servers that hold the layers together.
+type group struct {
+	engine  *route.Engine
+	servers []*fleet.Server
+	// tokens is the room for requests that each server should have.
+	tokens float64
+	// held is the range that each server holds or is about to, by its ID.
+	held map[string]span
+	// count is how many servers hold a layer, and rooms the tokens that they
+	// have room for together.
+	count []int
+	rooms []float64
+}
+
+type span struct{ first, end int }
+
+func (r span) len() int { return r.end - r.first }
+
 func newGroup(e *route.Engine, servers []*fleet.Server) *group {
 	g := &group{
-		engine: e, servers: slices.Clone(servers), fill: usualFill,
-		held:  map[string][2]int{},
-		count: make([]int, e.Layers), most: make([]int, e.Layers),
-	}
-	if layersOf(e, servers, usualFill) < e.Layers {
-		g.fill = highestFill
+		engine: e, servers: slices.Clone(servers), held: map[string]span{},
+		count: make([]int, e.Layers), rooms: make([]float64, e.Layers),
 	}
+	g.tokens = g.affordable()
 	slices.SortFunc(g.servers, func(a, b *fleet.Server) int {
 		if c := cmp.Compare(e.Cards[b.Card].MemoryMB, e.Cards[a.Card].MemoryMB); c != 0 {
 			return c
@@ -135,65 +171,174 @@
 	})
 	for _, s := range g.servers {
 		if s.Holds() > 0 {
-			g.hold(s, s.First, s.End, 1)
+			g.set(s, span{max(0, s.First), min(s.End, e.Layers)})
 		}
 	}
 	return g
 }
 
-// hold adds a server's range to the counts, or takes it away.
-func (g *group) hold(s *fleet.Server, first, end, by int) {
-	g.held[s.ID] = [2]int{first, end}
-	for l := max(0, first); l < min(end, g.engine.Layers); l++ {
-		g.count[l] += by
-		if by > 0 {
-			g.most[l] = max(g.most[l], end-first)
+// affordable returns the room for requests that the servers can have while
+// they hold all layers: the usual one, or what is left.
+func (g *group) affordable() float64 {
+	tokens := usualRequests * float64(g.engine.UsualPrompt+g.engine.UsualAnswer)
+	const steps = 50
+	for i := range steps {
+		t := tokens * float64(steps-i) / steps
+		sum := 0
+		for _, s := range g.servers {
+			sum += size(g.engine, s, t)
+		}
+		if sum >= g.engine.Layers {
+			return t
 		}
 	}
+	return 0
+}
+
+// set replaces what a server holds.
+func (g *group) set(s *fleet.Server, r span) {
+	if old, known := g.held[s.ID]; known {
+		g.add(s, old, -1)
+	}
+	g.held[s.ID] = r
+	g.add(s, r, 1)
+}
+
+// add counts a range, or takes it away.
+func (g *group) add(s *fleet.Server, r span, by int) {
+	tokens := room(g.engine, s, r.len()) * float64(by)
+	for l := r.first; l < r.end; l++ {
+		g.count[l] += by
+		g.rooms[l] += tokens
+	}
 }
 
+// decide changes the ranges step by step, and returns an order for each that
+// differs in the end.
 func (g *group) decide() []Order {
+	g.fill()
+	g.widen()
+	g.move()
+	g.trim()
 	var orders []Order
+	for _, s := range g.servers {
+		r, known := g.held[s.ID]
+		if known && r.len() > 0 && (r.first != s.First || r.end != s.End) {
+			orders = append(orders, Order{Server: s, First: r.first, End: r.end})
+		}
+	}
+	return orders
+}
+
+// fill gives each empty server the layers that are held worst.
+func (g *group) fill() {
 	for _, s := range g.servers {
 		if s.Holds() > 0 {
 			continue
 		}
-		first, n := g.best(s)
+		n := size(g.engine, s, g.tokens)
 		if n <= 0 {
 			continue
 		}
-		g.hold(s, first, first+n, 1)
-		orders = append(orders, Order{Server: s, First: first, End: first + n})
+		g.set(s, g.best(n))
 	}
-	return append(orders, g.mend()...)
 }
 
-// mend moves servers whose layers others hold as well to layers that nobody
-// holds. The smallest that helps goes first: it is loaded soonest.
-func (g *group) mend() []Order {
-	var orders []Order
+// widen closes gaps by the servers beside them, a layer at a time from either
+// side, each time by the server that has most room left.
+func (g *group) widen() {
+	for l := 0; l < g.engine.Layers; l++ {
+		if g.count[l] > 0 {
+			continue
+		}
+		end := l
+		for end < g.engine.Layers && g.count[end] == 0 {
+			end++
+		}
+		first := l
+		for first < end {
+			left, leftRoom := g.beside(first, true)
+			right, rightRoom := g.beside(end, false)
+			switch {
+			case left == nil && right == nil:
+				first = end
+			case right == nil || left != nil && leftRoom >= rightRoom:
+				g.set(left, span{g.held[left.ID].first, first + 1})
+				first++
+			default:
+				g.set(right, span{end - 1, g.held[right.ID].end})
+				end--
+			}
+		}
+	}
+}
+
+// beside returns the server that could best take a layer more at a boundary:
+// one that holds layers up to it, or from it on.
+func (g *group) beside(at int, before bool) (*fleet.Server, float64) {
+	var best *fleet.Server
+	var bestRoom float64
+	for _, s := range g.servers {
+		r, known := g.held[s.ID]
+		touches := known && r.len() > 0 && (before && r.end == at || !before && r.first == at)
+		if !touches || r.len() >= largest(g.engine, s) {
+			continue
+		}
+		if left := room(g.engine, s, r.len()+1); best == nil || left > bestRoom {
+			best, bestRoom = s, left
+		}
+	}
+	return best, bestRoom
+}
+
+// move closes what gaps are left by servers whose layers others hold as well.
+// The smallest goes first: it is loaded soonest.
+func (g *group) move() {
 	for i := len(g.servers) - 1; i >= 0 && g.missing() > 0; i-- {
 		s := g.servers[i]
-		if s.Holds() == 0 || !g.spare(s) {
+		old, known := g.held[s.ID]
+		if !known || old.len() == 0 || !g.doubled(old) {
 			continue
 		}
 		before := g.missing()
-		g.hold(s, s.First, s.End, -1)
-		first, n := g.best(s)
-		g.hold(s, first, first+n, 1)
-		if g.missing() < before {
-			orders = append(orders, Order{Server: s, First: first, End: first + n})
+		g.set(s, span{})
+		g.set(s, g.best(max(1, size(g.engine, s, g.tokens))))
+		if g.missing() >= before {
+			g.set(s, old)
+		}
+	}
+}
+
+// trim makes servers give up layers beyond their usual number that others hold
+// as well.
+func (g *group) trim() {
+	if g.missing() > 0 {
+		return
+	}
+	for _, s := range g.servers {
+		r := g.held[s.ID]
+		usual := size(g.engine, s, g.tokens)
+		if s.Holds() == 0 || r.len() < usual+trimFrom {
 			continue
 		}
-		g.hold(s, first, first+n, -1)
-		g.hold(s, s.First, s.End, 1)
+		for r.len() > usual {
+			switch {
+			case g.count[r.first] > 1 && (g.count[r.end-1] < 2 || g.rooms[r.first] >= g.rooms[r.end-1]):
+				r.first++
+			case g.count[r.end-1] > 1:
+				r.end--
+			default:
+				usual = r.len()
+				continue
+			}
+			g.set(s, r)
+		}
 	}
-	return orders
 }
 
-// spare reports whether others hold all layers of a server.
-func (g *group) spare(s *fleet.Server) bool {
-	for l := s.First; l < min(s.End, g.engine.Layers); l++ {
+// doubled reports whether others hold all layers of a range.
+func (g *group) doubled(r span) bool {
+	for l := r.first; l < r.end; l++ {
 		if g.count[l] < 2 {
 			return false
 		}
@@ -212,36 +357,34 @@
 	return n
 }
 
-// best returns the range that a server had best hold.
-func (g *group) best(s *fleet.Server) (first, n int) {
-	n = size(g.engine, s, g.fill)
+// best returns the range of so many layers that is worth most.
+func (g *group) best(n int) span {
+	n = min(n, g.engine.Layers)
+	best := span{0, n}
 	var bestWorth float64
 	for at := 0; at+n <= g.engine.Layers; at++ {
-		if w := g.worth(at, at+n); w > bestWorth {
-			first, bestWorth = at, w
+		r := span{at, at + n}
+		if w := g.worth(r); w > bestWorth {
+			best, bestWorth = r, w
 		}
 	}
-	return first, n
+	return best
 }
 
-func (g *group) worth(first, end int) float64 {
+func (g *group) worth(r span) float64 {
 	var sum float64
-	for l := first; l < end; l++ {
-		switch g.count[l] {
-		case 0:
+	for l := r.first; l < r.end; l++ {
+		if g.count[l] <= 0 {
 			sum += worthMissing
-		case 1:
-			// The loss of a server that holds many layers is missed most.
-			sum += worthSecond * (1 + float64(g.most[l])/float64(g.engine.Layers))
-		default:
-			sum += worthThird / float64(g.count[l])
+			continue
 		}
+		sum += max(g.tokens, 1) / max(g.rooms[l], 1)
 	}
-	for _, r := range g.held {
-		if r[0] == first || r[1] == first {
+	for _, other := range g.held {
+		if other.end == r.first || other.first == r.first {
 			sum += worthAligned
 		}
-		if r[0] == end || r[1] == end {
+		if other.first == r.end || other.end == r.end {
 			sum += worthAligned
 		}
 	}
