hops: price full servers mildly, verify accused ones

Chains went through 17 servers with eight crossings when all were nearly full, because the price of a full server rose without bound; a leaving server's 75 streams were led round it at once and paused for over a second; servers named by a report as stalled were suspected, though some lived, and forgotten again while they were dead; requests came to servers that load layers as if their memory were free.

--- a/entry/belief/belief.go
+++ b/entry/belief/belief.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"fuchsiashelf.dev/parts/domain"
 	"fuchsiashelf.dev/parts/fleet"
 	"fuchsiashelf.dev/parts/mirror"
 	"fuchsiashelf.dev/parts/route"
@@ -42,6 +43,8 @@
 type State struct {
 	Decoder Decoder
 	Log     *slog.Logger
+	// Home is the failure domain of the entry host.
+	Home domain.Name
 	// Config and Servers are the mirrors that the state is built from.
 	Config, Servers *mirror.Mirror
 
@@ -56,7 +59,9 @@
 	// suspects holds until when a server is avoided.
 	suspects map[string]time.Time
 	// orders holds what servers were told to hold and have not reported yet.
-	orders map[string]ordered
+	orders map[string]Order
+	// cuts holds until when which failure domains do not reach which others.
+	cuts map[[2]domain.Name]time.Time
 	// back is when the object API answered again after an outage.
 	back time.Time
 	// changed is closed and replaced when the view changes.
@@ -73,9 +78,13 @@
 	until  time.Time
 }
 
-// ordered is the range of layers that a server was told to hold.
-type ordered struct {
-	first, end int
+// Order is the range of layers that a server was told to hold.
+type Order struct {
+	ID         string
+	First, End int
+	// Until is when the order is forgotten, for want of an entry that shows it
+	// carried out.
+	Until time.Time
 }
 
 // Table returns the configuration in force, or nil before the first.
@@ -222,6 +231,7 @@
 		}
 		delete(s.lapsed, id)
 	}
+	s.away(list)
 	s.view.Store(fleet.New(list))
 	if s.changed != nil {
 		close(s.changed)
@@ -237,14 +247,17 @@
 			delete(s.suspects, id)
 		}
 	}
+	server.Takes = server.Holds()
 	o, ordered := s.orders[id]
 	switch {
 	case !ordered:
-	case server.First == o.first && server.End == o.end:
+	case server.First == o.First && server.End == o.End || now.After(o.Until):
 		delete(s.orders, id)
 	default:
-		// Layers that it gives up accept nothing more.
-		server.First, server.End = max(server.First, o.first), min(server.End, o.end)
+		// Layers that it gives up accept nothing more, and those that it loads
+		// take memory already.
+		server.Takes = max(server.Takes, o.End-o.First)
+		server.First, server.End = max(server.First, o.First), min(server.End, o.End)
 		if server.First >= server.End {
 			server.First, server.End = 0, 0
 		}
@@ -252,6 +265,33 @@
 	return server
 }
 
+// awayShare and awayLeast say from how many suspected servers on a failure
+// domain is taken to be cut off as a whole, which a partition shows sooner than
+// each of its servers.
+const (
+	awayShare = 0.25
+	awayLeast = 3
+)
+
+// away suspects all servers of other failure domains of which several are
+// suspected.
+func (s *State) away(list []fleet.Server) {
+	all := map[domain.Name]int{}
+	bad := map[domain.Name]int{}
+	for i := range list {
+		all[list[i].Domain]++
+		if list[i].Suspect {
+			bad[list[i].Domain]++
+		}
+	}
+	for i := range list {
+		d := list[i].Domain
+		if d != s.Home && bad[d] >= awayLeast && float64(bad[d]) > awayShare*float64(all[d]) {
+			list[i].Suspect = true
+		}
+	}
+}
+
 // Sweep ends suspicions and lapses whose time is over.
 func (s *State) Sweep(now time.Time) {
 	s.mu.Lock()
@@ -310,23 +350,64 @@
 }
 
 // Ordered notes that a server was told to hold layers, so that none that it
-// gives up is asked of it.
-func (s *State) Ordered(id string, first, end int, now time.Time) {
+// gives up is asked of it. It reports whether that is news.
+func (s *State) Ordered(o Order, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.orders == nil {
-		s.orders = map[string]ordered{}
+		s.orders = map[string]Order{}
+	}
+	old, known := s.orders[o.ID]
+	if known && (old.First == o.First && old.End == o.End || o.Until.Before(old.Until)) {
+		return false
 	}
-	s.orders[id] = ordered{first: first, end: end}
+	if at, exists := s.decoded[o.ID]; exists && at.server.First == o.First && at.server.End == o.End {
+		return false
+	}
+	s.orders[o.ID] = o
 	s.publish(now)
+	return true
 }
 
-// Unordered notes that an order was not carried out.
-func (s *State) Unordered(id string, now time.Time) {
+// Orders returns the orders that are not shown as carried out yet.
+func (s *State) Orders() []Order {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, known := s.orders[id]; known {
-		delete(s.orders, id)
-		s.publish(now)
+	list := make([]Order, 0, len(s.orders))
+	for _, o := range s.orders {
+		list = append(list, o)
+	}
+	return list
+}
+
+// cutFor is how long servers of two failure domains are taken not to reach
+// each other after one has waited for another in vain that lives.
+const cutFor = 3 * time.Second
+
+// CutOff notes that servers of one failure domain do not reach those of
+// another.
+func (s *State) CutOff(from, to domain.Name, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cuts == nil {
+		s.cuts = map[[2]domain.Name]time.Time{}
+	}
+	if _, known := s.cuts[[2]domain.Name{from, to}]; !known {
+		s.Log.Warn("servers: domains cut off from each other", "from", from, "to", to)
+	}
+	s.cuts[[2]domain.Name{from, to}] = now.Add(cutFor)
+	s.cuts[[2]domain.Name{to, from}] = now.Add(cutFor)
+}
+
+// Cut reports whether servers of one failure domain are taken not to reach
+// those of another.
+func (s *State) Cut(from, to domain.Name) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	until, known := s.cuts[[2]domain.Name{from, to}]
+	if known && time.Now().After(until) {
+		delete(s.cuts, [2]domain.Name{from, to})
+		return false
 	}
+	return known
 }
--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -59,6 +59,14 @@
 	Left time.Duration
 }
 
+// Order is what a server was told to hold.
+type Order struct {
+	ID         string
+	First, End int
+	// Left is how long the order is remembered.
+	Left time.Duration
+}
+
 // Message is what one entry host tells another.
 type Message struct {
 	From     Member
@@ -66,6 +74,7 @@
 	Members  []Member
 	Load     map[string]hops.Usage
 	Suspects []Suspect
+	Orders   []Order
 	Changes  []mirror.Batch
 	// Whole holds the kinds whose batch is a complete list.
 	Whole map[string]bool
@@ -82,6 +91,10 @@
 	// Suspects returns what is suspected here, Suspected takes it from others.
 	Suspects  func() []Suspect
 	Suspected func(Suspect)
+	// Orders returns the orders to servers that are known here, Ordered takes
+	// one from others.
+	Orders  func() []Order
+	Ordered func(Order)
 	// Changed is called when a mirror took something over.
 	Changed func(kind string)
 	// Store reports whether the object API answers this entry host.
@@ -218,7 +231,7 @@
 // message tells what is known here, with the changes that another lacks which
 // is complete through the given cursors; nil means that these are unknown.
 func (p *Peer) message(theirs map[string]uint64) *Message {
-	m := &Message{From: p.self(), Cursors: map[string]uint64{}, Members: p.Members(), Load: p.Ledger.Own(), Suspects: p.Suspects()}
+	m := &Message{From: p.self(), Cursors: map[string]uint64{}, Members: p.Members(), Load: p.Ledger.Own(), Suspects: p.Suspects(), Orders: p.Orders()}
 	for _, mine := range p.Mirrors {
 		m.Cursors[mine.Kind] = mine.Cursor()
 		if theirs == nil {
@@ -282,6 +295,9 @@
 	for _, s := range m.Suspects {
 		p.Suspected(s)
 	}
+	for _, o := range m.Orders {
+		p.Ordered(o)
+	}
 	for _, b := range m.Changes {
 		p.merge(b, m.Whole[b.Kind], m.From.Name)
 	}
--- a/entry/placer/placer.go
+++ b/entry/placer/placer.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"sync"
 	"time"
 
@@ -30,6 +31,10 @@
 	// first placing: it fills over more than a heartbeat of the servers, and
 	// the first to come would get everything.
 	quietFor = 700 * time.Millisecond
+	// calmFor is how long the list of servers must be unchanged before servers
+	// give up layers that they took over: longer than a dead server's entry
+	// outlives it.
+	calmFor = 5 * time.Second
 	// reportTime and orderTime bound a question and an order; both are
 	// answered within milliseconds.
 	reportTime = 300 * time.Millisecond
@@ -46,6 +51,8 @@
 type Placer struct {
 	State  *belief.State
 	Engine call.Engine
+	// Spread tells the other entry hosts of an order.
+	Spread func()
 	// Leads reports whether this entry host is the one to place.
 	Leads func() bool
 	Log   *slog.Logger
@@ -54,7 +61,7 @@
 	// told holds what servers were told, or reported themselves, and have not
 	// shown in their entries yet.
 	told map[string]told
-	// seen and since tell when the list of servers last changed.
+	// seen and since tell when the list of sound servers last changed.
 	seen  map[string]bool
 	since time.Time
 	leads bool
@@ -109,17 +116,16 @@
 // Once servers hold layers, each change is acted on at once.
 func (p *Placer) quiet(view *fleet.View, now time.Time) bool {
 	holding := false
-	grown := false
 	seen := map[string]bool{}
 	for i := range view.Servers {
 		s := &view.Servers[i]
-		seen[s.ID] = true
+		if !s.Leaving && !s.Suspect {
+			seen[s.ID] = true
+		}
 		holding = holding || s.Holds() > 0
-		grown = grown || !p.seen[s.ID]
 	}
-	p.seen = seen
-	if grown || p.since.IsZero() {
-		p.since = now
+	if !maps.Equal(seen, p.seen) {
+		p.seen, p.since = seen, now
 	}
 	return holding || now.Sub(p.since) >= quietFor
 }
@@ -128,20 +134,13 @@
 func (p *Placer) place(ctx context.Context, e *route.Engine, servers []*fleet.Server, now time.Time) {
 	believed := make([]*fleet.Server, len(servers))
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	for i, s := range servers {
 		believed[i] = p.believed(s, now)
 	}
-	p.mu.Unlock()
-	for _, o := range place.Decide(e, believed) {
-		p.mu.Lock()
-		t, waits := p.told[o.Server.ID]
-		if waits && now.Before(t.until) && o.Server.Holds() == 0 {
-			// It was just asked, and is looked at again later.
-			p.mu.Unlock()
-			continue
-		}
+	calm := now.Sub(p.since) >= calmFor && len(p.told) == 0
+	for _, o := range place.Decide(e, believed, calm) {
 		p.tell(o.Server.ID, told{first: o.First, end: o.End, until: now.Add(again)})
-		p.mu.Unlock()
 		go p.order(ctx, e, o)
 	}
 }
@@ -195,8 +194,11 @@
 	if taken != call.TakenBegun {
 		return
 	}
-	p.settle(o.Server.ID, o.First, o.End, now.Add(loadTime(e, o.End-o.First)+heartbeats))
-	p.State.Ordered(o.Server.ID, o.First, o.End, now)
+	until := now.Add(loadTime(e, o.End-o.First) + heartbeats)
+	p.settle(o.Server.ID, o.First, o.End, until)
+	if p.State.Ordered(belief.Order{ID: o.Server.ID, First: o.First, End: o.End, Until: until}, now) {
+		p.Spread()
+	}
 }
 
 // loadTime is how long a load may take while others run.
--- a/entry/stream/flow.go
+++ b/entry/stream/flow.go
@@ -102,6 +102,7 @@
 	return &hops.Query{
 		Engine: j.Service.Engine, Servers: f.State.View().Service(j.Service.Name), Home: f.Home,
 		Prompt: j.Prompt, Answer: j.Answer(j.Service.Engine), Used: f.Ledger.Used,
+		Cut: f.State.Cut,
 	}
 }
 
@@ -186,6 +187,9 @@
 		at = first
 	}
 	r.avoid[at] = true
+	if s := r.State.View().At(at); s != nil {
+		r.Ledger.Refused(s.ID, time.Now())
+	}
 	r.Log.Info("stream: refused by a server", "request", r.job.ID, "status", reply.Status, "server", at, "first", first)
 	return &fault.Error{Code: fault.ServerRefused, Verdict: fault.NotRun, Message: "a backend server refused", Server: at, RetryAfter: comeBack}
 }
@@ -292,7 +296,7 @@
 	r.avoid[address] = true
 	r.Pool.Forget(address)
 	if context.Cause(ctx) == nil {
-		r.Watch.suspect(address, e.Error())
+		r.Watch.accuse(address, e.Error())
 	}
 }
 
--- a/entry/stream/watch.go
+++ b/entry/stream/watch.go
@@ -11,6 +11,7 @@
 	"fuchsiashelf.dev/entry/belief"
 	"fuchsiashelf.dev/entry/call"
 	"fuchsiashelf.dev/parts/domain"
+	"fuchsiashelf.dev/parts/fleet"
 	"fuchsiashelf.dev/parts/hops"
 )
 
@@ -34,6 +35,14 @@
 	// hopeless is the silence after which a stream is begun anew even if its
 	// first server claims to be well. Beginning anew takes some 300 ms.
 	hopeless = 1300 * time.Millisecond
+	// probeEvery and maxProbes bound how an accused server is asked again: for
+	// longer than its entry outlives it.
+	probeEvery = 500 * time.Millisecond
+	maxProbes  = 30
+	// vacateAtOnce is how many streams are led round a leaving server in one
+	// sweep. Each has all its tokens read again by another server, some 3 ms
+	// of its time; 75 at once made pauses of over a second.
+	vacateAtOnce = 1
 	// orderTime bounds an order to change a chain.
 	orderTime = 400 * time.Millisecond
 	// maxReroutes bounds the chains that one silence is answered with.
@@ -60,6 +69,8 @@
 	mu    sync.Mutex
 	lives map[*live]struct{}
 	asked map[string]*inquiry
+	// probed holds the addresses of accused servers that are being asked.
+	probed map[string]bool
 }
 
 // inquiry is what is known of a first server by asking it.
@@ -79,8 +90,9 @@
 	mu       sync.Mutex
 	chain    hops.Chain
 	release  func()
-	reroutes int
 	busy     bool
+	// vacated is the server that the stream was last led round.
+	vacated string
 }
 
 func (l *live) touch() {
@@ -149,6 +161,7 @@
 			return
 		case now := <-tick.C:
 			w.sweep(ctx, now)
+			w.vacate()
 		}
 	}
 }
@@ -217,13 +230,13 @@
 	if err != nil {
 		w.Log.Warn("watch: no report", "server", address, "times", deaf, "error", err)
 		if deaf >= deafAfter {
-			w.suspect(address, err.Error())
+			w.accuse(address, err.Error())
 			w.end(address, errDead)
 		}
 		return
 	}
 	for _, s := range report.Stalled {
-		w.suspect(s.Address, "a chain waits for it")
+		w.accuse(s.Address, "a chain waits for it")
 	}
 	w.reroute(address, report.Stalled)
 }
@@ -255,12 +268,13 @@
 	}
 	w.mu.Unlock()
 	for _, l := range list {
-		go w.repair(l, at[l.job.ID])
+		go w.repair(l, at[l.job.ID], false)
 	}
 }
 
-// repair changes the chain of one stream. It runs once at a time for each.
-func (w *Watch) repair(l *live, failed string) {
+// repair changes the chain of one stream. It runs once at a time for each. If
+// the stream still runs, it may stay as it is.
+func (w *Watch) repair(l *live, failed string, runs bool) {
 	l.mu.Lock()
 	chain := l.chain
 	if l.busy || !chain.Has(failed) {
@@ -275,9 +289,9 @@
 		l.busy = false
 		l.mu.Unlock()
 	}()
+	w.noteCut(chain, failed, runs)
 	avoid := map[string]bool{failed: true}
-	for l.reroutes < maxReroutes {
-		l.reroutes++
+	for range maxReroutes {
 		next := w.detour(l, chain, avoid)
 		if next == nil {
 			break
@@ -286,8 +300,24 @@
 			return
 		}
 	}
-	w.Log.Info("watch: no other way", "request", l.job.ID, "failed", failed)
-	l.cancel(errNoWay)
+	w.Log.Info("watch: no other way", "request", l.job.ID, "failed", failed, "runs", runs)
+	if !runs {
+		l.cancel(errNoWay)
+	}
+}
+
+// noteCut tells apart a server that failed from one that the server before it
+// in the chain does not reach, if they are in different failure domains.
+func (w *Watch) noteCut(chain hops.Chain, failed string, runs bool) {
+	if runs {
+		return
+	}
+	for i := 1; i < len(chain); i++ {
+		from, to := chain[i-1].Server.Domain, chain[i].Server.Domain
+		if chain[i].Server.Address == failed && from != to {
+			w.State.CutOff(from, to, time.Now())
+		}
+	}
 }
 
 // detour finds another chain behind the same first part.
@@ -302,7 +332,7 @@
 	q := hops.Query{
 		Engine: l.job.Service.Engine, Servers: w.State.View().Service(l.job.Service.Name), Home: w.Home,
 		Prompt: l.job.Prompt, Answer: l.job.Answer(l.job.Service.Engine), Used: w.Ledger.Used,
-		Avoid: avoid, Start: &chain[0], Kept: kept,
+		Avoid: avoid, Start: &chain[0], Kept: kept, Cut: w.State.Cut,
 	}
 	return q.Pick()
 }
@@ -329,15 +359,89 @@
 	return false
 }
 
-// suspect avoids the server with an address for a while.
-func (w *Watch) suspect(address, why string) {
+// accuse asks a server that seems to have failed for its report. One that
+// answers is sound, and others do not reach it. One that does not is suspected,
+// and asked again until it answers or its entry is gone.
+func (w *Watch) accuse(address, why string) {
 	s := w.State.View().At(address)
 	if s == nil {
 		return
 	}
-	now := time.Now()
-	if w.State.Suspect(s.ID, now.Add(belief.SuspectFor), now) {
-		w.Log.Warn("servers: suspected", "server", s.ID, "address", address, "why", why)
-		w.Spread()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.probed == nil {
+		w.probed = map[string]bool{}
+	}
+	if w.probed[address] {
+		return
+	}
+	w.probed[address] = true
+	go w.probe(s.ID, address, why)
+}
+
+func (w *Watch) probe(id, address, why string) {
+	defer func() {
+		w.mu.Lock()
+		delete(w.probed, address)
+		w.mu.Unlock()
+	}()
+	for range maxProbes {
+		ctx, cancel := context.WithTimeout(context.Background(), askTime)
+		_, err := w.Engine.Report(ctx, address)
+		cancel()
+		now := time.Now()
+		if err == nil {
+			w.State.Clear(id, now)
+			return
+		}
+		if s := w.State.View().At(address); s == nil || s.ID != id {
+			return
+		}
+		if w.State.Suspect(id, now.Add(belief.SuspectFor), now) {
+			w.Log.Warn("servers: suspected", "server", id, "address", address, "why", why, "error", err)
+			w.Spread()
+		}
+		time.Sleep(probeEvery)
+	}
+}
+
+// vacate gives streams another way behind their first server whose chain goes
+// through a server that is leaving or gives up the layers, before it cuts them
+// off, and so that what it has to do instead need not wait for them.
+func (w *Watch) vacate() {
+	view := w.State.View()
+	moved := 0
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for l := range w.lives {
+		if moved >= vacateAtOnce {
+			return
+		}
+		l.mu.Lock()
+		at := leaving(view, l.chain)
+		due := at != "" && !l.busy && l.vacated != at
+		if due {
+			l.vacated = at
+		}
+		l.mu.Unlock()
+		if due && l.began.Load() {
+			moved++
+			go w.repair(l, at, true)
+		}
+	}
+}
+
+// leaving returns the address of a server of a chain, not the first, that does
+// not hold its part any more or is about to end.
+func leaving(view *fleet.View, chain hops.Chain) string {
+	for _, p := range chain[1:] {
+		s := view.At(p.Server.Address)
+		if s == nil || s.ID != p.Server.ID {
+			continue
+		}
+		if s.Leaving || s.First > p.First || s.End < p.End {
+			return s.Address
+		}
 	}
+	return ""
 }
--- a/parts/fleet/fleet.go
+++ b/parts/fleet/fleet.go
@@ -27,6 +27,9 @@
 	Slots int
 	// First and End bound the layers that it holds; both zero means none.
 	First, End int
+	// Takes is how many layers take its memory: those that it holds, gives up
+	// and loads.
+	Takes int
 	// Born is the time of its start; a run under an old ID is a new one if it
 	// was born later.
 	Born time.Time
--- a/parts/hops/hops.go
+++ b/parts/hops/hops.go
@@ -72,6 +72,8 @@
 	// keptWeight scales the cost of a server that already holds the request's
 	// tokens: it reads nothing again.
 	keptWeight = 0.3
+	// fullWeight is by how much a full server seems slower than an empty one.
+	fullWeight = 0.5
 	// fullest is the share of a server's memory that may be promised. Answers
 	// that grow longer than their hint take the rest; beyond it the newest
 	// request is thrown out and read again.
@@ -99,6 +101,9 @@
 	// Crowded permits promising more than the memory of the servers, as
 	// far as the engines queue what does not fit.
 	Crowded bool
+	// Cut says that servers of one failure domain do not reach those of
+	// another; nil means that all do.
+	Cut func(from, to domain.Name) bool
 	// Suspects permits servers that are suspected of having failed.
 	Suspects bool
 }
@@ -109,6 +114,8 @@
 	TokenLayers float64
 	// Requests are those under way.
 	Requests float64
+	// Full says that the server has just refused a request.
+	Full bool
 }
 
 // Room returns how many tokens x layers a server has for requests.
@@ -117,7 +124,7 @@
 	if !known || e.TokenBytes <= 0 {
 		return math.Inf(1)
 	}
-	free := (card.MemoryMB - float64(s.Holds())*e.LayerMB) * 1e6
+	free := (card.MemoryMB - float64(max(s.Takes, s.Holds()))*e.LayerMB) * 1e6
 	return max(0, free) / (e.TokenBytes / float64(e.Layers))
 }
 
@@ -189,7 +196,7 @@
 				if o.server.First > at || o.server.End <= at {
 					continue
 				}
-				q.extend(best, ends, o, at, d, whole)
+				q.extend(best, domains, ends, o, at, d, whole)
 			}
 		}
 	}
@@ -197,10 +204,10 @@
 }
 
 // extend relaxes the boundaries that a server reaches from one state.
-func (q *Query) extend(best [][]step, ends []int, o offer, at, from int, whole bool) {
+func (q *Query) extend(best [][]step, domains []domain.Name, ends []int, o offer, at, from int, whole bool) {
 	cost := best[at][from].cost + q.hop()
 	if o.domain != from {
-		if at == 0 {
+		if at == 0 || q.Cut != nil && q.Cut(domains[from], o.server.Domain) {
 			return
 		}
 		cost += q.crossing()
@@ -301,12 +308,15 @@
 	room := Room(q.Engine, s)
 	need := float64(q.Prompt+q.Answer) * float64(s.Holds())
 	taken := (used.TokenLayers + need) / max(room, 1)
-	if taken > fullest && !q.Crowded && !q.Kept[s.Address] {
+	if (used.Full || taken > fullest) && !q.Crowded && !q.Kept[s.Address] {
 		return offer{}, false
 	}
 	o := offer{server: s, perLayer: q.Seconds(s, used.Requests) / float64(q.Engine.Layers)}
-	taken = min(taken, 0.99)
-	o.perLayer *= 1 + 2*taken*taken/(1-taken)
+	// Half as much again for a full server spreads requests over servers that
+	// are alike. A steeper rise sent requests through 17 servers with eight
+	// crossings when all were nearly full.
+	taken = min(taken, 1)
+	o.perLayer *= 1 + fullWeight*taken*taken
 	if q.Kept[s.Address] {
 		o.perLayer *= keptWeight
 	}
--- a/parts/hops/ledger.go
+++ b/parts/hops/ledger.go
@@ -1,6 +1,9 @@
 package hops
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // Ledger counts what the requests under way take of each server: those of
 // this entry host exactly, those of the others as they last told.
@@ -8,6 +11,32 @@
 	mu     sync.Mutex
 	own    map[string]Usage
 	others map[string]map[string]Usage
+	full   map[string]time.Time
+}
+
+// fullFor is how long a server counts as full after it refused a request:
+// some requests end there in that time.
+const fullFor = 200 * time.Millisecond
+
+// Refused notes that a server refused a request.
+func (l *Ledger) Refused(id string, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.full == nil {
+		l.full = map[string]time.Time{}
+	}
+	l.full[id] = now.Add(fullFor)
+}
+
+// Sweep forgets refusals that are over.
+func (l *Ledger) Sweep(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, until := range l.full {
+		if now.After(until) {
+			delete(l.full, id)
+		}
+	}
 }
 
 // Reserve books a chain for a request of the given size until release is
@@ -68,6 +97,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	u := l.own[id]
+	_, u.Full = l.full[id]
 	for _, used := range l.others {
 		o := used[id]
 		u.TokenLayers += o.TokenLayers
--- a/parts/place/place.go
+++ b/parts/place/place.go
@@ -60,11 +60,13 @@
 )
 
 // Decide returns the orders that improve what the servers hold. Servers that
-// are leaving or suspected count as holding nothing, and get no order.
-func Decide(e *route.Engine, servers []*fleet.Server) []Order {
+// are leaving or suspected count as holding nothing, and get no order. Servers
+// give up what others hold as well only when calm: a server that failed a
+// moment ago may still look as if it held its layers.
+func Decide(e *route.Engine, servers []*fleet.Server, calm bool) []Order {
 	var orders []Order
 	for _, group := range groups(e, servers) {
-		orders = append(orders, group.decide()...)
+		orders = append(orders, group.decide(calm)...)
 	}
 	return orders
 }
@@ -215,11 +217,13 @@
 
 // decide changes the ranges step by step, and returns an order for each that
 // differs in the end.
-func (g *group) decide() []Order {
+func (g *group) decide(calm bool) []Order {
 	g.fill()
 	g.widen()
 	g.move()
-	g.trim()
+	if calm {
+		g.trim()
+	}
 	var orders []Order
 	for _, s := range g.servers {
 		r, known := g.held[s.ID]
--- a/parts/retry/share.go
+++ b/parts/retry/share.go
@@ -12,8 +12,8 @@
 type Share struct {
 	// Ratio is how many repeats a request earns.
 	Ratio float64
-	// Slack is how many repeats may come on top in one window.
-	Slack float64
+	// Slack returns how many repeats may come on top in one window.
+	Slack func() float64
 	// Window is the length of the window.
 	Window time.Duration
 
@@ -49,7 +49,7 @@
 			repeats += c.repeats
 		}
 	}
-	if float64(repeats+1) > s.Ratio*float64(requests)+s.Slack {
+	if float64(repeats+1) > s.Ratio*float64(requests)+s.Slack() {
 		return false
 	}
 	slot.repeats++
