node: refuse requests late in a stop

A request that comes 3 s after the signal and lasts longer than the rest of the grace is cut off; requests were taken for 3.5 s.

--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -39,10 +39,18 @@
 	// Stopping says that the process is about to end: connections are closed
 	// after their answers.
 	Stopping atomic.Bool
+	// Refusing says that the process ends before a request that comes now
+	// would: it is refused, so that its caller goes elsewhere at once instead
+	// of being cut off in the midst of its answer.
+	Refusing atomic.Bool
 
 	active atomic.Int64
 }
 
+// elsewhere is when a caller that was refused by a process that ends should
+// come again: other entry hosts have room.
+const elsewhere = 50 * time.Millisecond
+
 // longest bounds requests of which neither caller nor route says how long
 // they may take.
 const longest = 10 * time.Minute
@@ -81,6 +89,9 @@
 
 // job reads a request and finds out where it belongs.
 func (h *Handler) job(w http.ResponseWriter, r *http.Request, start time.Time) (*call.Job, error) {
+	if h.Refusing.Load() {
+		return nil, &fault.Error{Code: fault.Draining, Verdict: fault.NotRun, Message: "this entry host ends", RetryAfter: elsewhere}
+	}
 	table := h.State.Table()
 	if table == nil {
 		return nil, &fault.Error{Code: fault.NoServer, Verdict: fault.NotRun, Message: "no configuration is known yet", RetryAfter: time.Second}
