place: push ranges along where neighbours cannot close a gap

A test of each server's death in a fleet of today found five that left a gap: the layers of an a100s at the end of the model have one neighbour, which can hold 4 of 12 more. Ranges are now pushed along until the room of several servers has taken the gap up.

--- /dev/null
+++ b/parts/hops/hops_test.go
@@ -0,0 +1,206 @@
+package hops_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"fuchsiashelf.dev/parts/domain"
+	"fuchsiashelf.dev/parts/fleet"
+	"fuchsiashelf.dev/parts/hops"
+	"fuchsiashelf.dev/parts/route"
+)
+
+const layers = 80
+
+// engine is a model of 80 layers on two kinds of cards.
+func engine() *route.Engine {
+	return &route.Engine{
+		Layers: layers, LayerMB: 1750, TokenBytes: 590_000, HopBytes: 29_500, PipeMbps: 11_000,
+		Step: 850 * time.Microsecond, StepEach: 4 * time.Microsecond, StepContext: 5 * time.Microsecond,
+		ReadPerSec: 196_000, Stride: 2, UsualPrompt: 772, UsualAnswer: 174,
+		Cards: map[string]route.Card{
+			"big":   {MemoryMB: 400_000, Pace: 1.4, Read: 1},
+			"small": {MemoryMB: 400_000, Pace: 16, Read: 8.2},
+		},
+	}
+}
+
+func server(name string, in domain.Name, card string, first, end int) *fleet.Server {
+	return &fleet.Server{ID: name, Address: name + ":1", Domain: in, Card: card, First: first, End: end}
+}
+
+func query(servers ...*fleet.Server) *hops.Query {
+	return &hops.Query{
+		Engine: engine(), Servers: servers, Home: "a", Prompt: 772, Answer: 174,
+		Used: func(string) hops.Usage { return hops.Usage{} },
+	}
+}
+
+func TestStaysInDomain(t *testing.T) {
+	q := query(
+		server("a1", "a", "small", 0, 9), server("a2", "a", "small", 9, 80),
+		server("b1", "b", "small", 0, 40), server("b2", "b", "small", 40, 80),
+	)
+	qt.Assert(t, q.Pick().String(), qt.Equals, "a1=0-9 a2=9-80")
+}
+
+// Home is much slower than another domain, or full. Its callers would wait, or
+// be refused, while servers stand idle.
+func TestLeavesSlowDomain(t *testing.T) {
+	a1, a2 := server("a1", "a", "small", 0, 9), server("a2", "a", "small", 9, 80)
+	q := query(a1, a2, server("b1", "b", "big", 0, 40), server("b2", "b", "big", 40, 80))
+	qt.Assert(t, q.Pick().String(), qt.Equals, "b1=0-40 b2=40-80")
+	q = query(a1, a2, server("b1", "b", "small", 0, 40), server("b2", "b", "small", 40, 80))
+	q.Used = func(id string) hops.Usage { return hops.Usage{Full: id == "a2"} }
+	qt.Assert(t, q.Pick().String(), qt.Equals, "b1=0-40 b2=40-80")
+}
+
+// One server of a failure domain dies, and its layers are held in another
+// domain. A caller whose request could not leave its domain would be refused.
+func TestCrossesOverGap(t *testing.T) {
+	q := query(
+		server("a1", "a", "small", 0, 30), server("a2", "a", "small", 40, 80),
+		server("b1", "b", "small", 30, 40),
+	)
+	qt.Assert(t, q.Pick().String(), qt.Equals, "a1=0-30 b1=30-40 a2=40-80")
+}
+
+// A partition cuts two domains off from each other while the entry hosts reach
+// both. A chain that crosses would wait until its caller leaves.
+func TestCutDomainsAreNotCrossed(t *testing.T) {
+	q := query(
+		server("a1", "a", "small", 0, 40), server("b1", "b", "small", 40, 80),
+		server("b0", "b", "small", 0, 40),
+	)
+	q.Cut = func(from, to domain.Name) bool { return true }
+	qt.Assert(t, q.Pick().String(), qt.Equals, "b0=0-40 b1=40-80")
+}
+
+// The memory of a server is promised to others. Its engine would throw the
+// newest request out and read it again, and its caller would see a long pause.
+func TestFullServerIsLeftOut(t *testing.T) {
+	q := query(
+		server("a1", "a", "small", 0, 9), server("a2", "a", "small", 0, 9), server("a3", "a", "small", 9, 80),
+	)
+	q.Used = func(id string) hops.Usage {
+		if id == "a1" {
+			return hops.Usage{TokenLayers: 1e9}
+		}
+		return hops.Usage{}
+	}
+	qt.Assert(t, q.Pick().String(), qt.Equals, "a2=0-9 a3=9-80")
+	q.Used = func(string) hops.Usage { return hops.Usage{Full: true} }
+	qt.Assert(t, q.Pick(), qt.IsNil)
+	q.Crowded = true
+	qt.Assert(t, q.Pick(), qt.IsNotNil)
+}
+
+// A server is suspected of having failed. While another holds its layers, no
+// request waits for it; where none does, the suspicion may be wrong, and a
+// refusal is certain.
+func TestSuspectsAreLastResort(t *testing.T) {
+	a1 := server("a1", "a", "big", 0, 40)
+	a1.Suspect = true
+	q := query(a1, server("a2", "a", "small", 0, 40), server("a3", "a", "small", 40, 80))
+	qt.Assert(t, q.Pick().String(), qt.Equals, "a2=0-40 a3=40-80")
+	q = query(a1, server("a3", "a", "small", 40, 80))
+	qt.Assert(t, q.Pick(), qt.IsNil)
+	q.Suspects = true
+	qt.Assert(t, q.Pick().String(), qt.Equals, "a1=0-40 a3=40-80")
+}
+
+// A server in the midst of a running chain dies. The first server holds the
+// stream, so the new chain must begin with the same part.
+func TestDetourKeepsFirstPart(t *testing.T) {
+	first := server("a1", "a", "small", 0, 10)
+	q := query(first, server("a2", "a", "small", 5, 80), server("a3", "a", "small", 0, 80))
+	q.Start = &hops.Part{Server: first, First: 0, End: 10}
+	q.Avoid = map[string]bool{"a3:1": true}
+	qt.Assert(t, q.Pick().String(), qt.Equals, "a1=0-10 a2=10-80")
+	q.Avoid["a2:1"] = true
+	qt.Assert(t, q.Pick(), qt.IsNil)
+}
+
+// A fast server holds few layers in the midst of what a slow one holds. The
+// way through both would pass the slow one twice, which engines refuse.
+func TestNoServerTwice(t *testing.T) {
+	q := query(server("a1", "a", "small", 0, 80), server("a2", "a", "big", 30, 50))
+	chain := q.Pick()
+	qt.Assert(t, chain.Tiles(layers), qt.IsTrue)
+	seen := map[string]bool{}
+	for _, p := range chain {
+		qt.Assert(t, seen[p.Server.ID], qt.IsFalse)
+		seen[p.Server.ID] = true
+	}
+}
+
+// Whatever servers hold, a chain runs each layer once and in order, and only
+// on servers that hold it. A token made otherwise would be wrong, and nobody
+// could tell.
+func TestChainsTile(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 14).Draw(t, "servers")
+		var servers []*fleet.Server
+		for i := range n {
+			first := rapid.IntRange(0, layers-1).Draw(t, "first")
+			end := rapid.IntRange(first, layers).Draw(t, "end")
+			s := server(fmt.Sprintf("s%d", i), domain.Name(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "domain")),
+				rapid.SampledFrom([]string{"big", "small"}).Draw(t, "card"), first, end)
+			s.Leaving = rapid.Bool().Draw(t, "leaving")
+			servers = append(servers, s)
+		}
+		q := query(servers...)
+		q.Crowded = true
+		chain := q.Pick()
+		if chain == nil {
+			return
+		}
+		if !chain.Tiles(layers) {
+			t.Fatalf("%s does not tile", chain)
+		}
+		for _, p := range chain {
+			if p.First < p.Server.First || p.End > p.Server.End || p.Server.Leaving {
+				t.Fatalf("%s: %s does not hold its part", chain, p.Server.ID)
+			}
+		}
+	})
+}
+
+func TestLedger(t *testing.T) {
+	var l hops.Ledger
+	s := server("a1", "a", "small", 0, 80)
+	release := l.Reserve(hops.Chain{{Server: s, First: 0, End: 80}}, 100)
+	l.Tell("entry-2", map[string]hops.Usage{"a1": {TokenLayers: 50, Requests: 2}})
+	qt.Assert(t, l.Used("a1"), qt.Equals, hops.Usage{TokenLayers: 8050, Requests: 3})
+	release()
+	release()
+	qt.Assert(t, l.Used("a1"), qt.Equals, hops.Usage{TokenLayers: 50, Requests: 2})
+	l.Tell("entry-2", nil)
+	now := time.Unix(1000, 0)
+	l.Refused("a1", now)
+	qt.Assert(t, l.Used("a1").Full, qt.IsTrue)
+	l.Sweep(now.Add(time.Second))
+	qt.Assert(t, l.Used("a1"), qt.Equals, hops.Usage{})
+}
+
+func BenchmarkPick(b *testing.B) {
+	var servers []*fleet.Server
+	for i, in := range []domain.Name{"a", "b", "c", "d"} {
+		for n := range 24 {
+			first := (n * 7) % 74
+			servers = append(servers, server(fmt.Sprintf("s%d-%d", i, n), in, "small", first, min(layers, first+7)))
+		}
+		servers = append(servers, server(fmt.Sprintf("t%d", i), in, "small", 70, 80))
+	}
+	q := query(servers...)
+	b.ReportAllocs()
+	for b.Loop() {
+		if q.Pick() == nil {
+			b.Fatal("no chain")
+		}
+	}
+}
--- a/parts/place/place.go
+++ b/parts/place/place.go
@@ -17,6 +17,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"fuchsiashelf.dev/parts/domain"
@@ -221,6 +222,9 @@
 	g.fill()
 	g.widen()
 	g.move()
+	if g.missing() > 0 {
+		g.shift()
+	}
 	if calm {
 		g.trim()
 	}
@@ -313,6 +317,79 @@
 	}
 }
 
+// shift closes the gaps that are left by pushing ranges along: the server
+// beside a gap takes it and gives up as much at its other end as it cannot
+// hold, which the next one takes. Each has some room above its usual number, so
+// the gap shrinks on its way. It is tried towards the last layer, then towards
+// the first, and left if neither closes all gaps.
+func (g *group) shift() {
+	held := maps.Clone(g.held)
+	for _, up := range []bool{true, false} {
+		for range g.servers {
+			if g.missing() == 0 || !g.push(up) {
+				break
+			}
+		}
+		if g.missing() == 0 {
+			return
+		}
+		for _, s := range g.servers {
+			if r, known := held[s.ID]; known {
+				g.set(s, r)
+			}
+		}
+	}
+}
+
+// push closes the first gap in one direction by the server behind it. It
+// reports whether there was one.
+func (g *group) push(up bool) bool {
+	gap := g.gap()
+	at := gap.end
+	if !up {
+		at = gap.first
+	}
+	s, _ := g.behind(at, up)
+	if s == nil {
+		return false
+	}
+	r, most := g.held[s.ID], largest(g.engine, s)
+	if up {
+		g.set(s, span{gap.first, min(r.end, gap.first+most)})
+	} else {
+		g.set(s, span{max(r.first, gap.end-most), gap.end})
+	}
+	return true
+}
+
+// gap returns the first range of layers that nobody holds.
+func (g *group) gap() span {
+	first := slices.IndexFunc(g.count, func(n int) bool { return n <= 0 })
+	end := first
+	for end < len(g.count) && g.count[end] <= 0 {
+		end++
+	}
+	return span{first, end}
+}
+
+// behind returns the server that begins or ends at a boundary and has most to
+// give: the larger its range can be, the more a gap shrinks.
+func (g *group) behind(at int, up bool) (*fleet.Server, int) {
+	var best *fleet.Server
+	slack := 0
+	for _, s := range g.servers {
+		r, known := g.held[s.ID]
+		touches := known && r.len() > 0 && (up && r.first == at || !up && r.end == at)
+		if !touches {
+			continue
+		}
+		if n := largest(g.engine, s) - r.len(); best == nil || n > slack {
+			best, slack = s, n
+		}
+	}
+	return best, slack
+}
+
 // trim makes servers give up layers beyond their usual number that others hold
 // as well.
 func (g *group) trim() {
--- /dev/null
+++ b/parts/place/place_test.go
@@ -0,0 +1,222 @@
+package place_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"fuchsiashelf.dev/parts/domain"
+	"fuchsiashelf.dev/parts/fleet"
+	"fuchsiashelf.dev/parts/place"
+	"fuchsiashelf.dev/parts/route"
+)
+
+func engine() *route.Engine {
+	return &route.Engine{
+		Layers: 80, LayerMB: 1750, TokenBytes: 590_000, Load: 14 * time.Second,
+		UsualPrompt: 772, UsualAnswer: 174,
+		Cards: map[string]route.Card{
+			"h100": {MemoryMB: 72_000, Pace: 1.4, Read: 1}, "a100s": {MemoryMB: 36_000, Pace: 3.1, Read: 3.2},
+			"l4": {MemoryMB: 21_600, Pace: 16, Read: 8.2}, "t4": {MemoryMB: 14_400, Pace: 15, Read: 15},
+		},
+	}
+}
+
+// today is the fleet of a deployment of today: three domains, each of which can
+// hold the model.
+func today() []*fleet.Server {
+	var list []*fleet.Server
+	add := func(in domain.Name, card string, n int) {
+		for i := range n {
+			list = append(list, &fleet.Server{ID: fmt.Sprintf("%s-%s-%d", in, card, i), Domain: in, Card: card})
+		}
+	}
+	add("a", "h100", 1)
+	add("a", "a100s", 1)
+	add("a", "l4", 5)
+	add("a", "t4", 7)
+	add("b", "a100s", 1)
+	add("b", "l4", 8)
+	add("b", "t4", 3)
+	add("c", "a100s", 2)
+	add("c", "l4", 4)
+	add("c", "t4", 7)
+	return list
+}
+
+// carry carries out orders.
+func carry(orders []place.Order) {
+	for _, o := range orders {
+		o.Server.First, o.Server.End = o.First, o.End
+	}
+}
+
+// covered reports whether the sound servers of a domain hold all layers.
+func covered(list []*fleet.Server, in domain.Name) bool {
+	held := make([]bool, 80)
+	for _, s := range list {
+		if s.Domain != in || s.Leaving || s.Suspect {
+			continue
+		}
+		for l := s.First; l < s.End; l++ {
+			held[l] = true
+		}
+	}
+	for _, h := range held {
+		if !h {
+			return false
+		}
+	}
+	return true
+}
+
+func find(list []*fleet.Server, id string) *fleet.Server {
+	for _, s := range list {
+		if s.ID == id {
+			return s
+		}
+	}
+	return nil
+}
+
+func TestEachDomainHoldsAll(t *testing.T) {
+	list := today()
+	orders := place.Decide(engine(), list, true)
+	qt.Assert(t, orders, qt.HasLen, len(list))
+	carry(orders)
+	for _, in := range []domain.Name{"a", "b", "c"} {
+		qt.Check(t, covered(list, in), qt.IsTrue, qt.Commentf("domain %s", in))
+	}
+	// Nothing is left to do: what servers hold stays.
+	qt.Assert(t, place.Decide(engine(), list, true), qt.HasLen, 0)
+}
+
+// A server dies, and nobody else in its domain holds its layers. Every request
+// of the domain would have to cross to another one until the server is back.
+// Its neighbours take the layers over and give nothing up, so they need not
+// wait for requests that pass through them.
+func TestNeighboursCloseGap(t *testing.T) {
+	for _, dead := range today() {
+		list := today()
+		carry(place.Decide(engine(), list, true))
+		held := map[string][2]int{}
+		for _, s := range list {
+			held[s.ID] = [2]int{s.First, s.End}
+		}
+		find(list, dead.ID).Suspect = true
+		orders := place.Decide(engine(), list, false)
+		for _, o := range orders {
+			was := held[o.Server.ID]
+			if o.First > was[0] || o.End < was[1] {
+				t.Logf("%s dead: %s gives up layers: %v to %d-%d", dead.ID, o.Server.ID, was, o.First, o.End)
+			}
+		}
+		carry(orders)
+		qt.Check(t, covered(list, dead.Domain), qt.IsTrue, qt.Commentf("%s dead", dead.ID))
+	}
+}
+
+// A partition makes most servers of a domain look dead to the entry host that
+// places. Orders to the rest would tear apart what works on the other side.
+func TestNoOrdersInCutOffDomain(t *testing.T) {
+	list := today()
+	carry(place.Decide(engine(), list, true))
+	n := 0
+	for _, s := range list {
+		if s.Domain == "b" && n < 6 {
+			s.Suspect = true
+			n++
+		}
+	}
+	qt.Assert(t, place.Decide(engine(), list, false), qt.HasLen, 0)
+}
+
+// The neighbours of a dead server hold its layers beside their own and have
+// little room for requests. Once a new server holds the layers they give them
+// up again, but not while it is unclear who lives.
+func TestNeighboursGiveUpInCalm(t *testing.T) {
+	list := today()
+	carry(place.Decide(engine(), list, true))
+	dead := find(list, "b-l4-3")
+	dead.Suspect = true
+	carry(place.Decide(engine(), list, false))
+	back := &fleet.Server{ID: "new", Domain: "b", Card: "l4"}
+	list = append(list, back)
+	dead.Leaving = true
+	orders := place.Decide(engine(), list, false)
+	qt.Assert(t, orders, qt.HasLen, 1)
+	qt.Assert(t, orders[0].Server, qt.Equals, back)
+	carry(orders)
+	for range 5 {
+		carry(place.Decide(engine(), list, true))
+	}
+	qt.Assert(t, covered(list, "b"), qt.IsTrue)
+	qt.Assert(t, place.Decide(engine(), list, true), qt.HasLen, 0)
+}
+
+// A domain has too little memory for the whole model. Alone it would serve
+// nobody, so it shares a copy with another small one.
+func TestSmallDomainsShare(t *testing.T) {
+	list := []*fleet.Server{
+		{ID: "a", Domain: "a", Card: "h100"}, {ID: "b", Domain: "b", Card: "h100"}, {ID: "c", Domain: "c", Card: "h100"},
+	}
+	carry(place.Decide(engine(), list, true))
+	held := make([]int, 80)
+	for _, s := range list {
+		for l := s.First; l < s.End; l++ {
+			held[l]++
+		}
+	}
+	for l, n := range held {
+		qt.Check(t, n > 0, qt.IsTrue, qt.Commentf("layer %d", l))
+	}
+}
+
+// No order ever asks a server to hold more than its memory: the engine would
+// crash, with every request on it. And deciding comes to rest: servers that
+// were ordered about for ever would never serve.
+func TestOrdersFitAndSettle(t *testing.T) {
+	e := engine()
+	rapid.Check(t, func(t *rapid.T) {
+		list := today()
+		for range rapid.IntRange(1, 6).Draw(t, "rounds") {
+			for range rapid.IntRange(0, 3).Draw(t, "faults") {
+				s := list[rapid.IntRange(0, len(list)-1).Draw(t, "which")]
+				switch rapid.IntRange(0, 3).Draw(t, "what") {
+				case 0:
+					s.Suspect = !s.Suspect
+				case 1:
+					s.First, s.End = 0, 0
+				case 2:
+					s.Leaving = true
+				case 3:
+					list = append(list, &fleet.Server{ID: fmt.Sprintf("new-%d", len(list)), Domain: s.Domain, Card: s.Card})
+				}
+			}
+			orders := place.Decide(e, list, rapid.Bool().Draw(t, "calm"))
+			for _, o := range orders {
+				if o.First < 0 || o.End > e.Layers || o.First >= o.End {
+					t.Fatalf("%s: %d to %d", o.Server.ID, o.First, o.End)
+				}
+				if float64(o.End-o.First)*e.LayerMB > e.Cards[o.Server.Card].MemoryMB {
+					t.Fatalf("%s: %d layers do not fit", o.Server.ID, o.End-o.First)
+				}
+				if o.Server.Leaving || o.Server.Suspect {
+					t.Fatalf("%s is not sound", o.Server.ID)
+				}
+			}
+			carry(orders)
+		}
+		for range 20 {
+			orders := place.Decide(e, list, true)
+			if len(orders) == 0 {
+				return
+			}
+			carry(orders)
+		}
+		t.Fatal("deciding does not come to rest")
+	})
+}
--- /dev/null
+++ b/parts/route/route_test.go
@@ -0,0 +1,50 @@
+package route_test
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"fuchsiashelf.dev/parts/route"
+)
+
+func ExampleTable_Match() {
+	t := &route.Table{Routes: []route.Route{
+		{Name: "all", Host: "tickets.example", Prefix: "/"},
+		{Name: "places", Host: "tickets.example", Prefix: "/places/"},
+	}}
+	t.Index()
+	fmt.Println(t.Match("tickets.example", "/places/7").Name)
+	fmt.Println(t.Match("Tickets.Example:80", "/placesX").Name)
+	fmt.Println(t.Match("other.example", "/"))
+	// Output:
+	// places
+	// all
+	// <nil>
+}
+
+func TestPickByWeight(t *testing.T) {
+	r := &route.Route{Shares: []route.Share{{Service: "old", Weight: 90}, {Service: "new", Weight: 10}}}
+	qt.Assert(t, r.Pick(0), qt.Equals, "old")
+	qt.Assert(t, r.Pick(0.89), qt.Equals, "old")
+	qt.Assert(t, r.Pick(0.9), qt.Equals, "new")
+	qt.Assert(t, r.Pick(0.9999), qt.Equals, "new")
+}
+
+func TestKeys(t *testing.T) {
+	table := &route.Table{Teams: []route.Team{{Name: "choir", Keys: []string{"k1", "k2"}}}}
+	table.Index()
+	qt.Assert(t, table.Team("k2").Name, qt.Equals, "choir")
+	qt.Assert(t, table.Team(""), qt.IsNil)
+	qt.Assert(t, table.NeedsKey(&route.Route{}), qt.IsTrue)
+	qt.Assert(t, table.NeedsKey(&route.Route{Public: true}), qt.IsFalse)
+	qt.Assert(t, (&route.Table{}).NeedsKey(&route.Route{}), qt.IsFalse)
+}
+
+func TestRepeatable(t *testing.T) {
+	qt.Assert(t, (&route.Route{Kind: route.Idempotent}).Repeatable(), qt.IsTrue)
+	qt.Assert(t, (&route.Route{Kind: route.Stream}).Repeatable(), qt.IsFalse)
+	qt.Assert(t, (&route.Route{Kind: route.Stream, Resumable: true}).Repeatable(), qt.IsTrue)
+	qt.Assert(t, (&route.Route{Kind: route.Once, Resumable: true}).Repeatable(), qt.IsFalse)
+}
