--- a/entry/stream/watch.go
+++ b/entry/stream/watch.go
@@ -91,10 +91,10 @@
 	last   atomic.Int64
 	began  atomic.Bool
 
-	mu       sync.Mutex
-	chain    hops.Chain
-	release  func()
-	busy     bool
+	mu      sync.Mutex
+	chain   hops.Chain
+	release func()
+	busy    bool
 	// vacated is the server that the stream was last led round.
 	vacated string
 }
