place: let idle servers close gaps, and forget what was told

And nothing was placed for 3.4 s after an entry host regained the object API.

Idle servers with second copies close gaps first; told entries end with their time; only lapsed entries hold placing up. Tests first: TestIdleServersCloseGap fails before.

--- a/entry/belief/belief.go
+++ b/entry/belief/belief.go
@@ -117,12 +117,12 @@
 	s.back = now
 }
 
-// SettledAt returns the time from which vanished entries speak of servers that
-// are gone, not of an outage.
-func (s *State) SettledAt() time.Time {
+// Lapsing reports whether servers are kept whose entries lapsed: it is not yet
+// known which of them live.
+func (s *State) Lapsing() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.back.Add(lapse + afterOutage)
+	return len(s.lapsed) > 0
 }
 
 // ReadConfig takes the configuration from its mirror.
--- a/entry/line/line.go
+++ b/entry/line/line.go
@@ -47,8 +47,6 @@
 type Pool struct {
 	mu   sync.Mutex
 	idle map[string][]*conn
-	// Opened counts the connections made.
-	opened int64
 }
 
 type conn struct {
--- a/entry/placer/placer.go
+++ b/entry/placer/placer.go
@@ -19,6 +19,7 @@
 	"fuchsiashelf.dev/entry/belief"
 	"fuchsiashelf.dev/entry/call"
 	"fuchsiashelf.dev/parts/fleet"
+	"fuchsiashelf.dev/parts/hops"
 	"fuchsiashelf.dev/parts/place"
 	"fuchsiashelf.dev/parts/route"
 )
@@ -51,6 +52,7 @@
 type Placer struct {
 	State  *belief.State
 	Engine call.Engine
+	Ledger *hops.Ledger
 	// Spread tells the other entry hosts of an order.
 	Spread func()
 	// Leads reports whether this entry host is the one to place.
@@ -98,7 +100,7 @@
 		p.Log.Info("placer: lead", "leads", leads)
 		p.leads = leads
 	}
-	if !leads || now.Before(p.State.SettledAt()) {
+	if !leads || p.State.Lapsing() {
 		return
 	}
 	view := p.State.View()
@@ -135,16 +137,26 @@
 	believed := make([]*fleet.Server, len(servers))
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	maps.DeleteFunc(p.told, func(_ string, t told) bool { return now.After(t.until) })
 	for i, s := range servers {
 		believed[i] = p.believed(s, now)
 	}
-	calm := now.Sub(p.since) >= calmFor && len(p.told) == 0
-	for _, o := range place.Decide(e, believed, calm) {
+	times := place.Times{Calm: now.Sub(p.since) >= calmFor && len(p.told) == 0, Idle: p.idle}
+	for _, o := range place.Decide(e, believed, times) {
 		p.tell(o.Server.ID, told{first: o.First, end: o.End, until: now.Add(again)})
 		go p.order(ctx, e, o)
 	}
 }
 
+// idle reports whether few requests pass through a server.
+func (p *Placer) idle(id string) bool {
+	return p.Ledger.Used(id).Requests <= idleRequests
+}
+
+// idleRequests is up to how many requests a server counts as idle. They are
+// led round it within a second.
+const idleRequests = 4
+
 func (p *Placer) tell(id string, t told) {
 	if p.told == nil {
 		p.told = map[string]told{}
--- a/parts/place/place.go
+++ b/parts/place/place.go
@@ -60,14 +60,24 @@
 	worthAligned = 0.01
 )
 
+// Times says what may be done now.
+type Times struct {
+	// Calm says that the servers have been the same for a while. Only then do
+	// they give up what others hold as well: a server that failed a moment ago
+	// may still look as if it held its layers.
+	Calm bool
+	// Idle reports whether hardly any request passes through a server. One
+	// that has second copies only can hold other layers at once; one that is
+	// busy must let its requests end first, which takes up to ten seconds.
+	Idle func(id string) bool
+}
+
 // Decide returns the orders that improve what the servers hold. Servers that
-// are leaving or suspected count as holding nothing, and get no order. Servers
-// give up what others hold as well only when calm: a server that failed a
-// moment ago may still look as if it held its layers.
-func Decide(e *route.Engine, servers []*fleet.Server, calm bool) []Order {
+// are leaving or suspected count as holding nothing, and get no order.
+func Decide(e *route.Engine, servers []*fleet.Server, now Times) []Order {
 	var orders []Order
 	for _, group := range groups(e, servers) {
-		orders = append(orders, group.decide(calm)...)
+		orders = append(orders, group.decide(now)...)
 	}
 	return orders
 }
@@ -218,14 +228,15 @@
 
 // decide changes the ranges step by step, and returns an order for each that
 // differs in the end.
-func (g *group) decide(calm bool) []Order {
+func (g *group) decide(now Times) []Order {
 	g.fill()
+	g.move(now.Idle)
 	g.widen()
-	g.move()
+	g.move(func(string) bool { return true })
 	if g.missing() > 0 {
 		g.shift()
 	}
-	if calm {
+	if now.Calm {
 		g.trim()
 	}
 	var orders []Order
@@ -299,13 +310,13 @@
 	return best, bestRoom
 }
 
-// move closes what gaps are left by servers whose layers others hold as well.
+// move closes gaps by servers whose layers others hold as well, if they may.
 // The smallest goes first: it is loaded soonest.
-func (g *group) move() {
+func (g *group) move(may func(id string) bool) {
 	for i := len(g.servers) - 1; i >= 0 && g.missing() > 0; i-- {
 		s := g.servers[i]
 		old, known := g.held[s.ID]
-		if !known || old.len() == 0 || !g.doubled(old) {
+		if !known || old.len() == 0 || !g.doubled(old) || !may(s.ID) {
 			continue
 		}
 		before := g.missing()
--- a/parts/place/place_test.go
+++ b/parts/place/place_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -25,6 +26,13 @@
 	}
 }
 
+// calm and stir are moments in which servers are the same for a while, and not.
+// No server is idle in either.
+var (
+	calm = place.Times{Calm: true, Idle: func(string) bool { return false }}
+	stir = place.Times{Idle: func(string) bool { return false }}
+)
+
 // today is the fleet of a deployment of today: three domains, each of which can
 // hold the model.
 func today() []*fleet.Server {
@@ -84,14 +92,14 @@
 
 func TestEachDomainHoldsAll(t *testing.T) {
 	list := today()
-	orders := place.Decide(engine(), list, true)
+	orders := place.Decide(engine(), list, calm)
 	qt.Assert(t, orders, qt.HasLen, len(list))
 	carry(orders)
 	for _, in := range []domain.Name{"a", "b", "c"} {
 		qt.Check(t, covered(list, in), qt.IsTrue, qt.Commentf("domain %s", in))
 	}
 	// Nothing is left to do: what servers hold stays.
-	qt.Assert(t, place.Decide(engine(), list, true), qt.HasLen, 0)
+	qt.Assert(t, place.Decide(engine(), list, calm), qt.HasLen, 0)
 }
 
 // A server dies, and nobody else in its domain holds its layers. Every request
@@ -101,13 +109,13 @@
 func TestNeighboursCloseGap(t *testing.T) {
 	for _, dead := range today() {
 		list := today()
-		carry(place.Decide(engine(), list, true))
+		carry(place.Decide(engine(), list, calm))
 		held := map[string][2]int{}
 		for _, s := range list {
 			held[s.ID] = [2]int{s.First, s.End}
 		}
 		find(list, dead.ID).Suspect = true
-		orders := place.Decide(engine(), list, false)
+		orders := place.Decide(engine(), list, stir)
 		for _, o := range orders {
 			was := held[o.Server.ID]
 			if o.First > was[0] || o.End < was[1] {
@@ -123,7 +131,7 @@
 // places. Orders to the rest would tear apart what works on the other side.
 func TestNoOrdersInCutOffDomain(t *testing.T) {
 	list := today()
-	carry(place.Decide(engine(), list, true))
+	carry(place.Decide(engine(), list, calm))
 	n := 0
 	for _, s := range list {
 		if s.Domain == "b" && n < 6 {
@@ -131,7 +139,22 @@
 			n++
 		}
 	}
-	qt.Assert(t, place.Decide(engine(), list, false), qt.HasLen, 0)
+	qt.Assert(t, place.Decide(engine(), list, stir), qt.HasLen, 0)
+}
+
+// A server with many layers dies, and small ones hold second copies that no
+// request uses. Its neighbours would be left with room for a third of the
+// requests if they took its layers over; the idle ones take them at once.
+func TestIdleServersCloseGap(t *testing.T) {
+	list := today()
+	carry(place.Decide(engine(), list, calm))
+	find(list, "a-a100s-0").Suspect = true
+	orders := place.Decide(engine(), list, place.Times{Idle: func(id string) bool { return strings.HasPrefix(id, "a-t4") }})
+	for _, o := range orders {
+		qt.Check(t, strings.HasPrefix(o.Server.ID, "a-t4"), qt.IsTrue, qt.Commentf("%s: %d to %d", o.Server.ID, o.First, o.End))
+	}
+	carry(orders)
+	qt.Assert(t, covered(list, "a"), qt.IsTrue)
 }
 
 // The neighbours of a dead server hold its layers beside their own and have
@@ -139,22 +162,22 @@
 // up again, but not while it is unclear who lives.
 func TestNeighboursGiveUpInCalm(t *testing.T) {
 	list := today()
-	carry(place.Decide(engine(), list, true))
+	carry(place.Decide(engine(), list, calm))
 	dead := find(list, "b-l4-3")
 	dead.Suspect = true
-	carry(place.Decide(engine(), list, false))
+	carry(place.Decide(engine(), list, stir))
 	back := &fleet.Server{ID: "new", Domain: "b", Card: "l4"}
 	list = append(list, back)
 	dead.Leaving = true
-	orders := place.Decide(engine(), list, false)
+	orders := place.Decide(engine(), list, stir)
 	qt.Assert(t, orders, qt.HasLen, 1)
 	qt.Assert(t, orders[0].Server, qt.Equals, back)
 	carry(orders)
 	for range 5 {
-		carry(place.Decide(engine(), list, true))
+		carry(place.Decide(engine(), list, calm))
 	}
 	qt.Assert(t, covered(list, "b"), qt.IsTrue)
-	qt.Assert(t, place.Decide(engine(), list, true), qt.HasLen, 0)
+	qt.Assert(t, place.Decide(engine(), list, calm), qt.HasLen, 0)
 }
 
 // A domain has too little memory for the whole model. Alone it would serve
@@ -163,7 +186,7 @@
 	list := []*fleet.Server{
 		{ID: "a", Domain: "a", Card: "h100"}, {ID: "b", Domain: "b", Card: "h100"}, {ID: "c", Domain: "c", Card: "h100"},
 	}
-	carry(place.Decide(engine(), list, true))
+	carry(place.Decide(engine(), list, calm))
 	held := make([]int, 80)
 	for _, s := range list {
 		for l := s.First; l < s.End; l++ {
@@ -196,7 +219,7 @@
 					list = append(list, &fleet.Server{ID: fmt.Sprintf("new-%d", len(list)), Domain: s.Domain, Card: s.Card})
 				}
 			}
-			orders := place.Decide(e, list, rapid.Bool().Draw(t, "calm"))
+			orders := place.Decide(e, list, place.Times{Calm: rapid.Bool().Draw(t, "calm"), Idle: func(string) bool { return rapid.Bool().Draw(t, "idle") }})
 			for _, o := range orders {
 				if o.First < 0 || o.End > e.Layers || o.First >= o.End {
 					t.Fatalf("%s: %d to %d", o.Server.ID, o.First, o.End)
@@ -211,7 +234,7 @@
 			carry(orders)
 		}
 		for range 20 {
-			orders := place.Decide(e, list, true)
+			orders := place.Decide(e, list, calm)
 			if len(orders) == 0 {
 				return
 			}
