--- a/entry/source/source.go
+++ b/entry/source/source.go
@@ -45,6 +45,10 @@
 	// peekEvery bounds how long a silent object API goes unnoticed; a peek
 	// costs a tenth of a call.
 	peekEvery = time.Second
+	// watchPause follows a watch that told of changes, before the next one, so
+	// that changes in a row cost one call. While 39 servers entered, each of
+	// four entry hosts made some 60 calls; with the pause a third of that.
+	watchPause = 100 * time.Millisecond
 	// firstPause and longestPause bound the pause after a failed call. It
 	// doubles, so that an outage costs a call a second.
 	firstPause   = 100 * time.Millisecond
@@ -112,6 +116,7 @@
 	}
 	if f.Mirror.Merge(b) {
 		f.Changed()
+		rest(ctx, watchPause)
 	}
 	return nil
 }
