--- a/entry/stream/flow.go
+++ b/entry/stream/flow.go
@@ -296,7 +296,7 @@
 	r.avoid[address] = true
 	r.Pool.Forget(address)
 	if context.Cause(ctx) == nil {
-		r.Watch.accuse(address, e.Error())
+		r.Watch.Accuse(address, e.Error())
 	}
 }
 
--- a/entry/stream/watch.go
+++ b/entry/stream/watch.go
@@ -234,13 +234,13 @@
 	if err != nil {
 		w.Log.Warn("watch: no report", "server", address, "times", deaf, "error", err)
 		if deaf >= deafAfter {
-			w.accuse(address, err.Error())
+			w.Accuse(address, err.Error())
 			w.end(address, errDead)
 		}
 		return
 	}
 	for _, s := range report.Stalled {
-		w.accuse(s.Address, "a chain waits for it")
+		w.Accuse(s.Address, "a chain waits for it")
 	}
 	w.reroute(address, report.Stalled)
 }
@@ -363,10 +363,10 @@
 	return false
 }
 
-// accuse asks a server that seems to have failed for its report. One that
+// Accuse asks a server that seems to have failed for its report. One that
 // answers is sound, and others do not reach it. One that does not is suspected,
 // and asked again until it answers or its entry is gone.
-func (w *Watch) accuse(address, why string) {
+func (w *Watch) Accuse(address, why string) {
 	s := w.State.View().At(address)
 	if s == nil {
 		return
