--- /dev/null
+++ b/entry/belief/belief_test.go
@@ -0,0 +1,125 @@
+package belief_test
+
+import (
+	"errors"
+	"log/slog"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fuchsiashelf.dev/entry/belief"
+	"fuchsiashelf.dev/parts/fleet"
+	"fuchsiashelf.dev/parts/mirror"
+	"fuchsiashelf.dev/parts/route"
+)
+
+// decoder reads a version from one byte, and a server from its domain.
+type decoder struct{}
+
+func (decoder) Table(spec []byte) (*route.Table, error) {
+	if len(spec) == 0 {
+		return nil, errors.New("empty")
+	}
+	return &route.Table{Version: uint64(spec[0])}, nil
+}
+
+func (decoder) Server(id string, spec []byte) (fleet.Server, error) {
+	if len(spec) == 0 {
+		return fleet.Server{}, errors.New("empty")
+	}
+	return fleet.Server{ID: id, Address: id + ":1", Service: "s", Domain: "a", First: 0, End: 10}, nil
+}
+
+func state() *belief.State {
+	return &belief.State{
+		Decoder: decoder{}, Log: slog.New(slog.DiscardHandler), Home: "a",
+		Config: &mirror.Mirror{Kind: "config"}, Servers: &mirror.Mirror{Kind: "servers"},
+	}
+}
+
+func item(name string, revision uint64, spec ...byte) mirror.Item {
+	return mirror.Item{Name: name, Revision: revision, Spec: spec}
+}
+
+var start = time.Unix(1_700_000_000, 0)
+
+func ids(s *belief.State) []string {
+	var list []string
+	for _, server := range s.View().Servers {
+		list = append(list, server.ID)
+	}
+	return list
+}
+
+// An older configuration arrives after a newer one, or one that cannot be read.
+// In force, a key that was taken away would be served again.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	s := state()
+	s.Config.Replace([]mirror.Item{item("main", 5, 7)}, 5)
+	s.ReadConfig("main")
+	qt.Assert(t, s.Table().Version, qt.Equals, uint64(7))
+	s.Config.Merge(mirror.Batch{After: 5, Cursor: 6, Items: []mirror.Item{item("main", 6, 6)}})
+	s.ReadConfig("main")
+	qt.Assert(t, s.Table().Version, qt.Equals, uint64(7))
+	s.Config.Merge(mirror.Batch{After: 6, Cursor: 7, Items: []mirror.Item{item("main", 7)}})
+	s.ReadConfig("main")
+	qt.Assert(t, s.Table().Version, qt.Equals, uint64(7))
+}
+
+// The object API was away, and the entries of servers lapsed meanwhile. They
+// live, and are back within seconds; left out at once, nobody would be served.
+func TestLapsedServersAreKept(t *testing.T) {
+	s := state()
+	s.Servers.Replace([]mirror.Item{item("i-1", 1, 1), item("i-2", 2, 1)}, 2)
+	s.ReadServers(start)
+	s.Returned(start)
+	s.Servers.Replace(nil, 3)
+	s.ReadServers(start.Add(100 * time.Millisecond))
+	qt.Assert(t, ids(s), qt.DeepEquals, []string{"i-1", "i-2"})
+	qt.Assert(t, s.Lapsing(), qt.IsTrue)
+	s.Servers.Merge(mirror.Batch{After: 3, Cursor: 4, Items: []mirror.Item{item("i-2", 4, 1)}})
+	s.ReadServers(start.Add(time.Second))
+	s.Sweep(start.Add(3 * time.Second))
+	qt.Assert(t, ids(s), qt.DeepEquals, []string{"i-2"})
+	qt.Assert(t, s.Lapsing(), qt.IsFalse)
+}
+
+// The entry of a server that left is removed while all is well. Requests sent
+// to it later would be cut off.
+func TestGoneServersAreLeftOutAtOnce(t *testing.T) {
+	s := state()
+	s.Servers.Replace([]mirror.Item{item("i-1", 1, 1), item("i-2", 2, 1), item("i-3", 3)}, 3)
+	s.ReadServers(start)
+	qt.Assert(t, ids(s), qt.DeepEquals, []string{"i-1", "i-2"})
+	s.Servers.Merge(mirror.Batch{After: 3, Cursor: 4, Items: []mirror.Item{{Name: "i-1", Revision: 4, Deleted: true}}})
+	s.ReadServers(start.Add(time.Minute))
+	qt.Assert(t, ids(s), qt.DeepEquals, []string{"i-2"})
+}
+
+// A server was told to hold other layers. Asked for those that it gives up it
+// refuses, and what it loads takes memory before its entry shows it.
+func TestOrderedServersGiveUpLayersAtOnce(t *testing.T) {
+	s := state()
+	s.Servers.Replace([]mirror.Item{item("i-1", 1, 1)}, 1)
+	s.ReadServers(start)
+	qt.Assert(t, s.Ordered(belief.Order{ID: "i-1", First: 5, End: 25, Until: start.Add(time.Minute)}, start), qt.IsTrue)
+	server := s.View().Servers[0]
+	qt.Assert(t, []int{server.First, server.End, server.Takes}, qt.DeepEquals, []int{5, 10, 20})
+	qt.Assert(t, s.Ordered(belief.Order{ID: "i-1", First: 5, End: 25, Until: start.Add(time.Minute)}, start), qt.IsFalse)
+	s.ReadServers(start.Add(2 * time.Minute))
+	qt.Assert(t, s.View().Servers[0].Holds(), qt.Equals, 10)
+}
+
+func TestSuspicionsEnd(t *testing.T) {
+	s := state()
+	s.Servers.Replace([]mirror.Item{item("i-1", 1, 1)}, 1)
+	s.ReadServers(start)
+	qt.Assert(t, s.Suspect("i-1", start.Add(time.Second), start), qt.IsTrue)
+	qt.Assert(t, s.View().Servers[0].Suspect, qt.IsTrue)
+	s.Sweep(start.Add(2 * time.Second))
+	qt.Assert(t, s.View().Servers[0].Suspect, qt.IsFalse)
+	s.Suspect("i-1", start.Add(5*time.Second), start.Add(3*time.Second))
+	s.Clear("i-1", start.Add(3*time.Second))
+	qt.Assert(t, s.View().Servers[0].Suspect, qt.IsFalse)
+}
--- /dev/null
+++ b/entry/source/source_test.go
@@ -0,0 +1,129 @@
+package source_test
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fuchsiashelf.dev/entry/source"
+	"fuchsiashelf.dev/parts/mirror"
+)
+
+// store answers by functions.
+type store struct {
+	mu    sync.Mutex
+	list  func() ([]mirror.Item, uint64, error)
+	watch func(ctx context.Context, after uint64) (mirror.Batch, error)
+	peek  func() (uint64, error)
+}
+
+func (s *store) List(context.Context, string) ([]mirror.Item, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.list()
+}
+
+func (s *store) Watch(ctx context.Context, _ string, after uint64, _ time.Duration) (mirror.Batch, error) {
+	return s.watch(ctx, after)
+}
+
+func (s *store) Peek(context.Context, string, string) (uint64, error) {
+	return s.peek()
+}
+
+func follow(t *testing.T, s source.Store) (*source.Follow, chan struct{}) {
+	changed := make(chan struct{}, 100)
+	f := &source.Follow{
+		Store: s, Mirror: &mirror.Mirror{Kind: "k"}, Log: slog.New(slog.DiscardHandler),
+		Changed: func() { changed <- struct{}{} },
+	}
+	ctx, end := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		end()
+		<-done
+	})
+	return f, changed
+}
+
+// The object API has forgotten the changes since the last one that was seen. A
+// watch alone would never learn of them.
+func TestForgottenHistoryIsListedAnew(t *testing.T) {
+	revision := uint64(5)
+	s := &store{}
+	s.list = func() ([]mirror.Item, uint64, error) {
+		revision += 5
+		return []mirror.Item{{Name: "a", Revision: revision}}, revision, nil
+	}
+	first := true
+	s.watch = func(ctx context.Context, after uint64) (mirror.Batch, error) {
+		if first {
+			first = false
+			return mirror.Batch{}, source.ErrHistory
+		}
+		<-ctx.Done()
+		return mirror.Batch{}, ctx.Err()
+	}
+	f, changed := follow(t, s)
+	<-changed
+	<-changed
+	qt.Assert(t, f.Mirror.Cursor(), qt.Equals, uint64(15))
+}
+
+// A watch falls silent for good, without an end of its connection. Nobody would
+// notice for as long as it may wait; a peek that shows something newer does.
+func TestSilentWatchIsBegunAnew(t *testing.T) {
+	s := &store{list: func() ([]mirror.Item, uint64, error) { return nil, 5, nil }, peek: func() (uint64, error) { return 9, nil }}
+	watches := make(chan struct{}, 100)
+	s.watch = func(ctx context.Context, after uint64) (mirror.Batch, error) {
+		watches <- struct{}{}
+		if len(watches) < 2 {
+			<-ctx.Done()
+			return mirror.Batch{}, ctx.Err()
+		}
+		return mirror.Batch{Kind: "k", After: after, Cursor: 9, Items: []mirror.Item{{Name: "a", Revision: 9}}}, nil
+	}
+	f, changed := follow(t, s)
+	<-changed
+	p := &source.Pulse{
+		Store: s, Kind: "k", Name: "a", Mirror: f.Mirror, Follows: []*source.Follow{f}, Log: slog.New(slog.DiscardHandler), Returned: func() {},
+	}
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	go p.Run(ctx)
+	<-changed
+	qt.Assert(t, f.Mirror.Cursor(), qt.Equals, uint64(9))
+}
+
+// The object API answers again after an outage. What lapsed meanwhile must not
+// be taken for gone.
+func TestReturnIsTold(t *testing.T) {
+	returned := make(chan struct{}, 1)
+	calls := 0
+	s := &store{peek: func() (uint64, error) {
+		calls++
+		if calls == 1 {
+			return 0, errors.New("away")
+		}
+		return 0, nil
+	}}
+	p := &source.Pulse{
+		Store: s, Mirror: &mirror.Mirror{}, Log: slog.New(slog.DiscardHandler),
+		Returned: func() { returned <- struct{}{} },
+	}
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	go p.Run(ctx)
+	<-returned
+	alive, _ := p.Alive()
+	qt.Assert(t, alive, qt.IsTrue)
+}
