--- a/entry/stream/watch.go
+++ b/entry/stream/watch.go
@@ -239,9 +239,6 @@
 		}
 		return
 	}
-	for _, s := range report.Stalled {
-		w.Accuse(s.Address, "a chain waits for it")
-	}
 	w.reroute(address, report.Stalled)
 }
 
@@ -272,8 +269,25 @@
 	}
 	w.mu.Unlock()
 	for _, l := range list {
-		go w.repair(l, at[l.job.ID], false)
+		failed := at[l.job.ID]
+		w.accuse(failed, "a chain waits for it", l.linkTo(failed))
+		go w.repair(l, failed, false)
+	}
+}
+
+// link is the way from the servers of one failure domain to those of another.
+type link struct{ from, to domain.Name }
+
+// linkTo returns the link by which a server of the stream's chain is reached.
+func (l *live) linkTo(address string) link {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := 1; i < len(l.chain); i++ {
+		if l.chain[i].Server.Address == address {
+			return link{l.chain[i-1].Server.Domain, l.chain[i].Server.Domain}
+		}
 	}
+	return link{}
 }
 
 // repair changes the chain of one stream. It runs once at a time for each. If
@@ -293,7 +307,6 @@
 		l.busy = false
 		l.mu.Unlock()
 	}()
-	w.noteCut(chain, failed, runs)
 	avoid := map[string]bool{failed: true}
 	for range maxReroutes {
 		next := w.detour(l, chain, avoid)
@@ -310,20 +323,6 @@
 	}
 }
 
-// noteCut tells apart a server that failed from one that the server before it
-// in the chain does not reach, if they are in different failure domains.
-func (w *Watch) noteCut(chain hops.Chain, failed string, runs bool) {
-	if runs {
-		return
-	}
-	for i := 1; i < len(chain); i++ {
-		from, to := chain[i-1].Server.Domain, chain[i].Server.Domain
-		if chain[i].Server.Address == failed && from != to {
-			w.State.CutOff(from, to, time.Now())
-		}
-	}
-}
-
 // detour finds another chain behind the same first part.
 func (w *Watch) detour(l *live, chain hops.Chain, avoid map[string]bool) hops.Chain {
 	if avoid[chain[0].Server.Address] {
@@ -364,9 +363,17 @@
 }
 
 // Accuse asks a server that seems to have failed for its report. One that
-// answers is sound, and others do not reach it. One that does not is suspected,
-// and asked again until it answers or its entry is gone.
+// answers is sound. One that does not is suspected, and asked again until it
+// answers or its entry is gone.
 func (w *Watch) Accuse(address, why string) {
+	w.accuse(address, why, link{})
+}
+
+// accuse does so for a server that another one waits for. If it answers here,
+// and the two are in different failure domains, these are cut off from each
+// other. Without the question a plain crash would look the same, and no chain
+// could cross to where its layers are held.
+func (w *Watch) accuse(address, why string, by link) {
 	s := w.State.View().At(address)
 	if s == nil {
 		return
@@ -380,21 +387,24 @@
 		return
 	}
 	w.probed[address] = true
-	go w.probe(s.ID, address, why)
+	go w.probe(s.ID, address, why, by)
 }
 
-func (w *Watch) probe(id, address, why string) {
+func (w *Watch) probe(id, address, why string, by link) {
 	defer func() {
 		w.mu.Lock()
 		delete(w.probed, address)
 		w.mu.Unlock()
 	}()
-	for range maxProbes {
+	for n := range maxProbes {
 		ctx, cancel := context.WithTimeout(context.Background(), askTime)
 		_, err := w.Engine.Report(ctx, address)
 		cancel()
 		now := time.Now()
 		if err == nil {
+			if n == 0 && by.from != by.to {
+				w.State.CutOff(by.from, by.to, now)
+			}
 			w.State.Clear(id, now)
 			return
 		}
