place: leave a returning domain alone, relieve what took layers over

A domain whose servers come back with layers is left alone for 1.5 s, and idle servers with second copies move to layers whose holders are short of room. TestIdleServersRelieve fails before.

--- a/entry/placer/placer.go
+++ b/entry/placer/placer.go
@@ -18,6 +18,7 @@
 
 	"fuchsiashelf.dev/entry/belief"
 	"fuchsiashelf.dev/entry/call"
+	"fuchsiashelf.dev/parts/domain"
 	"fuchsiashelf.dev/parts/fleet"
 	"fuchsiashelf.dev/parts/hops"
 	"fuchsiashelf.dev/parts/place"
@@ -36,6 +37,12 @@
 	// give up layers that they took over: longer than a dead server's entry
 	// outlives it.
 	calmFor = 5 * time.Second
+	// returnTime is how long after the last return of a server that holds
+	// layers its failure domain is left alone. After a partition the entries of
+	// a domain's servers come back one by one, within a heartbeat; what is
+	// missing of them looks like gaps, and servers that live would be loaded
+	// with the layers of others that live as well.
+	returnTime = 1500 * time.Millisecond
 	// reportTime and orderTime bound a question and an order; both are
 	// answered within milliseconds.
 	reportTime = 300 * time.Millisecond
@@ -67,6 +74,8 @@
 	seen  map[string]bool
 	since time.Time
 	leads bool
+	// returned is when a server that holds layers last entered or came back.
+	returned map[domain.Name]time.Time
 }
 
 type told struct {
@@ -119,10 +128,16 @@
 func (p *Placer) quiet(view *fleet.View, now time.Time) bool {
 	holding := false
 	seen := map[string]bool{}
+	if p.returned == nil {
+		p.returned = map[domain.Name]time.Time{}
+	}
 	for i := range view.Servers {
 		s := &view.Servers[i]
 		if !s.Leaving && !s.Suspect {
 			seen[s.ID] = true
+			if p.seen != nil && !p.seen[s.ID] && s.Holds() > 0 {
+				p.returned[s.Domain] = now
+			}
 		}
 		holding = holding || s.Holds() > 0
 	}
@@ -143,6 +158,9 @@
 	}
 	times := place.Times{Calm: now.Sub(p.since) >= calmFor && len(p.told) == 0, Idle: p.idle}
 	for _, o := range place.Decide(e, believed, times) {
+		if now.Sub(p.returned[o.Server.Domain]) < returnTime {
+			continue
+		}
 		p.tell(o.Server.ID, told{first: o.First, end: o.End, until: now.Add(again)})
 		go p.order(ctx, e, o)
 	}
--- a/parts/place/place.go
+++ b/parts/place/place.go
@@ -237,6 +237,7 @@
 		g.shift()
 	}
 	if now.Calm {
+		g.relieve(now.Idle)
 		g.trim()
 	}
 	var orders []Order
@@ -401,6 +402,28 @@
 	return best, slack
 }
 
+// relieveFrom is by how much more a range must be worth than the one that an
+// idle server holds, before it changes. Layers whose holder is left with a
+// third of its usual room are worth six times those that two servers hold.
+const relieveFrom = 2
+
+// relieve moves idle servers, whose layers others hold as well, to layers whose
+// holders have little room for requests because they took some over.
+func (g *group) relieve(idle func(id string) bool) {
+	for _, s := range slices.Backward(g.servers) {
+		old, known := g.held[s.ID]
+		if !known || old.len() == 0 || !g.doubled(old) || !idle(s.ID) {
+			continue
+		}
+		g.set(s, span{})
+		best := g.best(old.len())
+		if g.worth(best) < relieveFrom*g.worth(old) {
+			best = old
+		}
+		g.set(s, best)
+	}
+}
+
 // trim makes servers give up layers beyond their usual number that others hold
 // as well.
 func (g *group) trim() {
--- a/parts/place/place_test.go
+++ b/parts/place/place_test.go
@@ -180,6 +180,23 @@
 	qt.Assert(t, place.Decide(engine(), list, calm), qt.HasLen, 0)
 }
 
+// A large server took layers over and has little room left, while small ones
+// hold second copies that nobody uses. It would refuse requests to the end of
+// the day; the idle ones relieve it, and it gives the layers up.
+func TestIdleServersRelieve(t *testing.T) {
+	list := today()
+	carry(place.Decide(engine(), list, calm))
+	find(list, "a-a100s-0").Leaving = true
+	big := find(list, "a-h100-0")
+	big.First, big.End = 0, 37
+	idle := place.Times{Calm: true, Idle: func(id string) bool { return strings.HasPrefix(id, "a-t4") }}
+	for range 5 {
+		carry(place.Decide(engine(), list, idle))
+	}
+	qt.Assert(t, covered(list, "a"), qt.IsTrue)
+	qt.Assert(t, big.Holds() <= 25, qt.IsTrue, qt.Commentf("%d layers", big.Holds()))
+}
+
 // A domain has too little memory for the whole model. Alone it would serve
 // nobody, so it shares a copy with another small one.
 func TestSmallDomainsShare(t *testing.T) {
