--- a/entry/stream/flow.go
+++ b/entry/stream/flow.go
@@ -44,6 +44,10 @@
 	// was 0.645, 0.652 and 0.636: longer ones are served late where they would
 	// have come back in time.
 	LongestWait = 400 * time.Millisecond
+	// insistFor is how long another chain is looked for in the midst of an
+	// answer. The silence before and the reading of the tokens so far take up
+	// to a second of the two that callers hold on.
+	insistFor = time.Second
 	// waitStep is how often a waiting request looks for room.
 	waitStep = 20 * time.Millisecond
 )
@@ -114,6 +118,9 @@
 // choose finds a chain. A request for which there is no room now waits for its
 // turn, or is refused at once if it would wait in vain.
 func (r *run) choose(ctx context.Context) (hops.Chain, *fault.Error) {
+	if r.began {
+		return r.insist(ctx)
+	}
 	if !r.Turns.Busy() {
 		if chain, e := r.look(); chain != nil || e != nil {
 			return chain, e
@@ -128,6 +135,31 @@
 	return chain, e
 }
 
+// insist finds a chain for an answer that broke off midway. Its caller holds on
+// for two seconds, and a chain that is missing now may be whole again by then;
+// given up, it would have half an answer. It goes before requests that have not
+// begun.
+func (r *run) insist(ctx context.Context) (hops.Chain, *fault.Error) {
+	until := time.Now().Add(insistFor)
+	for {
+		chain, e := r.look()
+		if chain != nil {
+			return chain, nil
+		}
+		if e == nil {
+			e = full(0)
+		}
+		if !time.Now().Add(waitStep).Before(until) {
+			return nil, e
+		}
+		select {
+		case <-ctx.Done():
+			return nil, e
+		case <-time.After(waitStep):
+		}
+	}
+}
+
 // look finds a chain with room. Neither a chain nor an error means that there
 // is none now.
 func (r *run) look() (hops.Chain, *fault.Error) {
