front: log each request's end, explained by its lines alone

Plain successes now have a line of their own kind, with chain, times and the version of the configuration, bounded like every kind; failures also tell the server and when to come back.

--- a/entry/call/job.go
+++ b/entry/call/job.go
@@ -14,6 +14,8 @@
 	*Ask
 	Route   *route.Route
 	Service *route.Service
+	// Version is that of the configuration that the request is served by.
+	Version uint64
 	// Team is empty if the request needs none.
 	Team string
 	// Priority is the rank of the request; negative means none.
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -104,7 +104,7 @@
 	if matched == nil {
 		return nil, &fault.Error{Code: fault.NoRoute, Verdict: fault.NotRun, Message: "no route"}
 	}
-	j := &call.Job{Ask: ask, Route: matched, Priority: matched.Priority}
+	j := &call.Job{Ask: ask, Route: matched, Version: table.Version, Priority: matched.Priority}
 	if table.NeedsKey(matched) {
 		team := table.Team(ask.Key)
 		if team == nil {
@@ -162,22 +162,29 @@
 	return read, nil
 }
 
-// note counts a request and logs what was not a plain success.
+// note counts a request and logs how it ended. Plain successes have a line of
+// their own kind, so that the bound on the lines of a kind never hides a
+// failure behind them.
 func (h *Handler) note(j *call.Job, r *http.Request, out call.Outcome, start time.Time) {
 	took := time.Since(start)
 	h.Meter.note(j, out, took)
 	late := j != nil && (over(out.First, j.Route.Target) || over(out.Gap, j.Route.Gap))
-	if out.Error == nil && !out.Broken && !late && out.Sends <= 1 {
-		return
-	}
-	attrs := []any{"status", out.Status, "took", took, "sends", out.Sends, "events", out.Events, "broken", out.Broken, "first", out.First, "gap", out.Gap}
+	attrs := []any{"status", out.Status, "took", took, "first", out.First}
 	if j != nil {
-		attrs = append(attrs, "request", j.ID, "route", j.Route.Name, "team", j.Team, "server", out.Server, "chain", out.Chain)
+		attrs = append(attrs, "request", j.ID, "route", j.Route.Name, "team", j.Team, "config", j.Version, "server", out.Server)
 	} else {
 		attrs = append(attrs, "path", r.URL.Path)
 	}
+	if out.Chain != "" {
+		attrs = append(attrs, "chain", out.Chain, "events", out.Events, "gap", out.Gap)
+	}
+	if out.Error == nil && !out.Broken && !late && out.Sends <= 1 {
+		h.Log.Info("request: answered", attrs...)
+		return
+	}
+	attrs = append(attrs, "sends", out.Sends, "broken", out.Broken, "late", late)
 	if out.Error != nil {
-		attrs = append(attrs, "verdict", out.Error.Verdict.String(), "error", out.Error)
+		attrs = append(attrs, "verdict", out.Error.Verdict.String(), "after", out.Error.RetryAfter, "error", out.Error)
 	}
 	h.Log.Info("request: ended", attrs...)
 }
--- a/entry/plain/plain.go
+++ b/entry/plain/plain.go
@@ -82,6 +82,7 @@
 			})
 		}
 		avoid[server.Address] = true
+		out.Server = server.ID
 		more := out.Sends+1 < j.Route.Attempts
 		a := f.send(ctx, j, server, more)
 		if a.err == nil || a.err.Verdict != fault.NotRun || a.reply.Status != 0 {
@@ -91,7 +92,6 @@
 			verdict = verdict.Weaken(a.err.Verdict)
 		}
 		if a.err == nil && !f.another(j, a, more, budget) {
-			out.Server = server.ID
 			return f.deliver(w, out, j, a)
 		}
 		if a.err != nil && !f.again(ctx, j, a, out.Sends, budget) {
