--- a/entry/stream/flow.go
+++ b/entry/stream/flow.go
@@ -256,6 +256,10 @@
 	if s := r.State.View().At(at); s != nil {
 		r.Ledger.Refused(s.ID, time.Now())
 	}
+	if at != first {
+		// It may be full, or dead: the first server does not say which.
+		r.Watch.Accuse(at, "a chain is refused for it")
+	}
 	r.Log.Info("stream: refused by a server", "request", r.job.ID, "status", reply.Status, "server", at, "first", first)
 	return &fault.Error{Code: fault.ServerRefused, Verdict: fault.NotRun, Message: "a backend server refused", Server: at, RetryAfter: comeBack}
 }
--- a/entry/stream/watch.go
+++ b/entry/stream/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -45,6 +46,9 @@
 	// second from each of four entry hosts a tenth of all streams paused for
 	// over 240 ms; 75 at once made pauses of over a second.
 	vacateEvery = 200 * time.Millisecond
+	// soundFor is how long an accused server that has answered is not asked
+	// again: a full one is accused with each request that it refuses.
+	soundFor = 500 * time.Millisecond
 	// orderTime bounds an order to change a chain.
 	orderTime = 400 * time.Millisecond
 	// maxReroutes bounds the chains that one silence is answered with.
@@ -73,6 +77,8 @@
 	asked map[string]*inquiry
 	// probed holds the addresses of accused servers that are being asked.
 	probed map[string]bool
+	// sound holds when an accused server last answered.
+	sound map[string]time.Time
 	// vacated is when a stream was last led round a leaving server.
 	vacated time.Time
 }
@@ -193,6 +199,7 @@
 	for address := range due {
 		w.ask(ctx, address, now)
 	}
+	maps.DeleteFunc(w.sound, func(_ string, at time.Time) bool { return now.Sub(at) > soundFor })
 	for address, q := range w.asked {
 		if !q.under && now.Sub(q.last) > time.Second {
 			delete(w.asked, address)
@@ -382,8 +389,9 @@
 	defer w.mu.Unlock()
 	if w.probed == nil {
 		w.probed = map[string]bool{}
+		w.sound = map[string]time.Time{}
 	}
-	if w.probed[address] {
+	if w.probed[address] || time.Since(w.sound[address]) < soundFor {
 		return
 	}
 	w.probed[address] = true
@@ -406,6 +414,9 @@
 				w.State.CutOff(by.from, by.to, now)
 			}
 			w.State.Clear(id, now)
+			w.mu.Lock()
+			w.sound[address] = now
+			w.mu.Unlock()
 			return
 		}
 		if s := w.State.View().At(address); s == nil || s.ID != id {
