poison: refuse requests under which three servers died

Nothing bounded a request that crashes each server that runs it, but for its own attempts: sent again through two entry hosts it took 8 of 8 servers of the stand-in. A server that gives no answer is asked; if it died, that is noted against the requests that failed under it and told to the others, and at three different servers a request is ended with 502.

--- a/entry/call/job.go
+++ b/entry/call/job.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"fuchsiashelf.dev/parts/fault"
+	"fuchsiashelf.dev/parts/poison"
 	"fuchsiashelf.dev/parts/route"
 )
 
@@ -22,6 +23,8 @@
 	Priority int
 	// Deadline is when the caller, or the operator, no longer waits.
 	Deadline time.Time
+	// Print tells copies of the request and resends from others.
+	Print poison.Fingerprint
 }
 
 // Left returns the time to the deadline.
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -20,6 +20,7 @@
 	"fuchsiashelf.dev/entry/belief"
 	"fuchsiashelf.dev/entry/call"
 	"fuchsiashelf.dev/parts/fault"
+	"fuchsiashelf.dev/parts/poison"
 	"fuchsiashelf.dev/parts/route"
 )
 
@@ -36,6 +37,8 @@
 	Streams, Plain Flow
 	Log            *slog.Logger
 	Meter          *Meter
+	// Tally holds the requests under which servers died.
+	Tally *poison.Tally
 	// Stopping says that the process is about to end: connections are closed
 	// after their answers.
 	Stopping atomic.Bool
@@ -120,7 +123,14 @@
 	j.Deadline = start.Add(patience(ask, matched))
 	ask.Body, err = body(w, r, table.Limits, j.Deadline)
 	ask.Arrived = start
-	return j, err
+	if err != nil {
+		return j, err
+	}
+	j.Print = poison.Of(j.Team, ask.Method, ask.Host, ask.Target, string(ask.Body))
+	if h.Tally.Convicted(j.Print, start) {
+		return j, &fault.Error{Code: fault.ServerFailed, Verdict: fault.MayHaveRun, Message: "each server that ran the request died"}
+	}
+	return j, nil
 }
 
 func patience(a *call.Ask, r *route.Route) time.Duration {
--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -20,6 +20,7 @@
 	"fuchsiashelf.dev/parts/domain"
 	"fuchsiashelf.dev/parts/hops"
 	"fuchsiashelf.dev/parts/mirror"
+	"fuchsiashelf.dev/parts/poison"
 )
 
 // The times and sizes of the exchange.
@@ -83,6 +84,7 @@
 	Load     map[string]hops.Usage
 	Suspects []Suspect
 	Orders   []Order
+	Marks    []poison.Mark
 	Changes  []mirror.Batch
 	// Whole holds the kinds whose batch is a complete list.
 	Whole map[string]bool
@@ -95,6 +97,7 @@
 	Seeds   []string
 	Mirrors []*mirror.Mirror
 	Ledger  *hops.Ledger
+	Tally   *poison.Tally
 	Log     *slog.Logger
 	// Suspects returns what is suspected here, Suspected takes it from others.
 	Suspects  func() []Suspect
@@ -262,7 +265,7 @@
 // message tells what is known here, with the changes that another lacks which
 // is complete through the given cursors; nil means that these are unknown.
 func (p *Peer) message(theirs map[string]uint64) *Message {
-	m := &Message{From: p.self(), Cursors: map[string]uint64{}, Members: p.Members(), Load: p.Ledger.Own(), Suspects: p.Suspects(), Orders: p.Orders()}
+	m := &Message{From: p.self(), Cursors: map[string]uint64{}, Members: p.Members(), Load: p.Ledger.Own(), Suspects: p.Suspects(), Orders: p.Orders(), Marks: p.Tally.Marks(time.Now())}
 	for _, mine := range p.Mirrors {
 		m.Cursors[mine.Kind] = mine.Cursor()
 		if theirs == nil {
@@ -348,6 +351,9 @@
 	for _, o := range m.Orders {
 		p.Ordered(o)
 	}
+	for _, mark := range m.Marks {
+		p.Tally.Take(mark, time.Now())
+	}
 	for _, b := range m.Changes {
 		p.merge(b, m.Whole[b.Kind], m.From.Name)
 	}
--- a/entry/plain/plain.go
+++ b/entry/plain/plain.go
@@ -51,6 +51,8 @@
 	State  *belief.State
 	Scores *Scores
 	Home   domain.Name
+	// Accuse asks a server that failed under a request whether it lives.
+	Accuse func(j *call.Job, address, why string)
 	// Budget returns the budget of repeats of a service.
 	Budget func(service string) *retry.Share
 }
@@ -132,8 +134,9 @@
 	a := f.exchange(ctx, j, server, more)
 	failed := a.err != nil && !call.Gone(ctx) || a.err == nil && a.reply.Status >= http.StatusInternalServerError
 	done(time.Since(start), failed)
-	if a.err != nil && a.reply.Status == 0 && !call.Gone(ctx) {
+	if a.err != nil && a.reply.Status == 0 && ctx.Err() == nil {
 		f.Pool.Forget(server.Address)
+		f.Accuse(j, server.Address, a.err.Error())
 	}
 	return a
 }
--- a/entry/stream/flow.go
+++ b/entry/stream/flow.go
@@ -366,13 +366,13 @@
 	r.avoid[address] = true
 	r.Pool.Forget(address)
 	if context.Cause(ctx) == nil {
-		r.Watch.Accuse(address, e.Error())
+		r.Watch.AccuseUnder(r.job, address, e.Error())
 	}
 }
 
 // again reports whether another chain is tried.
 func (r *run) again(ctx context.Context, e *fault.Error, budget *retry.Share) bool {
-	if ctx.Err() != nil || e.Code == fault.Cancelled {
+	if ctx.Err() != nil || e.Code == fault.Cancelled || r.Watch.Tally.Convicted(r.job.Print, time.Now()) {
 		return false
 	}
 	if e.Code == fault.NoCover || e.Code == fault.Overloaded {
--- a/entry/stream/watch.go
+++ b/entry/stream/watch.go
@@ -14,6 +14,7 @@
 	"fuchsiashelf.dev/parts/domain"
 	"fuchsiashelf.dev/parts/fleet"
 	"fuchsiashelf.dev/parts/hops"
+	"fuchsiashelf.dev/parts/poison"
 )
 
 // The times of the watch over streams. Callers leave a stream that is silent
@@ -69,6 +70,8 @@
 	Ledger *hops.Ledger
 	Home   domain.Name
 	Log    *slog.Logger
+	// Tally holds the requests under which servers died.
+	Tally *poison.Tally
 	// Spread tells the other entry hosts of a new suspicion.
 	Spread func()
 
@@ -79,6 +82,9 @@
 	probed map[string]bool
 	// sound holds when an accused server last answered.
 	sound map[string]time.Time
+	// under holds the requests under which accused servers failed, by their
+	// IDs, until it is known whether they died.
+	under map[string]map[poison.Fingerprint]bool
 	// vacated is when a stream was last led round a leaving server.
 	vacated time.Time
 }
@@ -376,6 +382,40 @@
 	w.accuse(address, why, link{})
 }
 
+// AccuseUnder does so for a server that failed while it ran a request. If it
+// died, that is noted against the request.
+func (w *Watch) AccuseUnder(j *call.Job, address, why string) {
+	s := w.State.View().At(address)
+	if s == nil {
+		return
+	}
+	w.mu.Lock()
+	if w.under == nil {
+		w.under = map[string]map[poison.Fingerprint]bool{}
+	}
+	if w.under[s.ID] == nil {
+		w.under[s.ID] = map[poison.Fingerprint]bool{}
+	}
+	w.under[s.ID][j.Print] = true
+	w.mu.Unlock()
+	w.accuse(address, why, link{})
+}
+
+// settle ends the case of an accused server. If it died, that is noted against
+// all requests that it failed under.
+func (w *Watch) settle(id string, died bool, now time.Time) {
+	w.mu.Lock()
+	prints := w.under[id]
+	delete(w.under, id)
+	w.mu.Unlock()
+	if !died {
+		return
+	}
+	for print := range prints {
+		w.Tally.Died(print, id, now)
+	}
+}
+
 // accuse does so for a server that another one waits for. If it answers here,
 // and the two are in different failure domains, these are cut off from each
 // other. Without the question a plain crash would look the same, and no chain
@@ -414,11 +454,13 @@
 				w.State.CutOff(by.from, by.to, now)
 			}
 			w.State.Clear(id, now)
+			w.settle(id, false, now)
 			w.mu.Lock()
 			w.sound[address] = now
 			w.mu.Unlock()
 			return
 		}
+		w.settle(id, true, now)
 		if s := w.State.View().At(address); s == nil || s.ID != id {
 			return
 		}
--- a/stand/plat/runner.go
+++ b/stand/plat/runner.go
@@ -14,6 +14,9 @@
 // headerTime bounds the reading of a header.
 const headerTime = 5 * time.Second
 
+// Crasher in the body of a request crashes each server that runs it.
+const Crasher = "crash"
+
 // Model is what an engine runs.
 type Model struct {
 	Layers  int
@@ -314,6 +317,10 @@
 		Request: id, Server: r.ID, Service: r.Service, Team: req.Header.Get("X-Tenant"),
 		Resumed: req.Header.Get("Last-Event-Id"), Chain: req.Header.Get("X-Hop-Count"),
 	})
+	if strings.Contains(string(body), Crasher) {
+		r.Crash()
+		panic(http.ErrAbortHandler)
+	}
 	if r.take(&r.loseAnswer) {
 		panic(http.ErrAbortHandler)
 	}
