quota: rename deal to the field's term

A deal is what a team may use: a quota. The package, its type, comments and messages say so; the key in the book of teams, which is the users' own format, stays. No change of behaviour; vet and the tests of parts/quota, team, admit and entry/internal/gate pass.

--- a/entry/internal/gate/admission.go
+++ b/entry/internal/gate/admission.go
@@ -14,7 +14,7 @@
 	"fuchsiashelf.dev/parts/view"
 )
 
-// Admission lets requests through to their pools, each team by its deal. Set
+// Admission lets requests through to their pools, each team by its quota. Set
 // the exported fields before first use. A nil Admission lets all through.
 type Admission struct {
 	View  *view.Holder
--- a/entry/internal/gate/admission_test.go
+++ b/entry/internal/gate/admission_test.go
@@ -8,7 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"fuchsiashelf.dev/parts/admit"
-	"fuchsiashelf.dev/parts/deal"
+	"fuchsiashelf.dev/parts/quota"
 	"fuchsiashelf.dev/parts/fault"
 	"fuchsiashelf.dev/parts/host"
 	"fuchsiashelf.dev/parts/pool"
@@ -27,7 +27,7 @@
 	return &Admission{View: holder, Target: 1.5, Bounds: admit.Bounds{Wait: time.Second, Requests: 10, Bytes: 1 << 20}}
 }
 
-func model(d deal.Deal) *entering {
+func model(d quota.Quota) *entering {
 	return &entering{
 		request: "r1", team: team.Team{Name: "cantata", Deal: d},
 		pool: pool.Pool{Name: "lake", Model: "lotus", Servers: []string{"a1"}}, cost: 4,
@@ -35,7 +35,7 @@
 	}
 }
 
-// A team sends more than its deal allows, through one of four entry hosts.
+// A team sends more than its quota allows, through one of four entry hosts.
 // The host lets a quarter through, and the rest is told so at once, with the
 // word that it did not run.
 func TestTeamsBeyondTheirRateAreRefused(t *testing.T) {
@@ -44,7 +44,7 @@
 	snap := a.View.Load()
 	passed := 0
 	for range 100 {
-		grant, e := a.enter(context.Background(), snap, model(deal.Deal{Share: 1, Rate: 0.01, Burst: 40}))
+		grant, e := a.enter(context.Background(), snap, model(quota.Quota{Share: 1, Rate: 0.01, Burst: 40}))
 		if e == nil {
 			grant.Leave()
 			passed++
@@ -67,7 +67,7 @@
 	var grants []admit.Grant
 	var last *fault.Error
 	for last == nil {
-		grant, e := a.enter(context.Background(), snap, model(deal.Deal{Share: 1}))
+		grant, e := a.enter(context.Background(), snap, model(quota.Quota{Share: 1}))
 		if last = e; e == nil {
 			grants = append(grants, grant)
 		}
@@ -76,14 +76,14 @@
 	c.Assert(last.Code, qt.Equals, fault.Overloaded)
 	c.Assert(last.Verdict, qt.Equals, fault.NotRun)
 	grants[0].Leave()
-	_, e := a.enter(context.Background(), snap, model(deal.Deal{Share: 1}))
+	_, e := a.enter(context.Background(), snap, model(quota.Quota{Share: 1}))
 	c.Assert(e == nil, qt.IsTrue)
 }
 
 func TestNoAdmissionLetsAllThrough(t *testing.T) {
 	c := qt.New(t)
 	var none *Admission
-	grant, e := none.enter(context.Background(), nil, model(deal.Deal{}))
+	grant, e := none.enter(context.Background(), nil, model(quota.Quota{}))
 	c.Assert(e == nil, qt.IsTrue)
 	grant.Leave()
 	c.Assert(none.known("lake"), qt.IsNil)
--- a/parts/admit/part_test.go
+++ b/parts/admit/part_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 
 	"fuchsiashelf.dev/parts/admit"
-	"fuchsiashelf.dev/parts/deal"
+	"fuchsiashelf.dev/parts/quota"
 )
 
 // Whatever the hosts of a fleet are asked for, the parts of those that know
@@ -40,7 +40,7 @@
 // a fourth of the limit through.
 func TestLimitFollowsTheRequests(t *testing.T) {
 	c := qt.New(t)
-	d := deal.Deal{Rate: 100, Burst: 10}
+	d := quota.Quota{Rate: 100, Burst: 10}
 	count := func(others func(string) float64) int {
 		r := &admit.Rates{}
 		fleet := admit.Fleet{Listed: 4, Reached: 4, Others: others}
@@ -66,7 +66,7 @@
 	r := &admit.Rates{}
 	now := time.Now()
 	for i := range 300 {
-		r.Take(now.Add(time.Duration(i)*10*time.Millisecond), "cantata", deal.Deal{Rate: 10}, admit.Fleet{Listed: 1, Reached: 1})
+		r.Take(now.Add(time.Duration(i)*10*time.Millisecond), "cantata", quota.Quota{Rate: 10}, admit.Fleet{Listed: 1, Reached: 1})
 	}
 	now = now.Add(3 * time.Second)
 	c.Assert(r.Usage(now)["cantata"] > 50, qt.IsTrue)
--- a/parts/admit/rates.go
+++ b/parts/admit/rates.go
@@ -7,11 +7,11 @@
 
 	"golang.org/x/time/rate"
 
-	"fuchsiashelf.dev/parts/deal"
+	"fuchsiashelf.dev/parts/quota"
 	"fuchsiashelf.dev/parts/fault"
 )
 
-// Rates keeps the rate limits of teams on one entry host. A deal's limit
+// Rates keeps the rate limits of teams on one entry host. A quota's limit
 // holds over all entry hosts; each lets a part of it through, as [Part] says,
 // so that no message is needed for a request. The zero value is ready.
 type Rates struct {
@@ -24,15 +24,15 @@
 	bucket atomic.Pointer[bucket]
 }
 
-// bucket is the rate limit of one team by one deal and size of the fleet.
+// bucket is the rate limit of one team by one quota and size of the fleet.
 type bucket struct {
-	deal            deal.Deal
+	deal            quota.Quota
 	listed, reached int
 	limiter         *rate.Limiter
 }
 
 // Take takes one request of a team, or refuses it.
-func (r *Rates) Take(now time.Time, team string, d deal.Deal, fleet Fleet) *fault.Error {
+func (r *Rates) Take(now time.Time, team string, d quota.Quota, fleet Fleet) *fault.Error {
 	if d.Rate <= 0 {
 		return nil
 	}
@@ -49,7 +49,7 @@
 	next := time.Duration((1 - limiter.TokensAt(now)) / float64(limiter.Limit()) * float64(time.Second))
 	return &fault.Error{
 		Code: fault.OverLimit, Verdict: fault.NotRun, RetryAfter: max(next, retryFloor),
-		Message: "team " + team + " sends more requests than its deal allows",
+		Message: "team " + team + " sends more requests than its quota allows",
 	}
 }
 
@@ -74,7 +74,7 @@
 // limiter returns the team's limiter, with its part of the limit up to date.
 // When the part changes the limiter keeps what it had left: a full one would
 // let a team through anew at every change.
-func (a *account) limiter(now time.Time, team string, d deal.Deal, fleet Fleet) *rate.Limiter {
+func (a *account) limiter(now time.Time, team string, d quota.Quota, fleet Fleet) *rate.Limiter {
 	due := a.demand.fold(now)
 	for {
 		old := a.bucket.Load()
@@ -99,7 +99,7 @@
 	}
 }
 
-func (a *account) part(team string, d deal.Deal, fleet Fleet) float64 {
+func (a *account) part(team string, d quota.Quota, fleet Fleet) float64 {
 	others := 0.0
 	if fleet.Others != nil {
 		others = fleet.Others(team)
--- a/parts/admit/rates_test.go
+++ b/parts/admit/rates_test.go
@@ -7,13 +7,13 @@
 	qt "github.com/frankban/quicktest"
 
 	"fuchsiashelf.dev/parts/admit"
-	"fuchsiashelf.dev/parts/deal"
+	"fuchsiashelf.dev/parts/quota"
 	"fuchsiashelf.dev/parts/fault"
 )
 
 // passed counts the requests of two seconds that entry hosts let through, of
 // a hundred a second to each.
-func passed(d deal.Deal, hosts []*admit.Rates, listed int) int {
+func passed(d quota.Quota, hosts []*admit.Rates, listed int) int {
 	n := 0
 	now := time.Now()
 	for i := range 200 {
@@ -29,20 +29,20 @@
 
 // Two failure domains are cut off from each other. Each host goes on with its
 // own part of the limit, so that the hosts together never let more through
-// than the deal allows, though none of them knows what the others do.
+// than the quota allows, though none of them knows what the others do.
 func TestRateHoldsOverHostsThatCannotReachEachOther(t *testing.T) {
 	c := qt.New(t)
-	d := deal.Deal{Rate: 20, Burst: 4}
+	d := quota.Quota{Rate: 20, Burst: 4}
 	hosts := []*admit.Rates{{}, {}, {}, {}}
 	got := passed(d, hosts, 4)
 	c.Assert(got >= 40 && got <= 44, qt.IsTrue, qt.Commentf("%d", got))
-	c.Assert(passed(deal.Deal{}, hosts, 4), qt.Equals, 800)
+	c.Assert(passed(quota.Quota{}, hosts, 4), qt.Equals, 800)
 }
 
 func TestRefusalsSayWhenToComeBack(t *testing.T) {
 	c := qt.New(t)
 	r := &admit.Rates{}
-	d := deal.Deal{Rate: 0.5, Burst: 1}
+	d := quota.Quota{Rate: 0.5, Burst: 1}
 	now := time.Now()
 	c.Assert(r.Take(now, "cantata", d, admit.Fleet{Listed: 1, Reached: 1}) == nil, qt.IsTrue)
 	e := r.Take(now, "cantata", d, admit.Fleet{Listed: 1, Reached: 1})
@@ -57,7 +57,7 @@
 func TestChangesOfTheFleetFillNoBucket(t *testing.T) {
 	c := qt.New(t)
 	r := &admit.Rates{}
-	d := deal.Deal{Rate: 0.001, Burst: 100}
+	d := quota.Quota{Rate: 0.001, Burst: 100}
 	now := time.Now()
 	n := 0
 	for i := range 400 {
--- a/parts/pick/table.go
+++ b/parts/pick/table.go
@@ -116,7 +116,7 @@
 	alias []int32
 }
 
-// deal works the odds out from the measured capacities. A server that has not
+// quota works the odds out from the measured capacities. A server that has not
 // been measured yet counts as the mean of the others, so that it is found.
 func deal(choices []choice) odds {
 	weights := make([]float64, len(choices))
--- a/parts/deal/deal.go
+++ b/parts/quota/deal.go
@@ -1,9 +1,9 @@
-// Package deal models the contract with a team: what share of the system it
+// Package quota models the contract with a team: what share of the system it
 // may use, and how much at most.
-package deal
+package quota
 
-// Deal is a team's contract.
-type Deal struct {
+// Quota is a team's contract.
+type Quota struct {
 	// Share is the team's weight when the system is full; at least 1.
 	Share int `json:"share"`
 	// Rate is the most requests per second over all entries; zero means no
--- a/parts/team/team.go
+++ b/parts/team/team.go
@@ -8,7 +8,7 @@
 	"crypto/subtle"
 	"encoding/hex"
 
-	"fuchsiashelf.dev/parts/deal"
+	"fuchsiashelf.dev/parts/quota"
 )
 
 // Team is one caller of the system.
@@ -19,7 +19,7 @@
 	// token itself is kept nowhere.
 	TokenHash string `json:"tokenHash"`
 	// Deal is the team's contract.
-	Deal deal.Deal `json:"deal"`
+	Deal quota.Quota `json:"deal"`
 }
 
 // Book holds all teams at one version of their object.
--- a/sess/claims_test.go
+++ b/sess/claims_test.go
@@ -118,7 +118,7 @@
 	return nil
 }
 
-// limit writes a team's deal into the book of teams, as the users' own
+// limit writes a team's quota into the book of teams, as the users' own
 // engineers do.
 func (s *session) limit(name, rate, burst string) error {
 	p, err := s.Get(procs.StoreName)
--- a/sess/procs/town.go
+++ b/sess/procs/town.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"strings"
 
-	"fuchsiashelf.dev/parts/deal"
+	"fuchsiashelf.dev/parts/quota"
 	"fuchsiashelf.dev/parts/domain"
 	"fuchsiashelf.dev/parts/host"
 	"fuchsiashelf.dev/parts/team"
@@ -31,7 +31,7 @@
 	book := team.Book{}
 	for _, name := range teams {
 		book.Teams = append(book.Teams, team.Team{
-			Name: name, TokenHash: team.Hash(Token(name)), Deal: deal.Deal{Share: 1},
+			Name: name, TokenHash: team.Hash(Token(name)), Deal: quota.Quota{Share: 1},
 		})
 	}
 	value, err := json.Marshal(book)
