--- a/entry/internal/gate/admission_test.go
+++ b/entry/internal/gate/admission_test.go
@@ -8,10 +8,10 @@
 	qt "github.com/frankban/quicktest"
 
 	"fuchsiashelf.dev/parts/admit"
-	"fuchsiashelf.dev/parts/quota"
 	"fuchsiashelf.dev/parts/fault"
 	"fuchsiashelf.dev/parts/host"
 	"fuchsiashelf.dev/parts/pool"
+	"fuchsiashelf.dev/parts/quota"
 	"fuchsiashelf.dev/parts/team"
 	"fuchsiashelf.dev/parts/view"
 )
--- a/entry/internal/mesh/status.go
+++ b/entry/internal/mesh/status.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"fuchsiashelf.dev/entry/internal/feed"
+	"fuchsiashelf.dev/entry/internal/watch"
 	"fuchsiashelf.dev/parts/peer"
 	"fuchsiashelf.dev/parts/wire"
 )
@@ -82,7 +82,7 @@
 		}
 	}
 	if ask.World && snap.HostsRevision > 0 {
-		return reply, feed.World(snap, reply)
+		return reply, watch.World(snap, reply)
 	}
 	return reply, nil
 }
--- a/entry/internal/seat/accept.go
+++ b/entry/internal/seat/accept.go
@@ -137,7 +137,7 @@
 		if step.Line.Text != o.line.Text {
 			return nil, o.reused(step.Line), nil
 		}
-		o.Feed.Offer(stored)
+		o.Watch.Offer(stored)
 		return &step.Line, nil, nil
 	case conf.Build:
 		base, err := o.base(ctx, stored, known)
@@ -225,7 +225,7 @@
 		o.write.Sent(version, held, fault.As(err).Verdict)
 		return nil, nil, err
 	}
-	o.Feed.Offer(o.sent)
+	o.Watch.Offer(o.sent)
 	line, _ := o.sent.Find(o.line.Id)
 	return &line, nil, nil
 }
--- a/entry/internal/seat/putback.go
+++ b/entry/internal/seat/putback.go
@@ -23,14 +23,14 @@
 )
 
 // putBack writes the newest configuration in force back into an object API
-// that has lost it, each time that the feed has seen that.
+// that has lost it, each time that the watch has seen that.
 func (s *Seat) putBack(ctx context.Context) {
 	pause := backFirst
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-s.Feed.Behind():
+		case <-s.Watch.Behind():
 		}
 		wait.For(ctx, rand.N(pause))
 		if ctx.Err() != nil {
@@ -38,7 +38,7 @@
 		}
 		if err := s.putBackOnce(ctx); err != nil {
 			s.Log.Warn("seat: configuration not put back", "err", err)
-			s.Feed.StillBehind()
+			s.Watch.StillBehind()
 			pause = min(2*pause, backMost)
 			continue
 		}
@@ -76,7 +76,7 @@
 	if _, err := s.Store.Put(ctx, conf.Key, value, object.Version); err != nil {
 		return err
 	}
-	s.Feed.Offer(base)
+	s.Watch.Offer(base)
 	metrics.GetOrRegisterCounter("seat.put_back", nil).Inc(1)
 	s.Trace.Add("seat", "", fmt.Sprintf("configuration of revision %d put back into the store", base.Revision))
 	s.Log.Info("seat: configuration put back", "revision", base.Revision)
--- a/entry/internal/seat/seat.go
+++ b/entry/internal/seat/seat.go
@@ -18,8 +18,8 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
-	"fuchsiashelf.dev/entry/internal/feed"
 	"fuchsiashelf.dev/entry/internal/mesh"
+	"fuchsiashelf.dev/entry/internal/watch"
 	"fuchsiashelf.dev/parts/lang"
 	"fuchsiashelf.dev/parts/store"
 	"fuchsiashelf.dev/parts/trace"
@@ -31,7 +31,7 @@
 type Seat struct {
 	View   *view.Holder
 	Store  store.API
-	Feed   *feed.Feed
+	Watch  *watch.Watch
 	Mesh   *mesh.Mesh
 	Trace  *trace.Line
 	Log    *slog.Logger
--- a/entry/internal/seat/seat_test.go
+++ b/entry/internal/seat/seat_test.go
@@ -16,9 +16,9 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
-	"fuchsiashelf.dev/entry/internal/feed"
 	"fuchsiashelf.dev/entry/internal/mesh"
 	"fuchsiashelf.dev/entry/internal/seat"
+	"fuchsiashelf.dev/entry/internal/watch"
 	"fuchsiashelf.dev/parts/conf"
 	"fuchsiashelf.dev/parts/fault"
 	"fuchsiashelf.dev/parts/host"
@@ -69,25 +69,25 @@
 // entry is an entry host whose watches and exchange do not run: it learns
 // only what the test lets it.
 type entry struct {
-	view *view.Holder
-	feed *feed.Feed
-	mesh *mesh.Mesh
-	host host.Host
-	stop func()
+	view  *view.Holder
+	watch *watch.Watch
+	mesh  *mesh.Mesh
+	host  host.Host
+	stop  func()
 }
 
 func newEntry(c *quicktest.C, name string) *entry {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, quicktest.IsNil)
 	e := &entry{
-		view: view.New(name, "a"), feed: feed.New(),
+		view: view.New(name, "a"), watch: watch.New(),
 		host: host.Host{Name: name, Address: listener.Addr().String(), Role: host.Entry, State: host.Live},
 	}
 	log := slog.New(slog.DiscardHandler)
-	e.feed.View, e.feed.Log, e.feed.Trace = e.view, log, &trace.Line{Process: name}
+	e.watch.View, e.watch.Log, e.watch.Trace = e.view, log, &trace.Line{Process: name}
 	e.mesh = &mesh.Mesh{
 		View: e.view, Log: log, Secret: secret, Address: e.host.Address,
-		Condition: mesh.Condition{Take: e.feed.OfferObject},
+		Condition: mesh.Condition{Take: e.watch.OfferObject},
 	}
 	e.mesh.Make()
 	mux := drpcmux.New()
@@ -120,8 +120,8 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, quicktest.IsNil)
 	s := &seat.Seat{
-		View: e.view, Store: api, Feed: e.feed, Mesh: e.mesh, Trace: e.feed.Trace,
-		Log: e.feed.Log, Secret: secret, Workers: workers, Done: make(chan struct{}),
+		View: e.view, Store: api, Watch: e.watch, Mesh: e.mesh, Trace: e.watch.Trace,
+		Log: e.watch.Log, Secret: secret, Workers: workers, Done: make(chan struct{}),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { _ = s.Run(ctx, listener) }()
@@ -191,8 +191,8 @@
 		inForce.Revision++
 		inForce.Record(conf.Line{ID: id, Revision: inForce.Revision, Thing: "pool " + id})
 	}
-	one.feed.Offer(inForce)
-	two.feed.Offer(inForce)
+	one.watch.Offer(inForce)
+	two.watch.Offer(inForce)
 	two.stop()
 	api := &fakeStore{object: store.Object{Key: conf.Key, Version: 7}}
 	send := operator(c, one, api)
@@ -220,10 +220,10 @@
 	inForce := (*conf.Config)(nil).Clone()
 	inForce.Revision = 1
 	inForce.Record(conf.Line{ID: "a", Revision: 1})
-	one.feed.Offer(inForce)
+	one.watch.Offer(inForce)
 	api := &fakeStore{object: store.Object{Key: conf.Key, Version: 7}, put: make(chan struct{}, 1)}
 	operator(c, one, api)
-	one.feed.StillBehind()
+	one.watch.StillBehind()
 	<-api.put
 	object, err := api.Get(context.Background(), conf.Key)
 	c.Assert(err, quicktest.IsNil)
--- a/entry/internal/seat/show.go
+++ b/entry/internal/seat/show.go
@@ -31,7 +31,7 @@
 	}
 	snap := s.View.Load()
 	answer := &wire.Answer{Outcome: Done, Revision: revision(snap.Config)}
-	if age := s.Feed.Age(); age > staleAfter {
+	if age := s.Watch.Age(); age > staleAfter {
 		answer.Message = fmt.Sprintf("the object API has not answered here for %s", age.Truncate(time.Second))
 	}
 	c := snap.Config.Clone()
@@ -151,7 +151,7 @@
 		if err != nil {
 			return &wire.Answer{Outcome: Unknown, Message: "the object API does not answer: " + err.Error()}
 		}
-		s.Feed.Offer(stored)
+		s.Watch.Offer(stored)
 		if line, found = stored.Find(id); !found {
 			return &wire.Answer{
 				Outcome: Unknown, Revision: stored.Revision,
--- a/entry/internal/feed/hosts.go
+++ b/entry/internal/watch/hosts.go
@@ -1,4 +1,4 @@
-package feed
+package watch
 
 import (
 	"context"
@@ -8,7 +8,7 @@
 	"fuchsiashelf.dev/parts/view"
 )
 
-func (f *Feed) watchHosts(ctx context.Context) {
+func (f *Watch) watchHosts(ctx context.Context) {
 	var after uint64
 	for ctx.Err() == nil {
 		list, err := f.Store.Hosts(ctx, after)
@@ -26,7 +26,7 @@
 }
 
 // offerHosts takes a host list of a higher revision.
-func (f *Feed) offerHosts(list host.List) {
+func (f *Watch) offerHosts(list host.List) {
 	hosts := make(map[string]host.Host, len(list.Hosts))
 	for _, h := range list.Hosts {
 		hosts[h.Name] = h
@@ -44,7 +44,7 @@
 // stopTick is how often planned stops are looked at.
 const stopTick = 500 * time.Millisecond
 
-func (f *Feed) watchStops(ctx context.Context) {
+func (f *Watch) watchStops(ctx context.Context) {
 	tick := time.NewTicker(stopTick)
 	defer tick.Stop()
 	for {
--- a/entry/internal/feed/objects.go
+++ b/entry/internal/watch/objects.go
@@ -1,4 +1,4 @@
-package feed
+package watch
 
 import (
 	"context"
@@ -20,7 +20,7 @@
 
 // watchObjects takes the configuration and the teams from a watch that goes
 // on from the newest version received.
-func (f *Feed) watchObjects(ctx context.Context) {
+func (f *Watch) watchObjects(ctx context.Context) {
 	var after uint64
 	for ctx.Err() == nil {
 		changes, err := f.Store.Watch(ctx, conf.Prefix, after)
@@ -32,7 +32,7 @@
 			// The store's counter went back: it was restored from an older
 			// copy. A watch from the old count would miss all new versions
 			// up to it, without any error.
-			f.Log.Error("feed: store went back", "from", after, "to", changes.Version)
+			f.Log.Error("watch: store went back", "from", after, "to", changes.Version)
 			after = 0
 			continue
 		}
@@ -57,12 +57,12 @@
 	}
 }
 
-func (f *Feed) take(ctx context.Context, o store.Object) {
+func (f *Watch) take(ctx context.Context, o store.Object) {
 	switch o.Key {
 	case conf.Key:
 		c, err := conf.Decode(o.Value)
 		if err != nil {
-			f.Log.Error("feed: configuration unreadable", "err", err)
+			f.Log.Error("watch: configuration unreadable", "err", err)
 			return
 		}
 		if !f.Offer(c) && c.Revision < f.revision() {
@@ -74,10 +74,10 @@
 }
 
 // offerTeams takes a book of teams of a higher version.
-func (f *Feed) offerTeams(value []byte, version uint64) {
+func (f *Watch) offerTeams(value []byte, version uint64) {
 	book := &team.Book{Version: version}
 	if err := json.Unmarshal(value, book); err != nil {
-		f.Log.Error("feed: teams unreadable", "err", err)
+		f.Log.Error("watch: teams unreadable", "err", err)
 		return
 	}
 	f.View.Update(func(s *view.Snapshot) {
@@ -92,7 +92,7 @@
 // restored from an older copy sends no event, and its counter soon passes the
 // old one by writes of other objects. All of them reading it each time would
 // cost each node many times what it may spend on control.
-func (f *Feed) entries() int {
+func (f *Watch) entries() int {
 	if f.Peers == nil {
 		return 1
 	}
@@ -102,7 +102,7 @@
 // compare reads the object anew, and raises an alarm if it lacks lines that
 // are in force. An event of the watch alone does not show that, since events
 // may lag behind what peers handed on.
-func (f *Feed) compare(ctx context.Context) {
+func (f *Watch) compare(ctx context.Context) {
 	own := f.View.Load().Config
 	o, err := f.Store.Get(ctx, conf.Key)
 	if err != nil {
@@ -115,13 +115,13 @@
 		}
 		return
 	}
-	metrics.GetOrRegisterCounter("feed.store_behind", nil).Inc(1)
-	f.Log.Error("feed: store lacks lines that are in force, kept them", "held", c.Revision, "in_force", own.Revision)
+	metrics.GetOrRegisterCounter("watch.store_behind", nil).Inc(1)
+	f.Log.Error("watch: store lacks lines that are in force, kept them", "held", c.Revision, "in_force", own.Revision)
 	f.Trace.Add("feed", "", fmt.Sprintf("store holds revision %d, kept %d", c.Revision, own.Revision))
 	f.StillBehind()
 }
 
-func (f *Feed) revision() uint64 {
+func (f *Watch) revision() uint64 {
 	if c := f.View.Load().Config; c != nil {
 		return c.Revision
 	}
@@ -130,12 +130,12 @@
 
 // Behind receives when the store holds an older configuration than the one
 // in force here, and the newer one has to be put back.
-func (f *Feed) Behind() <-chan struct{} {
+func (f *Watch) Behind() <-chan struct{} {
 	return f.behind
 }
 
 // StillBehind makes Behind receive once more.
-func (f *Feed) StillBehind() {
+func (f *Watch) StillBehind() {
 	select {
 	case f.behind <- struct{}{}:
 	default:
--- a/entry/internal/feed/prime.go
+++ b/entry/internal/watch/prime.go
@@ -1,4 +1,4 @@
-package feed
+package watch
 
 import (
 	"context"
@@ -28,14 +28,14 @@
 // could be routed by a configuration that was replaced long ago: during an
 // outage of the store the newest is known to the peers alone, and after a
 // restore from an older copy the store's is not the newest.
-func (f *Feed) Primed() bool {
+func (f *Watch) Primed() bool {
 	snap := f.View.Load()
 	return f.primed.Load() && snap.Config != nil && snap.HostsRevision > 0 && snap.Teams != nil
 }
 
 // prime asks peers until one answered, or until the store answered and no
 // peer did.
-func (f *Feed) prime(ctx context.Context) {
+func (f *Watch) prime(ctx context.Context) {
 	for ctx.Err() == nil {
 		listed := f.listed.Load() && f.View.Load().HostsRevision > 0
 		if f.askPeers(ctx) || listed {
@@ -48,7 +48,7 @@
 
 // askPeers asks some peers for what they have. It reports whether one
 // answered.
-func (f *Feed) askPeers(ctx context.Context) bool {
+func (f *Watch) askPeers(ctx context.Context) bool {
 	if f.Peers == nil {
 		return false
 	}
@@ -72,7 +72,7 @@
 	return any
 }
 
-func (f *Feed) askPeer(ctx context.Context, h host.Host) bool {
+func (f *Watch) askPeer(ctx context.Context, h host.Host) bool {
 	ctx, cancel := context.WithTimeout(ctx, primeWait)
 	defer cancel()
 	client, err := f.Peers.Client(ctx, h)
@@ -90,7 +90,7 @@
 }
 
 // takeReply takes what a peer has and this entry host has not.
-func (f *Feed) takeReply(reply *wire.ConfigReply) {
+func (f *Watch) takeReply(reply *wire.ConfigReply) {
 	if len(reply.Object) > 0 {
 		f.OfferObject(reply.Object)
 	}
@@ -100,7 +100,7 @@
 	if len(reply.Hosts) > 0 {
 		var list host.List
 		if err := json.Unmarshal(reply.Hosts, &list); err != nil {
-			f.Log.Error("feed: a peer's host list is unreadable", "err", err)
+			f.Log.Error("watch: a peer's host list is unreadable", "err", err)
 			return
 		}
 		f.offerHosts(list)
@@ -109,10 +109,10 @@
 
 // OfferObject takes a configuration in its stored form that another entry
 // host has in force.
-func (f *Feed) OfferObject(value []byte) bool {
+func (f *Watch) OfferObject(value []byte) bool {
 	c, err := conf.Decode(value)
 	if err != nil {
-		f.Log.Error("feed: a peer's configuration is unreadable", "err", err)
+		f.Log.Error("watch: a peer's configuration is unreadable", "err", err)
 		return false
 	}
 	return f.offerOfPeer(c)
--- a/entry/internal/feed/feed.go
+++ b/entry/internal/watch/watch.go
@@ -1,4 +1,4 @@
-// Package feed keeps the snapshot up to date: the configuration, the book of
+// Package watch keeps the snapshot up to date: the configuration, the book of
 // teams and the host list.
 //
 // All three come from the platform's service, through one waiting watch each.
@@ -7,7 +7,7 @@
 // Whatever the source, only a configuration with a higher revision than the
 // one in force is taken: nothing that was accepted is ever undone by an older
 // copy that turns up late.
-package feed
+package watch
 
 import (
 	"context"
@@ -36,9 +36,9 @@
 	Client(ctx context.Context, h host.Host) (wire.DRPCEntryClient, error)
 }
 
-// Feed watches the platform's service. Make it with New, set the exported
+// Watch watches the platform's service. Make it with New, set the exported
 // fields, then Run.
-type Feed struct {
+type Watch struct {
 	Store store.API
 	View  *view.Holder
 	Trace *trace.Line
@@ -62,16 +62,16 @@
 	behind chan struct{}
 }
 
-// New returns a feed whose fields are not set yet.
-func New() *Feed {
-	return &Feed{began: time.Now(), behind: make(chan struct{}, 1)}
+// New returns a watch whose fields are not set yet.
+func New() *Watch {
+	return &Watch{began: time.Now(), behind: make(chan struct{}, 1)}
 }
 
 // retryWait is the mean pause after a failed call.
 const retryWait = 200 * time.Millisecond
 
 // Run watches until the context ends.
-func (f *Feed) Run(ctx context.Context) {
+func (f *Watch) Run(ctx context.Context) {
 	if f.Done != nil {
 		defer close(f.Done)
 	}
@@ -86,14 +86,14 @@
 	}
 }
 
-func (f *Feed) gauges() {
-	_ = metrics.Register("feed.revision", metrics.NewFunctionalGauge(func() int64 {
+func (f *Watch) gauges() {
+	_ = metrics.Register("watch.revision", metrics.NewFunctionalGauge(func() int64 {
 		if c := f.View.Load().Config; c != nil {
 			return int64(c.Revision)
 		}
 		return 0
 	}))
-	_ = metrics.Register("feed.age_ms", metrics.NewFunctionalGauge(func() int64 {
+	_ = metrics.Register("watch.age_ms", metrics.NewFunctionalGauge(func() int64 {
 		return f.Age().Milliseconds()
 	}))
 }
@@ -101,7 +101,7 @@
 // Age returns how long the object API has been silent here about the
 // configuration; zero while the watch is up. An entry host that is cut off
 // keeps serving on what it has.
-func (f *Feed) Age() time.Duration {
+func (f *Watch) Age() time.Duration {
 	heard := f.objects.heard.Load()
 	if heard == 0 {
 		return time.Since(f.began)
@@ -113,26 +113,26 @@
 }
 
 // Heard reports whether the object API ever answered here.
-func (f *Feed) Heard() bool {
+func (f *Watch) Heard() bool {
 	return f.objects.heard.Load() != 0
 }
 
 // Offer puts a configuration in force if its revision is higher than that of
 // the one that is and it holds all its lines. It reports whether it was.
-func (f *Feed) Offer(c *conf.Config) bool {
+func (f *Watch) Offer(c *conf.Config) bool {
 	return f.offer(c, c.Replaces)
 }
 
 // offerOfPeer is Offer for a configuration that is in force on another entry
 // host.
-func (f *Feed) offerOfPeer(c *conf.Config) bool {
+func (f *Watch) offerOfPeer(c *conf.Config) bool {
 	if f.primed.Load() {
 		return f.Offer(c)
 	}
 	return f.offer(c, c.Begins)
 }
 
-func (f *Feed) offer(c *conf.Config, fits func(*conf.Config) bool) bool {
+func (f *Watch) offer(c *conf.Config, fits func(*conf.Config) bool) bool {
 	newer, diverged := false, false
 	f.View.Update(func(s *view.Snapshot) {
 		// An older copy comes from a store that was restored, a watch that
@@ -149,14 +149,14 @@
 	if diverged {
 		// Only after a restored store: lines were accepted on top of the
 		// older copy that lack lines in force here.
-		metrics.GetOrRegisterCounter("feed.diverged", nil).Inc(1)
-		f.Log.Error("feed: configuration lacks lines that are in force, not taken", "revision", c.Revision)
+		metrics.GetOrRegisterCounter("watch.diverged", nil).Inc(1)
+		f.Log.Error("watch: configuration lacks lines that are in force, not taken", "revision", c.Revision)
 		f.Trace.Add("feed", "", fmt.Sprintf("revision %d lacks lines in force, not taken", c.Revision))
 		f.StillBehind()
 	}
 	if newer {
 		f.Trace.Add("feed", "", fmt.Sprintf("configuration in force: revision %d", c.Revision))
-		f.Log.Info("feed: configuration in force", "revision", c.Revision)
+		f.Log.Info("watch: configuration in force", "revision", c.Revision)
 	}
 	return newer
 }
@@ -170,22 +170,22 @@
 }
 
 // failed notes that a call of a watch failed, and waits before the next one.
-func (f *Feed) failed(ctx context.Context, w *watch, what string, err error) {
+func (f *Watch) failed(ctx context.Context, w *watch, what string, err error) {
 	if ctx.Err() != nil {
 		return
 	}
 	if !w.silent.Swap(true) {
-		f.Log.Warn("feed: store does not answer", "watch", what, "err", err)
+		f.Log.Warn("watch: store does not answer", "watch", what, "err", err)
 		f.Trace.Add("feed", "", "store does not answer about "+what)
 	}
 	wait.For(ctx, retryWait/2+rand.N(retryWait))
 }
 
 // answered notes that a call of a watch was answered.
-func (f *Feed) answered(w *watch, what string) {
+func (f *Watch) answered(w *watch, what string) {
 	w.heard.Store(time.Now().UnixNano())
 	if w.silent.Swap(false) {
-		f.Log.Info("feed: store answers again", "watch", what)
+		f.Log.Info("watch: store answers again", "watch", what)
 		f.Trace.Add("feed", "", "store answers again about "+what)
 	}
 }
--- a/entry/internal/feed/feed_test.go
+++ b/entry/internal/watch/watch_test.go
@@ -1,4 +1,4 @@
-package feed_test
+package watch_test
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 	"github.com/frankban/quicktest"
 	"go.uber.org/goleak"
 
-	"fuchsiashelf.dev/entry/internal/feed"
+	"fuchsiashelf.dev/entry/internal/watch"
 	"fuchsiashelf.dev/parts/conf"
 	"fuchsiashelf.dev/parts/host"
 	"fuchsiashelf.dev/parts/store"
@@ -91,8 +91,8 @@
 	return value
 }
 
-func start(c *quicktest.C, api *fakeStore, others feed.Peers) *feed.Feed {
-	f := feed.New()
+func start(c *quicktest.C, api *fakeStore, others watch.Peers) *watch.Watch {
+	f := watch.New()
 	f.Store, f.Peers, f.View = api, others, view.New("e1", "a")
 	f.Log, f.Trace, f.Done = slog.New(slog.DiscardHandler), &trace.Line{}, make(chan struct{})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -101,7 +101,7 @@
 	return f
 }
 
-func until(f *feed.Feed, condition func(*view.Snapshot) bool) {
+func until(f *watch.Watch, condition func(*view.Snapshot) bool) {
 	for {
 		changed := f.View.Changed()
 		if condition(f.View.Load()) {
--- a/entry/prog/desk.go
+++ b/entry/prog/desk.go
@@ -3,9 +3,9 @@
 import (
 	"github.com/panjf2000/ants/v2"
 
-	"fuchsiashelf.dev/entry/internal/feed"
 	"fuchsiashelf.dev/entry/internal/mesh"
 	"fuchsiashelf.dev/entry/internal/seat"
+	"fuchsiashelf.dev/entry/internal/watch"
 	"fuchsiashelf.dev/parts/store"
 	"fuchsiashelf.dev/parts/trace"
 	"fuchsiashelf.dev/parts/view"
@@ -16,12 +16,12 @@
 const seatWorkers = 128
 
 // deskParts makes the parts that put the operators' lines in force.
-func (d *daemon) deskParts(holder *view.Holder, line *trace.Line, api store.API) (*feed.Feed, *mesh.Mesh, *seat.Seat, error) {
+func (d *daemon) deskParts(holder *view.Holder, line *trace.Line, api store.API) (*watch.Watch, *mesh.Mesh, *seat.Seat, error) {
 	workers, err := ants.NewPool(seatWorkers)
 	if err != nil {
 		return nil, nil, nil, err
 	}
-	feeder := feed.New()
+	feeder := watch.New()
 	feeder.Store, feeder.View, feeder.Trace, feeder.Log = api, holder, line, d.log
 	feeder.Secret = d.settings.PeerSecret
 	peers, err := d.mesh(holder, line, feeder)
@@ -29,7 +29,7 @@
 		return nil, nil, nil, err
 	}
 	desk := &seat.Seat{
-		View: holder, Store: api, Feed: feeder, Mesh: peers,
+		View: holder, Store: api, Watch: feeder, Mesh: peers,
 		Trace: line, Log: d.log, Secret: d.settings.DeskSecret, Workers: workers,
 		Longest: d.settings.Claims.Longest,
 	}
@@ -37,6 +37,6 @@
 }
 
 // ready says whether the balancer may send callers here.
-func (d *daemon) ready(feeder *feed.Feed) func() bool {
+func (d *daemon) ready(feeder *watch.Watch) func() bool {
 	return func() bool { return !d.stopping.Load() && feeder.Primed() }
 }
--- a/entry/prog/mesh.go
+++ b/entry/prog/mesh.go
@@ -3,14 +3,14 @@
 import (
 	"strings"
 
-	"fuchsiashelf.dev/entry/internal/feed"
 	"fuchsiashelf.dev/entry/internal/mesh"
+	"fuchsiashelf.dev/entry/internal/watch"
 	"fuchsiashelf.dev/parts/trace"
 	"fuchsiashelf.dev/parts/view"
 )
 
 // mesh makes the part that joins this entry host to the others.
-func (d *daemon) mesh(holder *view.Holder, line *trace.Line, feeder *feed.Feed) (*mesh.Mesh, error) {
+func (d *daemon) mesh(holder *view.Holder, line *trace.Line, feeder *watch.Watch) (*mesh.Mesh, error) {
 	config, err := d.settings.Certs.Client()
 	if err != nil {
 		return nil, err
--- a/entry/prog/prog.go
+++ b/entry/prog/prog.go
@@ -120,7 +120,7 @@
 			}
 		})
 	}
-	start("feed", func(ctx context.Context) error { feeder.Run(ctx); return nil })
+	start("watch", func(ctx context.Context) error { feeder.Run(ctx); return nil })
 	start("poll", func(ctx context.Context) error { path.poll.Run(ctx); return nil })
 	start("mesh", func(ctx context.Context) error { return peers.Run(ctx, d.peers) })
 	start("seat", func(ctx context.Context) error { return desk.Run(ctx, d.desk) })
--- a/parts/admit/rates.go
+++ b/parts/admit/rates.go
@@ -7,8 +7,8 @@
 
 	"golang.org/x/time/rate"
 
-	"fuchsiashelf.dev/parts/quota"
 	"fuchsiashelf.dev/parts/fault"
+	"fuchsiashelf.dev/parts/quota"
 )
 
 // Rates keeps the rate limits of teams on one entry host. A quota's limit
--- a/parts/admit/rates_test.go
+++ b/parts/admit/rates_test.go
@@ -7,8 +7,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"fuchsiashelf.dev/parts/admit"
-	"fuchsiashelf.dev/parts/quota"
 	"fuchsiashelf.dev/parts/fault"
+	"fuchsiashelf.dev/parts/quota"
 )
 
 // passed counts the requests of two seconds that entry hosts let through, of
--- a/sess/cmd/inforce/bench.go
+++ b/sess/cmd/inforce/bench.go
@@ -166,7 +166,7 @@
 	}
 	var all map[string]struct{ Value float64 }
 	err = json.Unmarshal([]byte(page), &all)
-	return int64(all["feed.revision"].Value), err
+	return int64(all["watch.revision"].Value), err
 }
 
 // print prints the median and the longest of some times.
--- a/sess/desk_test.go
+++ b/sess/desk_test.go
@@ -69,7 +69,7 @@
 	"inforce": command("inforce", func(s *session, a []string) (string, error) {
 		out := ""
 		for _, name := range a {
-			n, err := s.metric(name, "feed.revision")
+			n, err := s.metric(name, "watch.revision")
 			if err != nil {
 				return "", err
 			}
@@ -81,7 +81,7 @@
 	"watching": quiet(func(s *session, a []string) (string, error) {
 		for _, name := range a {
 			err := procs.Until(name+" watches", func() bool {
-				age, err := s.metric(name, "feed.age_ms")
+				age, err := s.metric(name, "watch.age_ms")
 				return err == nil && age == 0
 			})
 			if err != nil {
--- a/sess/procs/town.go
+++ b/sess/procs/town.go
@@ -6,9 +6,9 @@
 	"strconv"
 	"strings"
 
-	"fuchsiashelf.dev/parts/quota"
 	"fuchsiashelf.dev/parts/domain"
 	"fuchsiashelf.dev/parts/host"
+	"fuchsiashelf.dev/parts/quota"
 	"fuchsiashelf.dev/parts/team"
 )
 
