--- a/entry/internal/watch/objects.go
+++ b/entry/internal/watch/objects.go
@@ -117,7 +117,7 @@
 	}
 	metrics.GetOrRegisterCounter("watch.store_behind", nil).Inc(1)
 	f.Log.Error("watch: store lacks lines that are in force, kept them", "held", c.Revision, "in_force", own.Revision)
-	f.Trace.Add("feed", "", fmt.Sprintf("store holds revision %d, kept %d", c.Revision, own.Revision))
+	f.Trace.Add("watch", "", fmt.Sprintf("store holds revision %d, kept %d", c.Revision, own.Revision))
 	f.StillBehind()
 }
 
--- a/entry/internal/watch/watch.go
+++ b/entry/internal/watch/watch.go
@@ -151,11 +151,11 @@
 		// older copy that lack lines in force here.
 		metrics.GetOrRegisterCounter("watch.diverged", nil).Inc(1)
 		f.Log.Error("watch: configuration lacks lines that are in force, not taken", "revision", c.Revision)
-		f.Trace.Add("feed", "", fmt.Sprintf("revision %d lacks lines in force, not taken", c.Revision))
+		f.Trace.Add("watch", "", fmt.Sprintf("revision %d lacks lines in force, not taken", c.Revision))
 		f.StillBehind()
 	}
 	if newer {
-		f.Trace.Add("feed", "", fmt.Sprintf("configuration in force: revision %d", c.Revision))
+		f.Trace.Add("watch", "", fmt.Sprintf("configuration in force: revision %d", c.Revision))
 		f.Log.Info("watch: configuration in force", "revision", c.Revision)
 	}
 	return newer
@@ -176,7 +176,7 @@
 	}
 	if !w.silent.Swap(true) {
 		f.Log.Warn("watch: store does not answer", "watch", what, "err", err)
-		f.Trace.Add("feed", "", "store does not answer about "+what)
+		f.Trace.Add("watch", "", "store does not answer about "+what)
 	}
 	wait.For(ctx, retryWait/2+rand.N(retryWait))
 }
@@ -186,6 +186,6 @@
 	w.heard.Store(time.Now().UnixNano())
 	if w.silent.Swap(false) {
 		f.Log.Info("watch: store answers again", "watch", what)
-		f.Trace.Add("feed", "", "store answers again about "+what)
+		f.Trace.Add("watch", "", "store answers again about "+what)
 	}
 }
