soak: play seeded faults against the real program

Processes of fsplat behind proxies, with signals, a failing object API and servers that crash, lose, refuse and break off; callers check whole answers, payments that run once, refusals that are true, and recovery, revocation and a planned stop at the end.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The two commands a newcomer needs are `make demo` and `make test`.
-MODULES := desk entry load parts platform sess stand
+MODULES := desk entry load parts platform sess soak stand
 TOOLS   := bin/tools
 GOFILES  = $(shell git ls-files -co --exclude-standard '*.go' | grep -v '\.pb\.go$$')
 COUNT   ?= 1
@@ -7,7 +7,7 @@
 .PHONY: build demo test lint format vet golden session bench proto tools
 
 build:
-	@for m in desk entry load platform stand; do (cd $$m && go build -o ../bin/ ./cmd/...) || exit 1; done
+	@for m in desk entry load platform soak stand; do (cd $$m && go build -o ../bin/ ./cmd/...) || exit 1; done
 
 demo: build
 	@cd sess && go run ./cmd/demo -bin ../bin
--- /dev/null
+++ b/soak/cmd/fssoak/main.go
@@ -0,0 +1,54 @@
+// Command fssoak plays seeds of the fault soak and tells what broke.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+
+	"fuchsiashelf.dev/parts/boot"
+	"fuchsiashelf.dev/soak"
+)
+
+func main() {
+	fs := flag.NewFlagSet("fssoak", flag.ContinueOnError)
+	program := fs.String("program", "bin/fsplat", "the program to run")
+	seed := fs.Uint64("seed", 1, "the first seed")
+	seeds := fs.Int("seeds", 1, "how many seeds are played, one after the other")
+	length := fs.Duration("for", 15*time.Second, "how long faults happen in each")
+	entries := fs.Int("entries", 4, "how many entry hosts there are")
+	callers := fs.Int("callers", 16, "how many callers there are")
+	dir := fs.String("dir", "", "where settings and logs are kept; a new folder if empty")
+	if err := ff.Parse(fs, os.Args[1:], ff.WithEnvVarPrefix("FSSOAK")); err != nil {
+		os.Exit(boot.ExitSettings)
+	}
+	failed := 0
+	for n := range *seeds {
+		s := soak.Settings{Seed: *seed + uint64(n), For: *length, Entries: *entries, Callers: *callers, Program: *program, Dir: *dir}
+		if s.Dir == "" {
+			s.Dir, _ = os.MkdirTemp("", "fssoak-")
+		}
+		report, err := soak.Run(s)
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "fssoak: seed %d: %v\n", s.Seed, err)
+			os.Exit(boot.ExitFailed)
+		}
+		fmt.Printf("seed %d: %d asked, %d served, %d faults, %d broken\n", s.Seed, report.Asked, report.Served, len(report.Faults), len(report.Broken))
+		if len(report.Broken) == 0 {
+			_ = os.RemoveAll(s.Dir)
+			continue
+		}
+		failed++
+		for _, line := range append(report.Faults, report.Broken...) {
+			fmt.Println("  ", line)
+		}
+		fmt.Println("   logs in", s.Dir)
+	}
+	fmt.Printf("%d passed, %d failed\n", *seeds-failed, failed)
+	if failed > 0 {
+		os.Exit(boot.ExitFailed)
+	}
+}
--- a/stand/plat/runner.go
+++ b/stand/plat/runner.go
@@ -36,6 +36,9 @@
 	Step time.Duration
 	// LoadTime is how long an order takes.
 	LoadTime time.Duration
+	// Front puts something in front of the server's address, for example a
+	// proxy, and returns the address that others see; nil for nothing.
+	Front func(address string) (string, error)
 
 	world   *World
 	address string
--- a/stand/plat/world.go
+++ b/stand/plat/world.go
@@ -73,6 +73,12 @@
 	if err != nil {
 		return err
 	}
+	if r.Front != nil {
+		if address, err = r.Front(address); err != nil {
+			stop()
+			return err
+		}
+	}
 	r.address, r.stop = address, stop
 	w.mu.Lock()
 	if w.runners == nil {
