poison: clear requests that are served, count only dead processes

The callers all send the same body, and links that were cut counted as deaths of the servers behind them, so three of them convicted everybody. A served request is cleared, whatever others tell, and only a server whose address refuses connections counts as dead.

--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -83,6 +83,9 @@
 		flow = h.Streams
 	}
 	out := flow.Serve(r.Context(), w, j)
+	if out.Error == nil && !out.Broken {
+		h.Tally.Served(j.Print, time.Now())
+	}
 	h.note(j, r, out, start)
 	if out.Broken {
 		// The connection is closed, so that a half answer looks like one.
--- a/entry/stream/watch.go
+++ b/entry/stream/watch.go
@@ -7,6 +7,7 @@
 	"maps"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"fuchsiashelf.dev/entry/belief"
@@ -460,7 +461,9 @@
 			w.mu.Unlock()
 			return
 		}
-		w.settle(id, true, now)
+		// Only a process that is gone refuses connections at once. One behind a
+		// cut link does not answer either, and no request is to blame.
+		w.settle(id, errors.Is(err, syscall.ECONNREFUSED), now)
 		if s := w.State.View().At(address); s == nil || s.ID != id {
 			return
 		}
--- a/parts/poison/tally.go
+++ b/parts/poison/tally.go
@@ -33,6 +33,8 @@
 type Tally struct {
 	mu    sync.Mutex
 	marks map[Fingerprint]*tallied
+	// cleared holds requests that were served lately, until when that counts.
+	cleared map[Fingerprint]time.Time
 }
 
 type tallied struct {
@@ -45,10 +47,31 @@
 	t.Take(Mark{Print: print, Servers: []string{server}, Left: tallyFor}, now)
 }
 
+// Served notes that a request was served: it crashes nothing. Many callers may
+// send the same one, and servers die under any of them on a bad day; without
+// this, all would be refused for a minute.
+func (t *Tally) Served(print Fingerprint, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.cleared == nil {
+		t.cleared = map[Fingerprint]time.Time{}
+	}
+	if len(t.cleared) >= maxTally {
+		t.forget(now)
+	}
+	if len(t.cleared) < maxTally {
+		t.cleared[print] = now.Add(tallyFor)
+	}
+	delete(t.marks, print)
+}
+
 // Take takes over what another entry host knows.
 func (t *Tally) Take(m Mark, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if now.Before(t.cleared[m.Print]) {
+		return
+	}
 	if t.marks == nil {
 		t.marks = map[Fingerprint]*tallied{}
 	}
@@ -78,6 +101,11 @@
 			delete(t.marks, print)
 		}
 	}
+	for print, until := range t.cleared {
+		if now.After(until) {
+			delete(t.cleared, print)
+		}
+	}
 }
 
 // Convicted reports whether a request must not run any more.
--- a/parts/poison/tally_test.go
+++ b/parts/poison/tally_test.go
@@ -29,3 +29,22 @@
 	qt.Assert(t, b.Convicted(poison.Of("choir", "POST", "/ask/1", "other"), now), qt.IsFalse)
 	qt.Assert(t, b.Convicted(print, now.Add(2*time.Minute)), qt.IsFalse)
 }
+
+// Many callers send the same look-up on a day on which three servers die. One
+// of them is served: it crashes nothing, and none may be refused for it,
+// whatever other entry hosts still tell.
+func TestServedRequestsAreCleared(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	var a poison.Tally
+	print := poison.Of("choir", "GET", "/look/1")
+	for _, server := range []string{"i-1", "i-2", "i-3"} {
+		a.Died(print, server, now)
+	}
+	marks := a.Marks(now)
+	qt.Assert(t, a.Convicted(print, now), qt.IsTrue)
+	a.Served(print, now)
+	for _, m := range marks {
+		a.Take(m, now)
+	}
+	qt.Assert(t, a.Convicted(print, now), qt.IsFalse)
+}
