--- a/entry/internal/refer/answer.go
+++ b/entry/internal/owner/answer.go
@@ -1,4 +1,4 @@
-package refer
+package owner
 
 import (
 	"context"
@@ -12,7 +12,7 @@
 )
 
 // Answer answers another entry host. The secret has been checked.
-func (r *Refer) Answer(ctx context.Context, ask *wire.CallAsk) *wire.CallReply {
+func (r *Owners) Answer(ctx context.Context, ask *wire.CallAsk) *wire.CallReply {
 	deadline := time.UnixMilli(ask.DeadlineMs)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
@@ -27,7 +27,7 @@
 }
 
 // standing tells what has become of a claimed call, and runs nothing.
-func (r *Refer) standing(ctx context.Context, ask *wire.CallAsk) *wire.CallReply {
+func (r *Owners) standing(ctx context.Context, ask *wire.CallAsk) *wire.CallReply {
 	unknown := &wire.CallReply{Code: string(fault.NotFound), Verdict: fault.MayHaveRun.String()}
 	if ask.Incarnation != r.Pass.Holder.Incarnation {
 		return unknown
@@ -46,7 +46,7 @@
 
 // redeem runs a call under a ticket of this entry host. It goes by this
 // host's own configuration.
-func (r *Refer) redeem(ctx context.Context, ask *wire.CallAsk, deadline time.Time) (*pass.Reply, *fault.Error) {
+func (r *Owners) redeem(ctx context.Context, ask *wire.CallAsk, deadline time.Time) (*pass.Reply, *fault.Error) {
 	if !ticket.Is(ask.Id) {
 		return nil, &fault.Error{Code: fault.BadRequest, Verdict: fault.MayHaveRun, Message: "not a ticket"}
 	}
--- a/entry/internal/refer/refer.go
+++ b/entry/internal/owner/owner.go
@@ -1,7 +1,7 @@
-// Package refer takes calls that may not be repeated to the entry host that
+// Package owner takes calls that may not be repeated to the entry host that
 // holds their claim or issued their ticket, and answers the others for those
 // that this one holds.
-package refer
+package owner
 
 import (
 	"context"
@@ -16,9 +16,9 @@
 	"fuchsiashelf.dev/parts/wire"
 )
 
-// Refer talks to the other entry hosts about calls. Set the exported fields
+// Owners talks to the other entry hosts about calls. Set the exported fields
 // before first use.
-type Refer struct {
+type Owners struct {
 	View   *view.Holder
 	Secret string
 	// Pass runs the calls of this entry host.
@@ -27,7 +27,7 @@
 	Client func(ctx context.Context, h host.Host) (wire.DRPCEntryClient, error)
 }
 
-var _ pass.Peers = (*Refer)(nil)
+var _ pass.Peers = (*Owners)(nil)
 
 const (
 	// joinWait bounds the time that a caller waits for a holder's answer. A
@@ -45,7 +45,7 @@
 // call makes a call to another entry host, and gives it up when the peers
 // suspect that host. One that is frozen keeps its connections, so a caller
 // would otherwise wait for its whole deadline.
-func (r *Refer) call(ctx context.Context, h host.Host, ask *wire.CallAsk) (*wire.CallReply, error) {
+func (r *Owners) call(ctx context.Context, h host.Host, ask *wire.CallAsk) (*wire.CallReply, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go r.giveUp(ctx, cancel, h.Name)
@@ -58,7 +58,7 @@
 }
 
 // giveUp cancels a call to an entry host once that is no longer alive.
-func (r *Refer) giveUp(ctx context.Context, cancel context.CancelFunc, entry string) {
+func (r *Owners) giveUp(ctx context.Context, cancel context.CancelFunc, entry string) {
 	for {
 		changed := r.View.Changed()
 		if p, known := r.View.Load().Peers[entry]; known && !p.Alive {
@@ -73,13 +73,13 @@
 	}
 }
 
-func (r *Refer) find(entry string) (host.Host, bool) {
+func (r *Owners) find(entry string) (host.Host, bool) {
 	h, listed := r.View.Load().Hosts[entry]
 	return h, listed && h.Role == host.Entry
 }
 
 // Join implements pass.Peers.
-func (r *Refer) Join(ctx context.Context, holder claim.Holder, call *pass.Call, nonce uint64) pass.Told {
+func (r *Owners) Join(ctx context.Context, holder claim.Holder, call *pass.Call, nonce uint64) pass.Told {
 	h, listed := r.find(holder.Entry)
 	if !listed {
 		return pass.Told{}
@@ -107,7 +107,7 @@
 
 // Forward implements pass.Peers. Whatever fails, the verdict is MayHaveRun:
 // an earlier call under the ticket may have run, and only its issuer knows.
-func (r *Refer) Forward(ctx context.Context, entry string, call *pass.Call) (*pass.Reply, *fault.Error) {
+func (r *Owners) Forward(ctx context.Context, entry string, call *pass.Call) (*pass.Reply, *fault.Error) {
 	lost := func(message string, cause error) *fault.Error {
 		return &fault.Error{Code: fault.Repeated, Verdict: fault.MayHaveRun, Message: message, Cause: cause}
 	}
--- a/entry/prog/calls.go
+++ b/entry/prog/calls.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"fuchsiashelf.dev/entry/internal/mesh"
+	"fuchsiashelf.dev/entry/internal/owner"
 	"fuchsiashelf.dev/entry/internal/pass"
-	"fuchsiashelf.dev/entry/internal/refer"
 	"fuchsiashelf.dev/parts/claim"
 	"fuchsiashelf.dev/parts/store"
 	"fuchsiashelf.dev/parts/ticket"
@@ -16,7 +16,7 @@
 
 // calls makes the parts that hand calls through to plain services.
 func (d *daemon) calls(holder *view.Holder, line *trace.Line, api store.API, peers *mesh.Mesh) *pass.Pass {
-	others := &refer.Refer{View: holder, Secret: d.settings.PeerSecret, Client: peers.Client}
+	others := &owner.Owners{View: holder, Secret: d.settings.PeerSecret, Client: peers.Client}
 	p := &pass.Pass{
 		View: holder, Trace: line, Log: d.log,
 		Claims: &claim.Writer{
