--- a/entry/internal/guard/case.go
+++ b/entry/internal/crash/case.go
@@ -1,4 +1,4 @@
-package guard
+package crash
 
 import (
 	"context"
--- a/entry/internal/guard/guard.go
+++ b/entry/internal/crash/guard.go
@@ -1,8 +1,8 @@
-// Package guard keeps requests that crash backend servers from going on to
+// Package crash keeps requests that crash backend servers from going on to
 // the next one. It asks the book of the request's pool, which one of the
 // living entry hosts keeps (see package poison), and refuses what is
 // convicted.
-package guard
+package crash
 
 import (
 	"cmp"
--- a/entry/internal/relay/relay.go
+++ b/entry/internal/relay/relay.go
@@ -16,7 +16,7 @@
 	"github.com/panjf2000/ants/v2"
 	"github.com/rcrowley/go-metrics"
 
-	"fuchsiashelf.dev/entry/internal/guard"
+	"fuchsiashelf.dev/entry/internal/crash"
 	"fuchsiashelf.dev/parts/engine"
 	"fuchsiashelf.dev/parts/fault"
 	"fuchsiashelf.dev/parts/pick"
@@ -31,7 +31,7 @@
 	View   *view.Holder
 	Engine *engine.Client
 	// Guard keeps requests that crash servers from going on; nil lets all.
-	Guard *guard.Guard
+	Guard *crash.Guard
 	Trace *trace.Line
 	Log   *slog.Logger
 	// Policy is how servers are chosen; nil means pick.Cost.
@@ -114,7 +114,7 @@
 	ask  *Ask
 	sink Sink
 	// suspicion is what the guard knows of this request.
-	suspicion *guard.Case
+	suspicion *crash.Case
 	state     *state
 	// number is that of the current attempt, from 1.
 	number  int
--- a/entry/prog/guard.go
+++ b/entry/prog/guard.go
@@ -1,7 +1,7 @@
 package prog
 
 import (
-	"fuchsiashelf.dev/entry/internal/guard"
+	"fuchsiashelf.dev/entry/internal/crash"
 	"fuchsiashelf.dev/entry/internal/mesh"
 	"fuchsiashelf.dev/parts/engine"
 	"fuchsiashelf.dev/parts/trace"
@@ -9,8 +9,8 @@
 )
 
 // guard makes the part that stops requests which crash backend servers.
-func (d *daemon) guard(holder *view.Holder, line *trace.Line, peers *mesh.Mesh) *guard.Guard {
-	g := &guard.Guard{View: holder, Mesh: peers, Engine: &engine.Client{}, Trace: line, Log: d.log}
+func (d *daemon) guard(holder *view.Holder, line *trace.Line, peers *mesh.Mesh) *crash.Guard {
+	g := &crash.Guard{View: holder, Mesh: peers, Engine: &engine.Client{}, Trace: line, Log: d.log}
 	peers.Judge = g.Answer
 	return g
 }
