all: split large files, and write the stand-in's town once

The configuration, settings file and caller's request of the stand-in stood three times, in the soak with the platform's names, which the border test refused; they are in stand/plat now. No change of behaviour; tests of parts, entry, platform and soak pass.

--- a/entry/belief/belief.go
+++ b/entry/belief/belief.go
@@ -78,15 +78,6 @@
 	until  time.Time
 }
 
-// Order is the range of layers that a server was told to hold.
-type Order struct {
-	ID         string
-	First, End int
-	// Until is when the order is forgotten, for want of an entry that shows it
-	// carried out.
-	Until time.Time
-}
-
 // Table returns the configuration in force, or nil before the first.
 func (s *State) Table() *route.Table {
 	return s.table.Load()
@@ -239,32 +230,6 @@
 	}
 }
 
-// adjusted applies what is known beyond a server's own entry.
-func (s *State) adjusted(id string, server fleet.Server, now time.Time) fleet.Server {
-	if until, suspected := s.suspects[id]; suspected {
-		server.Suspect = now.Before(until)
-		if !server.Suspect {
-			delete(s.suspects, id)
-		}
-	}
-	server.Takes = server.Holds()
-	o, ordered := s.orders[id]
-	switch {
-	case !ordered:
-	case server.First == o.First && server.End == o.End || now.After(o.Until):
-		delete(s.orders, id)
-	default:
-		// Layers that it gives up accept nothing more, and those that it loads
-		// take memory already.
-		server.Takes = max(server.Takes, o.End-o.First)
-		server.First, server.End = max(server.First, o.First), min(server.End, o.End)
-		if server.First >= server.End {
-			server.First, server.End = 0, 0
-		}
-	}
-	return server
-}
-
 // awayShare and awayLeast say from how many suspected servers on a failure
 // domain is taken to be cut off as a whole, which a partition shows sooner than
 // each of its servers.
@@ -273,25 +238,6 @@
 	awayLeast = 3
 )
 
-// away suspects all servers of other failure domains of which several are
-// suspected.
-func (s *State) away(list []fleet.Server) {
-	all := map[domain.Name]int{}
-	bad := map[domain.Name]int{}
-	for i := range list {
-		all[list[i].Domain]++
-		if list[i].Suspect {
-			bad[list[i].Domain]++
-		}
-	}
-	for i := range list {
-		d := list[i].Domain
-		if d != s.Home && bad[d] >= awayLeast && float64(bad[d]) > awayShare*float64(all[d]) {
-			list[i].Suspect = true
-		}
-	}
-}
-
 // Sweep ends suspicions and lapses whose time is over.
 func (s *State) Sweep(now time.Time) {
 	s.mu.Lock()
@@ -307,107 +253,3 @@
 		s.publish(now)
 	}
 }
-
-// Suspect avoids a server until the given time. It reports whether that is
-// news.
-func (s *State) Suspect(id string, until, now time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.suspects == nil {
-		s.suspects = map[string]time.Time{}
-	}
-	old, suspected := s.suspects[id]
-	if suspected && !until.After(old) {
-		return false
-	}
-	s.suspects[id] = until
-	if !suspected || !now.Before(old) {
-		s.publish(now)
-		return true
-	}
-	return false
-}
-
-// Clear ends the suspicion against a server that has just served.
-func (s *State) Clear(id string, now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if _, suspected := s.suspects[id]; suspected {
-		delete(s.suspects, id)
-		s.publish(now)
-	}
-}
-
-// Suspects returns until when which servers are avoided.
-func (s *State) Suspects() map[string]time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	list := make(map[string]time.Time, len(s.suspects))
-	for id, until := range s.suspects {
-		list[id] = until
-	}
-	return list
-}
-
-// Ordered notes that a server was told to hold layers, so that none that it
-// gives up is asked of it. It reports whether that is news.
-func (s *State) Ordered(o Order, now time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.orders == nil {
-		s.orders = map[string]Order{}
-	}
-	old, known := s.orders[o.ID]
-	if known && (old.First == o.First && old.End == o.End || o.Until.Before(old.Until)) {
-		return false
-	}
-	if at, exists := s.decoded[o.ID]; exists && at.server.First == o.First && at.server.End == o.End {
-		return false
-	}
-	s.orders[o.ID] = o
-	s.publish(now)
-	return true
-}
-
-// Orders returns the orders that are not shown as carried out yet.
-func (s *State) Orders() []Order {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	list := make([]Order, 0, len(s.orders))
-	for _, o := range s.orders {
-		list = append(list, o)
-	}
-	return list
-}
-
-// cutFor is how long servers of two failure domains are taken not to reach
-// each other after one has waited for another in vain that lives.
-const cutFor = 3 * time.Second
-
-// CutOff notes that servers of one failure domain do not reach those of
-// another.
-func (s *State) CutOff(from, to domain.Name, now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.cuts == nil {
-		s.cuts = map[[2]domain.Name]time.Time{}
-	}
-	if _, known := s.cuts[[2]domain.Name{from, to}]; !known {
-		s.Log.Warn("servers: domains cut off from each other", "from", from, "to", to)
-	}
-	s.cuts[[2]domain.Name{from, to}] = now.Add(cutFor)
-	s.cuts[[2]domain.Name{to, from}] = now.Add(cutFor)
-}
-
-// Cut reports whether servers of one failure domain are taken not to reach
-// those of another.
-func (s *State) Cut(from, to domain.Name) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	until, known := s.cuts[[2]domain.Name{from, to}]
-	if known && time.Now().After(until) {
-		delete(s.cuts, [2]domain.Name{from, to})
-		return false
-	}
-	return known
-}
--- /dev/null
+++ b/entry/belief/doubt.go
@@ -0,0 +1,100 @@
+package belief
+
+import (
+	"time"
+
+	"fuchsiashelf.dev/parts/domain"
+	"fuchsiashelf.dev/parts/fleet"
+)
+
+// away suspects all servers of other failure domains of which several are
+// suspected.
+func (s *State) away(list []fleet.Server) {
+	all := map[domain.Name]int{}
+	bad := map[domain.Name]int{}
+	for i := range list {
+		all[list[i].Domain]++
+		if list[i].Suspect {
+			bad[list[i].Domain]++
+		}
+	}
+	for i := range list {
+		d := list[i].Domain
+		if d != s.Home && bad[d] >= awayLeast && float64(bad[d]) > awayShare*float64(all[d]) {
+			list[i].Suspect = true
+		}
+	}
+}
+
+// Suspect avoids a server until the given time. It reports whether that is
+// news.
+func (s *State) Suspect(id string, until, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.suspects == nil {
+		s.suspects = map[string]time.Time{}
+	}
+	old, suspected := s.suspects[id]
+	if suspected && !until.After(old) {
+		return false
+	}
+	s.suspects[id] = until
+	if !suspected || !now.Before(old) {
+		s.publish(now)
+		return true
+	}
+	return false
+}
+
+// Clear ends the suspicion against a server that has just served.
+func (s *State) Clear(id string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, suspected := s.suspects[id]; suspected {
+		delete(s.suspects, id)
+		s.publish(now)
+	}
+}
+
+// Suspects returns until when which servers are avoided.
+func (s *State) Suspects() map[string]time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make(map[string]time.Time, len(s.suspects))
+	for id, until := range s.suspects {
+		list[id] = until
+	}
+	return list
+}
+
+// cutFor is how long servers of two failure domains are taken not to reach
+// each other after one has waited for another in vain that lives.
+const cutFor = 3 * time.Second
+
+// CutOff notes that servers of one failure domain do not reach those of
+// another.
+func (s *State) CutOff(from, to domain.Name, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cuts == nil {
+		s.cuts = map[[2]domain.Name]time.Time{}
+	}
+	if _, known := s.cuts[[2]domain.Name{from, to}]; !known {
+		s.Log.Warn("servers: domains cut off from each other", "from", from, "to", to)
+	}
+	s.cuts[[2]domain.Name{from, to}] = now.Add(cutFor)
+	s.cuts[[2]domain.Name{to, from}] = now.Add(cutFor)
+}
+
+// Cut reports whether servers of one failure domain are taken not to reach
+// those of another.
+func (s *State) Cut(from, to domain.Name) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	until, known := s.cuts[[2]domain.Name{from, to}]
+	if known && time.Now().After(until) {
+		delete(s.cuts, [2]domain.Name{from, to})
+		return false
+	}
+	return known
+}
--- /dev/null
+++ b/entry/belief/order.go
@@ -0,0 +1,73 @@
+package belief
+
+import (
+	"time"
+
+	"fuchsiashelf.dev/parts/fleet"
+)
+
+// Order is the range of layers that a server was told to hold.
+type Order struct {
+	ID         string
+	First, End int
+	// Until is when the order is forgotten, for want of an entry that shows it
+	// carried out.
+	Until time.Time
+}
+
+// adjusted applies what is known beyond a server's own entry.
+func (s *State) adjusted(id string, server fleet.Server, now time.Time) fleet.Server {
+	if until, suspected := s.suspects[id]; suspected {
+		server.Suspect = now.Before(until)
+		if !server.Suspect {
+			delete(s.suspects, id)
+		}
+	}
+	server.Takes = server.Holds()
+	o, ordered := s.orders[id]
+	switch {
+	case !ordered:
+	case server.First == o.First && server.End == o.End || now.After(o.Until):
+		delete(s.orders, id)
+	default:
+		// Layers that it gives up accept nothing more, and those that it loads
+		// take memory already.
+		server.Takes = max(server.Takes, o.End-o.First)
+		server.First, server.End = max(server.First, o.First), min(server.End, o.End)
+		if server.First >= server.End {
+			server.First, server.End = 0, 0
+		}
+	}
+	return server
+}
+
+// Ordered notes that a server was told to hold layers, so that none that it
+// gives up is asked of it. It reports whether that is news.
+func (s *State) Ordered(o Order, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.orders == nil {
+		s.orders = map[string]Order{}
+	}
+	old, known := s.orders[o.ID]
+	if known && (old.First == o.First && old.End == o.End || o.Until.Before(old.Until)) {
+		return false
+	}
+	if at, exists := s.decoded[o.ID]; exists && at.server.First == o.First && at.server.End == o.End {
+		return false
+	}
+	s.orders[o.ID] = o
+	s.publish(now)
+	return true
+}
+
+// Orders returns the orders that are not shown as carried out yet.
+func (s *State) Orders() []Order {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]Order, 0, len(s.orders))
+	for _, o := range s.orders {
+		list = append(list, o)
+	}
+	return list
+}
--- /dev/null
+++ b/entry/gossip/message.go
@@ -0,0 +1,126 @@
+package gossip
+
+import (
+	"context"
+	"time"
+
+	"fuchsiashelf.dev/parts/hops"
+	"fuchsiashelf.dev/parts/mirror"
+	"fuchsiashelf.dev/parts/poison"
+)
+
+// Suspect is a server that is avoided for a while.
+type Suspect struct {
+	ID   string
+	Left time.Duration
+}
+
+// Order is what a server was told to hold.
+type Order struct {
+	ID         string
+	First, End int
+	// Left is how long the order is remembered.
+	Left time.Duration
+}
+
+// Message is what one entry host tells another.
+type Message struct {
+	From     Member
+	Cursors  map[string]uint64
+	Members  []Member
+	Load     map[string]hops.Usage
+	Suspects []Suspect
+	Orders   []Order
+	Marks    []poison.Mark
+	Changes  []mirror.Batch
+	// Whole holds the kinds whose batch is a complete list.
+	Whole map[string]bool
+}
+
+// message tells what is known here, with the changes that another lacks which
+// is complete through the given cursors; nil means that these are unknown.
+func (p *Peer) message(theirs map[string]uint64) *Message {
+	m := &Message{From: p.self(), Cursors: map[string]uint64{}, Members: p.Members(), Load: p.Ledger.Own(), Suspects: p.Suspects(), Orders: p.Orders(), Marks: p.Tally.Marks(time.Now())}
+	for _, mine := range p.Mirrors {
+		m.Cursors[mine.Kind] = mine.Cursor()
+		if theirs == nil {
+			continue
+		}
+		b, whole := mine.Since(theirs[mine.Kind])
+		if b.Cursor <= theirs[mine.Kind] {
+			continue
+		}
+		m.Changes = append(m.Changes, b)
+		if whole {
+			if m.Whole == nil {
+				m.Whole = map[string]bool{}
+			}
+			m.Whole[mine.Kind] = true
+		}
+	}
+	return m
+}
+
+// Answer takes what another tells and returns what it lacks. What is lacking
+// here is asked for in turn, if it does not come by itself.
+func (p *Peer) Answer(m *Message) *Message {
+	p.Take(m)
+	for _, mine := range p.Mirrors {
+		if m.Cursors[mine.Kind] > mine.Cursor() {
+			p.pull(m.From.Address, mine, m.Cursors[mine.Kind])
+		}
+	}
+	return p.message(m.Cursors)
+}
+
+// pull exchanges with another that has changes which are lacking here.
+func (p *Peer) pull(address string, mine *mirror.Mirror, cursor uint64) {
+	wait := time.Duration(0)
+	if mine.Cursor() > 0 && p.Waits(mine.Kind) {
+		wait = pullAfter
+	}
+	time.AfterFunc(wait, func() {
+		if mine.Cursor() < cursor {
+			p.meetAt(context.Background(), address)
+		}
+	})
+}
+
+// Take takes over what another tells.
+func (p *Peer) Take(m *Message) {
+	p.init()
+	p.meet(m)
+	if m.From.Name != p.Self.Name {
+		p.Ledger.Tell(m.From.Name, m.Load)
+	}
+	for _, s := range m.Suspects {
+		p.Suspected(s)
+	}
+	for _, o := range m.Orders {
+		p.Ordered(o)
+	}
+	for _, mark := range m.Marks {
+		p.Tally.Take(mark, time.Now())
+	}
+	for _, b := range m.Changes {
+		p.merge(b, m.Whole[b.Kind], m.From.Name)
+	}
+}
+
+func (p *Peer) merge(b mirror.Batch, whole bool, from string) {
+	for _, mine := range p.Mirrors {
+		if mine.Kind != b.Kind {
+			continue
+		}
+		changed := false
+		if whole {
+			_, changed = mine.Replace(b.Items, b.Cursor)
+		} else {
+			changed = mine.Merge(b)
+		}
+		if changed {
+			p.Log.Info("peers: changes taken over", "kind", b.Kind, "from", from, "revision", b.Cursor, "objects", len(b.Items))
+			p.Changed(b.Kind)
+		}
+	}
+}
--- /dev/null
+++ b/entry/stream/accuse.go
@@ -0,0 +1,111 @@
+package stream
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+
+	"fuchsiashelf.dev/entry/belief"
+	"fuchsiashelf.dev/entry/call"
+	"fuchsiashelf.dev/parts/poison"
+)
+
+// Accuse asks a server that seems to have failed for its report. One that
+// answers is sound. One that does not is suspected, and asked again until it
+// answers or its entry is gone.
+func (w *Watch) Accuse(address, why string) {
+	w.accuse(address, why, link{})
+}
+
+// AccuseUnder does so for a server that failed while it ran a request. If it
+// died, that is noted against the request.
+func (w *Watch) AccuseUnder(j *call.Job, address, why string) {
+	s := w.State.View().At(address)
+	if s == nil {
+		return
+	}
+	w.mu.Lock()
+	if w.under == nil {
+		w.under = map[string]map[poison.Fingerprint]bool{}
+	}
+	if w.under[s.ID] == nil {
+		w.under[s.ID] = map[poison.Fingerprint]bool{}
+	}
+	w.under[s.ID][j.Print] = true
+	w.mu.Unlock()
+	w.accuse(address, why, link{})
+}
+
+// settle ends the case of an accused server. If it died, that is noted against
+// all requests that it failed under.
+func (w *Watch) settle(id string, died bool, now time.Time) {
+	w.mu.Lock()
+	prints := w.under[id]
+	delete(w.under, id)
+	w.mu.Unlock()
+	if !died {
+		return
+	}
+	for print := range prints {
+		w.Tally.Died(print, id, now)
+	}
+}
+
+// accuse does so for a server that another one waits for. If it answers here,
+// and the two are in different failure domains, these are cut off from each
+// other. Without the question a plain crash would look the same, and no chain
+// could cross to where its layers are held.
+func (w *Watch) accuse(address, why string, by link) {
+	s := w.State.View().At(address)
+	if s == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.probed == nil {
+		w.probed = map[string]bool{}
+		w.sound = map[string]time.Time{}
+	}
+	if w.probed[address] || time.Since(w.sound[address]) < soundFor {
+		return
+	}
+	w.probed[address] = true
+	go w.probe(s.ID, address, why, by)
+}
+
+func (w *Watch) probe(id, address, why string, by link) {
+	defer func() {
+		w.mu.Lock()
+		delete(w.probed, address)
+		w.mu.Unlock()
+	}()
+	for n := range maxProbes {
+		ctx, cancel := context.WithTimeout(context.Background(), askTime)
+		_, err := w.Engine.Report(ctx, address)
+		cancel()
+		now := time.Now()
+		if err == nil {
+			if n == 0 && by.from != by.to {
+				w.State.CutOff(by.from, by.to, now)
+			}
+			w.State.Clear(id, now)
+			w.settle(id, false, now)
+			w.mu.Lock()
+			w.sound[address] = now
+			w.mu.Unlock()
+			return
+		}
+		// Only a process that is gone refuses connections at once. One behind a
+		// cut link does not answer either, and no request is to blame.
+		w.settle(id, errors.Is(err, syscall.ECONNREFUSED), now)
+		if s := w.State.View().At(address); s == nil || s.ID != id {
+			return
+		}
+		if w.State.Suspect(id, now.Add(belief.SuspectFor), now) {
+			w.Log.Warn("servers: suspected", "server", id, "address", address, "why", why, "error", err)
+			w.Spread()
+		}
+		time.Sleep(probeEvery)
+	}
+}
--- /dev/null
+++ b/entry/stream/choose.go
@@ -0,0 +1,112 @@
+package stream
+
+import (
+	"context"
+	"time"
+
+	"fuchsiashelf.dev/entry/call"
+	"fuchsiashelf.dev/parts/fault"
+	"fuchsiashelf.dev/parts/hops"
+	"fuchsiashelf.dev/parts/turns"
+)
+
+// query describes the choice of a chain for a job.
+func (f *Flow) query(j *call.Job) *hops.Query {
+	return &hops.Query{
+		Engine: j.Service.Engine, Servers: f.State.View().Service(j.Service.Name), Home: f.Home,
+		Prompt: j.Prompt, Answer: j.Answer(j.Service.Engine), Used: f.Ledger.Used,
+		Cut: f.State.Cut,
+	}
+}
+
+// choose finds a chain. A request for which there is no room now waits for its
+// turn, or is refused at once if it would wait in vain.
+func (r *run) choose(ctx context.Context) (hops.Chain, *fault.Error) {
+	if r.began {
+		return r.insist(ctx)
+	}
+	if !r.Turns.Busy() {
+		if chain, e := r.look(); chain != nil || e != nil {
+			return chain, e
+		}
+	}
+	place, after := r.Turns.Join(r.job.Priority)
+	if place == nil {
+		return nil, full(after)
+	}
+	chain, e := r.stand(ctx, place)
+	r.Turns.Leave(place, chain != nil, time.Now())
+	return chain, e
+}
+
+// insist finds a chain for an answer that broke off midway. Its caller holds on
+// for two seconds, and a chain that is missing now may be whole again by then;
+// given up, it would have half an answer. It goes before requests that have not
+// begun.
+func (r *run) insist(ctx context.Context) (hops.Chain, *fault.Error) {
+	until := time.Now().Add(insistFor)
+	for {
+		chain, e := r.look()
+		if chain != nil {
+			return chain, nil
+		}
+		if e == nil {
+			e = full(0)
+		}
+		if !time.Now().Add(waitStep).Before(until) {
+			return nil, e
+		}
+		select {
+		case <-ctx.Done():
+			return nil, e
+		case <-time.After(waitStep):
+		}
+	}
+}
+
+// look finds a chain with room. Neither a chain nor an error means that there
+// is none now.
+func (r *run) look() (hops.Chain, *fault.Error) {
+	q := r.query(r.job)
+	q.Avoid = r.avoid
+	if chain := q.Pick(); chain != nil {
+		return chain, nil
+	}
+	q.Crowded = true
+	if q.Pick() == nil {
+		return r.lastResort(q)
+	}
+	return nil, nil
+}
+
+// stand waits for a turn and for room.
+func (r *run) stand(ctx context.Context, place *turns.Ticket) (hops.Chain, *fault.Error) {
+	until := time.Now().Add(min(LongestWait, r.job.Left()/2))
+	for time.Now().Add(waitStep).Before(until) {
+		if r.Turns.Mine(place) {
+			if chain, e := r.look(); chain != nil || e != nil {
+				return chain, e
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return nil, &fault.Error{Code: fault.Cancelled, Verdict: fault.NotRun, Message: "ended while it waited for room"}
+		case <-time.After(waitStep):
+		}
+	}
+	return nil, full(0)
+}
+
+func full(after time.Duration) *fault.Error {
+	return &fault.Error{Code: fault.Overloaded, Verdict: fault.NotRun, Message: "no server has room", RetryAfter: max(after, comeBack)}
+}
+
+// lastResort finds a chain through servers that are suspected, where no other
+// holds all layers: a suspicion may be wrong.
+func (r *run) lastResort(q *hops.Query) (hops.Chain, *fault.Error) {
+	q.Suspects, q.Crowded = true, false
+	if chain := q.Pick(); chain != nil {
+		return chain, nil
+	}
+	return nil, &fault.Error{Code: fault.NoCover, Verdict: fault.NotRun, Message: "no chain of servers holds all layers", RetryAfter: healTime}
+}
--- /dev/null
+++ b/entry/stream/repair.go
@@ -0,0 +1,160 @@
+package stream
+
+import (
+	"context"
+	"time"
+
+	"fuchsiashelf.dev/entry/call"
+	"fuchsiashelf.dev/parts/domain"
+	"fuchsiashelf.dev/parts/fleet"
+	"fuchsiashelf.dev/parts/hops"
+)
+
+// reroute gives each stalled stream of a first server another way.
+func (w *Watch) reroute(address string, stalled []call.Stalled) {
+	at := map[string]string{}
+	for _, s := range stalled {
+		at[s.ID] = s.Address
+	}
+	var list []*live
+	w.mu.Lock()
+	for l := range w.lives {
+		if _, waits := at[l.job.ID]; waits && l.first() == address {
+			list = append(list, l)
+		}
+	}
+	w.mu.Unlock()
+	for _, l := range list {
+		failed := at[l.job.ID]
+		w.accuse(failed, "a chain waits for it", l.linkTo(failed))
+		go w.repair(l, failed, false)
+	}
+}
+
+// link is the way from the servers of one failure domain to those of another.
+type link struct{ from, to domain.Name }
+
+// linkTo returns the link by which a server of the stream's chain is reached.
+func (l *live) linkTo(address string) link {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := 1; i < len(l.chain); i++ {
+		if l.chain[i].Server.Address == address {
+			return link{l.chain[i-1].Server.Domain, l.chain[i].Server.Domain}
+		}
+	}
+	return link{}
+}
+
+// repair changes the chain of one stream. It runs once at a time for each. If
+// the stream still runs, it may stay as it is.
+func (w *Watch) repair(l *live, failed string, runs bool) {
+	l.mu.Lock()
+	chain := l.chain
+	if l.busy || !chain.Has(failed) {
+		// An older report: the stream has another way already.
+		l.mu.Unlock()
+		return
+	}
+	l.busy = true
+	l.mu.Unlock()
+	defer func() {
+		l.mu.Lock()
+		l.busy = false
+		l.mu.Unlock()
+	}()
+	avoid := map[string]bool{failed: true}
+	for range maxReroutes {
+		next := w.detour(l, chain, avoid)
+		if next == nil {
+			break
+		}
+		if w.order(l, next, avoid) {
+			return
+		}
+	}
+	w.Log.Info("watch: no other way", "request", l.job.ID, "failed", failed, "runs", runs)
+	if !runs {
+		l.cancel(errNoWay)
+	}
+}
+
+// detour finds another chain behind the same first part.
+func (w *Watch) detour(l *live, chain hops.Chain, avoid map[string]bool) hops.Chain {
+	if avoid[chain[0].Server.Address] {
+		return nil
+	}
+	kept := map[string]bool{}
+	for _, p := range chain[1:] {
+		kept[p.Server.Address] = true
+	}
+	q := hops.Query{
+		Engine: l.job.Service.Engine, Servers: w.State.View().Service(l.job.Service.Name), Home: w.Home,
+		Prompt: l.job.Prompt, Answer: l.job.Answer(l.job.Service.Engine), Used: w.Ledger.Used,
+		Avoid: avoid, Start: &chain[0], Kept: kept, Cut: w.State.Cut,
+	}
+	return q.Pick()
+}
+
+// order tells the first server of the new chain. It reports whether the stream
+// goes on that way.
+func (w *Watch) order(l *live, next hops.Chain, avoid map[string]bool) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), orderTime)
+	defer cancel()
+	taken, at, err := w.Engine.Reroute(ctx, l.job.ID, next)
+	w.Log.Info("watch: rerouted", "request", l.job.ID, "chain", next.String(), "taken", taken.String(), "at", at, "error", err)
+	switch taken {
+	case call.TakenBegun:
+		l.move(w.Ledger, next)
+		l.last.Store(time.Now().UnixNano())
+		return true
+	case call.TakenConflict:
+		if at != "" {
+			avoid[at] = true
+			return false
+		}
+	case call.TakenUnknown, call.TakenAbsent, call.TakenRefused:
+	}
+	return false
+}
+
+// vacate gives streams another way behind their first server whose chain goes
+// through a server that is leaving or gives up the layers, before it cuts them
+// off, and so that what it has to do instead need not wait for them.
+func (w *Watch) vacate(now time.Time) {
+	view := w.State.View()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if now.Sub(w.vacated) < vacateEvery {
+		return
+	}
+	for l := range w.lives {
+		l.mu.Lock()
+		at := leaving(view, l.chain)
+		due := at != "" && !l.busy && l.vacated != at
+		if due {
+			l.vacated = at
+		}
+		l.mu.Unlock()
+		if due && l.began.Load() {
+			w.vacated = now
+			go w.repair(l, at, true)
+			return
+		}
+	}
+}
+
+// leaving returns the address of a server of a chain, not the first, that does
+// not hold its part any more or is about to end.
+func leaving(view *fleet.View, chain hops.Chain) string {
+	for _, p := range chain[1:] {
+		s := view.At(p.Server.Address)
+		if s == nil || s.ID != p.Server.ID {
+			continue
+		}
+		if s.Leaving || s.First > p.First || s.End < p.End {
+			return s.Address
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/parts/place/group.go
@@ -0,0 +1,151 @@
+package place
+
+import (
+	"cmp"
+	"slices"
+
+	"fuchsiashelf.dev/parts/fleet"
+	"fuchsiashelf.dev/parts/route"
+)
+
+// group is the servers that hold the layers together.
+type group struct {
+	engine  *route.Engine
+	servers []*fleet.Server
+	// tokens is the room for requests that each server should have.
+	tokens float64
+	// held is the range that each server holds or is about to, by its ID.
+	held map[string]span
+	// count is how many servers hold a layer, and rooms the tokens that they
+	// have room for together.
+	count []int
+	rooms []float64
+}
+
+type span struct{ first, end int }
+
+func (r span) len() int { return r.end - r.first }
+
+func newGroup(e *route.Engine, servers []*fleet.Server) *group {
+	g := &group{
+		engine: e, servers: slices.Clone(servers), held: map[string]span{},
+		count: make([]int, e.Layers), rooms: make([]float64, e.Layers),
+	}
+	g.tokens = g.affordable()
+	slices.SortFunc(g.servers, func(a, b *fleet.Server) int {
+		if c := cmp.Compare(e.Cards[b.Card].MemoryMB, e.Cards[a.Card].MemoryMB); c != 0 {
+			return c
+		}
+		if c := cmp.Compare(e.Cards[a.Card].Pace, e.Cards[b.Card].Pace); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.ID, b.ID)
+	})
+	for _, s := range g.servers {
+		if s.Holds() > 0 {
+			g.set(s, span{max(0, s.First), min(s.End, e.Layers)})
+		}
+	}
+	return g
+}
+
+// affordable returns the room for requests that the servers can have while
+// they hold all layers: the usual one, or what is left.
+func (g *group) affordable() float64 {
+	tokens := usualRequests * float64(g.engine.UsualPrompt+g.engine.UsualAnswer)
+	const steps = 50
+	for i := range steps {
+		t := tokens * float64(steps-i) / steps
+		sum := 0
+		for _, s := range g.servers {
+			sum += size(g.engine, s, t)
+		}
+		if sum >= g.engine.Layers {
+			return t
+		}
+	}
+	return 0
+}
+
+// set replaces what a server holds.
+func (g *group) set(s *fleet.Server, r span) {
+	if old, known := g.held[s.ID]; known {
+		g.add(s, old, -1)
+	}
+	g.held[s.ID] = r
+	g.add(s, r, 1)
+}
+
+// add counts a range, or takes it away.
+func (g *group) add(s *fleet.Server, r span, by int) {
+	tokens := room(g.engine, s, r.len()) * float64(by)
+	for l := r.first; l < r.end; l++ {
+		g.count[l] += by
+		g.rooms[l] += tokens
+	}
+}
+
+// gap returns the first range of layers that nobody holds.
+func (g *group) gap() span {
+	first := slices.IndexFunc(g.count, func(n int) bool { return n <= 0 })
+	end := first
+	for end < len(g.count) && g.count[end] <= 0 {
+		end++
+	}
+	return span{first, end}
+}
+
+// doubled reports whether others hold all layers of a range.
+func (g *group) doubled(r span) bool {
+	for l := r.first; l < r.end; l++ {
+		if g.count[l] < 2 {
+			return false
+		}
+	}
+	return true
+}
+
+// missing counts the layers that nobody holds.
+func (g *group) missing() int {
+	n := 0
+	for _, c := range g.count {
+		if c <= 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// best returns the range of so many layers that is worth most.
+func (g *group) best(n int) span {
+	n = min(n, g.engine.Layers)
+	best := span{0, n}
+	var bestWorth float64
+	for at := 0; at+n <= g.engine.Layers; at++ {
+		r := span{at, at + n}
+		if w := g.worth(r); w > bestWorth {
+			best, bestWorth = r, w
+		}
+	}
+	return best
+}
+
+func (g *group) worth(r span) float64 {
+	var sum float64
+	for l := r.first; l < r.end; l++ {
+		if g.count[l] <= 0 {
+			sum += worthMissing
+			continue
+		}
+		sum += max(g.tokens, 1) / max(g.rooms[l], 1)
+	}
+	for _, other := range g.held {
+		if other.end == r.first || other.first == r.first {
+			sum += worthAligned
+		}
+		if other.first == r.end || other.end == r.end {
+			sum += worthAligned
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/parts/place/mend.go
@@ -0,0 +1,185 @@
+package place
+
+import (
+	"maps"
+	"slices"
+
+	"fuchsiashelf.dev/parts/fleet"
+)
+
+// widen closes gaps by the servers beside them, a layer at a time from either
+// side, each time by the server that has most room left.
+func (g *group) widen() {
+	for l := 0; l < g.engine.Layers; l++ {
+		if g.count[l] > 0 {
+			continue
+		}
+		end := l
+		for end < g.engine.Layers && g.count[end] == 0 {
+			end++
+		}
+		first := l
+		for first < end {
+			left, leftRoom := g.beside(first, true)
+			right, rightRoom := g.beside(end, false)
+			switch {
+			case left == nil && right == nil:
+				first = end
+			case right == nil || left != nil && leftRoom >= rightRoom:
+				g.set(left, span{g.held[left.ID].first, first + 1})
+				first++
+			default:
+				g.set(right, span{end - 1, g.held[right.ID].end})
+				end--
+			}
+		}
+	}
+}
+
+// beside returns the server that could best take a layer more at a boundary:
+// one that holds layers up to it, or from it on.
+func (g *group) beside(at int, before bool) (*fleet.Server, float64) {
+	var best *fleet.Server
+	var bestRoom float64
+	for _, s := range g.servers {
+		r, known := g.held[s.ID]
+		touches := known && r.len() > 0 && (before && r.end == at || !before && r.first == at)
+		if !touches || r.len() >= largest(g.engine, s) {
+			continue
+		}
+		if left := room(g.engine, s, r.len()+1); best == nil || left > bestRoom {
+			best, bestRoom = s, left
+		}
+	}
+	return best, bestRoom
+}
+
+// move closes gaps by servers whose layers others hold as well, if they may.
+// The smallest goes first: it is loaded soonest.
+func (g *group) move(may func(id string) bool) {
+	for i := len(g.servers) - 1; i >= 0 && g.missing() > 0; i-- {
+		s := g.servers[i]
+		old, known := g.held[s.ID]
+		if !known || old.len() == 0 || !g.doubled(old) || !may(s.ID) {
+			continue
+		}
+		before := g.missing()
+		g.set(s, span{})
+		g.set(s, g.best(max(1, size(g.engine, s, g.tokens))))
+		if g.missing() >= before {
+			g.set(s, old)
+		}
+	}
+}
+
+// shift closes the gaps that are left by pushing ranges along: the server
+// beside a gap takes it and gives up as much at its other end as it cannot
+// hold, which the next one takes. Each has some room above its usual number, so
+// the gap shrinks on its way. It is tried towards the last layer, then towards
+// the first, and left if neither closes all gaps.
+func (g *group) shift() {
+	held := maps.Clone(g.held)
+	for _, up := range []bool{true, false} {
+		for range g.servers {
+			if g.missing() == 0 || !g.push(up) {
+				break
+			}
+		}
+		if g.missing() == 0 {
+			return
+		}
+		for _, s := range g.servers {
+			if r, known := held[s.ID]; known {
+				g.set(s, r)
+			}
+		}
+	}
+}
+
+// push closes the first gap in one direction by the server behind it. It
+// reports whether there was one.
+func (g *group) push(up bool) bool {
+	gap := g.gap()
+	at := gap.end
+	if !up {
+		at = gap.first
+	}
+	s, _ := g.behind(at, up)
+	if s == nil {
+		return false
+	}
+	r, most := g.held[s.ID], largest(g.engine, s)
+	if up {
+		g.set(s, span{gap.first, min(r.end, gap.first+most)})
+	} else {
+		g.set(s, span{max(r.first, gap.end-most), gap.end})
+	}
+	return true
+}
+
+// behind returns the server that begins or ends at a boundary and has most to
+// give: the larger its range can be, the more a gap shrinks.
+func (g *group) behind(at int, up bool) (*fleet.Server, int) {
+	var best *fleet.Server
+	slack := 0
+	for _, s := range g.servers {
+		r, known := g.held[s.ID]
+		touches := known && r.len() > 0 && (up && r.first == at || !up && r.end == at)
+		if !touches {
+			continue
+		}
+		if n := largest(g.engine, s) - r.len(); best == nil || n > slack {
+			best, slack = s, n
+		}
+	}
+	return best, slack
+}
+
+// relieveFrom is by how much more a range must be worth than the one that an
+// idle server holds, before it changes. Layers whose holder is left with a
+// third of its usual room are worth six times those that two servers hold.
+const relieveFrom = 2
+
+// relieve moves idle servers, whose layers others hold as well, to layers whose
+// holders have little room for requests because they took some over.
+func (g *group) relieve(idle func(id string) bool) {
+	for _, s := range slices.Backward(g.servers) {
+		old, known := g.held[s.ID]
+		if !known || old.len() == 0 || !g.doubled(old) || !idle(s.ID) {
+			continue
+		}
+		g.set(s, span{})
+		best := g.best(old.len())
+		if g.worth(best) < relieveFrom*g.worth(old) {
+			best = old
+		}
+		g.set(s, best)
+	}
+}
+
+// trim makes servers give up layers beyond their usual number that others hold
+// as well.
+func (g *group) trim() {
+	if g.missing() > 0 {
+		return
+	}
+	for _, s := range g.servers {
+		r := g.held[s.ID]
+		usual := size(g.engine, s, g.tokens)
+		if s.Holds() == 0 || r.len() < usual+trimFrom {
+			continue
+		}
+		for r.len() > usual {
+			switch {
+			case g.count[r.first] > 1 && (g.count[r.end-1] < 2 || g.rooms[r.first] >= g.rooms[r.end-1]):
+				r.first++
+			case g.count[r.end-1] > 1:
+				r.end--
+			default:
+				usual = r.len()
+				continue
+			}
+			g.set(s, r)
+		}
+	}
+}
--- a/soak/town.go
+++ b/soak/town.go
@@ -8,7 +8,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -118,29 +117,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.version++
-	route := func(name, kind, service string, attempts int) map[string]any {
-		return map[string]any{
-			"name": name, "host": "town.example", "path_prefix": "/" + name + "/", "kind": kind, "service": service,
-			"timeout_ms": 6000, "target_latency_ms": 500, "target_gap_ms": 400, "attempts": attempts, "resumable": kind == "streaming",
-		}
-	}
-	return t.world.Store.Put("config", "main", map[string]any{
-		"version": t.version,
-		"routes": []any{
-			route("ask", "streaming", "assist", 2), route("pay", "non_idempotent", "booking", 1), route("look", "idempotent", "booking", 2),
-		},
-		"services": []any{
-			map[string]any{"name": "assist", "engine": map[string]any{
-				"slots": 16, "kv_token_bytes": 1000, "stride": 1, "step_ms": 1, "read_per_s": 100000, "layers": layers, "layer_mb": 1000,
-				"usual":  map[string]any{"prompt": 100, "answer": 20},
-				"models": []any{map[string]any{"name": "m", "load_s": 0.1}},
-				"kinds":  []any{map[string]any{"name": "card", "size_mb": 6000, "pace": 1, "read_x": 1}},
-			}},
-			map[string]any{"name": "booking"},
-		},
-		"limits":  map[string]any{"max_header_bytes": 4096, "max_body_bytes": 10000, "header_timeout_ms": 1000, "idle_timeout_ms": 5000},
-		"tenants": []any{map[string]any{"name": "choir", "api_keys": keys}},
-	})
+	return plat.Town{
+		Version: t.version, Keys: keys, Model: plat.Model{Layers: layers, LayerMB: 1000}, MemoryMB: 6000,
+	}.Put(&t.world.Store)
 }
 
 // enter starts an entry host.
@@ -167,9 +146,9 @@
 // begin starts the process of an entry host.
 func (e *entry) begin() error {
 	file := filepath.Join(e.town.Dir, e.name+".yaml")
-	text := fmt.Sprintf("node_name: %s\nzone: %s\nlisten: {front: %q, ready: %q, control: %q}\nseeds: [%q]\n"+
-		"limits: {memory_mb: 200}\nbounds: {grace_s: 6, retry_budget_ratio: 0.2, budget_window_s: 10, budget_slack: 100}\n"+
-		"platform: {address: %q}\n", e.name, e.zone, e.callers, e.ops, e.peers, e.seeds, e.store.Address())
+	text := plat.Boot{
+		Name: e.name, Zone: e.zone, Callers: e.callers, Ops: e.ops, Peers: e.peers, Seed: e.seeds, Store: e.store.Address(), GraceSeconds: 6,
+	}.YAML()
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return err
 	}
@@ -179,7 +158,7 @@
 	}
 	defer log.Close()
 	cmd := exec.Command(e.town.Program)
-	cmd.Env = append(os.Environ(), "FUCHSIASHELF_NODE_FILE="+file)
+	cmd.Env = append(os.Environ(), plat.FileVariable+"="+file)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return err
@@ -277,17 +256,12 @@
 
 // send makes one attempt of a caller; events is zero for a plain service.
 func (t *town) send(e int, id, path, key string, events int) reply {
-	req, err := http.NewRequest(http.MethodPost, "http://"+t.entries[e].callers+path, strings.NewReader("body"))
+	req, err := plat.Call{
+		Address: t.entries[e].callers, Path: path, ID: id, Key: key, Body: "body", Patience: patience, Events: events,
+	}.Request()
 	if err != nil {
 		return reply{err: err}
 	}
-	req.Host = "town.example"
-	req.Header.Set("X-Attempt-Id", id)
-	req.Header.Set("X-Deadline-Ms", fmt.Sprint(patience.Milliseconds()))
-	req.Header.Set("Authorization", "Token "+key)
-	if events > 0 {
-		req.Header.Set("X-Token-Counts", fmt.Sprintf("50,%d", events))
-	}
 	client := &http.Client{Timeout: patience + time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Do(req)
 	if err != nil {
@@ -297,12 +271,3 @@
 	body, err := io.ReadAll(resp.Body)
 	return reply{status: resp.StatusCode, body: string(body), err: err}
 }
-
-// whole returns a stream with all its events.
-func whole(id string, events int) string {
-	var b strings.Builder
-	for n := 1; n <= events; n++ {
-		fmt.Fprintf(&b, "id: %d\ndata: %s/%d\n\n", n, id, n)
-	}
-	return b.String()
-}
