stream: book no room for a stream that has ended

Found by reading: an order to change a chain that is answered after its stream's end booked room that was never released, and a stream that had not begun when its server left was never led round it later. TestNoRoomIsBookedForAnEndedStream fails before.

--- a/entry/stream/live.go
+++ b/entry/stream/live.go
@@ -21,6 +21,7 @@
 	chain   hops.Chain
 	release func()
 	busy    bool
+	ended   bool
 	// vacated is the server that the stream was last led round.
 	vacated string
 }
@@ -40,10 +41,14 @@
 	return l.chain[0].Server.Address
 }
 
-// move books another chain for the stream.
+// move books another chain for the stream. An order to change its chain may
+// come back after its end: booked then, the room would never come free again.
 func (l *live) move(ledger *hops.Ledger, chain hops.Chain) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.ended {
+		return
+	}
 	l.release()
 	l.chain = chain
 	l.release = ledger.Reserve(chain, tokens(l.job))
--- /dev/null
+++ b/entry/stream/live_test.go
@@ -0,0 +1,29 @@
+package stream
+
+import (
+	"context"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"fuchsiashelf.dev/entry/call"
+	"fuchsiashelf.dev/parts/fleet"
+	"fuchsiashelf.dev/parts/hops"
+	"fuchsiashelf.dev/parts/route"
+)
+
+// A stream ends while an order to change its chain is on its way, and the order
+// is taken. Room that was booked for it then would never come free: after some
+// hours of such streams everybody would be refused.
+func TestNoRoomIsBookedForAnEndedStream(t *testing.T) {
+	ledger := &hops.Ledger{}
+	w := &Watch{Ledger: ledger}
+	chain := hops.Chain{{Server: &fleet.Server{ID: "i-1"}, First: 0, End: 4}}
+	j := &call.Job{Ask: &call.Ask{Prompt: 10, Hint: 5}, Service: &route.Service{Engine: &route.Engine{}}}
+	_, cancel := context.WithCancelCause(context.Background())
+	l := w.add(j, chain, cancel)
+	qt.Assert(t, ledger.Used("i-1"), qt.Equals, hops.Usage{TokenLayers: 60, Requests: 1})
+	w.remove(l)
+	l.move(ledger, chain)
+	qt.Assert(t, ledger.Used("i-1"), qt.Equals, hops.Usage{})
+}
--- a/entry/stream/repair.go
+++ b/entry/stream/repair.go
@@ -131,12 +131,12 @@
 	for l := range w.lives {
 		l.mu.Lock()
 		at := leaving(view, l.chain)
-		due := at != "" && !l.busy && l.vacated != at
+		due := at != "" && !l.busy && l.vacated != at && l.began.Load()
 		if due {
 			l.vacated = at
 		}
 		l.mu.Unlock()
-		if due && l.began.Load() {
+		if due {
 			w.vacated = now
 			go w.repair(l, at, true)
 			return
--- a/entry/stream/watch.go
+++ b/entry/stream/watch.go
@@ -112,6 +112,7 @@
 	w.mu.Unlock()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.ended = true
 	l.release()
 }
 
