belief: take nothing over to a new run under an old ID

Found by reading: the platform lets a server start again under its ID. TestNewRunUnderOldID fails before.

--- a/entry/belief/belief.go
+++ b/entry/belief/belief.go
@@ -166,6 +166,13 @@
 			s.Log.Warn("servers: an unreadable entry was left out", "server", item.Name, "revision", item.Revision, "error", err)
 			continue
 		}
+		if seen && server.Born.After(old.server.Born) {
+			// A new run under an old ID holds nothing, and nothing that was
+			// said of the old one holds for it.
+			delete(s.orders, item.Name)
+			delete(s.suspects, item.Name)
+			s.Log.Info("servers: started anew", "server", server.ID, "address", server.Address, "revision", item.Revision)
+		}
 		s.tell(old.server, server, seen, item.Revision)
 		fresh[item.Name] = known{revision: item.Revision, server: server}
 	}
--- a/entry/belief/belief_test.go
+++ b/entry/belief/belief_test.go
@@ -14,6 +14,9 @@
 	"fuchsiashelf.dev/parts/route"
 )
 
+// anew is the entry of a server that has started again under its ID.
+const anew = 9
+
 // decoder reads a version from one byte, and a server from its domain.
 type decoder struct{}
 
@@ -28,7 +31,11 @@
 	if len(spec) == 0 {
 		return fleet.Server{}, errors.New("empty")
 	}
-	return fleet.Server{ID: id, Address: id + ":1", Service: "s", Domain: "a", First: 0, End: 10}, nil
+	s := fleet.Server{ID: id, Address: id + ":1", Service: "s", Domain: "a", First: 0, End: 10, Born: start}
+	if spec[0] == anew {
+		s.First, s.End, s.Born = 0, 0, start.Add(time.Minute)
+	}
+	return s, nil
 }
 
 func state() *belief.State {
@@ -123,3 +130,20 @@
 	s.Clear("i-1", start.Add(3*time.Second))
 	qt.Assert(t, s.View().Servers[0].Suspect, qt.IsFalse)
 }
+
+// A server crashes and starts again under its ID, holding nothing. What it was
+// told before, and that it was suspected, is of its old run; kept, its layers
+// would be thought to be on their way for seconds.
+func TestNewRunUnderOldID(t *testing.T) {
+	s := state()
+	s.Servers.Replace([]mirror.Item{item("i-1", 1, 1)}, 1)
+	s.ReadServers(start)
+	s.Ordered(belief.Order{ID: "i-1", First: 0, End: 20, Until: start.Add(time.Hour)}, start)
+	s.Suspect("i-1", start.Add(time.Hour), start)
+	s.Servers.Merge(mirror.Batch{After: 1, Cursor: 2, Items: []mirror.Item{item("i-1", 2, anew)}})
+	s.ReadServers(start.Add(time.Minute))
+	server := s.View().Servers[0]
+	qt.Assert(t, []int{server.Holds(), server.Takes}, qt.DeepEquals, []int{0, 0})
+	qt.Assert(t, server.Suspect, qt.IsFalse)
+	qt.Assert(t, s.Orders(), qt.HasLen, 0)
+}
--- a/entry/placer/placer.go
+++ b/entry/placer/placer.go
@@ -83,6 +83,8 @@
 	until      time.Time
 	// settled says that the server has confirmed it.
 	settled bool
+	// born is the start of the run that it was told to.
+	born time.Time
 }
 
 // Run places until the context ends.
@@ -154,14 +156,14 @@
 	defer p.mu.Unlock()
 	maps.DeleteFunc(p.told, func(_ string, t told) bool { return now.After(t.until) })
 	for i, s := range servers {
-		believed[i] = p.believed(s, now)
+		believed[i] = p.believed(s)
 	}
 	times := place.Times{Calm: now.Sub(p.since) >= calmFor && len(p.told) == 0, Idle: p.idle}
 	for _, o := range place.Decide(e, believed, times) {
 		if now.Sub(p.returned[o.Server.Domain]) < returnTime {
 			continue
 		}
-		p.tell(o.Server.ID, told{first: o.First, end: o.End, until: now.Add(again)})
+		p.tell(o.Server.ID, told{first: o.First, end: o.End, until: now.Add(again), born: o.Server.Born})
 		go p.order(ctx, e, o)
 	}
 }
@@ -183,12 +185,12 @@
 }
 
 // believed joins a server's entry with what it was told. The mutex is held.
-func (p *Placer) believed(s *fleet.Server, now time.Time) *fleet.Server {
+func (p *Placer) believed(s *fleet.Server) *fleet.Server {
 	t, known := p.told[s.ID]
 	if !known {
 		return s
 	}
-	if now.After(t.until) || t.settled && s.First == t.first && s.End == t.end {
+	if s.Born.After(t.born) || t.settled && s.First == t.first && s.End == t.end {
 		delete(p.told, s.ID)
 		return s
 	}
@@ -212,7 +214,7 @@
 	}
 	if o.Server.Holds() == 0 && report.End > report.First {
 		// Its entry lags behind: it holds layers already.
-		p.settle(o.Server.ID, report.First, report.End, time.Now().Add(heartbeats))
+		p.settle(o.Server, report.First, report.End, time.Now().Add(heartbeats))
 		return
 	}
 	octx, cancel := context.WithTimeout(ctx, orderTime)
@@ -225,7 +227,7 @@
 		return
 	}
 	until := now.Add(loadTime(e, o.End-o.First) + heartbeats)
-	p.settle(o.Server.ID, o.First, o.End, until)
+	p.settle(o.Server, o.First, o.End, until)
 	if p.State.Ordered(belief.Order{ID: o.Server.ID, First: o.First, End: o.End, Until: until}, now) {
 		p.Spread()
 	}
@@ -237,8 +239,8 @@
 	return 2 * alone
 }
 
-func (p *Placer) settle(id string, first, end int, until time.Time) {
+func (p *Placer) settle(s *fleet.Server, first, end int, until time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.tell(id, told{first: first, end: end, until: until, settled: true})
+	p.tell(s.ID, told{first: first, end: end, until: until, settled: true, born: s.Born})
 }
