line: tell bytes beyond an answer that come late from those that come with it

The test's server wrote the answer and the bytes beyond it separately; they came after the kept connection had been looked at and the next request written. No caller got them, and whether that request ran is told as unknown, which is all that can be known. The case that was meant (bytes that are there) now comes in one write, and the late one has a test of its own, with what must hold then.

--- a/entry/line/line_test.go
+++ b/entry/line/line_test.go
@@ -115,8 +115,8 @@
 		if err != nil {
 			return
 		}
-		answer(c, r.Header.Get("Id"), "whole")
-		fmt.Fprint(c, "more")
+		// One write, so that the bytes are there with the answer.
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 5\r\n\r\nwholemore", r.Header.Get("Id"))
 		_, _ = br.ReadByte()
 	})
 	var p line.Pool
@@ -128,6 +128,33 @@
 	qt.Assert(t, conns.Load(), qt.Equals, int64(2))
 }
 
+// The bytes beyond an answer come late, when the next request has been written
+// to the kept connection. Nobody can tell whether that one ran; its caller must
+// not get them as an answer, and the connection is not used again.
+func TestLateBytesBeyondAnAnswer(t *testing.T) {
+	address := listen(t, func(n int, c net.Conn, br *bufio.Reader) {
+		for i := 0; ; i++ {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			if n == 1 && i == 1 {
+				fmt.Fprint(c, "more")
+			}
+			answer(c, r.Header.Get("Id"), "body of "+r.Header.Get("Id"))
+		}
+	})
+	var p line.Pool
+	body, err := ask(t, &p, address, "a", line.Options{})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, body, qt.Equals, "body of a")
+	_, err = ask(t, &p, address, "b", line.Options{})
+	qt.Assert(t, fault.As(err).Verdict, qt.Equals, fault.MayHaveRun)
+	body, err = ask(t, &p, address, "c", line.Options{})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, body, qt.Equals, "body of c")
+}
+
 // A server reads a request and closes the connection. An HTTP client that
 // sends it again by itself would run a payment twice.
 func TestNothingIsSentTwice(t *testing.T) {
