soak: leave no process behind

Two ways were found: a soak that is told to end (timeout) left all its processes, and one that ended while an entry host was being started again left that one. Ruled out: the requests' own servers (none had died three times). That entry hosts do not tell deployments apart is listed as open.

--- a/soak/cmd/fssoak/main.go
+++ b/soak/cmd/fssoak/main.go
@@ -5,6 +5,9 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"sync"
+	"syscall"
 	"time"
 
 	"github.com/peterbourgon/ff/v3"
@@ -25,9 +28,11 @@
 	if err := ff.Parse(fs, os.Args[1:], ff.WithEnvVarPrefix("FSSOAK")); err != nil {
 		os.Exit(boot.ExitSettings)
 	}
+	started := &processes{}
+	go started.endWithSignal()
 	failed := 0
 	for n := range *seeds {
-		s := soak.Settings{Seed: *seed + uint64(n), For: *length, Entries: *entries, Callers: *callers, Program: *program, Dir: *dir}
+		s := soak.Settings{Seed: *seed + uint64(n), For: *length, Entries: *entries, Callers: *callers, Program: *program, Dir: *dir, Started: started.add}
 		if s.Dir == "" {
 			s.Dir, _ = os.MkdirTemp("", "fssoak-")
 		}
@@ -52,3 +57,31 @@
 		os.Exit(boot.ExitFailed)
 	}
 }
+
+// processes are those that the soak has started.
+type processes struct {
+	mu   sync.Mutex
+	list []*os.Process
+}
+
+func (p *processes) add(one *os.Process) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.list = append(p.list, one)
+}
+
+// endWithSignal ends the processes when the soak is told to end. Left behind,
+// they would go on speaking to the addresses that they know, and tell the entry
+// hosts of a later run, which got these addresses, of servers and
+// configurations that are not theirs.
+func (p *processes) endWithSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	<-signals
+	p.mu.Lock()
+	for _, one := range p.list {
+		// Most have ended already.
+		_ = one.Kill()
+	}
+	os.Exit(boot.ExitFailed)
+}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"sync"
 	"syscall"
 	"time"
 
@@ -22,8 +21,9 @@
 // fault lets faults happen until the time is over, and waits for those that
 // last.
 func (r *run) fault() error {
-	var lasting sync.WaitGroup
-	defer lasting.Wait()
+	// A process that is stopped and started again must be there before the run
+	// ends, or it would be left behind.
+	defer r.lasting.Wait()
 	for time.Since(r.start) < r.For {
 		time.Sleep(r.between(leastPause, mostPause))
 		last := r.between(leastFault, mostFault)
@@ -33,7 +33,7 @@
 		}
 		r.report.Faults = append(r.report.Faults, fmt.Sprintf("%s %s for %s", time.Since(r.start).Round(time.Millisecond), what, last))
 		if undo != nil {
-			lasting.Go(func() {
+			r.lasting.Go(func() {
 				time.Sleep(last)
 				undo()
 			})
@@ -66,12 +66,12 @@
 		return e.name + ": killed and started again", nil, e.begin()
 	case 5:
 		e.signal(syscall.SIGCONT)
-		go func() {
+		r.lasting.Go(func() {
 			e.terminate()
 			if err := e.begin(); err != nil {
 				r.broken("%v", err)
 			}
-		}()
+		})
 		return e.name + ": stopped as planned and started again", nil, nil
 	case 6:
 		trouble := []plat.Trouble{plat.Busy, plat.Silent}[r.rand.IntN(2)]
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -12,6 +12,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"sync"
 	"time"
 
@@ -29,6 +30,8 @@
 	Program string
 	// Dir holds settings files and logs.
 	Dir string
+	// Started is told of each process that the run starts, if it is set.
+	Started func(*os.Process)
 }
 
 // Report is what came of a run.
@@ -49,6 +52,9 @@
 	town  *town
 	start time.Time
 
+	// lasting are the faults that have not ended.
+	lasting sync.WaitGroup
+
 	mu     sync.Mutex
 	report Report
 	// refused holds payments that a caller was told have not run.
--- a/soak/town.go
+++ b/soak/town.go
@@ -163,6 +163,9 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
+	if e.town.Started != nil {
+		e.town.Started(cmd.Process)
+	}
 	done := make(chan struct{})
 	go func() {
 		// How it ended is told by what callers see.
