--- a/soak/faults.go
+++ b/soak/faults.go
@@ -60,19 +60,16 @@
 		e.signal(syscall.SIGSTOP)
 		return e.name + ": paused", func() { e.signal(syscall.SIGCONT) }, nil
 	case 4:
-		e.signal(syscall.SIGCONT)
-		e.signal(syscall.SIGKILL)
-		e.wait()
-		return e.name + ": killed and started again", nil, e.begin()
+		return r.restart(e, ": killed and started again", func() {
+			e.signal(syscall.SIGCONT)
+			e.signal(syscall.SIGKILL)
+			e.wait()
+		})
 	case 5:
-		e.signal(syscall.SIGCONT)
-		r.lasting.Go(func() {
+		return r.restart(e, ": stopped as planned and started again", func() {
+			e.signal(syscall.SIGCONT)
 			e.terminate()
-			if err := e.begin(); err != nil {
-				r.broken("%v", err)
-			}
 		})
-		return e.name + ": stopped as planned and started again", nil, nil
 	case 6:
 		trouble := []plat.Trouble{plat.Busy, plat.Silent}[r.rand.IntN(2)]
 		r.town.world.Store.Fail(trouble)
@@ -87,6 +84,22 @@
 	}
 }
 
+// restart ends an entry host's process and starts another, unless that is being
+// done: two would be started for one, and only the last one ended.
+func (r *run) restart(e *entry, what string, end func()) (string, func(), error) {
+	if !e.life.TryLock() {
+		return e.name + what + " already", nil, nil
+	}
+	r.lasting.Go(func() {
+		defer e.life.Unlock()
+		end()
+		if err := e.begin(); err != nil {
+			r.broken("%v", err)
+		}
+	})
+	return e.name + what, nil, nil
+}
+
 func (r *run) mode() proxy.Mode {
 	return []proxy.Mode{proxy.Slow, proxy.Reset, proxy.OneWay, proxy.Silent}[r.rand.IntN(4)]
 }
--- a/soak/town.go
+++ b/soak/town.go
@@ -49,6 +49,8 @@
 	callers, ops, peers string
 	store               *proxy.Proxy
 	seeds               string
+	// life is held while the process is ended and another one started.
+	life sync.Mutex
 
 	mu   sync.Mutex
 	cmd  *exec.Cmd
