stream: ask the servers of a silent stream, and keep the parts that hold it

Cause: streams through a server that dies pause for 300 to 600 ms. Silence was noticed after 300 ms, only the first server was asked, whose report of whom it waits for is 200 ms old, and each stream was looked at by itself.

Ruled out: asking sooner alone.

Change: parts/probe, a pure decision, names the servers to ask after 100 ms: first those of which the largest share of streams is silent, 60 questions a second at most. A server that refuses connections is left by all its streams at once, one that is out of reach only by those that are silent. A detour is booked before it is ordered, so streams that leave together spread. A part counts as kept only with the same layers, and reading anew weighs ten times.

--- a/entry/stream/accuse.go
+++ b/entry/stream/accuse.go
@@ -61,17 +61,56 @@
 	if s == nil {
 		return
 	}
+	w.mu.Lock()
+	sound := time.Since(w.sound[address]) < soundFor
+	w.mu.Unlock()
+	if !sound && w.claim(address) {
+		go w.probe(s.ID, address, why, by)
+	}
+}
+
+// claim reports whether the caller is to ask an accused server; one that is
+// asked already is not asked by another.
+func (w *Watch) claim(address string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.probed == nil {
 		w.probed = map[string]bool{}
-		w.sound = map[string]time.Time{}
 	}
-	if w.probed[address] || time.Since(w.sound[address]) < soundFor {
-		return
+	if w.probed[address] {
+		return false
 	}
 	w.probed[address] = true
-	go w.probe(s.ID, address, why, by)
+	return true
+}
+
+// suspect avoids a server that has left questions unanswered, and asks it
+// again until it answers or its entry is gone.
+func (w *Watch) suspect(address, why string, err error) {
+	s := w.State.View().At(address)
+	if s == nil {
+		return
+	}
+	w.doubt(s.ID, address, why, err, time.Now())
+	if w.claim(address) {
+		go w.probe(s.ID, address, why, link{})
+	}
+}
+
+// doubt notes that a server did not answer. It reports whether its entry is
+// still there.
+func (w *Watch) doubt(id, address, why string, err error, now time.Time) bool {
+	// Only a process that is gone refuses connections at once. One behind a
+	// cut link does not answer either, and no request is to blame.
+	w.settle(id, errors.Is(err, syscall.ECONNREFUSED), now)
+	if s := w.State.View().At(address); s == nil || s.ID != id {
+		return false
+	}
+	if w.State.Suspect(id, now.Add(belief.SuspectFor), now) {
+		w.Log.Warn("servers: suspected", "server", id, "address", address, "why", why, "error", err)
+		w.Spread()
+	}
+	return true
 }
 
 func (w *Watch) probe(id, address, why string, by link) {
@@ -81,7 +120,7 @@
 		w.mu.Unlock()
 	}()
 	for n := range maxProbes {
-		ctx, cancel := context.WithTimeout(context.Background(), askTime)
+		ctx, cancel := context.WithTimeout(context.Background(), checkTime)
 		_, err := w.Engine.Report(ctx, address)
 		cancel()
 		now := time.Now()
@@ -92,20 +131,16 @@
 			w.State.Clear(id, now)
 			w.settle(id, false, now)
 			w.mu.Lock()
+			if w.sound == nil {
+				w.sound = map[string]time.Time{}
+			}
 			w.sound[address] = now
 			w.mu.Unlock()
 			return
 		}
-		// Only a process that is gone refuses connections at once. One behind a
-		// cut link does not answer either, and no request is to blame.
-		w.settle(id, errors.Is(err, syscall.ECONNREFUSED), now)
-		if s := w.State.View().At(address); s == nil || s.ID != id {
+		if !w.doubt(id, address, why, err, now) {
 			return
 		}
-		if w.State.Suspect(id, now.Add(belief.SuspectFor), now) {
-			w.Log.Warn("servers: suspected", "server", id, "address", address, "why", why, "error", err)
-			w.Spread()
-		}
 		time.Sleep(probeEvery)
 	}
 }
--- a/entry/stream/live.go
+++ b/entry/stream/live.go
@@ -35,6 +35,32 @@
 	return time.Duration(now.UnixNano() - l.last.Load())
 }
 
+// silent reports whether the pause since the last event is longer than usual.
+func (l *live) silent(now time.Time) bool {
+	if l.began.Load() {
+		return l.silence(now) > silentEvent
+	}
+	return l.silence(now) > silentStart
+}
+
+// servers returns the addresses of the chain.
+func (l *live) servers() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list := make([]string, len(l.chain))
+	for i, p := range l.chain {
+		list[i] = p.Server.Address
+	}
+	return list
+}
+
+// through reports whether a server is part of the chain.
+func (l *live) through(address string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.chain.Has(address)
+}
+
 func (l *live) first() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/entry/stream/repair.go
+++ b/entry/stream/repair.go
@@ -69,9 +69,13 @@
 		if next == nil {
 			break
 		}
+		// Booked before it is ordered: many streams leave a dead server at one
+		// moment, and would all choose the same other one.
+		l.move(w.Ledger, next)
 		if w.order(l, next, avoid) {
 			return
 		}
+		l.move(w.Ledger, chain)
 	}
 	w.Log.Info("watch: no other way", "request", l.job.ID, "failed", failed, "runs", runs)
 	if !runs {
@@ -84,9 +88,9 @@
 	if avoid[chain[0].Server.Address] {
 		return nil
 	}
-	kept := map[string]bool{}
+	kept := map[string]hops.Part{}
 	for _, p := range chain[1:] {
-		kept[p.Server.Address] = true
+		kept[p.Server.Address] = p
 	}
 	q := hops.Query{
 		Engine: l.job.Service.Engine, Servers: w.State.View().Service(l.job.Service.Name), Home: w.Home,
@@ -105,7 +109,6 @@
 	w.Log.Info("watch: rerouted", "request", l.job.ID, "chain", next.String(), "taken", taken.String(), "at", at, "error", err)
 	switch taken {
 	case call.TakenBegun:
-		l.move(w.Ledger, next)
 		l.last.Store(time.Now().UnixNano())
 		return true
 	case call.TakenConflict:
--- a/entry/stream/watch.go
+++ b/entry/stream/watch.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"maps"
 	"sync"
+	"syscall"
 	"time"
 
 	"fuchsiashelf.dev/entry/belief"
@@ -13,25 +14,26 @@
 	"fuchsiashelf.dev/parts/domain"
 	"fuchsiashelf.dev/parts/hops"
 	"fuchsiashelf.dev/parts/poison"
+	"fuchsiashelf.dev/parts/probe"
 )
 
 // The times of the watch over streams. Callers leave a stream that is silent
 // for two seconds.
 const (
 	// sweepEvery is how often all streams are looked at.
-	sweepEvery = 50 * time.Millisecond
-	// silentEvent is the pause between events after which the first server is
-	// asked why. Pauses are 10 to 50 ms, and 200 ms count as late.
-	silentEvent = 300 * time.Millisecond
+	sweepEvery = 25 * time.Millisecond
+	// silentEvent is the pause between events after which the servers of a
+	// stream are asked whether they live. Pauses are 10 to 50 ms, and 200 ms
+	// count as late.
+	silentEvent = 100 * time.Millisecond
 	// silentStart is the same before the first event, which takes 50 to 300 ms.
-	silentStart = 500 * time.Millisecond
-	// askEvery bounds the questions to one server, which are priced.
-	askEvery = 200 * time.Millisecond
-	// askTime bounds one question. An answer takes milliseconds.
-	askTime = 300 * time.Millisecond
-	// deafAfter is how many questions without an answer mean that a server is
-	// dead.
-	deafAfter = 2
+	silentStart = 200 * time.Millisecond
+	// askTime bounds the question to a server of a silent stream. An answer
+	// takes one to three milliseconds.
+	askTime = 60 * time.Millisecond
+	// checkTime bounds the question to a server that is accused of having
+	// failed. It is out of use after one miss, so it gets more time.
+	checkTime = 300 * time.Millisecond
 	// hopeless is the silence after which a stream is begun anew even if its
 	// first server claims to be well. Beginning anew takes some 300 ms.
 	hopeless = 1300 * time.Millisecond
@@ -73,9 +75,14 @@
 	// Spread tells the other entry hosts of a new suspicion.
 	Spread func()
 
+	// Forget drops the kept connections to an address: those that fell silent
+	// without a reset would make a server that lives look dead.
+	Forget func(address string)
+
 	mu    sync.Mutex
 	lives map[*live]struct{}
-	asked map[string]*inquiry
+	// book decides which servers of silent streams are asked.
+	book probe.Book
 	// probed holds the addresses of accused servers that are being asked.
 	probed map[string]bool
 	// sound holds when an accused server last answered.
@@ -87,13 +94,6 @@
 	vacated time.Time
 }
 
-// inquiry is what is known of a first server by asking it.
-type inquiry struct {
-	last  time.Time
-	deaf  int
-	under bool
-}
-
 func (w *Watch) add(j *call.Job, chain hops.Chain, cancel context.CancelCauseFunc) *live {
 	l := &live{job: j, chain: chain, cancel: cancel, release: w.Ledger.Reserve(chain, tokens(j))}
 	l.last.Store(time.Now().UnixNano())
@@ -138,87 +138,70 @@
 	}
 }
 
-// sweep asks the first servers of silent streams what they wait for.
+// sweep asks the servers of silent streams whether they live.
 func (w *Watch) sweep(ctx context.Context, now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	due := map[string]bool{}
+	silent := false
 	for l := range w.lives {
-		silence := l.silence(now)
-		limit := silentEvent
-		if !l.began.Load() {
-			limit = silentStart
-		}
-		if silence < limit {
-			continue
-		}
-		if l.began.Load() && silence > hopeless {
+		if l.began.Load() && l.silence(now) > hopeless {
 			l.cancel(errSilent)
-			continue
 		}
-		due[l.first()] = true
-	}
-	for address := range due {
-		w.ask(ctx, address, now)
+		silent = silent || l.silent(now)
 	}
 	maps.DeleteFunc(w.sound, func(_ string, at time.Time) bool { return now.Sub(at) > soundFor })
-	for address, q := range w.asked {
-		if !q.under && now.Sub(q.last) > time.Second {
-			delete(w.asked, address)
-		}
-	}
-}
-
-// ask begins an inquiry, unless one is under way or was just made. The mutex
-// is held.
-func (w *Watch) ask(ctx context.Context, address string, now time.Time) {
-	if w.asked == nil {
-		w.asked = map[string]*inquiry{}
+	if !silent {
+		return
 	}
-	q := w.asked[address]
-	if q == nil {
-		q = &inquiry{}
-		w.asked[address] = q
+	streams := make([]probe.Stream, 0, len(w.lives))
+	for l := range w.lives {
+		streams = append(streams, probe.Stream{Servers: l.servers(), Silent: l.silent(now)})
 	}
-	if q.under || now.Sub(q.last) < askEvery {
-		return
+	for _, address := range w.book.Ask(streams, now) {
+		go w.inquire(ctx, address)
 	}
-	q.last, q.under = now, true
-	go w.inquire(ctx, address, q)
 }
 
-func (w *Watch) inquire(ctx context.Context, address string, q *inquiry) {
+// inquire asks a server for its report. One that does not answer is left by
+// the streams that pass through it.
+func (w *Watch) inquire(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, askTime)
 	report, err := w.Engine.Report(ctx, address)
 	cancel()
 	w.mu.Lock()
-	q.under = false
-	if err != nil {
-		q.deaf++
-	} else {
-		q.deaf = 0
-	}
-	deaf := q.deaf
+	finding := w.book.Answer(address, err == nil, errors.Is(err, syscall.ECONNREFUSED))
 	w.mu.Unlock()
-	if err != nil {
-		w.Log.Warn("watch: no report", "server", address, "times", deaf, "error", err)
-		if deaf >= deafAfter {
-			w.Accuse(address, err.Error())
-			w.end(address, errDead)
-		}
+	if err == nil {
+		w.reroute(address, report.Stalled)
 		return
 	}
-	w.reroute(address, report.Stalled)
+	w.Log.Warn("watch: no report", "server", address, "finding", finding.String(), "error", err)
+	w.Forget(address)
+	if finding.Dead() {
+		w.suspect(address, "no report", err)
+	}
+	w.leave(address, finding)
 }
 
-// end ends all silent streams of a dead first server, so that they begin anew.
-func (w *Watch) end(address string, cause error) {
+// leave leads streams round a server that does not answer, and begins those
+// anew of which it is the first. A server that is only out of reach may still
+// serve its peers, so streams that come through it stay.
+func (w *Watch) leave(address string, f probe.Finding) {
 	now := time.Now()
+	var list []*live
 	w.mu.Lock()
-	defer w.mu.Unlock()
 	for l := range w.lives {
-		if l.first() == address && l.silence(now) > silentEvent {
-			l.cancel(cause)
+		if f != probe.Gone && !l.silent(now) || !l.through(address) {
+			continue
+		}
+		if l.first() != address {
+			list = append(list, l)
+		} else if f.Dead() {
+			l.cancel(errDead)
 		}
 	}
+	w.mu.Unlock()
+	for _, l := range list {
+		go w.repair(l, address, f == probe.Doubtful)
+	}
 }
--- /dev/null
+++ b/entry/stream/watch_test.go
@@ -0,0 +1,178 @@
+package stream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fuchsiashelf.dev/entry/belief"
+	"fuchsiashelf.dev/entry/call"
+	"fuchsiashelf.dev/parts/fleet"
+	"fuchsiashelf.dev/parts/hops"
+	"fuchsiashelf.dev/parts/mirror"
+	"fuchsiashelf.dev/parts/poison"
+	"fuchsiashelf.dev/parts/probe"
+	"fuchsiashelf.dev/parts/route"
+)
+
+// engines are engines that answer from memory.
+type engines struct {
+	// fails holds what a question to an address ends with.
+	fails map[string]error
+	// hold, if set, keeps orders waiting until it is closed.
+	hold chan struct{}
+
+	mu       sync.Mutex
+	rerouted map[string]hops.Chain
+	told     chan struct{}
+}
+
+func (e *engines) Report(_ context.Context, address string) (call.Report, error) {
+	return call.Report{}, e.fails[address]
+}
+
+func (e *engines) Place(context.Context, *fleet.Server, int, int, uint64) (call.Taken, error) {
+	return call.TakenRefused, nil
+}
+
+func (e *engines) Reroute(_ context.Context, id string, c hops.Chain) (call.Taken, string, error) {
+	if e.hold != nil {
+		<-e.hold
+	}
+	e.mu.Lock()
+	e.rerouted[id] = c
+	e.mu.Unlock()
+	e.told <- struct{}{}
+	return call.TakenBegun, "", nil
+}
+
+// layers of the model of these tests.
+const layers = 12
+
+// fixed decodes servers that a test made.
+type fixed map[string]fleet.Server
+
+func (f fixed) Table([]byte) (*route.Table, error) {
+	return nil, errors.New("no configuration in this test")
+}
+
+func (f fixed) Server(id string, _ []byte) (fleet.Server, error) {
+	return f[id], nil
+}
+
+// watched returns a watch over a first server, one in the midst of chains, and
+// others that hold the same layers as that one.
+func watched(e *engines, others int) (*Watch, fixed) {
+	e.rerouted = map[string]hops.Chain{}
+	e.told = make(chan struct{}, 16)
+	servers := fixed{}
+	add := func(id string, first, end int) {
+		servers[id] = fleet.Server{ID: id, Service: "assist", Address: id, Domain: "a", Card: "card", First: first, End: end}
+	}
+	add("first", 0, 4)
+	add("middle", 4, 12)
+	for i := range others {
+		add(fmt.Sprintf("other-%d", i), 4, 12)
+	}
+	m := &mirror.Mirror{Kind: "servers"}
+	var items []mirror.Item
+	for id := range servers {
+		items = append(items, mirror.Item{Name: id, Revision: 1})
+	}
+	m.Replace(items, 1)
+	log := slog.New(slog.DiscardHandler)
+	s := &belief.State{Decoder: servers, Log: log, Home: "a", Servers: m}
+	s.ReadServers(time.Now())
+	return &Watch{
+		Engine: e, State: s, Ledger: &hops.Ledger{}, Home: "a", Log: log, Tally: &poison.Tally{},
+		Spread: func() {}, Forget: func(string) {},
+	}, servers
+}
+
+// stream adds a stream whose last event came some time ago.
+func (w *Watch) stream(servers fixed, id string, silence time.Duration) *live {
+	e := &route.Engine{
+		Layers: layers, LayerMB: 1, TokenBytes: 1, Stride: 1, ReadPerSec: 1000, Step: time.Millisecond,
+		Cards: map[string]route.Card{"card": {MemoryMB: 100, Pace: 1, Read: 1}},
+	}
+	first, middle := servers["first"], servers["middle"]
+	chain := hops.Chain{{Server: &first, First: 0, End: 4}, {Server: &middle, First: 4, End: 12}}
+	j := &call.Job{Ask: &call.Ask{ID: id, Prompt: 10, Hint: 5}, Service: &route.Service{Name: "assist", Engine: e}}
+	l := w.add(j, chain, func(error) {})
+	l.touch()
+	l.last.Store(time.Now().Add(-silence).UnixNano())
+	return l
+}
+
+// A process in the midst of many chains ends. Each of its streams would have to
+// be silent for a while before anybody asked, and the first server's report
+// comes later still; every caller would see a pause. One silent stream is
+// enough: its servers are asked, one refuses, and all its streams leave.
+func TestAllStreamsLeaveAServerThatIsGone(t *testing.T) {
+	e := &engines{fails: map[string]error{"middle": syscall.ECONNREFUSED}}
+	w, servers := watched(e, 1)
+	w.stream(servers, "silent", silentEvent+time.Millisecond)
+	w.stream(servers, "still-comes", 0)
+	w.sweep(t.Context(), time.Now())
+	<-e.told
+	<-e.told
+	for _, id := range []string{"silent", "still-comes"} {
+		qt.Check(t, e.rerouted[id].String(), qt.Equals, "first=0-4 other-0=4-12")
+	}
+	qt.Check(t, w.State.View().At("middle").Suspect, qt.IsTrue)
+}
+
+// An entry host is cut off from a server that its peers still reach. Streams
+// through that one go on; led elsewhere, all their tokens would be read again
+// for nothing.
+func TestStreamsThatComeStayWithAServerOutOfReach(t *testing.T) {
+	e := &engines{fails: map[string]error{"middle": context.DeadlineExceeded}}
+	w, servers := watched(e, 1)
+	w.stream(servers, "silent", silentEvent+time.Millisecond)
+	w.stream(servers, "still-comes", 0)
+	w.sweep(t.Context(), time.Now())
+	<-e.told
+	qt.Check(t, e.rerouted["silent"].String(), qt.Equals, "first=0-4 other-0=4-12")
+	qt.Check(t, e.rerouted["still-comes"], qt.IsNil)
+}
+
+// Many streams leave a dead server within a millisecond. While the first order
+// is on its way, nothing shows that its server is about to read a whole prompt;
+// if all chose it, the last would wait for all others.
+func TestStreamsThatLeaveTogetherSpread(t *testing.T) {
+	e := &engines{fails: map[string]error{"middle": syscall.ECONNREFUSED}, hold: make(chan struct{})}
+	w, servers := watched(e, 2)
+	const streams = 8
+	for i := range streams {
+		w.stream(servers, fmt.Sprintf("r%d", i), silentEvent+time.Millisecond)
+	}
+	w.leave("middle", probe.Gone)
+	until(t, func() bool { return w.Ledger.Used("middle").Requests == 0 })
+	close(e.hold)
+	for range streams {
+		<-e.told
+	}
+	one, two := w.Ledger.Used("other-0").Requests, w.Ledger.Used("other-1").Requests
+	qt.Assert(t, one >= 2 && two >= 2, qt.IsTrue, qt.Commentf("%v and %v", one, two))
+}
+
+// until waits for a condition that another goroutine brings about.
+func until(t *testing.T, holds func() bool) {
+	t.Helper()
+	tick := time.NewTicker(time.Millisecond)
+	defer tick.Stop()
+	for !holds() {
+		select {
+		case <-t.Context().Done():
+			t.Fatal("never")
+		case <-tick.C:
+		}
+	}
+}
--- a/parts/hops/hops.go
+++ b/parts/hops/hops.go
@@ -73,9 +73,10 @@
 	// thirds of all chains used the fast cards of one domain and crossed; at 60
 	// the mean worth of ten hard days rose from 0.48 to 0.58, at 150 it stayed.
 	crossWeight = 60
-	// keptWeight scales the cost of a server that already holds the request's
-	// tokens: it reads nothing again.
-	keptWeight = 0.3
+	// rereadWeight multiplies the time of reading in a part that an answer under
+	// way does not have yet. Its caller waits for that, while it hardly notices
+	// a somewhat slower pace, and the other requests of the server wait as well.
+	rereadWeight = 10
 	// fullWeight is by how much a full server seems slower than an empty one.
 	fullWeight = 0.5
 	// fullest is the share of a server's memory that may be promised. Answers
@@ -100,8 +101,9 @@
 	Used func(id string) Usage
 	// Start is the first part, if it is fixed.
 	Start *Part
-	// Kept holds the addresses of servers that already hold the tokens.
-	Kept map[string]bool
+	// Kept holds the parts that already hold the tokens, by their servers'
+	// addresses. Only the same server with the same layers reads nothing again.
+	Kept map[string]Part
 	// Crowded permits promising more than the memory of the servers, as
 	// far as the engines queue what does not fit.
 	Crowded bool
@@ -221,13 +223,26 @@
 		if e <= at || e > end || whole && e != end {
 			continue
 		}
-		total := cost + o.perLayer*float64(e-at)
+		total := cost + q.layersCost(o, at, e)
 		if total < best[e][o.domain].cost {
 			best[e][o.domain] = step{cost: total, server: o.server, from: at, prev: from}
 		}
 	}
 }
 
+// layersCost is the cost of running the layers [first, end) on a server.
+func (q *Query) layersCost(o offer, first, end int) float64 {
+	share := float64(end-first) / float64(q.Engine.Layers)
+	if len(q.Kept) == 0 {
+		return share * o.spread * (o.write + o.read)
+	}
+	kept, known := q.Kept[o.server.Address]
+	if known && kept.First == first && kept.End == end {
+		return share * o.write
+	}
+	return share * o.spread * (o.write + rereadWeight*o.read)
+}
+
 // trace follows the cheapest way back from the last layer.
 func (q *Query) trace(best [][]step, start int) Chain {
 	at, d := q.Engine.Layers, 0
@@ -277,15 +292,21 @@
 	for _, s := range q.Servers {
 		list = append(list, s.First, min(s.End, q.Engine.Layers))
 	}
+	for _, p := range q.Kept {
+		list = append(list, p.First, p.End)
+	}
 	slices.Sort(list)
 	return slices.Compact(list)
 }
 
 // offer is a server with the cost of using it.
 type offer struct {
-	server   *fleet.Server
-	domain   int
-	perLayer float64
+	server *fleet.Server
+	domain int
+	// read and write are the seconds that the request would take for all layers.
+	read, write float64
+	// spread makes fuller servers seem slower.
+	spread float64
 }
 
 func (q *Query) offers(index map[domain.Name]int) []offer {
@@ -312,24 +333,23 @@
 	room := Room(q.Engine, s)
 	need := float64(q.Prompt+q.Answer) * float64(s.Holds())
 	taken := (used.TokenLayers + need) / max(room, 1)
-	if (used.Full || taken > fullest) && !q.Crowded && !q.Kept[s.Address] {
+	_, kept := q.Kept[s.Address]
+	if (used.Full || taken > fullest) && !q.Crowded && !kept {
 		return offer{}, false
 	}
-	o := offer{server: s, perLayer: q.Seconds(s, used.Requests) / float64(q.Engine.Layers)}
+	o := offer{server: s}
+	o.read, o.write = q.Seconds(s, used.Requests)
 	// Half as much again for a full server spreads requests over servers that
 	// are alike. A steeper rise sent requests through 17 servers with eight
 	// crossings when all were nearly full.
 	taken = min(taken, 1)
-	o.perLayer *= 1 + fullWeight*taken*taken
-	if q.Kept[s.Address] {
-		o.perLayer *= keptWeight
-	}
+	o.spread = 1 + fullWeight*taken*taken
 	return o, true
 }
 
-// Seconds returns the time that the request takes for all layers at the pace
-// of a server which works on some others.
-func (q *Query) Seconds(s *fleet.Server, others float64) float64 {
+// Seconds returns the times in which a server that works on some others would
+// read the prompt and write the answer if it ran all layers.
+func (q *Query) Seconds(s *fleet.Server, others float64) (read, write float64) {
 	e := q.Engine
 	card, known := e.Cards[s.Card]
 	if !known {
@@ -337,9 +357,9 @@
 	}
 	context := others * float64(e.UsualPrompt+e.UsualAnswer/2) / 1000
 	step := e.Step.Seconds() + e.StepEach.Seconds()*others + e.StepContext.Seconds()*context
-	write := busyPass * step * card.Pace * float64(q.Answer)
-	read := float64(q.Prompt) / max(e.ReadPerSec, 1) * card.Read
-	return write + read
+	write = busyPass * step * card.Pace * float64(q.Answer)
+	read = float64(q.Prompt) / max(e.ReadPerSec, 1) * card.Read
+	return read, write
 }
 
 // hop is the cost of a further server in the chain, over all passes of the
--- a/parts/hops/hops_test.go
+++ b/parts/hops/hops_test.go
@@ -125,6 +125,23 @@
 	qt.Assert(t, q.Pick(), qt.IsNil)
 }
 
+// A server in the midst of an answer's chain dies, and the one that takes its
+// part could run some layers of the next one as well. If it did, both would
+// read the whole prompt again, and so for each of some thirty answers: their
+// callers would wait for half a second instead of a quarter.
+func TestDetourKeepsPartsAsTheyAre(t *testing.T) {
+	first := server("a", "a", "small", 0, 20)
+	next := server("c", "a", "small", 35, 60)
+	last := server("d", "a", "small", 60, 80)
+	q := query(first, next, last, server("e", "a", "small", 20, 60))
+	q.Start = &hops.Part{Server: first, First: 0, End: 20}
+	q.Kept = map[string]hops.Part{
+		next.Address: {Server: next, First: 40, End: 60},
+		last.Address: {Server: last, First: 60, End: 80},
+	}
+	qt.Assert(t, q.Pick().String(), qt.Equals, "a=0-20 e=20-40 c=40-60 d=60-80")
+}
+
 // A fast server holds few layers in the midst of what a slow one holds. The
 // way through both would pass the slow one twice, which engines refuse.
 func TestNoServerTwice(t *testing.T) {
--- /dev/null
+++ b/parts/probe/probe_test.go
@@ -0,0 +1,85 @@
+package probe_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fuchsiashelf.dev/parts/probe"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// A server in the midst of several chains dies. Its streams fall silent one
+// after the other, and the others of its chains go on for other streams. Asked
+// in any order, the budget could be spent on servers that live while callers
+// wait; the one that all silent streams share is asked first.
+func TestServerThatSilentStreamsShareIsAskedFirst(t *testing.T) {
+	streams := []probe.Stream{
+		{Servers: []string{"a", "dead", "c"}, Silent: true},
+		{Servers: []string{"b", "dead", "d"}, Silent: true},
+		{Servers: []string{"a", "e", "c"}},
+		{Servers: []string{"b", "e", "d"}},
+	}
+	b := &probe.Book{}
+	qt.Assert(t, b.Ask(streams, start)[0], qt.Equals, "dead")
+}
+
+func TestNobodyIsAskedWithoutSilence(t *testing.T) {
+	b := &probe.Book{}
+	qt.Assert(t, b.Ask([]probe.Stream{{Servers: []string{"a", "b"}}}, start), qt.HasLen, 0)
+}
+
+// On an overloaded evening every stream pauses at times. Questions to all
+// servers at every look would add to the load that makes them slow.
+func TestQuestionsAreBounded(t *testing.T) {
+	var streams []probe.Stream
+	for i := range 100 {
+		streams = append(streams, probe.Stream{Servers: []string{fmt.Sprintf("s%d", i)}, Silent: true})
+	}
+	b := &probe.Book{}
+	asked := 0
+	const seconds = 10
+	for ms := 0; ms < seconds*1000; ms += 25 {
+		list := b.Ask(streams, start.Add(time.Duration(ms)*time.Millisecond))
+		asked += len(list)
+		for _, address := range list {
+			b.Answer(address, true, false)
+		}
+	}
+	qt.Assert(t, asked <= probe.Burst+probe.PerSecond*seconds, qt.IsTrue, qt.Commentf("%d questions", asked))
+}
+
+func TestOneQuestionAtATime(t *testing.T) {
+	streams := []probe.Stream{{Servers: []string{"a"}, Silent: true}}
+	b := &probe.Book{}
+	qt.Assert(t, b.Ask(streams, start), qt.DeepEquals, []string{"a"})
+	qt.Assert(t, b.Ask(streams, start.Add(time.Second)), qt.HasLen, 0)
+	b.Answer("a", true, false)
+	qt.Assert(t, b.Ask(streams, start.Add(time.Second)), qt.DeepEquals, []string{"a"})
+	b.Answer("a", true, false)
+	qt.Assert(t, b.Ask(streams, start.Add(time.Second+probe.Every/2)), qt.HasLen, 0)
+}
+
+func TestFindings(t *testing.T) {
+	b := &probe.Book{}
+	qt.Assert(t, b.Answer("a", true, false), qt.Equals, probe.Alive)
+	qt.Assert(t, b.Answer("a", false, true), qt.Equals, probe.Gone)
+	qt.Assert(t, b.Answer("b", false, false), qt.Equals, probe.Doubtful)
+	qt.Assert(t, b.Answer("b", false, false), qt.Equals, probe.Unreachable)
+	qt.Assert(t, b.Answer("b", true, false), qt.Equals, probe.Alive)
+	qt.Assert(t, b.Answer("b", false, false), qt.Equals, probe.Doubtful)
+}
+
+// A question was lost an hour ago, and now another one is. Taken together they
+// would end the runs of a server that lives.
+func TestOldMissesDoNotCount(t *testing.T) {
+	streams := []probe.Stream{{Servers: []string{"a"}, Silent: true}}
+	b := &probe.Book{}
+	b.Ask(streams, start)
+	qt.Assert(t, b.Answer("a", false, false), qt.Equals, probe.Doubtful)
+	b.Ask(streams, start.Add(time.Hour))
+	qt.Assert(t, b.Answer("a", false, false), qt.Equals, probe.Doubtful)
+}
