place: make ranges level again, by failure domain

Ruled out: too few cards (the domain without its best card still holds the model with room for 93 requests each); wrong counts of what is promised.

Change: calm is told by failure domain and takes 1.5 s; crowded servers give layers up, the least room first; a neighbour with more room takes a layer from them, or several pass one along where room is scarce. Before an order makes a server give layers up, those that keep them are asked, since an entry may be older than its server's death; orders that close a gap go out unasked as before.

--- a/entry/placer/placer.go
+++ b/entry/placer/placer.go
@@ -33,10 +33,11 @@
 	// first placing: it fills over more than a heartbeat of the servers, and
 	// the first to come would get everything.
 	quietFor = 700 * time.Millisecond
-	// calmFor is how long the list of servers must be unchanged before servers
-	// give up layers that they took over: longer than a dead server's entry
-	// outlives it.
-	calmFor = 5 * time.Second
+	// calmFor is how long the servers of a failure domain must be unchanged
+	// before ranges are made level there: longer than the load that closes a
+	// gap, and than a server needs to show in its entry what it holds, which is
+	// a heartbeat.
+	calmFor = 1500 * time.Millisecond
 	// returnTime is how long after the last return of a server that holds
 	// layers its failure domain is left alone. After a partition the entries of
 	// a domain's servers come back one by one, within a heartbeat; what is
@@ -70,10 +71,12 @@
 	// told holds what servers were told, or reported themselves, and have not
 	// shown in their entries yet.
 	told map[string]told
-	// seen and since tell when the list of sound servers last changed.
-	seen  map[string]bool
+	// seen holds the sound servers, and since when their list last changed.
+	seen  map[string]domain.Name
 	since time.Time
-	leads bool
+	// changed is when the list of a failure domain last changed.
+	changed map[domain.Name]time.Time
+	leads   bool
 	// returned is when a server that holds layers last entered or came back.
 	returned map[domain.Name]time.Time
 }
@@ -129,36 +132,60 @@
 // Once servers hold layers, each change is acted on at once.
 func (p *Placer) quiet(view *fleet.View, now time.Time) bool {
 	holding := false
-	seen := map[string]bool{}
+	seen := map[string]domain.Name{}
 	if p.returned == nil {
 		p.returned = map[domain.Name]time.Time{}
+		p.changed = map[domain.Name]time.Time{}
 	}
 	for i := range view.Servers {
 		s := &view.Servers[i]
 		if !s.Leaving && !s.Suspect {
-			seen[s.ID] = true
-			if p.seen != nil && !p.seen[s.ID] && s.Holds() > 0 {
+			seen[s.ID] = s.Domain
+			if _, known := p.seen[s.ID]; p.seen != nil && !known && s.Holds() > 0 {
 				p.returned[s.Domain] = now
 			}
 		}
 		holding = holding || s.Holds() > 0
 	}
 	if !maps.Equal(seen, p.seen) {
+		p.noteChanges(seen, now)
 		p.seen, p.since = seen, now
 	}
 	return holding || now.Sub(p.since) >= quietFor
 }
 
+// noteChanges notes of which failure domains servers came or went.
+func (p *Placer) noteChanges(seen map[string]domain.Name, now time.Time) {
+	for id, in := range seen {
+		if _, known := p.seen[id]; !known {
+			p.changed[in] = now
+		}
+	}
+	for id, in := range p.seen {
+		if _, stays := seen[id]; !stays {
+			p.changed[in] = now
+		}
+	}
+}
+
 // place decides for one service and sends the orders.
 func (p *Placer) place(ctx context.Context, e *route.Engine, servers []*fleet.Server, now time.Time) {
 	believed := make([]*fleet.Server, len(servers))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	maps.DeleteFunc(p.told, func(_ string, t told) bool { return now.After(t.until) })
+	moving := map[domain.Name]bool{}
 	for i, s := range servers {
 		believed[i] = p.believed(s)
+		if _, told := p.told[s.ID]; told {
+			moving[s.Domain] = true
+		}
+	}
+	times := place.Times{
+		Calm:  func(in domain.Name) bool { return !moving[in] && now.Sub(p.changed[in]) >= calmFor },
+		Idle:  p.idle,
+		Taken: func(id string) float64 { return p.Ledger.Used(id).TokenLayers },
 	}
-	times := place.Times{Calm: now.Sub(p.since) >= calmFor && len(p.told) == 0, Idle: p.idle}
 	for _, o := range place.Decide(e, believed, times) {
 		if now.Sub(p.returned[o.Server.Domain]) < returnTime {
 			continue
@@ -217,6 +244,10 @@
 		p.settle(o.Server, report.First, report.End, time.Now().Add(heartbeats))
 		return
 	}
+	if l, kept := p.kept(ctx, o); !kept {
+		p.Log.Info("placer: kept", "server", o.Server.ID, "layer", l, "first", o.First, "end", o.End)
+		return
+	}
 	octx, cancel := context.WithTimeout(ctx, orderTime)
 	taken, err := p.Engine.Place(octx, o.Server, o.First, o.End, report.Orders)
 	cancel()
@@ -233,6 +264,35 @@
 	}
 }
 
+// kept reports whether other servers say that they hold the layers which an
+// order makes one give up, or the first layer that nobody does. Their entries
+// may be of before their death: the layers would be lost then, and every request
+// of the domain refused until they are loaded again.
+func (p *Placer) kept(ctx context.Context, o place.Order) (layer int, kept bool) {
+	if len(o.Rely) == 0 {
+		return 0, true
+	}
+	held := map[int]bool{}
+	for _, s := range o.Rely {
+		rctx, cancel := context.WithTimeout(ctx, reportTime)
+		report, err := p.Engine.Report(rctx, s.Address)
+		cancel()
+		if err != nil {
+			p.Log.Warn("placer: no report", "server", s.ID, "error", err)
+			continue
+		}
+		for l := report.First; l < report.End; l++ {
+			held[l] = true
+		}
+	}
+	for l := o.Server.First; l < o.Server.End; l++ {
+		if (l < o.First || l >= o.End) && !held[l] {
+			return l, false
+		}
+	}
+	return 0, true
+}
+
 // loadTime is how long a load may take while others run.
 func loadTime(e *route.Engine, layers int) time.Duration {
 	alone := e.Load * time.Duration(layers) / time.Duration(max(e.Layers, 1))
--- /dev/null
+++ b/parts/place/level.go
@@ -0,0 +1,156 @@
+package place
+
+import (
+	"cmp"
+	"slices"
+
+	"fuchsiashelf.dev/parts/fleet"
+)
+
+// A server that took over the layers of a dead one keeps little room for
+// requests: one with eleven layers in place of seven had room for 28 where its
+// neighbours had 180, and so had its whole failure domain, to the end of the
+// day. Nothing fails then that one could see; requests are refused while most
+// of the memory stands empty. So ranges are made level again, a layer at a
+// time and without a gap: a neighbour with more room takes a layer beside its
+// own, and once it holds that one the crowded server gives it up.
+
+const (
+	// levelFrom is by how much more room the neighbour must have with the layer
+	// than the crowded server has now. Without it two servers alike would pass a
+	// layer to and fro.
+	levelFrom = 1.15
+	// scarce is the share of the usual room below which a layer is passed along
+	// several servers. Each of them has requests that must go another way, so it
+	// is done only where the room would not last for an ordinary evening, which
+	// takes 60 to 110 of the usual 160 requests.
+	scarce = 0.65
+	// freeAfter is the share of a neighbour's room that its requests may take
+	// after it took a layer. Beyond it the engine throws requests out.
+	freeAfter = 0.7
+)
+
+// level lets neighbours of crowded servers take a layer from them. Each server
+// takes part in one such change at a time.
+func (g *group) level(taken func(id string) float64) {
+	if g.missing() > 0 {
+		return
+	}
+	moved := map[string]bool{}
+	for _, s := range g.crowded() {
+		if moved[s.ID] {
+			continue
+		}
+		moved[s.ID] = true
+		after, before := g.takers(s, true, moved, taken), g.takers(s, false, moved, taken)
+		list, last := after, true
+		if after == nil || before != nil && len(before) < len(after) {
+			list, last = before, false
+		}
+		if len(list) > 1 && room(g.engine, s, g.held[s.ID].len()) > scarce*g.tokens {
+			continue
+		}
+		for _, n := range list {
+			g.take(n, last)
+			moved[n.ID] = true
+		}
+	}
+}
+
+// crowded lists the servers that hold more than their usual number of layers,
+// those with the least room first.
+func (g *group) crowded() []*fleet.Server {
+	var list []*fleet.Server
+	for _, s := range g.servers {
+		if s.Holds() > 0 && g.held[s.ID].len() > size(g.engine, s, g.tokens) {
+			list = append(list, s)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b *fleet.Server) int {
+		return cmp.Compare(room(g.engine, a, g.held[a.ID].len()), room(g.engine, b, g.held[b.ID].len()))
+	})
+	return list
+}
+
+// takers returns the servers that a layer is passed along to, from the last
+// layer of a crowded server upwards or from its first one downwards: each takes
+// one from the server before, until one is reached that has more room with it
+// than the crowded one has now, or that can give one up since another server
+// holds it too.
+func (g *group) takers(s *fleet.Server, last bool, moved map[string]bool, taken func(id string) float64) []*fleet.Server {
+	need := levelFrom * room(g.engine, s, g.held[s.ID].len())
+	var list []*fleet.Server
+	for at := s; len(list) < len(g.servers); {
+		n := g.neighbour(at, last, moved, taken)
+		if n == nil {
+			return nil
+		}
+		list = append(list, n)
+		r := g.held[n.ID]
+		far := r.end - 1
+		if !last {
+			far = r.first
+		}
+		if room(g.engine, n, r.len()+1) >= need || g.count[far] > 1 {
+			return list
+		}
+		at = n
+	}
+	return nil
+}
+
+// neighbour returns the server beside one that has the most room to take a
+// layer of it.
+func (g *group) neighbour(s *fleet.Server, last bool, moved map[string]bool, taken func(id string) float64) *fleet.Server {
+	r := g.held[s.ID]
+	var best *fleet.Server
+	var bestRoom float64
+	for _, n := range g.servers {
+		o := g.held[n.ID]
+		beside := last && o.first == r.end || !last && o.end == r.first
+		if moved[n.ID] || !beside || o.len() == 0 || n.Holds() == 0 || o.len() >= largest(g.engine, n) {
+			continue
+		}
+		left := room(g.engine, n, o.len()+1)
+		// What is promised grows by a layer as well.
+		full := taken(n.ID) / float64(o.len()) / max(left, 1)
+		if full <= freeAfter && left > bestRoom {
+			best, bestRoom = n, left
+		}
+	}
+	return best
+}
+
+// take gives a server the layer of its crowded neighbour that is beside its
+// own.
+func (g *group) take(n *fleet.Server, last bool) {
+	o := g.held[n.ID]
+	if last {
+		g.set(n, span{o.first - 1, o.end})
+		return
+	}
+	g.set(n, span{o.first, o.end + 1})
+}
+
+// trim makes servers give up layers beyond their usual number that others hold
+// as well, those with the least room first.
+func (g *group) trim() {
+	if g.missing() > 0 {
+		return
+	}
+	for _, s := range g.crowded() {
+		usual := size(g.engine, s, g.tokens)
+		for r := g.held[s.ID]; r.len() > usual; {
+			switch {
+			case g.count[r.first] > 1 && (g.count[r.end-1] < 2 || g.rooms[r.first] >= g.rooms[r.end-1]):
+				r.first++
+			case g.count[r.end-1] > 1:
+				r.end--
+			default:
+				usual = r.len()
+				continue
+			}
+			g.set(s, r)
+		}
+	}
+}
--- a/parts/place/mend.go
+++ b/parts/place/mend.go
@@ -156,30 +156,3 @@
 		g.set(s, best)
 	}
 }
-
-// trim makes servers give up layers beyond their usual number that others hold
-// as well.
-func (g *group) trim() {
-	if g.missing() > 0 {
-		return
-	}
-	for _, s := range g.servers {
-		r := g.held[s.ID]
-		usual := size(g.engine, s, g.tokens)
-		if s.Holds() == 0 || r.len() < usual+trimFrom {
-			continue
-		}
-		for r.len() > usual {
-			switch {
-			case g.count[r.first] > 1 && (g.count[r.end-1] < 2 || g.rooms[r.first] >= g.rooms[r.end-1]):
-				r.first++
-			case g.count[r.end-1] > 1:
-				r.end--
-			default:
-				usual = r.len()
-				continue
-			}
-			g.set(s, r)
-		}
-	}
-}
--- a/parts/place/place.go
+++ b/parts/place/place.go
@@ -28,6 +28,11 @@
 	Server *fleet.Server
 	// First and End bound the layers.
 	First, End int
+	// Rely holds the servers that hold layers which this one gives up. One that
+	// failed a moment ago may still look as if it did, so they should be asked
+	// before the order is sent. It is empty for orders that close a gap: every
+	// request waits for those.
+	Rely []*fleet.Server
 }
 
 const (
@@ -40,9 +45,6 @@
 	// highestFill is the share of a server's memory that layers may take where
 	// a domain cannot hold all of them otherwise.
 	highestFill = 0.92
-	// trimFrom is by how many layers a server must be above its usual number
-	// before it gives some up.
-	trimFrom = 2
 	// cutOff is the share of a domain's servers that are suspected at once from
 	// which on a partition is more likely than so many deaths. What they hold
 	// is unknown then, and nothing is ordered there.
@@ -60,10 +62,12 @@
 
 // Times says what may be done now.
 type Times struct {
-	// Calm says that the servers have been the same for a while. Only then do
-	// they give up what others hold as well: a server that failed a moment ago
-	// may still look as if it held its layers.
-	Calm bool
+	// Calm reports whether the servers of a failure domain have been the same
+	// for a while. Only then are ranges made level, and layers given up that
+	// others hold as well.
+	Calm func(domain.Name) bool
+	// Taken returns how many tokens x layers are promised of a server's memory.
+	Taken func(id string) float64
 	// Idle reports whether hardly any request passes through a server. One
 	// that has second copies only can hold other layers at once; one that is
 	// busy must let its requests end first, which takes up to ten seconds.
@@ -150,6 +154,7 @@
 // decide changes the ranges step by step, and returns an order for each that
 // differs in the end.
 func (g *group) decide(now Times) []Order {
+	whole := g.missing() == 0
 	g.fill()
 	g.move(now.Idle)
 	g.widen()
@@ -157,20 +162,45 @@
 	if g.missing() > 0 {
 		g.shift()
 	}
-	if now.Calm {
+	if g.calm(now) {
 		g.relieve(now.Idle)
 		g.trim()
+		g.level(now.Taken)
 	}
 	var orders []Order
 	for _, s := range g.servers {
 		r, known := g.held[s.ID]
 		if known && r.len() > 0 && (r.first != s.First || r.end != s.End) {
-			orders = append(orders, Order{Server: s, First: r.first, End: r.end})
+			o := Order{Server: s, First: r.first, End: r.end}
+			if whole {
+				o.Rely = g.rely(s, r)
+			}
+			orders = append(orders, o)
 		}
 	}
 	return orders
 }
 
+// calm reports whether all failure domains of the group are calm.
+func (g *group) calm(now Times) bool {
+	return !slices.ContainsFunc(g.servers, func(s *fleet.Server) bool { return !now.Calm(s.Domain) })
+}
+
+// rely lists the other servers that hold layers which one gives up.
+func (g *group) rely(s *fleet.Server, r span) []*fleet.Server {
+	var list []*fleet.Server
+	for _, other := range g.servers {
+		held := g.held[other.ID]
+		for l := s.First; l < s.End && other != s; l++ {
+			if (l < r.first || l >= r.end) && l >= held.first && l < held.end {
+				list = append(list, other)
+				break
+			}
+		}
+	}
+	return list
+}
+
 // fill gives each empty server the layers that are held worst.
 func (g *group) fill() {
 	for _, s := range g.servers {
--- a/parts/place/place_test.go
+++ b/parts/place/place_test.go
@@ -29,10 +29,18 @@
 // calm and stir are moments in which servers are the same for a while, and not.
 // No server is idle in either.
 var (
-	calm = place.Times{Calm: true, Idle: func(string) bool { return false }}
-	stir = place.Times{Idle: func(string) bool { return false }}
+	calm = times(true, func(string) bool { return false })
+	stir = times(false, func(string) bool { return false })
 )
 
+func times(calm bool, idle func(id string) bool) place.Times {
+	return place.Times{
+		Calm:  func(domain.Name) bool { return calm },
+		Idle:  idle,
+		Taken: func(string) float64 { return 0 },
+	}
+}
+
 // today is the fleet of a deployment of today: three domains, each of which can
 // hold the model.
 func today() []*fleet.Server {
@@ -149,7 +157,7 @@
 	list := today()
 	carry(place.Decide(engine(), list, calm))
 	find(list, "a-a100s-0").Suspect = true
-	orders := place.Decide(engine(), list, place.Times{Idle: func(id string) bool { return strings.HasPrefix(id, "a-t4") }})
+	orders := place.Decide(engine(), list, times(false, func(id string) bool { return strings.HasPrefix(id, "a-t4") }))
 	for _, o := range orders {
 		qt.Check(t, strings.HasPrefix(o.Server.ID, "a-t4"), qt.IsTrue, qt.Commentf("%s: %d to %d", o.Server.ID, o.First, o.End))
 	}
@@ -189,7 +197,7 @@
 	find(list, "a-a100s-0").Leaving = true
 	big := find(list, "a-h100-0")
 	big.First, big.End = 0, 37
-	idle := place.Times{Calm: true, Idle: func(id string) bool { return strings.HasPrefix(id, "a-t4") }}
+	idle := times(true, func(id string) bool { return strings.HasPrefix(id, "a-t4") })
 	for range 5 {
 		carry(place.Decide(engine(), list, idle))
 	}
@@ -236,7 +244,7 @@
 					list = append(list, &fleet.Server{ID: fmt.Sprintf("new-%d", len(list)), Domain: s.Domain, Card: s.Card})
 				}
 			}
-			orders := place.Decide(e, list, place.Times{Calm: rapid.Bool().Draw(t, "calm"), Idle: func(string) bool { return rapid.Bool().Draw(t, "idle") }})
+			orders := place.Decide(e, list, times(rapid.Bool().Draw(t, "calm"), func(string) bool { return rapid.Bool().Draw(t, "idle") }))
 			for _, o := range orders {
 				if o.First < 0 || o.End > e.Layers || o.First >= o.End {
 					t.Fatalf("%s: %d to %d", o.Server.ID, o.First, o.End)
