stream: lead few answers across domains at once, let the others wait

Each moves the activations of its whole prompt, 19 ms of the link that all share; 60 of them took over a second. After 1.3 s they were given up and begun anew there, reading everything once more, which made the other domain's answers pause too (207 streams late that nobody had rerouted).

Ruled out: late notice (the death was known on all hosts after 25 ms); a slow server behind the new way.

--- a/entry/stream/repair.go
+++ b/entry/stream/repair.go
@@ -27,7 +27,7 @@
 	for _, l := range list {
 		failed := at[l.job.ID]
 		w.accuse(failed, "a chain waits for it", l.linkTo(failed))
-		go w.repair(l, failed, false)
+		go w.repair(l, failed)
 	}
 }
 
@@ -46,9 +46,11 @@
 	return link{}
 }
 
-// repair changes the chain of one stream. It runs once at a time for each. If
-// the stream still runs, it may stay as it is.
-func (w *Watch) repair(l *live, failed string, runs bool) {
+// repair changes the chain of one stream. It runs once at a time for each. A
+// stream under way for which there is no other way now stays as it is: what it
+// waits for is asked again soon, by when a way may have come. One that has not
+// begun is begun anew.
+func (w *Watch) repair(l *live, failed string) {
 	l.mu.Lock()
 	chain := l.chain
 	if l.busy || !chain.Has(failed) {
@@ -66,7 +68,7 @@
 	avoid := map[string]bool{failed: true}
 	for range maxReroutes {
 		next := w.detour(l, chain, avoid)
-		if next == nil {
+		if next == nil || !w.mayCross(l, chain, next) {
 			break
 		}
 		// Booked before it is ordered: many streams leave a dead server at one
@@ -77,12 +79,26 @@
 		}
 		l.move(w.Ledger, chain)
 	}
-	w.Log.Info("watch: no other way", "request", l.job.ID, "failed", failed, "runs", runs)
-	if !runs {
+	began := l.began.Load()
+	w.Log.Info("watch: no other way", "request", l.job.ID, "failed", failed, "began", began, "silence", l.silence(time.Now()))
+	if !began {
 		l.cancel(errNoWay)
 	}
 }
 
+// mayCross reports whether a stream may go on by a chain that crosses failure
+// domains more often than its present one.
+func (w *Watch) mayCross(l *live, chain, next hops.Chain) bool {
+	more := next.Crossings() - chain.Crossings()
+	if more <= 0 {
+		return true
+	}
+	transfer := time.Duration(more) * hops.Transfer(l.job.Service.Engine, l.job.Prompt)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.pipe.Take(transfer, time.Now())
+}
+
 // detour finds another chain behind the same first part.
 func (w *Watch) detour(l *live, chain hops.Chain, avoid map[string]bool) hops.Chain {
 	if avoid[chain[0].Server.Address] {
@@ -141,7 +157,7 @@
 		l.mu.Unlock()
 		if due {
 			w.vacated = now
-			go w.repair(l, at, true)
+			go w.repair(l, at)
 			return
 		}
 	}
--- a/entry/stream/watch.go
+++ b/entry/stream/watch.go
@@ -83,6 +83,8 @@
 	lives map[*live]struct{}
 	// book decides which servers of silent streams are asked.
 	book probe.Book
+	// pipe counts the answers that are led across failure domains.
+	pipe hops.Pipe
 	// probed holds the addresses of accused servers that are being asked.
 	probed map[string]bool
 	// sound holds when an accused server last answered.
@@ -202,6 +204,6 @@
 	}
 	w.mu.Unlock()
 	for _, l := range list {
-		go w.repair(l, address, f == probe.Doubtful)
+		go w.repair(l, address)
 	}
 }
--- a/parts/hops/hops.go
+++ b/parts/hops/hops.go
@@ -19,6 +19,7 @@
 	"math"
 	"slices"
 	"strings"
+	"time"
 
 	"fuchsiashelf.dev/parts/domain"
 	"fuchsiashelf.dev/parts/fleet"
@@ -371,10 +372,27 @@
 
 // crossing is the cost of moving the prompt's activations between domains.
 func (q *Query) crossing() float64 {
-	if q.Engine.PipeMbps <= 0 {
+	return crossWeight * Transfer(q.Engine, q.Prompt).Seconds()
+}
+
+// Transfer returns how long the activations of so many tokens take on the link
+// between two failure domains.
+func Transfer(e *route.Engine, tokens int) time.Duration {
+	if e.PipeMbps <= 0 {
 		return 0
 	}
-	return crossWeight * float64(q.Prompt) * q.Engine.HopBytes * 8 / (q.Engine.PipeMbps * 1e6)
+	return time.Duration(float64(tokens) * e.HopBytes * 8 / (e.PipeMbps * 1e6) * float64(time.Second))
+}
+
+// Crossings counts how often the chain goes from one failure domain to another.
+func (c Chain) Crossings() int {
+	n := 0
+	for i := 1; i < len(c); i++ {
+		if c[i].Server.Domain != c[i-1].Server.Domain {
+			n++
+		}
+	}
+	return n
 }
 
 // String lists the parts, for logs.
