belief: ask servers whose entries lapsed, and take plain servers for alive

Two faults of one kind: what is not known is guessed where a question of a millisecond would tell.

Servers that leave while the object API is away are gone when it returns, as are those that live and whose entries lapsed. Now each is asked at once; one that does not answer is suspected, and placing waits for 0.4 s only.

An answer of any kind now tells that it lives.

Tests: TestLapsedServersAreAsked, TestServerWithoutReportIsNotSuspected.

--- a/entry/belief/belief.go
+++ b/entry/belief/belief.go
@@ -33,6 +33,9 @@
 	// afterOutage is how long after the return of the object API a vanished
 	// entry is taken to have lapsed.
 	afterOutage = 1500 * time.Millisecond
+	// askFor is how long the servers whose entries lapsed are being asked
+	// whether they live: one question of 300 ms, and some slack.
+	askFor = 400 * time.Millisecond
 	// SuspectFor is how long a server is avoided after a failure that may have
 	// been its end: a crashed one is back after some seconds under a new ID,
 	// one behind a partition shows itself again in a report.
@@ -45,6 +48,10 @@
 	Log     *slog.Logger
 	// Home is the failure domain of the entry host.
 	Home domain.Name
+	// Lapsed is told the address of each server whose entry lapsed, so that it
+	// is asked whether it lives. Servers leave for good during an outage as well,
+	// and requests would be sent to them until all entries should be back.
+	Lapsed func(address string)
 	// Config and Servers are the mirrors that the state is built from.
 	Config, Servers *mirror.Mirror
 
@@ -56,6 +63,8 @@
 	decoded map[string]known
 	// lapsed holds servers that are gone from the mirror but kept until then.
 	lapsed map[string]keep
+	// asked is when entries last lapsed.
+	asked time.Time
 	// suspects holds until when a server is avoided.
 	suspects map[string]time.Time
 	// orders holds what servers were told to hold and have not reported yet.
@@ -108,8 +117,15 @@
 	s.back = now
 }
 
-// Lapsing reports whether servers are kept whose entries lapsed: it is not yet
-// known which of them live.
+// Asking reports whether servers whose entries lapsed are being asked whether
+// they live. Those that do not answer are suspected by its end.
+func (s *State) Asking(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Before(s.asked.Add(askFor))
+}
+
+// Lapsing reports whether servers are kept whose entries lapsed.
 func (s *State) Lapsing() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -146,13 +162,17 @@
 // ReadServers builds the view anew from the mirror of the servers.
 func (s *State) ReadServers(now time.Time) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.decode(now)
+	lapsed := s.decode(now)
 	s.publish(now)
+	s.mu.Unlock()
+	for _, address := range lapsed {
+		s.Lapsed(address)
+	}
 }
 
-// decode reads the entries that changed, and keeps lapsed ones.
-func (s *State) decode(now time.Time) {
+// decode reads the entries that changed, and keeps lapsed ones. It returns the
+// addresses of those that have just lapsed.
+func (s *State) decode(now time.Time) (lapsed []string) {
 	fresh := map[string]known{}
 	for _, item := range s.Servers.Items() {
 		old, seen := s.decoded[item.Name]
@@ -194,6 +214,8 @@
 		}
 		if outage && !old.server.Leaving {
 			s.lapsed[id] = keep{server: old.server, until: now.Add(lapse)}
+			s.asked = now
+			lapsed = append(lapsed, old.server.Address)
 		}
 		s.Log.Info("servers: gone", "server", id, "address", old.server.Address, "kept", outage)
 	}
@@ -201,6 +223,7 @@
 		delete(s.lapsed, id)
 	}
 	s.decoded = fresh
+	return lapsed
 }
 
 func (s *State) tell(old, now fleet.Server, seen bool, revision uint64) {
--- a/entry/belief/belief_test.go
+++ b/entry/belief/belief_test.go
@@ -41,7 +41,7 @@
 func state() *belief.State {
 	return &belief.State{
 		Decoder: decoder{}, Log: slog.New(slog.DiscardHandler), Home: "a",
-		Config: &mirror.Mirror{Kind: "config"}, Servers: &mirror.Mirror{Kind: "servers"},
+		Config: &mirror.Mirror{Kind: "config"}, Servers: &mirror.Mirror{Kind: "servers"}, Lapsed: func(string) {},
 	}
 }
 
@@ -92,6 +92,24 @@
 	qt.Assert(t, s.Lapsing(), qt.IsFalse)
 }
 
+// Some servers leave while the object API is away, and their entries are gone
+// when it returns, as are those of servers that live. Requests went to all of
+// them for two seconds; now each is asked.
+func TestLapsedServersAreAsked(t *testing.T) {
+	s := state()
+	var asked []string
+	s.Lapsed = func(address string) { asked = append(asked, address) }
+	s.Servers.Replace([]mirror.Item{item("i-1", 1, 1), item("i-2", 2, 1)}, 2)
+	s.ReadServers(start)
+	s.Returned(start)
+	qt.Assert(t, s.Asking(start), qt.IsFalse)
+	s.Servers.Merge(mirror.Batch{After: 2, Cursor: 3, Items: []mirror.Item{{Name: "i-1", Revision: 3, Deleted: true}}})
+	s.ReadServers(start.Add(100 * time.Millisecond))
+	qt.Assert(t, asked, qt.HasLen, 1)
+	qt.Assert(t, s.Asking(start.Add(100*time.Millisecond)), qt.IsTrue)
+	qt.Assert(t, s.Asking(start.Add(time.Second)), qt.IsFalse)
+}
+
 // The entry of a server that left is removed while all is well. Requests sent
 // to it later would be cut off.
 func TestGoneServersAreLeftOutAtOnce(t *testing.T) {
--- a/entry/call/call.go
+++ b/entry/call/call.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -124,6 +125,18 @@
 	Stalled []Stalled
 }
 
+// NoReport is the error of a question for a report to a server that answers
+// and gives none: plain servers do not. It tells that the server lives.
+type NoReport struct {
+	// Status is that of the answer.
+	Status int
+}
+
+// Error implements error.
+func (e *NoReport) Error() string {
+	return fmt.Sprintf("no report: status %d", e.Status)
+}
+
 // Taken is the outcome of an order.
 type Taken uint8
 
@@ -145,6 +158,8 @@
 
 // Engine gives orders to engines and asks for their reports.
 type Engine interface {
+	// Report asks a server for its report. The error is a *NoReport if it lives
+	// and gives none.
 	Report(ctx context.Context, address string) (Report, error)
 	// Place tells a server to hold the layers [first, end), if it has begun no
 	// order since its count of orders was the given one.
--- a/entry/placer/placer.go
+++ b/entry/placer/placer.go
@@ -114,7 +114,7 @@
 		p.Log.Info("placer: lead", "leads", leads)
 		p.leads = leads
 	}
-	if !leads || p.State.Lapsing() {
+	if !leads || p.State.Asking(now) {
 		return
 	}
 	view := p.State.View()
--- a/entry/stream/accuse.go
+++ b/entry/stream/accuse.go
@@ -123,6 +123,9 @@
 		ctx, cancel := context.WithTimeout(context.Background(), checkTime)
 		_, err := w.Engine.Report(ctx, address)
 		cancel()
+		if lives(err) {
+			err = nil
+		}
 		now := time.Now()
 		if err == nil {
 			if n == 0 && by.from != by.to {
@@ -144,3 +147,11 @@
 		time.Sleep(probeEvery)
 	}
 }
+
+// lives reports whether a server answered a question for its report, be it
+// that it has none. Suspected, a plain server would get no requests for two
+// seconds after each one that it failed.
+func lives(err error) bool {
+	var none *call.NoReport
+	return err == nil || errors.As(err, &none)
+}
--- a/entry/stream/watch_test.go
+++ b/entry/stream/watch_test.go
@@ -163,6 +163,21 @@
 	qt.Assert(t, one >= 2 && two >= 2, qt.IsTrue, qt.Commentf("%v and %v", one, two))
 }
 
+// A payment fails at a plain server, which is asked whether it lives. It has no
+// report to give and says so. Taken for dead, it would be left out for two
+// seconds, and the few others would have to refuse what it could have served.
+func TestServerWithoutReportIsNotSuspected(t *testing.T) {
+	e := &engines{fails: map[string]error{"middle": &call.NoReport{Status: 400}}}
+	w, _ := watched(e, 1)
+	w.Accuse("middle", "it failed a payment")
+	until(t, func() bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return !w.sound["middle"].IsZero()
+	})
+	qt.Assert(t, w.State.View().At("middle").Suspect, qt.IsFalse)
+}
+
 // until waits for a condition that another goroutine brings about.
 func until(t *testing.T, holds func() bool) {
 	t.Helper()
