stream: lead streams at once round servers that load missing layers

It first waits for the streams through what it gives up, and these were led round it five a second by each entry host, like those of a server that leaves. At the same time streams were led round servers that merely give up what others hold as well, which gains nothing and has all their tokens read again.

Ruled out: orders that were lost (one order, taken at once, "placer: busy" until its end).

Change: servers that are about to load are marked, streams leave them 20 a second, and they stay with servers that only give layers up.

Test: TestStreamsLeaveOnlyServersThatMove.

--- a/entry/belief/order.go
+++ b/entry/belief/order.go
@@ -33,6 +33,7 @@
 		// Layers that it gives up accept nothing more, and those that it loads
 		// take memory already.
 		server.Takes = max(server.Takes, o.End-o.First)
+		server.Moves = o.First < server.First || o.End > server.End
 		server.First, server.End = max(server.First, o.First), min(server.End, o.End)
 		if server.First >= server.End {
 			server.First, server.End = 0, 0
--- a/entry/stream/repair.go
+++ b/entry/stream/repair.go
@@ -138,42 +138,48 @@
 }
 
 // vacate gives streams another way behind their first server whose chain goes
-// through a server that is leaving or gives up the layers, before it cuts them
-// off, and so that what it has to do instead need not wait for them.
+// through a server that is leaving, before it cuts them off, or through one
+// that loads layers which are missing as soon as they have gone. A server that
+// merely gives up layers which others hold as well need not hurry: they end.
 func (w *Watch) vacate(now time.Time) {
 	view := w.State.View()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if now.Sub(w.vacated) < vacateEvery {
-		return
-	}
 	for l := range w.lives {
 		l.mu.Lock()
-		at := leaving(view, l.chain)
-		due := at != "" && !l.busy && l.vacated != at && l.began.Load()
+		s := vacated(view, l.chain)
+		due := s != nil && !l.busy && l.vacated != s.Address && l.began.Load() && now.Sub(w.vacated) >= pace(s)
 		if due {
-			l.vacated = at
+			l.vacated = s.Address
 		}
 		l.mu.Unlock()
 		if due {
 			w.vacated = now
-			go w.repair(l, at)
+			go w.repair(l, s.Address)
 			return
 		}
 	}
 }
 
-// leaving returns the address of a server of a chain, not the first, that does
-// not hold its part any more or is about to end.
-func leaving(view *fleet.View, chain hops.Chain) string {
+// pace returns the time between two streams that are led round a server.
+func pace(s *fleet.Server) time.Duration {
+	if s.Moves {
+		return moveEvery
+	}
+	return vacateEvery
+}
+
+// vacated returns a server of a chain, not the first, that the stream should
+// leave.
+func vacated(view *fleet.View, chain hops.Chain) *fleet.Server {
 	for _, p := range chain[1:] {
 		s := view.At(p.Server.Address)
 		if s == nil || s.ID != p.Server.ID {
 			continue
 		}
-		if s.Leaving || s.First > p.First || s.End < p.End {
-			return s.Address
+		if s.Leaving || s.Moves && (s.First > p.First || s.End < p.End) {
+			return s
 		}
 	}
-	return ""
+	return nil
 }
--- a/entry/stream/watch.go
+++ b/entry/stream/watch.go
@@ -47,6 +47,11 @@
 	// second from each of four entry hosts a tenth of all streams paused for
 	// over 240 ms; 75 at once made pauses of over a second.
 	vacateEvery = 200 * time.Millisecond
+	// moveEvery is the same for a server that is about to load layers that nobody
+	// in its failure domain holds: until then all requests of the domain go
+	// elsewhere or are refused. Left to end by themselves, a few streams kept one
+	// from loading for 7.5 s.
+	moveEvery = 50 * time.Millisecond
 	// soundFor is how long an accused server that has answered is not asked
 	// again: a full one is accused with each request that it refuses.
 	soundFor = 500 * time.Millisecond
--- a/entry/stream/watch_test.go
+++ b/entry/stream/watch_test.go
@@ -163,6 +163,24 @@
 	qt.Assert(t, one >= 2 && two >= 2, qt.IsTrue, qt.Commentf("%v and %v", one, two))
 }
 
+// A server was told to load layers that are missing, and waits for the streams
+// that pass through those which it gives up. They are led round it. Streams
+// through one that only gives up what others hold as well are left alone: led
+// round it, all their tokens would be read again for nothing.
+func TestStreamsLeaveOnlyServersThatMove(t *testing.T) {
+	e := &engines{}
+	w, servers := watched(e, 1)
+	w.stream(servers, "r", 0)
+	until := time.Now().Add(time.Hour)
+	w.State.Ordered(belief.Order{ID: "middle", First: 6, End: 12, Until: until}, time.Now())
+	w.vacate(time.Now())
+	qt.Assert(t, w.vacated.IsZero(), qt.IsTrue)
+	w.State.Ordered(belief.Order{ID: "middle", First: 0, End: 6, Until: until}, time.Now())
+	w.vacate(time.Now())
+	<-e.told
+	qt.Assert(t, e.rerouted["r"].String(), qt.Equals, "first=0-4 other-0=4-12")
+}
+
 // A payment fails at a plain server, which is asked whether it lives. It has no
 // report to give and says so. Taken for dead, it would be left out for two
 // seconds, and the few others would have to refuse what it could have served.
--- a/parts/fleet/fleet.go
+++ b/parts/fleet/fleet.go
@@ -30,6 +30,9 @@
 	// Takes is how many layers take its memory: those that it holds, gives up
 	// and loads.
 	Takes int
+	// Moves says that it is to load layers that it does not hold yet, and can
+	// only do so once the requests have ended that pass through those it gives up.
+	Moves bool
 	// Born is the time of its start; a run under an old ID is a new one if it
 	// was born later.
 	Born time.Time
