placer: use loaded layers before the server's entry shows them

Cause: a server shows what it holds in its entry at its next heartbeat, 0.6 s later on average and more while the object API is slow.

Change: whoever ordered a load asks the server from its expected end on, and tells all entry hosts when it holds the layers; that goes before the entry for two heartbeats. A stream looks for another way each 150 ms.

Test: TestCarriedOutOrderGoesBeforeTheEntry.

--- a/entry/belief/belief_test.go
+++ b/entry/belief/belief_test.go
@@ -136,6 +136,24 @@
 	qt.Assert(t, s.View().Servers[0].Holds(), qt.Equals, 10)
 }
 
+// A server has loaded layers that its domain lacked, and says so when it is
+// asked, but its entry shows that a heartbeat later. Until then callers would
+// be refused for want of layers that are held.
+func TestCarriedOutOrderGoesBeforeTheEntry(t *testing.T) {
+	s := state()
+	s.Servers.Replace([]mirror.Item{item("i-1", 1, 1)}, 1)
+	s.ReadServers(start)
+	order := belief.Order{ID: "i-1", First: 5, End: 25, Until: start.Add(time.Minute)}
+	s.Ordered(order, start)
+	order.Done, order.Until = true, start.Add(2*time.Second)
+	qt.Assert(t, s.Ordered(order, start), qt.IsTrue)
+	server := s.View().Servers[0]
+	qt.Assert(t, []int{server.First, server.End, server.Takes}, qt.DeepEquals, []int{5, 25, 20})
+	qt.Assert(t, s.Ordered(order, start), qt.IsFalse)
+	s.ReadServers(start.Add(3 * time.Second))
+	qt.Assert(t, s.View().Servers[0].End, qt.Equals, 10)
+}
+
 func TestSuspicionsEnd(t *testing.T) {
 	s := state()
 	s.Servers.Replace([]mirror.Item{item("i-1", 1, 1)}, 1)
--- a/entry/belief/order.go
+++ b/entry/belief/order.go
@@ -13,6 +13,9 @@
 	// Until is when the order is forgotten, for want of an entry that shows it
 	// carried out.
 	Until time.Time
+	// Done says that the server itself has reported it carried out. Its entry
+	// shows that up to a heartbeat later.
+	Done bool
 }
 
 // adjusted applies what is known beyond a server's own entry.
@@ -29,6 +32,9 @@
 	case !ordered:
 	case server.First == o.First && server.End == o.End || now.After(o.Until):
 		delete(s.orders, id)
+	case o.Done:
+		server.First, server.End = o.First, o.End
+		server.Takes = server.Holds()
 	default:
 		// Layers that it gives up accept nothing more, and those that it loads
 		// take memory already.
@@ -51,7 +57,7 @@
 		s.orders = map[string]Order{}
 	}
 	old, known := s.orders[o.ID]
-	if known && (old.First == o.First && old.End == o.End || o.Until.Before(old.Until)) {
+	if known && !(o.Done && !old.Done) && (old.First == o.First && old.End == o.End || o.Until.Before(old.Until)) {
 		return false
 	}
 	if at, exists := s.decoded[o.ID]; exists && at.server.First == o.First && at.server.End == o.End {
--- a/entry/gossip/message.go
+++ b/entry/gossip/message.go
@@ -21,6 +21,8 @@
 	First, End int
 	// Left is how long the order is remembered.
 	Left time.Duration
+	// Done says that the server has reported it carried out.
+	Done bool
 }
 
 // Message is what one entry host tells another.
--- a/entry/placer/placer.go
+++ b/entry/placer/placer.go
@@ -51,6 +51,13 @@
 	// again is when a server that did not answer, or had another order, is
 	// looked at again.
 	again = 600 * time.Millisecond
+	// confirmEvery and maxConfirms bound the questions to a server that loads
+	// layers: until the requests have ended that pass through what it gives up.
+	confirmEvery = 150 * time.Millisecond
+	maxConfirms  = 20
+	// shownIn is how long a server's report goes before its entry: two
+	// heartbeats, by when it shows the same.
+	shownIn = 2500 * time.Millisecond
 	// heartbeats is how long a server's own entry may lag behind what it was
 	// told, beyond the time of its load.
 	heartbeats = 4 * time.Second
@@ -262,6 +269,45 @@
 	if p.State.Ordered(belief.Order{ID: o.Server.ID, First: o.First, End: o.End, Until: until}, now) {
 		p.Spread()
 	}
+	if o.First < o.Server.First || o.End > o.Server.End {
+		p.confirm(ctx, e, o)
+	}
+}
+
+// confirm asks a server that loads layers until it holds them, and tells the
+// others at once. Its entry shows them up to a heartbeat later, 0.6 s on
+// average, while requests are refused for want of these layers.
+func (p *Placer) confirm(ctx context.Context, e *route.Engine, o place.Order) {
+	wait := e.Load * time.Duration(o.End-o.First-overlap(o)) / time.Duration(max(e.Layers, 1))
+	for range maxConfirms {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(wait):
+		}
+		wait = confirmEvery
+		rctx, cancel := context.WithTimeout(ctx, reportTime)
+		report, err := p.Engine.Report(rctx, o.Server.Address)
+		cancel()
+		if err != nil {
+			p.Log.Warn("placer: no report", "server", o.Server.ID, "error", err)
+			continue
+		}
+		if report.Busy || report.First != o.First || report.End != o.End {
+			continue
+		}
+		now := time.Now()
+		p.Log.Info("placer: carried out", "server", o.Server.ID, "first", o.First, "end", o.End)
+		if p.State.Ordered(belief.Order{ID: o.Server.ID, First: o.First, End: o.End, Until: now.Add(shownIn), Done: true}, now) {
+			p.Spread()
+		}
+		return
+	}
+}
+
+// overlap returns how many layers of an order the server holds already.
+func overlap(o place.Order) int {
+	return max(0, min(o.End, o.Server.End)-max(o.First, o.Server.First))
 }
 
 // kept reports whether other servers say that they hold the layers which an
--- a/entry/stream/live.go
+++ b/entry/stream/live.go
@@ -22,6 +22,8 @@
 	release func()
 	busy    bool
 	ended   bool
+	// repaired is when another way was last looked for.
+	repaired time.Time
 	// vacated is the server that the stream was last led round.
 	vacated string
 }
--- a/entry/stream/repair.go
+++ b/entry/stream/repair.go
@@ -53,8 +53,9 @@
 func (w *Watch) repair(l *live, failed string) {
 	l.mu.Lock()
 	chain := l.chain
-	if l.busy || !chain.Has(failed) {
-		// An older report: the stream has another way already.
+	if l.busy || !chain.Has(failed) || time.Since(l.repaired) < repairEvery {
+		// An older report: the stream has another way already, or none was found
+		// a moment ago.
 		l.mu.Unlock()
 		return
 	}
@@ -63,6 +64,7 @@
 	defer func() {
 		l.mu.Lock()
 		l.busy = false
+		l.repaired = time.Now()
 		l.mu.Unlock()
 	}()
 	avoid := map[string]bool{failed: true}
--- a/entry/stream/watch.go
+++ b/entry/stream/watch.go
@@ -57,6 +57,9 @@
 	soundFor = 500 * time.Millisecond
 	// orderTime bounds an order to change a chain.
 	orderTime = 400 * time.Millisecond
+	// repairEvery is the time between two searches for another way for a stream.
+	// Each may cost an order for every server that turns out to be full.
+	repairEvery = 150 * time.Millisecond
 	// maxReroutes bounds the chains that one silence is answered with.
 	maxReroutes = 3
 )
