hops: pass servers by that say they are slow

Ruled out: learning it from the pauses of chains, which have six to thirteen servers each.

Change: the slowness that a server reports when it is asked about a silent stream weighs in the choice of chains for three seconds.

Test: TestSlowServerIsPassedBy.

It stays: a server that tells that it is slow should not be the first choice.

--- a/entry/belief/belief.go
+++ b/entry/belief/belief.go
@@ -67,6 +67,8 @@
 	asked time.Time
 	// suspects holds until when a server is avoided.
 	suspects map[string]time.Time
+	// slows holds the servers that say that they are slow.
+	slows map[string]slow
 	// orders holds what servers were told to hold and have not reported yet.
 	orders map[string]Order
 	// cuts holds until when which failure domains do not reach which others.
@@ -276,6 +278,12 @@
 	for _, until := range s.suspects {
 		due = due || !now.Before(until)
 	}
+	for id, slow := range s.slows {
+		if !now.Before(slow.until) {
+			delete(s.slows, id)
+			due = true
+		}
+	}
 	for _, k := range s.lapsed {
 		due = due || !now.Before(k.until)
 	}
--- a/entry/belief/doubt.go
+++ b/entry/belief/doubt.go
@@ -98,3 +98,42 @@
 	}
 	return known
 }
+
+const (
+	// slowFor is how long a server is taken to be as slow as it last said. It is
+	// asked again whenever a stream through it pauses.
+	slowFor = 3 * time.Second
+	// slowFrom is the slowness from which on it matters: below it a server still
+	// serves sooner than one in another failure domain.
+	slowFrom = 1.3
+)
+
+// slow is what a server said of its pace.
+type slow struct {
+	times float64
+	until time.Time
+}
+
+// Paced notes how many times as long as usual a server's work takes, as it says
+// itself.
+func (s *State) Paced(id string, times float64, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old, known := s.slows[id]
+	if times < slowFrom {
+		if known {
+			delete(s.slows, id)
+			s.Log.Info("servers: as fast as usual", "server", id)
+			s.publish(now)
+		}
+		return
+	}
+	if s.slows == nil {
+		s.slows = map[string]slow{}
+	}
+	s.slows[id] = slow{times, now.Add(slowFor)}
+	if !known || old.times != times {
+		s.Log.Info("servers: slow", "server", id, "times", times)
+		s.publish(now)
+	}
+}
--- a/entry/belief/order.go
+++ b/entry/belief/order.go
@@ -26,6 +26,7 @@
 			delete(s.suspects, id)
 		}
 	}
+	server.Slowness = s.slows[id].times
 	server.Takes = server.Holds()
 	o, ordered := s.orders[id]
 	switch {
--- a/entry/call/call.go
+++ b/entry/call/call.go
@@ -120,6 +120,9 @@
 	Busy bool
 	// First and End bound the layers that it holds.
 	First, End int
+	// Slowness is how many times as long as usual its work takes; zero if it did
+	// not say.
+	Slowness float64
 	// Stalled are the requests that it is the first server of, and that wait
 	// for another one.
 	Stalled []Stalled
--- a/entry/stream/watch.go
+++ b/entry/stream/watch.go
@@ -182,6 +182,9 @@
 	finding := w.book.Answer(address, err == nil, errors.Is(err, syscall.ECONNREFUSED))
 	w.mu.Unlock()
 	if err == nil {
+		if s := w.State.View().At(address); s != nil {
+			w.State.Paced(s.ID, report.Slowness, time.Now())
+		}
 		w.reroute(address, report.Stalled)
 		return
 	}
--- a/parts/fleet/fleet.go
+++ b/parts/fleet/fleet.go
@@ -30,6 +30,9 @@
 	// Takes is how many layers take its memory: those that it holds, gives up
 	// and loads.
 	Takes int
+	// Slowness is how many times as long as usual its work takes; zero means as
+	// usual.
+	Slowness float64
 	// Moves says that it is to load layers that it does not hold yet, and can
 	// only do so once the requests have ended that pass through those it gives up.
 	Moves bool
--- a/parts/hops/hops.go
+++ b/parts/hops/hops.go
@@ -358,8 +358,9 @@
 	}
 	context := others * float64(e.UsualPrompt+e.UsualAnswer/2) / 1000
 	step := e.Step.Seconds() + e.StepEach.Seconds()*others + e.StepContext.Seconds()*context
-	write = busyPass * step * card.Pace * float64(q.Answer)
-	read = float64(q.Prompt) / max(e.ReadPerSec, 1) * card.Read
+	slow := max(1, s.Slowness)
+	write = slow * busyPass * step * card.Pace * float64(q.Answer)
+	read = slow * float64(q.Prompt) / max(e.ReadPerSec, 1) * card.Read
 	return read, write
 }
 
--- a/parts/hops/hops_test.go
+++ b/parts/hops/hops_test.go
@@ -142,6 +142,23 @@
 	qt.Assert(t, q.Pick().String(), qt.Equals, "a=0-20 e=20-40 c=40-60 d=60-80")
 }
 
+// A server takes four times as long as usual, as it says itself, and another
+// holds the same layers. Requests that go on through the slow one pile up there
+// and slow down every chain that it is part of.
+func TestSlowServerIsPassedBy(t *testing.T) {
+	slow, other := server("a1", "a", "small", 0, 40), server("a2", "a", "small", 0, 40)
+	q := query(slow, other, server("a3", "a", "small", 40, 80))
+	q.Used = func(id string) hops.Usage {
+		if id == "a2" {
+			return hops.Usage{Requests: 10}
+		}
+		return hops.Usage{}
+	}
+	qt.Assert(t, q.Pick().String(), qt.Equals, "a1=0-40 a3=40-80")
+	slow.Slowness = 4
+	qt.Assert(t, q.Pick().String(), qt.Equals, "a2=0-40 a3=40-80")
+}
+
 // A fast server holds few layers in the midst of what a slow one holds. The
 // way through both would pass the slow one twice, which engines refuse.
 func TestNoServerTwice(t *testing.T) {
