node: serve calls and refuse streams until late in a stop

Cause: a stopping process closed its listener after 3.5 s and went on for up to 8 s for its streams.

Ruled out: stopping sooner (streams would be cut).

--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -42,18 +42,17 @@
 	// Stopping says that the process is about to end: connections are closed
 	// after their answers.
 	Stopping atomic.Bool
-	// Refusing says that the process ends before a request that comes now
-	// would: it is refused, so that its caller goes elsewhere at once instead
-	// of being cut off in the midst of its answer.
-	Refusing atomic.Bool
+	// Refusing says that the process ends before a stream that comes now would:
+	// it is refused, so that its caller goes elsewhere at once instead of being
+	// cut off in the midst of its answer. Closing says the same of all requests.
+	Refusing, Closing atomic.Bool
+	// Elsewhere returns when a caller that was refused for that reason should
+	// come again: when another entry host is likely to take it.
+	Elsewhere func() time.Duration
 
 	active atomic.Int64
 }
 
-// elsewhere is when a caller that was refused by a process that ends should
-// come again: other entry hosts have room.
-const elsewhere = 50 * time.Millisecond
-
 // longest bounds requests of which neither caller nor route says how long
 // they may take.
 const longest = 10 * time.Minute
@@ -95,8 +94,8 @@
 
 // job reads a request and finds out where it belongs.
 func (h *Handler) job(w http.ResponseWriter, r *http.Request, start time.Time) (*call.Job, error) {
-	if h.Refusing.Load() {
-		return nil, &fault.Error{Code: fault.Draining, Verdict: fault.NotRun, Message: "this entry host ends", RetryAfter: elsewhere}
+	if h.Closing.Load() {
+		return nil, h.ends()
 	}
 	table := h.State.Table()
 	if table == nil {
@@ -123,6 +122,9 @@
 		return nil, &fault.Error{Code: fault.NoServer, Verdict: fault.NotRun, Message: "the route's service is unknown", RetryAfter: time.Second}
 	}
 	j.Service = &service
+	if service.Engine != nil && h.Refusing.Load() {
+		return j, h.ends()
+	}
 	j.Deadline = start.Add(patience(ask, matched))
 	ask.Body, err = body(w, r, table.Limits, j.Deadline)
 	ask.Arrived = start
@@ -136,6 +138,11 @@
 	return j, nil
 }
 
+// ends refuses a request that this process would not live to answer.
+func (h *Handler) ends() *fault.Error {
+	return &fault.Error{Code: fault.Draining, Verdict: fault.NotRun, Message: "this entry host ends", RetryAfter: h.Elsewhere()}
+}
+
 func patience(a *call.Ask, r *route.Route) time.Duration {
 	wait := longest
 	if a.Patience > 0 {
