trail: explain a request from log files, in fsdesk

Cause: issue of explaining failures asks for `fsdesk show timeline request N` over files of logs; so far an engineer had grep, and the line that tells why (a server's death, a store that is away) bears no request ID. Two lines named an address `server`, which is an ID everywhere else, and a failed attempt did not say by which chain it went.

Change: parts/trail finds the lines of a request and those of the same seconds about the servers of its chains and the dependencies of the processes that wrote them; fsdesk has -logs. "stream: tried again" tells server and chain; addresses are called so.

Tests: TestFindExplains, TestUnreadableLogIsNamed, FuzzFind, TestTimelineFromFiles.

--- a/desk/prog/prog.go
+++ b/desk/prog/prog.go
@@ -36,5 +36,8 @@
 		return boot.ExitSettings
 	}
 	d := &desk{settings: s, stdout: stdout}
+	if s.logs != "" {
+		return d.timeline(lines)
+	}
 	return d.runAll(ctx, lines)
 }
--- a/desk/prog/prog_test.go
+++ b/desk/prog/prog_test.go
@@ -139,3 +139,28 @@
 	c.Assert(status, quicktest.Equals, 1)
 	c.Assert(out, quicktest.Contains, "refused: ")
 }
+
+// The entry hosts are gone, and their output was kept in files. What explains a
+// request is found there without asking anybody.
+func TestTimelineFromFiles(t *testing.T) {
+	c := quicktest.New(t)
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		c.Assert(os.WriteFile(path, []byte(text), 0o600), quicktest.IsNil)
+		return path
+	}
+	one := write("e1.log", `{"time":"2026-12-03T10:00:02Z","msg":"request: ended","node":"e1","request":"9c41","server":"i-1"}`+"\n")
+	two := write("e2.log", `{"time":"2026-12-03T10:00:01Z","msg":"stream: tried again","node":"e2","request":"9c41"}`+"\n")
+	status, out, _ := run("", "-logs", one+","+two, "show", "timeline", "request", "9c41")
+	c.Assert(status, quicktest.Equals, 0)
+	c.Assert(out, quicktest.Equals, "> show timeline request 9c41\n"+
+		"* 10:00:01.000000 e2 stream: tried again\n"+
+		"* 10:00:02.000000 e1 request: ended server=i-1\n")
+	status, out, _ = run("", "-logs", one, "show", "timeline", "request", "unknown")
+	c.Assert(status, quicktest.Not(quicktest.Equals), 0)
+	c.Assert(out, quicktest.Contains, "no line names the request unknown")
+	status, out, _ = run("", "-logs", one, "stop", "server", "a1")
+	c.Assert(status, quicktest.Not(quicktest.Equals), 0)
+	c.Assert(out, quicktest.Contains, "show timeline request ID")
+}
--- a/entry/stream/flow.go
+++ b/entry/stream/flow.go
@@ -153,14 +153,16 @@
 		at = first
 	}
 	r.avoid[at] = true
+	server := ""
 	if s := r.State.View().At(at); s != nil {
+		server = s.ID
 		r.Ledger.Refused(s.ID, time.Now())
 	}
 	if at != first {
 		// It may be full, or dead: the first server does not say which.
 		r.Watch.Accuse(at, "a chain is refused for it")
 	}
-	r.Log.Info("stream: refused by a server", "request", r.job.ID, "status", reply.Status, "server", at, "first", first)
+	r.Log.Info("stream: refused by a server", "request", r.job.ID, "status", reply.Status, "server", server, "address", at, "first", r.out.Server)
 	return &fault.Error{Code: fault.ServerRefused, Verdict: fault.NotRun, Message: "a backend server refused", Server: at, RetryAfter: comeBack}
 }
 
@@ -286,8 +288,8 @@
 	}
 	r.verdict = r.verdict.Weaken(e.Verdict)
 	allowed := budget.Take(time.Now())
-	r.Log.Info("stream: tried again", "request", r.job.ID, "allowed", allowed, "sends", r.out.Sends,
-		"events", r.events.count, "error", e)
+	r.Log.Info("stream: tried again", "request", r.job.ID, "server", r.out.Server, "chain", r.out.Chain,
+		"allowed", allowed, "sends", r.out.Sends, "events", r.events.count, "error", e)
 	return allowed
 }
 
--- a/entry/stream/watch.go
+++ b/entry/stream/watch.go
@@ -188,7 +188,7 @@
 		w.reroute(address, report.Stalled)
 		return
 	}
-	w.Log.Warn("watch: no report", "server", address, "finding", finding.String(), "error", err)
+	w.Log.Warn("watch: no report", "address", address, "finding", finding.String(), "error", err)
 	w.Forget(address)
 	if finding.Dead() {
 		w.suspect(address, "no report", err)
--- /dev/null
+++ b/parts/trail/trail_test.go
@@ -0,0 +1,70 @@
+package trail_test
+
+import (
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"fuchsiashelf.dev/parts/trail"
+)
+
+const one = `{"time":"2026-12-03T10:00:00.5Z","level":"INFO","msg":"store: lost","node":"e1","error":"silent"}
+{"time":"2026-12-03T10:00:01Z","level":"INFO","msg":"stream: tried again","node":"e1","request":"r1","server":"i-1","chain":"i-1=0-4 i-2=4-8"}
+{"time":"2026-12-03T10:00:01.2Z","level":"WARN","msg":"servers: suspected","node":"e1","server":"i-2","address":"a:2"}
+{"time":"2026-12-03T10:00:01.3Z","level":"WARN","msg":"servers: suspected","node":"e1","server":"i-9","address":"a:9"}
+{"time":"2026-12-03T10:00:02Z","level":"INFO","msg":"request: ended","node":"e1","request":"r2","server":"i-1"}
+{"time":"2026-12-03T10:00:09Z","level":"INFO","msg":"servers: gone","node":"e1","server":"i-2"}
+panic: this is no JSON
+`
+
+const two = `{"time":"2026-12-03T10:00:01.1Z","level":"INFO","msg":"request: ended","node":"e2","request":"r1","status":200}
+{"time":"2026-12-03T10:00:01.05Z","level":"INFO","msg":"servers: gone","node":"e3","server":"i-2"}
+`
+
+// A caller complains about an answer, and its ID alone leads to lines that do
+// not tell why: the death of a server in the midst of the chain stands in a
+// line without it. Everything else of that second would bury the cause.
+func TestFindExplains(t *testing.T) {
+	found, err := trail.Find("r1", trail.Log{Name: "one", From: strings.NewReader(one)}, trail.Log{Name: "two", From: strings.NewReader(two)})
+	qt.Assert(t, err, qt.IsNil)
+	var lines []string
+	for _, e := range found {
+		lines = append(lines, e.String())
+	}
+	qt.Assert(t, lines, qt.DeepEquals, []string{
+		"  10:00:00.500000 e1 store: lost error=silent",
+		"* 10:00:01.000000 e1 stream: tried again chain=i-1=0-4 i-2=4-8 server=i-1",
+		"* 10:00:01.100000 e2 request: ended status=200",
+		"  10:00:01.200000 e1 servers: suspected address=a:2 server=i-2",
+	})
+}
+
+func TestUnknownRequest(t *testing.T) {
+	found, err := trail.Find("r9", trail.Log{Name: "one", From: strings.NewReader(one)})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, found, qt.HasLen, 0)
+}
+
+// One of the files is cut off within a line longer than any log has. What the
+// others tell is still shown, and the file is named.
+func TestUnreadableLogIsNamed(t *testing.T) {
+	found, err := trail.Find("r1",
+		trail.Log{Name: "broken.log", From: strings.NewReader(strings.Repeat("x", 2<<20))},
+		trail.Log{Name: "two", From: strings.NewReader(two)})
+	qt.Assert(t, err, qt.ErrorMatches, "broken.log: .*too long")
+	qt.Assert(t, found, qt.HasLen, 1)
+}
+
+func FuzzFind(f *testing.F) {
+	f.Add(one)
+	f.Add(two)
+	f.Fuzz(func(t *testing.T, text string) {
+		found, _ := trail.Find("r1", trail.Log{Name: "log", From: strings.NewReader(text)})
+		for i := 1; i < len(found); i++ {
+			if found[i].At.Before(found[i-1].At) {
+				t.Fatal("not in the order of time")
+			}
+		}
+	})
+}
