plain: give the caller a server's own failure rather than a false refusal

Ruled out: payments (they are sent once, and their failure is passed on).

Change: the answer of a server that ran the request and failed is kept and delivered if no other does better. The statuses that promise "not run" stand in one place, call.Promises; they stood in both flows.

--- a/entry/call/job.go
+++ b/entry/call/job.go
@@ -77,6 +77,16 @@
 	}
 }
 
+// Promises reports whether a status tells a caller that its request has not
+// run and never will, on the strength of which it repeats what may run once.
+func Promises(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
 // Refuse answers a request that failed. Only an error that is known not to
 // have run gets a status which says so; a caller repeats on the strength of
 // it, and a request that may run once would run twice.
--- a/entry/plain/plain.go
+++ b/entry/plain/plain.go
@@ -59,6 +59,7 @@
 
 // attempt is the outcome of one sending.
 type attempt struct {
+	server string
 	reply  call.Reply
 	header http.Header
 	body   []byte
@@ -76,12 +77,20 @@
 	defer cancel()
 	avoid := map[string]bool{}
 	verdict := fault.NotRun
+	// failure is the answer of a server that ran the request and failed. If no
+	// other server does better it is what the caller gets: a refusal would say
+	// that the request had not run.
+	var failure *attempt
+	fail := func(e *fault.Error) call.Outcome {
+		if failure != nil && !call.Gone(ctx) {
+			return f.deliver(w, out, j, *failure)
+		}
+		return f.fail(ctx, w, out, verdict, e)
+	}
 	for {
 		server := f.Scores.Pick(f.State.View().Service(j.Service.Name), f.Home, avoid)
 		if server == nil {
-			return f.fail(ctx, w, out, verdict, &fault.Error{
-				Code: fault.NoServer, Verdict: fault.NotRun, Message: "no backend server", RetryAfter: time.Second,
-			})
+			return fail(&fault.Error{Code: fault.NoServer, Verdict: fault.NotRun, Message: "no backend server", RetryAfter: time.Second})
 		}
 		avoid[server.Address] = true
 		out.Server = server.ID
@@ -93,11 +102,15 @@
 		if a.err != nil {
 			verdict = verdict.Weaken(a.err.Verdict)
 		}
-		if a.err == nil && !f.another(j, a, more, budget) {
-			return f.deliver(w, out, j, a)
+		if a.err == nil {
+			if !f.another(j, a, more, budget) {
+				return f.deliver(w, out, j, a)
+			}
+			failure = &a
+			continue
 		}
-		if a.err != nil && !f.again(ctx, j, a, out.Sends, budget) {
-			return f.fail(ctx, w, out, verdict, a.err)
+		if !f.again(ctx, j, a, out.Sends, budget) {
+			return fail(a.err)
 		}
 	}
 }
@@ -132,6 +145,7 @@
 	done := f.Scores.Begin(server.ID)
 	start := time.Now()
 	a := f.exchange(ctx, j, server, more)
+	a.server = server.ID
 	failed := a.err != nil && !call.Gone(ctx) || a.err == nil && a.reply.Status >= http.StatusInternalServerError
 	done(time.Since(start), failed)
 	if a.err != nil && a.reply.Status == 0 && ctx.Err() == nil {
@@ -188,10 +202,9 @@
 
 // deliver gives the caller an answer.
 func (f *Flow) deliver(w http.ResponseWriter, out call.Outcome, j *call.Job, a attempt) call.Outcome {
-	switch a.reply.Status {
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		// Towards callers these statuses promise that the request did not
-		// run, and this server did not say so.
+	out.Server = a.server
+	if call.Promises(a.reply.Status) {
+		// This server did not say that the request had not run.
 		e := &fault.Error{Code: fault.ServerFailed, Verdict: fault.MayHaveRun, Message: "the backend server failed", Server: out.Server}
 		out.Error = e
 		out.Status = call.Refuse(w, f.Codec, e)
--- a/entry/stream/flow.go
+++ b/entry/stream/flow.go
@@ -171,10 +171,8 @@
 func (r *run) failed(answer *line.Answer, reply call.Reply) *fault.Error {
 	body, err := io.ReadAll(io.LimitReader(answer, readSize))
 	e := &fault.Error{Code: fault.ServerFailed, Verdict: fault.MayHaveRun, Message: "the backend server failed", Server: r.out.Server, Cause: err}
-	promises := reply.Status == http.StatusServiceUnavailable || reply.Status == http.StatusTooManyRequests ||
-		reply.Status == http.StatusRequestTimeout || reply.Status == http.StatusMisdirectedRequest
 	last := !r.job.Route.Repeatable() || r.ran >= r.job.Route.Attempts
-	if r.began || err != nil || promises || !last {
+	if r.began || err != nil || call.Promises(reply.Status) || !last {
 		return e
 	}
 	call.CopyHeader(r.w.Header(), answer.Header)
