stream: notice servers that started anew, drop what nothing reads

Cause: a server that crashes and is back within a heartbeat under its ID and address answers each question, so its streams were only led away when their first server's report came, 200 ms late. Its report tells its start, which was decoded and read by nobody; neither were seven other fields.

Change: a report with a later start than the entry's makes all streams leave, and the server is avoided until its entry shows that it holds nothing. The fields that nothing reads are gone, and a wrong comment is right.

Test: TestStreamsLeaveAServerThatStartedAnew.

--- a/entry/call/call.go
+++ b/entry/call/call.go
@@ -79,8 +79,6 @@
 	Misdirected bool
 	// Fault is the address of the server of the chain that refused.
 	Fault string
-	// Signed says that the answer carries the backend server's signature.
-	Signed bool
 	// Leaving says that the backend server closes this connection.
 	Leaving bool
 	// Idle is how long the backend server keeps an unused connection; zero if
--- a/entry/stream/events.go
+++ b/entry/stream/events.go
@@ -15,7 +15,7 @@
 	count int
 	// resumed drops events up to last, which the caller has.
 	resumed bool
-	// joined says that an event beyond the resumption was seen.
+	// gap says that a resumed run left an event out.
 	gap bool
 }
 
--- a/entry/stream/watch.go
+++ b/entry/stream/watch.go
@@ -31,6 +31,10 @@
 	// askTime bounds the question to a server of a silent stream. An answer
 	// takes one to three milliseconds.
 	askTime = 60 * time.Millisecond
+	// shownIn is how long a server that started anew is avoided: by then its entry
+	// shows that it holds nothing. It answers as if nothing had been, while its
+	// streams wait for one that is no more.
+	shownIn = 1500 * time.Millisecond
 	// checkTime bounds the question to a server that is accused of having
 	// failed. It is out of use after one miss, so it gets more time.
 	checkTime = 300 * time.Millisecond
@@ -182,10 +186,7 @@
 	finding := w.book.Answer(address, err == nil, errors.Is(err, syscall.ECONNREFUSED))
 	w.mu.Unlock()
 	if err == nil {
-		if s := w.State.View().At(address); s != nil {
-			w.State.Paced(s.ID, report.Slowness, time.Now())
-		}
-		w.reroute(address, report.Stalled)
+		w.take(address, report)
 		return
 	}
 	w.Log.Warn("watch: no report", "address", address, "finding", finding.String(), "error", err)
@@ -196,6 +197,23 @@
 	w.leave(address, finding)
 }
 
+// take takes over what a server reports of itself.
+func (w *Watch) take(address string, r call.Report) {
+	now := time.Now()
+	s := w.State.View().At(address)
+	if s == nil {
+		return
+	}
+	if s.Born.Unix() > 0 && r.Born.After(s.Born) {
+		w.Log.Warn("watch: started anew", "server", s.ID, "address", address)
+		w.State.Suspect(s.ID, now.Add(shownIn), now)
+		w.leave(address, probe.Gone)
+		return
+	}
+	w.State.Paced(s.ID, r.Slowness, now)
+	w.reroute(address, r.Stalled)
+}
+
 // leave leads streams round a server that does not answer, and begins those
 // anew of which it is the first. A server that is only out of reach may still
 // serve its peers, so streams that come through it stay.
--- a/entry/stream/watch_test.go
+++ b/entry/stream/watch_test.go
@@ -26,6 +26,8 @@
 type engines struct {
 	// fails holds what a question to an address ends with.
 	fails map[string]error
+	// born holds when an address started, if not long ago.
+	born map[string]time.Time
 	// hold, if set, keeps orders waiting until it is closed.
 	hold chan struct{}
 
@@ -35,7 +37,7 @@
 }
 
 func (e *engines) Report(_ context.Context, address string) (call.Report, error) {
-	return call.Report{}, e.fails[address]
+	return call.Report{Born: e.born[address]}, e.fails[address]
 }
 
 func (e *engines) Place(context.Context, *fleet.Server, int, int, uint64) (call.Taken, error) {
@@ -74,7 +76,7 @@
 	e.told = make(chan struct{}, 16)
 	servers := fixed{}
 	add := func(id string, first, end int) {
-		servers[id] = fleet.Server{ID: id, Service: "assist", Address: id, Domain: "a", Card: "card", First: first, End: end}
+		servers[id] = fleet.Server{ID: id, Service: "assist", Address: id, Domain: "a", Card: "card", First: first, End: end, Born: time.Unix(1, 0)}
 	}
 	add("first", 0, 4)
 	add("middle", 4, 12)
@@ -129,6 +131,18 @@
 	qt.Check(t, w.State.View().At("middle").Suspect, qt.IsTrue)
 }
 
+// A server crashes and is back within a heartbeat, under its ID and address. It
+// answers every question, but knows nothing of its streams, which would wait
+// until their callers leave.
+func TestStreamsLeaveAServerThatStartedAnew(t *testing.T) {
+	e := &engines{born: map[string]time.Time{"middle": time.Now()}}
+	w, servers := watched(e, 1)
+	w.stream(servers, "r", silentEvent+time.Millisecond)
+	w.sweep(t.Context(), time.Now())
+	<-e.told
+	qt.Assert(t, e.rerouted["r"].String(), qt.Equals, "first=0-4 other-0=4-12")
+}
+
 // Another entry host tells that a server is dead, and asked here it is. The
 // streams that pass through it leave at once; left until they are silent and
 // their turn to be asked about comes, they paused for over a second.
--- a/parts/route/service.go
+++ b/parts/route/service.go
@@ -5,11 +5,6 @@
 // Service is a group of backend servers that give the same answers.
 type Service struct {
 	Name string
-	// HealthPath answers 200 while a backend server is healthy.
-	HealthPath string
-	// Connections is how many connections one backend server accepts from
-	// all callers together.
-	Connections int
 	// Engine describes the backend servers of a model that is split by layers;
 	// nil for a plain service.
 	Engine *Engine
@@ -36,21 +31,13 @@
 	Step, StepEach, StepContext time.Duration
 	// ReadPerSec is how many prompt tokens a card of pace 1 reads in a second.
 	ReadPerSec float64
-	// PairsPerM is what a million pairs of a token and an earlier one add to
-	// reading.
-	PairsPerM time.Duration
-	// Stride is how many steps one pass makes, Chunk how many prompt tokens one
-	// step reads at most.
-	Stride, Chunk int
+	// Stride is how many steps one pass makes.
+	Stride int
 	// PipeMbps is the rate of the link that all backend servers of two failure
 	// domains share.
 	PipeMbps float64
-	// Load is the time to load all layers, and LoadsAtOnce how many loads run
-	// at full speed.
-	Load        time.Duration
-	LoadsAtOnce int
-	// ReportLag is the age of what a backend server reports of its load.
-	ReportLag time.Duration
+	// Load is the time to load all layers.
+	Load time.Duration
 	// Usual are the mean sizes of a prompt and of an answer, in tokens.
 	UsualPrompt, UsualAnswer int
 	// Cards are the kinds of accelerators by name.
