hops: share the link between domains over entry hosts and new requests

The link was taken to two thirds by prompts.

Ruled out: servers that read the prompts of rerouted streams (streams that stay within a domain had no such pause).

Change: new chains and detours ask the same account, in which a transfer counts once for each entry host. A request that may not cross takes a chain within another domain, or waits its turn.

--- a/entry/stream/choose.go
+++ b/entry/stream/choose.go
@@ -69,7 +69,7 @@
 func (r *run) look() (hops.Chain, *fault.Error) {
 	q := r.query(r.job)
 	q.Avoid = r.avoid
-	if chain := q.Pick(); chain != nil {
+	if chain := r.pick(q); chain != nil {
 		return chain, nil
 	}
 	q.Crowded = true
@@ -79,6 +79,18 @@
 	return nil, nil
 }
 
+// pick finds a chain that crosses failure domains only if their link has room
+// for the prompt.
+func (r *run) pick(q *hops.Query) hops.Chain {
+	chain := q.Pick()
+	if chain != nil && !r.Watch.mayCross(r.job, chain.Crossings()) {
+		q.Within = true
+		chain = q.Pick()
+		q.Within = false
+	}
+	return chain
+}
+
 // stand waits for a turn and for room.
 func (r *run) stand(ctx context.Context, place *turns.Ticket) (hops.Chain, *fault.Error) {
 	until := time.Now().Add(min(LongestWait, r.job.Left()/2))
--- a/entry/stream/repair.go
+++ b/entry/stream/repair.go
@@ -70,7 +70,7 @@
 	avoid := map[string]bool{failed: true}
 	for range maxReroutes {
 		next := w.detour(l, chain, avoid)
-		if next == nil || !w.mayCross(l, chain, next) {
+		if next == nil || !w.mayCross(l.job, next.Crossings()-chain.Crossings()) {
 			break
 		}
 		// Booked before it is ordered: many streams leave a dead server at one
@@ -88,17 +88,17 @@
 	}
 }
 
-// mayCross reports whether a stream may go on by a chain that crosses failure
-// domains more often than its present one.
-func (w *Watch) mayCross(l *live, chain, next hops.Chain) bool {
-	more := next.Crossings() - chain.Crossings()
-	if more <= 0 {
+// mayCross reports whether a request may use the link between failure domains
+// so many times more now.
+func (w *Watch) mayCross(j *call.Job, crossings int) bool {
+	if crossings <= 0 {
 		return true
 	}
-	transfer := time.Duration(more) * hops.Transfer(l.job.Service.Engine, l.job.Prompt)
+	transfer := time.Duration(crossings) * hops.Transfer(j.Service.Engine, j.Prompt)
+	hosts := w.Hosts()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.pipe.Take(transfer, time.Now())
+	return w.pipe.Take(transfer, hosts, time.Now())
 }
 
 // detour finds another chain behind the same first part.
--- a/entry/stream/watch.go
+++ b/entry/stream/watch.go
@@ -87,6 +87,8 @@
 	// Spread tells the other entry hosts of a new suspicion.
 	Spread func()
 
+	// Hosts returns how many entry hosts there are, this one among them.
+	Hosts func() int
 	// Forget drops the kept connections to an address: those that fell silent
 	// without a reset would make a server that lives look dead.
 	Forget func(address string)
--- a/entry/stream/watch_test.go
+++ b/entry/stream/watch_test.go
@@ -94,7 +94,7 @@
 	s.ReadServers(time.Now())
 	return &Watch{
 		Engine: e, State: s, Ledger: &hops.Ledger{}, Home: "a", Log: log, Tally: &poison.Tally{},
-		Spread: func() {}, Forget: func(string) {},
+		Spread: func() {}, Hosts: func() int { return 1 }, Forget: func(string) {},
 	}, servers
 }
 
--- a/parts/hops/hops.go
+++ b/parts/hops/hops.go
@@ -111,6 +111,8 @@
 	// Cut says that servers of one failure domain do not reach those of
 	// another; nil means that all do.
 	Cut func(from, to domain.Name) bool
+	// Within keeps the chain within one failure domain.
+	Within bool
 	// Suspects permits servers that are suspected of having failed.
 	Suspects bool
 }
@@ -214,7 +216,7 @@
 func (q *Query) extend(best [][]step, domains []domain.Name, ends []int, o offer, at, from int, whole bool) {
 	cost := best[at][from].cost + q.hop()
 	if o.domain != from {
-		if at == 0 || q.Cut != nil && q.Cut(domains[from], o.server.Domain) {
+		if at == 0 || q.Within || q.Cut != nil && q.Cut(domains[from], o.server.Domain) {
 			return
 		}
 		cost += q.crossing()
