--- a/entry/placer/order.go
+++ b/entry/placer/order.go
@@ -13,11 +13,8 @@
 
 // order asks a server what it holds now and tells it what to hold.
 func (p *Placer) order(ctx context.Context, e *route.Engine, o place.Order) {
-	rctx, cancel := context.WithTimeout(ctx, call.ReportTime)
-	report, err := p.Engine.Report(rctx, o.Server.Address)
-	cancel()
+	report, err := p.report(ctx, o.Server)
 	if err != nil {
-		p.Log.Warn("placer: no report", "server", o.Server.ID, "error", err)
 		return
 	}
 	if report.Busy {
@@ -52,6 +49,17 @@
 	}
 }
 
+// report asks a server what it holds. A failure is logged.
+func (p *Placer) report(ctx context.Context, s *fleet.Server) (call.Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, call.ReportTime)
+	defer cancel()
+	report, err := p.Engine.Report(ctx, s.Address)
+	if err != nil {
+		p.Log.Warn("placer: no report", "server", s.ID, "error", err)
+	}
+	return report, err
+}
+
 // confirm asks a server that loads layers until it holds them, and tells the
 // others at once. Its entry shows them up to a heartbeat later, 0.6 s on
 // average, while requests are refused for want of these layers.
@@ -64,14 +72,8 @@
 		case <-time.After(wait):
 		}
 		wait = confirmEvery
-		rctx, cancel := context.WithTimeout(ctx, call.ReportTime)
-		report, err := p.Engine.Report(rctx, o.Server.Address)
-		cancel()
-		if err != nil {
-			p.Log.Warn("placer: no report", "server", o.Server.ID, "error", err)
-			continue
-		}
-		if report.Busy || report.First != o.First || report.End != o.End {
+		report, err := p.report(ctx, o.Server)
+		if err != nil || report.Busy || report.First != o.First || report.End != o.End {
 			continue
 		}
 		now := time.Now()
@@ -98,11 +100,8 @@
 	}
 	held := map[int]bool{}
 	for _, s := range o.Rely {
-		rctx, cancel := context.WithTimeout(ctx, call.ReportTime)
-		report, err := p.Engine.Report(rctx, s.Address)
-		cancel()
+		report, err := p.report(ctx, s)
 		if err != nil {
-			p.Log.Warn("placer: no report", "server", s.ID, "error", err)
 			continue
 		}
 		for l := report.First; l < report.End; l++ {
