stream: leave streams that still come with a first server that ends

Cause, found by reading: an entry host that found a server's port closed began all streams anew of which that server is the first, also those that still came. A server that ends may close its port before it has served the last of them, and our own entry host would cut them.

Ruled out: waiting costs nothing where the process is gone, since the connection of the stream ends with it.

Change: streams are begun anew only if they are silent; led round a dead server behind the first one they are at once, as before.

Test: TestStreamsThatComeStayWithTheirFirstServer.

--- a/entry/stream/watch.go
+++ b/entry/stream/watch.go
@@ -213,7 +213,8 @@
 
 // leave leads streams round a server that does not answer, and begins those
 // anew of which it is the first. A server that is only out of reach may still
-// serve its peers, so streams that come through it stay.
+// serve its peers, and one that ends may close its port before it has served the
+// last stream, so streams that come through the one or from the other stay.
 func (w *Watch) leave(address string, f probe.Finding) {
 	now := time.Now()
 	var list []*live
@@ -224,7 +225,7 @@
 		}
 		if l.first() != address {
 			list = append(list, l)
-		} else if f.Dead() {
+		} else if f.Dead() && l.silent(now) {
 			l.cancel(errDead)
 		}
 	}
--- a/entry/stream/watch_test.go
+++ b/entry/stream/watch_test.go
@@ -169,6 +169,19 @@
 	qt.Check(t, e.rerouted["still-comes"], qt.IsNil)
 }
 
+// A server that ends takes no more connections and still serves the streams
+// that it has. Begun anew at once they would be cut off by their own entry host.
+func TestStreamsThatComeStayWithTheirFirstServer(t *testing.T) {
+	e := &engines{}
+	w, servers := watched(e, 1)
+	comes, silent := w.stream(servers, "comes", 0), w.stream(servers, "silent", silentEvent+time.Millisecond)
+	var ended []string
+	comes.cancel = func(error) { ended = append(ended, "comes") }
+	silent.cancel = func(error) { ended = append(ended, "silent") }
+	w.leave("first", probe.Gone)
+	qt.Assert(t, ended, qt.DeepEquals, []string{"silent"})
+}
+
 // Many streams leave a dead server within a millisecond. While the first order
 // is on its way, nothing shows that its server is about to read a whole prompt;
 // if all chose it, the last would wait for all others.
