stream: count runs of servers that live towards what a route allows

Answers also break off or stand still at servers that live, and since streams are begun anew sooner that comes more often.

Ruled out: counting by time; the rule itself leaves out servers that ended.

Change: servers that may have run the request count as long as their entry is there and they are not suspected.

Test: TestRunsOfLivingServersCount.

--- a/entry/stream/fail.go
+++ b/entry/stream/fail.go
@@ -103,7 +103,7 @@
 	if e.Verdict != fault.NotRun && !r.job.Route.Repeatable() {
 		return false
 	}
-	if r.out.Sends > maxSends || r.ran >= r.mostRuns() {
+	if r.out.Sends > maxSends || r.runs() >= r.job.Route.Attempts {
 		return false
 	}
 	r.verdict = r.verdict.Weaken(e.Verdict)
@@ -113,13 +113,21 @@
 	return allowed
 }
 
-// mostRuns returns how many servers may run the request. One that ended while
-// it ran does not count towards what the route allows; one that answered does.
-func (r *run) mostRuns() int {
-	if r.failure != nil {
-		return r.job.Route.Attempts
-	}
-	return r.job.Route.Attempts + 1
+// runs returns how many servers have run the request that count towards what
+// its route allows: those that still live. An answer may break off, or stand
+// still, at a server that goes on well; with one run more than the route allows
+// for each of these, callers' requests ran on three servers where two are
+// permitted. A server that died may be replaced by another.
+func (r *run) runs() int {
+	view := r.State.View()
+	n := 0
+	for _, s := range r.ran {
+		now := view.At(s.Address)
+		if now != nil && now.ID == s.ID && !now.Suspect {
+			n++
+		}
+	}
+	return n
 }
 
 // maxSends bounds the chains that one request is sent to, refusals included.
--- a/entry/stream/flow.go
+++ b/entry/stream/flow.go
@@ -21,6 +21,7 @@
 	"fuchsiashelf.dev/entry/line"
 	"fuchsiashelf.dev/parts/domain"
 	"fuchsiashelf.dev/parts/fault"
+	"fuchsiashelf.dev/parts/fleet"
 	"fuchsiashelf.dev/parts/hops"
 	"fuchsiashelf.dev/parts/retry"
 	"fuchsiashelf.dev/parts/turns"
@@ -80,8 +81,8 @@
 	// avoid holds addresses that failed this request.
 	avoid   map[string]bool
 	verdict fault.Verdict
-	// ran counts sendings that may have run.
-	ran int
+	// ran holds the servers that may have run the request.
+	ran []*fleet.Server
 	// passed is when the caller got the last event.
 	passed time.Time
 	// failure is what a server that failed answered.
@@ -133,7 +134,7 @@
 	if err != nil {
 		e := fault.As(err)
 		if e.Verdict != fault.NotRun {
-			r.ran++
+			r.ran = append(r.ran, first)
 		}
 		r.blame(actx, first.Address, e)
 		return e
@@ -142,7 +143,7 @@
 	if reply.NotRun {
 		return r.refused(first.Address, reply)
 	}
-	r.ran++
+	r.ran = append(r.ran, first)
 	if reply.Status != http.StatusOK {
 		r.Failures.Note(first.ID, reply.Status >= http.StatusInternalServerError, time.Now())
 		return r.failed(answer, reply)
--- a/entry/stream/watch_test.go
+++ b/entry/stream/watch_test.go
@@ -245,6 +245,22 @@
 	qt.Assert(t, <-ended, qt.Equals, errNoWay)
 }
 
+// Answers break off at servers that go on well, one after the other, and each
+// time another one is tried. A route allows two; beyond them the budget of
+// repeats that all entry hosts share would be spent on requests that no server
+// serves. A server that died does not count.
+func TestRunsOfLivingServersCount(t *testing.T) {
+	w, servers := watched(&engines{}, 1)
+	first, middle := servers["first"], servers["middle"]
+	old := middle
+	old.ID = "middle-before"
+	r := &run{Flow: &Flow{State: w.State}, ran: []*fleet.Server{&first, &middle, &old}}
+	qt.Assert(t, r.runs(), qt.Equals, 2)
+	now := time.Now()
+	w.State.Suspect("first", now.Add(time.Hour), now)
+	qt.Assert(t, r.runs(), qt.Equals, 1)
+}
+
 // A payment fails at a plain server, which is asked whether it lives. It has no
 // report to give and says so. Taken for dead, it would be left out for two
 // seconds, and the few others would have to refuse what it could have served.
