--- a/entry/source/source.go
+++ b/entry/source/source.go
@@ -35,10 +35,11 @@
 
 // The times of following.
 const (
-	// watchWait is how long a watch waits. Each watch is a priced call.
+	// watchWait is how long a watch waits, unless Follow.Wait says otherwise. Each
+	// watch is a priced call.
 	watchWait = 10 * time.Second
 	// watchSlack is how much longer an answer may take.
-	watchSlack = time.Second
+	watchSlack = 500 * time.Millisecond
 	// listTime bounds a list. One of 39 servers takes milliseconds, one of 3,000
 	// is three megabytes in six pages, which 300 entry hosts that start together
 	// fetch over one link of 1,000 Mbit/s in seven seconds. With 1.5 s for all
@@ -73,6 +74,10 @@
 	Log    *slog.Logger
 	// Changed is called after the mirror changed.
 	Changed func()
+	// Wait is how long a watch waits; zero means the usual time. A watch may hear
+	// nothing of a change that is made while the object API drops its history,
+	// without being ended, so this bounds how late the change is noticed.
+	Wait time.Duration
 	// Relies reports whether others follow for this entry host, which then
 	// makes no calls of its own; nil means that they do not.
 	Relies func() bool
@@ -118,13 +123,17 @@
 	if whole {
 		return f.list(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	wait := watchWait
+	if f.Wait > 0 {
+		wait = f.Wait
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
 	f.mu.Lock()
 	f.cancel = cancel
 	f.mu.Unlock()
 	after := f.Mirror.Cursor()
-	b, err := f.Store.Watch(ctx, f.Mirror.Kind, after, watchWait)
+	b, err := f.Store.Watch(ctx, f.Mirror.Kind, after, wait)
 	if err != nil {
 		if ctx.Err() == context.Canceled {
 			return nil
--- a/entry/source/source_test.go
+++ b/entry/source/source_test.go
@@ -150,3 +150,33 @@
 	f.Mirror.Replace([]mirror.Item{{Name: "a", Revision: 7}}, 7)
 	qt.Assert(t, <-watched, qt.Equals, uint64(7))
 }
+
+// A change is made while the object API drops its history. The watch that waits
+// hears nothing of it and is not ended, and old keys and routes would be served
+// for as long as it waits.
+func TestDeafWatchIsBegunAnewSoon(t *testing.T) {
+	watched := make(chan uint64, 10)
+	s := &store{
+		list: func() ([]mirror.Item, uint64, error) { return nil, 5, nil },
+		watch: func(ctx context.Context, after uint64) (mirror.Batch, error) {
+			watched <- after
+			<-ctx.Done()
+			return mirror.Batch{}, ctx.Err()
+		},
+	}
+	f := &source.Follow{
+		Store: s, Mirror: &mirror.Mirror{Kind: "k"}, Log: slog.New(slog.DiscardHandler), Changed: func() {},
+		Wait: time.Millisecond,
+	}
+	ctx, end := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.Run(ctx)
+	}()
+	for range 3 {
+		qt.Assert(t, <-watched, qt.Equals, uint64(5))
+	}
+	end()
+	<-done
+}
