node: bound how long a deaf watch for servers holds a drain up

Watches for the configuration were mended by waiting 1.5 s only; those for servers still waited 10 s, though a server that leaves must get nothing after 2 s (drain_ms).

Ruled out: lists that come late (a page takes 4 ms and is asked for again after 1.5 s); hosts that rely on others (four hosts in three domains all watch).

--- a/entry/source/source.go
+++ b/entry/source/source.go
@@ -35,9 +35,6 @@
 
 // The times of following.
 const (
-	// watchWait is how long a watch waits, unless Follow.Wait says otherwise. Each
-	// watch is a priced call.
-	watchWait = 10 * time.Second
 	// watchSlack is how much longer an answer may take.
 	watchSlack = 500 * time.Millisecond
 	// listTime bounds a list. One of 39 servers takes milliseconds; one of 3,000
@@ -73,9 +70,9 @@
 	Log    *slog.Logger
 	// Changed is called after the mirror changed.
 	Changed func()
-	// Wait is how long a watch waits; zero means the usual time. A watch may hear
-	// nothing of a change that is made while the object API drops its history,
-	// without being ended, so this bounds how late the change is noticed.
+	// Wait is how long a watch waits. A watch may hear nothing of a change that
+	// is made while the object API drops its history, without being ended, so this
+	// bounds how late the change is noticed. Each watch is a priced call.
 	Wait time.Duration
 	// Relies reports whether others follow for this entry host, which then
 	// makes no calls of its own; nil means that they do not.
@@ -122,17 +119,13 @@
 	if whole {
 		return f.list(ctx)
 	}
-	wait := watchWait
-	if f.Wait > 0 {
-		wait = f.Wait
-	}
-	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
+	ctx, cancel := context.WithTimeout(ctx, f.Wait+watchSlack)
 	defer cancel()
 	f.mu.Lock()
 	f.cancel = cancel
 	f.mu.Unlock()
 	after := f.Mirror.Cursor()
-	b, err := f.Store.Watch(ctx, f.Mirror.Kind, after, wait)
+	b, err := f.Store.Watch(ctx, f.Mirror.Kind, after, f.Wait)
 	if err != nil {
 		if ctx.Err() == context.Canceled {
 			return nil
--- a/entry/source/source_test.go
+++ b/entry/source/source_test.go
@@ -40,7 +40,7 @@
 	changed := make(chan struct{}, 100)
 	f := &source.Follow{
 		Store: s, Mirror: &mirror.Mirror{Kind: "k"}, Log: slog.New(slog.DiscardHandler),
-		Changed: func() { changed <- struct{}{} },
+		Changed: func() { changed <- struct{}{} }, Wait: 10 * time.Second,
 	}
 	ctx, end := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/stand/plat/store.go
+++ b/stand/plat/store.go
@@ -63,6 +63,10 @@
 	changed   chan struct{}
 	trouble   Trouble
 	calls     int
+	// deaf counts how often the watches of a kind that waited went deaf.
+	deaf map[string]int
+	// waits is the longest that a watch of a kind was to wait.
+	waits map[string]time.Duration
 }
 
 func (s *Store) init() {
@@ -70,9 +74,29 @@
 		s.objects = map[string]map[string]object{}
 		s.revision = 40
 		s.changed = make(chan struct{})
+		s.deaf = map[string]int{}
+		s.waits = map[string]time.Duration{}
 	}
 }
 
+// Deafen makes the watches of a kind that wait now hear of no change to it
+// until their wait is over, without ending them.
+func (s *Store) Deafen(kind string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	s.deaf[kind]++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// LongestWait returns the longest that a watch of a kind was to wait.
+func (s *Store) LongestWait(kind string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.waits[kind]
+}
+
 // Put writes an object as its owner would.
 func (s *Store) Put(kind, name string, spec any) error {
 	text, err := json.Marshal(spec)
@@ -219,9 +243,15 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	end := time.After(time.Duration(wait) * time.Millisecond)
+	longest := time.Duration(wait) * time.Millisecond
+	end := time.After(longest)
+	s.mu.Lock()
+	s.waits[kind] = max(s.waits[kind], longest)
+	hearing := s.deaf[kind]
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
+		deaf := s.deaf[kind] != hearing
 		forgotten, changed, revision, trouble := after < s.forgotten, s.changed, s.revision, s.trouble
 		events := s.since(kind, after)
 		s.mu.Unlock()
@@ -233,13 +263,16 @@
 			w.WriteHeader(http.StatusGone)
 			return
 		}
-		if len(events) > 0 {
+		if len(events) > 0 && !deaf {
 			tellEvents(w, events, revision)
 			return
 		}
 		select {
 		case <-changed:
 		case <-end:
+			if deaf {
+				revision = after
+			}
 			tellEvents(w, nil, revision)
 			return
 		case <-r.Context().Done():
