loss, desk: say from logs where requests are lost

Change: package loss counts each request of some logs in a window of two seconds under what cost its caller most (late first event, pause by length, refused, cut, failed, left), by route and entry host, and streams that paused by what the watch did about them. fsdesk -logs FILES show losses prints it. For it the line of a request's end says whether its first event or a pause was late, in place of a yes. trail.Read returns all lines of logs, in order.

Test: recorded lines and their table in parts/loss/testdata.

--- a/desk/prog/logs.go
+++ b/desk/prog/logs.go
@@ -5,20 +5,28 @@
 	"fmt"
 	"os"
 	"strings"
+	"time"
 
 	"fuchsiashelf.dev/parts/boot"
+	"fuchsiashelf.dev/parts/loss"
 	"fuchsiashelf.dev/parts/trail"
 )
 
-// timelineWords begin the only line that is answered from files.
-var timelineWords = []string{"show", "timeline", "request"}
+// The lines that are answered from files begin with these words.
+const (
+	timelineWords = "show timeline request "
+	lossesWords   = "show losses"
+)
+
+// lossesEvery is the length of a window of the table of losses.
+const lossesEvery = 2 * time.Second
 
-// timeline answers `show timeline request N` from the files with the output of
-// entry hosts. It returns the exit status.
-func (d *desk) timeline(lines []string) int {
+// local answers lines from the files with the output of entry hosts. It returns
+// the exit status.
+func (d *desk) local(lines []string) int {
 	status := 0
 	for _, text := range lines {
-		if err := d.trail(text); err != nil {
+		if err := d.show(strings.Join(strings.Fields(text), " ")); err != nil {
 			fmt.Fprintln(d.stdout, refused+":", err)
 			status = boot.ExitFailed
 		}
@@ -26,23 +34,28 @@
 	return status
 }
 
-func (d *desk) trail(text string) error {
-	words := strings.Fields(text)
-	known := len(words) == len(timelineWords)+1
-	for i, word := range timelineWords {
-		known = known && words[i] == word
-	}
-	if !known {
-		return fmt.Errorf("-logs answers `show timeline request ID` only, not %q", text)
+// show answers one line.
+func (d *desk) show(text string) error {
+	request, isTimeline := strings.CutPrefix(text, timelineWords)
+	if !isTimeline && text != lossesWords {
+		return fmt.Errorf("-logs answers `%sID` and `%s` only, not %q", timelineWords, lossesWords, text)
 	}
-	request := words[len(timelineWords)]
 	logs, end, err := d.open()
 	defer end()
 	if err != nil {
 		return err
 	}
-	found, err := trail.Find(request, logs...)
 	fmt.Fprintln(d.stdout, ">", text)
+	if isTimeline {
+		return d.timeline(request, logs)
+	}
+	entries, err := trail.Read(logs...)
+	fmt.Fprint(d.stdout, loss.Count(entries, lossesEvery))
+	return err
+}
+
+func (d *desk) timeline(request string, logs []trail.Log) error {
+	found, err := trail.Find(request, logs...)
 	for _, e := range found {
 		fmt.Fprintln(d.stdout, e)
 	}
--- a/desk/prog/prog.go
+++ b/desk/prog/prog.go
@@ -37,7 +37,7 @@
 	}
 	d := &desk{settings: s, stdout: stdout}
 	if s.logs != "" {
-		return d.timeline(lines)
+		return d.local(lines)
 	}
 	return d.runAll(ctx, lines)
 }
--- a/desk/prog/prog_test.go
+++ b/desk/prog/prog_test.go
@@ -157,6 +157,9 @@
 	c.Assert(out, quicktest.Equals, "> show timeline request 9c41\n"+
 		"* 10:00:01.000000 e2 stream: tried again\n"+
 		"* 10:00:02.000000 e1 request: ended server=i-1\n")
+	status, out, _ = run("", "-logs", one+","+two, "show", "losses")
+	c.Assert(status, quicktest.Equals, 0)
+	c.Assert(out, quicktest.Contains, "entry host")
 	status, out, _ = run("", "-logs", one, "show", "timeline", "request", "unknown")
 	c.Assert(status, quicktest.Not(quicktest.Equals), 0)
 	c.Assert(out, quicktest.Contains, "no line names the request unknown")
--- a/desk/prog/settings.go
+++ b/desk/prog/settings.go
@@ -37,7 +37,7 @@
 	fs.StringVar(&s.output, "o", "text", "output: text or json")
 	fs.StringVar(&s.file, "f", "", "file with one line a step; - for standard input, also used when no line is given")
 	fs.StringVar(&s.id, "id", "", "id of the line, to send one again that was answered with unknown; for one line only")
-	fs.StringVar(&s.logs, "logs", "", "files with the output of entry hosts, separated by commas; show timeline request ID is answered from them, and no entry host is asked")
+	fs.StringVar(&s.logs, "logs", "", "files with the output of entry hosts, separated by commas; show timeline request ID and show losses are answered from them, and no entry host is asked")
 	fs.Uint64Var(&s.seen, "seen", 0, "revision that the operator saw; 0 for that of the last answer in a script, and for the newest before the first")
 	fs.BoolVar(&s.more, "continue", false, "go on after a line that is not done")
 	fs.DurationVar(&s.timeout, "timeout", 30*time.Second, "longest wait for one answer")
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -188,7 +188,7 @@
 func (h *Handler) note(j *call.Job, r *http.Request, out call.Outcome, start time.Time) {
 	took := time.Since(start)
 	h.Meter.note(j, out, took)
-	late := j != nil && (over(out.First, j.Route.Target) || over(out.Gap, j.Route.Gap))
+	late := lateness(j, out)
 	attrs := []any{"status", out.Status, "took", took, "first", out.First}
 	if j != nil {
 		attrs = append(attrs, "request", j.ID, "route", j.Route.Name, "team", j.Team, "config", j.Version, "server", out.Server)
@@ -198,7 +198,7 @@
 	if out.Chain != "" {
 		attrs = append(attrs, "chain", out.Chain, "events", out.Events, "gap", out.Gap)
 	}
-	if out.Error == nil && !out.Broken && !late && out.Sends <= 1 {
+	if out.Error == nil && !out.Broken && late == onTime && out.Sends <= 1 {
 		h.Log.Info("request: answered", attrs...)
 		return
 	}
@@ -209,6 +209,26 @@
 	h.Log.Info("request: ended", attrs...)
 }
 
+// What may be late of an answer, as logs name it.
+const (
+	onTime     = "no"
+	lateFirst  = "first"
+	latePaused = "pause"
+)
+
+// lateness says what of an answer was later than its route's objectives.
+func lateness(j *call.Job, out call.Outcome) string {
+	switch {
+	case j == nil:
+		return onTime
+	case over(out.First, j.Route.Target):
+		return lateFirst
+	case over(out.Gap, j.Route.Gap):
+		return latePaused
+	}
+	return onTime
+}
+
 // over reports whether a time is beyond what counts as on time, if anything
 // does.
 func over(took, target time.Duration) bool {
--- /dev/null
+++ b/parts/loss/loss_test.go
@@ -0,0 +1,38 @@
+package loss_test
+
+import (
+	"flag"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rogpeppe/go-internal/txtar"
+
+	"fuchsiashelf.dev/parts/loss"
+	"fuchsiashelf.dev/parts/trail"
+)
+
+var update = flag.Bool("update", false, "rewrite the expected tables")
+
+// Callers are served late, and nobody knows at which moments and for what
+// reason: whether a first event came late, a stream paused and for how long,
+// or a request was refused, cut off or failed.
+func TestCount(t *testing.T) {
+	const path = "testdata/day.txtar"
+	archive, err := txtar.ParseFile(path)
+	qt.Assert(t, err, qt.IsNil)
+	entries, err := trail.Read(trail.Log{Name: "log", From: strings.NewReader(string(archive.Files[0].Data))})
+	qt.Assert(t, err, qt.IsNil)
+	got := loss.Count(entries, 2*time.Second).String()
+	if *update {
+		archive.Files[1].Data = []byte(got)
+		qt.Assert(t, os.WriteFile(path, txtar.Format(archive), 0o600), qt.IsNil)
+	}
+	qt.Assert(t, got, qt.Equals, string(archive.Files[1].Data))
+}
+
+func TestNoLines(t *testing.T) {
+	qt.Assert(t, loss.Count(nil, time.Second).String(), qt.Contains, "pauses: 0")
+}
--- /dev/null
+++ b/parts/loss/print.go
@@ -0,0 +1,44 @@
+package loss
+
+import (
+	"fmt"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+// clock writes the start of a window so that names sort by time.
+func clock(d time.Duration) string {
+	return fmt.Sprintf("%06.1fs", d.Seconds())
+}
+
+// String prints the table for people.
+func (t *Table) String() string {
+	var b strings.Builder
+	w := tabwriter.NewWriter(&b, 0, 0, 2, ' ', tabwriter.AlignRight)
+	part(w, "from", t.Windows)
+	part(w, "route", t.Routes)
+	part(w, "entry host", t.Hosts)
+	_ = w.Flush()
+	fmt.Fprintf(&b, "pauses: %d with another chain, %d without another way at first, %d with neither\n",
+		t.Pauses.Rerouted, t.Pauses.NoWay, t.Pauses.Neither)
+	if t.Skipped > 0 {
+		fmt.Fprintf(&b, "%d lines were left out by the logs' bound\n", t.Skipped)
+	}
+	return b.String()
+}
+
+func part(w *tabwriter.Writer, heading string, rows []Row) {
+	fmt.Fprint(w, heading, "\t")
+	for _, name := range names {
+		fmt.Fprint(w, name, "\t")
+	}
+	fmt.Fprintln(w)
+	for _, r := range rows {
+		fmt.Fprint(w, r.Name, "\t")
+		for _, n := range r.Counts {
+			fmt.Fprint(w, n, "\t")
+		}
+		fmt.Fprintln(w)
+	}
+}
--- a/parts/trail/trail.go
+++ b/parts/trail/trail.go
@@ -55,22 +55,32 @@
 // Find returns what explains a request, in the order of time. The error joins
 // what could not be read; the entries of what could are returned all the same.
 func Find(request string, logs ...Log) ([]Entry, error) {
+	all, err := Read(logs...)
+	for i := range all {
+		all[i].Own = all[i].Attrs["request"] == request
+	}
+	return explain(all), err
+}
+
+// Read returns all lines, in the order of time. The error joins what could not
+// be read; the entries of what could are returned all the same.
+func Read(logs ...Log) ([]Entry, error) {
 	var all []Entry
 	var faults []error
 	for _, l := range logs {
-		list, err := read(l, request)
+		list, err := read(l)
 		all = append(all, list...)
 		faults = append(faults, err)
 	}
 	slices.SortStableFunc(all, func(a, b Entry) int {
 		return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Node, b.Node))
 	})
-	return explain(all), errors.Join(faults...)
+	return all, errors.Join(faults...)
 }
 
 // read decodes the lines of a log. Lines that are no JSON objects are of
 // another writer, for example a runtime that ends, and are passed over.
-func read(l Log, request string) ([]Entry, error) {
+func read(l Log) ([]Entry, error) {
 	var list []Entry
 	scan := bufio.NewScanner(l.From)
 	scan.Buffer(nil, longest)
@@ -82,7 +92,6 @@
 		if e.Node == "" {
 			e.Node = l.Name
 		}
-		e.Own = e.Attrs["request"] == request
 		list = append(list, e)
 	}
 	if err := scan.Err(); err != nil {
