probe, stream: take streams that fall silent together for a sign of a death

Callers bear a pause of 250 ms, so all was lost before anything was decided.

Change: a stream learns its usual pause and is silent after two of them, 100 ms at least. The streams of a server together are silent as soon as the freshest is later than usual, by the more the fewer they are; such servers are asked first. A question is given up after 40 ms, and one that was not answered is asked again after 20. Streams that had no event while a question was open leave, and the look comes every 15 ms, but not right after the entry host itself was held up.

Test first: TestStreamsSilentTogetherTellOfADeath plays forty streams for four seconds, in which nobody may be asked, and a death, of which the right server must be asked within 110 ms.

--- a/entry/stream/live.go
+++ b/entry/stream/live.go
@@ -14,8 +14,10 @@
 type live struct {
 	job    *call.Job
 	cancel context.CancelCauseFunc
-	last   atomic.Int64
-	began  atomic.Bool
+	// last is when the last event came, or another chain was ordered, and usual
+	// the time that usually lies between two events, in nanoseconds.
+	last, usual atomic.Int64
+	began       atomic.Bool
 
 	mu      sync.Mutex
 	chain   hops.Chain
@@ -28,9 +30,27 @@
 	vacated string
 }
 
+const (
+	// learnPace is the part of a new pause in a stream's usual one.
+	learnPace = 0.2
+	// outlier is by how many times a pause that is longer than usual counts at
+	// most, so that an outage does not pass for the usual pace.
+	outlier = 2
+)
+
+// touch notes an event.
 func (l *live) touch() {
-	l.last.Store(time.Now().UnixNano())
-	l.began.Store(true)
+	now := time.Now().UnixNano()
+	pause := now - l.last.Swap(now)
+	if !l.began.Swap(true) {
+		return
+	}
+	usual := l.usual.Load()
+	if usual == 0 {
+		l.usual.Store(pause)
+		return
+	}
+	l.usual.Store(usual + int64(learnPace*float64(min(pause, outlier*usual)-usual)))
 }
 
 func (l *live) silence(now time.Time) time.Duration {
@@ -40,11 +60,17 @@
 // silent reports whether the pause since the last event is longer than usual.
 func (l *live) silent(now time.Time) bool {
 	if l.began.Load() {
-		return l.silence(now) > silentEvent
+		return l.silence(now) > max(silentEvent, silentPauses*time.Duration(l.usual.Load()))
 	}
 	return l.silence(now) > silentStart
 }
 
+// unheard reports whether no event came for as long as a question to a server
+// may take. A stream that had one meanwhile shows that it is well.
+func (l *live) unheard(now time.Time) bool {
+	return l.silence(now) > askTime
+}
+
 // servers returns the addresses of the chain.
 func (l *live) servers() []string {
 	l.mu.Lock()
--- a/entry/stream/watch.go
+++ b/entry/stream/watch.go
@@ -20,16 +20,21 @@
 // for two seconds.
 const (
 	// sweepEvery is how often all streams are looked at.
-	sweepEvery = 25 * time.Millisecond
-	// silentEvent is the pause between events after which the servers of a
-	// stream are asked whether they live. Pauses are 10 to 50 ms, and 200 ms
-	// count as late.
-	silentEvent = 100 * time.Millisecond
+	sweepEvery = 15 * time.Millisecond
+	// heldUp is the time between two looks from which on this entry host itself
+	// was held up: events wait unread, and every stream seems silent.
+	heldUp = 40 * time.Millisecond
+	// silentEvent is the pause after which the servers of a stream are asked
+	// whether they live, and silentPauses the same in usual pauses of the stream,
+	// whichever is longer. Where streams are slow, questions about each that is
+	// merely slower for once would leave none for the server that died.
+	silentEvent  = 100 * time.Millisecond
+	silentPauses = 2
 	// silentStart is the same before the first event, which takes 50 to 300 ms.
 	silentStart = 200 * time.Millisecond
 	// askTime bounds the question to a server of a silent stream. An answer
 	// takes one to three milliseconds.
-	askTime = 60 * time.Millisecond
+	askTime = 40 * time.Millisecond
 	// shownIn is how long a server that started anew is avoided: by then its entry
 	// shows that it holds nothing. It answers as if nothing had been, while its
 	// streams wait for one that is no more.
@@ -102,6 +107,8 @@
 	under map[string]map[poison.Fingerprint]bool
 	// vacated is when a stream was last led round a leaving server.
 	vacated time.Time
+	// swept is when the streams were last looked at.
+	swept time.Time
 }
 
 func (w *Watch) add(j *call.Job, chain hops.Chain, cancel context.CancelCauseFunc) *live {
@@ -141,7 +148,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-tick.C:
+		case <-tick.C:
+			now := time.Now()
 			w.sweep(ctx, now)
 			w.vacate(now)
 		}
@@ -152,20 +160,25 @@
 func (w *Watch) sweep(ctx context.Context, now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	late := !w.swept.IsZero() && now.Sub(w.swept) > heldUp
+	w.swept = now
 	silent := false
 	for l := range w.lives {
-		if l.began.Load() && l.silence(now) > hopeless {
+		pause := l.silence(now)
+		if l.began.Load() && pause > hopeless {
 			l.cancel(errSilent)
 		}
-		silent = silent || l.silent(now)
+		silent = silent || pause > time.Duration(l.usual.Load())
 	}
 	maps.DeleteFunc(w.sound, func(_ string, at time.Time) bool { return now.Sub(at) > soundFor })
-	if !silent {
+	if !silent || late {
 		return
 	}
 	streams := make([]probe.Stream, 0, len(w.lives))
 	for l := range w.lives {
-		streams = append(streams, probe.Stream{Servers: l.servers(), Silent: l.silent(now)})
+		streams = append(streams, probe.Stream{
+			Servers: l.servers(), Silent: l.silent(now), Pause: l.silence(now), Usual: time.Duration(l.usual.Load()),
+		})
 	}
 	for _, address := range w.book.Ask(streams, now) {
 		go w.inquire(ctx, address)
@@ -219,7 +232,7 @@
 	var list []*live
 	w.mu.Lock()
 	for l := range w.lives {
-		if f != probe.Gone && !l.silent(now) || !l.through(address) {
+		if f != probe.Gone && !l.unheard(now) || !l.through(address) {
 			continue
 		}
 		if l.first() != address {
--- a/parts/probe/probe.go
+++ b/parts/probe/probe.go
@@ -11,6 +11,11 @@
 // streams is silent: all streams of a dead server are, while one that is
 // merely slow or shares a chain with it passes others on.
 //
+// One stream alone must be silent for some of its usual pauses before that says
+// anything. The streams of one server together say it sooner: while it lives,
+// one of twenty has an event every few milliseconds, so when even the freshest
+// is later than usual, all wait for the same thing.
+//
 // A [Book] is a pure state machine: times are arguments.
 package probe
 
@@ -25,7 +30,7 @@
 	// Later until one of which it is known whether it lives is. Asked as often,
 	// six servers that lived used up all questions of an entry host, and one that
 	// had died was not asked for 1.3 s.
-	Every = 80 * time.Millisecond
+	Every = 20 * time.Millisecond
 	Later = 300 * time.Millisecond
 	// PerSecond bounds the questions of one entry host. Where everything is
 	// slow, all streams are silent at times: 39 servers asked ten times a second
@@ -38,14 +43,22 @@
 	missesUntilDead = 2
 	// forget is how long after its last question a server's misses count.
 	forget = time.Second
+	// leastTogether is from how many streams on their silence together counts.
+	leastTogether = 3
+	// leastPause is the shortest silence of all streams of a server that counts:
+	// an entry host that is held up for a moment sees nothing of any stream.
+	leastPause = 40 * time.Millisecond
 )
 
 // Stream is a stream under way.
 type Stream struct {
 	// Servers are the addresses of its chain.
 	Servers []string
-	// Silent says that its pause is longer than usual.
+	// Silent says that its pause alone is longer than usual.
 	Silent bool
+	// Pause is the time since its last event, and Usual the time that usually
+	// lies between two; it is zero until there were two.
+	Pause, Usual time.Duration
 }
 
 // Finding is what is believed of a server that was asked.
@@ -174,12 +187,52 @@
 	return e
 }
 
-// candidate is a server through which silent streams pass.
+// candidate is a server through which streams pass.
 type candidate struct {
 	address     string
 	silent, all int
-	// known says that it was asked a moment ago, and whether it lives is known.
+	// known is 1 if it was asked a moment ago and whether it lives is known.
 	known int
+	// paced counts the streams whose usual pause is known. Usual is the sum of
+	// these pauses, and freshest the shortest time since an event of any.
+	paced    int
+	usual    time.Duration
+	freshest time.Duration
+}
+
+func (c *candidate) add(s Stream) {
+	c.all++
+	if s.Silent {
+		c.silent++
+	}
+	if s.Usual <= 0 {
+		return
+	}
+	if c.paced == 0 || s.Pause < c.freshest {
+		c.freshest = s.Pause
+	}
+	c.paced++
+	c.usual += s.Usual
+}
+
+// together reports whether the streams of the server are silent together: the
+// freshest is later than all of them usually are, by the more the fewer they are.
+func (c *candidate) together() bool {
+	if c.paced < leastTogether {
+		return false
+	}
+	mean := c.usual / time.Duration(c.paced)
+	return c.freshest > max(leastPause, mean+mean/time.Duration(c.paced))
+}
+
+// rank orders candidates: those of whom nothing is known first, and of these
+// those whose streams are silent together.
+func (c *candidate) rank() int {
+	rank := 2 * c.known
+	if !c.together() {
+		rank++
+	}
+	return rank
 }
 
 // candidates lists the servers of silent streams: first those of which nothing
@@ -193,15 +246,12 @@
 				c = &candidate{address: address}
 				counts[address] = c
 			}
-			c.all++
-			if s.Silent {
-				c.silent++
-			}
+			c.add(s)
 		}
 	}
 	var list []candidate
 	for _, c := range counts {
-		if c.silent == 0 {
+		if c.silent == 0 && !c.together() {
 			continue
 		}
 		if e := b.asked[c.address]; e != nil && e.found != Doubtful {
@@ -211,7 +261,7 @@
 	}
 	slices.SortFunc(list, func(a, b candidate) int {
 		return cmp.Or(
-			cmp.Compare(a.known, b.known),
+			cmp.Compare(a.rank(), b.rank()),
 			-cmp.Compare(a.silent*b.all, b.silent*a.all),
 			-cmp.Compare(a.silent, b.silent),
 			cmp.Compare(a.address, b.address),
--- a/parts/probe/probe_test.go
+++ b/parts/probe/probe_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -27,6 +28,45 @@
 	qt.Assert(t, b.Ask(streams, start)[0], qt.Equals, "dead")
 }
 
+// Streams have an event every 80 ms, and one is late for once now and then. A
+// server in the midst of twenty dies. If each stream had to be silent for long
+// alone, its callers would see a pause whatever is done then; nobody notices
+// that not even one of the twenty goes on. While all live, nobody is asked.
+func TestStreamsSilentTogetherTellOfADeath(t *testing.T) {
+	const (
+		usual  = 80 * time.Millisecond
+		step   = 5 * time.Millisecond
+		death  = 4 * time.Second
+		within = 110 * time.Millisecond
+	)
+	rng := rand.New(rand.NewPCG(1, 2))
+	chains := [][]string{{"a", "dead", "c"}, {"a", "b", "c"}}
+	streams := make([]probe.Stream, 40)
+	next := make([]time.Duration, len(streams))
+	last := make([]time.Duration, len(streams))
+	for i := range streams {
+		streams[i] = probe.Stream{Servers: chains[i%2], Usual: usual}
+		next[i] = time.Duration(rng.Int64N(int64(usual)))
+	}
+	b := &probe.Book{}
+	for at := time.Duration(0); ; at += step {
+		for i := range streams {
+			if next[i] <= at && (at < death || i%2 == 1) {
+				last[i], next[i] = at, at+usual/2+time.Duration(rng.Int64N(int64(usual)))
+			}
+			streams[i].Pause = at - last[i]
+		}
+		list := b.Ask(streams, start.Add(at))
+		if len(list) == 0 {
+			qt.Assert(t, at < death+within, qt.IsTrue, qt.Commentf("nobody was asked"))
+			continue
+		}
+		qt.Assert(t, at > death, qt.IsTrue, qt.Commentf("%v asked at %v", list, at))
+		qt.Assert(t, list, qt.DeepEquals, []string{"dead"})
+		return
+	}
+}
+
 func TestNobodyIsAskedWithoutSilence(t *testing.T) {
 	b := &probe.Book{}
 	qt.Assert(t, b.Ask([]probe.Stream{{Servers: []string{"a", "b"}}}, start), qt.HasLen, 0)
