stream, placer: know of a death by two short questions, decide when it is known

An accused server was first asked by one question of 300 ms, and it was decided what to order five times a second.

Change: the first two questions to an accused server take 40 ms each, as those to the servers of silent streams do, and both must stay unanswered. The placer decides 30 ms after each change of what is believed, and five times a second otherwise.

--- a/entry/placer/placer.go
+++ b/entry/placer/placer.go
@@ -10,6 +10,7 @@
 package placer
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"maps"
@@ -27,8 +28,12 @@
 
 // The times of placing.
 const (
-	// lookEvery is how often it is decided anew.
+	// lookEvery is how often it is decided anew, and lookAfter how long after a
+	// change of what is believed of the servers: until a dead one's layers are
+	// held again, its failure domain serves hardly anybody. Changes in a row are
+	// decided on together.
 	lookEvery = 200 * time.Millisecond
+	lookAfter = 30 * time.Millisecond
 	// quietFor is how long the list of servers must be unchanged before the
 	// first placing: it fills over more than a heartbeat of the servers, and
 	// the first to come would get everything.
@@ -72,6 +77,9 @@
 	// Leads reports whether this entry host is the one to place.
 	Leads func() bool
 	Log   *slog.Logger
+	// Every is how often it is decided anew if nothing changes; zero means five
+	// times a second.
+	Every time.Duration
 
 	mu sync.Mutex
 	// told holds what servers were told, or reported themselves, and have not
@@ -100,14 +108,17 @@
 
 // Run places until the context ends.
 func (p *Placer) Run(ctx context.Context) {
-	tick := time.NewTicker(lookEvery)
+	tick := time.NewTicker(cmp.Or(p.Every, lookEvery))
 	defer tick.Stop()
 	for {
+		changed := p.State.Changed()
+		p.look(ctx, time.Now())
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-tick.C:
-			p.look(ctx, now)
+		case <-tick.C:
+		case <-changed:
+			time.Sleep(lookAfter)
 		}
 	}
 }
--- a/entry/stream/accuse.go
+++ b/entry/stream/accuse.go
@@ -114,6 +114,9 @@
 	return true
 }
 
+// check asks an accused server until it answers or its entry is gone. The first
+// two questions are short: each moment in which it is not known that a server
+// died, requests go to it, and nobody gets its layers.
 func (w *Watch) check(id, address, why string, by link) {
 	defer func() {
 		w.mu.Lock()
@@ -121,37 +124,54 @@
 		w.mu.Unlock()
 	}()
 	for n := range maxProbes {
-		ctx, cancel := context.WithTimeout(context.Background(), call.ReportTime)
-		_, err := w.Engine.Report(ctx, address)
-		cancel()
-		if lives(err) {
-			err = nil
+		wait := call.ReportTime
+		if n < shortProbes {
+			wait = askTime
 		}
+		err := w.question(address, wait)
 		now := time.Now()
 		if err == nil {
-			if n == 0 && by.from != by.to {
+			if n < shortProbes && by.from != by.to {
 				w.State.CutOff(by.from, by.to, now)
 			}
-			w.State.Clear(id, now)
-			w.settle(id, false, now)
-			w.mu.Lock()
-			if w.sound == nil {
-				w.sound = map[string]time.Time{}
-			}
-			w.sound[address] = now
-			w.mu.Unlock()
+			w.answered(id, address, now)
 			return
 		}
+		if n+1 < shortProbes && found(err) != probe.Gone {
+			continue
+		}
 		if !w.doubt(id, address, why, err, now) {
 			return
 		}
-		if n == 0 {
+		if n < shortProbes {
 			w.leave(address, found(err))
 		}
 		time.Sleep(probeEvery)
 	}
 }
 
+// question asks a server for its report. An answer that it has none is one.
+func (w *Watch) question(address string, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	if _, err := w.Engine.Report(ctx, address); !lives(err) {
+		return err
+	}
+	return nil
+}
+
+// answered ends the suspicion against a server.
+func (w *Watch) answered(id, address string, now time.Time) {
+	w.State.Clear(id, now)
+	w.settle(id, false, now)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.sound == nil {
+		w.sound = map[string]time.Time{}
+	}
+	w.sound[address] = now
+}
+
 // found returns what follows for streams from a server's failure to answer.
 func found(err error) probe.Finding {
 	if errors.Is(err, syscall.ECONNREFUSED) {
--- a/entry/stream/watch.go
+++ b/entry/stream/watch.go
@@ -46,6 +46,9 @@
 	// longer than its entry outlives it.
 	probeEvery = 500 * time.Millisecond
 	maxProbes  = 30
+	// shortProbes of them wait no longer than the question to a server of a
+	// silent stream. That many in a row mean that it does not live.
+	shortProbes = 2
 	// vacateEvery is the time between two streams that are led round a leaving
 	// server. Each has all its tokens read again by the servers of the new way,
 	// some 3 ms of each one's time, which the streams there wait for. At 20 a
--- a/entry/stream/watch_test.go
+++ b/entry/stream/watch_test.go
@@ -34,9 +34,16 @@
 	mu       sync.Mutex
 	rerouted map[string]hops.Chain
 	told     chan struct{}
+	// waits holds how long each question might take.
+	waits []time.Duration
 }
 
-func (e *engines) Report(_ context.Context, address string) (call.Report, error) {
+func (e *engines) Report(ctx context.Context, address string) (call.Report, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if until, bounded := ctx.Deadline(); bounded {
+		e.waits = append(e.waits, time.Until(until))
+	}
 	return call.Report{Born: e.born[address]}, e.fails[address]
 }
 
@@ -155,6 +162,24 @@
 	qt.Assert(t, e.rerouted["r"].String(), qt.Equals, "first=0-4 other-0=4-12")
 }
 
+// Another entry host tells that a server fell silent. Here it is asked itself; a
+// long question alone would take longer than callers bear, and all the while
+// requests would go there. Two short ones must do, since one may be lost.
+func TestAccusedServerIsAskedTwiceShortly(t *testing.T) {
+	e := &engines{fails: map[string]error{"middle": context.DeadlineExceeded}}
+	w, servers := watched(e, 1)
+	w.stream(servers, "r", silentEvent+time.Millisecond)
+	w.Accuse("middle", "another entry host suspects it")
+	<-e.told
+	qt.Check(t, w.State.View().At("middle").Suspect, qt.IsTrue)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	qt.Assert(t, e.waits, qt.HasLen, shortProbes)
+	for _, wait := range e.waits {
+		qt.Check(t, wait <= askTime, qt.IsTrue, qt.Commentf("%v", wait))
+	}
+}
+
 // An entry host is cut off from a server that its peers still reach. Streams
 // through that one go on; led elsewhere, all their tokens would be read again
 // for nothing.
