stream: derive waits from the route's objectives

Cause: decisions carried the figures of the first deployment: 400 ms of waiting for room, 1.6 s of looking for another chain, 100 and 200 ms of silence, 1.3 s until a stream is begun anew, 100 ms of queueing on the link between failure domains. With other objectives they are wrong by chance: on a route that allows pauses of a second, servers would be asked about usual ones; on one with a target of 200 ms, requests would wait for room until they are late.

Change: all are shares of what the route says: its target, its longest pause, and the silence after which callers leave, which the adapter works out from both (2 s, four targets or eight pauses, whichever is longest). turns.Queue and hops.Pipe take the bound with each request, since routes differ.

Test: TestWaitsFollowTheRoute. The tests of turns and hops pass the bounds that were fields and constants before; what they check is the same.

--- /dev/null
+++ b/entry/stream/bounds_test.go
@@ -0,0 +1,34 @@
+package stream
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fuchsiashelf.dev/parts/route"
+)
+
+// An operator bears longer pauses on one route than on another. Waits that were
+// set for the first would give answers up while callers of the second still
+// wait, or let requests wait for room beyond the time in which the first event
+// counts.
+func TestWaitsFollowTheRoute(t *testing.T) {
+	quick := &route.Route{Target: 200 * time.Millisecond, Gap: 100 * time.Millisecond, Silence: 2 * time.Second}
+	slow := &route.Route{Target: 2 * time.Second, Gap: time.Second, Silence: 8 * time.Second}
+	for _, r := range []*route.Route{quick, slow, chat, {}} {
+		target, gap, bears := r.Target, r.Gap, r.Silence
+		if target == 0 {
+			target, gap = usualTarget, usualGap
+		}
+		if bears == 0 {
+			bears = usualSilence
+		}
+		qt.Check(t, longestWait(r) < target, qt.IsTrue)
+		qt.Check(t, silentStart(r) < target, qt.IsTrue)
+		qt.Check(t, silentEvent(r)+askTime < gap, qt.IsTrue)
+		qt.Check(t, linkWait(r) < gap, qt.IsTrue)
+		qt.Check(t, hopeless(r) < insistFor(r) && insistFor(r) < bears, qt.IsTrue)
+	}
+	qt.Check(t, longestWait(slow) == 10*longestWait(quick), qt.IsTrue)
+}
--- a/entry/stream/choose.go
+++ b/entry/stream/choose.go
@@ -30,7 +30,7 @@
 			return chain, e
 		}
 	}
-	place, after := r.Turns.Join(r.job.Priority)
+	place, after := r.Turns.Join(r.job.Priority, longestWait(r.job.Route))
 	if place == nil {
 		return nil, full(after)
 	}
@@ -40,11 +40,11 @@
 }
 
 // insist finds a chain for an answer that broke off midway. Its caller holds on
-// for two seconds, and a chain that is missing now may be whole again by then;
+// for a while, and a chain that is missing now may be whole again by then;
 // given up, it would have half an answer. It goes before requests that have not
 // begun.
 func (r *run) insist(ctx context.Context) (hops.Chain, *fault.Error) {
-	until := r.passed.Add(insistFor)
+	until := r.passed.Add(insistFor(r.job.Route))
 	for {
 		chain, e := r.look()
 		if chain != nil {
@@ -93,7 +93,7 @@
 
 // stand waits for a turn and for room.
 func (r *run) stand(ctx context.Context, place *turns.Ticket) (hops.Chain, *fault.Error) {
-	until := time.Now().Add(min(LongestWait, r.job.Left()/2))
+	until := time.Now().Add(min(longestWait(r.job.Route), r.job.Left()/2))
 	for time.Now().Add(waitStep).Before(until) {
 		if r.Turns.Mine(place) {
 			if chain, e := r.look(); chain != nil || e != nil {
--- a/entry/stream/flow.go
+++ b/entry/stream/flow.go
@@ -38,17 +38,6 @@
 	fresh = 3 * time.Second
 	// readSize holds several events.
 	readSize = 4 << 10
-	// LongestWait is how long a request waits for room. What is left of the
-	// usual 500 ms to the first event is enough to read its prompt. Of 250 ms
-	// in no order, 450 ms and 1.2 s in turn, the mean worth of ten hard days
-	// was 0.645, 0.652 and 0.636: longer ones are served late where they would
-	// have come back in time.
-	LongestWait = 400 * time.Millisecond
-	// insistFor is the silence up to which another chain is looked for in the
-	// midst of an answer: callers hold on for two seconds, and its first event
-	// takes 300 ms. With a second from when the break was noticed, one answer in
-	// five hundred was given up while its caller still waited.
-	insistFor = 1600 * time.Millisecond
 	// waitStep is how often a waiting request looks for room.
 	waitStep = 20 * time.Millisecond
 )
--- a/entry/stream/live.go
+++ b/entry/stream/live.go
@@ -60,9 +60,9 @@
 // silent reports whether the pause since the last event is longer than usual.
 func (l *live) silent(now time.Time) bool {
 	if l.began.Load() {
-		return l.silence(now) > max(silentEvent, silentPauses*time.Duration(l.usual.Load()))
+		return l.silence(now) > max(silentEvent(l.job.Route), silentPauses*time.Duration(l.usual.Load()))
 	}
-	return l.silence(now) > silentStart
+	return l.silence(now) > silentStart(l.job.Route)
 }
 
 // unheard reports whether no event came for as long as a question to a server
--- a/entry/stream/repair.go
+++ b/entry/stream/repair.go
@@ -108,7 +108,7 @@
 	hosts := w.Hosts()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.pipe.Take(transfer, hosts, time.Now())
+	return w.pipe.Take(transfer, linkWait(j.Route), hosts, time.Now())
 }
 
 // detour finds another chain behind the same first part.
--- a/entry/stream/watch.go
+++ b/entry/stream/watch.go
@@ -24,14 +24,11 @@
 	// heldUp is the time between two looks from which on this entry host itself
 	// was held up: events wait unread, and every stream seems silent.
 	heldUp = 40 * time.Millisecond
-	// silentEvent is the pause after which the servers of a stream are asked
-	// whether they live, and silentPauses the same in usual pauses of the stream,
-	// whichever is longer. Where streams are slow, questions about each that is
-	// merely slower for once would leave none for the server that died.
-	silentEvent  = 100 * time.Millisecond
+	// silentPauses is the silence of a stream in its usual pauses that makes its
+	// servers be asked whether they live, if that is longer than the share of
+	// the longest pause on time. Where streams are slow, questions about each that
+	// is merely slower for once would leave none for the server that died.
 	silentPauses = 2
-	// silentStart is the same before the first event, which takes 50 to 300 ms.
-	silentStart = 200 * time.Millisecond
 	// askTime bounds the question to a server of a silent stream. An answer
 	// takes one to three milliseconds.
 	askTime = 40 * time.Millisecond
@@ -39,9 +36,6 @@
 	// shows that it holds nothing. It answers as if nothing had been, while its
 	// streams wait for one that is no more.
 	shownIn = 1500 * time.Millisecond
-	// hopeless is the silence after which a stream is begun anew even if its
-	// first server claims to be well. Beginning anew takes some 300 ms.
-	hopeless = 1300 * time.Millisecond
 	// probeEvery and maxProbes bound how an accused server is asked again: for
 	// longer than its entry outlives it.
 	probeEvery = 500 * time.Millisecond
@@ -168,7 +162,7 @@
 	silent := false
 	for l := range w.lives {
 		pause := l.silence(now)
-		if l.began.Load() && pause > hopeless {
+		if l.began.Load() && pause > hopeless(l.job.Route) {
 			l.cancel(errSilent)
 		}
 		silent = silent || pause > time.Duration(l.usual.Load())
--- a/entry/stream/watch_test.go
+++ b/entry/stream/watch_test.go
@@ -62,6 +62,9 @@
 	return call.TakenBegun, "", nil
 }
 
+// chat is the route of the streams of these tests.
+var chat = &route.Route{Target: 500 * time.Millisecond, Gap: 250 * time.Millisecond}
+
 // layers of the model of these tests.
 const layers = 12
 
@@ -113,7 +116,7 @@
 	}
 	first, middle := servers["first"], servers["middle"]
 	chain := hops.Chain{{Server: &first, First: 0, End: 4}, {Server: &middle, First: 4, End: 12}}
-	j := &call.Job{Ask: &call.Ask{ID: id, Prompt: 10, Hint: 5}, Service: &route.Service{Name: "assist", Engine: e}}
+	j := &call.Job{Ask: &call.Ask{ID: id, Prompt: 10, Hint: 5}, Route: chat, Service: &route.Service{Name: "assist", Engine: e}}
 	l := w.add(j, chain, func(error) {})
 	l.touch()
 	l.last.Store(time.Now().Add(-silence).UnixNano())
@@ -127,7 +130,7 @@
 func TestAllStreamsLeaveAServerThatIsGone(t *testing.T) {
 	e := &engines{fails: map[string]error{"middle": syscall.ECONNREFUSED}}
 	w, servers := watched(e, 1)
-	w.stream(servers, "silent", silentEvent+time.Millisecond)
+	w.stream(servers, "silent", silentEvent(chat)+time.Millisecond)
 	w.stream(servers, "still-comes", 0)
 	w.sweep(t.Context(), time.Now())
 	<-e.told
@@ -144,7 +147,7 @@
 func TestStreamsLeaveAServerThatStartedAnew(t *testing.T) {
 	e := &engines{born: map[string]time.Time{"middle": time.Now()}}
 	w, servers := watched(e, 1)
-	w.stream(servers, "r", silentEvent+time.Millisecond)
+	w.stream(servers, "r", silentEvent(chat)+time.Millisecond)
 	w.sweep(t.Context(), time.Now())
 	<-e.told
 	qt.Assert(t, e.rerouted["r"].String(), qt.Equals, "first=0-4 other-0=4-12")
@@ -168,7 +171,7 @@
 func TestAccusedServerIsAskedTwiceShortly(t *testing.T) {
 	e := &engines{fails: map[string]error{"middle": context.DeadlineExceeded}}
 	w, servers := watched(e, 1)
-	w.stream(servers, "r", silentEvent+time.Millisecond)
+	w.stream(servers, "r", silentEvent(chat)+time.Millisecond)
 	w.Accuse("middle", "another entry host suspects it")
 	<-e.told
 	qt.Check(t, w.State.View().At("middle").Suspect, qt.IsTrue)
@@ -186,7 +189,7 @@
 func TestStreamsThatComeStayWithAServerOutOfReach(t *testing.T) {
 	e := &engines{fails: map[string]error{"middle": context.DeadlineExceeded}}
 	w, servers := watched(e, 1)
-	w.stream(servers, "silent", silentEvent+time.Millisecond)
+	w.stream(servers, "silent", silentEvent(chat)+time.Millisecond)
 	w.stream(servers, "still-comes", 0)
 	w.sweep(t.Context(), time.Now())
 	<-e.told
@@ -199,7 +202,7 @@
 func TestStreamsThatComeStayWithTheirFirstServer(t *testing.T) {
 	e := &engines{}
 	w, servers := watched(e, 1)
-	comes, silent := w.stream(servers, "comes", 0), w.stream(servers, "silent", silentEvent+time.Millisecond)
+	comes, silent := w.stream(servers, "comes", 0), w.stream(servers, "silent", silentEvent(chat)+time.Millisecond)
 	var ended []string
 	comes.cancel = func(error) { ended = append(ended, "comes") }
 	silent.cancel = func(error) { ended = append(ended, "silent") }
@@ -215,7 +218,7 @@
 	w, servers := watched(e, 2)
 	const streams = 8
 	for i := range streams {
-		w.stream(servers, fmt.Sprintf("r%d", i), silentEvent+time.Millisecond)
+		w.stream(servers, fmt.Sprintf("r%d", i), silentEvent(chat)+time.Millisecond)
 	}
 	w.leave("middle", probe.Gone)
 	until(t, func() bool { return w.Ledger.Used("middle").Requests == 0 })
@@ -257,7 +260,7 @@
 	servers["next"] = next
 	w.State.Servers.Merge(mirror.Batch{After: 1, Cursor: 2, Items: []mirror.Item{{Name: "next", Revision: 2}}})
 	w.State.ReadServers(time.Now())
-	l := w.stream(servers, "r", silentEvent+time.Millisecond)
+	l := w.stream(servers, "r", silentEvent(chat)+time.Millisecond)
 	first, middle := servers["first"], servers["middle"]
 	l.chain = hops.Chain{{Server: &first, First: 0, End: 4}, {Server: &middle, First: 4, End: 8}, {Server: &next, First: 8, End: 12}}
 	ended := make(chan error, 1)
--- a/parts/hops/pipe_test.go
+++ b/parts/hops/pipe_test.go
@@ -17,7 +17,7 @@
 	p := &hops.Pipe{}
 	n := 0
 	for ms := range 1000 {
-		if p.Take(transfer, hosts, start.Add(time.Duration(ms)*time.Millisecond)) {
+		if p.Take(transfer, 100*time.Millisecond, hosts, start.Add(time.Duration(ms)*time.Millisecond)) {
 			n++
 		}
 	}
--- a/parts/route/route.go
+++ b/parts/route/route.go
@@ -61,6 +61,9 @@
 	Target time.Duration
 	// Gap is the longest pause between two events that is still on time.
 	Gap time.Duration
+	// Silence is the pause after which callers leave a stream; zero means that it
+	// is not known.
+	Silence time.Duration
 	// Attempts is how many backend servers one request may be sent to.
 	Attempts int
 	// Priority is the rank of the route; 0 is the highest.
--- a/parts/turns/turns.go
+++ b/parts/turns/turns.go
@@ -36,11 +36,8 @@
 	priority int
 }
 
-// Queue holds the requests that wait. Set Longest before use.
+// Queue holds the requests that wait. The zero value is ready.
 type Queue struct {
-	// Longest is how long a request may wait.
-	Longest time.Duration
-
 	mu      sync.Mutex
 	waiting []*Ticket
 	// gap is the mean time between two services, last the time of the newest.
@@ -50,11 +47,11 @@
 
 // Join takes a place behind all that are as urgent; a lower priority is more
 // urgent. It returns nil, and when to come back, if the queue is as long as
-// what will be served in time.
-func (q *Queue) Join(priority int) (place *Ticket, comeBack time.Duration) {
+// what will be served in the longest time that the request may wait.
+func (q *Queue) Join(priority int, longest time.Duration) (place *Ticket, comeBack time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if len(q.waiting) >= q.most() {
+	if len(q.waiting) >= q.most(longest) {
 		return nil, time.Duration(len(q.waiting)) * max(q.gap, time.Millisecond)
 	}
 	place = &Ticket{priority: priority}
@@ -66,12 +63,12 @@
 	return place, 0
 }
 
-// most returns how many requests may wait. The mutex is held.
-func (q *Queue) most() int {
+// most returns how many requests may wait that long at most. The mutex is held.
+func (q *Queue) most(longest time.Duration) int {
 	if q.gap <= 0 {
 		return leastQueue
 	}
-	return max(leastQueue, int(q.Longest/q.gap))
+	return max(leastQueue, int(longest/q.gap))
 }
 
 // Busy reports whether others wait, whose turn comes before that of a request
--- a/parts/turns/turns_test.go
+++ b/parts/turns/turns_test.go
@@ -23,7 +23,7 @@
 	for now := start; now.Before(start.Add(10 * time.Second)); now = now.Add(time.Millisecond) {
 		if !now.Before(nextArrival) {
 			nextArrival = nextArrival.Add(arrive)
-			if place, _ := q.Join(0); place != nil {
+			if place, _ := q.Join(0, time.Second); place != nil {
 				line = append(line, waiter{place, now})
 			} else {
 				refused++
@@ -38,7 +38,7 @@
 				line = line[1:]
 			}
 		}
-		for len(line) > 0 && now.Sub(line[0].since) > q.Longest {
+		for len(line) > 0 && now.Sub(line[0].since) > time.Second {
 			q.Leave(line[0].place, false, now)
 			vain++
 			line = line[1:]
@@ -51,7 +51,7 @@
 // All the room is used, nobody waits in vain for long, and the rest is refused
 // at once.
 func TestOverload(t *testing.T) {
-	q := &turns.Queue{Longest: time.Second}
+	q := &turns.Queue{}
 	served, refused, vain, longest := play(q, 33*time.Millisecond, 50*time.Millisecond)
 	t.Logf("served %d, refused %d, in vain %d, longest wait %s", served, refused, vain, longest)
 	qt.Assert(t, served >= 195, qt.IsTrue)
@@ -62,14 +62,14 @@
 
 // Requests come slower than room comes free: nobody is refused.
 func TestUnderload(t *testing.T) {
-	q := &turns.Queue{Longest: time.Second}
+	q := &turns.Queue{}
 	_, refused, vain, _ := play(q, 60*time.Millisecond, 50*time.Millisecond)
 	qt.Assert(t, refused+vain, qt.Equals, 0)
 }
 
 // Nothing comes free at all. A long queue would hold everybody for nothing.
 func TestStandstill(t *testing.T) {
-	q := &turns.Queue{Longest: time.Second}
+	q := &turns.Queue{}
 	_, refused, vain, _ := play(q, 33*time.Millisecond, time.Hour)
 	qt.Assert(t, vain <= 40, qt.IsTrue)
 	qt.Assert(t, refused >= 260, qt.IsTrue)
@@ -78,18 +78,18 @@
 // A more urgent request comes last and goes first; the first in line needs more
 // than there is, and the next ones need not wait for it.
 func TestOrder(t *testing.T) {
-	q := &turns.Queue{Longest: time.Second}
-	large, _ := q.Join(1)
-	small, _ := q.Join(1)
-	urgent, _ := q.Join(0)
+	q := &turns.Queue{}
+	large, _ := q.Join(1, time.Second)
+	small, _ := q.Join(1, time.Second)
+	urgent, _ := q.Join(0, time.Second)
 	qt.Assert(t, q.Mine(large), qt.IsTrue)
 	qt.Assert(t, q.Mine(small), qt.IsTrue)
 	qt.Assert(t, q.Mine(urgent), qt.IsTrue)
-	none, after := q.Join(0)
+	none, after := q.Join(0, time.Second)
 	qt.Assert(t, none, qt.IsNil)
 	qt.Assert(t, after > 0, qt.IsTrue)
 	q.Leave(large, false, start)
-	last, _ := q.Join(0)
+	last, _ := q.Join(0, time.Second)
 	qt.Assert(t, q.Mine(last), qt.IsTrue)
 	qt.Assert(t, q.Busy(), qt.IsTrue)
 }
