place: let second copies cover whole servers

Cause: with deaths noticed within 100 ms, a death costs nothing where others hold the dead server's layers, and all answers of its failure domain where they do not.

Ruled out: closing a gap sooner (a layer takes 175 ms to load, so no gap closes within the 250 ms that callers bear), leading all answers of a domain across the link (20 ms of it for each; 60 answers wait for each other).

Change: a range with which nothing is missing any more when a certain server dies is worth five layers more. An accused server that left two short questions unanswered is asked a long one 100 ms later: on a link that loses packets both may have been lost.

Test first: TestSecondCopiesCoverWholeServers, 5 of 10 deaths harmless before, 8 or more after. The other tests of placing are as they were.

--- a/entry/stream/accuse.go
+++ b/entry/stream/accuse.go
@@ -143,10 +143,12 @@
 		if !w.doubt(id, address, why, err, now) {
 			return
 		}
+		pause := probeEvery
 		if n < shortProbes {
 			w.leave(address, found(err))
+			pause = recheckAfter
 		}
-		time.Sleep(probeEvery)
+		time.Sleep(pause)
 	}
 }
 
--- a/parts/place/group.go
+++ b/parts/place/group.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"fuchsiashelf.dev/parts/fleet"
 	"fuchsiashelf.dev/parts/route"
@@ -13,6 +12,8 @@
 type group struct {
 	engine  *route.Engine
 	servers []*fleet.Server
+	// cards are the kinds of accelerators that the servers have, by name.
+	cards map[string]*card
 	// tokens is the room for requests that each server should have.
 	tokens float64
 	// taken returns how many tokens x layers are promised of a server's memory.
@@ -27,13 +28,6 @@
 	edges []int
 }
 
-// roomSteps is how finely the room for requests is chosen.
-const roomSteps = 50
-
-// hopTime is what a further server adds to the way of a token: the link, and the
-// wait for the step under way there.
-const hopTime = 200 * time.Microsecond
-
 type span struct{ first, end int }
 
 func (r span) len() int { return r.end - r.first }
@@ -43,10 +37,10 @@
 		engine: e, servers: slices.Clone(servers), held: map[string]span{},
 		count: make([]int, e.Layers), rooms: make([]float64, e.Layers), edges: make([]int, e.Layers+1),
 	}
-	usual := usualRequests * float64(e.UsualPrompt+e.UsualAnswer)
+	g.cards = cardsOf(e, servers)
 	slices.SortFunc(g.servers, func(a, b *fleet.Server) int {
-		x, y := e.Cards[a.Card], e.Cards[b.Card]
-		return cmp.Or(cmp.Compare(layerTime(e, a, usual), layerTime(e, b, usual)), cmp.Compare(y.MemoryMB, x.MemoryMB), cmp.Compare(a.ID, b.ID))
+		x, y := g.cards[a.Card], g.cards[b.Card]
+		return cmp.Or(cmp.Compare(x.time, y.time), cmp.Compare(y.MemoryMB, x.MemoryMB), cmp.Compare(a.ID, b.ID))
 	})
 	g.tokens = g.balanced()
 	for _, s := range g.servers {
@@ -57,59 +51,9 @@
 	return g
 }
 
-// balanced returns the room for requests, in tokens, that the servers should
-// have beside all layers. Less room lets the fastest servers hold more of the
-// layers: an answer then takes less time, fewer of them are under way when
-// something fails, and less room is needed. Of the rooms that the servers can
-// afford it is the one with the most headroom for the time that an answer takes:
-// requests that fit, over those under way at a given load, which grow with that
-// time, and once more over that time, since it is how long an answer can be hit.
-func (g *group) balanced() float64 {
-	usual := usualRequests * float64(g.engine.UsualPrompt+g.engine.UsualAnswer)
-	var best, bestWorth float64
-	for i := roomSteps; i > 0; i-- {
-		tokens := usual * float64(i) / roomSteps
-		pace, whole := g.pace(tokens)
-		if !whole {
-			continue
-		}
-		if worth := tokens / (pace * pace); worth > bestWorth {
-			best, bestWorth = tokens, worth
-		}
-	}
-	return best
-}
-
-// pace returns how long a token takes on its way through all layers, in steps of
-// the engine, if each server leaves so much room for requests and the fastest
-// ones hold as many layers as they can. Whole is false if they cannot hold all.
-func (g *group) pace(tokens float64) (pace float64, whole bool) {
-	left := g.engine.Layers
-	for _, s := range g.servers {
-		n := min(size(g.engine, s, tokens), left)
-		if n <= 0 {
-			continue
-		}
-		pace += stepTime(g.engine, s, n).Seconds()
-		left -= n
-	}
-	return pace, left == 0
-}
-
-// stepTime returns how long a token takes to get to a server and through so many
-// layers there.
-func stepTime(e *route.Engine, s *fleet.Server, layers int) time.Duration {
-	step := float64(e.Step) * e.Cards[s.Card].Pace * float64(layers) / float64(e.Layers)
-	return hopTime + time.Duration(step)
-}
-
-// layerTime returns the seconds that a usual request takes for each layer of a
-// server that leaves so much room for requests.
-func layerTime(e *route.Engine, s *fleet.Server, tokens float64) float64 {
-	n := max(1, size(e, s, tokens))
-	write := stepTime(e, s, n).Seconds() * float64(e.UsualAnswer) / float64(n)
-	read := float64(e.UsualPrompt) / max(e.ReadPerSec, 1) * e.Cards[s.Card].Read / float64(e.Layers)
-	return write + read
+// usual returns how many layers a server should hold.
+func (g *group) usual(s *fleet.Server) int {
+	return size(g.engine, g.cards[s.Card].MemoryMB, g.tokens)
 }
 
 // set replaces what a server holds.
@@ -169,17 +113,42 @@
 func (g *group) best(n int) span {
 	n = min(n, g.engine.Layers)
 	best := span{0, n}
+	alone := g.alone()
 	var bestWorth float64
 	for at := 0; at+n <= g.engine.Layers; at++ {
 		r := span{at, at + n}
-		if w := g.worth(r); w > bestWorth {
+		if w := g.worth(r, alone); w > bestWorth {
 			best, bestWorth = r, w
 		}
 	}
 	return best
 }
 
-func (g *group) worth(r span) float64 {
+// alone returns for each server that holds layers which nobody else does the
+// range from the first to the last of them.
+func (g *group) alone() []span {
+	if !slices.Contains(g.count, 1) {
+		return nil
+	}
+	var list []span
+	for _, s := range g.servers {
+		r := g.held[s.ID]
+		for r.len() > 0 && g.count[r.first] > 1 {
+			r.first++
+		}
+		for r.len() > 0 && g.count[r.end-1] > 1 {
+			r.end--
+		}
+		if r.len() > 0 {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+// worth returns what it is worth to hold a range, beside the servers that hold
+// layers alone.
+func (g *group) worth(r span, alone []span) float64 {
 	var sum float64
 	for l := r.first; l < r.end; l++ {
 		if g.count[l] <= 0 {
@@ -188,6 +157,11 @@
 		}
 		sum += max(g.tokens, 1) / max(g.rooms[l], 1)
 	}
+	for _, a := range alone {
+		if r.first <= a.first && a.end <= r.end {
+			sum += worthSpared
+		}
+	}
 	// Counted, not looked for among all ranges: with 1,000 servers in a failure
 	// domain a decision would take longer than the time between two.
 	return sum + worthAligned*float64(g.edges[r.first]+g.edges[r.end])
--- a/parts/place/level.go
+++ b/parts/place/level.go
@@ -71,7 +71,7 @@
 func (g *group) crowded() []*fleet.Server {
 	var list []*fleet.Server
 	for _, s := range g.servers {
-		if s.Holds() > 0 && g.held[s.ID].len() > size(g.engine, s, g.tokens) {
+		if s.Holds() > 0 && g.held[s.ID].len() > g.usual(s) {
 			list = append(list, s)
 		}
 	}
@@ -151,7 +151,7 @@
 		return
 	}
 	for _, s := range g.crowded() {
-		usual := size(g.engine, s, g.tokens)
+		usual := g.usual(s)
 		for r := g.held[s.ID]; r.len() > usual; {
 			switch {
 			case g.count[r.first] > 1 && (g.count[r.end-1] < 2 || g.rooms[r.first] >= g.rooms[r.end-1]):
--- a/parts/place/mend.go
+++ b/parts/place/mend.go
@@ -65,7 +65,7 @@
 		}
 		before := g.missing()
 		g.set(s, span{})
-		g.set(s, g.best(max(1, size(g.engine, s, g.tokens))))
+		g.set(s, g.best(max(1, g.usual(s))))
 		if g.missing() >= before {
 			g.set(s, old)
 		}
@@ -160,7 +160,8 @@
 		}
 		g.set(s, span{})
 		best := g.best(old.len())
-		if g.worth(best) < relieveFrom*g.worth(old) {
+		alone := g.alone()
+		if g.worth(best, alone) < relieveFrom*g.worth(old, alone) {
 			best = old
 		}
 		g.set(s, best)
--- a/parts/place/place.go
+++ b/parts/place/place.go
@@ -36,12 +36,6 @@
 }
 
 const (
-	// usualRequests of the usual size is what a server's memory should hold
-	// beside its layers. A failure domain of today runs 60 to 110 requests at
-	// once on an ordinary evening, and half as many more when another one is
-	// lost. At 70, half of the requests found no room as soon as one server
-	// was missing.
-	usualRequests = 160
 	// highestFill is the share of a server's memory that layers may take where
 	// a domain cannot hold all of them otherwise.
 	highestFill = 0.92
@@ -53,10 +47,15 @@
 
 // worthMissing is the worth of holding a layer that nobody holds; it goes
 // before any number of second copies. Those are worth the more the less room
-// for requests the holders of the layer have. worthAligned prefers ranges that
-// begin or end where others do, which makes chains with fewer parts.
+// for requests the holders of the layer have. worthSpared is the worth of a range
+// with which nothing is missing any more when a certain server dies: its answers
+// go on at once by the second copies, while part of its layers would help none of
+// them. It counts as much as some layers with the usual room. worthAligned
+// prefers ranges that begin or end where others do, which makes chains with
+// fewer parts.
 const (
 	worthMissing = 1e6
+	worthSpared  = 5
 	worthAligned = 0.01
 )
 
@@ -118,7 +117,7 @@
 	var list []*group
 	var small []*fleet.Server
 	for _, name := range names {
-		if most(e, byDomain[name]) < e.Layers {
+		if together(e, byDomain[name]) < e.Layers {
 			small = append(small, byDomain[name]...)
 			continue
 		}
@@ -130,8 +129,8 @@
 	return list
 }
 
-// most returns how many layers the servers can hold together.
-func most(e *route.Engine, servers []*fleet.Server) int {
+// together returns how many layers the servers can hold together.
+func together(e *route.Engine, servers []*fleet.Server) int {
 	sum := 0
 	for _, s := range servers {
 		sum += largest(e, s)
@@ -141,14 +140,19 @@
 
 // largest returns how many layers a server can hold at most.
 func largest(e *route.Engine, s *fleet.Server) int {
-	return min(int(e.Cards[s.Card].MemoryMB*highestFill/e.LayerMB), e.Layers)
+	return most(e, e.Cards[s.Card].MemoryMB)
 }
 
-// size returns how many layers a server can hold and leave room for so many
-// tokens of requests.
-func size(e *route.Engine, s *fleet.Server, tokens float64) int {
+// most returns how many layers fit into so much memory at most.
+func most(e *route.Engine, memoryMB float64) int {
+	return min(int(memoryMB*highestFill/e.LayerMB), e.Layers)
+}
+
+// size returns how many layers fit into so much memory and leave room for so
+// many tokens of requests.
+func size(e *route.Engine, memoryMB, tokens float64) int {
 	perLayer := e.LayerMB + tokens*e.TokenBytes/float64(e.Layers)/1e6
-	return min(int(e.Cards[s.Card].MemoryMB/perLayer), largest(e, s))
+	return min(int(memoryMB/perLayer), most(e, memoryMB))
 }
 
 // room returns how many tokens of requests fit beside so many layers.
@@ -215,7 +219,7 @@
 		if s.Holds() > 0 || spare && fresh(s.ID) {
 			continue
 		}
-		n := size(g.engine, s, g.tokens)
+		n := g.usual(s)
 		if n <= 0 {
 			continue
 		}
--- a/parts/place/place_test.go
+++ b/parts/place/place_test.go
@@ -371,3 +371,28 @@
 		qt.Check(t, capacity(list, in) >= 110, qt.IsTrue, qt.Commentf("%s: room for %.0f requests", in, capacity(list, in)))
 	}
 }
+
+// Most servers hold layers that nobody else holds, and whichever of those dies
+// takes all answers of its domain along. Second copies that are spread over parts
+// of many servers' layers save none of them.
+func TestSecondCopiesCoverWholeServers(t *testing.T) {
+	e := classrooms()
+	var list []*fleet.Server
+	for card, n := range map[string]int{"a100": 2, "v100": 4, "l4": 4} {
+		for i := range n {
+			list = append(list, &fleet.Server{ID: fmt.Sprintf("%s-%02d", card, i), Domain: "a", Card: card})
+		}
+	}
+	carry(place.Decide(e, list, calm))
+	qt.Assert(t, covered(list, "a"), qt.IsTrue)
+	harmless := 0
+	for _, dead := range list {
+		dead.Suspect = true
+		if covered(list, "a") {
+			harmless++
+		}
+		dead.Suspect = false
+	}
+	// The four slow ones are spares, and hold enough for each of the four small.
+	qt.Assert(t, harmless >= 8, qt.IsTrue, qt.Commentf("%d of %d deaths leave all layers held", harmless, len(list)))
+}
