--- a/entry/belief/belief.go
+++ b/entry/belief/belief.go
@@ -34,7 +34,7 @@
 	// entry is taken to have lapsed.
 	afterOutage = 1500 * time.Millisecond
 	// askFor is how long the servers whose entries lapsed are being asked
-	// whether they live: one question of 300 ms, and some slack.
+	// whether they live: some questions, and some slack.
 	askFor = 400 * time.Millisecond
 	// SuspectFor is how long a server is avoided after a failure that may have
 	// been its end: a crashed one is back after some seconds under a new ID,
--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -26,8 +26,6 @@
 	// exchangeEvery is how often an entry host exchanges with one of its own
 	// failure domain, and acrossEvery how often with one of another. Bytes
 	// between domains are dear, and what they tell each other is of less use.
-	// With any two partners every 400 ms, 32 entry hosts moved 1.9 GB between
-	// domains in 66 s, which cost a tenth of what they earned.
 	exchangeEvery = 400 * time.Millisecond
 	acrossEvery   = 1200 * time.Millisecond
 	// pushWith and pushAcross are how many others of the own and of other
--- a/entry/gossip/member.go
+++ b/entry/gossip/member.go
@@ -55,9 +55,8 @@
 	return list
 }
 
-// What is told of other entry hosts in one message, at some 90 bytes each. All
-// of them, three times a second and both ways, were most of 0.8 MB a second
-// with 300 entry hosts. Who leads and who watches is decided among the first by
+// What is told of other entry hosts in one message: all of them in each would be
+// most of what entry hosts tell each other. Who leads and who watches is decided among the first by
 // name of each failure domain, so these are always told; of the others some,
 // which makes all known within a few seconds.
 const (
--- a/entry/placer/order.go
+++ b/entry/placer/order.go
@@ -61,8 +61,8 @@
 }
 
 // confirm asks a server that loads layers until it holds them, and tells the
-// others at once. Its entry shows them up to a heartbeat later, 0.6 s on
-// average, while requests are refused for want of these layers.
+// others at once. Its entry shows them up to a heartbeat later, while requests
+// are refused for want of these layers.
 func (p *Placer) confirm(ctx context.Context, e *route.Engine, o place.Order) {
 	wait := loadTime(e, o.End-o.First-overlap(o))
 	for range maxConfirms {
--- a/entry/source/source.go
+++ b/entry/source/source.go
@@ -50,8 +50,7 @@
 	// costs a tenth of a call.
 	peekEvery = time.Second
 	// watchPause follows a watch that told of changes, before the next one, so
-	// that changes in a row cost one call. While 39 servers entered, each of
-	// four entry hosts made some 60 calls; with the pause a third of that.
+	// that changes in a row cost one call.
 	watchPause = 100 * time.Millisecond
 	// reliesFor is how often an entry host that relies on others looks whether
 	// it still may.
--- a/entry/stream/failures.go
+++ b/entry/stream/failures.go
@@ -13,9 +13,7 @@
 	learnFailures = 0.25
 	// failureSeconds is what a failure costs, as time in the choice of a chain:
 	// the prompt is read again elsewhere, out of a budget of repeats that a
-	// server which always fails uses up within a second. Ten of 98 servers that
-	// answered 500 while their reports were good failed 490 requests in six
-	// seconds.
+	// server which always fails uses up within a second.
 	failureSeconds = 3
 )
 
--- a/entry/stream/repair.go
+++ b/entry/stream/repair.go
@@ -91,8 +91,7 @@
 // holdsUp reports whether a stream that stands still keeps a server from loading
 // the layers that it and others wait for: the server first lets all requests
 // end that pass through what it gives up, and this one never will. It is begun
-// anew elsewhere. Kept until it was given up, such streams held up a load for
-// 1.9 s, and were begun anew all the same.
+// anew elsewhere at once, as it would be in the end.
 func (w *Watch) holdsUp(l *live, chain hops.Chain) bool {
 	s := vacated(w.State.View(), chain)
 	return s != nil && s.Moves && l.silent(time.Now())
--- a/entry/stream/watch.go
+++ b/entry/stream/watch.go
@@ -16,8 +16,7 @@
 	"fuchsiashelf.dev/parts/probe"
 )
 
-// The times of the watch over streams. Callers leave a stream that is silent
-// for two seconds.
+// The times of the watch over streams, beside those that follow from routes.
 const (
 	// sweepEvery is how often all streams are looked at.
 	sweepEvery = 15 * time.Millisecond
@@ -48,14 +47,11 @@
 	recheckAfter = 100 * time.Millisecond
 	// vacateEvery is the time between two streams that are led round a leaving
 	// server. Each has all its tokens read again by the servers of the new way,
-	// some 3 ms of each one's time, which the streams there wait for. At 20 a
-	// second from each of four entry hosts a tenth of all streams paused for
-	// over 240 ms; 75 at once made pauses of over a second.
+	// for which the streams there wait.
 	vacateEvery = 200 * time.Millisecond
 	// moveEvery is the same for a server that is about to load layers that nobody
 	// in its failure domain holds: until then all requests of the domain go
-	// elsewhere or are refused. Left to end by themselves, a few streams kept one
-	// from loading for 7.5 s.
+	// elsewhere or are refused.
 	moveEvery = 50 * time.Millisecond
 	// soundFor is how long an accused server that has answered is not asked
 	// again: a full one is accused with each request that it refuses.
--- a/parts/hops/cost.go
+++ b/parts/hops/cost.go
@@ -12,23 +12,18 @@
 // The weights of the choice.
 const (
 	// passSeconds is what each further server adds to a pass, beside the time
-	// that its layers take. On a quiet day chains of 6, 8 and 9 servers all
-	// took twice their steps an event, so it is little.
+	// that its layers take.
 	passSeconds = 0.0003
 	// busyPass multiplies the time of a step: a request that comes to a server
 	// waits for the pass under way.
 	busyPass = 1.3
 	// awaySeconds is the cost of starting a chain in another failure domain.
-	// Only events cross then. The fastest domain answers a usual request in
-	// 2.4 s, the slowest in 3.9. Of 0.06, 0.6, 1.5 and 2.5 s, 0.6 gave the
-	// highest mean worth on ten hard days (0.58, 0.61, 0.59, 0.42): home is left
-	// when it is slow, before it is full.
+	// Only events cross then, but a partition breaks them off. Home is left when
+	// it is slow, before it is full.
 	awaySeconds = 0.6
 	// crossWeight multiplies the time of a transfer between failure domains
-	// in the midst of a chain. At 16 ms a usual prompt, 60 crossings a second
-	// fill the link, and a partition breaks all chains that cross. At 12, two
-	// thirds of all chains used the fast cards of one domain and crossed; at 60
-	// the mean worth of ten hard days rose from 0.48 to 0.58, at 150 it stayed.
+	// in the midst of a chain. All chains share the link, and a partition breaks
+	// those that cross, so it is taken only where home is much slower.
 	crossWeight = 60
 	// rereadWeight multiplies the time of reading in a part that an answer under
 	// way does not have yet. Its caller waits for that, while it hardly notices
@@ -112,8 +107,8 @@
 		o.risk = q.Risk(s.ID)
 	}
 	// Half as much again for a full server spreads requests over servers that
-	// are alike. A steeper rise sent requests through 17 servers with eight
-	// crossings when all were nearly full.
+	// are alike. A steeper rise makes chains of many parts when all are nearly
+	// full.
 	taken = min(taken, 1)
 	o.spread = 1 + fullWeight*taken*taken
 	return o, true
--- a/parts/place/level.go
+++ b/parts/place/level.go
@@ -8,10 +8,9 @@
 )
 
 // A server that took over the layers of a dead one keeps little room for
-// requests: one with eleven layers in place of seven had room for 28 where its
-// neighbours had 180, and so had its whole failure domain, to the end of the
-// day. Nothing fails then that one could see; requests are refused while most
-// of the memory stands empty. So ranges are made level again, a layer at a
+// requests, and so does its whole failure domain, for good. Nothing fails then
+// that one could see; requests are refused while most of the memory stands
+// empty. So ranges are made level again, a layer at a
 // time and without a gap: a neighbour with more room takes a layer beside its
 // own, and once it holds that one the crowded server gives it up.
 
@@ -23,14 +22,11 @@
 	// scarceRoom is the share of the usual room below which new servers are put
 	// to use at once, and a layer is passed along several servers. Each of them
 	// has requests that must go another way, so it is done only where the room
-	// would not last for an ordinary evening, which takes 60 to 110 of the usual
-	// 160 requests.
+	// would hardly last for an ordinary evening.
 	scarceRoom = 0.65
 	// fullest is the share of a server's room that the requests under way may
 	// take once it holds more layers. Beyond its memory the engine throws out
-	// the newest: as servers with seven layers were told to hold eleven, which
-	// leaves a quarter of the room, 148 answers were cut on a day on which
-	// servers were merely replaced.
+	// the newest, in the midst of their answers.
 	fullest = 0.85
 )
 
--- a/parts/probe/probe.go
+++ b/parts/probe/probe.go
@@ -28,13 +28,12 @@
 const (
 	// Every is the time until a server that has not answered is asked again, and
 	// Later until one of which it is known whether it lives is. Asked as often,
-	// six servers that lived used up all questions of an entry host, and one that
-	// had died was not asked for 1.3 s.
+	// a few servers that live would leave no question for one that died.
 	Every = 20 * time.Millisecond
 	Later = 300 * time.Millisecond
 	// PerSecond bounds the questions of one entry host. Where everything is
-	// slow, all streams are silent at times: 39 servers asked ten times a second
-	// each would be 390. A death needs the chain of one stream, some six.
+	// slow, all streams are silent at times; a death needs questions to the chain
+	// of one stream only.
 	PerSecond = 60
 	// Burst is how many may be asked at once.
 	Burst = 24
