place: remove the neighbours that took gaps on top of their own

Servers with second copies close gaps first, and where there are none the ranges beside a gap are pushed along, which takes on top whatever fits.

Change: widen and beside are gone. All tests of placing stay as they were and pass, among them those that close the gap of every single death.

--- a/parts/place/mend.go
+++ b/parts/place/mend.go
@@ -7,53 +7,6 @@
 	"fuchsiashelf.dev/parts/fleet"
 )
 
-// widen closes gaps by the servers beside them, a layer at a time from either
-// side, each time by the server that has most room left.
-func (g *group) widen() {
-	for l := 0; l < g.engine.Layers; l++ {
-		if g.count[l] > 0 {
-			continue
-		}
-		end := l
-		for end < g.engine.Layers && g.count[end] == 0 {
-			end++
-		}
-		first := l
-		for first < end {
-			left, leftRoom := g.beside(first, true)
-			right, rightRoom := g.beside(end, false)
-			switch {
-			case left == nil && right == nil:
-				first = end
-			case right == nil || left != nil && leftRoom >= rightRoom:
-				g.set(left, span{g.held[left.ID].first, first + 1})
-				first++
-			default:
-				g.set(right, span{end - 1, g.held[right.ID].end})
-				end--
-			}
-		}
-	}
-}
-
-// beside returns the server that could best take a layer more at a boundary:
-// one that holds layers up to it, or from it on.
-func (g *group) beside(at int, before bool) (*fleet.Server, float64) {
-	var best *fleet.Server
-	var bestRoom float64
-	for _, s := range g.servers {
-		r, known := g.held[s.ID]
-		touches := known && r.len() > 0 && (before && r.end == at || !before && r.first == at)
-		if !touches || r.len() >= largest(g.engine, s) || !g.fits(s, r.len()+1) {
-			continue
-		}
-		if left := room(g.engine, s, r.len()+1); best == nil || left > bestRoom {
-			best, bestRoom = s, left
-		}
-	}
-	return best, bestRoom
-}
-
 // move closes gaps by servers whose layers others hold as well, if they may.
 // The smallest goes first: it is loaded soonest.
 func (g *group) move(may func(id string) bool) {
--- a/parts/place/place.go
+++ b/parts/place/place.go
@@ -8,11 +8,10 @@
 //
 // [Decide] is a pure function of what is believed of the servers. What servers
 // hold stays. Empty servers get the layers that are held worst. Where layers
-// are held by nobody, the servers beside the gap take them on top of their
-// own, which needs no request to move and loads only the few layers of the
-// gap; they give them up when another holds them again. So entry hosts that
-// see the same come to the same orders, and one that takes over goes on where
-// the last one stopped.
+// are held by nobody, servers whose own are held by others as well take them,
+// or the ranges beside the gap are pushed along. So entry hosts that see the same
+// come to the same orders, and one that takes over goes on where the last one
+// stopped.
 package place
 
 import (
@@ -168,7 +167,6 @@
 	whole := g.missing() == 0
 	g.fill(whole && !g.scarce(), now.New)
 	g.move(now.Idle)
-	g.widen()
 	g.move(func(string) bool { return true })
 	if g.missing() > 0 {
 		g.shift()
