stream: leave streams with a doubted server whose next event is not due

Cause, found by reading: when one question to a server stays unanswered, its streams without an event in the last 40 ms are given another chain. Where events come 80 ms apart that is half of all streams of a server that lives, for one lost packet, and each has all its tokens read again.

Change: a stream leaves only if it is silent for longer than its usual pause as well. After a death all are, by the time that a question has gone unanswered.

Test first: TestStreamsThatAreNotDueStay.

--- a/entry/stream/live.go
+++ b/entry/stream/live.go
@@ -66,9 +66,11 @@
 }
 
 // unheard reports whether no event came for as long as a question to a server
-// may take. A stream that had one meanwhile shows that it is well.
+// may take, nor for the usual pause. A stream that had one meanwhile shows that
+// it is well; one whose next event is not due yet would be led elsewhere, and its
+// tokens read again, for a question that was lost.
 func (l *live) unheard(now time.Time) bool {
-	return l.silence(now) > askTime
+	return l.silence(now) > max(askTime, time.Duration(l.usual.Load()))
 }
 
 // servers returns the addresses of the chain.
--- a/entry/stream/watch_test.go
+++ b/entry/stream/watch_test.go
@@ -197,6 +197,21 @@
 	qt.Check(t, e.rerouted["still-comes"], qt.IsNil)
 }
 
+// A question to a server is lost on its way. Its streams have an event every 80 ms,
+// and the last one was 50 ms ago: nothing says that the server does not live, and
+// led elsewhere each would have all its tokens read again.
+func TestStreamsThatAreNotDueStay(t *testing.T) {
+	e := &engines{}
+	w, servers := watched(e, 1)
+	due, early := w.stream(servers, "due", 90*time.Millisecond), w.stream(servers, "early", 50*time.Millisecond)
+	due.usual.Store(int64(80 * time.Millisecond))
+	early.usual.Store(int64(80 * time.Millisecond))
+	w.leave("middle", probe.Doubtful)
+	<-e.told
+	qt.Check(t, e.rerouted["due"].String(), qt.Equals, "first=0-4 other-0=4-12")
+	qt.Check(t, e.rerouted["early"], qt.IsNil)
+}
+
 // A server that ends takes no more connections and still serves the streams
 // that it has. Begun anew at once they would be cut off by their own entry host.
 func TestStreamsThatComeStayWithTheirFirstServer(t *testing.T) {
