probe, stream: learn how long an answer may take, take nothing from a stall

Its entry host, with 0.29 of a core and a configuration of 1,680 routes to read, took a server that went on well for dead: two questions of 40 ms in a row had no answer in time.

Ruled out: the count of runs itself (servers that died must not count).

Change: how long a question is waited for follows the answers that came, as the mean and four times their spread, between 40 and 300 ms; one that came only to a later, longer question counts as twice the bound. A silence says nothing if the entry host was held up meanwhile: the question ended late, or the look at all streams did.

--- a/entry/call/call.go
+++ b/entry/call/call.go
@@ -13,6 +13,7 @@
 
 	"fuchsiashelf.dev/parts/fleet"
 	"fuchsiashelf.dev/parts/hops"
+	"fuchsiashelf.dev/parts/probe"
 	"fuchsiashelf.dev/parts/route"
 )
 
@@ -160,7 +161,7 @@
 const (
 	// ReportTime bounds a question that decides whether a server lives, or what
 	// it holds. An answer takes one to three milliseconds.
-	ReportTime = 300 * time.Millisecond
+	ReportTime = probe.LongWait
 	// OrderTime bounds an order, which is answered as fast.
 	OrderTime = 500 * time.Millisecond
 )
--- a/entry/stream/accuse.go
+++ b/entry/stream/accuse.go
@@ -123,28 +123,34 @@
 		delete(w.probed, address)
 		w.mu.Unlock()
 	}()
-	for n := range maxProbes {
+	misses := 0
+	for range maxProbes {
 		wait := call.ReportTime
-		if n < shortProbes {
-			wait = askTime
+		if misses < shortProbes {
+			wait = w.bound()
 		}
 		err := w.question(address, wait)
 		now := time.Now()
-		if err == nil {
-			if n < shortProbes && by.from != by.to {
+		switch {
+		case errors.Is(err, errHeld):
+			time.Sleep(recheckAfter)
+			continue
+		case err == nil:
+			if misses < shortProbes && by.from != by.to {
 				w.State.CutOff(by.from, by.to, now)
 			}
 			w.answered(id, address, now)
 			return
 		}
-		if n+1 < shortProbes && found(err) != probe.Gone {
+		misses++
+		if misses < shortProbes && found(err) != probe.Gone {
 			continue
 		}
 		if !w.doubt(id, address, why, err, now) {
 			return
 		}
 		pause := probeEvery
-		if n < shortProbes {
+		if misses <= shortProbes {
 			w.leave(address, found(err))
 			pause = recheckAfter
 		}
@@ -154,9 +160,7 @@
 
 // question asks a server for its report. An answer that it has none is one.
 func (w *Watch) question(address string, wait time.Duration) error {
-	ctx, cancel := context.WithTimeout(context.Background(), wait)
-	defer cancel()
-	if _, err := w.Engine.Report(ctx, address); !lives(err) {
+	if _, err := w.ask(context.Background(), address, wait); !lives(err) {
 		return err
 	}
 	return nil
--- a/entry/stream/live.go
+++ b/entry/stream/live.go
@@ -8,6 +8,7 @@
 
 	"fuchsiashelf.dev/entry/call"
 	"fuchsiashelf.dev/parts/hops"
+	"fuchsiashelf.dev/parts/probe"
 )
 
 // live is a stream under way.
@@ -70,7 +71,7 @@
 // it is well; one whose next event is not due yet would be led elsewhere, and its
 // tokens read again, for a question that was lost.
 func (l *live) unheard(now time.Time) bool {
-	return l.silence(now) > max(askTime, time.Duration(l.usual.Load()))
+	return l.silence(now) > max(probe.ShortWait, time.Duration(l.usual.Load()))
 }
 
 // servers returns the addresses of the chain.
--- a/entry/stream/watch.go
+++ b/entry/stream/watch.go
@@ -28,9 +28,6 @@
 	// the longest pause on time. Where streams are slow, questions about each that
 	// is merely slower for once would leave none for the server that died.
 	silentPauses = 2
-	// askTime bounds the question to a server of a silent stream. An answer
-	// takes one to three milliseconds.
-	askTime = 40 * time.Millisecond
 	// shownIn is how long a server that started anew is avoided: by then its entry
 	// shows that it holds nothing. It answers as if nothing had been, while its
 	// streams wait for one that is no more.
@@ -68,6 +65,7 @@
 	errDead   = errors.New("stream: the first server does not answer")
 	errSilent = errors.New("stream: silent for too long")
 	errNoWay  = errors.New("stream: no other way behind the first server")
+	errHeld   = errors.New("stream: this entry host was held up")
 )
 
 // Watch looks after the streams under way. Set the exported fields before Run.
@@ -90,8 +88,9 @@
 
 	mu    sync.Mutex
 	lives map[*live]struct{}
-	// book decides which servers of silent streams are asked.
+	// book decides which servers of silent streams are asked, and wait how long.
 	book probe.Book
+	wait probe.Wait
 	// pipe counts the answers that are led across failure domains.
 	pipe hops.Pipe
 	// probed holds the addresses of accused servers that are being asked.
@@ -103,8 +102,9 @@
 	under map[string]map[poison.Fingerprint]bool
 	// vacated is when a stream was last led round a leaving server.
 	vacated time.Time
-	// swept is when the streams were last looked at.
-	swept time.Time
+	// swept is when the streams were last looked at, and held when that was last
+	// late.
+	swept, held time.Time
 }
 
 func (w *Watch) add(j *call.Job, chain hops.Chain, cancel context.CancelCauseFunc) *live {
@@ -157,6 +157,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	late := !w.swept.IsZero() && now.Sub(w.swept) > heldUp
+	if late {
+		w.held = now
+	}
 	w.swept = now
 	silent := false
 	for l := range w.lives {
@@ -184,9 +187,13 @@
 // inquire asks a server for its report. One that does not answer is left by
 // the streams that pass through it.
 func (w *Watch) inquire(ctx context.Context, address string) {
-	ctx, cancel := context.WithTimeout(ctx, askTime)
-	report, err := w.Engine.Report(ctx, address)
-	cancel()
+	report, err := w.ask(ctx, address, w.bound())
+	if errors.Is(err, errHeld) {
+		w.mu.Lock()
+		w.book.Void(address)
+		w.mu.Unlock()
+		return
+	}
 	w.mu.Lock()
 	finding := w.book.Answer(address, err == nil, found(err) == probe.Gone)
 	w.mu.Unlock()
@@ -202,6 +209,34 @@
 	w.leave(address, finding)
 }
 
+// bound returns how long a server is waited for.
+func (w *Watch) bound() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.wait.Bound()
+}
+
+// ask asks a server for its report. The error is errHeld if this entry host was
+// held up meanwhile and nothing follows from the silence.
+func (w *Watch) ask(ctx context.Context, address string, wait time.Duration) (call.Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	start := time.Now()
+	report, err := w.Engine.Report(ctx, address)
+	took := time.Since(start)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if lives(err) {
+		w.wait.Answered(took, wait <= w.wait.Bound())
+		return report, err
+	}
+	late := probe.Held(wait, took) || w.held.After(start) || !w.swept.IsZero() && time.Since(w.swept) > heldUp
+	if late && found(err) != probe.Gone {
+		return report, errHeld
+	}
+	return report, err
+}
+
 // take takes over what a server reports of itself.
 func (w *Watch) take(address string, r call.Report) {
 	now := time.Now()
--- a/parts/probe/probe.go
+++ b/parts/probe/probe.go
@@ -151,6 +151,11 @@
 	return e.found
 }
 
+// Void ends a question from which nothing follows.
+func (b *Book) Void(address string) {
+	b.entry(address).under = false
+}
+
 // fill adds the questions that time has earned, and forgets old ones.
 func (b *Book) fill(now time.Time) {
 	if b.filled.IsZero() {
