place: let large domains keep their room

Change: where the servers hold two copies or more with the usual room, they keep it.

Test first: TestLargeDomainsKeepTheirRoom. The smaller sites are as before.

--- a/parts/place/place_test.go
+++ b/parts/place/place_test.go
@@ -396,3 +396,21 @@
 	// The four slow ones are spares, and hold enough for each of the four small.
 	qt.Assert(t, harmless >= 8, qt.IsTrue, qt.Commentf("%d of %d deaths leave all layers held", harmless, len(list)))
 }
+
+// A large domain holds each layer several times over. Its fastest way has room for
+// a part of the requests only; when room was given up to make that one faster, all
+// others had less of it, and after some losses a fifth of the requests was refused.
+func TestLargeDomainsKeepTheirRoom(t *testing.T) {
+	e := engine()
+	var list []*fleet.Server
+	for card, n := range map[string]int{"h100": 1, "a100s": 2, "l4": 13, "t4": 18} {
+		for i := range n {
+			list = append(list, &fleet.Server{ID: fmt.Sprintf("%s-%02d", card, i), Domain: "a", Card: card})
+		}
+	}
+	carry(place.Decide(e, list, calm))
+	for _, s := range list {
+		free := (e.Cards[s.Card].MemoryMB - float64(s.Holds())*e.LayerMB) * 1e6 * float64(e.Layers) / e.TokenBytes / float64(s.Holds())
+		qt.Check(t, free >= 159*usualTokens, qt.IsTrue, qt.Commentf("%s: room for %.0f requests", s.ID, free/usualTokens))
+	}
+}
--- a/parts/place/room.go
+++ b/parts/place/room.go
@@ -14,6 +14,8 @@
 	// usualRequests of the usual size is the most that is kept free for requests
 	// beside each server's layers.
 	usualRequests = 160
+	// severalCopies is how many copies of the layers are several.
+	severalCopies = 2
 	// roomSteps is how finely the room for requests is chosen.
 	roomSteps = 50
 	// hopTime is what a further server adds to the way of a token: the link, and
@@ -72,7 +74,12 @@
 // afford it is the one with the most headroom for the time that an answer takes:
 // requests that fit, over those under way at a given load, which grow with that
 // time, and once more over that time, since it is how long an answer can be hit.
+// Where the layers are held several times most requests take other ways than the
+// fastest, so that room is worth more than its pace.
 func (g *group) balanced() float64 {
+	if g.layersWith(usualRoom(g.engine)) >= severalCopies*g.engine.Layers {
+		return usualRoom(g.engine)
+	}
 	cards := slices.SortedFunc(maps.Values(g.cards), func(a, b *card) int { return cmp.Compare(a.time, b.time) })
 	var best, bestWorth float64
 	for i := roomSteps; i > 0; i-- {
@@ -85,6 +92,15 @@
 	return best
 }
 
+// layersWith returns how many layers the servers hold if each leaves so much room.
+func (g *group) layersWith(tokens float64) int {
+	sum := 0
+	for _, c := range g.cards {
+		sum += c.servers * size(g.engine, c.MemoryMB, tokens)
+	}
+	return sum
+}
+
 // pace returns the seconds that a token takes on its way through all layers if
 // each server leaves so much room for requests, and those with the first of the
 // cards hold as many layers as they can. Whole is false if all together cannot
