--- a/entry/gossip/member.go
+++ b/entry/gossip/member.go
@@ -56,9 +56,9 @@
 }
 
 // What is told of other entry hosts in one message: all of them in each would be
-// most of what entry hosts tell each other. Who leads and who watches is decided among the first by
-// name of each failure domain, so these are always told; of the others some,
-// which makes all known within a few seconds.
+// most of what entry hosts tell each other. Who leads and who watches is decided
+// among the first by name of each failure domain, so these are always told; of the
+// others some, which makes all known within a few seconds.
 const (
 	toldFirst  = 4
 	toldOthers = 8
--- a/entry/stream/accuse.go
+++ b/entry/stream/accuse.go
@@ -115,7 +115,7 @@
 }
 
 // check asks an accused server until it answers or its entry is gone. The first
-// two questions are short: each moment in which it is not known that a server
+// questions, as many as mean that it is dead, are short: each moment in which it is not known that a server
 // died, requests go to it, and nobody gets its layers.
 func (w *Watch) check(id, address, why string, by link) {
 	defer func() {
@@ -126,7 +126,7 @@
 	misses := 0
 	for range maxProbes {
 		wait := call.ReportTime
-		if misses < shortProbes {
+		if misses < probe.MissesUntilDead {
 			wait = w.bound()
 		}
 		err := w.question(address, wait)
@@ -136,21 +136,21 @@
 			time.Sleep(recheckAfter)
 			continue
 		case err == nil:
-			if misses < shortProbes && by.from != by.to {
+			if misses < probe.MissesUntilDead && by.from != by.to {
 				w.State.CutOff(by.from, by.to, now)
 			}
 			w.answered(id, address, now)
 			return
 		}
 		misses++
-		if misses < shortProbes && found(err) != probe.Gone {
+		if misses < probe.MissesUntilDead && found(err) != probe.Gone {
 			continue
 		}
 		if !w.doubt(id, address, why, err, now) {
 			return
 		}
 		pause := probeEvery
-		if misses <= shortProbes {
+		if misses <= probe.MissesUntilDead {
 			w.leave(address, found(err))
 			pause = recheckAfter
 		}
--- a/entry/stream/watch.go
+++ b/entry/stream/watch.go
@@ -36,11 +36,9 @@
 	// longer than its entry outlives it.
 	probeEvery = 500 * time.Millisecond
 	maxProbes  = 30
-	// shortProbes of them wait no longer than the question to a server of a
-	// silent stream. That many in a row mean that it does not live.
-	shortProbes = 2
-	// recheckAfter is when a server that left the short ones unanswered is asked
-	// again, by a long one: on a link that loses packets both may have been lost.
+	// recheckAfter is when a server that left the first, short questions unanswered
+	// is asked again, by a long one: on a link that loses packets all may have been
+	// lost.
 	recheckAfter = 100 * time.Millisecond
 	// vacateEvery is the time between two streams that are led round a leaving
 	// server. Each has all its tokens read again by the servers of the new way,
--- a/entry/stream/watch_test.go
+++ b/entry/stream/watch_test.go
@@ -177,7 +177,7 @@
 	qt.Check(t, w.State.View().At("middle").Suspect, qt.IsTrue)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	qt.Assert(t, e.waits, qt.HasLen, shortProbes)
+	qt.Assert(t, e.waits, qt.HasLen, probe.MissesUntilDead)
 	for _, wait := range e.waits {
 		qt.Check(t, wait <= probe.ShortWait, qt.IsTrue, qt.Commentf("%v", wait))
 	}
--- a/parts/probe/probe.go
+++ b/parts/probe/probe.go
@@ -37,9 +37,9 @@
 	PerSecond = 60
 	// Burst is how many may be asked at once.
 	Burst = 24
-	// missesUntilDead is how many questions in a row without an answer mean
+	// MissesUntilDead is how many questions in a row without an answer mean
 	// that a server does not live. One alone may be a lost packet.
-	missesUntilDead = 2
+	MissesUntilDead = 2
 	// forget is how long after its last question a server's misses count.
 	forget = time.Second
 	// leastTogether is from how many streams on their silence together counts.
@@ -143,7 +143,7 @@
 		e.misses, e.found = 0, Alive
 	case refused:
 		e.misses, e.found = e.misses+1, Gone
-	case e.misses+1 < missesUntilDead:
+	case e.misses+1 < MissesUntilDead:
 		e.misses, e.found = e.misses+1, Doubtful
 	default:
 		e.misses, e.found = e.misses+1, Unreachable
