gossip: listen before leading, keep asking seeds

Cause: an entry host that starts led as soon as it ran, since it had heard of nobody: all 17 whose logs were read after the power failure of a large deployment, for 0.25 to 1.05 s. And once an entry host knew as many others as it had seeds it never asked a seed again, so groups that began with different seeds could stay apart, each with a leader of its own.

Change: an entry host leads only when settled: it has listened for as long as a living one may go unheard, or one that has told it of the others. A new one exchanges with more others, and every exchange goes to a seed as well with a chance that keeps the seeds' load the same at any size.

--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -32,6 +32,11 @@
 	// domains hear of news at once.
 	pushWith   = 12
 	pushAcross = 2
+	// listenWith and listenAcross are the same for one that has just started.
+	listenWith   = 2
+	listenAcross = 1
+	// listenSeeds is the least chance in that time of an exchange with a seed.
+	listenSeeds = 0.5
 	// pullAfter is how long news that another has are waited for before they
 	// are asked for: most come from the object API by themselves.
 	pullAfter = 150 * time.Millisecond
@@ -68,16 +73,25 @@
 	// Waits reports whether changes of a kind are expected from the object API
 	// as well; if not, they are asked for at once.
 	Waits func(kind string) bool
+	// Random returns a number below n; nil means a random one.
+	Random func(n int) int
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// started is when this entry host began to listen; settled says that another
+	// which had listened long enough has told it of the others.
+	started time.Time
+	settled bool
 	members map[string]*heard
 	clients map[string]*client
-	push    chan struct{}
-	once    sync.Once
+	// across is when this entry host last exchanged with another domain.
+	across time.Time
+	push   chan struct{}
+	once   sync.Once
 }
 
 func (p *Peer) init() {
 	p.once.Do(func() {
+		p.started = time.Now()
 		p.members = map[string]*heard{}
 		p.clients = map[string]*client{}
 		p.push = make(chan struct{}, 1)
@@ -100,7 +114,6 @@
 	tick := time.NewTicker(exchangeEvery)
 	defer tick.Stop()
 	p.round(ctx, pushWith, pushAcross)
-	var across time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -108,15 +121,26 @@
 		case <-p.push:
 			p.round(ctx, pushWith, pushAcross)
 		case now := <-tick.C:
-			others := 0
-			if now.Sub(across) >= acrossEvery {
-				across, others = now, 1
-			}
-			p.round(ctx, 1, others)
+			own, others := p.turn(now)
+			p.round(ctx, own, others)
 		}
 	}
 }
 
+// turn returns with how many entry hosts of the own domain and of others to
+// exchange now. One that is new asks more, so that all know of each other by the
+// time at which one of them may lead.
+func (p *Peer) turn(now time.Time) (own, others int) {
+	if !p.Settled() {
+		return listenWith, listenAcross
+	}
+	if now.Sub(p.across) < acrossEvery {
+		return 1, 0
+	}
+	p.across = now
+	return 1, 1
+}
+
 // round exchanges with some entry hosts of the own domain and of others,
 // without waiting for them.
 func (p *Peer) round(ctx context.Context, own, others int) {
@@ -137,7 +161,9 @@
 	}()
 }
 
-// partners draws entry hosts to exchange with, and a seed while few are known.
+// partners draws entry hosts to exchange with, and now and then a seed: entry
+// hosts that began with different seeds would otherwise never hear of each
+// other, and each of these islands would have its own leader.
 func (p *Peer) partners(own, others int) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -157,21 +183,50 @@
 		// Alone in its domain, it speaks to others as often.
 		others = max(others, own)
 	}
-	list := append(draw(near, own), draw(far, others)...)
-	if len(p.Seeds) > 0 && len(near)+len(far) < len(p.Seeds) {
-		seed := p.Seeds[rand.IntN(len(p.Seeds))]
-		if seed != p.Self.Address && !slices.Contains(list, seed) {
-			list = append(list, seed)
-		}
+	list := append(p.draw(near, own), p.draw(far, others)...)
+	if len(p.Seeds) == 0 || p.random(seedDraws) >= int(p.seedChance(len(near)+len(far), now)*seedDraws) {
+		return list
+	}
+	seed := p.Seeds[p.random(len(p.Seeds))]
+	if seed != p.Self.Address && !slices.Contains(list, seed) {
+		list = append(list, seed)
 	}
 	return list
 }
 
-func draw(from []string, most int) []string {
-	rand.Shuffle(len(from), func(i, j int) { from[i], from[j] = from[j], from[i] })
+// seedDraws is how finely the chance of an exchange with a seed is drawn.
+const seedDraws = 1 << 16
+
+// seedChance is the chance that an exchange goes to a seed as well. In calm all
+// entry hosts together ask the seeds as often as one host asks others, however
+// many they are.
+func (p *Peer) seedChance(known int, now time.Time) float64 {
+	if now.Sub(p.started) < listenFor {
+		return max(listenSeeds, float64(len(p.Seeds))/float64(max(known, 1)))
+	}
+	return float64(len(p.Seeds)) / float64(max(known, 1))
+}
+
+// draw returns at most so many addresses, drawn at random.
+func (p *Peer) draw(from []string, most int) []string {
+	slices.Sort(from)
+	p.shuffle(len(from), func(i, j int) { from[i], from[j] = from[j], from[i] })
 	return from[:min(most, len(from))]
 }
 
+func (p *Peer) shuffle(n int, swap func(i, j int)) {
+	for i := n - 1; i > 0; i-- {
+		swap(i, p.random(i+1))
+	}
+}
+
+func (p *Peer) random(n int) int {
+	if p.Random == nil {
+		return rand.IntN(n)
+	}
+	return p.Random(n)
+}
+
 func (p *Peer) client(address string) *client {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -203,5 +258,6 @@
 	self := p.Self
 	self.Store = p.Store()
 	self.Leaving = p.Leaving()
+	self.Settled = p.Settled()
 	return self
 }
--- /dev/null
+++ b/entry/gossip/lead.go
@@ -0,0 +1,55 @@
+package gossip
+
+import "time"
+
+// listenFor is how long a new entry host listens before it concludes from
+// silence that others are absent: as long as a living one may go unheard.
+const listenFor = freshFor
+
+// Settled reports whether this entry host can tell others that are absent from
+// others that it has not heard of yet. Until then it takes no role that one
+// entry host has alone: after a power failure all would take it at once.
+func (p *Peer) Settled() bool {
+	p.init()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.settled || time.Since(p.started) >= listenFor
+}
+
+// Leads reports whether this entry host places layers: the first by name of
+// those that the object API answers, or of all if it answers none.
+func (p *Peer) Leads() bool {
+	if p.Leaving() || !p.Settled() {
+		return false
+	}
+	mine := p.Store()
+	for _, m := range p.Alive() {
+		if m.Store && !mine {
+			return false
+		}
+		if m.Store == mine && m.Name < p.Self.Name {
+			return false
+		}
+	}
+	return true
+}
+
+// watchers is how many entry hosts of a failure domain watch the object API.
+// The others hear from them; if all watched, each change would cost as many
+// calls as there are entry hosts.
+const watchers = 3
+
+// watcherAge is how lately a watcher must have been heard of to be relied on.
+const watcherAge = 1200 * time.Millisecond
+
+// Relies reports whether enough others of the failure domain, whom the object
+// API answers, watch it for this entry host.
+func (p *Peer) Relies() bool {
+	ahead := 0
+	for _, m := range p.Alive() {
+		if m.Domain == p.Self.Domain && m.Store && m.Age < watcherAge && m.Name < p.Self.Name {
+			ahead++
+		}
+	}
+	return ahead >= watchers
+}
--- /dev/null
+++ b/entry/gossip/lead_test.go
@@ -0,0 +1,125 @@
+package gossip
+
+import (
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fuchsiashelf.dev/parts/domain"
+	"fuchsiashelf.dev/parts/hops"
+	"fuchsiashelf.dev/parts/poison"
+)
+
+func newPeer(n int) *Peer {
+	name := fmt.Sprintf("entry-%03d", n)
+	return &Peer{
+		Self:   Member{Name: name, Address: name, Domain: domain.Name(fmt.Sprint(n % 5)), Boot: 1},
+		Ledger: &hops.Ledger{}, Tally: &poison.Tally{}, Log: slog.New(slog.DiscardHandler),
+		Suspects: func() []Suspect { return nil }, Suspected: func(Suspect) {},
+		Orders: func() []Order { return nil }, Ordered: func(Order) {},
+		Changed: func(string) {}, Waits: func(string) bool { return false },
+		Store: func() bool { return true }, Leaving: func() bool { return false },
+	}
+}
+
+// town exchanges messages between entry hosts without a network.
+type town map[string]*Peer
+
+func (tn town) at(n int) *Peer {
+	return tn[fmt.Sprintf("entry-%03d", n)]
+}
+
+// round lets each entry host exchange with its partners.
+func (tn town) round() {
+	for n := range len(tn) {
+		p := tn.at(n)
+		for _, address := range p.partners(p.turn(time.Now())) {
+			if other := tn[address]; other != nil && other != p {
+				p.Take(other.Answer(p.message(nil)))
+			}
+		}
+	}
+}
+
+// startTown starts so many entry hosts at once.
+func startTown(n int, seed uint64) town {
+	random := rand.New(rand.NewPCG(seed, 1))
+	tn := town{}
+	for i := range n {
+		p := newPeer(i)
+		p.Seeds = []string{"entry-007", "entry-033", "entry-061"}
+		p.Random = random.IntN
+		p.init()
+		tn[p.Self.Name] = p
+	}
+	return tn
+}
+
+func (tn town) leaders() []string {
+	var list []string
+	for name, p := range tn {
+		if p.Leads() {
+			list = append(list, name)
+		}
+	}
+	return list
+}
+
+// Guards against several entry hosts that place layers at once after all of
+// them were restarted together.
+func TestOneLeaderAfterARestartOfAll(t *testing.T) {
+	for seed := range uint64(3) {
+		synctest.Test(t, func(t *testing.T) {
+			tn := startTown(80, seed)
+			for range 20 {
+				tn.round()
+				leaders := tn.leaders()
+				qt.Assert(t, len(leaders) <= 1, qt.IsTrue, qt.Commentf("%v lead", leaders))
+				time.Sleep(exchangeEvery)
+			}
+			qt.Assert(t, tn.leaders(), qt.DeepEquals, []string{"entry-000"})
+		})
+	}
+}
+
+// Guards against groups of entry hosts that began with different seeds and never
+// hear of each other.
+func TestGroupsOfDifferentSeedsMerge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tn := startTown(80, 1)
+		// Each knows its own half of them.
+		for i := range 80 {
+			for j := range 80 {
+				if i != j && i < 40 == (j < 40) {
+					tn.at(i).Take(tn.at(j).message(nil))
+				}
+			}
+		}
+		time.Sleep(listenFor)
+		for range 20 {
+			tn.round()
+			time.Sleep(exchangeEvery)
+		}
+		qt.Assert(t, tn.leaders(), qt.DeepEquals, []string{"entry-000"})
+	})
+}
+
+// Guards against a restarted entry host that places layers before it has heard
+// of the others, or waits longer than it must.
+func TestNewHostIsSettledByAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		old, other, fresh := newPeer(1), newPeer(2), newPeer(0)
+		old.init()
+		time.Sleep(listenFor)
+		qt.Assert(t, old.Leads(), qt.IsTrue)
+		fresh.Take(other.message(nil))
+		qt.Assert(t, fresh.Leads(), qt.IsFalse)
+		fresh.Take(old.message(nil))
+		qt.Assert(t, fresh.Leads(), qt.IsTrue)
+	})
+}
--- a/entry/gossip/member.go
+++ b/entry/gossip/member.go
@@ -1,7 +1,6 @@
 package gossip
 
 import (
-	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -22,6 +21,8 @@
 	Store bool
 	// Leaving says that it is about to end.
 	Leaving bool
+	// Settled says that it has listened long enough to know who is absent.
+	Settled bool
 }
 
 type heard struct {
@@ -77,7 +78,7 @@
 		}
 		rest = append(rest, m)
 	}
-	rand.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
+	p.shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
 	return append(list, rest[:min(toldOthers, len(rest))]...)
 }
 
@@ -93,6 +94,8 @@
 	now := time.Now()
 	direct := m.From
 	direct.Age = 0
+	// Its message names the first of each failure domain.
+	p.settled = p.settled || direct.Settled
 	p.note(direct, now)
 	for _, other := range m.Members {
 		p.note(other, now)
