hops, stream, gossip: choose first servers by the wait there

Cause: chains were chosen by booked memory, which entry hosts tell each other every few seconds, and never by the slots of the first server or by how long requests wait there. Ruled out: pauses (p99 61 ms), and that nobody else could begin.

Change: the ledger counts the requests that start at a server and keeps them within its slots.

--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -55,8 +55,10 @@
 	Seeds   []string
 	Mirrors []*mirror.Mirror
 	Ledger  *hops.Ledger
-	Tally   *poison.Tally
-	Log     *slog.Logger
+	// Starts holds how long requests wait at the first servers of chains.
+	Starts *hops.Starts
+	Tally  *poison.Tally
+	Log    *slog.Logger
 	// Suspects returns what is suspected here, Suspected takes it from others.
 	Suspects  func() []Suspect
 	Suspected func(Suspect)
--- a/entry/gossip/gossip_test.go
+++ b/entry/gossip/gossip_test.go
@@ -19,7 +19,7 @@
 	name := fmt.Sprintf("entry-%03d", n)
 	return &gossip.Peer{
 		Self: gossip.Member{Name: name, Address: name + ":1", Domain: domain.Name(fmt.Sprint(n % 5)), Boot: 1}, Mirrors: mirrors,
-		Ledger: &hops.Ledger{}, Tally: &poison.Tally{}, Log: slog.New(slog.DiscardHandler),
+		Ledger: &hops.Ledger{}, Starts: &hops.Starts{}, Tally: &poison.Tally{}, Log: slog.New(slog.DiscardHandler),
 		Suspects: func() []gossip.Suspect { return nil }, Suspected: func(gossip.Suspect) {},
 		Orders: func() []gossip.Order { return nil }, Ordered: func(gossip.Order) {},
 		Changed: func(string) {}, Waits: func(string) bool { return false },
--- a/entry/gossip/lead_test.go
+++ b/entry/gossip/lead_test.go
@@ -19,7 +19,7 @@
 	name := fmt.Sprintf("entry-%03d", n)
 	return &Peer{
 		Self:   Member{Name: name, Address: name, Domain: domain.Name(fmt.Sprint(n % 5)), Boot: 1},
-		Ledger: &hops.Ledger{}, Tally: &poison.Tally{}, Log: slog.New(slog.DiscardHandler),
+		Ledger: &hops.Ledger{}, Starts: &hops.Starts{}, Tally: &poison.Tally{}, Log: slog.New(slog.DiscardHandler),
 		Suspects: func() []Suspect { return nil }, Suspected: func(Suspect) {},
 		Orders: func() []Order { return nil }, Ordered: func(Order) {},
 		Changed: func(string) {}, Waits: func(string) bool { return false },
--- a/entry/gossip/message.go
+++ b/entry/gossip/message.go
@@ -27,10 +27,12 @@
 
 // Message is what one entry host tells another.
 type Message struct {
-	From     Member
-	Cursors  map[string]uint64
-	Members  []Member
-	Load     map[string]hops.Usage
+	From    Member
+	Cursors map[string]uint64
+	Members []Member
+	Load    map[string]hops.Usage
+	// Waits is how long requests wait for their first event, by server.
+	Waits    map[string]time.Duration
 	Suspects []Suspect
 	Orders   []Order
 	Marks    []poison.Mark
@@ -42,7 +44,7 @@
 // message tells what is known here, with the changes that another lacks which
 // is complete through the given cursors; nil means that these are unknown.
 func (p *Peer) message(theirs map[string]uint64) *Message {
-	m := &Message{From: p.self(), Cursors: map[string]uint64{}, Members: p.told(), Load: p.Ledger.Own(), Suspects: p.Suspects(), Orders: p.Orders(), Marks: p.Tally.Marks(time.Now())}
+	m := &Message{From: p.self(), Cursors: map[string]uint64{}, Members: p.told(), Load: p.Ledger.Own(), Waits: p.Starts.Waits(time.Now()), Suspects: p.Suspects(), Orders: p.Orders(), Marks: p.Tally.Marks(time.Now())}
 	for _, mine := range p.Mirrors {
 		m.Cursors[mine.Kind] = mine.Cursor()
 		if theirs == nil {
@@ -95,6 +97,7 @@
 	if m.From.Name != p.Self.Name {
 		p.Ledger.Tell(m.From.Name, m.Load)
 	}
+	p.Starts.Tell(m.Waits, time.Now())
 	for _, s := range m.Suspects {
 		p.Suspected(s)
 	}
--- a/entry/stream/bounds.go
+++ b/entry/stream/bounds.go
@@ -42,6 +42,8 @@
 	return time.Duration(part * float64(cmp.Or(of, otherwise)))
 }
 
+func firstTarget(r *route.Route) time.Duration { return cmp.Or(r.Target, usualTarget) }
+
 func silentEvent(r *route.Route) time.Duration { return share(r.Gap, usualGap, silentShare) }
 
 func silentStart(r *route.Route) time.Duration { return share(r.Target, usualTarget, startShare) }
--- a/entry/stream/choose.go
+++ b/entry/stream/choose.go
@@ -15,10 +15,16 @@
 	return &hops.Query{
 		Engine: j.Service.Engine, Servers: f.State.View().Service(j.Service.Name), Home: f.Home,
 		Prompt: j.Prompt, Answer: j.Answer(j.Service.Engine), Used: f.Ledger.Used,
-		Cut: f.State.Cut, Risk: f.Failures.Risk,
+		Cut: f.State.Cut, Delay: func(id string) float64 { return f.delay(j, id) },
 	}
 }
 
+// delay returns the cost, in seconds, of starting a chain for a job at a server
+// where requests wait or fail.
+func (f *Flow) delay(j *call.Job, id string) float64 {
+	return hops.StartCost(f.Starts.Wait(id, time.Now()), firstTarget(j.Route)) + f.Failures.Risk(id)
+}
+
 // choose finds a chain. A request for which there is no room now waits for its
 // turn, or is refused at once if it would wait in vain.
 func (r *run) choose(ctx context.Context) (hops.Chain, *fault.Error) {
--- a/entry/stream/flow.go
+++ b/entry/stream/flow.go
@@ -52,8 +52,10 @@
 	Turns  *turns.Queue
 	// Failures holds which servers fail requests.
 	Failures *Failures
-	Home     domain.Name
-	Log      *slog.Logger
+	// Starts holds how long requests wait for their first event at a server.
+	Starts *hops.Starts
+	Home   domain.Name
+	Log    *slog.Logger
 	// Budget returns the budget of repeats of a service.
 	Budget func(service string) *retry.Share
 }
@@ -107,6 +109,8 @@
 	defer cancel(nil)
 	live := r.Watch.add(r.job, chain, cancel)
 	defer r.Watch.remove(live)
+	start := r.Starts.Begin(first.ID, time.Now())
+	defer r.Starts.End(start)
 	var reply call.Reply
 	o := line.Options{Fresh: fresh, Head: func(resp *http.Response) line.Head {
 		reply = r.Codec.Reply(resp)
@@ -137,7 +141,7 @@
 		r.Failures.Note(first.ID, reply.Status >= http.StatusInternalServerError, time.Now())
 		return r.failed(answer, reply)
 	}
-	failure := r.relay(actx, answer, live)
+	failure := r.relay(actx, answer, live, start)
 	if failure == nil || failure.Code == fault.BrokenAnswer && context.Cause(actx) == nil {
 		r.Failures.Note(first.ID, failure != nil, time.Now())
 	}
@@ -145,7 +149,7 @@
 }
 
 // relay passes the events of an answer on until its end.
-func (r *run) relay(ctx context.Context, answer *line.Answer, live *live) *fault.Error {
+func (r *run) relay(ctx context.Context, answer *line.Answer, live *live, start *hops.Start) *fault.Error {
 	r.events.resume()
 	r.begin(answer)
 	flush := http.NewResponseController(r.w)
@@ -153,7 +157,9 @@
 	for {
 		n, err := answer.Read(buffer)
 		if n > 0 {
-			live.touch()
+			if live.touch() {
+				r.Starts.Began(start, time.Now())
+			}
 			if whole := r.events.add(buffer[:n]); len(whole) > 0 {
 				if e := r.pass(whole, flush); e != nil {
 					return e
--- a/entry/stream/live.go
+++ b/entry/stream/live.go
@@ -39,19 +39,20 @@
 	outlier = 2
 )
 
-// touch notes an event.
-func (l *live) touch() {
+// touch notes an event and reports whether it is the first one.
+func (l *live) touch() (first bool) {
 	now := time.Now().UnixNano()
 	pause := now - l.last.Swap(now)
 	if !l.began.Swap(true) {
-		return
+		return true
 	}
 	usual := l.usual.Load()
 	if usual == 0 {
 		l.usual.Store(pause)
-		return
+		return false
 	}
 	l.usual.Store(usual + int64(learnPace*float64(min(pause, outlier*usual)-usual)))
+	return false
 }
 
 func (l *live) silence(now time.Time) time.Duration {
--- a/entry/stream/live_test.go
+++ b/entry/stream/live_test.go
@@ -22,7 +22,7 @@
 	j := &call.Job{Ask: &call.Ask{Prompt: 10, Hint: 5}, Route: chat, Service: &route.Service{Engine: &route.Engine{}}}
 	_, cancel := context.WithCancelCause(context.Background())
 	l := w.add(j, chain, cancel)
-	qt.Assert(t, ledger.Used("i-1"), qt.Equals, hops.Usage{TokenLayers: 60, Requests: 1})
+	qt.Assert(t, ledger.Used("i-1"), qt.Equals, hops.Usage{TokenLayers: 60, Requests: 1, Starts: 1})
 	w.remove(l)
 	l.move(ledger, chain)
 	qt.Assert(t, ledger.Used("i-1"), qt.Equals, hops.Usage{})
--- a/parts/hops/cost.go
+++ b/parts/hops/cost.go
@@ -29,11 +29,18 @@
 	// way does not have yet. Its caller waits for that, while it hardly notices
 	// a somewhat slower pace, and the other requests of the server wait as well.
 	rereadWeight = 10
+	// waitWeight multiplies the wait for the first event, beyond what is usual.
+	// Its caller waits for that, as for reading again.
+	waitWeight = 10
+	// usualWait is the share of the target of the first event that reading a
+	// prompt may take.
+	usualWait = 0.1
 	// fullWeight is by how much a full server seems slower than an empty one.
 	fullWeight = 0.5
-	// fullest is the share of a server's memory that may be promised. Answers
-	// that grow longer than their hint take the rest; beyond it the newest
-	// request is thrown out and read again.
+	// fullest is the share of a server's memory, and of its slots, that may be
+	// promised. Answers longer than their hint and requests of other entry hosts
+	// that are not known yet take the rest. Beyond it an engine preempts requests,
+	// or lets them wait for a slot.
 	fullest = 0.92
 )
 
@@ -68,8 +75,10 @@
 	read, write float64
 	// spread makes fuller servers seem slower.
 	spread float64
-	// risk is what starting there may cost, in seconds.
-	risk float64
+	// delay is what starting there costs beside the work, in seconds.
+	delay float64
+	// occupied says that all slots for requests that start there are taken.
+	occupied bool
 }
 
 func (q *Query) offers(index map[domain.Name]int) []offer {
@@ -103,8 +112,11 @@
 	o := offer{server: s}
 	o.read, o.write = q.Seconds(s, used.Requests)
 	// Only these can start a chain; the others need not be asked about.
-	if q.Risk != nil && s.First == 0 {
-		o.risk = q.Risk(s.ID)
+	if s.First == 0 {
+		o.occupied = s.Slots > 0 && used.Starts >= fullest*float64(s.Slots) && !q.Crowded
+		if q.Delay != nil {
+			o.delay = q.Delay(s.ID)
+		}
 	}
 	// Half as much again for a full server spreads requests over servers that
 	// are alike. A steeper rise makes chains of many parts when all are nearly
@@ -130,6 +142,13 @@
 	return read, write
 }
 
+// StartCost returns the cost, in seconds, of starting a chain at a server where
+// requests wait that long for their first event, which should come within the
+// target.
+func StartCost(wait, target time.Duration) float64 {
+	return waitWeight * max(0, wait.Seconds()-usualWait*target.Seconds())
+}
+
 // hop is the cost of a further server in the chain, over all passes of the
 // answer.
 func (q *Query) hop() float64 {
--- a/parts/hops/hops.go
+++ b/parts/hops/hops.go
@@ -65,9 +65,9 @@
 	// Used says how many tokens x layers are taken on a server, and how many
 	// requests it works on.
 	Used func(id string) Usage
-	// Risk returns the seconds that starting at a server may cost because it
-	// fails requests; nil means that none does.
-	Risk func(id string) float64
+	// Delay returns the seconds that starting at a server is expected to cost
+	// beyond the work itself: requests wait or fail there. Nil means none.
+	Delay func(id string) float64
 	// Start is the first part, if it is fixed.
 	Start *Part
 	// Kept holds the parts that already hold the tokens, by their servers'
@@ -91,6 +91,9 @@
 	TokenLayers float64
 	// Requests are those under way.
 	Requests float64
+	// Starts are those of them whose chain begins at the server. Each takes one of
+	// its slots.
+	Starts float64
 	// Full says that the server has just refused a request.
 	Full bool
 }
--- a/parts/hops/hops_test.go
+++ b/parts/hops/hops_test.go
@@ -151,7 +151,7 @@
 		server("b1", "b", "small", 0, 40), server("b2", "b", "small", 40, 80),
 	)
 	qt.Assert(t, q.Pick().String(), qt.Equals, "a1=0-40 a2=40-80")
-	q.Risk = func(id string) float64 {
+	q.Delay = func(id string) float64 {
 		if id == "a1" {
 			return 1.5
 		}
@@ -227,7 +227,7 @@
 	s := server("a1", "a", "small", 0, 80)
 	release := l.Reserve(hops.Chain{{Server: s, First: 0, End: 80}}, 100)
 	l.Tell("entry-2", map[string]hops.Usage{"a1": {TokenLayers: 50, Requests: 2}})
-	qt.Assert(t, l.Used("a1"), qt.Equals, hops.Usage{TokenLayers: 8050, Requests: 3})
+	qt.Assert(t, l.Used("a1"), qt.Equals, hops.Usage{TokenLayers: 8050, Requests: 3, Starts: 1})
 	release()
 	release()
 	qt.Assert(t, l.Used("a1"), qt.Equals, hops.Usage{TokenLayers: 50, Requests: 2})
--- a/parts/hops/ledger.go
+++ b/parts/hops/ledger.go
@@ -55,10 +55,13 @@
 	if l.own == nil {
 		l.own = map[string]Usage{}
 	}
-	for _, p := range c {
+	for i, p := range c {
 		u := l.own[p.Server.ID]
 		u.TokenLayers += tokens * float64(p.End-p.First)
 		u.Requests += requests
+		if i == 0 {
+			u.Starts += requests
+		}
 		if u.Requests <= 0 {
 			delete(l.own, p.Server.ID)
 			continue
@@ -102,6 +105,7 @@
 		o := used[id]
 		u.TokenLayers += o.TokenLayers
 		u.Requests += o.Requests
+		u.Starts += o.Starts
 	}
 	return u
 }
--- a/parts/hops/search.go
+++ b/parts/hops/search.go
@@ -48,7 +48,7 @@
 				continue
 			}
 			for _, o := range offers {
-				if o.server.First > at || o.server.End <= at {
+				if o.server.First > at || o.server.End <= at || at == 0 && o.occupied {
 					continue
 				}
 				q.extend(best, domains, ends, o, at, d, whole)
@@ -74,7 +74,7 @@
 		}
 		total := cost + q.layersCost(o, at, e)
 		if at == 0 {
-			total += o.risk
+			total += o.delay
 		}
 		if total < best[e][o.domain].cost {
 			best[e][o.domain] = step{cost: total, server: o.server, from: at, prev: from}
