gossip: deflate large messages, pull changes from one at a time

Change: messages of 2 KB or more are deflated (a configuration to less than a fifth), changes of a kind are pulled from one entry host at a time, and regular exchanges ask for none meanwhile.

--- /dev/null
+++ b/entry/gossip/codec.go
@@ -0,0 +1,100 @@
+package gossip
+
+import (
+	"bytes"
+	"compress/flate"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+	"storj.io/drpc"
+)
+
+const (
+	// deflateFrom is the size from which a message is deflated. A configuration
+	// with thousands of routes shrinks to a tenth; sent whole to a dozen entry
+	// hosts at once it would occupy a link of 50 Mbit/s for longer than an
+	// exchange may take. The loads of some dozen servers shrink to a third.
+	deflateFrom = 2 << 10
+	// largest bounds a message, so that a small one cannot fill the memory.
+	largest = 32 << 20
+)
+
+// The first byte of a message says how the rest is written.
+const (
+	plainForm byte = iota
+	deflatedForm
+)
+
+var (
+	errEmpty = errors.New("gossip: empty message")
+	errLarge = errors.New("gossip: message too large")
+)
+
+// deflaters keeps writers, whose tables take a megabyte each.
+var deflaters = sync.Pool{New: func() any {
+	w, err := flate.NewWriter(io.Discard, flate.BestSpeed)
+	if err != nil {
+		panic(err) // The level is a constant.
+	}
+	return w
+}}
+
+// codec writes messages as CBOR, and deflates large ones.
+type codec struct{}
+
+// Marshal implements drpc.Encoding.
+func (codec) Marshal(m drpc.Message) ([]byte, error) {
+	body, err := cbor.Marshal(m)
+	if err != nil {
+		return nil, err
+	}
+	if len(body) < deflateFrom {
+		return append([]byte{plainForm}, body...), nil
+	}
+	var out bytes.Buffer
+	out.WriteByte(deflatedForm)
+	w := deflaters.Get().(*flate.Writer)
+	defer deflaters.Put(w)
+	w.Reset(&out)
+	if _, err := w.Write(body); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return out.Bytes(), nil
+}
+
+// Unmarshal implements drpc.Encoding.
+func (codec) Unmarshal(b []byte, m drpc.Message) error {
+	if len(b) == 0 {
+		return errEmpty
+	}
+	switch form, body := b[0], b[1:]; form {
+	case plainForm:
+		return cbor.Unmarshal(body, m)
+	case deflatedForm:
+		plain, err := inflate(body)
+		if err != nil {
+			return err
+		}
+		return cbor.Unmarshal(plain, m)
+	default:
+		return fmt.Errorf("gossip: unknown form %d of a message", form)
+	}
+}
+
+func inflate(body []byte) ([]byte, error) {
+	r := flate.NewReader(bytes.NewReader(body))
+	plain, err := io.ReadAll(io.LimitReader(r, largest+1))
+	if err != nil {
+		return nil, fmt.Errorf("gossip: inflate: %w", err)
+	}
+	if len(plain) > largest {
+		return nil, errLarge
+	}
+	return plain, nil
+}
--- /dev/null
+++ b/entry/gossip/codec_test.go
@@ -0,0 +1,72 @@
+package gossip
+
+import (
+	"bytes"
+	"compress/flate"
+	"fmt"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"fuchsiashelf.dev/parts/mirror"
+)
+
+// bulk is a message with a configuration of many routes.
+func bulk(routes int) *Message {
+	var spec strings.Builder
+	for i := range routes {
+		fmt.Fprintf(&spec, `{"name":"route-%d","host":"fide%d.example","path_prefix":"/ce%dmbz/","kind":"idempotent","timeout_ms":2000},`, i, i%40, i)
+	}
+	return &Message{Changes: []mirror.Batch{{Kind: "config", Cursor: 7, Items: []mirror.Item{{Name: "main", Revision: 7, Spec: []byte(spec.String())}}}}}
+}
+
+// Guards against a large configuration that fills the links of entry hosts when
+// all of them fetch it at once.
+func TestLargeMessagesAreDeflated(t *testing.T) {
+	for _, routes := range []int{0, 10, 2000} {
+		said, heard := bulk(routes), &Message{}
+		b, err := codec{}.Marshal(said)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, codec{}.Unmarshal(b, heard), qt.IsNil)
+		qt.Check(t, heard.Changes, qt.DeepEquals, said.Changes)
+		if size := len(said.Changes[0].Items[0].Spec); routes == 2000 {
+			qt.Check(t, len(b) < size/5, qt.IsTrue, qt.Commentf("%d bytes for %d", len(b), size))
+		}
+	}
+}
+
+// Guards against messages that are no messages, or would fill the memory.
+func TestBadMessagesAreRefused(t *testing.T) {
+	var bomb bytes.Buffer
+	bomb.WriteByte(deflatedForm)
+	w, err := flate.NewWriter(&bomb, flate.BestSpeed)
+	qt.Assert(t, err, qt.IsNil)
+	for range largest>>20 + 1 {
+		_, err = w.Write(make([]byte, 1<<20))
+		qt.Assert(t, err, qt.IsNil)
+	}
+	qt.Assert(t, w.Close(), qt.IsNil)
+	for name, b := range map[string][]byte{
+		"empty": nil, "unknown form": {9, 1}, "no cbor": {plainForm, 0xff}, "no deflate": {deflatedForm, 1, 2, 3}, "bomb": bomb.Bytes(),
+	} {
+		qt.Check(t, codec{}.Unmarshal(b, &Message{}), qt.IsNotNil, qt.Commentf(name))
+	}
+}
+
+func FuzzMessage(f *testing.F) {
+	for _, routes := range []int{0, 200} {
+		b, err := codec{}.Marshal(bulk(routes))
+		qt.Assert(f, err, qt.IsNil)
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m := &Message{}
+		if err := (codec{}).Unmarshal(b, m); err != nil {
+			return
+		}
+		again, err := codec{}.Marshal(m)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, codec{}.Unmarshal(again, &Message{}), qt.IsNil)
+	})
+}
--- a/entry/gossip/drpc.go
+++ b/entry/gossip/drpc.go
@@ -7,7 +7,6 @@
 	"net"
 	"sync"
 
-	"github.com/fxamacker/cbor/v2"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcserver"
@@ -16,19 +15,6 @@
 // exchangeCall is the name of the only call.
 const exchangeCall = "/fuchsiashelf.Gossip/Exchange"
 
-// codec writes messages as CBOR.
-type codec struct{}
-
-// Marshal implements drpc.Encoding.
-func (codec) Marshal(m drpc.Message) ([]byte, error) {
-	return cbor.Marshal(m)
-}
-
-// Unmarshal implements drpc.Encoding.
-func (codec) Unmarshal(b []byte, m drpc.Message) error {
-	return cbor.Unmarshal(b, m)
-}
-
 // HandleRPC implements drpc.Handler.
 func (p *Peer) HandleRPC(stream drpc.Stream, rpc string) error {
 	if rpc != exchangeCall {
--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -85,6 +85,8 @@
 	settled bool
 	members map[string]*heard
 	clients map[string]*client
+	// pulls holds the kinds of which changes are being pulled.
+	pulls map[string]bool
 	// across is when this entry host last exchanged with another domain.
 	across time.Time
 	push   chan struct{}
@@ -96,6 +98,7 @@
 		p.started = time.Now()
 		p.members = map[string]*heard{}
 		p.clients = map[string]*client{}
+		p.pulls = map[string]bool{}
 		p.push = make(chan struct{}, 1)
 	})
 }
@@ -159,7 +162,7 @@
 	}
 	go func() {
 		defer c.give()
-		p.exchange(ctx, c)
+		p.exchange(ctx, c, p.pulling())
 	}()
 }
 
@@ -240,10 +243,13 @@
 	return c
 }
 
-func (p *Peer) exchange(ctx context.Context, c *client) {
+// exchange tells one entry host what is known here and takes its answer, which
+// has no changes if it is to be brief.
+func (p *Peer) exchange(ctx context.Context, c *client, brief bool) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTime)
 	defer cancel()
 	said := p.message(nil)
+	said.Brief = brief
 	heard := &Message{}
 	if err := c.call(ctx, said, heard); err != nil {
 		if !c.failing {
--- a/entry/gossip/message.go
+++ b/entry/gossip/message.go
@@ -39,6 +39,8 @@
 	Changes  []mirror.Batch
 	// Whole holds the kinds whose batch is a complete list.
 	Whole map[string]bool
+	// Brief asks for an answer without changes.
+	Brief bool
 }
 
 // message tells what is known here, with the changes that another lacks which
@@ -74,22 +76,58 @@
 			p.pull(m.From.Address, mine, m.Cursors[mine.Kind])
 		}
 	}
+	if m.Brief {
+		return p.message(nil)
+	}
 	return p.message(m.Cursors)
 }
 
-// pull exchanges with another that has changes which are lacking here.
+// pull exchanges with another that has changes which are lacking here. Changes
+// of a kind are pulled from one at a time: dozens tell of the same ones, and
+// fetched from all of them at once a large configuration would take longer than
+// an exchange may.
 func (p *Peer) pull(address string, mine *mirror.Mirror, cursor uint64) {
+	if !p.claimPull(mine.Kind) {
+		return
+	}
 	wait := time.Duration(0)
 	if mine.Cursor() > 0 && p.Waits(mine.Kind) {
 		wait = pullAfter
 	}
 	time.AfterFunc(wait, func() {
-		if mine.Cursor() < cursor {
-			p.meetAt(context.Background(), address)
+		defer p.endPull(mine.Kind)
+		c := p.client(address)
+		if mine.Cursor() < cursor && c.take() {
+			p.exchange(context.Background(), c, false)
+			c.give()
 		}
 	})
 }
 
+// claimPull reports whether the caller is to pull the changes of a kind.
+func (p *Peer) claimPull(kind string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.pulls[kind] {
+		return false
+	}
+	p.pulls[kind] = true
+	return true
+}
+
+func (p *Peer) endPull(kind string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.pulls, kind)
+}
+
+// pulling reports whether changes are being pulled.
+func (p *Peer) pulling() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.pulls) > 0
+}
+
 // Take takes over what another tells.
 func (p *Peer) Take(m *Message) {
 	p.init()
