source: watch with two entry hosts a domain, call less in an outage

Three entry hosts of each domain watched, each change woke all of them and they called again after 100 ms; all 78 peeked every second; and while the store was down every entry host took itself for a watcher, since it counted only those that the store answers.

Change: two watch, main and backup. Both pause in proportion to the time in which a change must be acted on, the backup longer at random, also after a change that another has handed to it. Entry hosts that rely on others peek every four seconds. While the store does not answer, the first two of a domain try again for all, and whoever it answers watches.

--- a/entry/gossip/lead.go
+++ b/entry/gossip/lead.go
@@ -34,22 +34,20 @@
 	return true
 }
 
-// watchers is how many entry hosts of a failure domain watch the object API.
-// The others hear from them; if all watched, each change would cost as many
-// calls as there are entry hosts.
-const watchers = 3
-
 // watcherAge is how lately a watcher must have been heard of to be relied on.
 const watcherAge = 1200 * time.Millisecond
 
-// Relies reports whether enough others of the failure domain, whom the object
-// API answers, watch it for this entry host.
-func (p *Peer) Relies() bool {
+// Ahead returns how many entry hosts of the failure domain come before this one
+// in the order in which they watch the object API. Those that it does not answer
+// count only while it does not answer this one either: then the first of them
+// try again for all, and the others put no load on it.
+func (p *Peer) Ahead() int {
+	mine := p.Store()
 	ahead := 0
 	for _, m := range p.Alive() {
-		if m.Domain == p.Self.Domain && m.Store && m.Age < watcherAge && m.Name < p.Self.Name {
+		if m.Domain == p.Self.Domain && (m.Store || !mine) && m.Age < watcherAge && m.Name < p.Self.Name {
 			ahead++
 		}
 	}
-	return ahead >= watchers
+	return ahead
 }
--- a/entry/gossip/lead_test.go
+++ b/entry/gossip/lead_test.go
@@ -123,3 +123,38 @@
 		qt.Assert(t, fresh.Leads(), qt.IsTrue)
 	})
 }
+
+// Guards against all entry hosts calling an object API that is down, each for
+// itself, and against none that does when it is down for the first of them only.
+func TestFewWatchAnObjectAPIThatIsDown(t *testing.T) {
+	const hosts = 20
+	up := map[string]bool{}
+	peers := make([]*Peer, hosts)
+	for i := range peers {
+		p := newPeer(i)
+		p.Self.Domain = "a"
+		p.Store = func() bool { return up[p.Self.Name] }
+		p.init()
+		peers[i] = p
+	}
+	main := func() (list []int) {
+		for i, p := range peers {
+			for _, other := range peers {
+				if other != p {
+					p.Take(other.message(nil))
+				}
+			}
+			if p.Ahead() < 2 {
+				list = append(list, i)
+			}
+		}
+		return list
+	}
+	qt.Check(t, main(), qt.DeepEquals, []int{0, 1})
+	up["entry-007"], up["entry-012"], up["entry-013"] = true, true, true
+	qt.Check(t, main(), qt.DeepEquals, []int{0, 1, 7, 12})
+	for i := range peers {
+		up[peers[i].Self.Name] = true
+	}
+	qt.Check(t, main(), qt.DeepEquals, []int{0, 1})
+}
--- a/entry/source/source.go
+++ b/entry/source/source.go
@@ -2,10 +2,10 @@
 // mirrors.
 //
 // One watch waits for changes of each kind. A watch can fall silent for good,
-// without an end of its connection, for one entry host alone; so a cheap read
-// of possibly old data goes out every second beside it. When that read fails,
-// the object API counts as away; when it succeeds again, or shows something
-// that the watch has not told, the watch is begun anew.
+// without an end of its connection, for one entry host alone; so an entry host that watches also reads
+// possibly old data every second, which costs a tenth of a call. When that read
+// fails, the object API counts as away; when it succeeds again, or shows
+// something that the watch has not told, the watch is restarted.
 package source
 
 import (
@@ -49,9 +49,16 @@
 	// peekEvery bounds how long a silent object API goes unnoticed; a peek
 	// costs a tenth of a call.
 	peekEvery = time.Second
-	// watchPause follows a watch that told of changes, before the next one, so
-	// that changes in a row cost one call.
-	watchPause = 100 * time.Millisecond
+	// peekRelying is how often an entry host peeks for which others follow: only
+	// those that follow, or are about to, need to know at once whether the object
+	// API answers.
+	peekRelying = 4 * time.Second
+	// pauseShare of the time that a watch waits follows one that told of changes,
+	// before the next one, so that changes in a row cost one call. A backup pauses
+	// longer, by up to backupShare at random: meanwhile the main watcher hands it
+	// what changes, and it need not ask.
+	pauseShare  = 0.15
+	backupShare = 0.5
 	// reliesFor is how often an entry host that relies on others looks whether
 	// it still may.
 	reliesFor = 200 * time.Millisecond
@@ -61,6 +68,19 @@
 	longestPause = time.Second
 )
 
+// Role is what an entry host does to follow the objects for its failure domain.
+type Role uint8
+
+// The roles.
+const (
+	// Main watches and hands on what changes.
+	Main Role = iota
+	// Backup watches as well, less eagerly.
+	Backup
+	// Relying makes no calls of its own while others watch.
+	Relying
+)
+
 // Follow keeps the mirror of one kind up to date. Set the exported fields
 // before Run.
 type Follow struct {
@@ -73,9 +93,9 @@
 	// is made while the object API drops its history, without being ended, so this
 	// bounds how late the change is noticed. Each watch is a priced call.
 	Wait time.Duration
-	// Relies reports whether others follow for this entry host, which then
-	// makes no calls of its own; nil means that they do not.
-	Relies func() bool
+	// Role returns what this entry host does for its failure domain; nil means
+	// Main.
+	Role func() Role
 
 	mu     sync.Mutex
 	cancel context.CancelFunc
@@ -86,7 +106,7 @@
 	pause := firstPause
 	again := f.Mirror.Cursor() == 0
 	for ctx.Err() == nil {
-		if f.Mirror.Cursor() > 0 && f.Relies != nil && f.Relies() {
+		if f.Mirror.Cursor() > 0 && f.role() == Relying {
 			rest(ctx, reliesFor)
 			continue
 		}
@@ -105,7 +125,7 @@
 	}
 }
 
-// Nudge begins the watch anew.
+// Nudge cancels the current watch and starts a new one.
 func (f *Follow) Nudge() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -133,11 +153,29 @@
 	}
 	if f.Mirror.Merge(b) {
 		f.Changed()
-		rest(ctx, watchPause)
+	}
+	if len(b.Items) > 0 {
+		rest(ctx, f.pause())
 	}
 	return nil
 }
 
+// pause returns how long to wait after a watch that told of changes.
+func (f *Follow) pause() time.Duration {
+	pause := time.Duration(pauseShare * float64(f.Wait))
+	if f.role() == Main {
+		return pause
+	}
+	return pause + rand.N(time.Duration(backupShare*float64(f.Wait)))
+}
+
+func (f *Follow) role() Role {
+	if f.Role == nil {
+		return Main
+	}
+	return f.Role()
+}
+
 func (f *Follow) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTime)
 	defer cancel()
@@ -182,6 +220,9 @@
 	Log        *slog.Logger
 	// Returned is called when the object API answers again.
 	Returned func()
+	// Role returns what this entry host does for its failure domain; nil means
+	// Main.
+	Role func() Role
 
 	mu    sync.Mutex
 	alive bool
@@ -199,12 +240,24 @@
 // Run reads until the context ends.
 func (p *Pulse) Run(ctx context.Context) {
 	p.set(true)
+	var last time.Time
 	for ctx.Err() == nil {
 		rest(ctx, peekEvery)
+		if p.rests() && time.Since(last) < peekRelying {
+			continue
+		}
+		last = time.Now()
 		p.beat(ctx)
 	}
 }
 
+// rests reports whether others follow for this entry host. One that the object
+// API does not answer looks for its return itself.
+func (p *Pulse) rests() bool {
+	alive, _ := p.Alive()
+	return alive && p.Role != nil && p.Role() == Relying
+}
+
 func (p *Pulse) beat(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, peekTime)
 	defer cancel()
--- a/entry/source/source_test.go
+++ b/entry/source/source_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -180,3 +181,111 @@
 	end()
 	<-done
 }
+
+// Guards against calls to the object API that grow with the number of entry
+// hosts: each change, and each second at rest, would cost as many as there are.
+func TestCallsAtRest(t *testing.T) {
+	for _, role := range []source.Role{source.Main, source.Relying} {
+		synctest.Test(t, func(t *testing.T) {
+			peeks := 0
+			p := &source.Pulse{
+				Store: &store{peek: func() (uint64, error) { peeks++; return 0, nil }}, Mirror: &mirror.Mirror{},
+				Log: slog.New(slog.DiscardHandler), Returned: func() {}, Role: func() source.Role { return role },
+			}
+			ctx, end := context.WithCancel(t.Context())
+			go p.Run(ctx)
+			time.Sleep(time.Minute)
+			end()
+			synctest.Wait()
+			if role == source.Relying {
+				qt.Check(t, peeks <= 15, qt.IsTrue, qt.Commentf("%d peeks a minute", peeks))
+				return
+			}
+			qt.Check(t, peeks >= 58, qt.IsTrue, qt.Commentf("%d peeks a minute", peeks))
+		})
+	}
+}
+
+// Guards against a backup that asks for each of some changes in a row, which the
+// main watcher has handed to it.
+func TestBackupAsksForFewChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const followers, changes, gap = 2, 40, 250 * time.Millisecond
+		c := &changing{changed: make(chan struct{})}
+		ctx, end := context.WithCancel(t.Context())
+		var list []*source.Follow
+		for i := range followers {
+			f := &source.Follow{Store: c, Mirror: &mirror.Mirror{Kind: "k"}, Log: slog.New(slog.DiscardHandler), Wait: 2 * time.Second}
+			f.Role = func() source.Role { return source.Role(i) }
+			// What one hears is handed to the others at once.
+			f.Changed = func() {
+				for _, other := range list {
+					if b, _ := f.Mirror.Since(other.Mirror.Cursor()); other != f && b.Cursor > other.Mirror.Cursor() {
+						other.Mirror.Merge(b)
+					}
+				}
+			}
+			list = append(list, f)
+		}
+		c.change()
+		for _, f := range list {
+			go f.Run(ctx)
+		}
+		for range changes {
+			time.Sleep(gap)
+			c.change()
+		}
+		calls := c.calls
+		time.Sleep(time.Second)
+		for _, f := range list {
+			qt.Check(t, f.Mirror.Cursor(), qt.Equals, c.revision)
+		}
+		qt.Check(t, calls <= changes*3/2, qt.IsTrue, qt.Commentf("%d watches for %d changes", calls, changes))
+		end()
+		synctest.Wait()
+	})
+}
+
+// changing is a store with an object that changes now and then.
+type changing struct {
+	mu       sync.Mutex
+	revision uint64
+	changed  chan struct{}
+	calls    int
+}
+
+func (c *changing) change() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.revision++
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+func (c *changing) List(context.Context, string) ([]mirror.Item, uint64, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return []mirror.Item{{Name: "a", Revision: c.revision}}, c.revision, nil
+}
+
+func (c *changing) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) (mirror.Batch, error) {
+	c.mu.Lock()
+	c.calls++
+	revision, changed := c.revision, c.changed
+	c.mu.Unlock()
+	if revision <= after {
+		select {
+		case <-changed:
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return mirror.Batch{}, ctx.Err()
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return mirror.Batch{Kind: "k", After: after, Cursor: c.revision, Items: []mirror.Item{{Name: "a", Revision: c.revision}}}, nil
+}
+
+func (c *changing) Peek(context.Context, string, string) (uint64, error) {
+	return 0, nil
+}
