stream: ask distant suspected servers less often

Cause: a suspicion is told to all entry hosts and each asks for itself, twice a second until the entry is gone.

Change: servers of other failure domains that serve none of an entry host's streams are asked again just before the suspicion ends. The order of the candidates of a question is worked out once, not in each comparison.

--- a/entry/stream/accuse.go
+++ b/entry/stream/accuse.go
@@ -149,7 +149,7 @@
 		if !w.doubt(id, address, why, err, now) {
 			return
 		}
-		pause := probeEvery
+		pause := w.recheckEvery(address)
 		if misses <= probe.MissesUntilDead {
 			w.leave(address, found(err))
 			pause = recheckAfter
@@ -158,6 +158,24 @@
 	}
 }
 
+// recheckEvery returns how often a suspected server is asked again. Every entry
+// host asks for itself, so servers of other failure domains that serve none of
+// its streams are asked only as often as keeps them suspected.
+func (w *Watch) recheckEvery(address string) time.Duration {
+	s := w.State.View().At(address)
+	if s == nil || s.Domain == w.Home {
+		return probeEvery
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for l := range w.lives {
+		if l.through(address) {
+			return probeEvery
+		}
+	}
+	return probeAway
+}
+
 // question asks a server for its report. An answer that it has none is one.
 func (w *Watch) question(address string, wait time.Duration) error {
 	if _, err := w.ask(context.Background(), address, wait); !lives(err) {
--- a/entry/stream/watch.go
+++ b/entry/stream/watch.go
@@ -16,7 +16,7 @@
 	"fuchsiashelf.dev/parts/probe"
 )
 
-// The times of the watch over streams, beside those that follow from routes.
+// Timeouts and intervals, beside those that follow from routes.
 const (
 	// sweepEvery is how often all streams are looked at.
 	sweepEvery = 15 * time.Millisecond
@@ -36,6 +36,9 @@
 	// longer than its entry outlives it.
 	probeEvery = 500 * time.Millisecond
 	maxProbes  = 30
+	// probeAway is how often a suspected server of another failure domain is asked
+	// again: just before the suspicion ends.
+	probeAway = belief.SuspectFor - 200*time.Millisecond
 	// recheckAfter is when a server that left the first, short questions unanswered
 	// is asked again, by a long one: on a link that loses packets all may have been
 	// lost.
--- a/parts/probe/probe.go
+++ b/parts/probe/probe.go
@@ -195,8 +195,9 @@
 type candidate struct {
 	address     string
 	silent, all int
-	// known is 1 if it was asked a moment ago and whether it lives is known.
-	known int
+	// rank orders candidates: those of whom nothing is known first, and of these
+	// those whose streams are silent together.
+	rank int
 	// paced counts the streams whose usual pause is known. Usual is the sum of
 	// these pauses, and freshest the shortest time since an event of any.
 	paced    int
@@ -229,16 +230,6 @@
 	return c.freshest > max(leastPause, mean+mean/time.Duration(c.paced))
 }
 
-// rank orders candidates: those of whom nothing is known first, and of these
-// those whose streams are silent together.
-func (c *candidate) rank() int {
-	rank := 2 * c.known
-	if !c.together() {
-		rank++
-	}
-	return rank
-}
-
 // candidates lists the servers of silent streams: first those of which nothing
 // is known yet, and of these the most suspicious.
 func (b *Book) candidates(streams []Stream) []candidate {
@@ -259,13 +250,16 @@
 			continue
 		}
 		if e := b.asked[c.address]; e != nil && e.found != Doubtful {
-			c.known = 1
+			c.rank += 2
+		}
+		if !c.together() {
+			c.rank++
 		}
 		list = append(list, *c)
 	}
 	slices.SortFunc(list, func(a, b candidate) int {
 		return cmp.Or(
-			cmp.Compare(a.rank(), b.rank()),
+			cmp.Compare(a.rank, b.rank),
 			-cmp.Compare(a.silent*b.all, b.silent*a.all),
 			-cmp.Compare(a.silent, b.silent),
 			cmp.Compare(a.address, b.address),
