fleet, hops: believe the youngest of an address, pause longer after refusals

The entries of servers that left in an outage of the store had lapsed and were kept for 1.9 s, as long as their addresses answered. New servers had these addresses by then and answered, and refused every request for layers that they do not hold (421). Before that a quarter of all servers was leaving while the store was down; they refused as well (503), and each of 78 entry hosts tried each of them every 200 ms.

Change: a server whose address a younger one has is left out of the view. The pause after a refusal doubles up to 1.6 s while the server goes on refusing, until it takes a request.

--- a/entry/stream/flow.go
+++ b/entry/stream/flow.go
@@ -159,6 +159,7 @@
 		if n > 0 {
 			if live.touch() {
 				r.Starts.Began(start, time.Now())
+				r.Ledger.Accepted(live.parts())
 			}
 			if whole := r.events.add(buffer[:n]); len(whole) > 0 {
 				if e := r.pass(whole, flush); e != nil {
--- a/entry/stream/live.go
+++ b/entry/stream/live.go
@@ -86,6 +86,13 @@
 	return list
 }
 
+// parts returns the chain.
+func (l *live) parts() hops.Chain {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.chain
+}
+
 // through reports whether a server is part of the chain.
 func (l *live) through(address string) bool {
 	l.mu.Lock()
--- a/parts/fleet/fleet.go
+++ b/parts/fleet/fleet.go
@@ -60,9 +60,10 @@
 	byAddress map[string]*Server
 }
 
-// New returns a view of the servers.
+// New returns a view of the servers. A server whose address a younger one has
+// is left out: it has ended, whatever its entry says.
 func New(servers []Server) *View {
-	v := &View{Servers: servers, byService: map[string][]*Server{}, byAddress: map[string]*Server{}}
+	v := &View{Servers: youngest(servers), byService: map[string][]*Server{}, byAddress: map[string]*Server{}}
 	slices.SortFunc(v.Servers, func(a, b Server) int {
 		if c := strings.Compare(a.Service, b.Service); c != 0 {
 			return c
@@ -72,20 +73,29 @@
 	for i := range v.Servers {
 		s := &v.Servers[i]
 		v.byService[s.Service] = append(v.byService[s.Service], s)
-		known := v.byAddress[s.Address]
-		if known == nil || known.Born.Before(s.Born) {
-			v.byAddress[s.Address] = s
-		}
+		v.byAddress[s.Address] = s
 	}
 	return v
 }
 
+// youngest returns the servers without those whose address a younger one has.
+func youngest(servers []Server) []Server {
+	born := make(map[string]time.Time, len(servers))
+	for i := range servers {
+		s := &servers[i]
+		if at, known := born[s.Address]; !known || at.Before(s.Born) {
+			born[s.Address] = s.Born
+		}
+	}
+	return slices.DeleteFunc(servers, func(s Server) bool { return s.Born.Before(born[s.Address]) })
+}
+
 // Service returns the servers of a service.
 func (v *View) Service(name string) []*Server {
 	return v.byService[name]
 }
 
-// At returns the youngest server with the address, or nil.
+// At returns the server with the address, or nil.
 func (v *View) At(address string) *Server {
 	return v.byAddress[address]
 }
--- a/parts/hops/ledger.go
+++ b/parts/hops/ledger.go
@@ -11,31 +11,67 @@
 	mu     sync.Mutex
 	own    map[string]Usage
 	others map[string]map[string]Usage
-	full   map[string]time.Time
+	full   map[string]refusal
 }
 
-// fullFor is how long a server counts as full after it refused a request:
-// some requests end there in that time.
-const fullFor = 200 * time.Millisecond
+// refusal says until when a server counts as full, for how long it did, and
+// whether that is over.
+type refusal struct {
+	until time.Time
+	pause time.Duration
+	over  bool
+}
+
+const (
+	// fullFor is how long a server counts as full after it refused a request:
+	// some requests end there in that time. It doubles while the server goes on
+	// refusing, up to longestFull: one that is leaving refuses for seconds, and
+	// its entry need not say so while the object API is away.
+	fullFor     = 200 * time.Millisecond
+	longestFull = 8 * fullFor
+)
 
 // Refused notes that a server refused a request.
 func (l *Ledger) Refused(id string, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.full == nil {
-		l.full = map[string]time.Time{}
+		l.full = map[string]refusal{}
 	}
-	l.full[id] = now.Add(fullFor)
+	r, known := l.full[id]
+	switch {
+	case !known:
+		r.pause = fullFor
+	case !r.over:
+		// The request was on its way when another was refused.
+		return
+	default:
+		r.pause = min(2*r.pause, longestFull)
+	}
+	l.full[id] = refusal{until: now.Add(r.pause), pause: r.pause}
 }
 
-// Sweep forgets refusals that are over.
+// Accepted notes that the servers of a chain took a request.
+func (l *Ledger) Accepted(c Chain) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, p := range c {
+		delete(l.full, p.Server.ID)
+	}
+}
+
+// Sweep lets servers be tried again whose time is over, and forgets those that
+// nobody has tried for long.
 func (l *Ledger) Sweep(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for id, until := range l.full {
-		if now.After(until) {
+	for id, r := range l.full {
+		if now.After(r.until.Add(longestFull)) {
 			delete(l.full, id)
+			continue
 		}
+		r.over = now.After(r.until)
+		l.full[id] = r
 	}
 }
 
@@ -100,7 +136,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	u := l.own[id]
-	_, u.Full = l.full[id]
+	r, refused := l.full[id]
+	u.Full = refused && !r.over
 	for _, used := range l.others {
 		o := used[id]
 		u.TokenLayers += o.TokenLayers
