gossip, source: say it in the field's terms

Names and comments only; behaviour is unchanged. meetAt is exchangeWith, told is sample, heard is contact, note and meet are update and learn, Nudge is Restart, beat is check. Comments that restated a name or told of a load are gone.

--- a/entry/gossip/codec_test.go
+++ b/entry/gossip/codec_test.go
@@ -25,12 +25,12 @@
 // all of them fetch it at once.
 func TestLargeMessagesAreDeflated(t *testing.T) {
 	for _, routes := range []int{0, 10, 2000} {
-		said, heard := bulk(routes), &Message{}
-		b, err := codec{}.Marshal(said)
+		sent, received := bulk(routes), &Message{}
+		b, err := codec{}.Marshal(sent)
 		qt.Assert(t, err, qt.IsNil)
-		qt.Assert(t, codec{}.Unmarshal(b, heard), qt.IsNil)
-		qt.Check(t, heard.Changes, qt.DeepEquals, said.Changes)
-		if size := len(said.Changes[0].Items[0].Spec); routes == 2000 {
+		qt.Assert(t, codec{}.Unmarshal(b, received), qt.IsNil)
+		qt.Check(t, received.Changes, qt.DeepEquals, sent.Changes)
+		if size := len(sent.Changes[0].Items[0].Spec); routes == 2000 {
 			qt.Check(t, len(b) < size/5, qt.IsTrue, qt.Commentf("%d bytes for %d", len(b), size))
 		}
 	}
--- a/entry/gossip/drpc.go
+++ b/entry/gossip/drpc.go
@@ -62,7 +62,7 @@
 	c.busy = false
 }
 
-func (c *client) call(ctx context.Context, said, heard *Message) error {
+func (c *client) call(ctx context.Context, sent, received *Message) error {
 	if c.conn == nil {
 		var d net.Dialer
 		raw, err := d.DialContext(ctx, "tcp", c.address)
@@ -71,7 +71,7 @@
 		}
 		c.conn = drpcconn.New(raw)
 	}
-	err := c.conn.Invoke(ctx, exchangeCall, codec{}, said, heard)
+	err := c.conn.Invoke(ctx, exchangeCall, codec{}, sent, received)
 	if err != nil {
 		// The connection may have fallen silent for good.
 		err = errors.Join(err, c.conn.Close())
--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -1,10 +1,10 @@
-// Package gossip lets entry hosts tell each other what they know: objects of
-// the object API that others lack, suspected servers, the load that each puts
-// on the servers, and which entry hosts there are.
+// Package gossip exchanges state between entry hosts: objects of the object API
+// that others lack, suspected servers, the load that each puts on the servers,
+// and which entry hosts there are.
 //
 // Each entry host exchanges with a few others several times a second, and at
-// once when it learns something. Nothing is agreed on here: every fact carries
-// a revision or an age that says whether it is news.
+// once when something changes. There is no agreement: every fact carries a
+// revision or an age by which the newer one wins.
 package gossip
 
 import (
@@ -21,7 +21,7 @@
 	"fuchsiashelf.dev/parts/poison"
 )
 
-// The times and sizes of the exchange.
+// Timeouts, intervals and fan-out.
 const (
 	// exchangeEvery is how often an entry host exchanges with one of its own
 	// failure domain, and acrossEvery how often with one of another. Bytes
@@ -29,7 +29,7 @@
 	exchangeEvery = 400 * time.Millisecond
 	acrossEvery   = 1200 * time.Millisecond
 	// pushWith and pushAcross are how many others of the own and of other
-	// domains hear of news at once.
+	// domains a change is sent to at once.
 	pushWith   = 12
 	pushAcross = 2
 	// listenWith and listenAcross are the same for one that has just started.
@@ -37,14 +37,14 @@
 	listenAcross = 1
 	// listenSeeds is the least chance in that time of an exchange with a seed.
 	listenSeeds = 0.5
-	// pullAfter is how long news that another has are waited for before they
-	// are asked for: most come from the object API by themselves.
+	// pullAfter delays fetching changes from another entry host: most arrive from
+	// the object API meanwhile.
 	pullAfter = 150 * time.Millisecond
-	// exchangeTime bounds one exchange; it takes milliseconds.
+	// exchangeTime bounds one exchange.
 	exchangeTime = 500 * time.Millisecond
-	// freshFor is how long an entry host counts as alive after it was heard.
+	// freshFor is how long an entry host counts as alive after the last message.
 	freshFor = 2 * time.Second
-	// forgetAfter is when one that is not heard of any more is forgotten.
+	// forgetAfter is when a silent one is removed.
 	forgetAfter = 15 * time.Second
 )
 
@@ -59,14 +59,13 @@
 	Starts *hops.Starts
 	Tally  *poison.Tally
 	Log    *slog.Logger
-	// Suspects returns what is suspected here, Suspected takes it from others.
+	// Suspects returns the local suspicions, Suspected handles those of others.
 	Suspects  func() []Suspect
 	Suspected func(Suspect)
-	// Orders returns the orders to servers that are known here, Ordered takes
-	// one from others.
+	// Orders returns the known orders to servers, Ordered handles those of others.
 	Orders  func() []Order
 	Ordered func(Order)
-	// Changed is called when a mirror took something over.
+	// Changed is called when a mirror changed.
 	Changed func(kind string)
 	// Store reports whether the object API answers this entry host.
 	Store func() bool
@@ -83,7 +82,7 @@
 	// which had listened long enough has told it of the others.
 	started time.Time
 	settled bool
-	members map[string]*heard
+	members map[string]*contact
 	clients map[string]*client
 	// pulls holds the kinds of which changes are being pulled.
 	pulls map[string]bool
@@ -96,14 +95,14 @@
 func (p *Peer) init() {
 	p.once.Do(func() {
 		p.started = time.Now()
-		p.members = map[string]*heard{}
+		p.members = map[string]*contact{}
 		p.clients = map[string]*client{}
 		p.pulls = map[string]bool{}
 		p.push = make(chan struct{}, 1)
 	})
 }
 
-// Push tells others at once.
+// Push exchanges with others at once.
 func (p *Peer) Push() {
 	p.init()
 	select {
@@ -133,8 +132,8 @@
 }
 
 // turn returns with how many entry hosts of the own domain and of others to
-// exchange now. One that is new asks more, so that all know of each other by the
-// time at which one of them may lead.
+// exchange now. A new one exchanges with more, so that all know each other before
+// one of them may lead.
 func (p *Peer) turn(now time.Time) (own, others int) {
 	if !p.Settled() {
 		return listenWith, listenAcross
@@ -146,16 +145,15 @@
 	return 1, 1
 }
 
-// round exchanges with some entry hosts of the own domain and of others,
-// without waiting for them.
+// round starts exchanges with some entry hosts of the own domain and of others.
 func (p *Peer) round(ctx context.Context, own, others int) {
 	for _, address := range p.partners(own, others) {
-		p.meetAt(ctx, address)
+		p.exchangeWith(ctx, address)
 	}
 }
 
-// meetAt exchanges with the entry host at an address, unless it is doing so.
-func (p *Peer) meetAt(ctx context.Context, address string) {
+// exchangeWith starts an exchange unless one with that address is under way.
+func (p *Peer) exchangeWith(ctx context.Context, address string) {
 	c := p.client(address)
 	if !c.take() {
 		return
@@ -177,7 +175,7 @@
 	for name, m := range p.members {
 		switch {
 		case now.Sub(m.at) > forgetAfter:
-			p.forget(name, m.Address)
+			p.remove(name, m.Address)
 		case m.Domain == p.Self.Domain:
 			near = append(near, m.Address)
 		default:
@@ -185,7 +183,7 @@
 		}
 	}
 	if len(near) == 0 {
-		// Alone in its domain, it speaks to others as often.
+		// Alone in its domain: exchange as often with others.
 		others = max(others, own)
 	}
 	list := append(p.draw(near, own), p.draw(far, others)...)
@@ -243,15 +241,15 @@
 	return c
 }
 
-// exchange tells one entry host what is known here and takes its answer, which
-// has no changes if it is to be brief.
+// exchange sends the local state to one entry host and merges its answer, which
+// contains no changes if brief is set.
 func (p *Peer) exchange(ctx context.Context, c *client, brief bool) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTime)
 	defer cancel()
-	said := p.message(nil)
-	said.Brief = brief
-	heard := &Message{}
-	if err := c.call(ctx, said, heard); err != nil {
+	sent := p.message(nil)
+	sent.Brief = brief
+	received := &Message{}
+	if err := c.call(ctx, sent, received); err != nil {
 		if !c.failing {
 			p.Log.Warn("peers: no answer", "address", c.address, "error", err)
 		}
@@ -259,7 +257,7 @@
 		return
 	}
 	c.failing = false
-	p.Take(heard)
+	p.Take(received)
 }
 
 func (p *Peer) self() Member {
--- a/entry/gossip/member.go
+++ b/entry/gossip/member.go
@@ -13,9 +13,9 @@
 	Name    string
 	Address string
 	Domain  domain.Name
-	// Boot tells the runs of one name apart; a later one is higher.
+	// Boot orders the runs of one name.
 	Boot int64
-	// Age is how long ago it was heard, directly or by others.
+	// Age is the time since its last message, to this entry host or another.
 	Age time.Duration
 	// Store says that the object API answers it.
 	Store bool
@@ -25,13 +25,13 @@
 	Settled bool
 }
 
-type heard struct {
+type contact struct {
 	Member
 	at time.Time
 }
 
-// forget drops an entry host that is not heard of any more. The mutex is held.
-func (p *Peer) forget(name, address string) {
+// remove drops a silent entry host. The mutex is held.
+func (p *Peer) remove(name, address string) {
 	delete(p.members, name)
 	if c := p.clients[address]; c != nil {
 		c.close()
@@ -41,37 +41,36 @@
 	p.Log.Info("peers: forgotten", "peer", name, "address", address)
 }
 
-// Members returns the entry hosts that are known, this one not among them.
+// Members returns the other known entry hosts, ordered by name.
 func (p *Peer) Members() []Member {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
 	list := make([]Member, 0, len(p.members))
 	for _, m := range p.members {
-		told := m.Member
-		told.Age = now.Sub(m.at)
-		list = append(list, told)
+		member := m.Member
+		member.Age = now.Sub(m.at)
+		list = append(list, member)
 	}
 	slices.SortFunc(list, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
 	return list
 }
 
-// What is told of other entry hosts in one message: all of them in each would be
-// most of what entry hosts tell each other. Who leads and who watches is decided
-// among the first by name of each failure domain, so these are always told; of the
-// others some, which makes all known within a few seconds.
+// A message lists some members only, to bound its size: the first by name of each
+// failure domain, among which leader and watchers are chosen, and a random sample
+// of the others.
 const (
-	toldFirst  = 4
-	toldOthers = 8
+	sampleFirst  = 4
+	sampleOthers = 8
 )
 
-// told returns the entry hosts to tell another of.
-func (p *Peer) told() []Member {
+// sample returns the members to list in a message.
+func (p *Peer) sample() []Member {
 	var list, rest []Member
 	first := map[domain.Name]int{}
 	for _, m := range p.Members() {
 		fresh := m.Age <= freshFor && !m.Leaving
-		if fresh && first[m.Domain] < toldFirst {
+		if fresh && first[m.Domain] < sampleFirst {
 			first[m.Domain]++
 			list = append(list, m)
 			continue
@@ -79,16 +78,16 @@
 		rest = append(rest, m)
 	}
 	p.shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
-	return append(list, rest[:min(toldOthers, len(rest))]...)
+	return append(list, rest[:min(sampleOthers, len(rest))]...)
 }
 
-// Alive returns the entry hosts heard of lately, this one not among them.
+// Alive returns the other entry hosts that were heard from lately.
 func (p *Peer) Alive() []Member {
 	return slices.DeleteFunc(p.Members(), func(m Member) bool { return m.Age > freshFor || m.Leaving })
 }
 
-// meet notes which entry hosts there are.
-func (p *Peer) meet(m *Message) {
+// learn updates the members from a message.
+func (p *Peer) learn(m *Message) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
@@ -96,15 +95,15 @@
 	direct.Age = 0
 	// Its message names the first of each failure domain.
 	p.settled = p.settled || direct.Settled
-	p.note(direct, now)
+	p.update(direct, now)
 	for _, other := range m.Members {
-		p.note(other, now)
+		p.update(other, now)
 	}
 }
 
-// note takes what is said of one entry host, if it is newer. The mutex is
-// held.
-func (p *Peer) note(m Member, now time.Time) {
+// update replaces what is known of a member if the new state is newer. The mutex
+// is held.
+func (p *Peer) update(m Member, now time.Time) {
 	if m.Name == p.Self.Name || m.Age > forgetAfter {
 		return
 	}
@@ -112,7 +111,7 @@
 	known := p.members[m.Name]
 	if known == nil {
 		p.Log.Info("peers: met", "peer", m.Name, "address", m.Address, "domain", m.Domain)
-		p.members[m.Name] = &heard{Member: m, at: at}
+		p.members[m.Name] = &contact{Member: m, at: at}
 		return
 	}
 	if m.Boot < known.Boot || m.Boot == known.Boot && at.Before(known.at) {
--- a/entry/gossip/message.go
+++ b/entry/gossip/message.go
@@ -15,17 +15,17 @@
 	Left time.Duration
 }
 
-// Order is what a server was told to hold.
+// Order is the range of layers that a server was ordered to hold.
 type Order struct {
 	ID         string
 	First, End int
 	// Left is how long the order is remembered.
 	Left time.Duration
-	// Done says that the server has reported it carried out.
+	// Done says that the server has reported it done.
 	Done bool
 }
 
-// Message is what one entry host tells another.
+// Message is the state that one entry host sends to another.
 type Message struct {
 	From    Member
 	Cursors map[string]uint64
@@ -43,10 +43,10 @@
 	Brief bool
 }
 
-// message tells what is known here, with the changes that another lacks which
-// is complete through the given cursors; nil means that these are unknown.
+// message returns the local state, with the changes after the given cursors of
+// another entry host. Nil cursors mean no changes.
 func (p *Peer) message(theirs map[string]uint64) *Message {
-	m := &Message{From: p.self(), Cursors: map[string]uint64{}, Members: p.told(), Load: p.Ledger.Own(), Waits: p.Starts.Waits(time.Now()), Suspects: p.Suspects(), Orders: p.Orders(), Marks: p.Tally.Marks(time.Now())}
+	m := &Message{From: p.self(), Cursors: map[string]uint64{}, Members: p.sample(), Load: p.Ledger.Own(), Waits: p.Starts.Waits(time.Now()), Suspects: p.Suspects(), Orders: p.Orders(), Marks: p.Tally.Marks(time.Now())}
 	for _, mine := range p.Mirrors {
 		m.Cursors[mine.Kind] = mine.Cursor()
 		if theirs == nil {
@@ -67,8 +67,8 @@
 	return m
 }
 
-// Answer takes what another tells and returns what it lacks. What is lacking
-// here is asked for in turn, if it does not come by itself.
+// Answer merges a message and returns the answer, with the changes that the
+// sender lacks. Changes that are missing here are pulled from the sender.
 func (p *Peer) Answer(m *Message) *Message {
 	p.Take(m)
 	for _, mine := range p.Mirrors {
@@ -82,10 +82,9 @@
 	return p.message(m.Cursors)
 }
 
-// pull exchanges with another that has changes which are lacking here. Changes
-// of a kind are pulled from one at a time: dozens tell of the same ones, and
-// fetched from all of them at once a large configuration would take longer than
-// an exchange may.
+// pull fetches missing changes of a kind, from one entry host at a time: dozens
+// announce the same change, and a large one fetched from all of them at once
+// would take longer than an exchange may.
 func (p *Peer) pull(address string, mine *mirror.Mirror, cursor uint64) {
 	if !p.claimPull(mine.Kind) {
 		return
@@ -128,10 +127,10 @@
 	return len(p.pulls) > 0
 }
 
-// Take takes over what another tells.
+// Take merges a message.
 func (p *Peer) Take(m *Message) {
 	p.init()
-	p.meet(m)
+	p.learn(m)
 	if m.From.Name != p.Self.Name {
 		p.Ledger.Tell(m.From.Name, m.Load)
 	}
--- a/entry/source/source.go
+++ b/entry/source/source.go
@@ -1,11 +1,11 @@
 // Package source follows the objects of the platform's object API into
 // mirrors.
 //
-// One watch waits for changes of each kind. A watch can fall silent for good,
-// without an end of its connection, for one entry host alone; so an entry host that watches also reads
-// possibly old data every second, which costs a tenth of a call. When that read
-// fails, the object API counts as away; when it succeeds again, or shows
-// something that the watch has not told, the watch is restarted.
+// One watch waits for changes of each kind. A periodic stale read, which costs a
+// tenth of a call, detects a watch that has stopped delivering without an end of
+// its connection. When the read fails, the object API counts as away; when it
+// succeeds again, or shows a change that the watch missed, the watch is
+// restarted.
 package source
 
 import (
@@ -33,49 +33,45 @@
 	Peek(ctx context.Context, kind, name string) (uint64, error)
 }
 
-// The times of following.
+// Timeouts and intervals.
 const (
 	// watchSlack is how much longer an answer may take.
 	watchSlack = 500 * time.Millisecond
-	// listTime bounds a list. One of 39 servers takes milliseconds; one of 3,000
-	// is worked out to be three megabytes in six pages, which 300 entry hosts that
-	// start together would fetch over one link of 1,000 Mbit/s in seven seconds.
+	// listTime bounds a list: megabytes, for hundreds of entry hosts that start
+	// together, over one link.
 	listTime = 20 * time.Second
-	// filledEvery is how often an entry host that lists looks whether others
-	// have told it everything meanwhile.
+	// filledEvery is how often a list is checked for being superseded by the
+	// state of other entry hosts.
 	filledEvery = 50 * time.Millisecond
-	// peekTime bounds a peek, which takes milliseconds.
+	// peekTime bounds a stale read.
 	peekTime = 500 * time.Millisecond
-	// peekEvery bounds how long a silent object API goes unnoticed; a peek
-	// costs a tenth of a call.
+	// peekEvery is the interval of the stale reads, and bounds how long a silent
+	// object API goes unnoticed.
 	peekEvery = time.Second
-	// peekRelying is how often an entry host peeks for which others follow: only
-	// those that follow, or are about to, need to know at once whether the object
-	// API answers.
+	// peekRelying is the interval while others follow for this entry host: only
+	// followers need to know at once that the object API does not answer.
 	peekRelying = 4 * time.Second
-	// pauseShare of the time that a watch waits follows one that told of changes,
-	// before the next one, so that changes in a row cost one call. A backup pauses
-	// longer, by up to backupShare at random: meanwhile the main watcher hands it
-	// what changes, and it need not ask.
+	// pauseShare of Wait is the pause after a watch that returned changes, so that
+	// a burst of changes costs one call. A backup adds up to backupShare at random:
+	// it usually receives the next change from the main follower.
 	pauseShare  = 0.15
 	backupShare = 0.5
-	// reliesFor is how often an entry host that relies on others looks whether
-	// it still may.
+	// reliesFor is how often a relying entry host checks its role.
 	reliesFor = 200 * time.Millisecond
-	// firstPause and longestPause bound the pause after a failed call. It
-	// doubles, so that an outage costs a call a second.
+	// firstPause and longestPause bound the exponential backoff after a failed
+	// call.
 	firstPause   = 100 * time.Millisecond
 	longestPause = time.Second
 )
 
-// Role is what an entry host does to follow the objects for its failure domain.
+// Role is the part of an entry host in following objects for its failure domain.
 type Role uint8
 
 // The roles.
 const (
-	// Main watches and hands on what changes.
+	// Main watches and distributes the changes.
 	Main Role = iota
-	// Backup watches as well, less eagerly.
+	// Backup watches with longer pauses.
 	Backup
 	// Relying makes no calls of its own while others watch.
 	Relying
@@ -89,9 +85,8 @@
 	Log    *slog.Logger
 	// Changed is called after the mirror changed.
 	Changed func()
-	// Wait is how long a watch waits. A watch may hear nothing of a change that
-	// is made while the object API drops its history, without being ended, so this
-	// bounds how late the change is noticed. Each watch is a priced call.
+	// Wait is how long a watch waits. A watch may miss a change that is made while
+	// the object API drops its history, so this bounds how late it is noticed.
 	Wait time.Duration
 	// Role returns what this entry host does for its failure domain; nil means
 	// Main.
@@ -107,7 +102,7 @@
 	again := f.Mirror.Cursor() == 0
 	for ctx.Err() == nil {
 		if f.Mirror.Cursor() > 0 && f.role() == Relying {
-			rest(ctx, reliesFor)
+			sleep(ctx, reliesFor)
 			continue
 		}
 		err := f.step(ctx, again)
@@ -120,13 +115,13 @@
 			return
 		}
 		f.Log.Warn("store: no answer", "kind", f.Mirror.Kind, "error", err, "pause", pause)
-		rest(ctx, pause/2+rand.N(pause))
+		sleep(ctx, pause/2+rand.N(pause))
 		pause = min(2*pause, longestPause)
 	}
 }
 
-// Nudge cancels the current watch and starts a new one.
-func (f *Follow) Nudge() {
+// Restart cancels the current watch and starts a new one.
+func (f *Follow) Restart() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.cancel != nil {
@@ -155,7 +150,7 @@
 		f.Changed()
 	}
 	if len(b.Items) > 0 {
-		rest(ctx, f.pause())
+		sleep(ctx, f.pause())
 	}
 	return nil
 }
@@ -197,15 +192,14 @@
 	return nil
 }
 
-// untilFilled ends a list when other entry hosts have told everything: what
-// they have read need not be read again.
+// untilFilled cancels a list once other entry hosts have sent the objects.
 func (f *Follow) untilFilled(ctx context.Context, end context.CancelFunc) {
 	for ctx.Err() == nil {
 		if f.Mirror.Cursor() > 0 {
 			end()
 			return
 		}
-		rest(ctx, filledEvery)
+		sleep(ctx, filledEvery)
 	}
 }
 
@@ -242,23 +236,23 @@
 	p.set(true)
 	var last time.Time
 	for ctx.Err() == nil {
-		rest(ctx, peekEvery)
+		sleep(ctx, peekEvery)
 		if p.rests() && time.Since(last) < peekRelying {
 			continue
 		}
 		last = time.Now()
-		p.beat(ctx)
+		p.check(ctx)
 	}
 }
 
-// rests reports whether others follow for this entry host. One that the object
-// API does not answer looks for its return itself.
+// rests reports whether others follow for this entry host and the object API
+// answered the last read. In an outage every entry host checks for its end.
 func (p *Pulse) rests() bool {
 	alive, _ := p.Alive()
 	return alive && p.Role != nil && p.Role() == Relying
 }
 
-func (p *Pulse) beat(ctx context.Context) {
+func (p *Pulse) check(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, peekTime)
 	defer cancel()
 	revision, err := p.Store.Peek(ctx, p.Kind, p.Name)
@@ -269,16 +263,16 @@
 	case err == nil && !was:
 		p.Log.Info("store: regained")
 		p.Returned()
-		p.nudge()
+		p.restart()
 	case err == nil && revision > p.Mirror.Cursor():
 		p.Log.Warn("store: a watch missed a change", "revision", revision, "cursor", p.Mirror.Cursor())
-		p.nudge()
+		p.restart()
 	}
 }
 
-func (p *Pulse) nudge() {
+func (p *Pulse) restart() {
 	for _, f := range p.Follows {
-		f.Nudge()
+		f.Restart()
 	}
 }
 
@@ -293,7 +287,7 @@
 	return was
 }
 
-func rest(ctx context.Context, d time.Duration) {
+func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
