--- a/entry/belief/belief.go
+++ b/entry/belief/belief.go
@@ -25,20 +25,18 @@
 	Server(id string, spec []byte) (fleet.Server, error)
 }
 
-// The times of the belief.
+// Timeouts and intervals.
 const (
-	// lapse is how long a server is kept whose entry lapsed in an outage:
-	// those that live are back within two seconds of its end.
+	// lapse is how long a server is kept whose entry expired in an outage: entries
+	// of living servers are back within two seconds of its end.
 	lapse = 1900 * time.Millisecond
-	// afterOutage is how long after the return of the object API a vanished
-	// entry is taken to have lapsed.
+	// afterOutage is how long after the end of an outage a missing entry counts as
+	// expired, not as removed.
 	afterOutage = 1500 * time.Millisecond
-	// askFor is how long the servers whose entries lapsed are being asked
-	// whether they live: some questions, and some slack.
+	// askFor is how long probing the servers with expired entries takes.
 	askFor = 400 * time.Millisecond
-	// SuspectFor is how long a server is avoided after a failure that may have
-	// been its end: a crashed one is back after some seconds under a new ID,
-	// one behind a partition shows itself again in a report.
+	// SuspectFor is how long a server is avoided after a failure. A crashed one
+	// returns under a new ID, one behind a partition answers a probe.
 	SuspectFor = 2 * time.Second
 )
 
--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -24,8 +24,8 @@
 // Timeouts, intervals and fan-out.
 const (
 	// exchangeEvery is how often an entry host exchanges with one of its own
-	// failure domain, and acrossEvery how often with one of another. Bytes
-	// between domains are dear, and what they tell each other is of less use.
+	// failure domain, and acrossEvery how often with one of another. Traffic
+	// between domains is expensive.
 	exchangeEvery = 400 * time.Millisecond
 	acrossEvery   = 1200 * time.Millisecond
 	// pushWith and pushAcross are how many others of the own and of other
--- a/entry/placer/placer.go
+++ b/entry/placer/placer.go
@@ -26,41 +26,32 @@
 	"fuchsiashelf.dev/parts/route"
 )
 
-// The times of placing.
+// Timeouts and intervals.
 const (
-	// lookEvery is how often it is decided anew, and lookAfter how long after a
-	// change of what is believed of the servers: until a dead one's layers are
-	// held again, its failure domain serves hardly anybody. Changes in a row are
-	// decided on together.
+	// lookEvery is the interval of the decisions, and lookAfter the delay after a
+	// change of the servers, so that several changes are decided on together.
 	lookEvery = 200 * time.Millisecond
 	lookAfter = 30 * time.Millisecond
-	// quietFor is how long the list of servers must be unchanged before the
-	// first placing: it fills over more than a heartbeat of the servers, and
-	// the first to come would get everything.
+	// quietFor is how long the list of servers must be unchanged before the first
+	// placement, so that the first few servers do not get all layers.
 	quietFor = 700 * time.Millisecond
-	// calmFor is how long the servers of a failure domain must be unchanged
-	// before ranges are made level there: longer than the load that closes a
-	// gap, and than a server needs to show in its entry what it holds, which is
-	// a heartbeat.
+	// calmFor is how long the servers of a failure domain must be unchanged before
+	// ranges are levelled there: longer than a load that closes a gap, and than a
+	// heartbeat.
 	calmFor = 1500 * time.Millisecond
 	// newFor is how long a server counts as new. Where servers are replaced one
 	// by one, the old one leaves a second after the new one came.
 	newFor = 1500 * time.Millisecond
-	// returnTime is how long after the last return of a server that holds
-	// layers its failure domain is left alone. After a partition the entries of
-	// a domain's servers come back one by one, within a heartbeat; what is
-	// missing of them looks like gaps, and servers that live would be loaded
-	// with the layers of others that live as well.
+	// returnTime is how long a failure domain is left alone after a server with
+	// layers returned. After a partition entries return one by one, and the missing
+	// ones look like gaps.
 	returnTime = 1500 * time.Millisecond
-	// again is when a server that did not answer, or had another order, is
-	// looked at again.
-	again = 600 * time.Millisecond
-	// confirmEvery and maxConfirms bound the questions to a server that loads
-	// layers: until the requests have ended that pass through what it gives up.
+	retryDelay = 600 * time.Millisecond
+	// confirmEvery and maxConfirms bound the polling of a server that loads
+	// layers.
 	confirmEvery = 150 * time.Millisecond
 	maxConfirms  = 20
-	// shownIn is how long a server's report goes before its entry: two
-	// heartbeats, by when it shows the same.
+	// shownIn is how long a report overrides the server's entry: two heartbeats.
 	shownIn = 2500 * time.Millisecond
 	// heartbeats is how long a server's own entry may lag behind what it was
 	// told, beyond the time of its load.
@@ -213,7 +204,7 @@
 		if now.Sub(p.returned[o.Server.Domain]) < returnTime {
 			continue
 		}
-		p.tell(o.Server.ID, told{first: o.First, end: o.End, until: now.Add(again), born: o.Server.Born})
+		p.tell(o.Server.ID, told{first: o.First, end: o.End, until: now.Add(retryDelay), born: o.Server.Born})
 		go p.order(ctx, e, o)
 	}
 }
--- a/entry/stream/flow.go
+++ b/entry/stream/flow.go
@@ -28,17 +28,17 @@
 )
 
 const (
-	// comeBack is when a caller that was refused for want of room should come
-	// again: about the time in which a tenth of the answers under way end.
+	// comeBack is the least Retry-After of a request that was refused for want of
+	// room.
 	comeBack = 700 * time.Millisecond
-	// healTime is when a model whose layers are not all held is whole again:
-	// a load of some layers takes one to two seconds.
+	// healTime is the Retry-After while layers are missing: a load takes one to two
+	// seconds.
 	healTime = 2 * time.Second
-	// fresh is how lately a kept connection must have been used.
+	// fresh is the longest idle time of a connection that is reused.
 	fresh = 3 * time.Second
 	// readSize holds several events.
 	readSize = 4 << 10
-	// waitStep is how often a waiting request looks for room.
+	// waitStep is the polling interval of a request that waits for room.
 	waitStep = 20 * time.Millisecond
 )
 
--- a/parts/place/place.go
+++ b/parts/place/place.go
@@ -64,17 +64,14 @@
 	// for a while. Only then are ranges made level, and layers given up that
 	// others hold as well.
 	Calm func(domain.Name) bool
-	// New reports whether a server came a moment ago. Where servers are replaced
-	// one by one, the new one comes a second before the old one leaves, and had
-	// better wait for the layers of that one than load second copies: it could
-	// only give those up again when it has loaded them, while the domain lacks
-	// the others.
+	// New reports whether a server has just started. In a rolling replacement the
+	// new server starts before the old one leaves; loading replicas now would delay
+	// taking over from the server being replaced.
 	New func(id string) bool
 	// Taken returns how many tokens x layers are promised of a server's memory.
 	Taken func(id string) float64
-	// Idle reports whether hardly any request passes through a server. One
-	// that has second copies only can hold other layers at once; one that is
-	// busy must let its requests end first, which takes up to ten seconds.
+	// Idle reports whether hardly any request passes through a server. A busy
+	// server drains first, which takes up to ten seconds.
 	Idle func(id string) bool
 }
 
