hops, stream: tell of waits by the route's target, at most once a second

Cause: others were told of a wait from 100 ms on, whatever the route asks. Where first events usually take longer than that, every entry host would push to fourteen others several times a second, in calm too.

Regular exchanges carry waits from 20 ms on.

Where each first event takes 300 ms, 50 messages at once in 30 s with a bound of 0.5 s, 30 at most now.

--- a/entry/stream/bounds.go
+++ b/entry/stream/bounds.go
@@ -17,6 +17,9 @@
 	silentShare = 0.4
 	// startShare is the same of the time to the first event.
 	startShare = 0.4
+	// notableShare of the time to the first event is the wait at a server that
+	// other entry hosts hear of at once.
+	notableShare = 0.2
 	// roomShare of the time to the first event is how long a request waits for
 	// room. The rest is enough to read its prompt.
 	roomShare = 0.8
@@ -44,6 +47,8 @@
 
 func firstTarget(r *route.Route) time.Duration { return cmp.Or(r.Target, usualTarget) }
 
+func notableWait(r *route.Route) time.Duration { return share(r.Target, usualTarget, notableShare) }
+
 func silentEvent(r *route.Route) time.Duration { return share(r.Gap, usualGap, silentShare) }
 
 func silentStart(r *route.Route) time.Duration { return share(r.Target, usualTarget, startShare) }
--- a/entry/stream/choose.go
+++ b/entry/stream/choose.go
@@ -22,7 +22,7 @@
 // delay returns the cost, in seconds, of starting a chain for a job at a server
 // where requests wait or fail.
 func (f *Flow) delay(j *call.Job, id string) float64 {
-	return hops.StartCost(f.Starts.Wait(id, time.Now()), firstTarget(j.Route)) + f.Failures.Risk(id)
+	return hops.StartCost(f.Watch.Starts.Wait(id, time.Now()), firstTarget(j.Route)) + f.Failures.Risk(id)
 }
 
 // choose finds a chain. A request for which there is no room now waits for its
--- a/entry/stream/flow.go
+++ b/entry/stream/flow.go
@@ -52,10 +52,8 @@
 	Turns  *turns.Queue
 	// Failures holds which servers fail requests.
 	Failures *Failures
-	// Starts holds how long requests wait for their first event at a server.
-	Starts *hops.Starts
-	Home   domain.Name
-	Log    *slog.Logger
+	Home     domain.Name
+	Log      *slog.Logger
 	// Budget returns the budget of repeats of a service.
 	Budget func(service string) *retry.Share
 }
@@ -109,8 +107,8 @@
 	defer cancel(nil)
 	live := r.Watch.add(r.job, chain, cancel)
 	defer r.Watch.remove(live)
-	start := r.Starts.Begin(first.ID, time.Now())
-	defer r.Starts.End(start)
+	start := r.Watch.Starts.Begin(first.ID, notableWait(r.job.Route), time.Now())
+	defer r.Watch.Starts.End(start)
 	var reply call.Reply
 	o := line.Options{Fresh: fresh, Head: func(resp *http.Response) line.Head {
 		reply = r.Codec.Reply(resp)
@@ -158,7 +156,7 @@
 		n, err := answer.Read(buffer)
 		if n > 0 {
 			if live.touch() {
-				r.Starts.Began(start, time.Now())
+				r.Watch.Starts.Began(start, time.Now())
 				r.Ledger.Accepted(live.parts())
 			}
 			if whole := r.events.add(buffer[:n]); len(whole) > 0 {
--- a/entry/stream/watch.go
+++ b/entry/stream/watch.go
@@ -74,11 +74,13 @@
 	Engine call.Engine
 	State  *belief.State
 	Ledger *hops.Ledger
+	// Starts holds how long requests wait for their first event at a server.
+	Starts *hops.Starts
 	Home   domain.Name
 	Log    *slog.Logger
 	// Tally holds the requests under which servers died.
 	Tally *poison.Tally
-	// Spread tells the other entry hosts of a new suspicion.
+	// Spread tells the other entry hosts of a new suspicion or a long wait.
 	Spread func()
 
 	// Hosts returns how many entry hosts there are, this one among them.
@@ -149,6 +151,9 @@
 			now := time.Now()
 			w.sweep(ctx, now)
 			w.vacate(now)
+			if w.Starts.News(now) {
+				w.Spread()
+			}
 		}
 	}
 }
--- a/entry/stream/watch_test.go
+++ b/entry/stream/watch_test.go
@@ -103,7 +103,7 @@
 	s := &belief.State{Decoder: servers, Log: log, Home: "a", Servers: m}
 	s.ReadServers(time.Now())
 	return &Watch{
-		Engine: e, State: s, Ledger: &hops.Ledger{}, Home: "a", Log: log, Tally: &poison.Tally{},
+		Engine: e, State: s, Ledger: &hops.Ledger{}, Starts: &hops.Starts{}, Home: "a", Log: log, Tally: &poison.Tally{},
 		Spread: func() {}, Hosts: func() int { return 1 }, Forget: func(string) {},
 	}, servers
 }
--- a/parts/hops/starts.go
+++ b/parts/hops/starts.go
@@ -13,12 +13,13 @@
 const (
 	// forgottenWait is a wait that makes no difference to any choice.
 	forgottenWait = time.Millisecond
-	// toldFrom is the shortest wait that other entry hosts are told of: longer
-	// than reading a usual prompt.
-	toldFrom = 100 * time.Millisecond
+	// toldFrom is the shortest wait that other entry hosts are told of.
+	toldFrom = 20 * time.Millisecond
 	// newsFactor is by how much a wait must exceed what was last told to be told
-	// at once.
+	// at once, and newsEvery the least time between two such messages: each goes
+	// to a dozen entry hosts.
 	newsFactor = 2
+	newsEvery  = time.Second
 )
 
 // Starts measures how long requests wait for their first event at the servers
@@ -31,12 +32,14 @@
 type Starts struct {
 	mu      sync.Mutex
 	servers map[string]*startQueue
+	// announced is when there last was news.
+	announced time.Time
 }
 
 // startQueue is what is known of one server.
 type startQueue struct {
-	// pending holds when the requests without an event were sent.
-	pending map[*Start]time.Time
+	// pending holds the requests without an event.
+	pending map[*Start]struct{}
 	// wait is the newest observed wait, here or at another entry host, at the time
 	// seen.
 	wait time.Duration
@@ -49,14 +52,19 @@
 // Start is a request that waits for its first event.
 type Start struct {
 	id string
+	// sent is when it was sent to the server.
+	sent time.Time
+	// notable is the wait that others should hear of at once.
+	notable time.Duration
 }
 
-// Begin notes that a request was sent to a server.
-func (s *Starts) Begin(id string, now time.Time) *Start {
+// Begin notes that a request was sent to a server. A wait is notable that its
+// caller would hardly bear.
+func (s *Starts) Begin(id string, notable time.Duration, now time.Time) *Start {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	start := &Start{id: id}
-	s.queue(id).pending[start] = now
+	start := &Start{id: id, sent: now, notable: notable}
+	s.queue(id).pending[start] = struct{}{}
 	return start
 }
 
@@ -67,7 +75,7 @@
 	}
 	q := s.servers[id]
 	if q == nil {
-		q = &startQueue{pending: map[*Start]time.Time{}}
+		q = &startQueue{pending: map[*Start]struct{}{}}
 		s.servers[id] = q
 	}
 	return q
@@ -81,8 +89,8 @@
 	if q == nil {
 		return
 	}
-	if sent, waits := q.pending[start]; waits {
-		q.wait, q.seen = now.Sub(sent), now
+	if _, waits := q.pending[start]; waits {
+		q.wait, q.seen = now.Sub(start.sent), now
 		delete(q.pending, start)
 	}
 }
@@ -117,8 +125,20 @@
 // longest is how long the oldest request without an event has waited.
 func (q *startQueue) longest(now time.Time) time.Duration {
 	var longest time.Duration
-	for _, sent := range q.pending {
-		longest = max(longest, now.Sub(sent))
+	for start := range q.pending {
+		longest = max(longest, now.Sub(start.sent))
+	}
+	return longest
+}
+
+// notable is the longest wait of a request without an event that others should
+// hear of at once.
+func (q *startQueue) notable(now time.Time) time.Duration {
+	var longest time.Duration
+	for start := range q.pending {
+		if wait := now.Sub(start.sent); wait >= start.notable {
+			longest = max(longest, wait)
+		}
 	}
 	return longest
 }
@@ -160,16 +180,18 @@
 func (s *Starts) News(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	news := false
+	if now.Sub(s.announced) < newsEvery {
+		return false
+	}
 	for _, q := range s.servers {
-		wait := q.longest(now)
-		if wait < toldFrom || wait < newsFactor*faded(q.told, now.Sub(q.toldAt)) {
+		wait := q.notable(now)
+		if wait <= 0 || wait < newsFactor*faded(q.told, now.Sub(q.toldAt)) {
 			continue
 		}
 		q.told, q.toldAt = wait, now
-		news = true
+		s.announced = now
 	}
-	return news
+	return s.announced.Equal(now)
 }
 
 // Sweep forgets servers at which nobody waits.
--- a/parts/hops/starts_test.go
+++ b/parts/hops/starts_test.go
@@ -46,7 +46,7 @@
 	answerTime  = 2900 * time.Millisecond
 	firstTarget = 600 * time.Millisecond
 	tick        = 10 * time.Millisecond
-	tellEvery   = 100 * time.Millisecond
+	tellEvery   = 20 * time.Millisecond
 )
 
 func newCrowd(hosts int, waits bool) *crowd {
@@ -111,7 +111,7 @@
 	chain := q.Pick()
 	first := chain[0].Server.ID
 	c.queues[first] = append(c.queues[first], &sent{
-		host: h, start: h.starts.Begin(first, now), release: h.ledger.Reserve(chain, 900), at: now,
+		host: h, start: h.starts.Begin(first, firstTarget/5, now), release: h.ledger.Reserve(chain, 900), at: now,
 	})
 }
 
@@ -187,7 +187,7 @@
 	var s hops.Starts
 	now := time.Unix(1_000_000, 0)
 	qt.Check(t, s.Wait("a", now), qt.Equals, time.Duration(0))
-	first, second := s.Begin("a", now), s.Begin("a", now.Add(100*time.Millisecond))
+	first, second := s.Begin("a", firstTarget, now), s.Begin("a", firstTarget, now.Add(100*time.Millisecond))
 	now = now.Add(400 * time.Millisecond)
 	qt.Check(t, s.Wait("a", now), qt.Equals, 400*time.Millisecond)
 	s.Began(first, now)
@@ -198,3 +198,28 @@
 	s.Sweep(now.Add(time.Minute))
 	qt.Check(t, s.Wait("a", now), qt.Equals, time.Duration(0))
 }
+
+// Guards against entry hosts that tell each other of waits all the time where
+// first events usually take long.
+func TestNewsIsRare(t *testing.T) {
+	var s hops.Starts
+	now := time.Unix(1_000_000, 0)
+	news := 0
+	for range 100 {
+		start := s.Begin("slow", firstTarget/5, now)
+		for range 3 {
+			now = now.Add(100 * time.Millisecond)
+			if s.News(now) {
+				news++
+			}
+		}
+		s.Began(start, now)
+	}
+	qt.Check(t, news > 0 && news <= 30, qt.IsTrue, qt.Commentf("%d times in 30 s", news))
+	var usual hops.Starts
+	start := usual.Begin("fast", firstTarget/5, now)
+	qt.Check(t, usual.News(now.Add(firstTarget/6)), qt.IsFalse)
+	qt.Check(t, usual.News(now.Add(firstTarget/5)), qt.IsTrue)
+	usual.End(start)
+	qt.Check(t, usual.News(now.Add(time.Minute)), qt.IsFalse)
+}
