--- a/entry/stream/watch.go
+++ b/entry/stream/watch.go
@@ -152,6 +152,7 @@
 			w.sweep(ctx, now)
 			w.vacate(now)
 			if w.Starts.News(now) {
+				w.Log.Info("watch: requests wait for their first event", "waits", w.Starts.Waits(now))
 				w.Spread()
 			}
 		}
