--- a/parts/probe/probe.go
+++ b/parts/probe/probe.go
@@ -1,20 +1,15 @@
 // Package probe decides which backend servers are asked whether they live when
 // streams fall silent, and what follows from their answers.
 //
-// A stream passes through several servers, and when one of them dies only
-// silence tells. The first server reports whom it waits for, but a report is
-// some 200 ms old, which is as long as a pause may be before a caller notices
-// it. So the servers of a silent stream are asked themselves, as soon as the
-// pause is longer than usual: a process that is gone refuses the connection
-// within a millisecond, one that is cut off or frozen leaves a short question
-// unanswered. Asked first are the servers of which the largest share of
-// streams is silent: all streams of a dead server are, while one that is
-// merely slow or shares a chain with it passes others on.
+// A stream passes through several servers, and a dead one shows by silence only.
+// The first server reports which server it waits for, but its reports are too
+// old. So the servers of a silent stream are probed as soon as the pause is longer
+// than usual: a process that is gone refuses the connection, one that is cut off
+// or frozen does not answer a short probe. Servers with the largest share of
+// silent streams are probed first.
 //
-// One stream alone must be silent for some of its usual pauses before that says
-// anything. The streams of one server together say it sooner: while it lives,
-// one of twenty has an event every few milliseconds, so when even the freshest
-// is later than usual, all wait for the same thing.
+// A single stream must be silent for several of its usual pauses. All streams of
+// a server being silent at the same time is a much earlier sign.
 //
 // A [Book] is a pure state machine: times are arguments.
 package probe
@@ -26,26 +21,24 @@
 )
 
 const (
-	// Every is the time until a server that has not answered is asked again, and
-	// Later until one of which it is known whether it lives is. Asked as often,
-	// a few servers that live would leave no question for one that died.
+	// Every is the interval between probes of a server that has not answered, and
+	// Later of one whose state is known.
 	Every = 20 * time.Millisecond
 	Later = 300 * time.Millisecond
-	// PerSecond bounds the questions of one entry host. Where everything is
-	// slow, all streams are silent at times; a death needs questions to the chain
-	// of one stream only.
+	// PerSecond bounds the probes of one entry host: where everything is slow, all
+	// streams are silent at times.
 	PerSecond = 60
-	// Burst is how many may be asked at once.
+	// Burst is how many probes may be sent at once.
 	Burst = 24
-	// MissesUntilDead is how many questions in a row without an answer mean
-	// that a server does not live. One alone may be a lost packet.
+	// MissesUntilDead is how many unanswered probes in a row mean that a server is
+	// dead. A single one may be a lost packet.
 	MissesUntilDead = 2
-	// forget is how long after its last question a server's misses count.
+	// forget is how long after its last probe a server's misses count.
 	forget = time.Second
 	// leastTogether is from how many streams on their silence together counts.
 	leastTogether = 3
-	// leastPause is the shortest silence of all streams of a server that counts:
-	// an entry host that is held up for a moment sees nothing of any stream.
+	// leastPause is the shortest common silence that counts: a stall of the entry
+	// host itself silences all streams for a moment.
 	leastPause = 40 * time.Millisecond
 )
 
@@ -67,12 +60,10 @@
 const (
 	// Alive means that it answered.
 	Alive Finding = iota
-	// Doubtful means that it left one question unanswered. Streams that are
-	// silent had better pass it by; nothing else follows.
+	// Doubtful means that one probe was not answered. Silent streams avoid it.
 	Doubtful
-	// Unreachable means that it left several unanswered: it is cut off from
-	// this entry host, frozen or without power. Streams that still come through
-	// it show that its peers reach it.
+	// Unreachable means that several were not answered: it is cut off from this
+	// entry host, frozen or without power. Its peers may still reach it.
 	Unreachable
 	// Gone means that its process has ended: the address refuses connections.
 	Gone
--- a/parts/turns/turns.go
+++ b/parts/turns/turns.go
@@ -1,13 +1,10 @@
-// Package turns decides in which order requests that find no room for them
-// get it, and which are refused at once.
+// Package turns is a bounded priority queue for requests that find no room on
+// the backend servers.
 //
-// It answers the load of an evening on which a failure domain is lost and the
-// others are full: room comes free some twenty times a second at each entry
-// host, and more requests come than that. A caller that waits a second is
-// served late, which is worth more to it than being refused and coming back
-// to the same; one that would wait in vain is told at once, while it can still
-// go elsewhere. So the queue is as long as what is expected to be served in
-// the time that a request may wait, and no longer.
+// It answers overload, such as the loss of a failure domain: more requests arrive
+// than room becomes free. The queue length is bounded by the expected service
+// rate over the maximum wait; requests beyond it are refused at once, while their
+// callers can still go elsewhere.
 //
 // It is a pure state machine: times are arguments.
 package turns
@@ -19,15 +16,14 @@
 )
 
 const (
-	// leastQueue may wait whatever the rate is: room may have just run out.
+	// leastQueue is the minimum length, for when the service rate is unknown.
 	leastQueue = 3
-	// tries is how many of those first in line may look for room. The first
-	// one may need more than there is; the next ones need not wait for it.
+	// tries is how many requests at the head may look for room, so that a large
+	// one does not block the others.
 	tries = 3
-	// learn is the part of a new interval in the mean time between two
-	// services: some ten services tell of a change.
+	// learn is the weight of a new interval in the mean time between services.
 	learn = 0.1
-	// slowest bounds the mean time between two services that is believed.
+	// slowest bounds the mean time between services.
 	slowest = time.Second
 )
 
@@ -45,9 +41,8 @@
 	last time.Time
 }
 
-// Join takes a place behind all that are as urgent; a lower priority is more
-// urgent. It returns nil, and when to come back, if the queue is as long as
-// what will be served in the longest time that the request may wait.
+// Join enqueues a request behind all of the same priority; a lower value is more
+// urgent. If the queue is full it returns nil and when to retry.
 func (q *Queue) Join(priority int, longest time.Duration) (place *Ticket, comeBack time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -63,7 +58,7 @@
 	return place, 0
 }
 
-// most returns how many requests may wait that long at most. The mutex is held.
+// most returns the maximum length for the longest wait. The mutex is held.
 func (q *Queue) most(longest time.Duration) int {
 	if q.gap <= 0 {
 		return leastQueue
@@ -71,8 +66,7 @@
 	return max(leastQueue, int(longest/q.gap))
 }
 
-// Busy reports whether others wait, whose turn comes before that of a request
-// that has just come.
+// Busy reports whether requests wait, which go before new ones.
 func (q *Queue) Busy() bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -86,7 +80,7 @@
 	return slices.Contains(q.waiting[:min(tries, len(q.waiting))], place)
 }
 
-// Leave gives a place up. Served says that its request found room.
+// Leave removes a request. Served says that it found room.
 func (q *Queue) Leave(place *Ticket, served bool, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
