--- a/entry/gossip/message.go
+++ b/entry/gossip/message.go
@@ -134,7 +134,7 @@
 	if m.From.Name != p.Self.Name {
 		p.Ledger.Tell(m.From.Name, m.Load)
 	}
-	p.Starts.Tell(m.Waits, time.Now())
+	p.Starts.Merge(m.Waits, time.Now())
 	for _, s := range m.Suspects {
 		p.Suspected(s)
 	}
--- a/entry/stream/bounds.go
+++ b/entry/stream/bounds.go
@@ -17,8 +17,8 @@
 	silentShare = 0.4
 	// startShare is the same of the time to the first event.
 	startShare = 0.4
-	// notableShare of the time to the first event is the wait at a server that
-	// other entry hosts hear of at once.
+	// notableShare of the time to the first event is the wait at a server from which
+	// on other entry hosts are told at once.
 	notableShare = 0.2
 	// roomShare of the time to the first event is how long a request waits for
 	// room. The rest is enough to read its prompt.
--- a/entry/stream/watch.go
+++ b/entry/stream/watch.go
@@ -80,7 +80,7 @@
 	Log    *slog.Logger
 	// Tally holds the requests under which servers died.
 	Tally *poison.Tally
-	// Spread tells the other entry hosts of a new suspicion or a long wait.
+	// Spread sends a new suspicion or a long wait to other entry hosts.
 	Spread func()
 
 	// Hosts returns how many entry hosts there are, this one among them.
@@ -151,7 +151,7 @@
 			now := time.Now()
 			w.sweep(ctx, now)
 			w.vacate(now)
-			if w.Starts.News(now) {
+			if w.Starts.Announce(now) {
 				w.Log.Info("watch: requests wait for their first event", "waits", w.Starts.Waits(now))
 				w.Spread()
 			}
--- a/parts/hops/starts.go
+++ b/parts/hops/starts.go
@@ -6,33 +6,30 @@
 	"time"
 )
 
-// startHalfLife is the time in which an observed wait loses half of its weight
-// if no newer one is seen.
-const startHalfLife = 250 * time.Millisecond
-
 const (
+	// startHalfLife is the half-life of an observed wait.
+	startHalfLife = 250 * time.Millisecond
 	// forgottenWait is a wait that makes no difference to any choice.
 	forgottenWait = time.Millisecond
-	// toldFrom is the shortest wait that other entry hosts are told of.
-	toldFrom = 20 * time.Millisecond
-	// newsFactor is by how much a wait must exceed what was last told to be told
-	// at once, and newsEvery the least time between two such messages: each goes
-	// to a dozen entry hosts.
-	newsFactor = 2
-	newsEvery  = time.Second
+	// reportFrom is the shortest wait that is sent to other entry hosts.
+	reportFrom = 20 * time.Millisecond
+	// announceFactor is by how much a wait must exceed the last reported one to be
+	// sent at once, and announceEvery the minimum interval between such messages.
+	announceFactor = 2
+	announceEvery  = time.Second
 )
 
 // Starts measures how long requests wait for their first event at the servers
 // at which their chains begin. It answers the load right after an outage: all
-// callers are back at once, nothing is known of what other entry hosts send,
-// and the fastest server of each failure domain gets more requests than it has
-// slots. The wait of requests that have no event yet counts as it grows, so a
-// queue is noticed while it forms, and entry hosts tell each other of it, since
-// one of a hundred sends a server a request a second. The zero value is ready.
+// callers return at once, the load of other entry hosts is unknown, and the
+// fastest server of each failure domain gets more requests than it has slots.
+// The wait of a request counts while it grows, so that a queue is noticed as it
+// forms, and entry hosts exchange their waits, since each of them sees few of
+// the requests. The zero value is ready.
 type Starts struct {
 	mu      sync.Mutex
 	servers map[string]*startQueue
-	// announced is when there last was news.
+	// announced is when a wait was last sent at once.
 	announced time.Time
 }
 
@@ -44,9 +41,9 @@
 	// seen.
 	wait time.Duration
 	seen time.Time
-	// told is the longest wait that others were last told of, at toldAt.
-	told   time.Duration
-	toldAt time.Time
+	// reported is the longest wait that was last sent or received, at reportedAt.
+	reported   time.Duration
+	reportedAt time.Time
 }
 
 // Start is a request that waits for its first event.
@@ -54,12 +51,12 @@
 	id string
 	// sent is when it was sent to the server.
 	sent time.Time
-	// notable is the wait that others should hear of at once.
+	// notable is the wait from which on it is sent to other entry hosts at once.
 	notable time.Duration
 }
 
-// Begin notes that a request was sent to a server. A wait is notable that its
-// caller would hardly bear.
+// Begin notes that a request was sent to a server. From the notable wait on,
+// other entry hosts are told at once.
 func (s *Starts) Begin(id string, notable time.Duration, now time.Time) *Start {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -131,8 +128,7 @@
 	return longest
 }
 
-// notable is the longest wait of a request without an event that others should
-// hear of at once.
+// notable is the longest notable wait of a request without an event.
 func (q *startQueue) notable(now time.Time) time.Duration {
 	var longest time.Duration
 	for start := range q.pending {
@@ -147,21 +143,21 @@
 	return time.Duration(float64(wait) * math.Exp2(-max(0, float64(age))/float64(startHalfLife)))
 }
 
-// Waits returns the waits that are worth telling other entry hosts, by server.
+// Waits returns the waits to send to other entry hosts, by server.
 func (s *Starts) Waits(now time.Time) map[string]time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	waits := map[string]time.Duration{}
 	for id, q := range s.servers {
-		if wait := q.expected(now); wait >= toldFrom {
+		if wait := q.expected(now); wait >= reportFrom {
 			waits[id] = wait
 		}
 	}
 	return waits
 }
 
-// Tell takes the waits that another entry host expects.
-func (s *Starts) Tell(waits map[string]time.Duration, now time.Time) {
+// Merge takes the waits of another entry host.
+func (s *Starts) Merge(waits map[string]time.Duration, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, wait := range waits {
@@ -170,25 +166,26 @@
 			continue
 		}
 		q.wait, q.seen = wait, now
-		if wait > faded(q.told, now.Sub(q.toldAt)) {
-			q.told, q.toldAt = wait, now
+		if wait > faded(q.reported, now.Sub(q.reportedAt)) {
+			q.reported, q.reportedAt = wait, now
 		}
 	}
 }
 
-// News reports whether others should be told at once of a wait that grows here.
-func (s *Starts) News(now time.Time) bool {
+// Announce reports whether the waits should be sent to other entry hosts at once,
+// and notes that they are.
+func (s *Starts) Announce(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if now.Sub(s.announced) < newsEvery {
+	if now.Sub(s.announced) < announceEvery {
 		return false
 	}
 	for _, q := range s.servers {
 		wait := q.notable(now)
-		if wait <= 0 || wait < newsFactor*faded(q.told, now.Sub(q.toldAt)) {
+		if wait <= 0 || wait < announceFactor*faded(q.reported, now.Sub(q.reportedAt)) {
 			continue
 		}
-		q.told, q.toldAt = wait, now
+		q.reported, q.reportedAt = wait, now
 		s.announced = now
 	}
 	return s.announced.Equal(now)
--- a/parts/hops/starts_test.go
+++ b/parts/hops/starts_test.go
@@ -31,7 +31,7 @@
 // nothing of each other's requests.
 type crowd struct {
 	hosts []*entryHost
-	// waits tells entry hosts to mind how long their requests wait.
+	// waits makes entry hosts consider how long their requests wait.
 	waits   bool
 	servers []*fleet.Server
 	queues  map[string][]*sent
@@ -86,17 +86,17 @@
 	}
 }
 
-// tell lets the entry hosts that have news tell the others.
+// tell lets entry hosts announce their waits.
 func (c *crowd) tell(now time.Time) {
 	for _, h := range c.hosts {
-		if !h.starts.News(now) {
+		if !h.starts.Announce(now) {
 			continue
 		}
 		for _, other := range c.hosts {
 			if other == h {
 				continue
 			}
-			other.starts.Tell(h.starts.Waits(now), now)
+			other.starts.Merge(h.starts.Waits(now), now)
 			other.ledger.Tell(h.name, h.ledger.Own())
 		}
 	}
@@ -201,25 +201,25 @@
 
 // Guards against entry hosts that tell each other of waits all the time where
 // first events usually take long.
-func TestNewsIsRare(t *testing.T) {
+func TestAnnouncementsAreRare(t *testing.T) {
 	var s hops.Starts
 	now := time.Unix(1_000_000, 0)
-	news := 0
+	count := 0
 	for range 100 {
 		start := s.Begin("slow", firstTarget/5, now)
 		for range 3 {
 			now = now.Add(100 * time.Millisecond)
-			if s.News(now) {
-				news++
+			if s.Announce(now) {
+				count++
 			}
 		}
 		s.Began(start, now)
 	}
-	qt.Check(t, news > 0 && news <= 30, qt.IsTrue, qt.Commentf("%d times in 30 s", news))
+	qt.Check(t, count > 0 && count <= 30, qt.IsTrue, qt.Commentf("%d times in 30 s", count))
 	var usual hops.Starts
 	start := usual.Begin("fast", firstTarget/5, now)
-	qt.Check(t, usual.News(now.Add(firstTarget/6)), qt.IsFalse)
-	qt.Check(t, usual.News(now.Add(firstTarget/5)), qt.IsTrue)
+	qt.Check(t, usual.Announce(now.Add(firstTarget/6)), qt.IsFalse)
+	qt.Check(t, usual.Announce(now.Add(firstTarget/5)), qt.IsTrue)
 	usual.End(start)
-	qt.Check(t, usual.News(now.Add(time.Minute)), qt.IsFalse)
+	qt.Check(t, usual.Announce(now.Add(time.Minute)), qt.IsFalse)
 }
