--- a/entry/gossip/codec_test.go
+++ b/entry/gossip/codec_test.go
@@ -16,7 +16,7 @@
 func bulk(routes int) *Message {
 	var spec strings.Builder
 	for i := range routes {
-		fmt.Fprintf(&spec, `{"name":"route-%d","host":"fide%d.example","path_prefix":"/ce%dmbz/","kind":"idempotent","timeout_ms":2000},`, i, i%40, i)
+		fmt.Fprintf(&spec, `{"name":"route-%d","host":"fide%d.example","prefix":"/ce%dmbz/","kind":"idempotent","timeout_ms":2000},`, i, i%40, i)
 	}
 	return &Message{Changes: []mirror.Batch{{Kind: "config", Cursor: 7, Items: []mirror.Item{{Name: "main", Revision: 7, Spec: []byte(spec.String())}}}}}
 }
--- a/entry/source/source_test.go
+++ b/entry/source/source_test.go
@@ -235,7 +235,7 @@
 			time.Sleep(gap)
 			c.change()
 		}
-		calls := c.calls
+		calls := c.watches()
 		time.Sleep(time.Second)
 		for _, f := range list {
 			qt.Check(t, f.Mirror.Cursor(), qt.Equals, c.revision)
@@ -262,6 +262,13 @@
 	c.changed = make(chan struct{})
 }
 
+// watches returns how many calls there were.
+func (c *changing) watches() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.calls
+}
+
 func (c *changing) List(context.Context, string) ([]mirror.Item, uint64, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
