--- a/entry/gossip/codec.go
+++ b/entry/gossip/codec.go
@@ -13,10 +13,9 @@
 )
 
 const (
-	// deflateFrom is the size from which a message is deflated. A configuration
-	// with thousands of routes shrinks to a tenth; sent whole to a dozen entry
-	// hosts at once it would occupy a link of 50 Mbit/s for longer than an
-	// exchange may take. The loads of some dozen servers shrink to a third.
+	// deflateFrom is the size from which a message is deflated: a configuration
+	// with thousands of routes, sent to a dozen entry hosts at once, would occupy a
+	// slow link for longer than an exchange may take.
 	deflateFrom = 2 << 10
 	// largest bounds a message, so that a small one cannot fill the memory.
 	largest = 32 << 20
@@ -33,7 +32,7 @@
 	errLarge = errors.New("gossip: message too large")
 )
 
-// deflaters keeps writers, whose tables take a megabyte each.
+// deflaters reuses writers, whose tables are large.
 var deflaters = sync.Pool{New: func() any {
 	w, err := flate.NewWriter(io.Discard, flate.BestSpeed)
 	if err != nil {
--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -164,9 +164,9 @@
 	}()
 }
 
-// partners draws entry hosts to exchange with, and now and then a seed: entry
-// hosts that began with different seeds would otherwise never hear of each
-// other, and each of these islands would have its own leader.
+// partners draws entry hosts to exchange with, and sometimes a seed: groups that
+// started from different seeds would otherwise stay partitioned, each with a
+// leader of its own.
 func (p *Peer) partners(own, others int) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -204,10 +204,11 @@
 // entry hosts together ask the seeds as often as one host asks others, however
 // many they are.
 func (p *Peer) seedChance(known int, now time.Time) float64 {
+	chance := float64(len(p.Seeds)) / float64(max(known, 1))
 	if now.Sub(p.started) < listenFor {
-		return max(listenSeeds, float64(len(p.Seeds))/float64(max(known, 1)))
+		return max(listenSeeds, chance)
 	}
-	return float64(len(p.Seeds)) / float64(max(known, 1))
+	return chance
 }
 
 // draw returns at most so many addresses, drawn at random.
