belief, hops: make the cost of one change independent of the number of servers

Cause: each order to a server, suspicion, pace and expiry made the whole view anew, 1.0 MB and 3.5 ms for 3,000 servers (benchmark on this machine, a whole core). After a start each of 300 entry hosts hears of 3,000 orders one by one: ten seconds of a core, on hosts that have half of one. A choice read what is taken of a server by summing up all entry hosts, for each server: 19.6 us of 3,000 x 300. Each order was also pushed to fourteen hosts at once.

Change: views of the same servers share their index and the servers that did not change; entries are read from the changes of the mirror; the ledger keeps its sum; pushes come 50 ms apart at least. Ruled out by the benchmarks: the index of the view (it is the copying and sorting), the decision where layers go (11 ms).

--- a/entry/belief/belief.go
+++ b/entry/belief/belief.go
@@ -9,6 +9,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -59,6 +60,8 @@
 	mu sync.Mutex
 	// decoded holds the servers by ID, with the revision they were read at.
 	decoded map[string]known
+	// read is the cursor of the mirror up to which entries are decoded.
+	read uint64
 	// lapsed holds servers that are gone from the mirror but kept until then.
 	lapsed map[string]keep
 	// asked is when entries last lapsed.
@@ -73,6 +76,9 @@
 	cuts map[[2]domain.Name]time.Time
 	// back is when the object API answered again after an outage.
 	back time.Time
+	// adjustedServers are the servers of the view before those of a failure domain
+	// that is cut off are suspected.
+	adjustedServers []*fleet.Server
 	// changed is closed and replaced when the view changes.
 	changed chan struct{}
 }
@@ -159,31 +165,44 @@
 	s.Log.Info("config: taken", "version", t.Version, "revision", revision, "routes", len(t.Routes), "teams", len(t.Teams))
 }
 
-// ReadServers builds the view anew from the mirror of the servers.
+// ReadServers takes the changes of the servers from their mirror.
 func (s *State) ReadServers(now time.Time) {
 	s.mu.Lock()
-	lapsed := s.decode(now)
-	s.publish(now)
+	changes, whole := s.Servers.Since(s.read)
+	s.read = changes.Cursor
+	gone := s.decode(changes.Items)
+	if whole {
+		gone = s.missing(changes.Items)
+	}
+	lapsed := s.drop(gone, now)
+	s.show(changes.Items, now)
 	s.mu.Unlock()
 	for _, address := range lapsed {
 		s.Lapsed(address)
 	}
 }
 
-// decode reads the entries that changed, and keeps lapsed ones. It returns the
-// addresses of those that have just lapsed.
-func (s *State) decode(now time.Time) (lapsed []string) {
-	fresh := map[string]known{}
-	for _, item := range s.Servers.Items() {
+// decode reads the entries that changed. It returns the IDs of those that are
+// gone.
+func (s *State) decode(items []mirror.Item) (gone []string) {
+	if s.decoded == nil {
+		s.decoded = map[string]known{}
+		s.lapsed = map[string]keep{}
+	}
+	for _, item := range items {
 		old, seen := s.decoded[item.Name]
 		if seen && old.revision == item.Revision {
-			fresh[item.Name] = old
+			continue
+		}
+		if item.Deleted {
+			gone = append(gone, item.Name)
 			continue
 		}
 		server, err := s.Decoder.Server(item.Name, item.Spec)
 		if err != nil {
 			// Another writer's entry names no server; the others hold.
 			s.Log.Warn("servers: an unreadable entry was left out", "server", item.Name, "revision", item.Revision, "error", err)
+			gone = append(gone, item.Name)
 			continue
 		}
 		if seen && server.Born.After(old.server.Born) {
@@ -194,38 +213,101 @@
 			s.Log.Info("servers: started anew", "server", server.ID, "address", server.Address, "revision", item.Revision)
 		}
 		s.tell(old.server, server, seen, item.Revision)
-		fresh[item.Name] = known{revision: item.Revision, server: server}
+		s.decoded[item.Name] = known{revision: item.Revision, server: server}
+		delete(s.lapsed, item.Name)
 	}
-	if s.lapsed == nil {
-		s.lapsed = map[string]keep{}
+	return gone
+}
+
+// missing returns the IDs of servers that a complete list does not show as they
+// were last decoded.
+func (s *State) missing(list []mirror.Item) (gone []string) {
+	listed := make(map[string]uint64, len(list))
+	for _, item := range list {
+		listed[item.Name] = item.Revision
 	}
-	gone := 0
-	for id := range s.decoded {
-		if _, stays := fresh[id]; !stays {
-			gone++
+	for id, k := range s.decoded {
+		if listed[id] != k.revision {
+			gone = append(gone, id)
 		}
 	}
+	return gone
+}
+
+// drop forgets servers whose entries are gone, and keeps lapsed ones. It returns
+// the addresses of those that have just lapsed.
+func (s *State) drop(gone []string, now time.Time) (lapsed []string) {
+	gone = slices.DeleteFunc(gone, func(id string) bool {
+		_, seen := s.decoded[id]
+		return !seen
+	})
 	// Many entries that vanish at once lapsed in an outage of the object API
 	// that this entry host need not have seen itself.
-	outage := now.Before(s.back.Add(afterOutage)) || gone > 2 && gone*4 > len(s.decoded)
-	for id, old := range s.decoded {
-		if _, stays := fresh[id]; stays {
-			continue
-		}
-		if outage && !old.server.Leaving {
-			s.lapsed[id] = keep{server: old.server, until: now.Add(lapse)}
+	outage := now.Before(s.back.Add(afterOutage)) || len(gone) > 2 && len(gone)*4 > len(s.decoded)
+	for _, id := range gone {
+		old := s.decoded[id].server
+		delete(s.decoded, id)
+		if outage && !old.Leaving {
+			s.lapsed[id] = keep{server: old, until: now.Add(lapse)}
 			s.asked = now
-			lapsed = append(lapsed, old.server.Address)
+			lapsed = append(lapsed, old.Address)
 		}
-		s.Log.Info("servers: gone", "server", id, "address", old.server.Address, "kept", outage)
-	}
-	for id := range fresh {
-		delete(s.lapsed, id)
+		s.Log.Info("servers: gone", "server", id, "address", old.Address, "kept", outage)
 	}
-	s.decoded = fresh
 	return lapsed
 }
 
+// show publishes changed entries, and ends what has run out meanwhile.
+func (s *State) show(items []mirror.Item, now time.Time) {
+	ids, anew := s.expired(now)
+	v := s.View()
+	for _, item := range items {
+		ids = append(ids, item.Name)
+		anew = anew || !s.placed(v, item.Name)
+	}
+	s.refresh(ids, anew || len(v.Servers) != len(s.decoded)+len(s.lapsed), now)
+}
+
+// placed reports whether a view has a server at the place that its entry asks
+// for.
+func (s *State) placed(v *fleet.View, id string) bool {
+	shown := v.ByID(id)
+	k, known := s.decoded[id]
+	return shown != nil && known && k.server.Address == shown.Address && k.server.Service == shown.Service && k.server.Born.Equal(shown.Born)
+}
+
+// refresh publishes the view after some servers changed. Anew says that some came
+// or went. With thousands of servers, each of which is ordered, suspected and
+// cleared one by one after a start, making the whole view each time takes
+// seconds of processor time.
+func (s *State) refresh(ids []string, anew bool, now time.Time) {
+	if anew {
+		s.publish(now)
+		return
+	}
+	v := s.View()
+	for _, id := range ids {
+		at, shown := v.Position(id)
+		server, known := s.entry(id)
+		if !shown || !known {
+			s.expire(id, now)
+			continue
+		}
+		s.adjustedServers[at] = s.adjusted(id, server, now)
+	}
+	s.store(v)
+}
+
+// expire forgets what was believed of a server that is not there.
+func (s *State) expire(id string, now time.Time) {
+	if until, known := s.suspects[id]; known && !now.Before(until) {
+		delete(s.suspects, id)
+	}
+	if o, known := s.orders[id]; known && now.After(o.Until) {
+		delete(s.orders, id)
+	}
+}
+
 func (s *State) tell(old, now fleet.Server, seen bool, revision uint64) {
 	if !seen {
 		s.Log.Info("servers: new", "server", now.ID, "service", now.Service, "address", now.Address,
@@ -241,7 +323,7 @@
 
 // publish makes the view from the decoded entries, suspicions and orders.
 func (s *State) publish(now time.Time) {
-	list := make([]fleet.Server, 0, len(s.decoded)+len(s.lapsed))
+	list := make([]*fleet.Server, 0, len(s.decoded)+len(s.lapsed))
 	for id, k := range s.decoded {
 		list = append(list, s.adjusted(id, k.server, now))
 	}
@@ -252,8 +334,24 @@
 		}
 		delete(s.lapsed, id)
 	}
-	s.away(list)
-	s.view.Store(fleet.New(list))
+	base := fleet.New(list)
+	s.adjustedServers = base.Servers
+	s.store(base)
+}
+
+// entry returns a server as its own entry shows it.
+func (s *State) entry(id string) (fleet.Server, bool) {
+	if k, known := s.decoded[id]; known {
+		return k.server, true
+	}
+	k, kept := s.lapsed[id]
+	return k.server, kept
+}
+
+// store publishes the adjusted servers. The view is one of the same servers.
+func (s *State) store(of *fleet.View) {
+	list := s.away(slices.Clone(s.adjustedServers))
+	s.view.Store(of.With(list))
 	if s.changed != nil {
 		close(s.changed)
 		s.changed = nil
@@ -268,24 +366,36 @@
 	awayLeast = 3
 )
 
-// Sweep ends suspicions and lapses whose time is over.
+// Sweep ends suspicions, orders and lapses whose time is over.
 func (s *State) Sweep(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	due := false
-	for _, until := range s.suspects {
-		due = due || !now.Before(until)
+	if ids, lapsed := s.expired(now); lapsed || len(ids) > 0 {
+		s.refresh(ids, lapsed, now)
+	}
+}
+
+// expired returns the servers of which something believed has run out, and
+// whether a server whose entry lapsed is to be forgotten.
+func (s *State) expired(now time.Time) (ids []string, lapsed bool) {
+	for id, until := range s.suspects {
+		if !now.Before(until) {
+			ids = append(ids, id)
+		}
 	}
 	for id, slow := range s.slows {
 		if !now.Before(slow.until) {
 			delete(s.slows, id)
-			due = true
+			ids = append(ids, id)
 		}
 	}
-	for _, k := range s.lapsed {
-		due = due || !now.Before(k.until)
+	for id, o := range s.orders {
+		if now.After(o.Until) {
+			ids = append(ids, id)
+		}
 	}
-	if due {
-		s.publish(now)
+	for _, k := range s.lapsed {
+		lapsed = lapsed || !now.Before(k.until)
 	}
+	return ids, lapsed
 }
--- a/entry/belief/doubt.go
+++ b/entry/belief/doubt.go
@@ -8,20 +8,38 @@
 )
 
 // away suspects all servers of other failure domains of which several are
-// suspected.
-func (s *State) away(list []fleet.Server) {
-	all := map[domain.Name]int{}
+// suspected. It returns the list, in which it replaces them.
+func (s *State) away(list []*fleet.Server) []*fleet.Server {
 	bad := map[domain.Name]int{}
-	for i := range list {
-		all[list[i].Domain]++
-		if list[i].Suspect {
-			bad[list[i].Domain]++
+	for _, server := range list {
+		if server.Suspect && server.Domain != s.Home {
+			bad[server.Domain]++
 		}
 	}
-	for i := range list {
-		d := list[i].Domain
-		if d != s.Home && bad[d] >= awayLeast && float64(bad[d]) > awayShare*float64(all[d]) {
-			list[i].Suspect = true
+	for d, suspects := range bad {
+		if suspects >= awayLeast && float64(suspects) > awayShare*float64(countIn(list, d)) {
+			suspectAll(list, d)
+		}
+	}
+	return list
+}
+
+func countIn(list []*fleet.Server, d domain.Name) int {
+	n := 0
+	for _, server := range list {
+		if server.Domain == d {
+			n++
+		}
+	}
+	return n
+}
+
+func suspectAll(list []*fleet.Server, d domain.Name) {
+	for i, server := range list {
+		if server.Domain == d && !server.Suspect {
+			suspect := *server
+			suspect.Suspect = true
+			list[i] = &suspect
 		}
 	}
 }
@@ -40,7 +58,7 @@
 	}
 	s.suspects[id] = until
 	if !suspected || !now.Before(old) {
-		s.publish(now)
+		s.refresh([]string{id}, false, now)
 		return true
 	}
 	return false
@@ -52,7 +70,7 @@
 	defer s.mu.Unlock()
 	if _, suspected := s.suspects[id]; suspected {
 		delete(s.suspects, id)
-		s.publish(now)
+		s.refresh([]string{id}, false, now)
 	}
 }
 
@@ -124,7 +142,7 @@
 		if known {
 			delete(s.slows, id)
 			s.Log.Info("servers: as fast as usual", "server", id)
-			s.publish(now)
+			s.refresh([]string{id}, false, now)
 		}
 		return
 	}
@@ -134,6 +152,6 @@
 	s.slows[id] = slow{times, now.Add(slowFor)}
 	if !known || old.times != times {
 		s.Log.Info("servers: slow", "server", id, "times", times)
-		s.publish(now)
+		s.refresh([]string{id}, false, now)
 	}
 }
--- a/entry/belief/order.go
+++ b/entry/belief/order.go
@@ -18,8 +18,8 @@
 	Done bool
 }
 
-// adjusted applies what is known beyond a server's own entry.
-func (s *State) adjusted(id string, server fleet.Server, now time.Time) fleet.Server {
+// adjusted applies what is known beyond a server's own entry, to a copy.
+func (s *State) adjusted(id string, server fleet.Server, now time.Time) *fleet.Server {
 	if until, suspected := s.suspects[id]; suspected {
 		server.Suspect = now.Before(until)
 		if !server.Suspect {
@@ -46,7 +46,7 @@
 			server.First, server.End = 0, 0
 		}
 	}
-	return server
+	return &server
 }
 
 // Ordered notes that a server was told to hold layers, so that none that it
@@ -65,7 +65,7 @@
 		return false
 	}
 	s.orders[o.ID] = o
-	s.publish(now)
+	s.refresh([]string{o.ID}, false, now)
 	return true
 }
 
--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -32,6 +32,9 @@
 	// domains a change is sent to at once.
 	pushWith   = 12
 	pushAcross = 2
+	// pushEvery is the least time between two such rounds. After a start thousands
+	// of servers get their orders, one by one.
+	pushEvery = 50 * time.Millisecond
 	// listenWith and listenAcross are the same for one that has just started.
 	listenWith   = 2
 	listenAcross = 1
@@ -118,12 +121,17 @@
 	tick := time.NewTicker(exchangeEvery)
 	defer tick.Stop()
 	p.round(ctx, pushWith, pushAcross)
+	push := p.push
+	var rested <-chan time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-p.push:
+		case <-push:
 			p.round(ctx, pushWith, pushAcross)
+			push, rested = nil, time.After(pushEvery)
+		case <-rested:
+			push, rested = p.push, nil
 		case now := <-tick.C:
 			own, others := p.turn(now)
 			p.round(ctx, own, others)
--- a/entry/placer/placer.go
+++ b/entry/placer/placer.go
@@ -148,8 +148,7 @@
 		p.changed = map[domain.Name]time.Time{}
 		p.entered = map[string]time.Time{}
 	}
-	for i := range view.Servers {
-		s := &view.Servers[i]
+	for _, s := range view.Servers {
 		if !s.Leaving && !s.Suspect {
 			seen[s.ID] = s.Domain
 			if _, known := p.seen[s.ID]; p.seen != nil && !known && s.Holds() > 0 {
--- a/parts/fleet/fleet.go
+++ b/parts/fleet/fleet.go
@@ -6,6 +6,7 @@
 package fleet
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -53,49 +54,85 @@
 
 // View is what is believed at one moment.
 type View struct {
-	// Servers are all known servers, ordered by service and ID.
-	Servers []Server
+	// Servers are all known servers, ordered by service and ID. Views share those
+	// that did not change, so none is ever written to.
+	Servers []*Server
 
-	byService map[string][]*Server
-	byAddress map[string]*Server
+	index *index
+}
+
+// index finds servers by their position. Views of the same servers share one.
+type index struct {
+	byID, byAddress map[string]int
+	// byService holds the first position of a service's servers and the one behind
+	// its last.
+	byService map[string][2]int
 }
 
 // New returns a view of the servers. A server whose address a younger one has
 // is left out: it has ended, whatever its entry says.
-func New(servers []Server) *View {
-	v := &View{Servers: youngest(servers), byService: map[string][]*Server{}, byAddress: map[string]*Server{}}
-	slices.SortFunc(v.Servers, func(a, b Server) int {
-		if c := strings.Compare(a.Service, b.Service); c != 0 {
-			return c
-		}
-		return strings.Compare(a.ID, b.ID)
+func New(servers []*Server) *View {
+	servers = youngest(servers)
+	slices.SortFunc(servers, func(a, b *Server) int {
+		return cmp.Or(strings.Compare(a.Service, b.Service), strings.Compare(a.ID, b.ID))
 	})
-	for i := range v.Servers {
-		s := &v.Servers[i]
-		v.byService[s.Service] = append(v.byService[s.Service], s)
-		v.byAddress[s.Address] = s
+	x := &index{
+		byID: make(map[string]int, len(servers)), byAddress: make(map[string]int, len(servers)), byService: map[string][2]int{},
 	}
-	return v
+	for i, s := range servers {
+		x.byID[s.ID], x.byAddress[s.Address] = i, i
+		at, known := x.byService[s.Service]
+		if !known {
+			at[0] = i
+		}
+		x.byService[s.Service] = [2]int{at[0], i + 1}
+	}
+	return &View{Servers: servers, index: x}
+}
+
+// With returns a view of the same servers in other states: each must have the
+// position, ID, service and address that it has here. It costs far less than New.
+func (v *View) With(servers []*Server) *View {
+	return &View{Servers: servers, index: v.index}
 }
 
 // youngest returns the servers without those whose address a younger one has.
-func youngest(servers []Server) []Server {
+func youngest(servers []*Server) []*Server {
 	born := make(map[string]time.Time, len(servers))
-	for i := range servers {
-		s := &servers[i]
+	for _, s := range servers {
 		if at, known := born[s.Address]; !known || at.Before(s.Born) {
 			born[s.Address] = s.Born
 		}
 	}
-	return slices.DeleteFunc(servers, func(s Server) bool { return s.Born.Before(born[s.Address]) })
+	return slices.DeleteFunc(servers, func(s *Server) bool { return s.Born.Before(born[s.Address]) })
 }
 
 // Service returns the servers of a service.
 func (v *View) Service(name string) []*Server {
-	return v.byService[name]
+	at := v.index.byService[name]
+	return v.Servers[at[0]:at[1]:at[1]]
 }
 
 // At returns the server with the address, or nil.
 func (v *View) At(address string) *Server {
-	return v.byAddress[address]
+	return v.find(v.index.byAddress, address)
+}
+
+// ByID returns the server with the ID, or nil.
+func (v *View) ByID(id string) *Server {
+	return v.find(v.index.byID, id)
+}
+
+func (v *View) find(by map[string]int, key string) *Server {
+	i, known := by[key]
+	if !known {
+		return nil
+	}
+	return v.Servers[i]
+}
+
+// Position returns where in Servers the server with the ID stands.
+func (v *View) Position(id string) (i int, known bool) {
+	i, known = v.index.byID[id]
+	return i, known
 }
--- a/parts/fleet/fleet_test.go
+++ b/parts/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -12,7 +13,7 @@
 // Guards against requests to a server that has ended, whose entry stays for a
 // while and whose address another has by then: that one refuses them all.
 func TestAddressBelongsToTheYoungest(t *testing.T) {
-	v := fleet.New([]fleet.Server{
+	v := fleet.New([]*fleet.Server{
 		{ID: "old", Service: "assist", Address: "a:1", Born: time.Unix(1, 0), First: 0, End: 80},
 		{ID: "young", Service: "assist", Address: "a:1", Born: time.Unix(9, 0)},
 		{ID: "other", Service: "assist", Address: "b:1", Born: time.Unix(1, 0)},
@@ -24,3 +25,23 @@
 	qt.Check(t, v.At("a:1").ID, qt.Equals, "young")
 	qt.Check(t, v.At("b:1").ID, qt.Equals, "moved")
 }
+
+// Guards against a view that mixes servers of two moments after a change of one.
+func TestViewsOfTheSameServers(t *testing.T) {
+	before := fleet.New([]*fleet.Server{
+		{ID: "b", Service: "assist", Address: "b:1"}, {ID: "a", Service: "assist", Address: "a:1"}, {ID: "c", Service: "booking", Address: "c:1"},
+	})
+	at, known := before.Position("b")
+	qt.Assert(t, known, qt.IsTrue)
+	changed := slices.Clone(before.Servers)
+	changed[at] = &fleet.Server{ID: "b", Service: "assist", Address: "b:1", Leaving: true}
+	after := before.With(changed)
+	for name, s := range map[string]*fleet.Server{"address": after.At("b:1"), "id": after.ByID("b"), "service": after.Service("assist")[1]} {
+		qt.Check(t, s.Leaving, qt.IsTrue, qt.Commentf("by %s", name))
+	}
+	qt.Check(t, before.ByID("b").Leaving, qt.IsFalse)
+	qt.Check(t, after.ByID("a"), qt.Equals, before.ByID("a"))
+	qt.Check(t, after.Service("booking"), qt.HasLen, 1)
+	qt.Check(t, after.Service("none"), qt.HasLen, 0)
+	qt.Check(t, after.ByID("none"), qt.IsNil)
+}
--- a/parts/hops/ledger.go
+++ b/parts/hops/ledger.go
@@ -11,7 +11,11 @@
 	mu     sync.Mutex
 	own    map[string]Usage
 	others map[string]map[string]Usage
-	full   map[string]refusal
+	// total is the sum of own and others, kept up to date: a choice reads it for
+	// every server, and summing up hundreds of entry hosts each time takes longer
+	// than the rest of the choice.
+	total map[string]Usage
+	full  map[string]refusal
 }
 
 // refusal says until when a server counts as full, for how long it did, and
@@ -92,18 +96,35 @@
 		l.own = map[string]Usage{}
 	}
 	for i, p := range c {
-		u := l.own[p.Server.ID]
-		u.TokenLayers += tokens * float64(p.End-p.First)
-		u.Requests += requests
+		u := Usage{TokenLayers: tokens * float64(p.End-p.First), Requests: requests}
 		if i == 0 {
-			u.Starts += requests
+			u.Starts = requests
 		}
-		if u.Requests <= 0 {
-			delete(l.own, p.Server.ID)
-			continue
-		}
-		l.own[p.Server.ID] = u
+		sum(l.own, p.Server.ID, u, 1)
+		l.sumTotal(p.Server.ID, u, 1)
+	}
+}
+
+// sumTotal adds a usage to the total, or takes it away. The mutex is held.
+func (l *Ledger) sumTotal(id string, u Usage, sign float64) {
+	if l.total == nil {
+		l.total = map[string]Usage{}
+	}
+	sum(l.total, id, u, sign)
+}
+
+// sum adds a usage to that of a server, or takes it away. A server without
+// requests is left out.
+func sum(of map[string]Usage, id string, u Usage, sign float64) {
+	now := of[id]
+	now.TokenLayers += sign * u.TokenLayers
+	now.Requests += sign * u.Requests
+	now.Starts += sign * u.Starts
+	if now.Requests <= 0 {
+		delete(of, id)
+		return
 	}
+	of[id] = now
 }
 
 // Own returns what this entry host's requests take.
@@ -124,6 +145,12 @@
 	if l.others == nil {
 		l.others = map[string]map[string]Usage{}
 	}
+	for id, u := range l.others[entry] {
+		l.sumTotal(id, u, -1)
+	}
+	for id, u := range used {
+		l.sumTotal(id, u, 1)
+	}
 	if used == nil {
 		delete(l.others, entry)
 		return
@@ -135,14 +162,8 @@
 func (l *Ledger) Used(id string) Usage {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	u := l.own[id]
+	u := l.total[id]
 	r, refused := l.full[id]
 	u.Full = refused && !r.over
-	for _, used := range l.others {
-		o := used[id]
-		u.TokenLayers += o.TokenLayers
-		u.Requests += o.Requests
-		u.Starts += o.Starts
-	}
 	return u
 }
--- a/parts/hops/ledger_test.go
+++ b/parts/hops/ledger_test.go
@@ -1,10 +1,12 @@
 package hops_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
 
 	"fuchsiashelf.dev/parts/hops"
 )
@@ -43,3 +45,57 @@
 		l.Accepted(chain)
 	}
 }
+
+// Guards against room that is never free again, or promised twice, since the sum
+// over entry hosts drifts from what each of them said.
+func TestTotalIsTheSumOverEntryHosts(t *testing.T) {
+	servers := []string{"a", "b", "c"}
+	rapid.Check(t, func(t *rapid.T) {
+		var l hops.Ledger
+		told := map[string]map[string]hops.Usage{}
+		own := map[string]hops.Usage{}
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			id := rapid.SampledFrom(servers).Draw(t, "server")
+			tokens := rapid.IntRange(1, 3000).Draw(t, "tokens")
+			if rapid.Bool().Draw(t, "own") {
+				l.Reserve(hops.Chain{{Server: server(id, "d", "small", 0, 80), First: 0, End: 80}}, tokens)
+				u := own[id]
+				own[id] = hops.Usage{TokenLayers: u.TokenLayers + float64(80*tokens), Requests: u.Requests + 1, Starts: u.Starts + 1}
+				continue
+			}
+			host := fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "host"))
+			told[host] = nil
+			if rapid.Bool().Draw(t, "stays") {
+				told[host] = map[string]hops.Usage{id: {TokenLayers: float64(tokens), Requests: 2, Starts: 1}}
+			}
+			l.Tell(host, told[host])
+		}
+		for _, id := range servers {
+			want := own[id]
+			for _, used := range told {
+				want.TokenLayers += used[id].TokenLayers
+				want.Requests += used[id].Requests
+				want.Starts += used[id].Starts
+			}
+			if got := l.Used(id); got != want {
+				t.Fatalf("%s: %+v, want %+v", id, got, want)
+			}
+		}
+	})
+}
+
+// What a choice reads for each server, with 300 entry hosts: 19,600 ns when each
+// was summed up, 142 ns with the sum kept, beside other work.
+func BenchmarkUsed(b *testing.B) {
+	var l hops.Ledger
+	for host := range 300 {
+		used := map[string]hops.Usage{}
+		for i := range 100 {
+			used[fmt.Sprint((host+i)%1000)] = hops.Usage{TokenLayers: 1, Requests: 1}
+		}
+		l.Tell(fmt.Sprint(host), used)
+	}
+	for b.Loop() {
+		l.Used("7")
+	}
+}
