gossip: order the states of a member by its own count

Cause: of two states of a member the one counted whose age, taken when the message was written, came out younger at the receiver; a message that was on its way for longer than another made an old state look newer. Ruled out: the order in which the test lets them exchange.

Change: each message has a number of its sender, and a later one counts. TestLaterStateCounts brings it about in fake time and failed before.

--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -14,6 +14,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fuchsiashelf.dev/parts/hops"
@@ -84,6 +85,9 @@
 	// started is when this entry host began to listen; settled says that another
 	// which had listened long enough has told it of the others.
 	started time.Time
+	// sent counts the messages.
+	sent atomic.Uint64
+
 	settled bool
 	members map[string]*contact
 	clients map[string]*client
@@ -271,6 +275,7 @@
 
 func (p *Peer) self() Member {
 	self := p.Self
+	self.Seq = p.sent.Add(1)
 	self.Store = p.Store()
 	self.Leaving = p.Leaving()
 	self.Settled = p.Settled()
--- a/entry/gossip/lead_test.go
+++ b/entry/gossip/lead_test.go
@@ -158,3 +158,24 @@
 	}
 	qt.Check(t, main(), qt.DeepEquals, []int{0, 1})
 }
+
+// Guards against an entry host that counts as out of the object API's reach, since
+// a third one's message of before was on its way for longer than its own.
+func TestLaterStateCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		up := false
+		one, third, p := newPeer(1), newPeer(2), newPeer(3)
+		one.Store = func() bool { return up }
+		third.Take(one.message(nil))
+		late := third.message(nil)
+		up = true
+		p.Take(one.message(nil))
+		time.Sleep(time.Second)
+		p.Take(late)
+		for _, m := range p.Members() {
+			if m.Name == one.Self.Name {
+				qt.Check(t, m.Store, qt.IsTrue)
+			}
+		}
+	})
+}
--- a/entry/gossip/member.go
+++ b/entry/gossip/member.go
@@ -15,6 +15,9 @@
 	Domain  domain.Name
 	// Boot orders the runs of one name.
 	Boot int64
+	// Seq counts the messages of one run: of two states of a member the one of the
+	// later message counts, however long each was on its way.
+	Seq uint64
 	// Age is the time since its last message, to this entry host or another.
 	Age time.Duration
 	// Store says that the object API answers it.
@@ -114,7 +117,7 @@
 		p.members[m.Name] = &contact{Member: m, at: at}
 		return
 	}
-	if m.Boot < known.Boot || m.Boot == known.Boot && at.Before(known.at) {
+	if older(m, known.Member) || m.Boot == known.Boot && m.Seq == known.Seq && at.Before(known.at) {
 		return
 	}
 	if m.Leaving && !known.Leaving {
@@ -123,3 +126,8 @@
 	known.Member = m
 	known.at = at
 }
+
+// older reports whether a state of a member is of before another one.
+func older(m, than Member) bool {
+	return m.Boot < than.Boot || m.Boot == than.Boot && m.Seq < than.Seq
+}
