--- a/parts/loss/loss.go
+++ b/parts/loss/loss.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"fuchsiashelf.dev/parts/fault"
 	"fuchsiashelf.dev/parts/trail"
 )
 
@@ -31,6 +32,8 @@
 	LongPause
 	// Refused: it was refused and has not run.
 	Refused
+	// Denied: the configuration does not allow it. Nothing is lost.
+	Denied
 	// Cut: its answer broke off.
 	Cut
 	// Failed: it was answered with a failure.
@@ -41,7 +44,7 @@
 )
 
 // names are the headings of the causes.
-var names = [causes]string{"on time", "first late", "pause<0.5s", "<1s", "longer", "refused", "cut", "failed", "left"}
+var names = [causes]string{"on time", "first late", "pause<0.5s", "<1s", "longer", "refused", "denied", "cut", "failed", "left"}
 
 // The bounds of the pauses that are told apart.
 const (
@@ -57,6 +60,12 @@
 	noWay    = "watch: no other way"
 )
 
+// How the errors of requests begin that the configuration does not allow.
+const (
+	noRoute      = string(fault.NoRoute) + ":"
+	unauthorized = string(fault.Unauthorized) + ":"
+)
+
 // Row counts requests by their causes.
 type Row struct {
 	Name   string
@@ -144,6 +153,8 @@
 		return Left
 	case broken:
 		return Cut
+	case strings.HasPrefix(failure, noRoute) || strings.HasPrefix(failure, unauthorized):
+		return Denied
 	case failure != "" && text(e, "verdict") == "not-run":
 		return Refused
 	case failure != "" || status >= 500:
