source: let the watches of backups wait three times as long

The wait is bounded since a watch may fall deaf while the object API drops its history; that is the main follower's matter.

--- a/entry/source/source.go
+++ b/entry/source/source.go
@@ -56,6 +56,9 @@
 	// it usually receives the next change from the main follower.
 	pauseShare  = 0.15
 	backupShare = 0.5
+	// backupWaits is by how many times longer a watch of a backup waits: it hears of
+	// each change at once, and only one that has fallen deaf is noticed later.
+	backupWaits = 3
 	// reliesFor is how often a relying entry host checks its role.
 	reliesFor = 200 * time.Millisecond
 	// firstPause and longestPause bound the exponential backoff after a failed
@@ -133,13 +136,14 @@
 	if whole {
 		return f.list(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.Wait+watchSlack)
+	wait := f.wait()
+	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
 	f.mu.Lock()
 	f.cancel = cancel
 	f.mu.Unlock()
 	after := f.Mirror.Cursor()
-	b, err := f.Store.Watch(ctx, f.Mirror.Kind, after, f.Wait)
+	b, err := f.Store.Watch(ctx, f.Mirror.Kind, after, wait)
 	if err != nil {
 		if ctx.Err() == context.Canceled {
 			return nil
@@ -155,6 +159,14 @@
 	return nil
 }
 
+// wait returns how long a watch waits for changes.
+func (f *Follow) wait() time.Duration {
+	if f.role() == Backup {
+		return backupWaits * f.Wait
+	}
+	return f.Wait
+}
+
 // pause returns how long to wait after a watch that told of changes.
 func (f *Follow) pause() time.Duration {
 	pause := time.Duration(pauseShare * float64(f.Wait))
--- a/entry/source/source_test.go
+++ b/entry/source/source_test.go
@@ -296,3 +296,33 @@
 func (c *changing) Peek(context.Context, string, string) (uint64, error) {
 	return 0, nil
 }
+
+// waiting is a store that notes how long watches wait.
+type waiting struct {
+	store
+	waits chan time.Duration
+}
+
+func (w *waiting) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) (mirror.Batch, error) {
+	w.waits <- wait
+	<-ctx.Done()
+	return mirror.Batch{}, ctx.Err()
+}
+
+// Guards against calls of backups that only ask whether there is nothing new, and
+// against a main follower whose deaf watch is noticed late.
+func TestBackupWaitsLonger(t *testing.T) {
+	for role, want := range map[source.Role]time.Duration{source.Main: time.Second, source.Backup: 3 * time.Second} {
+		s := &waiting{waits: make(chan time.Duration, 1)}
+		m := &mirror.Mirror{Kind: "k"}
+		m.Replace(nil, 5)
+		f := &source.Follow{
+			Store: s, Mirror: m, Log: slog.New(slog.DiscardHandler), Changed: func() {}, Wait: time.Second,
+			Role: func() source.Role { return role },
+		}
+		ctx, end := context.WithCancel(t.Context())
+		go f.Run(ctx)
+		qt.Check(t, <-s.waits, qt.Equals, want)
+		end()
+	}
+}
