--- /dev/null
+++ b/entry/line/dial_test.go
@@ -0,0 +1,46 @@
+package line_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fuchsiashelf.dev/entry/line"
+	"fuchsiashelf.dev/parts/fault"
+)
+
+// deaf returns an address that takes no more connections and refuses none, as one
+// behind a partition.
+func deaf(t *testing.T) string {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { qt.Check(t, syscall.Close(fd), qt.IsNil) })
+	qt.Assert(t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), qt.IsNil)
+	qt.Assert(t, syscall.Listen(fd, 0), qt.IsNil)
+	name, err := syscall.Getsockname(fd)
+	qt.Assert(t, err, qt.IsNil)
+	address := fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
+	c, err := net.Dial("tcp", address)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { qt.Check(t, c.Close(), qt.IsNil) })
+	return address
+}
+
+// Guards against a short call that waits for most of its time for a server which
+// does not accept connections, while another one would.
+func TestConnectionIsWaitedForAsLongAsAsked(t *testing.T) {
+	address := deaf(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 550*time.Millisecond)
+	defer cancel()
+	req, err := http.NewRequest(http.MethodGet, "http://"+address+"/", nil)
+	qt.Assert(t, err, qt.IsNil)
+	_, err = (&line.Pool{}).Do(ctx, address, req, line.Options{Dial: 20 * time.Millisecond})
+	qt.Assert(t, fault.As(err).Verdict, qt.Equals, fault.NotRun)
+	qt.Assert(t, ctx.Err(), qt.IsNil)
+}
--- a/entry/line/line.go
+++ b/entry/line/line.go
@@ -12,6 +12,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -86,6 +87,8 @@
 	Fresh time.Duration
 	// New asks for a new connection.
 	New bool
+	// Dial bounds the making of a connection; zero means the usual bound.
+	Dial time.Duration
 	// Head reads an answer's header.
 	Head func(*http.Response) Head
 }
@@ -185,7 +188,7 @@
 		}
 		c.Close()
 	}
-	return dial(ctx, address)
+	return dial(ctx, address, cmp.Or(o.Dial, dialTime))
 }
 
 func (p *Pool) pop(address string) *conn {
@@ -250,8 +253,8 @@
 	}
 }
 
-func dial(ctx context.Context, address string) (*conn, error) {
-	d := net.Dialer{Timeout: dialTime, KeepAlive: -1, Control: Bound}
+func dial(ctx context.Context, address string, bound time.Duration) (*conn, error) {
+	d := net.Dialer{Timeout: bound, KeepAlive: -1, Control: Bound}
 	c, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
--- a/entry/plain/plain.go
+++ b/entry/plain/plain.go
@@ -42,6 +42,10 @@
 	// request waits for one server while another may be tried. The rest is
 	// enough for a second answer of usual length.
 	silentShare = 0.6
+	// connectShare of that time bounds the making of a connection. Nothing has been
+	// sent then, so that another server is tried, and the caller is refused while it
+	// can still go elsewhere if none can be reached.
+	connectShare = 0.4
 )
 
 // Flow passes requests on. Set the exported fields before use.
@@ -164,7 +168,7 @@
 	}
 	defer cancel()
 	var reply call.Reply
-	o := line.Options{Head: func(r *http.Response) line.Head {
+	o := line.Options{Dial: connectWait(j.Route), Head: func(r *http.Response) line.Head {
 		reply = f.Codec.Reply(r)
 		return line.Head{Other: reply.ID != "" && reply.ID != j.ID, Close: reply.Leaving, Idle: reply.Idle}
 	}}
@@ -198,6 +202,12 @@
 	return a
 }
 
+// connectWait bounds the making of a connection for a route; zero means the usual
+// bound.
+func connectWait(r *route.Route) time.Duration {
+	return time.Duration(connectShare * float64(r.Target))
+}
+
 var errSilent = errors.New("silent for too long")
 
 // deliver gives the caller an answer.
