--- a/entry/stream/accuse.go
+++ b/entry/stream/accuse.go
@@ -63,9 +63,9 @@
 		return
 	}
 	w.mu.Lock()
-	sound := time.Since(w.sound[address]) < soundFor
+	healthy := time.Since(w.healthy[address]) < recheckInterval
 	w.mu.Unlock()
-	if !sound && w.claim(address) {
+	if !healthy && w.claim(address) {
 		go w.check(s.ID, address, why, by)
 	}
 }
@@ -132,7 +132,7 @@
 		err := w.question(address, wait)
 		now := time.Now()
 		switch {
-		case errors.Is(err, errHeld):
+		case errors.Is(err, errLag):
 			time.Sleep(recheckAfter)
 			continue
 		case err == nil:
@@ -190,10 +190,10 @@
 	w.settle(id, false, now)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.sound == nil {
-		w.sound = map[string]time.Time{}
+	if w.healthy == nil {
+		w.healthy = map[string]time.Time{}
 	}
-	w.sound[address] = now
+	w.healthy[address] = now
 }
 
 // found returns what follows for streams from a server's failure to answer.
--- a/entry/stream/bounds_test.go
+++ b/entry/stream/bounds_test.go
@@ -20,16 +20,16 @@
 	for _, r := range []*route.Route{quick, slow, chat, {}} {
 		target, gap, bears := r.Target, r.Gap, r.Silence
 		if target == 0 {
-			target, gap = usualTarget, usualGap
+			target, gap = defaultTarget, defaultGap
 		}
 		if bears == 0 {
-			bears = usualSilence
+			bears = defaultSilence
 		}
 		qt.Check(t, longestWait(r) < target, qt.IsTrue)
 		qt.Check(t, silentStart(r) < target, qt.IsTrue)
 		qt.Check(t, silentEvent(r)+probe.ShortWait < gap, qt.IsTrue)
 		qt.Check(t, linkWait(r) < gap, qt.IsTrue)
-		qt.Check(t, hopeless(r) < insistFor(r) && insistFor(r) < bears, qt.IsTrue)
+		qt.Check(t, restartWait(r) < rerouteWait(r) && rerouteWait(r) < bears, qt.IsTrue)
 	}
 	qt.Check(t, longestWait(slow) == 10*longestWait(quick), qt.IsTrue)
 }
--- a/entry/stream/choose.go
+++ b/entry/stream/choose.go
@@ -25,11 +25,11 @@
 	return hops.StartCost(f.Watch.Starts.Wait(id, time.Now()), firstTarget(j.Route)) + f.Failures.Risk(id)
 }
 
-// choose finds a chain. A request for which there is no room now waits for its
-// turn, or is refused at once if it would wait in vain.
+// choose finds a chain. A request for which there is no room now is queued, or
+// refused at once if the queue is full.
 func (r *run) choose(ctx context.Context) (hops.Chain, *fault.Error) {
 	if r.began {
-		return r.insist(ctx)
+		return r.reroute(ctx)
 	}
 	if !r.Turns.Busy() {
 		if chain, e := r.look(); chain != nil || e != nil {
@@ -40,17 +40,15 @@
 	if place == nil {
 		return nil, full(after)
 	}
-	chain, e := r.stand(ctx, place)
+	chain, e := r.wait(ctx, place)
 	r.Turns.Leave(place, chain != nil, time.Now())
 	return chain, e
 }
 
-// insist finds a chain for an answer that broke off midway. Its caller holds on
-// for a while, and a chain that is missing now may be whole again by then;
-// given up, it would have half an answer. It goes before requests that have not
-// begun.
-func (r *run) insist(ctx context.Context) (hops.Chain, *fault.Error) {
-	until := r.passed.Add(insistFor(r.job.Route))
+// reroute finds a chain for an answer that broke off midway. It polls until shortly
+// before the caller gives up, and goes before requests that have not begun.
+func (r *run) reroute(ctx context.Context) (hops.Chain, *fault.Error) {
+	until := r.passed.Add(rerouteWait(r.job.Route))
 	for {
 		chain, e := r.look()
 		if chain != nil {
@@ -97,8 +95,8 @@
 	return chain
 }
 
-// stand waits for a turn and for room.
-func (r *run) stand(ctx context.Context, place *turns.Ticket) (hops.Chain, *fault.Error) {
+// wait waits in the queue for room.
+func (r *run) wait(ctx context.Context, place *turns.Ticket) (hops.Chain, *fault.Error) {
 	until := time.Now().Add(min(longestWait(r.job.Route), r.job.Left()/2))
 	for time.Now().Add(waitStep).Before(until) {
 		if r.Turns.Mine(place) {
--- a/entry/stream/live.go
+++ b/entry/stream/live.go
@@ -28,17 +28,17 @@
 	release func()
 	busy    bool
 	ended   bool
-	// repaired is when another way was last looked for.
+	// repaired is when another chain was last looked for.
 	repaired time.Time
-	// vacated is the server that the stream was last led round.
-	vacated string
+	// drained is the address of the server that the stream was last rerouted around.
+	drained string
 }
 
 const (
-	// learnPace is the part of a new pause in a stream's usual one.
+	// learnPace is the weight of a new interval in a stream's mean.
 	learnPace = 0.2
-	// outlier is by how many times a pause that is longer than usual counts at
-	// most, so that an outage does not pass for the usual pace.
+	// outlier caps a new interval, in means, so that an outage does not shift the
+	// mean.
 	outlier = 2
 )
 
@@ -62,7 +62,7 @@
 	return time.Duration(now.UnixNano() - l.last.Load())
 }
 
-// silent reports whether the pause since the last event is longer than usual.
+// silent reports whether the time since the last event is longer than expected.
 func (l *live) silent(now time.Time) bool {
 	if l.began.Load() {
 		return l.silence(now) > max(silentEvent(l.job.Route), silentPauses*time.Duration(l.usual.Load()))
@@ -70,11 +70,10 @@
 	return l.silence(now) > silentStart(l.job.Route)
 }
 
-// unheard reports whether no event came for as long as a question to a server
-// may take, nor for the usual pause. A stream that had one meanwhile shows that
-// it is well; one whose next event is not due yet would be led elsewhere, and its
-// tokens read again, for a question that was lost.
-func (l *live) unheard(now time.Time) bool {
+// overdue reports whether no event came for longer than a check of a server may
+// take, and than the mean interval. A stream that had one meanwhile works; one whose
+// next event is not due yet must not be rerouted for a lost check.
+func (l *live) overdue(now time.Time) bool {
 	return l.silence(now) > max(probe.ShortWait, time.Duration(l.usual.Load()))
 }
 
@@ -109,8 +108,8 @@
 	return l.chain[0].Server.Address
 }
 
-// move books another chain for the stream. An order to change its chain may
-// come back after its end: booked then, the room would never come free again.
+// move reserves another chain for the stream. The answer to an order to change its
+// chain may arrive after its end; a reservation made then would never be released.
 func (l *live) move(ledger *hops.Ledger, chain hops.Chain) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/entry/stream/repair.go
+++ b/entry/stream/repair.go
@@ -46,16 +46,16 @@
 	return link{}
 }
 
-// repair changes the chain of one stream. It runs once at a time for each. A
-// stream for which there is no other way behind its first server now is begun
-// anew on another chain if there is one, and else stays as it is: what it waits
-// for is asked again soon, by when a way may have come.
+// repair changes the chain of one stream. It runs once at a time for each. A stream
+// without another chain behind its first server restarts elsewhere if it can, and
+// otherwise stays as it is: the servers that it waits for are checked again soon, by
+// when a chain may exist.
 func (w *Watch) repair(l *live, failed string) {
 	l.mu.Lock()
 	chain := l.chain
 	if l.busy || !chain.Has(failed) || time.Since(l.repaired) < repairEvery {
-		// An older report: the stream has another way already, or none was found
-		// a moment ago.
+		// An older report: the stream has another chain already, or none was found a
+		// moment ago.
 		l.mu.Unlock()
 		return
 	}
@@ -72,22 +72,22 @@
 		return
 	}
 	began := l.began.Load()
-	anew := !began || w.holdsUp(l, chain) || w.elsewhere(l, chain, avoid)
-	w.Log.Info("watch: no other way", "request", l.job.ID, "failed", failed, "began", began, "anew", anew, "silence", l.silence(time.Now()))
-	if anew {
+	restart := !began || w.blocksLoad(l, chain) || w.restartElsewhere(l, chain, avoid)
+	w.Log.Info("watch: no other way", "request", l.job.ID, "failed", failed, "began", began, "restart", restart, "silence", l.silence(time.Now()))
+	if restart {
 		l.cancel(errNoWay)
 	}
 }
 
 // detoured orders other chains behind the first server of a stream, and reports
-// whether the stream goes on by one.
+// whether the stream continues on one.
 func (w *Watch) detoured(l *live, chain hops.Chain, avoid map[string]bool) bool {
 	for range maxReroutes {
 		next := w.detour(l, chain, avoid)
 		if next == nil || !w.mayCross(l.job, next.Crossings()-chain.Crossings()) {
 			return false
 		}
-		// Booked before it is ordered: many streams leave a dead server at one
+		// Reserved before it is ordered: many streams leave a dead server at the same
 		// moment, and would all choose the same other one.
 		l.move(w.Ledger, next)
 		taken, at := w.order(l, next)
@@ -104,11 +104,11 @@
 	return false
 }
 
-// elsewhere reports whether a stream is begun anew on a chain within one failure
-// domain. The layers that it lacks take longer to load than the longest pause
-// that is on time, and all other streams that lack them want the link between the
-// domains; reading the tokens again does neither.
-func (w *Watch) elsewhere(l *live, chain hops.Chain, avoid map[string]bool) bool {
+// restartElsewhere reports whether a stream restarts on a chain within one failure
+// domain, for which a run is reserved then. Loading the missing layers takes longer
+// than the longest pause that is on time, and the link between domains carries few
+// prompts in that time; reading the tokens again needs neither.
+func (w *Watch) restartElsewhere(l *live, chain hops.Chain, avoid map[string]bool) bool {
 	if l.restart == nil {
 		return false
 	}
@@ -118,12 +118,11 @@
 	return q.Pick() != nil && l.restart()
 }
 
-// holdsUp reports whether a stream that stands still keeps a server from loading
-// the layers that it and others wait for: the server first lets all requests
-// end that pass through what it gives up, and this one never will. It is begun
-// anew elsewhere at once, as it would be in the end.
-func (w *Watch) holdsUp(l *live, chain hops.Chain) bool {
-	s := vacated(w.State.View(), chain)
+// blocksLoad reports whether a stalled stream keeps a server from loading the layers
+// that it and others wait for: the server first lets all requests end that pass
+// through the layers it gives up, and this one never will.
+func (w *Watch) blocksLoad(l *live, chain hops.Chain) bool {
+	s := draining(w.State.View(), chain)
 	return s != nil && s.Moves && l.silent(time.Now())
 }
 
@@ -177,41 +176,39 @@
 	return taken, at
 }
 
-// vacate gives streams another way behind their first server whose chain goes
-// through a server that is leaving, before it cuts them off, or through one
-// that loads layers which are missing as soon as they have gone. A server that
-// merely gives up layers which others hold as well need not hurry: they end.
-func (w *Watch) vacate(now time.Time) {
+// drain reroutes streams around a server that is leaving, before it cuts them off,
+// or around one that loads missing layers as soon as they have gone. Streams through
+// a server that only gives up replicated layers are left to end.
+func (w *Watch) drain(now time.Time) {
 	view := w.State.View()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for l := range w.lives {
 		l.mu.Lock()
-		s := vacated(view, l.chain)
-		due := s != nil && !l.busy && l.vacated != s.Address && l.began.Load() && now.Sub(w.vacated) >= pace(s)
+		s := draining(view, l.chain)
+		due := s != nil && !l.busy && l.drained != s.Address && l.began.Load() && now.Sub(w.drained) >= pace(s)
 		if due {
-			l.vacated = s.Address
+			l.drained = s.Address
 		}
 		l.mu.Unlock()
 		if due {
-			w.vacated = now
+			w.drained = now
 			go w.repair(l, s.Address)
 			return
 		}
 	}
 }
 
-// pace returns the time between two streams that are led round a server.
+// pace returns the interval between two streams that are rerouted around a server.
 func pace(s *fleet.Server) time.Duration {
 	if s.Moves {
 		return moveEvery
 	}
-	return vacateEvery
+	return drainEvery
 }
 
-// vacated returns a server of a chain, not the first, that the stream should
-// leave.
-func vacated(view *fleet.View, chain hops.Chain) *fleet.Server {
+// draining returns a server of a chain, not the first, that the stream should leave.
+func draining(view *fleet.View, chain hops.Chain) *fleet.Server {
 	for _, p := range chain[1:] {
 		s := view.At(p.Server.Address)
 		if s == nil || s.ID != p.Server.ID {
--- a/entry/stream/repair_test.go
+++ b/entry/stream/repair_test.go
@@ -14,14 +14,19 @@
 	"fuchsiashelf.dev/parts/route"
 )
 
+// addServer adds a server to those that a watch knows.
+func addServer(w *Watch, servers fixed, s fleet.Server) {
+	servers[s.ID] = s
+	w.State.Servers.Merge(mirror.Batch{After: 1, Cursor: 2, Items: []mirror.Item{{Name: s.ID, Revision: 2}}})
+	w.State.ReadServers(time.Now())
+}
+
 // lacking returns a watch over a failure domain in which nobody else holds what
 // the server in the midst of chains does, beside a domain that holds all layers
 // and that the servers of the first one do not reach.
 func lacking(e *engines) (*Watch, fixed) {
 	w, servers := watched(e, 0)
-	servers["away"] = fleet.Server{ID: "away", Service: "assist", Address: "away", Domain: "b", Card: "card", First: 0, End: layers, Born: time.Unix(1, 0)}
-	w.State.Servers.Merge(mirror.Batch{After: 1, Cursor: 2, Items: []mirror.Item{{Name: "away", Revision: 2}}})
-	w.State.ReadServers(time.Now())
+	addServer(w, servers, fleet.Server{ID: "away", Service: "assist", Address: "away", Domain: "b", Card: "card", First: 0, End: layers, Born: time.Unix(1, 0)})
 	w.State.CutOff("a", "b", time.Now())
 	return w, servers
 }
--- a/entry/stream/watch.go
+++ b/entry/stream/watch.go
@@ -20,44 +20,40 @@
 const (
 	// sweepEvery is how often all streams are looked at.
 	sweepEvery = 15 * time.Millisecond
-	// heldUp is the time between two looks from which on this entry host itself
-	// was held up: events wait unread, and every stream seems silent.
-	heldUp = 40 * time.Millisecond
-	// silentPauses is the silence of a stream in its usual pauses that makes its
-	// servers be asked whether they live, if that is longer than the share of
-	// the longest pause on time. Where streams are slow, questions about each that
-	// is merely slower for once would leave none for the server that died.
+	// schedulerLag is the interval between two sweeps above which silence is
+	// attributed to this entry host, not to servers.
+	schedulerLag = 40 * time.Millisecond
+	// silentPauses is the idle time of a stream, in its mean intervals, after which
+	// its servers are checked, if that is longer than the fraction of the longest pause
+	// on time. Where all streams are slow, the checks are left for servers that died.
 	silentPauses = 2
-	// shownIn is how long a server that started anew is avoided: by then its entry
-	// shows that it holds nothing. It answers as if nothing had been, while its
-	// streams wait for one that is no more.
-	shownIn = 1500 * time.Millisecond
-	// probeEvery and maxProbes bound how an accused server is asked again: for
-	// longer than its entry outlives it.
+	// propagation is how long a restarted server is avoided: by then its entry shows
+	// that it holds no layers.
+	propagation = 1500 * time.Millisecond
+	// probeEvery and maxProbes bound the checks of a suspected server: for longer than
+	// its entry outlives it.
 	probeEvery = 500 * time.Millisecond
 	maxProbes  = 30
-	// probeAway is how often a suspected server of another failure domain is asked
-	// again: just before the suspicion ends.
+	// probeAway is the interval of checks of a suspected server of another failure
+	// domain: just before the suspicion expires.
 	probeAway = belief.SuspectFor - 200*time.Millisecond
-	// recheckAfter is when a server that left the first, short questions unanswered
-	// is asked again, by a long one: on a link that loses packets all may have been
-	// lost.
+	// recheckAfter is when a server that did not answer the first, short checks gets a
+	// long one: on a lossy link all of them may have been lost.
 	recheckAfter = 100 * time.Millisecond
-	// vacateEvery is the time between two streams that are led round a leaving
-	// server. Each has all its tokens read again by the servers of the new way,
-	// for which the streams there wait.
-	vacateEvery = 200 * time.Millisecond
-	// moveEvery is the same for a server that is about to load layers that nobody
-	// in its failure domain holds: until then all requests of the domain go
-	// elsewhere or are refused.
+	// drainEvery is the interval between two streams that are rerouted around a
+	// leaving server. Each has all its tokens read again on the new chain, which delays
+	// the streams there.
+	drainEvery = 200 * time.Millisecond
+	// moveEvery is the same for a server that is about to load layers that no other
+	// server of its failure domain holds.
 	moveEvery = 50 * time.Millisecond
-	// soundFor is how long an accused server that has answered is not asked
-	// again: a full one is accused with each request that it refuses.
-	soundFor = 500 * time.Millisecond
-	// repairEvery is the time between two searches for another way for a stream.
+	// recheckInterval limits status checks of a server that answered the last one: a
+	// full one is accused with each request that it refuses.
+	recheckInterval = 500 * time.Millisecond
+	// repairEvery is the interval between two searches for another chain for a stream.
 	// Each may cost an order for every server that turns out to be full.
 	repairEvery = 150 * time.Millisecond
-	// maxReroutes bounds the chains that one silence is answered with.
+	// maxReroutes bounds the chains that are tried in one search.
 	maxReroutes = 3
 )
 
@@ -66,7 +62,7 @@
 	errDead   = errors.New("stream: the first server does not answer")
 	errSilent = errors.New("stream: silent for too long")
 	errNoWay  = errors.New("stream: no other way behind the first server")
-	errHeld   = errors.New("stream: this entry host was held up")
+	errLag    = errors.New("stream: this entry host lagged")
 )
 
 // Watch looks after the streams under way. Set the exported fields before Run.
@@ -98,16 +94,15 @@
 	pipe hops.Pipe
 	// probed holds the addresses of accused servers that are being asked.
 	probed map[string]bool
-	// sound holds when an accused server last answered.
-	sound map[string]time.Time
+	// healthy holds when an accused server last answered.
+	healthy map[string]time.Time
 	// under holds the requests under which accused servers failed, by their
 	// IDs, until it is known whether they died.
 	under map[string]map[poison.Fingerprint]bool
-	// vacated is when a stream was last led round a leaving server.
-	vacated time.Time
-	// swept is when the streams were last looked at, and held when that was last
-	// late.
-	swept, held time.Time
+	// drained is when a stream was last rerouted around a leaving server.
+	drained time.Time
+	// swept is the time of the last sweep, and lagged when a sweep was last late.
+	swept, lagged time.Time
 }
 
 func (w *Watch) add(j *call.Job, chain hops.Chain, cancel context.CancelCauseFunc, restart func() bool) *live {
@@ -150,7 +145,7 @@
 		case <-tick.C:
 			now := time.Now()
 			w.sweep(ctx, now)
-			w.vacate(now)
+			w.drain(now)
 			if w.Starts.Announce(now) {
 				w.Log.Info("watch: requests wait for their first event", "waits", w.Starts.Waits(now))
 				w.Spread()
@@ -163,20 +158,20 @@
 func (w *Watch) sweep(ctx context.Context, now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	late := !w.swept.IsZero() && now.Sub(w.swept) > heldUp
+	late := !w.swept.IsZero() && now.Sub(w.swept) > schedulerLag
 	if late {
-		w.held = now
+		w.lagged = now
 	}
 	w.swept = now
 	silent := false
 	for l := range w.lives {
 		pause := l.silence(now)
-		if l.began.Load() && pause > hopeless(l.job.Route) {
+		if l.began.Load() && pause > restartWait(l.job.Route) {
 			l.cancel(errSilent)
 		}
 		silent = silent || pause > time.Duration(l.usual.Load())
 	}
-	maps.DeleteFunc(w.sound, func(_ string, at time.Time) bool { return now.Sub(at) > soundFor })
+	maps.DeleteFunc(w.healthy, func(_ string, at time.Time) bool { return now.Sub(at) > recheckInterval })
 	if !silent || late {
 		return
 	}
@@ -195,7 +190,7 @@
 // the streams that pass through it.
 func (w *Watch) inquire(ctx context.Context, address string) {
 	report, err := w.ask(ctx, address, w.bound())
-	if errors.Is(err, errHeld) {
+	if errors.Is(err, errLag) {
 		w.mu.Lock()
 		w.book.Void(address)
 		w.mu.Unlock()
@@ -223,8 +218,8 @@
 	return w.wait.Bound()
 }
 
-// ask asks a server for its report. The error is errHeld if this entry host was
-// held up meanwhile and nothing follows from the silence.
+// ask asks a server for its report. The error is errLag if this entry host lagged
+// meanwhile, so that nothing follows from the silence.
 func (w *Watch) ask(ctx context.Context, address string, wait time.Duration) (call.Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
@@ -237,9 +232,9 @@
 		w.wait.Answered(took, wait <= w.wait.Bound())
 		return report, err
 	}
-	late := probe.Held(wait, took) || w.held.After(start) || !w.swept.IsZero() && time.Since(w.swept) > heldUp
+	late := probe.Held(wait, took) || w.lagged.After(start) || !w.swept.IsZero() && time.Since(w.swept) > schedulerLag
 	if late && found(err) != probe.Gone {
-		return report, errHeld
+		return report, errLag
 	}
 	return report, err
 }
@@ -252,8 +247,8 @@
 		return
 	}
 	if s.Born.Unix() > 0 && r.Born.After(s.Born) {
-		w.Log.Warn("watch: started anew", "server", s.ID, "address", address)
-		w.State.Suspect(s.ID, now.Add(shownIn), now)
+		w.Log.Warn("watch: server restarted", "server", s.ID, "address", address)
+		w.State.Suspect(s.ID, now.Add(propagation), now)
 		w.leave(address, probe.Gone)
 		return
 	}
@@ -261,16 +256,16 @@
 	w.reroute(address, r.Stalled)
 }
 
-// leave leads streams round a server that does not answer, and begins those
-// anew of which it is the first. A server that is only out of reach may still
-// serve its peers, and one that ends may close its port before it has served the
-// last stream, so streams that come through the one or from the other stay.
+// leave reroutes streams around a server that does not answer, and restarts those
+// of which it is the first. A server that is only unreachable from here may still
+// serve its peers, and one that ends may close its port before it has served its
+// last stream, so streams that still have events stay.
 func (w *Watch) leave(address string, f probe.Finding) {
 	now := time.Now()
 	var list []*live
 	w.mu.Lock()
 	for l := range w.lives {
-		if f != probe.Gone && !l.unheard(now) || !l.through(address) {
+		if f != probe.Gone && !l.overdue(now) || !l.through(address) {
 			continue
 		}
 		if l.first() != address {
--- a/entry/stream/watch_test.go
+++ b/entry/stream/watch_test.go
@@ -260,10 +260,10 @@
 	w.stream(servers, "r", 0)
 	until := time.Now().Add(time.Hour)
 	w.State.Ordered(belief.Order{ID: "middle", First: 6, End: 12, Until: until}, time.Now())
-	w.vacate(time.Now())
-	qt.Assert(t, w.vacated.IsZero(), qt.IsTrue)
+	w.drain(time.Now())
+	qt.Assert(t, w.drained.IsZero(), qt.IsTrue)
 	w.State.Ordered(belief.Order{ID: "middle", First: 0, End: 6, Until: until}, time.Now())
-	w.vacate(time.Now())
+	w.drain(time.Now())
 	<-e.told
 	qt.Assert(t, e.rerouted["r"].String(), qt.Equals, "first=0-4 other-0=4-12")
 }
@@ -319,7 +319,7 @@
 	until(t, func() bool {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		return !w.sound["middle"].IsZero()
+		return !w.healthy["middle"].IsZero()
 	})
 	qt.Assert(t, w.State.View().At("middle").Suspect, qt.IsFalse)
 }
