stream: refuse nobody beside room that the queue cannot use

Cause: as soon as one request waits all others join the queue, and while no rate is known it is full at three. Those that wait may need more room than there is; at one host 87 were refused, at another of the same domain 5 (by the issue's logs).

--- a/entry/stream/choose.go
+++ b/entry/stream/choose.go
@@ -38,13 +38,23 @@
 	}
 	place, after := r.Turns.Join(r.job.Priority, longestWait(r.job.Route))
 	if place == nil {
-		return nil, full(after)
+		return r.lookOrRefuse(after)
 	}
 	chain, e := r.wait(ctx, place)
 	r.Turns.Leave(place, chain != nil, time.Now())
 	return chain, e
 }
 
+// lookOrRefuse takes room that the queued requests cannot use, because they are
+// larger or have tried its servers, and otherwise refuses the request at once.
+func (r *run) lookOrRefuse(after time.Duration) (hops.Chain, *fault.Error) {
+	chain, e := r.look()
+	if chain == nil && e == nil {
+		e = full(after)
+	}
+	return chain, e
+}
+
 // reroute finds a chain for an answer that broke off midway. It polls until shortly
 // before the caller gives up, and goes before requests that have not begun.
 func (r *run) reroute(ctx context.Context) (hops.Chain, *fault.Error) {
--- a/entry/stream/repair_test.go
+++ b/entry/stream/repair_test.go
@@ -7,11 +7,13 @@
 	qt "github.com/frankban/quicktest"
 
 	"fuchsiashelf.dev/entry/call"
+	"fuchsiashelf.dev/parts/fault"
 	"fuchsiashelf.dev/parts/fleet"
 	"fuchsiashelf.dev/parts/hops"
 	"fuchsiashelf.dev/parts/mirror"
 	"fuchsiashelf.dev/parts/retry"
 	"fuchsiashelf.dev/parts/route"
+	"fuchsiashelf.dev/parts/turns"
 )
 
 // addServer adds a server to those that a watch knows.
@@ -97,3 +99,24 @@
 		qt.Check(t, r.reserved.Load(), qt.Equals, test.allowed, qt.Commentf(test.name))
 	}
 }
+
+// Guards against callers that are refused beside room which those who wait cannot
+// use.
+func TestNobodyIsRefusedBesideRoom(t *testing.T) {
+	w, servers := watched(&engines{}, 1)
+	j := w.stream(servers, "other", 0).job
+	f := &Flow{State: w.State, Ledger: w.Ledger, Watch: w, Turns: &turns.Queue{}, Failures: &Failures{}, Home: "a"}
+	for {
+		if place, _ := f.Turns.Join(0, time.Second); place == nil {
+			break
+		}
+	}
+	r := &run{Flow: f, job: j}
+	chain, e := r.choose(t.Context())
+	qt.Assert(t, e == nil, qt.IsTrue, qt.Commentf("%v", e))
+	qt.Assert(t, chain.Tiles(layers), qt.IsTrue)
+	w.Ledger.Tell("full", map[string]hops.Usage{"middle": {TokenLayers: 1e12, Requests: 1}, "other-0": {TokenLayers: 1e12, Requests: 1}})
+	_, e = r.choose(t.Context())
+	qt.Assert(t, e, qt.IsNotNil)
+	qt.Assert(t, e.Code, qt.Equals, fault.Overloaded)
+}
