belief, gossip: share which servers are slow

Ways: (a) each host learns by its own silent streams, as before; (b) what a server says of its pace is sent on with the time for which it holds, and at once where it is news.

--- a/entry/belief/belief.go
+++ b/entry/belief/belief.go
@@ -69,7 +69,7 @@
 	// suspects holds until when a server is avoided.
 	suspects map[string]time.Time
 	// slows holds the servers that say that they are slow.
-	slows map[string]slow
+	slows map[string]Slow
 	// orders holds what servers were told to hold and have not reported yet.
 	orders map[string]Order
 	// cuts holds until when which failure domains do not reach which others.
@@ -384,7 +384,7 @@
 		}
 	}
 	for id, slow := range s.slows {
-		if !now.Before(slow.until) {
+		if !now.Before(slow.Until) {
 			delete(s.slows, id)
 			ids = append(ids, id)
 		}
--- a/entry/belief/doubt.go
+++ b/entry/belief/doubt.go
@@ -1,6 +1,8 @@
 package belief
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"fuchsiashelf.dev/parts/domain"
@@ -126,32 +128,55 @@
 	slowFrom = 1.3
 )
 
-// slow is what a server said of its pace.
-type slow struct {
-	times float64
-	until time.Time
+// Slow is a server whose work takes longer than usual.
+type Slow struct {
+	ID string
+	// Times is how many times as long as usual its work takes.
+	Times float64
+	// Until is when that is forgotten.
+	Until time.Time
 }
 
 // Paced notes how many times as long as usual a server's work takes, as it says
-// itself.
-func (s *State) Paced(id string, times float64, now time.Time) {
+// itself. It reports whether the server was not known to be that slow.
+func (s *State) Paced(id string, times float64, now time.Time) (news bool) {
+	if times >= slowFrom {
+		return s.Slowed(Slow{ID: id, Times: times, Until: now.Add(slowFor)}, now)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	old, known := s.slows[id]
-	if times < slowFrom {
-		if known {
-			delete(s.slows, id)
-			s.Log.Info("servers: as fast as usual", "server", id)
-			s.refresh([]string{id}, false, now)
-		}
-		return
+	if _, known := s.slows[id]; known {
+		delete(s.slows, id)
+		s.Log.Info("servers: as fast as usual", "server", id)
+		s.refresh([]string{id}, false, now)
+	}
+	return false
+}
+
+// Slowed notes that a server is slow. It reports whether it was not known to be
+// that slow.
+func (s *State) Slowed(slow Slow, now time.Time) (news bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old, known := s.slows[slow.ID]
+	if known && !slow.Until.After(old.Until) {
+		return false
 	}
 	if s.slows == nil {
-		s.slows = map[string]slow{}
+		s.slows = map[string]Slow{}
 	}
-	s.slows[id] = slow{times, now.Add(slowFor)}
-	if !known || old.times != times {
-		s.Log.Info("servers: slow", "server", id, "times", times)
-		s.refresh([]string{id}, false, now)
+	s.slows[slow.ID] = slow
+	if known && old.Times == slow.Times {
+		return false
 	}
+	s.Log.Info("servers: slow", "server", slow.ID, "times", slow.Times)
+	s.refresh([]string{slow.ID}, false, now)
+	return true
+}
+
+// Slows returns the servers that are slow.
+func (s *State) Slows() []Slow {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Values(s.slows))
 }
--- a/entry/belief/order.go
+++ b/entry/belief/order.go
@@ -26,7 +26,7 @@
 			delete(s.suspects, id)
 		}
 	}
-	server.Slowness = s.slows[id].times
+	server.Slowness = s.slows[id].Times
 	server.Takes = server.Holds()
 	o, ordered := s.orders[id]
 	switch {
--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -66,6 +66,10 @@
 	// Suspects returns the local suspicions, Suspected handles those of others.
 	Suspects  func() []Suspect
 	Suspected func(Suspect)
+	// Slows returns the servers that are known to be slow, Slowed handles those that
+	// others know of.
+	Slows  func() []Slow
+	Slowed func(Slow)
 	// Orders returns the known orders to servers, Ordered handles those of others.
 	Orders  func() []Order
 	Ordered func(Order)
@@ -81,13 +85,13 @@
 	// Random returns a number below n; nil means a random one.
 	Random func(n int) int
 
+	// sent counts the messages.
+	sent atomic.Uint64
+
 	mu sync.Mutex
 	// started is when this entry host began to listen; settled says that another
 	// which had listened long enough has told it of the others.
 	started time.Time
-	// sent counts the messages.
-	sent atomic.Uint64
-
 	settled bool
 	members map[string]*contact
 	clients map[string]*client
--- a/entry/gossip/gossip_test.go
+++ b/entry/gossip/gossip_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -21,6 +22,7 @@
 		Self: gossip.Member{Name: name, Address: name + ":1", Domain: domain.Name(fmt.Sprint(n % 5)), Boot: 1}, Mirrors: mirrors,
 		Ledger: &hops.Ledger{}, Starts: &hops.Starts{}, Tally: &poison.Tally{}, Log: slog.New(slog.DiscardHandler),
 		Suspects: func() []gossip.Suspect { return nil }, Suspected: func(gossip.Suspect) {},
+		Slows: func() []gossip.Slow { return nil }, Slowed: func(gossip.Slow) {},
 		Orders: func() []gossip.Order { return nil }, Ordered: func(gossip.Order) {},
 		Changed: func(string) {}, Waits: func(string) bool { return false },
 		Store: func() bool { return true }, Leaving: func() bool { return false },
@@ -82,3 +84,15 @@
 	qt.Assert(t, b.Items(), qt.DeepEquals, a.Items())
 	qt.Assert(t, b.Cursor(), qt.Equals, uint64(12))
 }
+
+// Guards against every entry host finding out by its own late answers which
+// servers are slow.
+func TestSlowServersAreToldOn(t *testing.T) {
+	one, other := peer(1), peer(2)
+	slow := gossip.Slow{ID: "s", Times: 12, Left: time.Second}
+	one.Slows = func() []gossip.Slow { return []gossip.Slow{slow} }
+	var told []gossip.Slow
+	other.Slowed = func(s gossip.Slow) { told = append(told, s) }
+	other.Take(one.Answer(&gossip.Message{From: other.Self}))
+	qt.Assert(t, told, qt.DeepEquals, []gossip.Slow{slow})
+}
--- a/entry/gossip/lead_test.go
+++ b/entry/gossip/lead_test.go
@@ -21,6 +21,7 @@
 		Self:   Member{Name: name, Address: name, Domain: domain.Name(fmt.Sprint(n % 5)), Boot: 1},
 		Ledger: &hops.Ledger{}, Starts: &hops.Starts{}, Tally: &poison.Tally{}, Log: slog.New(slog.DiscardHandler),
 		Suspects: func() []Suspect { return nil }, Suspected: func(Suspect) {},
+		Slows: func() []Slow { return nil }, Slowed: func(Slow) {},
 		Orders: func() []Order { return nil }, Ordered: func(Order) {},
 		Changed: func(string) {}, Waits: func(string) bool { return false },
 		Store: func() bool { return true }, Leaving: func() bool { return false },
--- a/entry/gossip/message.go
+++ b/entry/gossip/message.go
@@ -15,6 +15,15 @@
 	Left time.Duration
 }
 
+// Slow is a server whose work takes longer than usual.
+type Slow struct {
+	ID string
+	// Times is how many times as long as usual its work takes.
+	Times float64
+	// Left is how long that is remembered.
+	Left time.Duration
+}
+
 // Order is the range of layers that a server was ordered to hold.
 type Order struct {
 	ID         string
@@ -34,6 +43,7 @@
 	// Waits is how long requests wait for their first event, by server.
 	Waits    map[string]time.Duration
 	Suspects []Suspect
+	Slows    []Slow
 	Orders   []Order
 	Marks    []poison.Mark
 	Changes  []mirror.Batch
@@ -46,7 +56,11 @@
 // message returns the local state, with the changes after the given cursors of
 // another entry host. Nil cursors mean no changes.
 func (p *Peer) message(theirs map[string]uint64) *Message {
-	m := &Message{From: p.self(), Cursors: map[string]uint64{}, Members: p.sample(), Load: p.Ledger.Own(), Waits: p.Starts.Waits(time.Now()), Suspects: p.Suspects(), Orders: p.Orders(), Marks: p.Tally.Marks(time.Now())}
+	m := &Message{
+		From: p.self(), Cursors: map[string]uint64{}, Members: p.sample(),
+		Load: p.Ledger.Own(), Waits: p.Starts.Waits(time.Now()),
+		Suspects: p.Suspects(), Slows: p.Slows(), Orders: p.Orders(), Marks: p.Tally.Marks(time.Now()),
+	}
 	for _, mine := range p.Mirrors {
 		m.Cursors[mine.Kind] = mine.Cursor()
 		if theirs == nil {
@@ -138,6 +152,9 @@
 	for _, s := range m.Suspects {
 		p.Suspected(s)
 	}
+	for _, slow := range m.Slows {
+		p.Slowed(slow)
+	}
 	for _, o := range m.Orders {
 		p.Ordered(o)
 	}
--- a/entry/stream/watch.go
+++ b/entry/stream/watch.go
@@ -252,7 +252,9 @@
 		w.leave(address, probe.Gone)
 		return
 	}
-	w.State.Paced(s.ID, r.Slowness, now)
+	if w.State.Paced(s.ID, r.Slowness, now) {
+		w.Spread()
+	}
 	w.reroute(address, r.Stalled)
 }
 
