hops, gossip: share which servers refuse requests

Each host found out by itself, and 154 of the first refusals found the budget of repeats spent.

Ways: (a) a server counts as full for the host that it refused, as before; (b) that is sent on with the time for which it holds, at once where it is news. Not tried: one status check for a whole domain.

--- a/entry/gossip/message.go
+++ b/entry/gossip/message.go
@@ -41,7 +41,9 @@
 	Members []Member
 	Load    map[string]hops.Usage
 	// Waits is how long requests wait for their first event, by server.
-	Waits    map[string]time.Duration
+	Waits map[string]time.Duration
+	// Full is for how long servers that refuse requests count as full.
+	Full     map[string]time.Duration
 	Suspects []Suspect
 	Slows    []Slow
 	Orders   []Order
@@ -58,7 +60,7 @@
 func (p *Peer) message(theirs map[string]uint64) *Message {
 	m := &Message{
 		From: p.self(), Cursors: map[string]uint64{}, Members: p.sample(),
-		Load: p.Ledger.Own(), Waits: p.Starts.Waits(time.Now()),
+		Load: p.Ledger.Own(), Waits: p.Starts.Waits(time.Now()), Full: p.Ledger.Full(time.Now()),
 		Suspects: p.Suspects(), Slows: p.Slows(), Orders: p.Orders(), Marks: p.Tally.Marks(time.Now()),
 	}
 	for _, mine := range p.Mirrors {
@@ -149,6 +151,9 @@
 		p.Ledger.Tell(m.From.Name, m.Load)
 	}
 	p.Starts.Merge(m.Waits, time.Now())
+	for id, left := range m.Full {
+		p.Ledger.RefusedElsewhere(id, left, time.Now())
+	}
 	for _, s := range m.Suspects {
 		p.Suspected(s)
 	}
--- a/entry/stream/fail.go
+++ b/entry/stream/fail.go
@@ -31,7 +31,9 @@
 	server := ""
 	if s := r.State.View().At(at); s != nil {
 		server = s.ID
-		r.Ledger.Refused(s.ID, time.Now())
+		if r.Ledger.Refused(s.ID, time.Now()) {
+			r.Watch.Spread()
+		}
 	}
 	if at != first {
 		// It may be full, or dead: the first server does not say which.
--- a/parts/hops/ledger.go
+++ b/parts/hops/ledger.go
@@ -35,8 +35,9 @@
 	longestFull = 8 * fullFor
 )
 
-// Refused notes that a server refused a request.
-func (l *Ledger) Refused(id string, now time.Time) {
+// Refused notes that a server refused a request. It reports whether the server did
+// not count as full before.
+func (l *Ledger) Refused(id string, now time.Time) (news bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.full == nil {
@@ -48,11 +49,40 @@
 		r.pause = fullFor
 	case !r.over:
 		// The request was on its way when another was refused.
-		return
+		return false
 	default:
 		r.pause = min(2*r.pause, longestFull)
 	}
 	l.full[id] = refusal{until: now.Add(r.pause), pause: r.pause}
+	return true
+}
+
+// RefusedElsewhere notes that a server refused a request of another entry host, for
+// which it counts as full for so long.
+func (l *Ledger) RefusedElsewhere(id string, left time.Duration, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.full == nil {
+		l.full = map[string]refusal{}
+	}
+	left = min(left, longestFull)
+	r, known := l.full[id]
+	if until := now.Add(left); !known || until.After(r.until) {
+		l.full[id] = refusal{until: until, pause: max(r.pause, fullFor)}
+	}
+}
+
+// Full returns for how long which servers count as full.
+func (l *Ledger) Full(now time.Time) map[string]time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list := map[string]time.Duration{}
+	for id, r := range l.full {
+		if left := r.until.Sub(now); left > 0 {
+			list[id] = left
+		}
+	}
+	return list
 }
 
 // Accepted notes that the servers of a chain took a request.
--- a/parts/hops/ledger_test.go
+++ b/parts/hops/ledger_test.go
@@ -46,6 +46,30 @@
 	}
 }
 
+// Guards against requests of every entry host that a full server refuses, one after
+// the other, and against a server that is left out for good since entry hosts hand
+// each other the word that it is full.
+func TestRefusalsOfOthersCount(t *testing.T) {
+	var one, other hops.Ledger
+	now := time.Unix(1_000_000, 0)
+	qt.Check(t, one.Refused("a", now), qt.IsTrue)
+	qt.Check(t, one.Refused("a", now), qt.IsFalse)
+	for range 100 {
+		for id, left := range one.Full(now) {
+			other.RefusedElsewhere(id, left, now)
+		}
+		for id, left := range other.Full(now) {
+			one.RefusedElsewhere(id, left, now)
+		}
+		qt.Check(t, other.Used("a").Full, qt.Equals, one.Used("a").Full)
+		now = now.Add(10 * time.Millisecond)
+		one.Sweep(now)
+		other.Sweep(now)
+	}
+	qt.Check(t, one.Used("a").Full, qt.IsFalse)
+	qt.Check(t, other.Used("a").Full, qt.IsFalse)
+}
+
 // Guards against room that is never free again, or promised twice, since the sum
 // over entry hosts drifts from what each of them said.
 func TestTotalIsTheSumOverEntryHosts(t *testing.T) {
