gossip: hand out complete lists in turn

Change: an entry host sends lists of 4 MB a second at most to hosts that have none; changes are not held back. Whoever gets none asks another host, and lists the objects itself.

--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -97,6 +97,8 @@
 	clients map[string]*client
 	// pulls holds the kinds of which changes are being pulled.
 	pulls map[string]bool
+	// listsFrom is from when on another complete list may be sent.
+	listsFrom time.Time
 	// across is when this entry host last exchanged with another domain.
 	across time.Time
 	push   chan struct{}
--- a/entry/gossip/message.go
+++ b/entry/gossip/message.go
@@ -63,6 +63,8 @@
 		Load: p.Ledger.Own(), Waits: p.Starts.Waits(time.Now()), Full: p.Ledger.Full(time.Now()),
 		Suspects: p.Suspects(), Slows: p.Slows(), Orders: p.Orders(), Marks: p.Tally.Marks(time.Now()),
 	}
+	lists, sent := p.mayList(time.Now()), 0
+	defer func() { p.listed(sent, time.Now()) }()
 	for _, mine := range p.Mirrors {
 		m.Cursors[mine.Kind] = mine.Cursor()
 		if theirs == nil {
@@ -72,6 +74,12 @@
 		if b.Cursor <= theirs[mine.Kind] {
 			continue
 		}
+		if theirs[mine.Kind] == 0 {
+			if !lists {
+				continue
+			}
+			sent += b.Size()
+		}
 		m.Changes = append(m.Changes, b)
 		if whole {
 			if m.Whole == nil {
@@ -83,6 +91,30 @@
 	return m
 }
 
+// listRate bounds the complete lists that an entry host sends, in bytes a second.
+// After all were restarted hundreds ask the same few seeds for megabytes each, and
+// the seeds would do nothing else for seconds; whoever gets no list asks another
+// that has one by then, and lists the objects itself meanwhile.
+const listRate = 4 << 20
+
+// mayList reports whether complete lists may be sent now to an entry host that has
+// none.
+func (p *Peer) mayList(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !now.Before(p.listsFrom)
+}
+
+// listed notes the size of the lists in a message.
+func (p *Peer) listed(size int, now time.Time) {
+	if size == 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listsFrom = now.Add(time.Duration(size) * time.Second / listRate)
+}
+
 // Answer merges a message and returns the answer, with the changes that the
 // sender lacks. Changes that are missing here are pulled from the sender.
 func (p *Peer) Answer(m *Message) *Message {
