belief, gossip, placer, hops, plain, stream: say it in the field's terms

Comments and names only: told becomes pending, placed indexed, and sentences that a maintainer would have rewritten.

--- a/entry/belief/belief.go
+++ b/entry/belief/belief.go
@@ -3,8 +3,8 @@
 //
 // Both are immutable and stand behind atomic pointers. The configuration never
 // goes back to an older version. A backend server whose entry vanished right
-// after an outage of the object API is kept for a moment: entries lapse while
-// it is away, and those of living servers come back.
+// after an outage of the object API is kept for a while: entries expire during the
+// outage, and living servers register again.
 package belief
 
 import (
@@ -47,9 +47,8 @@
 	Log     *slog.Logger
 	// Home is the failure domain of the entry host.
 	Home domain.Name
-	// Lapsed is told the address of each server whose entry lapsed, so that it
-	// is asked whether it lives. Servers leave for good during an outage as well,
-	// and requests would be sent to them until all entries should be back.
+	// Lapsed is called with the address of each server whose entry expired, to check
+	// the server: some left for good during the outage.
 	Lapsed func(address string)
 	// Config and Servers are the mirrors that the state is built from.
 	Config, Servers *mirror.Mirror
@@ -70,7 +69,7 @@
 	suspects map[string]time.Time
 	// slows holds the servers that say that they are slow.
 	slows map[string]Slow
-	// orders holds what servers were told to hold and have not reported yet.
+	// orders holds the orders to servers whose entries do not show them yet.
 	orders map[string]Order
 	// cuts holds until when which failure domains do not reach which others.
 	cuts map[[2]domain.Name]time.Time
@@ -257,31 +256,29 @@
 	return lapsed
 }
 
-// show publishes changed entries, and ends what has run out meanwhile.
+// show publishes changed entries, and drops what has expired meanwhile.
 func (s *State) show(items []mirror.Item, now time.Time) {
-	ids, anew := s.expired(now)
+	ids, rebuild := s.expired(now)
 	v := s.View()
 	for _, item := range items {
 		ids = append(ids, item.Name)
-		anew = anew || !s.placed(v, item.Name)
+		rebuild = rebuild || !s.indexed(v, item.Name)
 	}
-	s.refresh(ids, anew || len(v.Servers) != len(s.decoded)+len(s.lapsed), now)
+	s.refresh(ids, rebuild || len(v.Servers) != len(s.decoded)+len(s.lapsed), now)
 }
 
-// placed reports whether a view has a server at the place that its entry asks
-// for.
-func (s *State) placed(v *fleet.View, id string) bool {
+// indexed reports whether the index of a view fits the entry of a server.
+func (s *State) indexed(v *fleet.View, id string) bool {
 	shown := v.ByID(id)
 	k, known := s.decoded[id]
 	return shown != nil && known && k.server.Address == shown.Address && k.server.Service == shown.Service && k.server.Born.Equal(shown.Born)
 }
 
-// refresh publishes the view after some servers changed. Anew says that some came
-// or went. With thousands of servers, each of which is ordered, suspected and
-// cleared one by one after a start, making the whole view each time takes
-// seconds of processor time.
-func (s *State) refresh(ids []string, anew bool, now time.Time) {
-	if anew {
+// refresh publishes the view after some servers changed; rebuild says that servers
+// were added or removed. Rebuilding the view for each order, suspicion and pace of
+// thousands of servers takes seconds of processor time.
+func (s *State) refresh(ids []string, rebuild bool, now time.Time) {
+	if rebuild {
 		s.publish(now)
 		return
 	}
@@ -298,7 +295,7 @@
 	s.store(v)
 }
 
-// expire forgets what was believed of a server that is not there.
+// expire drops an expired suspicion or order of a server that does not exist.
 func (s *State) expire(id string, now time.Time) {
 	if until, known := s.suspects[id]; known && !now.Before(until) {
 		delete(s.suspects, id)
@@ -366,7 +363,7 @@
 	awayLeast = 3
 )
 
-// Sweep ends suspicions, orders and lapses whose time is over.
+// Sweep drops suspicions, paces, orders and lapsed entries that have expired.
 func (s *State) Sweep(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -375,8 +372,8 @@
 	}
 }
 
-// expired returns the servers of which something believed has run out, and
-// whether a server whose entry lapsed is to be forgotten.
+// expired returns the servers with an expired suspicion, pace or order, and whether
+// a server whose entry lapsed is to be removed.
 func (s *State) expired(now time.Time) (ids []string, lapsed bool) {
 	for id, until := range s.suspects {
 		if !now.Before(until) {
--- a/entry/belief/doubt.go
+++ b/entry/belief/doubt.go
@@ -87,8 +87,8 @@
 	return list
 }
 
-// cutFor is how long servers of two failure domains are taken not to reach
-// each other after one has waited for another in vain that lives.
+// cutFor is how long two failure domains count as partitioned after a server of one
+// timed out on a healthy server of the other.
 const cutFor = 3 * time.Second
 
 // CutOff notes that servers of one failure domain do not reach those of
--- a/entry/belief/order.go
+++ b/entry/belief/order.go
@@ -6,7 +6,7 @@
 	"fuchsiashelf.dev/parts/fleet"
 )
 
-// Order is the range of layers that a server was told to hold.
+// Order is the range of layers that a server was ordered to hold.
 type Order struct {
 	ID         string
 	First, End int
@@ -37,8 +37,8 @@
 		server.First, server.End = o.First, o.End
 		server.Takes = server.Holds()
 	default:
-		// Layers that it gives up accept nothing more, and those that it loads
-		// take memory already.
+		// Layers being given up accept no new requests, and layers being loaded take
+		// memory already.
 		server.Takes = max(server.Takes, o.End-o.First)
 		server.Moves = o.First < server.First || o.End > server.End
 		server.First, server.End = max(server.First, o.First), min(server.End, o.End)
@@ -49,8 +49,8 @@
 	return &server
 }
 
-// Ordered notes that a server was told to hold layers, so that none that it
-// gives up is asked of it. It reports whether that is news.
+// Ordered records an order, so that no request is sent for layers that the server
+// gives up. It reports whether the order was unknown.
 func (s *State) Ordered(o Order, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -36,7 +36,7 @@
 	// pushEvery is the least time between two such rounds. After a start thousands
 	// of servers get their orders, one by one.
 	pushEvery = 50 * time.Millisecond
-	// listenWith and listenAcross are the same for one that has just started.
+	// listenWith and listenAcross are the same for a new entry host.
 	listenWith   = 2
 	listenAcross = 1
 	// listenSeeds is the least chance in that time of an exchange with a seed.
@@ -66,8 +66,7 @@
 	// Suspects returns the local suspicions, Suspected handles those of others.
 	Suspects  func() []Suspect
 	Suspected func(Suspect)
-	// Slows returns the servers that are known to be slow, Slowed handles those that
-	// others know of.
+	// Slows returns the known slow servers, Slowed handles those of others.
 	Slows  func() []Slow
 	Slowed func(Slow)
 	// Orders returns the known orders to servers, Ordered handles those of others.
@@ -85,19 +84,19 @@
 	// Random returns a number below n; nil means a random one.
 	Random func(n int) int
 
-	// sent counts the messages.
+	// sent is the number of messages so far.
 	sent atomic.Uint64
 
 	mu sync.Mutex
-	// started is when this entry host began to listen; settled says that another
-	// which had listened long enough has told it of the others.
+	// started is when this entry host began to listen; settled says that a settled
+	// member has sent it the list of members.
 	started time.Time
 	settled bool
 	members map[string]*contact
 	clients map[string]*client
 	// pulls holds the kinds of which changes are being pulled.
 	pulls map[string]bool
-	// listsFrom is from when on another complete list may be sent.
+	// listsFrom is when the next complete list may be sent.
 	listsFrom time.Time
 	// across is when this entry host last exchanged with another domain.
 	across time.Time
--- a/entry/gossip/lead.go
+++ b/entry/gossip/lead.go
@@ -6,9 +6,9 @@
 // silence that others are absent: as long as a living one may go unheard.
 const listenFor = freshFor
 
-// Settled reports whether this entry host can tell others that are absent from
-// others that it has not heard of yet. Until then it takes no role that one
-// entry host has alone: after a power failure all would take it at once.
+// Settled reports whether this entry host has listened long enough to conclude that
+// a member is absent. Until then it takes no exclusive role: after a power failure
+// all would take it at once.
 func (p *Peer) Settled() bool {
 	p.init()
 	p.mu.Lock()
@@ -34,7 +34,7 @@
 	return true
 }
 
-// watcherAge is how lately a watcher must have been heard of to be relied on.
+// watcherAge is the age of the last message above which a watcher is not relied on.
 const watcherAge = 1200 * time.Millisecond
 
 // Ahead returns how many entry hosts of the failure domain come before this one
--- a/entry/gossip/member.go
+++ b/entry/gossip/member.go
@@ -15,8 +15,8 @@
 	Domain  domain.Name
 	// Boot orders the runs of one name.
 	Boot int64
-	// Seq counts the messages of one run: of two states of a member the one of the
-	// later message counts, however long each was on its way.
+	// Seq numbers the messages of one run. Of two states of a member the later one
+	// counts, regardless of their transit times.
 	Seq uint64
 	// Age is the time since its last message, to this entry host or another.
 	Age time.Duration
@@ -127,7 +127,7 @@
 	known.at = at
 }
 
-// older reports whether a state of a member is of before another one.
+// older reports whether one state of a member precedes another.
 func older(m, than Member) bool {
 	return m.Boot < than.Boot || m.Boot == than.Boot && m.Seq < than.Seq
 }
--- a/entry/gossip/message.go
+++ b/entry/gossip/message.go
@@ -42,7 +42,7 @@
 	Load    map[string]hops.Usage
 	// Waits is how long requests wait for their first event, by server.
 	Waits map[string]time.Duration
-	// Full is for how long servers that refuse requests count as full.
+	// Full is how much longer servers that refused requests count as full.
 	Full     map[string]time.Duration
 	Suspects []Suspect
 	Slows    []Slow
@@ -91,21 +91,20 @@
 	return m
 }
 
-// listRate bounds the complete lists that an entry host sends, in bytes a second.
-// After all were restarted hundreds ask the same few seeds for megabytes each, and
-// the seeds would do nothing else for seconds; whoever gets no list asks another
-// that has one by then, and lists the objects itself meanwhile.
+// listRate bounds the complete lists that an entry host sends to others that have
+// none, in bytes per second. After a restart of all, hundreds request megabytes each
+// from the same few seeds. One that is sent no list requests it from other members,
+// and lists the objects itself.
 const listRate = 4 << 20
 
-// mayList reports whether complete lists may be sent now to an entry host that has
-// none.
+// mayList reports whether complete lists may be sent now.
 func (p *Peer) mayList(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return !now.Before(p.listsFrom)
 }
 
-// listed notes the size of the lists in a message.
+// listed charges the lists in a message against the rate.
 func (p *Peer) listed(size int, now time.Time) {
 	if size == 0 {
 		return
--- a/entry/line/line.go
+++ b/entry/line/line.go
@@ -87,7 +87,7 @@
 	Fresh time.Duration
 	// New asks for a new connection.
 	New bool
-	// Dial bounds the making of a connection; zero means the usual bound.
+	// Dial bounds the time to connect; zero means dialTime.
 	Dial time.Duration
 	// Head reads an answer's header.
 	Head func(*http.Response) Head
--- a/entry/placer/order.go
+++ b/entry/placer/order.go
@@ -11,7 +11,7 @@
 	"fuchsiashelf.dev/parts/route"
 )
 
-// order asks a server what it holds now and tells it what to hold.
+// order reads what a server holds and sends it the order.
 func (p *Placer) order(ctx context.Context, e *route.Engine, o place.Order) {
 	report, err := p.report(ctx, o.Server)
 	if err != nil {
@@ -127,5 +127,5 @@
 func (p *Placer) settle(s *fleet.Server, first, end int, until time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.tell(s.ID, told{first: first, end: end, until: until, settled: true, born: s.Born})
+	p.tell(s.ID, pending{first: first, end: end, until: until, settled: true, born: s.Born})
 }
--- a/entry/placer/placer.go
+++ b/entry/placer/placer.go
@@ -53,8 +53,8 @@
 	maxConfirms  = 20
 	// shownIn is how long a report overrides the server's entry: two heartbeats.
 	shownIn = 2500 * time.Millisecond
-	// heartbeats is how long a server's own entry may lag behind what it was
-	// told, beyond the time of its load.
+	// heartbeats is how long a server's entry may lag behind an order, beyond the time
+	// of its load.
 	heartbeats = 4 * time.Second
 )
 
@@ -63,20 +63,19 @@
 	State  *belief.State
 	Engine call.Engine
 	Ledger *hops.Ledger
-	// Spread tells the other entry hosts of an order.
+	// Spread sends a new order to other entry hosts.
 	Spread func()
 	// Leads reports whether this entry host is the one to place.
 	Leads func() bool
 	Log   *slog.Logger
-	// Every is how often it is decided anew if nothing changes; zero means five
-	// times a second.
+	// Every is the interval of decisions while nothing changes; zero means lookEvery.
 	Every time.Duration
 
 	mu sync.Mutex
-	// told holds what servers were told, or reported themselves, and have not
-	// shown in their entries yet.
-	told map[string]told
-	// seen holds the sound servers, and since when their list last changed.
+	// pending holds the ranges that servers were ordered to hold, or reported, and
+	// that their entries do not show yet.
+	pending map[string]pending
+	// seen holds the healthy servers, and since when their list is unchanged.
 	seen  map[string]domain.Name
 	since time.Time
 	// entered is when a server was first seen.
@@ -88,12 +87,12 @@
 	returned map[domain.Name]time.Time
 }
 
-type told struct {
+type pending struct {
 	first, end int
 	until      time.Time
 	// settled says that the server has confirmed it.
 	settled bool
-	// born is the start of the run that it was told to.
+	// born is the start of the server's run that was ordered.
 	born time.Time
 }
 
@@ -185,11 +184,11 @@
 	believed := make([]*fleet.Server, len(servers))
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	maps.DeleteFunc(p.told, func(_ string, t told) bool { return now.After(t.until) })
+	maps.DeleteFunc(p.pending, func(_ string, t pending) bool { return now.After(t.until) })
 	moving := map[domain.Name]bool{}
 	for i, s := range servers {
 		believed[i] = p.believed(s)
-		if _, told := p.told[s.ID]; told {
+		if _, moves := p.pending[s.ID]; moves {
 			moving[s.Domain] = true
 		}
 	}
@@ -203,7 +202,7 @@
 		if now.Sub(p.returned[o.Server.Domain]) < returnTime {
 			continue
 		}
-		p.tell(o.Server.ID, told{first: o.First, end: o.End, until: now.Add(retryDelay), born: o.Server.Born})
+		p.tell(o.Server.ID, pending{first: o.First, end: o.End, until: now.Add(retryDelay), born: o.Server.Born})
 		go p.order(ctx, e, o)
 	}
 }
@@ -213,25 +212,25 @@
 	return p.Ledger.Used(id).Requests <= idleRequests
 }
 
-// idleRequests is up to how many requests a server counts as idle. They are
-// led round it within a second.
+// idleRequests is the number of requests up to which a server counts as idle. They
+// are rerouted within a second.
 const idleRequests = 4
 
-func (p *Placer) tell(id string, t told) {
-	if p.told == nil {
-		p.told = map[string]told{}
+func (p *Placer) tell(id string, t pending) {
+	if p.pending == nil {
+		p.pending = map[string]pending{}
 	}
-	p.told[id] = t
+	p.pending[id] = t
 }
 
-// believed joins a server's entry with what it was told. The mutex is held.
+// believed joins a server's entry with a pending range. The mutex is held.
 func (p *Placer) believed(s *fleet.Server) *fleet.Server {
-	t, known := p.told[s.ID]
+	t, known := p.pending[s.ID]
 	if !known {
 		return s
 	}
 	if s.Born.After(t.born) || t.settled && s.First == t.first && s.End == t.end {
-		delete(p.told, s.ID)
+		delete(p.pending, s.ID)
 		return s
 	}
 	changed := *s
--- a/entry/plain/plain.go
+++ b/entry/plain/plain.go
@@ -1,12 +1,10 @@
 // Package plain passes requests on to backend servers of plain services, each
 // of which gives a whole answer by itself.
 //
-// A request of a route that may not be repeated is sent to one server once; if
-// the sending leaves open whether it ran, the caller is told no more than
-// that. A repeatable one that fails, or is silent for too long, goes to
-// another server while the budget of repeats allows it. An answer is read to
-// its end before the caller gets any of it, so that one that breaks off can
-// still be had elsewhere.
+// A request that is not idempotent is sent to one server once; if it is unknown
+// whether it ran, the response says so. An idempotent request that fails or times out
+// is retried on another server while the retry budget allows it. A response is read
+// to its end before any of it is passed on, so that a truncated one can be retried.
 package plain
 
 import (
@@ -31,20 +29,19 @@
 	// held is how much of an answer is read before the caller gets it. Larger
 	// ones are passed on as they come.
 	held = 1 << 20
-	// freshOnce is how lately a kept connection must have been used for a
-	// request that may run once: one that the server has closed meanwhile
-	// leaves open whether it ran. A new connection takes a millisecond.
+	// freshOnce is the maximum idle time of a connection that is reused for a request
+	// that is not idempotent: after a close by the server it is unknown whether the
+	// request ran.
 	freshOnce = time.Second
 	// comeBack is when a refused caller should come again: queues of a plain
 	// service empty within some tens of milliseconds.
 	comeBack = 200 * time.Millisecond
-	// silentShare of the time that counts as on time is how long a repeatable
-	// request waits for one server while another may be tried. The rest is
-	// enough for a second answer of usual length.
+	// silentShare is the timeout of an idempotent request at one server while another
+	// may be tried, as a fraction of the route's target. The rest is enough for a
+	// second response of average duration.
 	silentShare = 0.6
-	// connectShare of that time bounds the making of a connection. Nothing has been
-	// sent then, so that another server is tried, and the caller is refused while it
-	// can still go elsewhere if none can be reached.
+	// connectShare bounds the time to connect, as a fraction of the route's target.
+	// Nothing has been sent by then, so any request may go to another server.
 	connectShare = 0.4
 )
 
@@ -119,8 +116,7 @@
 	}
 }
 
-// another reports whether an answer that tells of a failure is worth a second
-// server.
+// another reports whether a failure response is retried on a second server.
 func (f *Flow) another(j *call.Job, a attempt, more bool, budget *retry.Share) bool {
 	failed := a.reply.Status >= http.StatusInternalServerError
 	return failed && more && a.rest == nil && j.Route.Repeatable() && budget.Take(time.Now())
@@ -202,8 +198,7 @@
 	return a
 }
 
-// connectWait bounds the making of a connection for a route; zero means the usual
-// bound.
+// connectWait bounds the time to connect for a route; zero means the default.
 func connectWait(r *route.Route) time.Duration {
 	return time.Duration(connectShare * float64(r.Target))
 }
@@ -239,7 +234,7 @@
 	return out
 }
 
-// fail tells the caller that the request was given up.
+// fail ends a request with an error response.
 func (f *Flow) fail(ctx context.Context, w http.ResponseWriter, out call.Outcome, verdict fault.Verdict, e *fault.Error) call.Outcome {
 	final := *e
 	final.Verdict = verdict
--- a/entry/source/source.go
+++ b/entry/source/source.go
@@ -56,8 +56,8 @@
 	// it usually receives the next change from the main follower.
 	pauseShare  = 0.15
 	backupShare = 0.5
-	// backupWaits is by how many times longer a watch of a backup waits: it hears of
-	// each change at once, and only one that has fallen deaf is noticed later.
+	// backupWaits multiplies the wait of a backup's watch. Changes still arrive at
+	// once; only a watch that has stopped delivering is noticed later.
 	backupWaits = 3
 	// reliesFor is how often a relying entry host checks its role.
 	reliesFor = 200 * time.Millisecond
@@ -167,7 +167,7 @@
 	return f.Wait
 }
 
-// pause returns how long to wait after a watch that told of changes.
+// pause returns how long to wait after a watch that returned changes.
 func (f *Follow) pause() time.Duration {
 	pause := time.Duration(pauseShare * float64(f.Wait))
 	if f.role() == Main {
--- a/entry/stream/accuse.go
+++ b/entry/stream/accuse.go
@@ -12,9 +12,9 @@
 	"fuchsiashelf.dev/parts/probe"
 )
 
-// Accuse asks a server that seems to have failed for its report. One that
-// answers is sound. One that does not is suspected, and asked again until it
-// answers or its entry is gone.
+// Accuse checks a server that seems to have failed by a request for its report. One
+// that does not answer is suspected, and checked again until it answers or its entry
+// is gone.
 func (w *Watch) Accuse(address, why string) {
 	w.accuse(address, why, link{})
 }
@@ -70,8 +70,8 @@
 	}
 }
 
-// claim reports whether the caller is to ask an accused server; one that is
-// asked already is not asked by another.
+// claim reports whether the caller is to check an accused server. Each is checked by
+// one goroutine at a time.
 func (w *Watch) claim(address string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -114,9 +114,9 @@
 	return true
 }
 
-// check asks an accused server until it answers or its entry is gone. The first
-// questions, as many as mean that it is dead, are short: each moment in which it is not known that a server
-// died, requests go to it, and nobody gets its layers.
+// check polls an accused server until it answers or its entry is gone. The first
+// probes, as many as mean that it is dead, have a short timeout: until a death is
+// known, requests go to the server, and its layers are not loaded elsewhere.
 func (w *Watch) check(id, address, why string, by link) {
 	defer func() {
 		w.mu.Lock()
@@ -204,9 +204,8 @@
 	return probe.Unreachable
 }
 
-// lives reports whether a server answered a question for its report, be it
-// that it has none. Suspected, a plain server would get no requests for two
-// seconds after each one that it failed.
+// lives reports whether a server answered a request for its report. Plain servers
+// answer that they have none.
 func lives(err error) bool {
 	var none *call.NoReport
 	return err == nil || errors.As(err, &none)
--- a/entry/stream/fail.go
+++ b/entry/stream/fail.go
@@ -14,7 +14,7 @@
 	"fuchsiashelf.dev/parts/fleet"
 )
 
-// failure is a server's answer that tells of its own failure.
+// failure is a server's response with an error of its own.
 type failure struct {
 	header http.Header
 	status int
@@ -116,9 +116,9 @@
 	return allowed
 }
 
-// reserve returns what reserves a run after that of a first server: the watch
-// ends a run only for another that is certain, or the caller would be left with
-// half an answer.
+// reserve returns a function that reserves a run after that of a first server. The
+// watch ends a run only for a reserved one: otherwise the caller could be left with a
+// truncated answer.
 func (r *run) reserve(first *fleet.Server) func() bool {
 	ran := append(slices.Clone(r.ran), first)
 	sends := r.out.Sends + 1
@@ -134,11 +134,9 @@
 	}
 }
 
-// runs returns how many of the servers that have run the request count towards
-// what its route allows: those that still live. An answer may break off, or stand
-// still, at a server that goes on well; with one run more than the route allows
-// for each of these, callers' requests ran on three servers where two are
-// permitted. A server that died may be replaced by another.
+// runs returns how many of the servers that have run the request count towards the
+// attempts of its route: those that still live. A server that died may be replaced by
+// another.
 func (r *run) runs(ran []*fleet.Server) int {
 	view := r.State.View()
 	n := 0
--- a/entry/stream/failures.go
+++ b/entry/stream/failures.go
@@ -11,9 +11,9 @@
 	// learnFailures is the part of a new outcome in a server's share: three
 	// failures in a row make more than half.
 	learnFailures = 0.25
-	// failureSeconds is what a failure costs, as time in the choice of a chain:
-	// the prompt is read again elsewhere, out of a budget of repeats that a
-	// server which always fails uses up within a second.
+	// failureSeconds is the cost of a failure in the choice of a chain. The prompt is
+	// read again elsewhere, and a server that always fails uses up the retry budget
+	// within a second.
 	failureSeconds = 3
 )
 
--- a/entry/stream/flow.go
+++ b/entry/stream/flow.go
@@ -73,7 +73,7 @@
 	verdict fault.Verdict
 	// ran holds the servers that may have run the request.
 	ran []*fleet.Server
-	// reserved says that the watch has reserved another run.
+	// reserved says that the watch has reserved the next run.
 	reserved atomic.Bool
 	budget   *retry.Share
 	// passed is when the caller got the last event.
--- a/entry/stream/live.go
+++ b/entry/stream/live.go
@@ -18,8 +18,8 @@
 	// restart reserves a further run of the request on another chain, and reports
 	// whether its route and the budget of repeats allow one. Nil means that none is.
 	restart func() bool
-	// last is when the last event came, or another chain was ordered, and usual
-	// the time that usually lies between two events, in nanoseconds.
+	// last is the time of the last event or order of another chain, and usual the mean
+	// interval between two events, in nanoseconds.
 	last, usual atomic.Int64
 	began       atomic.Bool
 
--- a/parts/fleet/fleet.go
+++ b/parts/fleet/fleet.go
@@ -54,8 +54,8 @@
 
 // View is what is believed at one moment.
 type View struct {
-	// Servers are all known servers, ordered by service and ID. Views share those
-	// that did not change, so none is ever written to.
+	// Servers are all known servers, ordered by service and ID. They are immutable:
+	// views share those that did not change.
 	Servers []*Server
 
 	index *index
--- a/parts/hops/cost.go
+++ b/parts/hops/cost.go
@@ -11,8 +11,7 @@
 
 // The weights of the choice.
 const (
-	// passSeconds is what each further server adds to a pass, beside the time
-	// that its layers take.
+	// passSeconds is the overhead of each further server in a pass.
 	passSeconds = 0.0003
 	// busyPass multiplies the time of a step: a request that comes to a server
 	// waits for the pass under way.
@@ -75,7 +74,7 @@
 	read, write float64
 	// spread makes fuller servers seem slower.
 	spread float64
-	// delay is what starting there costs beside the work, in seconds.
+	// delay is the cost of starting there besides the work, in seconds.
 	delay float64
 	// occupied says that all slots for requests that start there are taken.
 	occupied bool
--- a/parts/hops/ledger.go
+++ b/parts/hops/ledger.go
@@ -5,15 +5,14 @@
 	"time"
 )
 
-// Ledger counts what the requests under way take of each server: those of
-// this entry host exactly, those of the others as they last told.
+// Ledger counts what the requests in flight take of each server: those of this entry
+// host exactly, those of others as of their last message.
 type Ledger struct {
 	mu     sync.Mutex
 	own    map[string]Usage
 	others map[string]map[string]Usage
-	// total is the sum of own and others, kept up to date: a choice reads it for
-	// every server, and summing up hundreds of entry hosts each time takes longer
-	// than the rest of the choice.
+	// total is the sum of own and others. A choice reads it for every server; summing
+	// up hundreds of entry hosts there takes longer than the choice itself.
 	total map[string]Usage
 	full  map[string]refusal
 }
@@ -35,7 +34,7 @@
 	longestFull = 8 * fullFor
 )
 
-// Refused notes that a server refused a request. It reports whether the server did
+// Refused records that a server refused a request. It reports whether the server did
 // not count as full before.
 func (l *Ledger) Refused(id string, now time.Time) (news bool) {
 	l.mu.Lock()
@@ -57,8 +56,8 @@
 	return true
 }
 
-// RefusedElsewhere notes that a server refused a request of another entry host, for
-// which it counts as full for so long.
+// RefusedElsewhere records that a server refused a request of another entry host, for
+// which it counts as full for the time left.
 func (l *Ledger) RefusedElsewhere(id string, left time.Duration, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -94,8 +93,7 @@
 	}
 }
 
-// Sweep lets servers be tried again whose time is over, and forgets those that
-// nobody has tried for long.
+// Sweep ends the pauses of servers that refused, and removes old ones.
 func (l *Ledger) Sweep(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/parts/hops/pipe.go
+++ b/parts/hops/pipe.go
@@ -14,10 +14,9 @@
 	free time.Time
 }
 
-// Take books a transfer, and reports whether it may begin now: those that were
-// booked before it are through within the given time. The hosts that
-// share the link are told nothing of each other's transfers, so each has an
-// equal part of its rate.
+// Take reserves a transfer, and reports whether it may begin now: the transfers
+// reserved before it end within the given time. The hosts that share the link do not
+// know each other's transfers, so each has an equal part of its rate.
 func (p *Pipe) Take(transfer, queue time.Duration, hosts int, now time.Time) bool {
 	if p.free.Before(now) {
 		p.free = now
