belief, hops, plain: keep servers that are back, end what others tell, a least wait

Found on reading the change again, each with a test that failed first: - A server that started again under its ID has a deletion and an entry among the changes of the mirror; the deletion took it out until its entry changed again.

--- a/entry/belief/belief.go
+++ b/entry/belief/belief.go
@@ -188,6 +188,9 @@
 		s.decoded = map[string]known{}
 		s.lapsed = map[string]keep{}
 	}
+	// A server that started again under its ID has a deletion and an entry among the
+	// changes; the revision of the deletion need not be the lower one.
+	present := map[string]bool{}
 	for _, item := range items {
 		old, seen := s.decoded[item.Name]
 		if seen && old.revision == item.Revision {
@@ -214,8 +217,9 @@
 		s.tell(old.server, server, seen, item.Revision)
 		s.decoded[item.Name] = known{revision: item.Revision, server: server}
 		delete(s.lapsed, item.Name)
+		present[item.Name] = true
 	}
-	return gone
+	return slices.DeleteFunc(gone, func(id string) bool { return present[id] })
 }
 
 // missing returns the IDs of servers that a complete list does not show as they
--- a/entry/belief/doubt.go
+++ b/entry/belief/doubt.go
@@ -126,6 +126,9 @@
 	// slowFrom is the slowness from which on it matters: below it a server still
 	// serves sooner than one in another failure domain.
 	slowFrom = 1.3
+	// transitTime is by how much a later expiry may be due to the transit time of a
+	// message. Added up, transit times would keep an old report alive.
+	transitTime = 300 * time.Millisecond
 )
 
 // Slow is a server whose work takes longer than usual.
@@ -159,7 +162,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old, known := s.slows[slow.ID]
-	if known && !slow.Until.After(old.Until) {
+	if known && slow.Until.Sub(old.Until) < transitTime {
 		return false
 	}
 	if s.slows == nil {
--- a/entry/belief/scale_test.go
+++ b/entry/belief/scale_test.go
@@ -89,3 +89,40 @@
 	s.ReadServers(start.Add(time.Minute))
 	qt.Check(t, ids(s), qt.DeepEquals, []string{name(1), "new"})
 }
+
+// Guards against a server that is left out since it started again under its ID: the
+// end of its former entry and the new entry arrive together.
+func TestServerThatIsBackUnderItsIDIsShown(t *testing.T) {
+	// The deletion takes the revision of the answer that told of it.
+	for _, deletion := range []uint64{2, 3} {
+		s := many(2)
+		s.Servers.Merge(mirror.Batch{After: 1, Cursor: 3, Items: []mirror.Item{
+			{Name: name(0), Revision: deletion, Deleted: true}, item(name(0), 3, anew),
+		}})
+		s.ReadServers(start)
+		qt.Assert(t, s.View().ByID(name(0)), qt.IsNotNil, qt.Commentf("deletion at %d", deletion))
+		qt.Assert(t, s.View().ByID(name(0)).Holds(), qt.Equals, 0)
+	}
+}
+
+// Guards against a server that counts as slow for good, since entry hosts hand each
+// other the word and each transit time is added to it.
+func TestSlownessEndsDespiteTransitTimes(t *testing.T) {
+	one, other := many(1), many(1)
+	now := start
+	one.Paced(name(0), 12, now)
+	for range 60 {
+		for _, pair := range [][2]*belief.State{{one, other}, {other, one}} {
+			list := pair[0].Slows()
+			sent := now
+			now = now.Add(60 * time.Millisecond)
+			for _, slow := range list {
+				pair[1].Slowed(belief.Slow{ID: slow.ID, Times: slow.Times, Until: now.Add(slow.Until.Sub(sent))}, now)
+			}
+		}
+		one.Sweep(now)
+		other.Sweep(now)
+	}
+	qt.Check(t, one.Slows(), qt.HasLen, 0)
+	qt.Check(t, other.Slows(), qt.HasLen, 0)
+}
--- a/entry/plain/plain.go
+++ b/entry/plain/plain.go
@@ -43,6 +43,8 @@
 	// connectShare bounds the time to connect, as a fraction of the route's target.
 	// Nothing has been sent by then, so any request may go to another server.
 	connectShare = 0.4
+	// leastConnect is the minimum of that bound: a few round trips.
+	leastConnect = 40 * time.Millisecond
 )
 
 // Flow passes requests on. Set the exported fields before use.
@@ -200,7 +202,10 @@
 
 // connectWait bounds the time to connect for a route; zero means the default.
 func connectWait(r *route.Route) time.Duration {
-	return time.Duration(connectShare * float64(r.Target))
+	if r.Target <= 0 {
+		return 0
+	}
+	return max(leastConnect, time.Duration(connectShare*float64(r.Target)))
 }
 
 var errSilent = errors.New("silent for too long")
--- a/parts/hops/ledger.go
+++ b/parts/hops/ledger.go
@@ -32,6 +32,9 @@
 	// its entry need not say so while the object API is away.
 	fullFor     = 200 * time.Millisecond
 	longestFull = 8 * fullFor
+	// transitTime is by how much a later end may be due to the transit time of a
+	// message. Added up, transit times would keep an old refusal alive.
+	transitTime = fullFor / 2
 )
 
 // Refused records that a server refused a request. It reports whether the server did
@@ -66,7 +69,7 @@
 	}
 	left = min(left, longestFull)
 	r, known := l.full[id]
-	if until := now.Add(left); !known || until.After(r.until) {
+	if until := now.Add(left); !known || until.Sub(r.until) > transitTime {
 		l.full[id] = refusal{until: until, pause: max(r.pause, fullFor)}
 	}
 }
--- a/parts/hops/ledger_test.go
+++ b/parts/hops/ledger_test.go
@@ -70,6 +70,27 @@
 	qt.Check(t, other.Used("a").Full, qt.IsFalse)
 }
 
+// Guards against a server that is left out for good since transit times of messages
+// add up.
+func TestRefusalsEndDespiteTransitTimes(t *testing.T) {
+	var one, other hops.Ledger
+	now := time.Unix(1_000_000, 0)
+	one.Refused("a", now)
+	for range 40 {
+		for _, pair := range [][2]*hops.Ledger{{&one, &other}, {&other, &one}} {
+			list := pair[0].Full(now)
+			now = now.Add(20 * time.Millisecond)
+			for id, left := range list {
+				pair[1].RefusedElsewhere(id, left, now)
+			}
+		}
+		one.Sweep(now)
+		other.Sweep(now)
+	}
+	qt.Check(t, one.Used("a").Full, qt.IsFalse)
+	qt.Check(t, other.Used("a").Full, qt.IsFalse)
+}
+
 // Guards against room that is never free again, or promised twice, since the sum
 // over entry hosts drifts from what each of them said.
 func TestTotalIsTheSumOverEntryHosts(t *testing.T) {
