--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -96,8 +96,6 @@
 	clients map[string]*client
 	// pulls holds the kinds of which changes are being pulled.
 	pulls map[string]bool
-	// listsFrom is when the next complete list may be sent.
-	listsFrom time.Time
 	// across is when this entry host last exchanged with another domain.
 	across time.Time
 	push   chan struct{}
--- a/entry/gossip/message.go
+++ b/entry/gossip/message.go
@@ -63,8 +63,6 @@
 		Load: p.Ledger.Own(), Waits: p.Starts.Waits(time.Now()), Full: p.Ledger.Full(time.Now()),
 		Suspects: p.Suspects(), Slows: p.Slows(), Orders: p.Orders(), Marks: p.Tally.Marks(time.Now()),
 	}
-	lists, sent := p.mayList(time.Now()), 0
-	defer func() { p.listed(sent, time.Now()) }()
 	for _, mine := range p.Mirrors {
 		m.Cursors[mine.Kind] = mine.Cursor()
 		if theirs == nil {
@@ -74,12 +72,6 @@
 		if b.Cursor <= theirs[mine.Kind] {
 			continue
 		}
-		if theirs[mine.Kind] == 0 {
-			if !lists {
-				continue
-			}
-			sent += b.Size()
-		}
 		m.Changes = append(m.Changes, b)
 		if whole {
 			if m.Whole == nil {
@@ -91,29 +83,6 @@
 	return m
 }
 
-// listRate bounds the complete lists that an entry host sends to others that have
-// none, in bytes per second. After a restart of all, hundreds request megabytes each
-// from the same few seeds. One that is sent no list requests it from other members,
-// and lists the objects itself.
-const listRate = 4 << 20
-
-// mayList reports whether complete lists may be sent now.
-func (p *Peer) mayList(now time.Time) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return !now.Before(p.listsFrom)
-}
-
-// listed charges the lists in a message against the rate.
-func (p *Peer) listed(size int, now time.Time) {
-	if size == 0 {
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.listsFrom = now.Add(time.Duration(size) * time.Second / listRate)
-}
-
 // Answer merges a message and returns the answer, with the changes that the
 // sender lacks. Changes that are missing here are pulled from the sender.
 func (p *Peer) Answer(m *Message) *Message {
--- a/parts/mirror/mirror.go
+++ b/parts/mirror/mirror.go
@@ -35,15 +35,6 @@
 	Items         []Item
 }
 
-// Size returns the bytes of the objects.
-func (b Batch) Size() int {
-	size := 0
-	for _, item := range b.Items {
-		size += len(item.Spec)
-	}
-	return size
-}
-
 // maxGone bounds the deletions that are remembered for others. One that needs
 // an older one gets everything.
 const maxGone = 4096
