--- a/entry/stream/flow.go
+++ b/entry/stream/flow.go
@@ -4,8 +4,8 @@
 // An answer outlives the servers that give it. If a server in the midst of a
 // chain fails, the first one lives and holds on; the [Watch] notices the
 // silence and gives the request another way behind the first server. If the
-// first server fails, a resumable stream is begun anew elsewhere behind the
-// last event that the caller has, within the same answer. Only whole events
+// first server fails, a resumable stream restarts on another chain after the last
+// event that the caller has, within the same answer. Only whole events
 // are passed on, so the two runs join without a piece missing or doubled.
 package stream
 
--- a/parts/place/group.go
+++ b/parts/place/group.go
@@ -78,7 +78,7 @@
 	}
 }
 
-// gap returns the first range of layers that nobody holds.
+// gap returns the first range of missing layers.
 func (g *group) gap() span {
 	first := slices.IndexFunc(g.count, func(n int) bool { return n <= 0 })
 	end := first
@@ -98,7 +98,7 @@
 	return true
 }
 
-// missing counts the layers that nobody holds.
+// missing counts the layers without a holder.
 func (g *group) missing() int {
 	n := 0
 	for _, c := range g.count {
@@ -124,8 +124,8 @@
 	return best
 }
 
-// alone returns for each server that holds layers which nobody else does the
-// range from the first to the last of them.
+// alone returns, for each server with layers that are not replicated, the range from
+// the first to the last of them.
 func (g *group) alone() []span {
 	if !slices.Contains(g.count, 1) {
 		return nil
@@ -146,8 +146,8 @@
 	return list
 }
 
-// worth returns what it is worth to hold a range, beside the servers that hold
-// layers alone.
+// worth returns the value of holding a range, given the ranges that are not
+// replicated.
 func (g *group) worth(r span, alone []span) float64 {
 	var sum float64
 	for l := r.first; l < r.end; l++ {
--- a/parts/place/level.go
+++ b/parts/place/level.go
@@ -7,12 +7,11 @@
 	"fuchsiashelf.dev/parts/fleet"
 )
 
-// A server that took over the layers of a dead one keeps little room for
-// requests, and so does its whole failure domain, for good. Nothing fails then
-// that one could see; requests are refused while most of the memory stands
-// empty. So ranges are made level again, a layer at a
-// time and without a gap: a neighbour with more room takes a layer beside its
-// own, and once it holds that one the crowded server gives it up.
+// A server that took over the layers of a dead one has little room for requests, which
+// limits its whole failure domain: requests are refused while most of the memory is
+// free. Ranges are therefore rebalanced, a layer at a time and without a gap: a
+// neighbour with more room loads a layer next to its own, and the crowded server gives
+// it up after that.
 
 const (
 	// levelFrom is by how much more room the neighbour must have with the layer
--- a/parts/place/mend.go
+++ b/parts/place/mend.go
@@ -70,8 +70,8 @@
 	return true
 }
 
-// most returns how many layers a server can hold beside the requests under
-// way: no fewer than it holds now.
+// most returns how many layers a server can hold besides the requests in
+// flight: no fewer than it holds now.
 func (g *group) most(s *fleet.Server) int {
 	n := largest(g.engine, s)
 	for n > max(1, g.held[s.ID].len()) && !g.fits(s, n) {
@@ -98,9 +98,9 @@
 	return best, slack
 }
 
-// relieveFrom is by how much more a range must be worth than the one that an
-// idle server holds, before it changes. Layers whose holder is left with a
-// third of its usual room are worth six times those that two servers hold.
+// relieveFrom is the minimum ratio between the values of a new range and of the one
+// that an idle server holds. Layers whose holder is left with a third of its target
+// room are worth six times those with two holders.
 const relieveFrom = 2
 
 // relieve moves idle servers, whose layers others hold as well, to layers whose
--- a/parts/place/place.go
+++ b/parts/place/place.go
@@ -6,12 +6,11 @@
 // for the requests of a busy hour. Domains too small for a copy of their own
 // share one.
 //
-// [Decide] is a pure function of what is believed of the servers. What servers
-// hold stays. Empty servers get the layers that are held worst. Where layers
-// are held by nobody, servers whose own are held by others as well take them,
-// or the ranges beside the gap are pushed along. So entry hosts that see the same
-// come to the same orders, and one that takes over goes on where the last one
-// stopped.
+// [Decide] is a pure function of the believed state of the servers. Servers keep what
+// they hold. Empty servers get the layers with the fewest replicas or the least room.
+// Missing layers are taken by servers whose own are replicated, or the ranges next to
+// the gap are shifted. Entry hosts with the same state decide on the same orders, so
+// a new leader continues where the last one stopped.
 package place
 
 import (
@@ -22,15 +21,14 @@
 	"fuchsiashelf.dev/parts/route"
 )
 
-// Order tells a server which layers to hold.
+// Order assigns a range of layers to a server.
 type Order struct {
 	Server *fleet.Server
 	// First and End bound the layers.
 	First, End int
-	// Rely holds the servers that hold layers which this one gives up. One that
-	// failed a moment ago may still look as if it did, so they should be asked
-	// before the order is sent. It is empty for orders that close a gap: every
-	// request waits for those.
+	// Rely holds the servers with replicas of the layers that this one gives up. They
+	// should be checked before the order is sent, since a failure may not be known yet.
+	// It is empty for orders that close a gap, which are urgent.
 	Rely []*fleet.Server
 }
 
@@ -44,14 +42,12 @@
 	cutOff = 0.34
 )
 
-// worthMissing is the worth of holding a layer that nobody holds; it goes
-// before any number of second copies. Those are worth the more the less room
-// for requests the holders of the layer have. worthSpared is the worth of a range
-// with which nothing is missing any more when a certain server dies: its answers
-// go on at once by the second copies, while part of its layers would help none of
-// them. It counts as much as some layers with the usual room. worthAligned
-// prefers ranges that begin or end where others do, which makes chains with
-// fewer parts.
+// worthMissing is the value of holding a missing layer, above any number of replicas.
+// A replica is worth more the less room for requests the other holders have.
+// worthSpared is the value of a range that covers everything a certain server holds
+// alone: after its death all its answers continue on replicas, which a part of its
+// layers would not allow. worthAligned prefers ranges that begin or end where others
+// do, which makes chains with fewer parts.
 const (
 	worthMissing = 1e6
 	worthSpared  = 5
@@ -151,7 +147,7 @@
 	return min(int(memoryMB/perLayer), most(e, memoryMB))
 }
 
-// room returns how many tokens of requests fit beside so many layers.
+// room returns how many tokens of requests fit into a server with so many layers.
 func room(e *route.Engine, s *fleet.Server, layers int) float64 {
 	free := e.Cards[s.Card].MemoryMB - float64(layers)*e.LayerMB
 	perToken := float64(max(layers, 1)) * e.TokenBytes / float64(e.Layers) / 1e6
@@ -192,7 +188,7 @@
 	return !slices.ContainsFunc(g.servers, func(s *fleet.Server) bool { return !now.Calm(s.Domain) })
 }
 
-// rely lists the other servers that hold layers which one gives up.
+// rely lists the other servers with replicas of the layers that one gives up.
 func (g *group) rely(s *fleet.Server, r span) []*fleet.Server {
 	var list []*fleet.Server
 	for _, other := range g.servers {
