--- a/entry/stream/choose.go
+++ b/entry/stream/choose.go
@@ -10,13 +10,11 @@
 	"fuchsiashelf.dev/parts/turns"
 )
 
-// query describes the choice of a chain for a job.
+// query describes the choice of a chain for a new run of a job.
 func (f *Flow) query(j *call.Job) *hops.Query {
-	return &hops.Query{
-		Engine: j.Service.Engine, Servers: f.State.View().Service(j.Service.Name), Home: f.Home,
-		Prompt: j.Prompt, Answer: j.Answer(j.Service.Engine), Used: f.Ledger.Used,
-		Cut: f.State.Cut, Delay: func(id string) float64 { return f.delay(j, id) },
-	}
+	q := f.Watch.query(j)
+	q.Delay = func(id string) float64 { return f.delay(j, id) }
+	return q
 }
 
 // delay returns the cost, in seconds, of starting a chain for a job at a server
--- a/entry/stream/fail.go
+++ b/entry/stream/fail.go
@@ -106,7 +106,7 @@
 	if e.Verdict != fault.NotRun && !r.job.Route.Repeatable() {
 		return false
 	}
-	if r.out.Sends > maxSends || r.runs(r.ran) >= r.job.Route.Attempts {
+	if !r.mayRun(r.ran, r.out.Sends) {
 		return false
 	}
 	r.verdict = r.verdict.Weaken(e.Verdict)
@@ -123,7 +123,7 @@
 	ran := append(slices.Clone(r.ran), first)
 	sends := r.out.Sends + 1
 	return func() bool {
-		if !r.job.Route.Repeatable() || sends > maxSends || r.runs(ran) >= r.job.Route.Attempts {
+		if !r.job.Route.Repeatable() || !r.mayRun(ran, sends) {
 			return false
 		}
 		if !r.budget.Take(time.Now()) {
@@ -134,6 +134,12 @@
 	}
 }
 
+// mayRun reports whether the request may be sent once more after so many sends, if
+// some servers may have run it.
+func (r *run) mayRun(ran []*fleet.Server, sends int) bool {
+	return sends <= maxSends && r.runs(ran) < r.job.Route.Attempts
+}
+
 // runs returns how many of the servers that have run the request count towards the
 // attempts of its route: those that still live. A server that died may be replaced by
 // another.
--- a/entry/stream/repair.go
+++ b/entry/stream/repair.go
@@ -113,8 +113,8 @@
 		return false
 	}
 	avoid[chain[0].Server.Address] = true
-	q := w.query(l, avoid)
-	q.Within = true
+	q := w.query(l.job)
+	q.Avoid, q.Within = avoid, true
 	return q.Pick() != nil && l.restart()
 }
 
@@ -148,17 +148,16 @@
 	for _, p := range chain[1:] {
 		kept[p.Server.Address] = p
 	}
-	q := w.query(l, avoid)
-	q.Start, q.Kept = &chain[0], kept
+	q := w.query(l.job)
+	q.Avoid, q.Start, q.Kept = avoid, &chain[0], kept
 	return q.Pick()
 }
 
-// query describes the choice of another chain for a stream.
-func (w *Watch) query(l *live, avoid map[string]bool) *hops.Query {
+// query describes the choice of a chain for a job.
+func (w *Watch) query(j *call.Job) *hops.Query {
 	return &hops.Query{
-		Engine: l.job.Service.Engine, Servers: w.State.View().Service(l.job.Service.Name), Home: w.Home,
-		Prompt: l.job.Prompt, Answer: l.job.Answer(l.job.Service.Engine), Used: w.Ledger.Used,
-		Avoid: avoid, Cut: w.State.Cut,
+		Engine: j.Service.Engine, Servers: w.State.View().Service(j.Service.Name), Home: w.Home,
+		Prompt: j.Prompt, Answer: j.Answer(j.Service.Engine), Used: w.Ledger.Used, Cut: w.State.Cut,
 	}
 }
 
