limit: log and count the rate limits that servers name

The codec reads Server-Limit, the new package tracks it, and both forwarders report each response of a server to it: "limit: named" and "limit: ended", and the gauge servers.limited. A response that names no limit ends one only if its request was sent after the limit was last named and was run. No decision depends on it yet.

limit, codec and node tests pass.

--- a/entry/call/call.go
+++ b/entry/call/call.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"fuchsiashelf.dev/parts/fleet"
+	"fuchsiashelf.dev/parts/limit"
 	"fuchsiashelf.dev/parts/probe"
 	"fuchsiashelf.dev/parts/route"
 	"fuchsiashelf.dev/parts/router"
@@ -87,6 +88,18 @@
 	// IdleTimeout is how long the backend server keeps an idle connection open; zero
 	// if it did not say.
 	IdleTimeout time.Duration
+	// RateLimited is set if the backend server names the rate of requests that it
+	// takes from all entry hosts together, and RateLimit is that rate in requests per
+	// second.
+	RateLimited bool
+	RateLimit   float64
+}
+
+// LimitResponse returns what the response to a request that was sent at the given
+// time says about the rate limit of the backend server.
+func (r *Reply) LimitResponse(sentAt time.Time) limit.Response {
+	ran := !r.NotRun && r.Status < http.StatusInternalServerError
+	return limit.Response{Limited: r.RateLimited, Rate: r.RateLimit, Ran: ran, SentAt: sentAt, ReceivedAt: time.Now()}
 }
 
 // Codec translates the requests and responses of a protocol.
--- a/entry/stream/forwarder.go
+++ b/entry/stream/forwarder.go
@@ -23,6 +23,7 @@
 	"fuchsiashelf.dev/parts/domain"
 	"fuchsiashelf.dev/parts/fault"
 	"fuchsiashelf.dev/parts/fleet"
+	"fuchsiashelf.dev/parts/limit"
 	"fuchsiashelf.dev/parts/prio"
 	"fuchsiashelf.dev/parts/retry"
 	"fuchsiashelf.dev/parts/router"
@@ -54,6 +55,7 @@
 	Monitor     *Monitor
 	Queue       *prio.Queue
 	Failures    *Failures
+	Limits      *limit.Tracker
 	LocalDomain domain.Name
 	Log         *slog.Logger
 	// RetryBudget returns the retry budget of a service.
@@ -125,6 +127,7 @@
 		Server: first, Chain: chain, Timeout: r.job.Remaining(), Team: r.job.Team,
 		Priority: r.job.Priority, LastEvent: r.events.lastID,
 	})
+	sentAt := time.Now()
 	r.out.Sends++
 	r.out.Server = first.ID
 	r.out.Chain = chain.String()
@@ -138,6 +141,9 @@
 		return e
 	}
 	defer resp.Close()
+	if !reply.Misdirected {
+		r.Limits.Observe(first.ID, reply.LimitResponse(sentAt))
+	}
 	if reply.NotRun {
 		return r.handleRefusal(first.Address, reply)
 	}
--- a/entry/unary/unary.go
+++ b/entry/unary/unary.go
@@ -22,6 +22,7 @@
 	"fuchsiashelf.dev/parts/domain"
 	"fuchsiashelf.dev/parts/fault"
 	"fuchsiashelf.dev/parts/fleet"
+	"fuchsiashelf.dev/parts/limit"
 	"fuchsiashelf.dev/parts/retry"
 	"fuchsiashelf.dev/parts/route"
 )
@@ -56,6 +57,7 @@
 	Pool        *conns.Pool
 	State       *state.Local
 	Stats       *Stats
+	Limits      *limit.Tracker
 	LocalDomain domain.Name
 	// Probe probes a server that did not respond to a request.
 	Probe func(j *call.Job, address, reason string)
@@ -184,10 +186,14 @@
 		o.MaxIdle = maxIdleAtMostOnce
 	}
 	req := f.Codec.NewRequest(j.Request, call.SendOptions{Server: server, Timeout: j.Remaining(), Team: j.Team, Priority: j.Priority})
+	sentAt := time.Now()
 	resp, err := f.Pool.Do(attemptCtx, server.Address, req, o)
 	if err != nil {
 		return attempt{err: fault.As(err)}
 	}
+	if !reply.Misdirected {
+		f.Limits.Observe(server.ID, reply.LimitResponse(sentAt))
+	}
 	a := attempt{reply: reply, header: resp.Header}
 	a.body, err = io.ReadAll(io.LimitReader(resp, maxBufferedBody))
 	if err != nil {
