node: add failing tests of servers that name a rate limit

Three entry hosts exceed the limit of a plain server, of a chain's first server, and of all servers of a service, where nothing is refused either.

--- a/stand/fakes/platform.go
+++ b/stand/fakes/platform.go
@@ -97,7 +97,8 @@
 }
 
 // Violations returns errors of the entry hosts that must never occur: chains that
-// omit or repeat layers, and assignments that exceed a server's memory.
+// omit or repeat layers, assignments that exceed a server's memory, and requests beyond
+// the rate limit that a server names.
 func (p *Platform) Violations() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/stand/fakes/server.go
+++ b/stand/fakes/server.go
@@ -55,6 +55,8 @@
 	refuseNext    int
 	failNext      int
 	truncateAfter int
+	// limit is nil if the server names none.
+	limit *rateLimit
 }
 
 // Address returns the address that the server is registered under.
@@ -159,6 +161,9 @@
 func (s *Server) serveRequest(w http.ResponseWriter, req *http.Request) {
 	id := req.Header.Get("X-Attempt-Id")
 	w.Header().Set("X-Attempt-Id", id)
+	if rate, limited := s.countArrival(time.Now()); limited {
+		w.Header().Set("Server-Limit", rate)
+	}
 	if expect := req.Header.Get("X-Expect-Instance"); expect != "" && expect != s.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
