limit: share the rate limits of servers between entry hosts

Each host now measures how often a server would be its first choice and exchanges these demands with the others; its share of a limit is its part of the sum of the demands. The choice of a server goes on without those whose limit is reached; if no other is left, the request is refused at once as not run, with Retry-After.

The class of the fault is a bound on a sum that each host could at best keep for itself. The same was looked for elsewhere: the retry budget is divided by the number of hosts, slots and memory are booked from exchanged loads, links between domains are divided. No other bound over all hosts was found that is not shared.

--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -18,6 +18,7 @@
 	"sync/atomic"
 	"time"
 
+	"fuchsiashelf.dev/parts/limit"
 	"fuchsiashelf.dev/parts/mirror"
 	"fuchsiashelf.dev/parts/poison"
 	"fuchsiashelf.dev/parts/router"
@@ -67,6 +68,7 @@
 	// StartLatency holds how long requests wait at the first servers of chains.
 	StartLatency *router.StartLatency
 	Crashes      *poison.Counter
+	Limits       *limit.Tracker
 	Log          *slog.Logger
 	// Suspects returns the suspected servers; OnSuspect handles those of other hosts.
 	Suspects  func() []Suspect
--- a/entry/gossip/member.go
+++ b/entry/gossip/member.go
@@ -93,6 +93,18 @@
 	return slices.DeleteFunc(p.Members(), func(m Member) bool { return m.Age > aliveFor || m.Leaving })
 }
 
+// Senders returns the names of the other entry hosts that may send requests to servers.
+// A host that sends no messages counts until it is removed: it may be cut off from this
+// one only. complete says that no others exist.
+func (p *Peer) Senders() (names []string, complete bool) {
+	for _, m := range p.Members() {
+		if !m.Leaving || m.Age <= aliveFor {
+			names = append(names, m.Name)
+		}
+	}
+	return names, p.Settled()
+}
+
 // mergeMembers merges the states of the sender and of the members that a message lists.
 func (p *Peer) mergeMembers(m *Message) {
 	p.mu.Lock()
--- a/entry/gossip/message.go
+++ b/entry/gossip/message.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"fuchsiashelf.dev/parts/limit"
 	"fuchsiashelf.dev/parts/mirror"
 	"fuchsiashelf.dev/parts/poison"
 	"fuchsiashelf.dev/parts/router"
@@ -53,6 +54,8 @@
 	Suspects []Suspect
 	Slows    []SlowServer
 	Orders   []Assignment
+	// Limits holds what the sender knows of the rate limits of servers, by server.
+	Limits map[string]limit.Report
 	// Marks holds the requests that are suspected of crashing servers.
 	Marks []poison.Suspect
 	// Changes holds the changes that the receiver lacks, one batch per kind.
@@ -70,6 +73,7 @@
 		From: p.self(), Cursors: map[string]uint64{}, Members: p.sample(),
 		Load: p.Load.Local(), Waits: p.StartLatency.Waits(time.Now()), Full: p.Load.Saturated(time.Now()),
 		Suspects: p.Suspects(), Slows: p.SlowServers(), Orders: p.Assignments(), Marks: p.Crashes.Suspects(time.Now()),
+		Limits: p.Limits.Reports(time.Now()),
 	}
 	for _, local := range p.Mirrors {
 		m.Cursors[local.Kind] = local.Cursor()
@@ -163,6 +167,9 @@
 	for id, left := range m.Full {
 		p.Load.RecordRemoteRefusal(id, left, time.Now())
 	}
+	if p.Limits.Merge(m.Limits, time.Now()) {
+		p.Broadcast()
+	}
 	for _, s := range m.Suspects {
 		p.OnSuspect(s)
 	}
--- a/entry/stream/choose.go
+++ b/entry/stream/choose.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"fuchsiashelf.dev/entry/call"
@@ -93,18 +95,35 @@
 	return nil, nil
 }
 
-// pickChain returns the cheapest chain. The chain crosses failure domains only if
-// their link has capacity for the prompt.
+// pickChain returns the cheapest chain within the rate limits of servers. The chain
+// crosses failure domains only if their link has capacity for the prompt.
 func (r *request) pickChain(q *router.Query) router.Chain {
-	chain := q.Pick()
+	chain := r.pickWithinLimits(q)
 	if chain != nil && !r.Monitor.reserveTransfer(r.job, chain.Crossings()) {
+		r.Limits.Return(chain[0].Server.ID)
 		q.SingleDomain = true
-		chain = q.Pick()
+		chain = r.pickWithinLimits(q)
 		q.SingleDomain = false
 	}
 	return chain
 }
 
+// pickWithinLimits returns the cheapest chain whose first server's rate limit allows
+// another request now, and counts the request there. The servers whose limits do not
+// are added to the query's NoStart.
+func (r *request) pickWithinLimits(q *router.Query) router.Chain {
+	for {
+		chain := q.Pick()
+		if chain == nil || r.Limits.Take(chain[0].Server.ID, time.Now()) {
+			return chain
+		}
+		if q.NoStart == nil {
+			q.NoStart = map[string]bool{}
+		}
+		q.NoStart[chain[0].Server.ID] = true
+	}
+}
+
 // waitForCapacity waits in the queue until there is capacity for the request.
 func (r *request) waitForCapacity(ctx context.Context, waiter *prio.Waiter) (router.Chain, *fault.Error) {
 	deadline := time.Now().Add(min(maxQueueWait(r.job.Route), r.job.Remaining()/2))
@@ -127,12 +146,25 @@
 	return &fault.Error{Code: fault.Overloaded, Verdict: fault.NotRun, Message: "no server has room", RetryAfter: max(retryAfter, minRetryAfter)}
 }
 
+// rateLimited returns the error for a request that could start only at the given
+// servers, whose rate limits allow no request now.
+func (r *request) rateLimited(servers map[string]bool) *fault.Error {
+	wait := r.Limits.Wait(slices.Collect(maps.Keys(servers)), time.Now())
+	return &fault.Error{
+		Code: fault.Overloaded, Verdict: fault.NotRun, Message: "the rate limits of the servers are reached",
+		RetryAfter: max(wait, minRetryAfter),
+	}
+}
+
 // findSuspectedChain returns a chain that may contain suspected servers. It is used
 // if no other chain holds all layers, because a suspicion may be wrong.
 func (r *request) findSuspectedChain(q *router.Query) (router.Chain, *fault.Error) {
 	q.AllowSuspected, q.Overcommit = true, false
-	if chain := q.Pick(); chain != nil {
+	if chain := r.pickWithinLimits(q); chain != nil {
 		return chain, nil
 	}
+	if len(q.NoStart) > 0 {
+		return nil, r.rateLimited(q.NoStart)
+	}
 	return nil, &fault.Error{Code: fault.NoCover, Verdict: fault.NotRun, Message: "no chain of servers holds all layers", RetryAfter: loadRetryAfter}
 }
--- a/entry/stream/reroute_test.go
+++ b/entry/stream/reroute_test.go
@@ -9,6 +9,7 @@
 	"fuchsiashelf.dev/entry/call"
 	"fuchsiashelf.dev/parts/fault"
 	"fuchsiashelf.dev/parts/fleet"
+	"fuchsiashelf.dev/parts/limit"
 	"fuchsiashelf.dev/parts/mirror"
 	"fuchsiashelf.dev/parts/prio"
 	"fuchsiashelf.dev/parts/retry"
@@ -105,7 +106,7 @@
 func TestFullQueueDoesNotRefuseUsableCapacity(t *testing.T) {
 	m, servers := newMonitor(&fakeEngines{}, 1)
 	job := m.addStream(servers, "other", 0).job
-	f := &Forwarder{State: m.State, Load: m.Load, Monitor: m, Queue: &prio.Queue{}, Failures: &Failures{}, LocalDomain: "a"}
+	f := &Forwarder{State: m.State, Load: m.Load, Monitor: m, Queue: &prio.Queue{}, Failures: &Failures{}, Limits: &limit.Tracker{}, LocalDomain: "a"}
 	for {
 		if waiter, _ := f.Queue.Enqueue(0, time.Second); waiter == nil {
 			break
--- a/entry/unary/unary.go
+++ b/entry/unary/unary.go
@@ -84,7 +84,10 @@
 	budget.Record(time.Now())
 	ctx, cancel := context.WithDeadlineCause(ctx, j.Deadline, context.DeadlineExceeded)
 	defer cancel()
+	// tried holds the addresses of the servers that the request was sent to, and of
+	// those whose rate limits do not allow it. limited holds the IDs of the latter.
 	tried := map[string]bool{}
+	var limited []string
 	verdict := fault.NotRun
 	// failure is the last error response of a server. The caller gets it if no later
 	// attempt has a response: an error with the verdict NotRun would deny that the
@@ -98,10 +101,18 @@
 	}
 	for {
 		server := f.Stats.Pick(f.State.View().Service(j.Service.Name), f.LocalDomain, tried)
+		if server == nil && len(limited) > 0 {
+			retryAfter := max(refusalRetryAfter, f.Limits.Wait(limited, time.Now()))
+			return fail(&fault.Error{Code: fault.Overloaded, Verdict: fault.NotRun, Message: "the rate limits of the servers are reached", RetryAfter: retryAfter})
+		}
 		if server == nil {
 			return fail(&fault.Error{Code: fault.NoServer, Verdict: fault.NotRun, Message: "no backend server", RetryAfter: time.Second})
 		}
 		tried[server.Address] = true
+		if !f.Limits.Take(server.ID, time.Now()) {
+			limited = append(limited, server.ID)
+			continue
+		}
 		out.Server = server.ID
 		mayRetry := out.Sends+1 < j.Route.Attempts
 		a := f.send(ctx, j, server, mayRetry)
--- a/parts/router/cost.go
+++ b/parts/router/cost.go
@@ -80,8 +80,9 @@
 	// delay is the expected cost, in seconds, of starting a chain there beyond the
 	// work itself.
 	delay float64
-	// slotsTaken says that all slots for requests that start there are taken.
-	slotsTaken bool
+	// noStart says that no chain may start there, or that all slots for requests that
+	// start there are taken.
+	noStart bool
 }
 
 func (q *Query) candidates(index map[domain.Name]int) []candidate {
@@ -116,7 +117,8 @@
 	c.prefill, c.decode = q.EstimateTimes(s, used.Requests)
 	// Only servers that hold layer 0 can start a chain; the others need no delay.
 	if s.First == 0 {
-		c.slotsTaken = s.Slots > 0 && used.Starts >= maxFill*float64(s.Slots) && !q.Overcommit
+		slotsTaken := s.Slots > 0 && used.Starts >= maxFill*float64(s.Slots) && !q.Overcommit
+		c.noStart = slotsTaken || q.NoStart[s.ID]
 		if q.Delay != nil {
 			c.delay = q.Delay(s.ID)
 		}
--- a/parts/router/router.go
+++ b/parts/router/router.go
@@ -63,6 +63,9 @@
 	PromptTokens, ResponseTokens int
 	// Avoid holds addresses that must not be used.
 	Avoid map[string]bool
+	// NoStart holds the IDs of servers where the chain must not start. They may run
+	// later stages.
+	NoStart map[string]bool
 	// Used returns the load of a server.
 	Used func(id string) Usage
 	// Delay returns the expected cost, in seconds, of starting at a server beyond the
--- a/parts/router/search.go
+++ b/parts/router/search.go
@@ -51,7 +51,7 @@
 				continue
 			}
 			for _, c := range candidates {
-				if c.server.First > at || c.server.End <= at || at == 0 && c.slotsTaken {
+				if c.server.First > at || c.server.End <= at || at == 0 && c.noStart {
 					continue
 				}
 				q.relax(best, domains, boundaries, c, at, d, toEnd)
