--- a/entry/source/source.go
+++ b/entry/source/source.go
@@ -203,8 +203,9 @@
 	if err != nil {
 		return err
 	}
+	known := w.Mirror.Cursor()
 	dropped, newer := w.Mirror.Replace(items, cursor)
-	w.Log.Info("store: listed", "kind", w.Mirror.Kind, "objects", len(items), "revision", cursor, "dropped", len(dropped))
+	w.Log.Info("store: listed", "kind", w.Mirror.Kind, "objects", len(items), "revision", cursor, "known", known, "taken", newer, "dropped", len(dropped))
 	if newer {
 		w.OnChange()
 	}
