node: add failing tests of an object API restored from an older copy

The stand-in of the object API can be copied and restored: what was written since is lost, revisions are given out again, pending watches are cut off, a watch from a revision that does not exist gets 410, and Store-Era rises. All answers carry it.

After a restore, a revocation and a leaving server are ignored for as long as the test waits, and where the revisions have passed the known ones, a watch that continues skips the change between.

--- a/stand/fakes/server.go
+++ b/stand/fakes/server.go
@@ -55,6 +55,8 @@
 	refuseNext    int
 	failNext      int
 	truncateAfter int
+	// writes counts the writes of the server's entry.
+	writes int
 	// limit is nil if the server names none.
 	limit *rateLimit
 }
@@ -125,12 +127,19 @@
 	s.failNext = n
 }
 
+// Register writes the server's current state into the store again, as a heartbeat
+// does.
+func (s *Server) Register() error {
+	return s.register()
+}
+
 // register writes the server's current state into the store.
 func (s *Server) register() error {
 	s.mu.Lock()
+	s.writes++
 	record := map[string]any{
 		"service": s.Service, "address": s.address, "zone": s.Zone, "version": "v1", "slots": s.Slots,
-		"state": "ready", "cold_remaining_ms": 0, "sequence": 1, "born": 1_700_000_000_000,
+		"state": "ready", "cold_remaining_ms": 0, "sequence": s.writes, "born": 1_700_000_000_000,
 	}
 	if s.draining {
 		record["state"] = "draining"
--- a/stand/fakes/store.go
+++ b/stand/fakes/store.go
@@ -58,8 +58,10 @@
 type Store struct {
 	mu       sync.Mutex
 	revision uint64
-	objects  map[string]map[string]object
-	events   []event
+	// era is the number of restores from a copy, counted from firstEra.
+	era     uint64
+	objects map[string]map[string]object
+	events  []event
 	// compactedRevision is the revision up to which the history is dropped.
 	compactedRevision uint64
 	changed           chan struct{}
@@ -72,8 +74,12 @@
 	longestWaits map[string]time.Duration
 }
 
+// firstEra is the era of a store that was never restored.
+const firstEra = 1
+
 func (s *Store) init() {
 	if s.objects == nil {
+		s.era = firstEra
 		s.objects = map[string]map[string]object{}
 		s.revision = 40
 		s.changed = make(chan struct{})
@@ -89,8 +95,7 @@
 	defer s.mu.Unlock()
 	s.init()
 	s.muteCounts[kind]++
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.wake()
 }
 
 // LongestWait returns the longest wait that a watch of a kind requested.
@@ -144,6 +149,11 @@
 // holds the mutex.
 func (s *Store) appendEvent(e event) {
 	s.events = append(s.events, e)
+	s.wake()
+}
+
+// wake wakes all pending watches. The caller holds the mutex.
+func (s *Store) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -156,8 +166,7 @@
 	s.init()
 	s.events = nil
 	s.compactedRevision = s.revision
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.wake()
 }
 
 // SetFailureMode sets how the object API fails; Healthy ends a failure.
@@ -166,8 +175,7 @@
 	defer s.mu.Unlock()
 	s.init()
 	s.failureMode = mode
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.wake()
 }
 
 // Calls returns how many calls the object API received.
@@ -183,6 +191,7 @@
 	s.init()
 	s.calls++
 	mode := s.failureMode
+	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
 	s.mu.Unlock()
 	switch mode {
 	case Unavailable:
@@ -252,19 +261,23 @@
 	timeout := time.After(limit)
 	s.mu.Lock()
 	s.longestWaits[kind] = max(s.longestWaits[kind], limit)
-	muteCount := s.muteCounts[kind]
+	muteCount, era := s.muteCounts[kind], s.era
 	s.mu.Unlock()
 	for {
 		s.mu.Lock()
 		muted := s.muteCounts[kind] != muteCount
-		compacted, changed, revision, mode := after < s.compactedRevision, s.changed, s.revision, s.failureMode
+		gone, changed, revision, mode := after < s.compactedRevision || after > s.revision, s.changed, s.revision, s.failureMode
+		cut := s.era != era
 		events := s.eventsSince(kind, after)
 		s.mu.Unlock()
+		if cut {
+			panic(http.ErrAbortHandler)
+		}
 		if mode != Healthy {
 			<-r.Context().Done()
 			return
 		}
-		if compacted {
+		if gone {
 			w.WriteHeader(http.StatusGone)
 			return
 		}
