mirror, source, state: follow an object API restored from an older copy

A watch that continued from a revision which was given out again would have missed changes for good.

A position is now an era and a revision, ordered by the era, which every answer names. A watch answered in a newer era is dropped and the kind listed; the stale read notices a new era while a watch hangs; entry hosts exchange eras, and one still in the older era cannot hand its state back. Lists older than what is known back off.

A copy also shows servers and keys as they were.

The class is a version number compared across two histories. The same was looked for in all that is kept by revision or watch: mirrors, cursors of entry hosts, decoded entries (which skipped an entry of equal revision), deletions.

--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -80,6 +80,15 @@
 	// hosts.
 	Assignments  func() []Assignment
 	OnAssignment func(Assignment)
+	// Departures returns the servers that get no new requests although a restored object
+	// API may say otherwise; OnDeparture handles those of other hosts.
+	Departures  func() []Departure
+	OnDeparture func(Departure)
+	// Config returns the version of the configuration in force, and the encoded
+	// configuration if the object API does not hold it; OnConfig handles that of another
+	// host.
+	Config   func() (version uint64, spec []byte)
+	OnConfig func(spec []byte)
 	// OnChange is called after a mirror changed.
 	OnChange func(kind string)
 	// StoreUp reports whether the object API answers this entry host.
--- a/entry/gossip/gossip_test.go
+++ b/entry/gossip/gossip_test.go
@@ -25,6 +25,8 @@
 		Suspects: func() []gossip.Suspect { return nil }, OnSuspect: func(gossip.Suspect) {},
 		SlowServers: func() []gossip.SlowServer { return nil }, OnSlow: func(gossip.SlowServer) {},
 		Assignments: func() []gossip.Assignment { return nil }, OnAssignment: func(gossip.Assignment) {},
+		Departures: func() []gossip.Departure { return nil }, OnDeparture: func(gossip.Departure) {},
+		Config: func() (uint64, []byte) { return 0, nil }, OnConfig: func([]byte) {},
 		OnChange: func(string) {}, ExpectsFromStore: func(string) bool { return false },
 		StoreUp: func() bool { return true }, Leaving: func() bool { return false },
 	}
@@ -73,17 +75,17 @@
 // answer, including a host that has no state yet.
 func TestChangesArePropagated(t *testing.T) {
 	a, b := &mirror.Mirror{Kind: "config"}, &mirror.Mirror{Kind: "config"}
-	a.Replace([]mirror.Object{{Name: "main", Revision: 7, Spec: []byte("x")}}, 9)
+	a.Replace([]mirror.Object{{Name: "main", Revision: 7, Spec: []byte("x")}}, mirror.Position{Revision: 9})
 	one, other := newPeer(1, a), newPeer(2, b)
 	exchange := func() {
-		other.Merge(one.Respond(&gossip.Message{From: other.Self, Cursors: map[string]uint64{"config": b.Cursor()}}))
+		other.Merge(one.Respond(&gossip.Message{From: other.Self, Cursors: map[string]uint64{"config": b.Cursor().Revision}}))
 	}
 	exchange()
 	qt.Assert(t, b.Items(), qt.DeepEquals, a.Items())
 	a.Merge(mirror.Batch{After: 9, Cursor: 12, Items: []mirror.Object{{Name: "main", Revision: 12, Spec: []byte("y")}}})
 	exchange()
 	qt.Assert(t, b.Items(), qt.DeepEquals, a.Items())
-	qt.Assert(t, b.Cursor(), qt.Equals, uint64(12))
+	qt.Assert(t, b.Cursor().Revision, qt.Equals, uint64(12))
 }
 
 // Guards against each entry host detecting slow servers only from its own late
--- a/entry/gossip/leader_test.go
+++ b/entry/gossip/leader_test.go
@@ -25,6 +25,8 @@
 		Suspects: func() []Suspect { return nil }, OnSuspect: func(Suspect) {},
 		SlowServers: func() []SlowServer { return nil }, OnSlow: func(SlowServer) {},
 		Assignments: func() []Assignment { return nil }, OnAssignment: func(Assignment) {},
+		Departures: func() []Departure { return nil }, OnDeparture: func(Departure) {},
+		Config: func() (uint64, []byte) { return 0, nil }, OnConfig: func([]byte) {},
 		OnChange: func(string) {}, ExpectsFromStore: func(string) bool { return false },
 		StoreUp: func() bool { return true }, Leaving: func() bool { return false },
 	}
--- a/entry/gossip/message.go
+++ b/entry/gossip/message.go
@@ -36,12 +36,22 @@
 	Done bool
 }
 
+// Departure is a server that gets no new requests.
+type Departure struct {
+	ID string
+	// StartedAt is the start time of its incarnation, in Unix milliseconds.
+	StartedAt int64
+	// Left is the time until it may get new requests.
+	Left time.Duration
+}
+
 // Message is the state that one entry host sends to another. The names of its fields,
 // and of those of the structs in it, are part of the encoding.
 type Message struct {
 	From Member
-	// Cursors holds the revision of each of the sender's mirrors, by kind.
-	Cursors map[string]uint64
+	// Cursors holds the revision of each of the sender's mirrors, and Eras its era, by
+	// kind. Older versions send no eras.
+	Cursors, Eras map[string]uint64
 	// Members holds a sample of the other entry hosts that the sender knows.
 	Members []Member
 	// Load is the load that the sender puts on each server, by server.
@@ -58,6 +68,14 @@
 	Limits map[string]limit.Report
 	// Marks holds the requests that are suspected of crashing servers.
 	Marks []poison.Suspect
+	// Departures holds the servers that get no new requests although a restored object
+	// API may say otherwise.
+	Departures []Departure
+	// ConfigVersion is the version of the sender's configuration in force; zero if it has
+	// none. Config is that configuration if the receiver has an older one and the object
+	// API does not hold it.
+	ConfigVersion uint64
+	Config        []byte
 	// Changes holds the changes that the receiver lacks, one batch per kind.
 	Changes []mirror.Batch
 	// Whole holds the kinds whose batch is a complete list of objects.
@@ -66,22 +84,39 @@
 	Brief bool
 }
 
-// message returns the local state, with the changes that another entry host with the
-// given cursors lacks. Nil cursors mean that no changes are included.
-func (p *Peer) message(cursors map[string]uint64) *Message {
+// cursor returns the cursor of the sender's mirror that corresponds to a local one. A
+// sender that sends no eras is taken to be in the era of the local mirror.
+func (m *Message) cursor(local *mirror.Mirror) mirror.Position {
+	era, sent := m.Eras[local.Kind]
+	if !sent {
+		era = local.Cursor().Era
+	}
+	return mirror.Position{Era: era, Revision: m.Cursors[local.Kind]}
+}
+
+// message returns the local state, with the changes that the sender of the given message
+// lacks. Nil means that no changes are included.
+func (p *Peer) message(to *Message) *Message {
 	m := &Message{
-		From: p.self(), Cursors: map[string]uint64{}, Members: p.sample(),
+		From: p.self(), Cursors: map[string]uint64{}, Eras: map[string]uint64{}, Members: p.sample(),
 		Load: p.Load.Local(), Waits: p.StartLatency.Waits(time.Now()), Full: p.Load.Saturated(time.Now()),
 		Suspects: p.Suspects(), Slows: p.SlowServers(), Orders: p.Assignments(), Marks: p.Crashes.Suspects(time.Now()),
-		Limits: p.Limits.Reports(time.Now()),
+		Limits: p.Limits.Reports(time.Now()), Departures: p.Departures(),
+	}
+	var config []byte
+	m.ConfigVersion, config = p.Config()
+	if to != nil && to.ConfigVersion < m.ConfigVersion {
+		m.Config = config
 	}
 	for _, local := range p.Mirrors {
-		m.Cursors[local.Kind] = local.Cursor()
-		if cursors == nil {
+		cursor := local.Cursor()
+		m.Cursors[local.Kind], m.Eras[local.Kind] = cursor.Revision, cursor.Era
+		if to == nil {
 			continue
 		}
-		batch, complete := local.Since(cursors[local.Kind])
-		if batch.Cursor <= cursors[local.Kind] {
+		known := to.cursor(local)
+		batch, complete := local.Since(known)
+		if !batch.Position().After(known) {
 			continue
 		}
 		m.Changes = append(m.Changes, batch)
@@ -100,31 +135,31 @@
 func (p *Peer) Respond(m *Message) *Message {
 	p.Merge(m)
 	for _, local := range p.Mirrors {
-		if m.Cursors[local.Kind] > local.Cursor() {
-			p.pull(m.From.Address, local, m.Cursors[local.Kind])
+		if cursor := m.cursor(local); cursor.After(local.Cursor()) {
+			p.pull(m.From.Address, local, cursor)
 		}
 	}
 	if m.Brief {
 		return p.message(nil)
 	}
-	return p.message(m.Cursors)
+	return p.message(m)
 }
 
 // pull fetches missing changes of a kind from another entry host unless another pull of
 // the kind is in progress: dozens of hosts announce the same change, and fetching a
 // large one from all of them at once would exceed the timeout of an exchange.
-func (p *Peer) pull(address string, local *mirror.Mirror, cursor uint64) {
+func (p *Peer) pull(address string, local *mirror.Mirror, cursor mirror.Position) {
 	if !p.beginPull(local.Kind) {
 		return
 	}
 	delay := time.Duration(0)
-	if local.Cursor() > 0 && p.ExpectsFromStore(local.Kind) {
+	if !local.Cursor().IsZero() && p.ExpectsFromStore(local.Kind) {
 		delay = pullDelay
 	}
 	time.AfterFunc(delay, func() {
 		defer p.endPull(local.Kind)
 		c := p.client(address)
-		if local.Cursor() < cursor && c.acquire() {
+		if cursor.After(local.Cursor()) && c.acquire() {
 			p.exchange(context.Background(), c, false)
 			c.release()
 		}
@@ -182,25 +217,34 @@
 	for _, suspect := range m.Marks {
 		p.Crashes.Merge(suspect, time.Now())
 	}
+	for _, d := range m.Departures {
+		p.OnDeparture(d)
+	}
 	for _, batch := range m.Changes {
-		p.mergeChanges(batch, m.Whole[batch.Kind], m.From.Name)
+		p.mergeChanges(m, batch)
+	}
+	if len(m.Config) > 0 {
+		p.OnConfig(m.Config)
 	}
 }
 
-// mergeChanges merges the changes of a kind into its mirror.
-func (p *Peer) mergeChanges(batch mirror.Batch, complete bool, from string) {
+// mergeChanges merges the changes of a kind from a message into its mirror.
+func (p *Peer) mergeChanges(m *Message, batch mirror.Batch) {
 	for _, local := range p.Mirrors {
 		if local.Kind != batch.Kind {
 			continue
 		}
+		if _, sent := m.Eras[batch.Kind]; !sent {
+			batch.Era = local.Cursor().Era
+		}
 		changed := false
-		if complete {
-			_, changed = local.Replace(batch.Items, batch.Cursor)
+		if m.Whole[batch.Kind] {
+			_, changed = local.Replace(batch.Items, batch.Position())
 		} else {
 			changed = local.Merge(batch)
 		}
 		if changed {
-			p.Log.Info("peers: changes merged", "kind", batch.Kind, "from", from, "revision", batch.Cursor, "objects", len(batch.Items))
+			p.Log.Info("peers: changes merged", "kind", batch.Kind, "from", m.From.Name, "era", batch.Era, "revision", batch.Cursor, "objects", len(batch.Items))
 			p.OnChange(batch.Kind)
 		}
 	}
--- a/entry/gossip/pull_test.go
+++ b/entry/gossip/pull_test.go
@@ -31,7 +31,7 @@
 func TestBriefResponsesHaveNoChanges(t *testing.T) {
 	p := newPeer(1)
 	config := &mirror.Mirror{Kind: "config"}
-	config.Replace([]mirror.Object{{Name: "main", Revision: 7}}, 7)
+	config.Replace([]mirror.Object{{Name: "main", Revision: 7}}, mirror.Position{Revision: 7})
 	p.Mirrors = []*mirror.Mirror{config}
 	other := newPeer(2)
 	request := &Message{From: other.Self, Cursors: map[string]uint64{"config": 3}}
--- a/entry/placer/placer_test.go
+++ b/entry/placer/placer_test.go
@@ -64,8 +64,8 @@
 		items = append(items, mirror.Object{Name: id, Revision: 1})
 	}
 	configMirror, serverMirror := &mirror.Mirror{Kind: "config"}, &mirror.Mirror{Kind: "servers"}
-	configMirror.Replace([]mirror.Object{{Name: "main", Revision: 1}}, 1)
-	serverMirror.Replace(items, 1)
+	configMirror.Replace([]mirror.Object{{Name: "main", Revision: 1}}, mirror.Position{Revision: 1})
+	serverMirror.Replace(items, mirror.Position{Revision: 1})
 	log := slog.New(slog.DiscardHandler)
 	state := &state.Local{Decoder: servers, Log: log, LocalDomain: "a", Config: configMirror, Servers: serverMirror}
 	state.ReadConfig("main")
--- a/entry/source/source.go
+++ b/entry/source/source.go
@@ -5,6 +5,10 @@
 // other calls, detects a watch that no longer delivers changes although its connection
 // is open. When the read fails, the object API counts as unavailable. When it succeeds
 // again, or shows a change that the watch missed, all watches are restarted.
+//
+// When the object API was restored from an older copy, its revisions are given out
+// again, and a watch that continued from one of them would miss changes. So the objects
+// are listed again as soon as an answer is of a newer era than the mirror.
 package source
 
 import (
@@ -22,15 +26,24 @@
 // longer available.
 var ErrCompacted = errors.New("source: changes after the revision are compacted")
 
+// ErrRestored says that the object API was restored from an older copy, so that the
+// revision does not exist, or stands for another change.
+var ErrRestored = errors.New("source: the object API was restored from an older copy")
+
+// errStaleList says that a list is older than the mirror.
+var errStaleList = errors.New("source: the list is older than what is known")
+
 // Store is the part of the object API that is watched.
 type Store interface {
-	// List returns all objects of a kind, and the revision of the list.
-	List(ctx context.Context, kind string) ([]mirror.Object, uint64, error)
-	// Watch returns the changes after a revision as soon as there are any, or none
-	// when the wait ends. It fails with ErrCompacted if they are no longer available.
-	Watch(ctx context.Context, kind string, after uint64, wait time.Duration) (mirror.Batch, error)
-	// StaleRevision returns the revision of one object, which may be seconds old.
-	StaleRevision(ctx context.Context, kind, name string) (uint64, error)
+	// List returns all objects of a kind, and the position of the list.
+	List(ctx context.Context, kind string) ([]mirror.Object, mirror.Position, error)
+	// Watch returns the changes after a position as soon as there are any, or none
+	// when the wait ends. It fails with ErrCompacted if they are no longer available,
+	// and with ErrRestored if the position is of an older era.
+	Watch(ctx context.Context, kind string, after mirror.Position, wait time.Duration) (mirror.Batch, error)
+	// StaleRevision returns the revision of one object, which may be seconds old, and
+	// the era of the answer.
+	StaleRevision(ctx context.Context, kind, name string) (mirror.Position, error)
 }
 
 // Timeouts and intervals.
@@ -100,20 +113,24 @@
 	mu sync.Mutex
 	// cancel ends the current watch.
 	cancel context.CancelFunc
+	// relist says that the objects must be listed before the next watch.
+	relist bool
 }
 
 // Run keeps the mirror up to date until the context ends.
 func (w *Watcher) Run(ctx context.Context) {
 	backoff := minBackoff
-	relist := w.Mirror.Cursor() == 0
 	for ctx.Err() == nil {
-		if w.Mirror.Cursor() > 0 && w.role() == Passive {
+		if !w.Mirror.Cursor().IsZero() && w.role() == Passive {
 			sleep(ctx, roleCheckInterval)
 			continue
 		}
-		err := w.poll(ctx, relist)
-		relist = errors.Is(err, ErrCompacted) || w.Mirror.Cursor() == 0
-		if err == nil || errors.Is(err, ErrCompacted) {
+		err := w.poll(ctx)
+		if errors.Is(err, ErrCompacted) || errors.Is(err, ErrRestored) {
+			w.setRelist(true)
+			err = nil
+		}
+		if err == nil {
 			backoff = minBackoff
 			continue
 		}
@@ -135,9 +152,30 @@
 	}
 }
 
-// poll lists the objects if relist is set. Otherwise it makes one Watch call.
-func (w *Watcher) poll(ctx context.Context, relist bool) error {
-	if relist {
+// Relist cancels the current watch, and makes the watcher list the objects before it
+// starts a new one.
+func (w *Watcher) Relist() {
+	w.setRelist(true)
+	w.Restart()
+}
+
+// setRelist sets whether the objects must be listed before the next watch.
+func (w *Watcher) setRelist(relist bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.relist = relist
+}
+
+// needsList reports whether the objects must be listed before the next watch.
+func (w *Watcher) needsList() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.relist || w.Mirror.Cursor().IsZero()
+}
+
+// poll lists the objects if that is needed. Otherwise it makes one Watch call.
+func (w *Watcher) poll(ctx context.Context) error {
+	if w.needsList() {
 		return w.list(ctx)
 	}
 	timeout := w.timeout()
@@ -192,22 +230,30 @@
 func (w *Watcher) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	if w.Mirror.Cursor() == 0 {
+	w.setRelist(false)
+	if w.Mirror.Cursor().IsZero() {
 		go w.cancelWhenFilled(ctx, cancel)
 	}
+	known := w.Mirror.Cursor()
 	items, cursor, err := w.Store.List(ctx, w.Mirror.Kind)
-	if err != nil && w.Mirror.Cursor() > 0 && ctx.Err() == context.Canceled {
+	if err != nil && !w.Mirror.Cursor().IsZero() && ctx.Err() == context.Canceled {
 		// cancelWhenFilled cancelled the list.
 		return nil
 	}
 	if err != nil {
+		w.setRelist(true)
 		return err
 	}
-	known := w.Mirror.Cursor()
 	dropped, newer := w.Mirror.Replace(items, cursor)
-	w.Log.Info("store: listed", "kind", w.Mirror.Kind, "objects", len(items), "revision", cursor, "known", known, "taken", newer, "dropped", len(dropped))
+	w.Log.Info("store: listed", "kind", w.Mirror.Kind, "objects", len(items), "era", cursor.Era, "revision", cursor.Revision,
+		"known", known.Revision, "taken", newer, "dropped", len(dropped))
 	if newer {
 		w.OnChange()
+		return nil
+	}
+	if known.After(cursor) {
+		w.setRelist(true)
+		return errStaleList
 	}
 	return nil
 }
@@ -215,7 +261,7 @@
 // cancelWhenFilled cancels the first list once other entry hosts have sent the objects.
 func (w *Watcher) cancelWhenFilled(ctx context.Context, cancel context.CancelFunc) {
 	for ctx.Err() == nil {
-		if w.Mirror.Cursor() > 0 {
+		if !w.Mirror.Cursor().IsZero() {
 			cancel()
 			return
 		}
@@ -232,7 +278,8 @@
 	Mirror     *mirror.Mirror
 	Watchers   []*Watcher
 	Log        *slog.Logger
-	// OnRecovery is called when the object API answers again.
+	// OnRecovery is called when the object API answers again, or was restored from an
+	// older copy.
 	OnRecovery func()
 	// Role returns the role of this entry host in its failure domain; nil means
 	// Primary.
@@ -241,6 +288,8 @@
 	mu         sync.Mutex
 	alive      bool
 	lastAnswer time.Time
+	// era is the highest era that a read was answered in.
+	era uint64
 }
 
 // Alive reports whether the object API answered the last read, and when it last
@@ -277,21 +326,46 @@
 func (m *Monitor) check(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	revision, err := m.Store.StaleRevision(ctx, m.Kind, m.Name)
+	read, err := m.Store.StaleRevision(ctx, m.Kind, m.Name)
 	wasAlive := m.setAlive(err == nil)
+	cursor := m.Mirror.Cursor()
 	switch {
 	case err != nil && wasAlive:
 		m.Log.Warn("store: lost", "error", err)
-	case err == nil && !wasAlive:
+	case err != nil:
+	case m.recordEra(read.Era):
+		m.Log.Warn("store: restored from an older copy", "era", read.Era, "known", cursor.Revision)
+		m.OnRecovery()
+		for _, w := range m.Watchers {
+			w.Relist()
+		}
+	case !wasAlive:
 		m.Log.Info("store: regained")
 		m.OnRecovery()
 		m.restartWatches()
-	case err == nil && revision > m.Mirror.Cursor():
-		m.Log.Warn("store: watch missed a change", "revision", revision, "cursor", m.Mirror.Cursor())
+	case read.After(cursor):
+		m.Log.Warn("store: watch missed a change", "revision", read.Revision, "cursor", cursor.Revision)
 		m.restartWatches()
 	}
 }
 
+// recordEra records the era of an answer. It reports whether the object API was restored
+// since an earlier one.
+func (m *Monitor) recordEra(era uint64) (restored bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	restored = m.era > 0 && era > m.era
+	m.era = max(m.era, era)
+	return restored
+}
+
+// Era returns the highest era that a read was answered in; zero if none was.
+func (m *Monitor) Era() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.era
+}
+
 func (m *Monitor) restartWatches() {
 	for _, w := range m.Watchers {
 		w.Restart()
--- a/entry/source/source_test.go
+++ b/entry/source/source_test.go
@@ -18,22 +18,22 @@
 // store implements source.Store with functions.
 type store struct {
 	mu    sync.Mutex
-	list  func() ([]mirror.Object, uint64, error)
-	watch func(ctx context.Context, after uint64) (mirror.Batch, error)
-	read  func() (uint64, error)
+	list  func() ([]mirror.Object, mirror.Position, error)
+	watch func(ctx context.Context, after mirror.Position) (mirror.Batch, error)
+	read  func() (mirror.Position, error)
 }
 
-func (s *store) List(context.Context, string) ([]mirror.Object, uint64, error) {
+func (s *store) List(context.Context, string) ([]mirror.Object, mirror.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.list()
 }
 
-func (s *store) Watch(ctx context.Context, _ string, after uint64, _ time.Duration) (mirror.Batch, error) {
+func (s *store) Watch(ctx context.Context, _ string, after mirror.Position, _ time.Duration) (mirror.Batch, error) {
 	return s.watch(ctx, after)
 }
 
-func (s *store) StaleRevision(context.Context, string, string) (uint64, error) {
+func (s *store) StaleRevision(context.Context, string, string) (mirror.Position, error) {
 	return s.read()
 }
 
@@ -63,12 +63,12 @@
 func TestCompactedHistoryIsRelisted(t *testing.T) {
 	revision := uint64(5)
 	s := &store{}
-	s.list = func() ([]mirror.Object, uint64, error) {
+	s.list = func() ([]mirror.Object, mirror.Position, error) {
 		revision += 5
-		return []mirror.Object{{Name: "a", Revision: revision}}, revision, nil
+		return []mirror.Object{{Name: "a", Revision: revision}}, mirror.Position{Revision: revision}, nil
 	}
 	first := true
-	s.watch = func(ctx context.Context, after uint64) (mirror.Batch, error) {
+	s.watch = func(ctx context.Context, after mirror.Position) (mirror.Batch, error) {
 		if first {
 			first = false
 			return mirror.Batch{}, source.ErrCompacted
@@ -79,22 +79,108 @@
 	w, changed := startWatcher(t, s)
 	<-changed
 	<-changed
-	qt.Assert(t, w.Mirror.Cursor(), qt.Equals, uint64(15))
+	qt.Assert(t, w.Mirror.Cursor().Revision, qt.Equals, uint64(15))
+}
+
+// Guards against a watch that continues from a revision which a restored object API has
+// given out again, so that the changes before it are missed.
+func TestRestoreIsRelisted(t *testing.T) {
+	lists := []mirror.Position{{Era: 1, Revision: 90}, {Era: 2, Revision: 40}}
+	s := &store{}
+	s.list = func() ([]mirror.Object, mirror.Position, error) {
+		at := lists[0]
+		lists = lists[1:]
+		return []mirror.Object{{Name: "a", Revision: at.Revision}}, at, nil
+	}
+	s.watch = func(ctx context.Context, after mirror.Position) (mirror.Batch, error) {
+		if after.Era == 1 {
+			return mirror.Batch{}, source.ErrRestored
+		}
+		<-ctx.Done()
+		return mirror.Batch{}, ctx.Err()
+	}
+	w, changed := startWatcher(t, s)
+	<-changed
+	<-changed
+	qt.Assert(t, w.Mirror.Cursor(), qt.Equals, mirror.Position{Era: 2, Revision: 40})
+}
+
+// Guards against a pending watch that hides a restore of the object API until its wait
+// is over.
+func TestReadOfNewerEraRelists(t *testing.T) {
+	var mu sync.Mutex
+	era := uint64(1)
+	current := func() uint64 {
+		mu.Lock()
+		defer mu.Unlock()
+		return era
+	}
+	s := &store{read: func() (mirror.Position, error) { return mirror.Position{Era: current(), Revision: 5}, nil }}
+	s.list = func() ([]mirror.Object, mirror.Position, error) {
+		return nil, mirror.Position{Era: current(), Revision: 5}, nil
+	}
+	s.watch = func(ctx context.Context, _ mirror.Position) (mirror.Batch, error) {
+		<-ctx.Done()
+		return mirror.Batch{}, ctx.Err()
+	}
+	w, changed := startWatcher(t, s)
+	<-changed
+	recovered := make(chan struct{}, 1)
+	m := &source.Monitor{
+		Store: s, Mirror: w.Mirror, Watchers: []*source.Watcher{w}, Log: slog.New(slog.DiscardHandler),
+		OnRecovery: func() { recovered <- struct{}{} },
+	}
+	go m.Run(t.Context())
+	for m.Era() != 1 {
+		time.Sleep(time.Millisecond)
+	}
+	mu.Lock()
+	era = 2
+	mu.Unlock()
+	<-recovered
+	<-changed
+	qt.Assert(t, w.Mirror.Cursor(), qt.Equals, mirror.Position{Era: 2, Revision: 5})
+}
+
+// Guards against lists in a tight loop when each is older than what is known.
+func TestStaleListsBackOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lists := 0
+		s := &store{
+			list: func() ([]mirror.Object, mirror.Position, error) {
+				lists++
+				return nil, mirror.Position{Era: 1, Revision: 40}, nil
+			},
+			watch: func(context.Context, mirror.Position) (mirror.Batch, error) {
+				return mirror.Batch{}, source.ErrCompacted
+			},
+		}
+		w := &source.Watcher{
+			Store: s, Mirror: &mirror.Mirror{Kind: "k"}, Log: slog.New(slog.DiscardHandler), OnChange: func() {}, WatchTimeout: time.Second,
+		}
+		w.Mirror.Replace(nil, mirror.Position{Era: 1, Revision: 90})
+		ctx, cancel := context.WithCancel(t.Context())
+		go w.Run(ctx)
+		time.Sleep(10 * time.Second)
+		cancel()
+		synctest.Wait()
+		qt.Check(t, lists <= 25, qt.IsTrue, qt.Commentf("%d lists in 10 s", lists))
+	})
 }
 
 // Guards against a watch that no longer delivers changes while its connection stays
 // open: without the stale read, which shows a newer revision, this would go unnoticed
 // for the whole watch timeout.
 func TestStalledWatchIsRestarted(t *testing.T) {
-	s := &store{list: func() ([]mirror.Object, uint64, error) { return nil, 5, nil }, read: func() (uint64, error) { return 9, nil }}
+	s := &store{list: func() ([]mirror.Object, mirror.Position, error) { return nil, mirror.Position{Revision: 5}, nil }, read: func() (mirror.Position, error) { return mirror.Position{Revision: 9}, nil }}
 	watches := make(chan struct{}, 100)
-	s.watch = func(ctx context.Context, after uint64) (mirror.Batch, error) {
+	s.watch = func(ctx context.Context, after mirror.Position) (mirror.Batch, error) {
 		watches <- struct{}{}
 		if len(watches) < 2 {
 			<-ctx.Done()
 			return mirror.Batch{}, ctx.Err()
 		}
-		return mirror.Batch{Kind: "k", After: after, Cursor: 9, Items: []mirror.Object{{Name: "a", Revision: 9}}}, nil
+		return mirror.Batch{Kind: "k", After: after.Revision, Cursor: 9, Items: []mirror.Object{{Name: "a", Revision: 9}}}, nil
 	}
 	w, changed := startWatcher(t, s)
 	<-changed
@@ -105,7 +191,7 @@
 	defer cancel()
 	go m.Run(ctx)
 	<-changed
-	qt.Assert(t, w.Mirror.Cursor(), qt.Equals, uint64(9))
+	qt.Assert(t, w.Mirror.Cursor().Revision, qt.Equals, uint64(9))
 }
 
 // Guards against treating entries that expired during an outage as removed: the owner
@@ -113,12 +199,12 @@
 func TestRecoveryIsReported(t *testing.T) {
 	recovered := make(chan struct{}, 1)
 	calls := 0
-	s := &store{read: func() (uint64, error) {
+	s := &store{read: func() (mirror.Position, error) {
 		calls++
 		if calls == 1 {
-			return 0, errors.New("unavailable")
+			return mirror.Position{}, errors.New("unavailable")
 		}
-		return 0, nil
+		return mirror.Position{}, nil
 	}}
 	m := &source.Monitor{
 		Store: s, Mirror: &mirror.Mirror{}, Log: slog.New(slog.DiscardHandler),
@@ -135,22 +221,22 @@
 // hangingLists is a store whose lists never return.
 type hangingLists struct{ store }
 
-func (h *hangingLists) List(ctx context.Context, _ string) ([]mirror.Object, uint64, error) {
+func (h *hangingLists) List(ctx context.Context, _ string) ([]mirror.Object, mirror.Position, error) {
 	<-ctx.Done()
-	return nil, 0, ctx.Err()
+	return nil, mirror.Position{}, ctx.Err()
 }
 
 // Guards against an entry host that the object API does not answer at its start, and
 // that waits for its own list although others have sent it all objects.
 func TestListEndsWhenMirrorIsFilled(t *testing.T) {
 	watched := make(chan uint64, 10)
-	s := &hangingLists{store{watch: func(ctx context.Context, after uint64) (mirror.Batch, error) {
-		watched <- after
+	s := &hangingLists{store{watch: func(ctx context.Context, after mirror.Position) (mirror.Batch, error) {
+		watched <- after.Revision
 		<-ctx.Done()
 		return mirror.Batch{}, ctx.Err()
 	}}}
 	w, _ := startWatcher(t, s)
-	w.Mirror.Replace([]mirror.Object{{Name: "a", Revision: 7}}, 7)
+	w.Mirror.Replace([]mirror.Object{{Name: "a", Revision: 7}}, mirror.Position{Revision: 7})
 	qt.Assert(t, <-watched, qt.Equals, uint64(7))
 }
 
@@ -160,9 +246,9 @@
 func TestWatchTimeoutLimitsMissedChanges(t *testing.T) {
 	watched := make(chan uint64, 10)
 	s := &store{
-		list: func() ([]mirror.Object, uint64, error) { return nil, 5, nil },
-		watch: func(ctx context.Context, after uint64) (mirror.Batch, error) {
-			watched <- after
+		list: func() ([]mirror.Object, mirror.Position, error) { return nil, mirror.Position{Revision: 5}, nil },
+		watch: func(ctx context.Context, after mirror.Position) (mirror.Batch, error) {
+			watched <- after.Revision
 			<-ctx.Done()
 			return mirror.Batch{}, ctx.Err()
 		},
@@ -191,7 +277,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			reads := 0
 			m := &source.Monitor{
-				Store: &store{read: func() (uint64, error) { reads++; return 0, nil }}, Mirror: &mirror.Mirror{},
+				Store: &store{read: func() (mirror.Position, error) { reads++; return mirror.Position{}, nil }}, Mirror: &mirror.Mirror{},
 				Log: slog.New(slog.DiscardHandler), OnRecovery: func() {}, Role: func() source.Role { return role },
 			}
 			ctx, cancel := context.WithCancel(t.Context())
@@ -222,7 +308,7 @@
 			// Each watcher sends its changes to the others at once.
 			w.OnChange = func() {
 				for _, other := range watchers {
-					if batch, _ := w.Mirror.Since(other.Mirror.Cursor()); other != w && batch.Cursor > other.Mirror.Cursor() {
+					if batch, _ := w.Mirror.Since(other.Mirror.Cursor()); other != w && batch.Position().After(other.Mirror.Cursor()) {
 						other.Mirror.Merge(batch)
 					}
 				}
@@ -240,7 +326,7 @@
 		calls := c.watches()
 		time.Sleep(time.Second)
 		for _, w := range watchers {
-			qt.Check(t, w.Mirror.Cursor(), qt.Equals, c.revision)
+			qt.Check(t, w.Mirror.Cursor().Revision, qt.Equals, c.revision)
 		}
 		qt.Check(t, calls <= changes*3/2, qt.IsTrue, qt.Commentf("%d watches for %d changes", calls, changes))
 		cancel()
@@ -272,18 +358,18 @@
 	return c.calls
 }
 
-func (c *changingStore) List(context.Context, string) ([]mirror.Object, uint64, error) {
+func (c *changingStore) List(context.Context, string) ([]mirror.Object, mirror.Position, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return []mirror.Object{{Name: "a", Revision: c.revision}}, c.revision, nil
+	return []mirror.Object{{Name: "a", Revision: c.revision}}, mirror.Position{Revision: c.revision}, nil
 }
 
-func (c *changingStore) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) (mirror.Batch, error) {
+func (c *changingStore) Watch(ctx context.Context, _ string, after mirror.Position, wait time.Duration) (mirror.Batch, error) {
 	c.mu.Lock()
 	c.calls++
 	revision, changed := c.revision, c.changed
 	c.mu.Unlock()
-	if revision <= after {
+	if revision <= after.Revision {
 		select {
 		case <-changed:
 		case <-time.After(wait):
@@ -293,11 +379,11 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return mirror.Batch{Kind: "k", After: after, Cursor: c.revision, Items: []mirror.Object{{Name: "a", Revision: c.revision}}}, nil
+	return mirror.Batch{Kind: "k", After: after.Revision, Cursor: c.revision, Items: []mirror.Object{{Name: "a", Revision: c.revision}}}, nil
 }
 
-func (c *changingStore) StaleRevision(context.Context, string, string) (uint64, error) {
-	return 0, nil
+func (c *changingStore) StaleRevision(context.Context, string, string) (mirror.Position, error) {
+	return mirror.Position{}, nil
 }
 
 // waitingStore is a store whose watches never return. It records their timeouts.
@@ -306,7 +392,7 @@
 	waits chan time.Duration
 }
 
-func (w *waitingStore) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) (mirror.Batch, error) {
+func (w *waitingStore) Watch(ctx context.Context, _ string, after mirror.Position, wait time.Duration) (mirror.Batch, error) {
 	w.waits <- wait
 	<-ctx.Done()
 	return mirror.Batch{}, ctx.Err()
@@ -318,7 +404,7 @@
 	for role, want := range map[source.Role]time.Duration{source.Primary: time.Second, source.Backup: 3 * time.Second} {
 		s := &waitingStore{waits: make(chan time.Duration, 1)}
 		m := &mirror.Mirror{Kind: "k"}
-		m.Replace(nil, 5)
+		m.Replace(nil, mirror.Position{Revision: 5})
 		w := &source.Watcher{
 			Store: s, Mirror: m, Log: slog.New(slog.DiscardHandler), OnChange: func() {}, WatchTimeout: time.Second,
 			Role: func() source.Role { return role },
--- a/entry/state/assignment.go
+++ b/entry/state/assignment.go
@@ -28,6 +28,7 @@
 		}
 	}
 	server.SlowdownFactor = s.slow[id].Factor
+	server.Leaving = server.Leaving || s.departed(server, now)
 	server.MemoryLayers = server.LayerCount()
 	a, assigned := s.assignments[id]
 	switch {
--- a/entry/state/publish.go
+++ b/entry/state/publish.go
@@ -108,12 +108,18 @@
 	partitionMinSuspects = 3
 )
 
-// Sweep drops expired suspicions, slowdowns and assignments, and the servers with
-// expired entries whose grace period is over.
+// Sweep drops expired suspicions, slowdowns, assignments and departures, and the servers
+// with expired entries whose grace period is over. It applies entries that a restore of
+// the object API brought back once they are known not to be replaced.
 func (s *Local) Sweep(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if ids, rebuild := s.staleServers(now); rebuild || len(ids) > 0 {
+	if objects := s.applyWithheld(now); len(objects) > 0 {
+		s.publishChanges(objects, now)
+	}
+	ids, rebuild := s.staleServers(now)
+	ids = append(ids, s.sweepDepartures(now)...)
+	if rebuild || len(ids) > 0 {
 		s.update(ids, rebuild, now)
 	}
 }
--- a/entry/state/scale_test.go
+++ b/entry/state/scale_test.go
@@ -19,7 +19,7 @@
 	for i := range n {
 		objects = append(objects, object(serverID(i), 1, 1))
 	}
-	s.Servers.Replace(objects, 1)
+	s.Servers.Replace(objects, mirror.Position{Revision: 1})
 	s.ReadServers(start)
 	return s
 }
@@ -85,7 +85,7 @@
 	s.ReadServers(start.Add(time.Minute))
 	qt.Check(t, ids(s), qt.DeepEquals, []string{serverID(0), serverID(1), serverID(2), "new"})
 	qt.Check(t, v.ByID(serverID(3)), qt.IsNotNil)
-	s.Servers.Replace([]mirror.Object{object(serverID(1), 1, 1), object("new", 2, 1)}, 9)
+	s.Servers.Replace([]mirror.Object{object(serverID(1), 1, 1), object("new", 2, 1)}, mirror.Position{Revision: 9})
 	s.ReadServers(start.Add(time.Minute))
 	qt.Check(t, ids(s), qt.DeepEquals, []string{serverID(1), "new"})
 }
--- a/entry/state/state.go
+++ b/entry/state/state.go
@@ -5,6 +5,10 @@
 // goes back to an older version. A backend server whose entry disappears right after
 // an outage of the object API is kept for a while: entries expire during the outage,
 // and live servers register again.
+//
+// An object API that was restored from an older copy shows servers as they were when the
+// copy was made, until they write their entries again. A server that has said that it
+// leaves, or has left, stays out of use, and older entries are not applied for a while.
 package state
 
 import (
@@ -57,10 +61,19 @@
 	view  atomic.Pointer[fleet.View]
 
 	mu sync.Mutex
+	// tableSpec is the encoded configuration in force, and mirrorVersion the version of
+	// the one in the Config mirror.
+	tableSpec     []byte
+	mirrorVersion uint64
 	// decoded holds the servers of the Servers mirror by ID.
 	decoded map[string]decodedServer
 	// cursor is the position in the Servers mirror up to which entries are decoded.
-	cursor uint64
+	cursor mirror.Position
+	// restored holds what is known of servers from before a restore of the object API.
+	restored restored
+	// departures holds the servers that get no new requests whatever their entries
+	// say, by ID.
+	departures map[string]departure
 	// expired holds the servers whose entries expired and that are still kept, by ID.
 	expired map[string]expiredServer
 	// lastExpiry is when entries last expired.
@@ -83,10 +96,10 @@
 	changed chan struct{}
 }
 
-// decodedServer is a server with the revision of its entry.
+// decodedServer is a server with the position of its entry.
 type decodedServer struct {
-	revision uint64
-	server   fleet.Server
+	at     mirror.Position
+	server fleet.Server
 }
 
 // expiredServer is a server whose entry expired, kept until the given time.
@@ -142,6 +155,7 @@
 
 // ReadConfig applies the named configuration of the Config mirror.
 func (s *Local) ReadConfig(name string) {
+	version := uint64(0)
 	for _, object := range s.Config.Items() {
 		if object.Name != name {
 			continue
@@ -151,29 +165,67 @@
 			s.Log.Error("config: unreadable configuration ignored", "revision", object.Revision, "error", err)
 			return
 		}
-		s.applyTable(t, object.Revision)
+		version = t.Version
+		s.applyTable(t, object.Spec, "revision", object.Revision)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mirrorVersion = version
+}
+
+// MergeConfig applies an encoded configuration that is in force on another entry host.
+func (s *Local) MergeConfig(spec []byte) {
+	t, err := s.Decoder.Table(spec)
+	if err != nil {
+		s.Log.Error("config: unreadable configuration of another entry host ignored", "error", err)
+		return
 	}
+	s.applyTable(t, spec, "from", "peer")
 }
 
-// applyTable puts a configuration in force if its version is newer.
-func (s *Local) applyTable(t *route.Table, revision uint64) {
+// ConfigInForce returns the version of the configuration in force; zero if there is none.
+// The encoded configuration is returned only if it is newer than that of the Config
+// mirror, which is the case after a restore of the object API.
+func (s *Local) ConfigInForce() (version uint64, spec []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.table.Load()
+	if t == nil {
+		return 0, nil
+	}
+	if s.mirrorVersion < t.Version {
+		spec = s.tableSpec
+	}
+	return t.Version, spec
+}
+
+// applyTable puts a configuration in force if its version is newer. The log attributes
+// say where it is from.
+func (s *Local) applyTable(t *route.Table, spec []byte, source ...any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old := s.table.Load()
 	if old != nil && t.Version <= old.Version {
+		if t.Version < old.Version {
+			s.Log.Info("config: older configuration ignored", append(source, "version", t.Version, "current", old.Version)...)
+		}
 		return
 	}
 	t.Index()
 	s.table.Store(t)
-	s.Log.Info("config: taken", "version", t.Version, "revision", revision, "routes", len(t.Routes), "teams", len(t.Teams))
+	s.tableSpec = spec
+	s.Log.Info("config: taken", append(source, "version", t.Version, "routes", len(t.Routes), "teams", len(t.Teams))...)
 }
 
 // ReadServers applies the changes of the Servers mirror since the last call.
 func (s *Local) ReadServers(now time.Time) {
 	s.mu.Lock()
 	changes, complete := s.Servers.Since(s.cursor)
-	s.cursor = changes.Cursor
-	removed := s.decode(changes.Items)
+	if changes.Era > s.cursor.Era && !s.cursor.IsZero() {
+		s.beginRestore(changes.Era, now)
+	}
+	s.cursor = changes.Position()
+	removed := s.decode(changes.Items, now)
 	if complete {
 		removed = s.notListed(changes.Items)
 	}
@@ -186,7 +238,7 @@
 }
 
 // decode decodes changed entries and returns the IDs of the removed servers.
-func (s *Local) decode(objects []mirror.Object) (removed []string) {
+func (s *Local) decode(objects []mirror.Object, now time.Time) (removed []string) {
 	if s.decoded == nil {
 		s.decoded = map[string]decodedServer{}
 		s.expired = map[string]expiredServer{}
@@ -196,7 +248,8 @@
 	present := map[string]bool{}
 	for _, object := range objects {
 		old, known := s.decoded[object.Name]
-		if known && old.revision == object.Revision {
+		at := mirror.Position{Era: s.cursor.Era, Revision: object.Revision}
+		if known && old.at == at {
 			continue
 		}
 		if object.Deleted {
@@ -210,6 +263,12 @@
 			removed = append(removed, object.Name)
 			continue
 		}
+		s.recordDeparture(server, now)
+		if known && s.withhold(old.server, server, object, now) {
+			s.decoded[object.Name] = decodedServer{at: at, server: old.server}
+			present[object.Name] = true
+			continue
+		}
 		if known && server.StartedAt.After(old.server.StartedAt) {
 			// The new incarnation holds no layers, and what was known of the old one
 			// does not apply to it.
@@ -218,7 +277,7 @@
 			s.Log.Info("servers: restarted", "server", server.ID, "address", server.Address, "revision", object.Revision)
 		}
 		s.logChanges(old.server, server, known, object.Revision)
-		s.decoded[object.Name] = decodedServer{revision: object.Revision, server: server}
+		s.decoded[object.Name] = decodedServer{at: at, server: server}
 		delete(s.expired, object.Name)
 		present[object.Name] = true
 	}
@@ -233,7 +292,7 @@
 		listed[object.Name] = object.Revision
 	}
 	for id, server := range s.decoded {
-		if listed[id] != server.revision {
+		if server.at.Era != s.cursor.Era || listed[id] != server.at.Revision {
 			removed = append(removed, id)
 		}
 	}
@@ -253,7 +312,10 @@
 	for _, id := range removed {
 		old := s.decoded[id].server
 		delete(s.decoded, id)
-		if outage && !old.Leaving {
+		if !outage {
+			s.recordRemoval(old, now)
+		}
+		if outage && !old.Leaving && !s.departed(old, now) {
 			s.expired[id] = expiredServer{server: old, until: now.Add(expiredGrace)}
 			s.lastExpiry = now
 			expired = append(expired, old.Address)
--- a/entry/state/state_test.go
+++ b/entry/state/state_test.go
@@ -64,7 +64,7 @@
 // revoked key would be accepted again.
 func TestConfigIsNeverReplacedByOlder(t *testing.T) {
 	s := newLocal()
-	s.Config.Replace([]mirror.Object{object("main", 5, 7)}, 5)
+	s.Config.Replace([]mirror.Object{object("main", 5, 7)}, mirror.Position{Revision: 5})
 	s.ReadConfig("main")
 	qt.Assert(t, s.Table().Version, qt.Equals, uint64(7))
 	s.Config.Merge(mirror.Batch{After: 5, Cursor: 6, Items: []mirror.Object{object("main", 6, 6)}})
@@ -80,10 +80,10 @@
 // served.
 func TestServersWithExpiredEntriesAreKept(t *testing.T) {
 	s := newLocal()
-	s.Servers.Replace([]mirror.Object{object("i-1", 1, 1), object("i-2", 2, 1)}, 2)
+	s.Servers.Replace([]mirror.Object{object("i-1", 1, 1), object("i-2", 2, 1)}, mirror.Position{Revision: 2})
 	s.ReadServers(start)
 	s.StoreRecovered(start)
-	s.Servers.Replace(nil, 3)
+	s.Servers.Replace(nil, mirror.Position{Revision: 3})
 	s.ReadServers(start.Add(100 * time.Millisecond))
 	qt.Assert(t, ids(s), qt.DeepEquals, []string{"i-1", "i-2"})
 	qt.Assert(t, s.KeepsExpired(), qt.IsTrue)
@@ -101,7 +101,7 @@
 	s := newLocal()
 	var probed []string
 	s.ProbeExpired = func(address string) { probed = append(probed, address) }
-	s.Servers.Replace([]mirror.Object{object("i-1", 1, 1), object("i-2", 2, 1)}, 2)
+	s.Servers.Replace([]mirror.Object{object("i-1", 1, 1), object("i-2", 2, 1)}, mirror.Position{Revision: 2})
 	s.ReadServers(start)
 	s.StoreRecovered(start)
 	qt.Assert(t, s.Probing(start), qt.IsFalse)
@@ -116,7 +116,7 @@
 // while the object API was available: they would be cut off.
 func TestRemovedServersAreDroppedAtOnce(t *testing.T) {
 	s := newLocal()
-	s.Servers.Replace([]mirror.Object{object("i-1", 1, 1), object("i-2", 2, 1), object("i-3", 3)}, 3)
+	s.Servers.Replace([]mirror.Object{object("i-1", 1, 1), object("i-2", 2, 1), object("i-3", 3)}, mirror.Position{Revision: 3})
 	s.ReadServers(start)
 	qt.Assert(t, ids(s), qt.DeepEquals, []string{"i-1", "i-2"})
 	s.Servers.Merge(mirror.Batch{After: 3, Cursor: 4, Items: []mirror.Object{{Name: "i-1", Revision: 4, Deleted: true}}})
@@ -129,7 +129,7 @@
 // take before the server's entry shows them.
 func TestAssignedLayersTakeEffectAtOnce(t *testing.T) {
 	s := newLocal()
-	s.Servers.Replace([]mirror.Object{object("i-1", 1, 1)}, 1)
+	s.Servers.Replace([]mirror.Object{object("i-1", 1, 1)}, mirror.Position{Revision: 1})
 	s.ReadServers(start)
 	qt.Assert(t, s.Assign(state.Assignment{ID: "i-1", First: 5, End: 25, Until: start.Add(time.Minute)}, start), qt.IsTrue)
 	server := s.View().Servers[0]
@@ -143,7 +143,7 @@
 // loaded: its entry shows them only a heartbeat later.
 func TestReportedAssignmentPrecedesTheEntry(t *testing.T) {
 	s := newLocal()
-	s.Servers.Replace([]mirror.Object{object("i-1", 1, 1)}, 1)
+	s.Servers.Replace([]mirror.Object{object("i-1", 1, 1)}, mirror.Position{Revision: 1})
 	s.ReadServers(start)
 	assignment := state.Assignment{ID: "i-1", First: 5, End: 25, Until: start.Add(time.Minute)}
 	s.Assign(assignment, start)
@@ -158,7 +158,7 @@
 
 func TestSuspicionEnds(t *testing.T) {
 	s := newLocal()
-	s.Servers.Replace([]mirror.Object{object("i-1", 1, 1)}, 1)
+	s.Servers.Replace([]mirror.Object{object("i-1", 1, 1)}, mirror.Position{Revision: 1})
 	s.ReadServers(start)
 	qt.Assert(t, s.Suspect("i-1", start.Add(time.Second), start), qt.IsTrue)
 	qt.Assert(t, s.View().Servers[0].Suspected, qt.IsTrue)
@@ -174,7 +174,7 @@
 // loading for seconds.
 func TestRestartUnderTheSameID(t *testing.T) {
 	s := newLocal()
-	s.Servers.Replace([]mirror.Object{object("i-1", 1, 1)}, 1)
+	s.Servers.Replace([]mirror.Object{object("i-1", 1, 1)}, mirror.Position{Revision: 1})
 	s.ReadServers(start)
 	s.Assign(state.Assignment{ID: "i-1", First: 0, End: 20, Until: start.Add(time.Hour)}, start)
 	s.Suspect("i-1", start.Add(time.Hour), start)
--- a/entry/stream/monitor_test.go
+++ b/entry/stream/monitor_test.go
@@ -105,7 +105,7 @@
 	for id := range servers {
 		items = append(items, mirror.Object{Name: id, Revision: 1})
 	}
-	serverMirror.Replace(items, 1)
+	serverMirror.Replace(items, mirror.Position{Revision: 1})
 	log := slog.New(slog.DiscardHandler)
 	s := &state.Local{Decoder: servers, Log: log, LocalDomain: "a", Servers: serverMirror}
 	s.ReadServers(time.Now())
--- a/parts/fleet/fleet.go
+++ b/parts/fleet/fleet.go
@@ -42,6 +42,8 @@
 	// StartedAt is its start time. A server with a known ID and a later start
 	// time is a new incarnation.
 	StartedAt time.Time
+	// EntryWrites is the number of times that it has written its entry since its start.
+	EntryWrites uint64
 	// Leaving servers get no new requests.
 	Leaving bool
 	// Suspected servers have recently failed requests and get new ones only if
