soak: add series of restarts, configurations, rate limits and restores of the store

Callers of the soak closed their connection after each request, and restarts and changes came one at a time. Now they keep connections until the entry host closes them; shutdowns in turn, five configurations in quick succession, servers that name a rate limit and, with -restores, restores of the store from a copy that is up to four seconds old run beside the faults, with random numbers of their own, so that the faults of a seed stay the same. After the faults a server names a limit while all entry hosts get more lookups than that, and payments on kept connections must be answered across a planned stop.

--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -32,7 +32,9 @@
 type cluster struct {
 	Settings
 	platform fakes.Platform
-	entries  []*entryHost
+	// client keeps its connections until the entry host closes them.
+	client  *http.Client
+	entries []*entryHost
 	// serverProxies are the proxies in front of backend servers.
 	serverProxies []*proxy.Proxy
 
@@ -62,7 +64,8 @@
 // booking, and the entry hosts, spread over two failure domains. It returns when
 // all entry hosts are ready.
 func newCluster(s Settings) (*cluster, error) {
-	c := &cluster{Settings: s}
+	transport := &http.Transport{MaxIdleConnsPerHost: s.Callers}
+	c := &cluster{Settings: s, client: &http.Client{Timeout: callerTimeout + time.Second, Transport: transport}}
 	if err := c.platform.Start(); err != nil {
 		return nil, err
 	}
@@ -242,9 +245,22 @@
 		s.DropResponses(0)
 		s.RefuseNext(0)
 		s.TruncateAfter(0)
+		s.EndLimit()
 	}
 }
 
+// serverOf returns a live server of a service.
+func (c *cluster) serverOf(service string) *fakes.Server {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.servers {
+		if s.Service == service {
+			return s
+		}
+	}
+	return nil
+}
+
 // close kills all entry hosts and stops the platform and the proxies.
 func (c *cluster) close() error {
 	for _, e := range c.entries {
@@ -252,6 +268,7 @@
 		e.wait()
 		e.storeProxy.Close()
 	}
+	c.client.CloseIdleConnections()
 	c.platform.Close()
 	for _, p := range c.serverProxies {
 		p.Close()
@@ -275,8 +292,7 @@
 	if err != nil {
 		return reply{err: err}
 	}
-	client := &http.Client{Timeout: callerTimeout + time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := client.Do(req)
+	resp, err := c.client.Do(req)
 	if err != nil {
 		return reply{err: err}
 	}
--- a/soak/cmd/fssoak/main.go
+++ b/soak/cmd/fssoak/main.go
@@ -25,6 +25,8 @@
 	duration := fs.Duration("for", 15*time.Second, "how long faults happen in each")
 	entries := fs.Int("entries", 4, "how many entry hosts there are")
 	callers := fs.Int("callers", 16, "how many callers there are")
+	series := fs.Bool("series", true, "series of restarts, configurations and rate limits beside the faults")
+	restores := fs.Bool("restores", false, "restores of the store from an older copy in the series")
 	dir := fs.String("dir", "", "where settings and logs are kept; a new folder if empty")
 	if err := ff.Parse(fs, os.Args[1:], ff.WithEnvVarPrefix("FSSOAK")); err != nil {
 		os.Exit(boot.ExitUsage)
@@ -33,7 +35,9 @@
 	go started.killOnSignal()
 	failed := 0
 	for n := range *seeds {
-		s := soak.Settings{Seed: *seed + uint64(n), FaultDuration: *duration, EntryHosts: *entries, Callers: *callers, Program: *program, Dir: *dir, OnStart: started.add}
+		s := soak.Settings{
+			Seed: *seed + uint64(n), FaultDuration: *duration, Series: *series, Restores: *restores, EntryHosts: *entries, Callers: *callers, Program: *program, Dir: *dir, OnStart: started.add,
+		}
 		if s.Dir == "" {
 			s.Dir, _ = os.MkdirTemp("", "fssoak-")
 		}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"sync"
 	"syscall"
 	"time"
 
@@ -19,11 +21,20 @@
 )
 
 // injectFaults injects random faults for FaultDuration and then waits until the
-// active ones have ended.
+// active ones, and those of the series, have ended.
 func (r *run) injectFaults() error {
+	stopSeries := make(chan struct{})
+	var series sync.WaitGroup
+	if r.Series {
+		series.Go(func() { r.runSeries(rand.New(rand.NewPCG(r.Seed, seriesStream)), stopSeries) })
+	}
 	// Restarts count as active faults, because a process that started after the
 	// end of the run would never be killed.
-	defer r.activeFaults.Wait()
+	defer func() {
+		close(stopSeries)
+		series.Wait()
+		r.activeFaults.Wait()
+	}()
 	for time.Since(r.start) < r.FaultDuration {
 		time.Sleep(r.randomDuration(minPause, maxPause))
 		duration := r.randomDuration(minFaultDuration, maxFaultDuration)
@@ -31,7 +42,7 @@
 		if err != nil {
 			return err
 		}
-		r.report.Faults = append(r.report.Faults, fmt.Sprintf("%s %s for %s", time.Since(r.start).Round(time.Millisecond), description, duration))
+		r.addFault(fmt.Sprintf("%s for %s", description, duration))
 		if undo != nil {
 			r.activeFaults.Go(func() {
 				time.Sleep(duration)
--- /dev/null
+++ b/soak/series.go
@@ -0,0 +1,120 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"fuchsiashelf.dev/stand/fakes"
+)
+
+// Parameters of the series of changes that run beside the faults.
+const (
+	minSeriesPause = 500 * time.Millisecond
+	maxSeriesPause = 2500 * time.Millisecond
+	// configChanges is the number of configurations in a series, configPause the pause
+	// between two of them.
+	configChanges = 5
+	configPause   = 150 * time.Millisecond
+	// restartPause is the pause between the shutdowns of two entry hosts.
+	restartPause = 600 * time.Millisecond
+	// maxCopyAge is how old the copy is from which the store is restored, and
+	// restoreOutage how long the store is away.
+	maxCopyAge    = 4 * time.Second
+	restoreOutage = 300 * time.Millisecond
+	// limitTime is how long a server names a rate limit, namedLimit is that limit in
+	// requests per second.
+	limitTime  = 2 * time.Second
+	namedLimit = 3
+	// seriesStream is the stream of random numbers of the series.
+	seriesStream = 1 << 32
+)
+
+// runSeries makes series of changes until stop is closed. They overlap with each other
+// and with the faults. Their random numbers are separate, so that the faults of a seed
+// stay the same.
+func (r *run) runSeries(rng *rand.Rand, stop chan struct{}) {
+	for {
+		pause := minSeriesPause + time.Duration(rng.Int64N(int64(maxSeriesPause-minSeriesPause)))
+		select {
+		case <-stop:
+			return
+		case <-time.After(pause):
+		}
+		r.addFault(r.startSeries(rng))
+	}
+}
+
+// startSeries starts one series of changes and describes it.
+func (r *run) startSeries(rng *rand.Rand) string {
+	kinds := 3
+	if r.Restores {
+		kinds++
+	}
+	switch rng.IntN(kinds) {
+	case 0:
+		r.activeFaults.Go(r.changeConfig)
+		return "configurations in series"
+	case 1:
+		r.activeFaults.Go(func() { r.shutDownInTurn(rng.Perm(r.EntryHosts)) })
+		return "entry hosts shut down in turn"
+	case 2:
+		r.cluster.mu.Lock()
+		s := r.cluster.servers[rng.IntN(len(r.cluster.servers))]
+		r.cluster.mu.Unlock()
+		s.NameLimit(namedLimit)
+		r.activeFaults.Go(func() {
+			time.Sleep(limitTime)
+			s.EndLimit()
+		})
+		return fmt.Sprintf("%s: names a limit of %d a second", s.ID, namedLimit)
+	default:
+		age := time.Duration(rng.Int64N(int64(maxCopyAge)))
+		r.activeFaults.Go(func() { r.restoreStore(age) })
+		return fmt.Sprintf("store: restored from a copy made in %s", age)
+	}
+}
+
+// changeConfig writes several configurations in quick succession.
+func (r *run) changeConfig() {
+	for range configChanges {
+		if err := r.cluster.configure(currentKey, oldKey); err != nil {
+			r.addViolation("%v", err)
+		}
+		time.Sleep(configPause)
+	}
+}
+
+// shutDownInTurn shuts entry hosts down and starts them again, one after the other
+// without waiting for the one before.
+func (r *run) shutDownInTurn(order []int) {
+	for _, i := range order[:max(1, len(order)/2)] {
+		e := r.cluster.entries[i]
+		if _, _, err := r.restartEntryHost(e, "", func() {
+			e.signal(syscall.SIGCONT)
+			e.shutDown()
+		}); err != nil {
+			r.addViolation("%v", err)
+		}
+		time.Sleep(restartPause)
+	}
+}
+
+// restoreStore makes a copy of the store now, restores the store from it after the given
+// time, and writes the configuration and the servers' entries again.
+func (r *run) restoreStore(age time.Duration) {
+	store := &r.cluster.platform.Store
+	copied := store.Copy()
+	time.Sleep(age)
+	store.SetFailureMode(fakes.Unavailable)
+	store.Restore(copied)
+	time.Sleep(restoreOutage)
+	store.SetFailureMode(fakes.Healthy)
+	if err := r.cluster.configure(currentKey, oldKey); err != nil {
+		r.addViolation("%v", err)
+	}
+	if err := r.cluster.platform.RegisterServers(); err != nil {
+		r.addViolation("%v", err)
+	}
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -25,6 +25,10 @@
 	Seed uint64
 	// FaultDuration is how long faults are injected.
 	FaultDuration time.Duration
+	// Series makes series of restarts, configurations and rate limits that overlap with the
+	// faults. Restores makes some of them restores of the store from an older copy, which
+	// versions without eras of the store do not follow.
+	Series, Restores bool
 	// EntryHosts and Callers are the numbers of entry hosts and callers.
 	EntryHosts, Callers int
 	// Program is the path of the fsplat binary.
@@ -94,6 +98,13 @@
 	return r.report, nil
 }
 
+// addFault adds a fault, with the time since the start, to the report.
+func (r *run) addFault(description string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.report.Faults = append(r.report.Faults, fmt.Sprintf("%s %s", time.Since(r.start).Round(time.Millisecond), description))
+}
+
 // addViolation adds a broken guarantee to the report.
 func (r *run) addViolation(format string, args ...any) {
 	r.mu.Lock()
@@ -203,6 +214,9 @@
 		}
 	}
 	r.checkRevokedKey()
+	if r.Series {
+		r.checkRateLimit()
+	}
 	r.checkPlannedStop()
 }
 
@@ -224,17 +238,74 @@
 }
 
 // checkPlannedStop checks that the first entry host completes a stream in
-// flight when it is shut down.
+// flight when it is shut down, and answers every payment that it passes on until its
+// process has ended, also on connections that callers have kept.
 func (r *run) checkPlannedStop() {
 	const events = 60
 	id := r.newID("ask")
 	done := make(chan reply, 1)
 	go func() { done <- r.cluster.send(0, id, "/ask/1", currentKey, events) }()
+	ended := make(chan struct{})
+	unanswered := make(chan []string, 1)
+	go func() { unanswered <- r.sendPaymentsUntil(ended) }()
 	time.Sleep(150 * time.Millisecond)
 	r.cluster.entries[0].shutDown()
+	close(ended)
 	if resp := <-done; resp.err != nil || resp.body != fakes.StreamBody(id, events) {
 		r.addViolation("%s: interrupted by a planned stop: %d %v", id, resp.status, resp.err)
 	}
+	executed := map[string]bool{}
+	for _, execution := range r.cluster.platform.Executions() {
+		executed[execution.Request] = true
+	}
+	for _, id := range <-unanswered {
+		if executed[id] {
+			r.addViolation("%s: ran and was not answered in a planned stop", id)
+		}
+	}
+}
+
+// sendPaymentsUntil sends payments through the first entry host, on connections that are
+// kept, until the channel is closed. It returns those that got no answer.
+func (r *run) sendPaymentsUntil(ended chan struct{}) (unanswered []string) {
+	for {
+		select {
+		case <-ended:
+			return unanswered
+		case <-time.After(paymentInterval):
+		}
+		id := r.newID("pay")
+		if resp := r.cluster.send(0, id, "/pay/1", currentKey, 0); resp.err != nil {
+			unanswered = append(unanswered, id)
+		}
+	}
+}
+
+const (
+	// paymentInterval is the interval between the payments during a planned stop, and
+	// lookupInterval that between the lookups through each entry host at a server that
+	// names a rate limit.
+	paymentInterval = 10 * time.Millisecond
+	lookupInterval  = 50 * time.Millisecond
+	// rateLimitTime is how long such a server is observed.
+	rateLimitTime = 8 * time.Second
+)
+
+// checkRateLimit lets a server name a rate limit and sends more requests than that
+// through all entry hosts. The server records a violation if it gets too many.
+func (r *run) checkRateLimit() {
+	limited := r.cluster.serverOf("booking")
+	limited.NameLimit(namedLimit)
+	defer limited.EndLimit()
+	var callers sync.WaitGroup
+	for e := range r.EntryHosts {
+		callers.Go(func() {
+			for start := time.Now(); time.Since(start) < rateLimitTime; time.Sleep(lookupInterval) {
+				r.sendLookup(e)
+			}
+		})
+	}
+	callers.Wait()
 }
 
 // checkExecutions checks that the backend servers ran no payment twice or after
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -29,6 +29,14 @@
 	}
 }
 
+// Guards against the same while restarts, configurations, rate limits and restores of the
+// store come in series that overlap with the failures.
+func TestSeries(t *testing.T) {
+	runSeed(t, soak.Settings{
+		Seed: 3, FaultDuration: 6 * time.Second, Series: true, Restores: true, EntryHosts: 4, Callers: 8, Program: build(t),
+	})
+}
+
 // Guards against blocking the identical requests of all callers as poisoned for a
 // minute when three links and servers fail within a minute. Each request in
 // flight on one of them counts as a possible cause of the failure.
--- a/stand/fakes/platform.go
+++ b/stand/fakes/platform.go
@@ -1,7 +1,9 @@
 package fakes
 
 import (
+	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -89,6 +91,23 @@
 	return s.register()
 }
 
+// RegisterServers writes the entries of all live servers again, and removes those of the
+// others, as heartbeats do within some seconds of a restore.
+func (p *Platform) RegisterServers() error {
+	p.mu.Lock()
+	servers := slices.Collect(maps.Values(p.servers))
+	p.mu.Unlock()
+	var errs []error
+	for _, s := range servers {
+		if s.hasCrashed() {
+			p.Store.Delete("servers", s.ID)
+			continue
+		}
+		errs = append(errs, s.Register())
+	}
+	return errors.Join(errs...)
+}
+
 // Executions returns the executions so far, in order.
 func (p *Platform) Executions() []Execution {
 	p.mu.Lock()
