state: hand departures on from entry hosts that start after a restore

An entry host that started after a restore of the object API learned from the others which servers leave, but did not tell hosts that started later, so restarts in turn could lose it. It now hands on what it was told, as TestDepartureIsHandedOn checks; the check fails without the change. The read of the monitor returns early on an error.

--- a/entry/source/source.go
+++ b/entry/source/source.go
@@ -328,11 +328,14 @@
 	defer cancel()
 	read, err := m.Store.StaleRevision(ctx, m.Kind, m.Name)
 	wasAlive := m.setAlive(err == nil)
+	if err != nil {
+		if wasAlive {
+			m.Log.Warn("store: lost", "error", err)
+		}
+		return
+	}
 	cursor := m.Mirror.Cursor()
 	switch {
-	case err != nil && wasAlive:
-		m.Log.Warn("store: lost", "error", err)
-	case err != nil:
 	case m.recordEra(read.Era):
 		m.Log.Warn("store: restored from an older copy", "era", read.Era, "known", cursor.Revision)
 		m.OnRecovery()
--- a/entry/state/restore.go
+++ b/entry/state/restore.go
@@ -40,8 +40,8 @@
 type restored struct {
 	// at is the time of the last restore, and until the end of its grace period.
 	at, until time.Time
-	// withheld holds older entries, by ID, that are applied then unless newer ones come
-	// before.
+	// withheld holds older entries by ID. They are applied at the end of the grace period
+	// unless newer ones arrive.
 	withheld map[string]mirror.Object
 	// removals holds the servers whose entries were removed, by ID.
 	removals map[string]removal
@@ -120,17 +120,12 @@
 		s.departures = map[string]departure{}
 	}
 	known, exists := s.departures[d.ID]
-	switch {
-	case exists && known.startedAt.After(d.StartedAt):
+	same := exists && known.startedAt.Equal(d.StartedAt)
+	if exists && known.startedAt.After(d.StartedAt) || same && d.Until.Sub(known.until) < maxTransitTime {
 		return false
-	case exists && known.startedAt.Equal(d.StartedAt):
-		// Transit times must not add up and keep it alive.
-		if d.Until.Sub(known.until) < maxTransitTime {
-			return false
-		}
 	}
 	s.departures[d.ID] = departure{startedAt: d.StartedAt, until: d.Until}
-	return !exists || !known.startedAt.Equal(d.StartedAt)
+	return !same
 }
 
 // departed reports whether a server gets no new requests whatever its entry says. The
@@ -160,9 +155,12 @@
 func (s *Local) MergeDeparture(d Departure, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.depart(d) {
-		s.update([]string{d.ID}, false, now)
+	if !s.depart(d) {
+		return
 	}
+	// This entry host may have started after the restore, and hands it on as well.
+	s.restored.at = now
+	s.update([]string{d.ID}, false, now)
 }
 
 // sweepDepartures drops old departures and removals, and returns the IDs of the servers
--- a/entry/state/restore_test.go
+++ b/entry/state/restore_test.go
@@ -114,6 +114,7 @@
 	qt.Check(t, fresh.View().ByID("a").Leaving, qt.IsFalse)
 	fresh.MergeDeparture(departures[0], start)
 	qt.Check(t, fresh.View().ByID("a").Leaving, qt.IsTrue)
+	qt.Check(t, fresh.Departures(start), qt.HasLen, 1)
 	qt.Check(t, s.Departures(start.Add(2*time.Minute)), qt.HasLen, 0)
 }
 
