soak: check rate limits of a whole service, and a revocation after a restore

The check of rate limits let one server of a service name a limit; its load moved to the others, and passed it once. Now all servers of the service name one.

--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -249,16 +249,16 @@
 	}
 }
 
-// serverOf returns a live server of a service.
-func (c *cluster) serverOf(service string) *fakes.Server {
+// serversOf returns the live servers of a service.
+func (c *cluster) serversOf(service string) (list []*fakes.Server) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, s := range c.servers {
 		if s.Service == service {
-			return s
+			list = append(list, s)
 		}
 	}
-	return nil
+	return list
 }
 
 // close kills all entry hosts and stops the platform and the proxies.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -220,8 +220,15 @@
 	r.checkPlannedStop()
 }
 
-// checkRevokedKey revokes a key and checks that every entry host refuses it.
+// checkRevokedKey revokes a key and checks that every entry host refuses it. With
+// Restores it restores the store before, so that its revision is lower than those that
+// the entry hosts know.
 func (r *run) checkRevokedKey() {
+	if r.Restores {
+		copied := r.cluster.platform.Store.Copy()
+		r.changeConfig()
+		r.cluster.platform.Store.Restore(copied)
+	}
 	if err := r.cluster.configure(currentKey); err != nil {
 		r.addViolation("%v", err)
 		return
@@ -283,20 +290,21 @@
 
 const (
 	// paymentInterval is the interval between the payments during a planned stop, and
-	// lookupInterval that between the lookups through each entry host at a server that
-	// names a rate limit.
+	// lookupInterval that between the lookups through each entry host while servers name
+	// rate limits.
 	paymentInterval = 10 * time.Millisecond
 	lookupInterval  = 50 * time.Millisecond
-	// rateLimitTime is how long such a server is observed.
+	// rateLimitTime is how long these servers are observed.
 	rateLimitTime = 8 * time.Second
 )
 
-// checkRateLimit lets a server name a rate limit and sends more requests than that
-// through all entry hosts. The server records a violation if it gets too many.
+// checkRateLimit lets all servers of a service name rate limits and sends more requests
+// than that through all entry hosts. A server records a violation if it gets too many.
 func (r *run) checkRateLimit() {
-	limited := r.cluster.serverOf("booking")
-	limited.NameLimit(namedLimit)
-	defer limited.EndLimit()
+	for _, s := range r.cluster.serversOf("booking") {
+		s.NameLimit(namedLimit)
+		defer s.EndLimit()
+	}
 	var callers sync.WaitGroup
 	for e := range r.EntryHosts {
 		callers.Go(func() {
