--- a/soak/soak.go
+++ b/soak/soak.go
@@ -26,9 +26,10 @@
 	// FaultDuration is how long faults are injected.
 	FaultDuration time.Duration
 	// Series makes series of restarts, configurations and rate limits that overlap with the
-	// faults. Restores makes some of them restores of the store from an older copy, which
-	// versions without eras of the store do not follow.
+	// faults. Restores makes some of them restores of the store from an older copy.
 	Series, Restores bool
+	// Limits checks after the faults that the rate limits of servers are kept.
+	Limits bool
 	// EntryHosts and Callers are the numbers of entry hosts and callers.
 	EntryHosts, Callers int
 	// Program is the path of the fsplat binary.
@@ -214,7 +215,7 @@
 		}
 	}
 	r.checkRevokedKey()
-	if r.Series {
+	if r.Limits {
 		r.checkRateLimit()
 	}
 	r.checkPlannedStop()
