--- a/parts/limit/report.go
+++ b/parts/limit/report.go
@@ -14,8 +14,8 @@
 	Demands map[string]Demand
 }
 
-// Demand is the demand of an entry host for a server, in requests per second, with the
-// time since it was measured.
+// Demand is the demand of an entry host for a server, in requests per second, and its
+// age.
 type Demand struct {
 	Rate float64
 	Age  time.Duration
