--- a/soak/series.go
+++ b/soak/series.go
@@ -57,7 +57,8 @@
 		r.activeFaults.Go(r.changeConfig)
 		return "configurations in series"
 	case 1:
-		r.activeFaults.Go(func() { r.shutDownInTurn(rng.Perm(r.EntryHosts)) })
+		order := rng.Perm(r.EntryHosts)
+		r.activeFaults.Go(func() { r.shutDownInTurn(order) })
 		return "entry hosts shut down in turn"
 	case 2:
 		r.cluster.mu.Lock()
