health: keep the first measurement when two arrive at once

Callers of the own interface would have been routed by it: a server that looks eight times as fast as it is attracts requests until it has been measured some dozen times.

Cause: Trend.Observe counted a measurement before it stored it. Of two that arrived at once, the second one found the count at 2 and the average still at zero, and stored an eighth of its value (900/8 = 112.5) over the first. The comment said that a measurement lost in a race does not matter in an average; the first one does, since it is the average.

The average now says itself whether it has a value, and is updated by compare and swap, so that the first measurement becomes the average whichever caller that is, and no measurement is lost.

A measurement of zero keeps its meaning.

Looked for elsewhere: the mean token gap (parts/admit) and the baselines (parts/retry) already use compare and swap; FailureRate is used under locks; the wait of a server.Meter starts at zero by design, so that it has no first value.

--- a/parts/health/health_test.go
+++ b/parts/health/health_test.go
@@ -1,6 +1,7 @@
 package health
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -45,6 +46,30 @@
 	})
 }
 
+// Guards against a server that looks eight times as fast as it is because its first two
+// measurements arrived at once.
+func TestConcurrentFirstMeasurements(t *testing.T) {
+	c := quicktest.New(t)
+	const value = 900 * time.Microsecond
+	trends := make([]Trend, 100_000)
+	var observers sync.WaitGroup
+	for range 4 {
+		observers.Go(func() {
+			for i := range trends {
+				trends[i].Observe(value)
+			}
+		})
+	}
+	observers.Wait()
+	wrong := 0
+	for i := range trends {
+		if trends[i].Current() != value || trends[i].Baseline() != value {
+			wrong++
+		}
+	}
+	c.Assert(wrong, quicktest.Equals, 0)
+}
+
 func TestSuspectForDoubles(t *testing.T) {
 	c := quicktest.New(t)
 	for failures, want := range []time.Duration{
--- a/parts/health/trend.go
+++ b/parts/health/trend.go
@@ -30,10 +30,9 @@
 const minSamples = 32
 
 // Trend keeps the averages of one measurement. The zero value has none. It is
-// safe for concurrent use without locks: a measurement that is lost in a race
-// does not matter in an average.
+// safe for concurrent use without locks.
 type Trend struct {
-	fast, slow atomic.Uint64
+	fast, slow average
 	count      atomic.Int64
 }
 
@@ -44,38 +43,54 @@
 	if n < minSamples {
 		n = t.count.Add(1)
 	}
-	if n == 1 {
-		t.fast.Store(math.Float64bits(value))
-		t.slow.Store(math.Float64bits(value))
-		return
-	}
-	updateAverage(&t.fast, value, fastWeight)
-	baseline := math.Float64frombits(t.slow.Load())
+	t.fast.add(value, fastWeight)
 	switch {
 	case n < minSamples:
-		updateAverage(&t.slow, value, fastWeight)
-	case value < baseline:
-		updateAverage(&t.slow, value, downWeight)
+		t.slow.add(value, fastWeight)
+	case value < t.slow.value():
+		t.slow.add(value, downWeight)
 	default:
-		updateAverage(&t.slow, value, slowWeight)
+		t.slow.add(value, slowWeight)
+	}
+}
+
+// average is a moving average of durations in nanoseconds. It holds the bits of a
+// float64 plus one, so that the zero value means that there is no measurement.
+type average struct{ bits atomic.Uint64 }
+
+// add adds a measurement with a weight. The first one becomes the average.
+func (a *average) add(value, weight float64) {
+	for {
+		bits := a.bits.Load()
+		next := value
+		if bits != 0 {
+			old := math.Float64frombits(bits - 1)
+			next = old + weight*(value-old)
+		}
+		if a.bits.CompareAndSwap(bits, math.Float64bits(next)+1) {
+			return
+		}
 	}
 }
 
-// updateAverage adds a value with a weight to a moving average.
-func updateAverage(average *atomic.Uint64, value, weight float64) {
-	old := math.Float64frombits(average.Load())
-	average.Store(math.Float64bits(old + weight*(value-old)))
+// value returns the average; zero if there is no measurement.
+func (a *average) value() float64 {
+	bits := a.bits.Load()
+	if bits == 0 {
+		return 0
+	}
+	return math.Float64frombits(bits - 1)
 }
 
 // Current returns the average of the latest measurements; zero if there are
 // none.
 func (t *Trend) Current() time.Duration {
-	return time.Duration(math.Float64frombits(t.fast.Load()))
+	return time.Duration(t.fast.value())
 }
 
 // Baseline returns the long-term average that Current is compared with.
 func (t *Trend) Baseline() time.Duration {
-	return time.Duration(math.Float64frombits(t.slow.Load()))
+	return time.Duration(t.slow.value())
 }
 
 // The smallest change that counts as degraded, as a factor of the baseline and
@@ -98,5 +113,5 @@
 // Reset sets the current average to the baseline. A degraded server or link is
 // then used again until new measurements show that it is still degraded.
 func (t *Trend) Reset() {
-	t.fast.Store(t.slow.Load())
+	t.fast.bits.Store(t.slow.bits.Load())
 }
