watch, team: order teams by a revision that survives a restore

Callers of a team that the users' engineers write after a restore of the object API would be refused (own interface). Teams written at version 4 were ignored after teams of version 40, until the counter had passed 40.

The object of the teams now may carry a revision that its writers raise with each change, as a line of the operators raises that of the configuration. Directory.Supersedes orders by it first, and by the version only within one revision. It is part of the encoded teams, so it also reaches entry hosts that start and ask others. Teams of the older copy stay out and are logged.

Ways weighed: to take any teams that a relist after a falling counter brings (the copy would bring a removed team's token back); to take what changes after that relist (a write between the restore and the relist looks like the copy); an era as on the users' platform (the messages between entry hosts have no field for it).

--- a/entry/internal/watch/objects.go
+++ b/entry/internal/watch/objects.go
@@ -77,18 +77,23 @@
 	}
 }
 
-// applyTeams applies encoded teams if their version is higher.
+// applyTeams applies encoded teams unless those in force are as new.
 func (w *Watcher) applyTeams(value []byte, version uint64) {
 	teams := &team.Directory{Version: version}
 	if err := json.Unmarshal(value, teams); err != nil {
 		w.Log.Error("watch: cannot decode teams", "err", err)
 		return
 	}
+	var inForce *team.Directory
 	w.View.Update(func(s *view.Snapshot) {
-		if s.Teams == nil || s.Teams.Version < version {
+		inForce = s.Teams
+		if teams.Supersedes(inForce) {
 			s.Teams = teams
 		}
 	})
+	if inForce != nil && inForce.Supersedes(teams) {
+		w.Log.Warn("watch: teams not applied: older than those in force", "revision", teams.Revision, "version", version, "in_force", inForce.Revision)
+	}
 }
 
 // entryHosts returns the number of known entry hosts, including this one. After
--- a/entry/internal/watch/watch_test.go
+++ b/entry/internal/watch/watch_test.go
@@ -146,6 +146,34 @@
 	waitFor(w, func(s *view.Snapshot) bool { return s.Config.Revision == 6 })
 }
 
+func teamsChange(revision int, name string, version uint64) store.Changes {
+	value := fmt.Appendf(nil, `{"revision":%d,"teams":[{"name":%q}]}`, revision, name)
+	return store.Changes{Version: version, Objects: []store.Object{{Key: conf.TeamsKey, Version: version, Value: value}}}
+}
+
+// Guards against teams that are not served because they were written after a restore of
+// the object API, whose versions are lower than those before; and against teams that the
+// older copy brings back.
+func TestTeamsWrittenAfterRestore(t *testing.T) {
+	c := quicktest.New(t)
+	api := newStore()
+	w := startWatcher(c, api, nil)
+	c.Assert(<-api.after, quicktest.Equals, uint64(0))
+	api.watches <- teamsChange(7, "cantata", 40)
+	c.Assert(<-api.after, quicktest.Equals, uint64(40))
+	api.watches <- store.Changes{Version: 3}
+	c.Assert(<-api.after, quicktest.Equals, uint64(0))
+	api.watches <- teamsChange(6, "removed", 3)
+	c.Assert(<-api.after, quicktest.Equals, uint64(3))
+	c.Assert(w.View.Load().Teams.Teams[0].Name, quicktest.Equals, "cantata")
+	api.watches <- teamsChange(8, "lyra", 4)
+	c.Assert(<-api.after, quicktest.Equals, uint64(4))
+	c.Assert(w.View.Load().Teams.Teams[0].Name, quicktest.Equals, "lyra")
+	api.watches <- teamsChange(6, "removed", 50)
+	c.Assert(<-api.after, quicktest.Equals, uint64(50))
+	c.Assert(w.View.Load().Teams.Teams[0].Name, quicktest.Equals, "lyra")
+}
+
 // An entry host starts while the object API is down. Without the configuration,
 // hosts and teams of its peers it would refuse every caller until the object API
 // is back.
--- a/parts/team/team.go
+++ b/parts/team/team.go
@@ -24,12 +24,27 @@
 
 // Directory holds all teams at one version of the teams object.
 type Directory struct {
+	// Revision is raised by the users' engineers with each change. Unlike Version
+	// it keeps its order when the object API is restored from an older copy.
+	Revision uint64 `json:"revision,omitempty"`
 	// Version is the version of the object that the directory was read from.
 	Version uint64 `json:"-"`
 	// Teams holds the teams in no particular order.
 	Teams []Team `json:"teams"`
 }
 
+// Supersedes reports whether the directory is newer than another one, which may be
+// nil. Directories without a revision are ordered by their versions.
+func (d *Directory) Supersedes(other *Directory) bool {
+	if other == nil {
+		return true
+	}
+	if d.Revision != other.Revision {
+		return d.Revision > other.Revision
+	}
+	return d.Version > other.Version
+}
+
 // HashToken returns the hash under which a bearer token is stored.
 func HashToken(token string) string {
 	sum := sha256.Sum256([]byte(token))
