sess: start streams at each crashing engine before the crash in poison

No fault of the product: session poison waited for something that is left to chance.

The session now starts more streams until each of a1, b1 and c1 has taken one, which holds also for the two engines that the wait left out. All streams must be whole; the transcript counts the first 16 as before.

--- a/sess/peers_test.go
+++ b/sess/peers_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
 	"strconv"
@@ -10,6 +12,7 @@
 	"fuchsiashelf.dev/parts/domain"
 	"fuchsiashelf.dev/parts/engine"
 	"fuchsiashelf.dev/parts/fault"
+	"fuchsiashelf.dev/sess/procs"
 )
 
 // init adds the commands for partitions, orders, crashes and concurrent streams.
@@ -44,8 +47,9 @@
 		n, err := s.countExited(args)
 		return fmt.Sprintf("%d lost\n", n), err
 	}),
-	// streams N MAX: starts N streams, distributed over all entry hosts; joined
-	// waits for them and prints their outcomes.
+	// streams N MAX [ENGINE...]: starts N streams, distributed over all entry hosts,
+	// and then more until each of the engines has taken one; joined waits for
+	// them and prints the outcomes of the first N. All must be whole.
 	"streams": command("streams", func(s *session, args []string) (string, error) { return "", s.startStreams(args) }),
 	"joined":  command("joined", func(s *session, _ []string) (string, error) { return s.joinStreams() }),
 }
@@ -84,41 +88,87 @@
 	return n, nil
 }
 
-// startStreams starts requests with distinct prompts.
+// startStreams starts requests with distinct prompts. Engines are picked at random,
+// so it starts more until each of the given engines has taken one. These engines
+// must hold the first layers.
 func (s *session) startStreams(args []string) error {
 	n, err := strconv.Atoi(args[0])
 	if err != nil {
 		return err
 	}
-	for i := range n {
-		entry := fmt.Sprintf("e%d", i%4+1)
-		ask := []string{"ask", entry, defaultTeam, fmt.Sprintf("stream-%d", i), args[1]}
-		if err := s.startJob(append([]string{fmt.Sprintf("stream-%d", i)}, ask...)); err != nil {
+	started := 0
+	for ; started < n; started++ {
+		if err := s.startStream(streamPrefix, started, args[1]); err != nil {
 			return err
 		}
 	}
-	return nil
+	waitErr := procs.WaitFor("streams at "+strings.Join(args[2:], " "), func() bool {
+		taken, idle := s.takenStreams(args[2:])
+		if idle && taken >= started {
+			err = s.startStream(extraPrefix+streamPrefix, started, args[1])
+			started++
+		}
+		return !idle || err != nil
+	})
+	return errors.Join(err, waitErr)
+}
+
+// The prefixes of the names of jobs that are streams. Streams beyond the number that
+// the script asks for have both.
+const streamPrefix, extraPrefix = "stream-", "extra-"
+
+// startStream starts the request with the given number.
+func (s *session) startStream(prefix string, number int, maxTokens string) error {
+	entry := fmt.Sprintf("e%d", number%4+1)
+	prompt := fmt.Sprintf("%s%d", streamPrefix, number)
+	return s.startJob([]string{fmt.Sprintf("%s%d", prefix, number), "ask", entry, defaultTeam, prompt, maxTokens})
+}
+
+// takenStreams returns how many requests the engines have taken, and whether one of
+// them has taken none or does not answer.
+func (s *session) takenStreams(engines []string) (taken int, idle bool) {
+	for _, name := range engines {
+		var counts struct{ Taken int }
+		out, err := s.Control(name, "GET", "/counts", nil)
+		if err == nil {
+			err = json.Unmarshal([]byte(out), &counts)
+		}
+		taken += counts.Taken
+		idle = idle || err != nil || counts.Taken == 0
+	}
+	return taken, idle
 }
 
 // joinStreams waits for all streams. If one is not whole, it returns an error
 // with the related events of the timeline.
 func (s *session) joinStreams() (string, error) {
-	outcomes := map[string]int{}
+	outcomes, extra := map[string]int{}, map[string]int{}
 	for name, j := range s.jobs {
-		if !strings.HasPrefix(name, "stream-") {
+		prefixed, isExtra := strings.CutPrefix(name, extraPrefix)
+		if !strings.HasPrefix(prefixed, streamPrefix) {
 			continue
 		}
 		<-j.done
 		if j.err != nil {
 			return "", j.err
 		}
-		outcomes[strings.TrimSpace(j.out)]++
+		outcome := strings.TrimSpace(j.out)
+		if isExtra {
+			extra[outcome]++
+		} else {
+			outcomes[outcome]++
+		}
 		delete(s.jobs, name)
 	}
 	out, whole := "", true
 	for outcome, n := range outcomes {
 		out += fmt.Sprintf("%d times %s\n", n, outcome)
 		whole = whole && strings.HasPrefix(outcome, "whole")
+		delete(extra, outcome)
+	}
+	for outcome, n := range extra {
+		out += fmt.Sprintf("%d more times %s\n", n, outcome)
+		whole = false
 	}
 	if whole {
 		return out, nil
