egress, pause: log and count the pauses that servers request

Nothing showed whether a response with 503 bore a Retry-After when this entry host read it: the codec dropped the header, and three places read responses, each for itself.

A rate that a response to an order or a request for a report names is recorded too; one that names none does not end a limit.

--- a/entry/call/call.go
+++ b/entry/call/call.go
@@ -93,6 +93,9 @@
 	// second.
 	RateLimited bool
 	RateLimit   float64
+	// RetryAfter is the time during which the backend server wants no requests from this
+	// entry host; zero if it did not say.
+	RetryAfter time.Duration
 }
 
 // LimitResponse returns what the response to a request that was sent at the given
--- /dev/null
+++ b/entry/egress/egress.go
@@ -0,0 +1,99 @@
+// Package egress sends requests to backend servers, and applies what the header of a
+// response says of the server itself: a pause that it requests, and a rate limit that it
+// names.
+//
+// All requests of an entry host to backend servers pass through a [Client]: first and
+// later attempts of callers' requests, requests for reports, and orders.
+package egress
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"fuchsiashelf.dev/entry/call"
+	"fuchsiashelf.dev/entry/conns"
+	"fuchsiashelf.dev/entry/state"
+	"fuchsiashelf.dev/parts/fleet"
+	"fuchsiashelf.dev/parts/limit"
+	"fuchsiashelf.dev/parts/pause"
+)
+
+// Client sends requests to backend servers. Set the exported fields before use.
+type Client struct {
+	Codec  call.Codec
+	Pool   *conns.Pool
+	State  *state.Local
+	Limits *limit.Tracker
+	Pauses *pause.Tracker
+}
+
+// Options holds the options of one request.
+type Options struct {
+	// RequestID is the ID that responses to the request bear. It is empty for requests
+	// for reports and for orders, whose responses bear none.
+	RequestID string
+	// MaxIdle, NewConn and DialTimeout are those of conns.Options.
+	MaxIdle     time.Duration
+	NewConn     bool
+	DialTimeout time.Duration
+}
+
+// Do sends a request to the server with the given address and reads the header of the
+// response. An error is a *fault.Error, whose verdict is NotRun if nothing was written.
+func (c *Client) Do(ctx context.Context, address string, req *http.Request, o Options) (*conns.Response, call.Reply, error) {
+	server := c.server(address)
+	var reply call.Reply
+	sentAt := time.Now()
+	resp, err := c.Pool.Do(ctx, address, req, conns.Options{
+		MaxIdle: o.MaxIdle, NewConn: o.NewConn, DialTimeout: o.DialTimeout,
+		Inspect: func(r *http.Response) conns.ResponseInfo {
+			reply = c.Codec.ParseReply(r)
+			return conns.ResponseInfo{OtherRequest: reply.ID != "" && reply.ID != o.RequestID, Close: reply.Closing, IdleTimeout: reply.IdleTimeout}
+		},
+	})
+	if err != nil {
+		return nil, reply, err
+	}
+	c.apply(server, &reply, o.RequestID == "", sentAt)
+	return resp, reply, nil
+}
+
+// server returns the server with the given address, as far as it is known.
+func (c *Client) server(address string) *fleet.Server {
+	if s := c.State.View().ByAddress(address); s != nil {
+		return s
+	}
+	return &fleet.Server{Address: address}
+}
+
+func process(s *fleet.Server) pause.Process {
+	return pause.Process{Address: s.Address, StartedAt: s.StartedAt}
+}
+
+// apply applies what a response says of its server. control says that it responds to an
+// order or to a request for a report.
+func (c *Client) apply(s *fleet.Server, reply *call.Reply, control bool, sentAt time.Time) {
+	if reply.RetryAfter > 0 {
+		c.requestPause(s, reply, sentAt)
+	}
+	if reply.Misdirected {
+		// Another server may have responded, about which nothing is known.
+		return
+	}
+	// Responses that name no limit do not end one if they are not to callers' requests:
+	// a server need not name it there.
+	if s.ID != "" && (!control || reply.RateLimited) {
+		c.Limits.Observe(s.ID, reply.LimitResponse(sentAt))
+	}
+}
+
+// requestPause records the pause that a response requests. If the server names another
+// server of the chain as the one at fault, both are paused.
+func (c *Client) requestPause(s *fleet.Server, reply *call.Reply, sentAt time.Time) {
+	now := time.Now()
+	c.Pauses.Add(process(s), reply.RetryAfter, sentAt, now)
+	if reply.RefusedBy != "" && reply.RefusedBy != s.Address {
+		c.Pauses.Add(process(c.server(reply.RefusedBy)), reply.RetryAfter, sentAt, now)
+	}
+}
--- a/entry/stream/failure.go
+++ b/entry/stream/failure.go
@@ -93,7 +93,7 @@
 		return
 	}
 	r.avoid[address] = true
-	r.Pool.CloseIdle(address)
+	r.Servers.Pool.CloseIdle(address)
 	if context.Cause(ctx) == nil {
 		r.Monitor.ProbeFor(r.job, address, e.Error())
 	}
--- a/entry/stream/forwarder.go
+++ b/entry/stream/forwarder.go
@@ -19,6 +19,7 @@
 
 	"fuchsiashelf.dev/entry/call"
 	"fuchsiashelf.dev/entry/conns"
+	"fuchsiashelf.dev/entry/egress"
 	"fuchsiashelf.dev/entry/state"
 	"fuchsiashelf.dev/parts/domain"
 	"fuchsiashelf.dev/parts/fault"
@@ -49,7 +50,7 @@
 // Forwarder forwards requests. Set the exported fields before use.
 type Forwarder struct {
 	Codec       call.Codec
-	Pool        *conns.Pool
+	Servers     *egress.Client
 	State       *state.Local
 	Load        *router.LoadTracker
 	Monitor     *Monitor
@@ -118,20 +119,14 @@
 	defer r.Monitor.remove(stream)
 	pending := r.Monitor.StartLatency.Track(first.ID, notableWait(r.job.Route), time.Now())
 	defer r.Monitor.StartLatency.Untrack(pending)
-	var reply call.Reply
-	options := conns.Options{MaxIdle: maxIdleReuse, Inspect: func(resp *http.Response) conns.ResponseInfo {
-		reply = r.Codec.ParseReply(resp)
-		return conns.ResponseInfo{OtherRequest: reply.ID != "" && reply.ID != r.job.ID, Close: reply.Closing, IdleTimeout: reply.IdleTimeout}
-	}}
 	req := r.Codec.NewRequest(r.job.Request, call.SendOptions{
 		Server: first, Chain: chain, Timeout: r.job.Remaining(), Team: r.job.Team,
 		Priority: r.job.Priority, LastEvent: r.events.lastID,
 	})
-	sentAt := time.Now()
 	r.out.Sends++
 	r.out.Server = first.ID
 	r.out.Chain = chain.String()
-	resp, err := r.Pool.Do(attemptCtx, first.Address, req, options)
+	resp, reply, err := r.Servers.Do(attemptCtx, first.Address, req, egress.Options{RequestID: r.job.ID, MaxIdle: maxIdleReuse})
 	if err != nil {
 		e := fault.As(err)
 		if e.Verdict != fault.NotRun {
@@ -141,9 +136,6 @@
 		return e
 	}
 	defer resp.Close()
-	if !reply.Misdirected {
-		r.Limits.Observe(first.ID, reply.LimitResponse(sentAt))
-	}
 	if reply.NotRun {
 		return r.handleRefusal(first.Address, reply)
 	}
--- a/entry/unary/unary.go
+++ b/entry/unary/unary.go
@@ -18,6 +18,7 @@
 
 	"fuchsiashelf.dev/entry/call"
 	"fuchsiashelf.dev/entry/conns"
+	"fuchsiashelf.dev/entry/egress"
 	"fuchsiashelf.dev/entry/state"
 	"fuchsiashelf.dev/parts/domain"
 	"fuchsiashelf.dev/parts/fault"
@@ -54,7 +55,7 @@
 // Forwarder forwards requests to plain services. Set the exported fields before use.
 type Forwarder struct {
 	Codec       call.Codec
-	Pool        *conns.Pool
+	Servers     *egress.Client
 	State       *state.Local
 	Stats       *Stats
 	Limits      *limit.Tracker
@@ -173,7 +174,7 @@
 	failed := a.err != nil && !call.CallerGone(ctx) || a.err == nil && a.reply.Status >= http.StatusInternalServerError
 	done(time.Since(start), failed)
 	if a.err != nil && a.reply.Status == 0 && ctx.Err() == nil {
-		f.Pool.CloseIdle(server.Address)
+		f.Servers.Pool.CloseIdle(server.Address)
 		f.Probe(j, server.Address, a.err.Error())
 	}
 	return a
@@ -188,23 +189,15 @@
 		attemptCtx, cancel = context.WithTimeoutCause(ctx, timeout, errAttemptTimeout)
 	}
 	defer cancel()
-	var reply call.Reply
-	o := conns.Options{DialTimeout: connectTimeout(j.Route), Inspect: func(r *http.Response) conns.ResponseInfo {
-		reply = f.Codec.ParseReply(r)
-		return conns.ResponseInfo{OtherRequest: reply.ID != "" && reply.ID != j.ID, Close: reply.Closing, IdleTimeout: reply.IdleTimeout}
-	}}
+	o := egress.Options{RequestID: j.ID, DialTimeout: connectTimeout(j.Route)}
 	if j.Route.Kind == route.AtMostOnce {
 		o.MaxIdle = maxIdleAtMostOnce
 	}
 	req := f.Codec.NewRequest(j.Request, call.SendOptions{Server: server, Timeout: j.Remaining(), Team: j.Team, Priority: j.Priority})
-	sentAt := time.Now()
-	resp, err := f.Pool.Do(attemptCtx, server.Address, req, o)
+	resp, reply, err := f.Servers.Do(attemptCtx, server.Address, req, o)
 	if err != nil {
 		return attempt{err: fault.As(err)}
 	}
-	if !reply.Misdirected {
-		f.Limits.Observe(server.ID, reply.LimitResponse(sentAt))
-	}
 	a := attempt{reply: reply, header: resp.Header}
 	a.body, err = io.ReadAll(io.LimitReader(resp, maxBufferedBody))
 	if err != nil {
--- /dev/null
+++ b/parts/pause/pause.go
@@ -0,0 +1,118 @@
+// Package pause tracks the pauses that backend servers request from this entry host.
+//
+// A server that turns a request away may name a time during which it wants nothing from
+// the entry host that sent the request. Each entry host has a [Tracker] of its own, and
+// pauses are not exchanged: the server has asked nothing of the other hosts. A pause binds
+// towards the process that requested it only. Addresses and IDs are used again, so the
+// tracker knows a process by its address and by when it had started at the latest.
+//
+// Every request for a pause counts for itself. A server is paused until the last of them
+// ends: a later response that names a shorter time, or none, takes nothing back.
+package pause
+
+import (
+	"log/slog"
+	"sync"
+	"time"
+)
+
+// maxLength bounds a pause, so that a wrong value does not exclude a server until it
+// restarts. A server that still wants nothing by then says so again.
+const maxLength = time.Hour
+
+// Process is the process of a backend server.
+type Process struct {
+	Address string
+	// StartedAt is the start time of the process; zero if it is not known.
+	StartedAt time.Time
+}
+
+// Tracker tracks the pauses that servers have requested. Set the exported fields before
+// use. It is safe for concurrent use.
+type Tracker struct {
+	Log *slog.Logger
+
+	mu sync.Mutex
+	// pauses holds the pause of each server by address.
+	pauses map[string]pause
+}
+
+// pause is the pause of the server at an address.
+type pause struct {
+	// startedBy is a time by which the process that requested the pause had started. A
+	// process that started later has requested nothing.
+	startedBy time.Time
+	until     time.Time
+}
+
+// Add records that a process has requested a pause of the given length in a response to a
+// request that was sent and received at the given times.
+func (t *Tracker) Add(p Process, length time.Duration, sentAt, receivedAt time.Time) {
+	if length <= 0 {
+		return
+	}
+	length = min(length, maxLength)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	// The known start time may be that of the process before, and the clock of this entry
+	// host may be wrong. The process had started by the later of the two times.
+	startedBy := sentAt.Round(0)
+	if p.StartedAt.After(startedBy) {
+		startedBy = p.StartedAt
+	}
+	until := receivedAt.Add(length)
+	if known, exists := t.pauses[p.Address]; exists {
+		if known.binds(p) && known.until.After(until) {
+			until = known.until
+		}
+		if known.startedBy.After(startedBy) {
+			startedBy = known.startedBy
+		}
+	}
+	if t.pauses == nil {
+		t.pauses = map[string]pause{}
+	}
+	t.pauses[p.Address] = pause{startedBy: startedBy, until: until}
+	t.Log.Info("pause: requested", "address", p.Address, "length", length, "ends", until.Sub(receivedAt))
+}
+
+// binds reports whether the pause binds towards a process.
+func (s pause) binds(p Process) bool {
+	return !p.StartedAt.After(s.startedBy)
+}
+
+// Remaining returns how long a process wants no requests; zero if it is not paused.
+func (t *Tracker) Remaining(p Process, now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known, exists := t.pauses[p.Address]
+	if !exists || !known.binds(p) {
+		return 0
+	}
+	return max(0, known.until.Sub(now))
+}
+
+// Count returns the number of addresses with a pause that has not ended.
+func (t *Tracker) Count(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, known := range t.pauses {
+		if now.Before(known.until) {
+			n++
+		}
+	}
+	return n
+}
+
+// Sweep removes the pauses that have ended.
+func (t *Tracker) Sweep(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for address, known := range t.pauses {
+		if !now.Before(known.until) {
+			delete(t.pauses, address)
+			t.Log.Info("pause: ended", "address", address)
+		}
+	}
+}
