fakes, node: show requests to servers that asked for a pause

Callers saw refusals in series, servers that shed load got no pause. The stand-in of a server answers 503 with Retry-After and counts, for each entry host, what reaches it from half a second after the response to the end of the pause; more than two is a violation. A host is known by the IDs of the requests that tests send through it; reports and orders bear none.

Plain calls can take time now: without, each host avoided a server that had refused once, by its failure rate, for longer than the pause.

--- a/stand/fakes/order.go
+++ b/stand/fakes/order.go
@@ -28,7 +28,7 @@
 		requests = append(requests, stalledRequest{id, address})
 	}
 	writeJSON(w, map[string]any{
-		"stage": "both", "busy": s.loading, "sequence": s.orderCount, "born": 1_700_000_000_000,
+		"stage": "both", "busy": s.loading, "sequence": s.orderCount, "born": s.bornMs,
 		"layers": layerRange{s.first, s.end, 1}, "stalled": requests,
 	})
 }
--- a/stand/fakes/platform.go
+++ b/stand/fakes/platform.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"time"
 )
 
 // Execution is one run of a request on a backend server.
@@ -29,6 +30,9 @@
 // Platform runs the object API and the backend servers.
 type Platform struct {
 	Store Store
+	// Excused reports whether an entry host need not know what a server has told it since
+	// a time: it was restarted or frozen, or cut off from the server. Nil means never.
+	Excused func(s *Server, h Host, since time.Time) bool
 
 	mu         sync.Mutex
 	address    string
@@ -71,6 +75,7 @@
 // AddServer starts a server and registers it in the store.
 func (p *Platform) AddServer(s *Server) error {
 	s.platform = p
+	s.bornMs = firstStart
 	address, stop, err := serve(s)
 	if err != nil {
 		return err
@@ -91,6 +96,15 @@
 	return s.register()
 }
 
+// firstStart is the start time of servers that have not been restarted, in Unix
+// milliseconds.
+const firstStart = 1_700_000_000_000
+
+// excused is Excused, or false if that is nil.
+func (p *Platform) excused(s *Server, h Host, since time.Time) bool {
+	return p.Excused != nil && p.Excused(s, h, since)
+}
+
 // RegisterServers writes the entries of all live servers again, and removes those of the
 // others, as heartbeats do within some seconds of a restore.
 func (p *Platform) RegisterServers() error {
@@ -117,7 +131,8 @@
 
 // Violations returns errors of the entry hosts that must never occur: chains that
 // omit or repeat layers, assignments that exceed a server's memory, and requests beyond
-// the rate limit that a server names.
+// the rate limit that a server names, in a pause that it asked for, or after it said that
+// it leaves.
 func (p *Platform) Violations() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/stand/fakes/server.go
+++ b/stand/fakes/server.go
@@ -1,6 +1,7 @@
 package fakes
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -59,6 +60,21 @@
 	writes int
 	// limit is nil if the server names none.
 	limit *rateLimit
+	// bornMs is the start time in Unix milliseconds.
+	bornMs int64
+	// callTime is how long a call takes.
+	callTime time.Duration
+	// pause is what the server asks for in its next responses, pauseWindows what it has
+	// asked for, pausesAsked how often, and pausesBroken how many requests arrived then.
+	pause                     pauseRequest
+	pauseWindows              []*pauseWindow
+	pausesAsked, pausesBroken int
+	// saysLeaving says that all responses tell that the server leaves, toldLeaving when
+	// each entry host got the first of them.
+	saysLeaving bool
+	toldLeaving map[Host]time.Time
+	// leavingIgnored says that a violation of that was recorded.
+	leavingIgnored bool
 }
 
 // Address returns the address that the server is registered under.
@@ -127,6 +143,25 @@
 	s.failNext = n
 }
 
+// SetCallTime sets how long the calls of a plain server take.
+func (s *Server) SetCallTime(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.callTime = d
+}
+
+// waitCall waits until a call has taken its time, or its client has closed the
+// connection.
+func (s *Server) waitCall(ctx context.Context) {
+	s.mu.Lock()
+	callTime := s.callTime
+	s.mu.Unlock()
+	select {
+	case <-ctx.Done():
+	case <-time.After(callTime):
+	}
+}
+
 // Register writes the server's current state into the store again, as a heartbeat
 // does.
 func (s *Server) Register() error {
@@ -139,7 +174,7 @@
 	s.writes++
 	record := map[string]any{
 		"service": s.Service, "address": s.address, "zone": s.Zone, "version": "v1", "slots": s.Slots,
-		"state": "ready", "cold_remaining_ms": 0, "sequence": s.writes, "born": 1_700_000_000_000,
+		"state": "ready", "cold_remaining_ms": 0, "sequence": s.writes, "born": s.bornMs,
 	}
 	if s.draining {
 		record["state"] = "draining"
@@ -154,6 +189,13 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	now, host := time.Now(), hostOf(req)
+	control := req.URL.Path == "/report" || req.URL.Path == "/order"
+	s.countPaused(host, now)
+	s.sayLeaving(w.Header(), host, control, now)
+	if control && s.refusePaused(w, host, control, now) {
+		return
+	}
 	switch {
 	case req.URL.Path == "/report":
 		s.serveReport(w)
@@ -177,6 +219,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if s.refusePaused(w, hostOf(req), false, time.Now()) {
+		return
+	}
 	if s.consume(&s.refuseNext) {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -203,6 +248,7 @@
 		return
 	}
 	if s.Model == nil {
+		s.waitCall(req.Context())
 		fmt.Fprintf(w, "%s %s %d bytes for %s\n", req.Method, req.RequestURI, len(body), id)
 		return
 	}
