egress, router, unary, stream: keep the pauses that servers request

Cause: a Retry-After in a response of a server was not read. The class: what a server says of itself in a response concerns whatever is sent to it, but each part that sends read only what it needed, and nothing between the parts and the wire could know the rest.

Change: egress.Client, through which everything is sent, refuses to write to a paused server, at the moment at which a connection is available. The choice of servers and of chains leaves paused ones out; probes of them open a connection and write nothing; orders are not sent.

--- a/entry/call/call.go
+++ b/entry/call/call.go
@@ -147,14 +147,21 @@
 }
 
 // NoReportError is the error of a request for a report to a server that responds
-// without one, as plain servers do. It means that the server is alive.
+// without one, as plain servers do, or that has requested a pause. It means that the
+// server is alive.
 type NoReportError struct {
 	// Status is the HTTP status of the response.
 	Status int
+	// Paused says that the server has requested a pause. It was only checked that it
+	// accepts connections.
+	Paused bool
 }
 
 // Error implements error.
 func (e *NoReportError) Error() string {
+	if e.Paused {
+		return "no report: the server has requested a pause"
+	}
 	return fmt.Sprintf("no report: status %d", e.Status)
 }
 
--- a/entry/conns/conns.go
+++ b/entry/conns/conns.go
@@ -96,6 +96,9 @@
 	NewConn bool
 	// DialTimeout limits the time to connect; zero means dialTimeout.
 	DialTimeout time.Duration
+	// BeforeWrite, if not nil, is called when a connection is available. If it fails,
+	// nothing is written, and its error is returned as it is.
+	BeforeWrite func() error
 	// Inspect reads a response header.
 	Inspect func(*http.Response) ResponseInfo
 }
@@ -108,6 +111,12 @@
 	if err != nil {
 		return nil, &fault.Error{Code: fault.ServerFailed, Verdict: fault.NotRun, Message: "no connection", Server: address, Cause: err}
 	}
+	if o.BeforeWrite != nil {
+		if err := o.BeforeWrite(); err != nil {
+			c.Close()
+			return nil, err
+		}
+	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	resp, err := p.exchange(c, req, o)
 	if err != nil {
@@ -264,6 +273,15 @@
 	}
 }
 
+// Connect checks whether an address accepts connections.
+func (p *Pool) Connect(ctx context.Context, address string) error {
+	c, err := dial(ctx, address, dialTimeout)
+	if err != nil {
+		return &fault.Error{Code: fault.ServerFailed, Verdict: fault.NotRun, Message: "no connection", Server: address, Cause: err}
+	}
+	return c.Close()
+}
+
 func dial(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
 	d := net.Dialer{Timeout: timeout, KeepAlive: -1, Control: SetUserTimeout}
 	c, err := d.DialContext(ctx, "tcp", address)
--- a/entry/conns/conns_test.go
+++ b/entry/conns/conns_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -271,3 +272,20 @@
 	p.CloseExpired(time.Now().Add(time.Hour))
 	<-closed
 }
+
+// Guards against writing a request that is no longer allowed when its connection is
+// available.
+func TestNothingIsWrittenIfBeforeWriteFails(t *testing.T) {
+	var requests atomic.Int64
+	address := listen(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		if _, err := http.ReadRequest(br); err == nil {
+			requests.Add(1)
+		}
+	})
+	p := &conns.Pool{}
+	notAllowed := errors.New("not allowed")
+	_, err := do(t, p, address, "a", conns.Options{BeforeWrite: func() error { return notAllowed }})
+	qt.Check(t, err, qt.Equals, notAllowed)
+	qt.Check(t, p.Connect(context.Background(), address), qt.IsNil)
+	qt.Check(t, requests.Load(), qt.Equals, int64(0))
+}
--- a/entry/egress/egress.go
+++ b/entry/egress/egress.go
@@ -3,17 +3,23 @@
 // names.
 //
 // All requests of an entry host to backend servers pass through a [Client]: first and
-// later attempts of callers' requests, requests for reports, and orders.
+// later attempts of callers' requests, requests for reports, and orders. A request to a
+// server that has requested a pause fails before anything is written, whatever chose the
+// server. The parts that choose servers leave out paused ones themselves; the check here
+// covers requests that were on their way when the pause began.
 package egress
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
 	"fuchsiashelf.dev/entry/call"
 	"fuchsiashelf.dev/entry/conns"
 	"fuchsiashelf.dev/entry/state"
+	"fuchsiashelf.dev/parts/fault"
 	"fuchsiashelf.dev/parts/fleet"
 	"fuchsiashelf.dev/parts/limit"
 	"fuchsiashelf.dev/parts/pause"
@@ -39,14 +45,41 @@
 	DialTimeout time.Duration
 }
 
+// PausedError is the cause of the error of a request that was not sent, because its
+// server has requested a pause.
+type PausedError struct {
+	Address string
+	// Remaining is the time until the pause ends.
+	Remaining time.Duration
+}
+
+// Error implements error.
+func (e *PausedError) Error() string {
+	return fmt.Sprintf("server %s has requested a pause, which ends in %s", e.Address, e.Remaining.Round(time.Millisecond))
+}
+
+// IsPaused reports whether a request was not sent because its server has requested a
+// pause.
+func IsPaused(err error) bool {
+	var paused *PausedError
+	return errors.As(err, &paused)
+}
+
 // Do sends a request to the server with the given address and reads the header of the
 // response. An error is a *fault.Error, whose verdict is NotRun if nothing was written.
 func (c *Client) Do(ctx context.Context, address string, req *http.Request, o Options) (*conns.Response, call.Reply, error) {
 	server := c.server(address)
+	if err := c.admit(server); err != nil {
+		return nil, call.Reply{}, err
+	}
 	var reply call.Reply
-	sentAt := time.Now()
+	var sentAt time.Time
 	resp, err := c.Pool.Do(ctx, address, req, conns.Options{
 		MaxIdle: o.MaxIdle, NewConn: o.NewConn, DialTimeout: o.DialTimeout,
+		BeforeWrite: func() error {
+			sentAt = time.Now()
+			return c.admit(server)
+		},
 		Inspect: func(r *http.Response) conns.ResponseInfo {
 			reply = c.Codec.ParseReply(r)
 			return conns.ResponseInfo{OtherRequest: reply.ID != "" && reply.ID != o.RequestID, Close: reply.Closing, IdleTimeout: reply.IdleTimeout}
@@ -67,10 +100,33 @@
 	return &fleet.Server{Address: address}
 }
 
+// admit returns an error if a server has requested a pause that has not ended.
+func (c *Client) admit(s *fleet.Server) error {
+	remaining := c.Paused(s, time.Now())
+	if remaining == 0 {
+		return nil
+	}
+	return &fault.Error{
+		Code: fault.Overloaded, Verdict: fault.NotRun, Message: "not sent", Server: s.ID, RetryAfter: remaining,
+		Cause: &PausedError{Address: s.Address, Remaining: remaining},
+	}
+}
+
+// Paused returns how long a server wants no requests; zero if it has not requested a
+// pause.
+func (c *Client) Paused(s *fleet.Server, now time.Time) time.Duration {
+	return c.Pauses.Remaining(process(s), now)
+}
+
 func process(s *fleet.Server) pause.Process {
 	return pause.Process{Address: s.Address, StartedAt: s.StartedAt}
 }
 
+// Connect checks whether a server accepts connections, without sending a request.
+func (c *Client) Connect(ctx context.Context, address string) error {
+	return c.Pool.Connect(ctx, address)
+}
+
 // apply applies what a response says of its server. control says that it responds to an
 // order or to a request for a report.
 func (c *Client) apply(s *fleet.Server, reply *call.Reply, control bool, sentAt time.Time) {
--- a/entry/stream/choose.go
+++ b/entry/stream/choose.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
+	"sort"
 	"time"
 
 	"fuchsiashelf.dev/entry/call"
 	"fuchsiashelf.dev/parts/fault"
+	"fuchsiashelf.dev/parts/fleet"
+	"fuchsiashelf.dev/parts/pause"
 	"fuchsiashelf.dev/parts/prio"
 	"fuchsiashelf.dev/parts/router"
 )
@@ -146,14 +148,57 @@
 	return &fault.Error{Code: fault.Overloaded, Verdict: fault.NotRun, Message: "no server has room", RetryAfter: max(retryAfter, minRetryAfter)}
 }
 
-// rateLimited returns the error for a request that could start only at the given
-// servers, whose rate limits allow no request now.
-func (r *request) rateLimited(servers map[string]bool) *fault.Error {
-	wait := r.Limits.Wait(slices.Collect(maps.Keys(servers)), time.Now())
+// barred returns the error for a request for which there would be a chain if it were not
+// for pauses and rate limits of servers. It is nil if there would be none either.
+func (r *request) barred(q *router.Query) *fault.Error {
+	wait, found := r.shortestWait(q)
+	if !found || wait == 0 {
+		return nil
+	}
 	return &fault.Error{
-		Code: fault.Overloaded, Verdict: fault.NotRun, Message: "the rate limits of the servers are reached",
-		RetryAfter: max(wait, minRetryAfter),
+		Code: fault.Overloaded, Verdict: fault.NotRun, Message: "the servers have requested pauses, or their rate limits are reached",
+		RetryAfter: max(pause.RetryAfter(wait), minRetryAfter),
+	}
+}
+
+// shortestWait returns how long it takes until pauses and rate limits of servers permit a
+// chain for another request like this one, if there is one then.
+func (r *request) shortestWait(q *router.Query) (wait time.Duration, found bool) {
+	now := time.Now()
+	paused, limited := map[*fleet.Server]time.Duration{}, map[string]time.Duration{}
+	waits := []time.Duration{0}
+	for _, s := range q.Servers {
+		if p := r.Servers.Paused(s, now); p > 0 {
+			paused[s] = p
+			waits = append(waits, p)
+		}
+		if l := r.Limits.Wait([]string{s.ID}, now); l > 0 {
+			limited[s.ID] = l
+			waits = append(waits, l)
+		}
+	}
+	slices.Sort(waits)
+	at := sort.Search(len(waits), func(i int) bool {
+		later := *q
+		later.Paused = func(s *fleet.Server) bool { return paused[s] > waits[i] }
+		later.NoStart = map[string]bool{}
+		for id, l := range limited {
+			later.NoStart[id] = l > waits[i]
+		}
+		later.Avoid, later.Overcommit, later.AllowSuspected = nil, true, true
+		return later.Pick() != nil
+	})
+	if at == len(waits) {
+		return 0, false
 	}
+	return waits[at], true
+}
+
+// refusalRetryAfter returns when the caller of a request that a server refused should
+// retry.
+func (r *request) refusalRetryAfter() time.Duration {
+	wait, _ := r.shortestWait(r.chainQuery(r.job))
+	return max(pause.RetryAfter(wait), minRetryAfter)
 }
 
 // findSuspectedChain returns a chain that may contain suspected servers. It is used
@@ -163,8 +208,8 @@
 	if chain := r.pickWithinLimits(q); chain != nil {
 		return chain, nil
 	}
-	if len(q.NoStart) > 0 {
-		return nil, r.rateLimited(q.NoStart)
+	if e := r.barred(q); e != nil {
+		return nil, e
 	}
 	return nil, &fault.Error{Code: fault.NoCover, Verdict: fault.NotRun, Message: "no chain of servers holds all layers", RetryAfter: loadRetryAfter}
 }
--- a/entry/stream/failure.go
+++ b/entry/stream/failure.go
@@ -10,6 +10,7 @@
 
 	"fuchsiashelf.dev/entry/call"
 	"fuchsiashelf.dev/entry/conns"
+	"fuchsiashelf.dev/entry/egress"
 	"fuchsiashelf.dev/parts/fault"
 	"fuchsiashelf.dev/parts/fleet"
 )
@@ -42,7 +43,7 @@
 		r.Monitor.Probe(address, "the first server refused a request because of this server")
 	}
 	r.Log.Info("stream: refused by a server", "request", r.job.ID, "status", reply.Status, "server", server, "address", address, "first", r.out.Server)
-	return &fault.Error{Code: fault.ServerRefused, Verdict: fault.NotRun, Message: "a backend server refused", Server: address, RetryAfter: minRetryAfter}
+	return &fault.Error{Code: fault.ServerRefused, Verdict: fault.NotRun, Message: "a backend server refused", Server: address, RetryAfter: r.refusalRetryAfter()}
 }
 
 // handleServerError keeps the error response of a server. It is delivered if no
@@ -105,6 +106,10 @@
 	if ctx.Err() != nil || e.Code == fault.Cancelled || r.Monitor.Crashes.Blocked(r.job.Fingerprint, time.Now()) {
 		return false
 	}
+	if egress.IsPaused(e) {
+		// Nothing was sent, and another chain is chosen.
+		return true
+	}
 	if e.Code == fault.NoCover || e.Code == fault.Overloaded {
 		return false
 	}
--- a/entry/stream/forwarder.go
+++ b/entry/stream/forwarder.go
@@ -127,6 +127,11 @@
 	r.out.Server = first.ID
 	r.out.Chain = chain.String()
 	resp, reply, err := r.Servers.Do(attemptCtx, first.Address, req, egress.Options{RequestID: r.job.ID, MaxIdle: maxIdleReuse})
+	if egress.IsPaused(err) {
+		r.out.Sends--
+		r.Limits.Return(first.ID)
+		return fault.As(err)
+	}
 	if err != nil {
 		e := fault.As(err)
 		if e.Verdict != fault.NotRun {
--- a/entry/stream/monitor.go
+++ b/entry/stream/monitor.go
@@ -11,6 +11,7 @@
 	"fuchsiashelf.dev/entry/call"
 	"fuchsiashelf.dev/entry/state"
 	"fuchsiashelf.dev/parts/domain"
+	"fuchsiashelf.dev/parts/fleet"
 	"fuchsiashelf.dev/parts/poison"
 	"fuchsiashelf.dev/parts/probe"
 	"fuchsiashelf.dev/parts/router"
@@ -84,6 +85,9 @@
 	// Broadcast sends a new suspicion or a long wait to other entry hosts.
 	Broadcast func()
 
+	// Paused returns how long a server wants no requests; zero if it has not requested a
+	// pause. Nil means that none has.
+	Paused func(s *fleet.Server, now time.Time) time.Duration
 	// EntryHosts returns the number of entry hosts, including this one.
 	EntryHosts func() int
 	// DropConns closes the idle connections to an address. A connection that was lost
@@ -205,12 +209,15 @@
 		return
 	}
 	m.mu.Lock()
-	outcome := m.probes.Record(address, err == nil, probeOutcome(err) == probe.Exited)
+	outcome := m.probes.Record(address, isAlive(err), probeOutcome(err) == probe.Exited)
 	m.mu.Unlock()
 	if err == nil {
 		m.handleReport(address, report)
 		return
 	}
+	if isAlive(err) {
+		return
+	}
 	m.Log.Warn("watch: no report", "address", address, "finding", outcome.String(), "error", err)
 	m.DropConns(address)
 	if outcome.Failed() {
--- a/entry/stream/reroute.go
+++ b/entry/stream/reroute.go
@@ -146,7 +146,7 @@
 // alternativeChain returns another chain with the same first stage, or nil if there
 // is none.
 func (m *Monitor) alternativeChain(stream *activeStream, chain router.Chain, avoid map[string]bool) router.Chain {
-	if avoid[chain[0].Server.Address] {
+	if avoid[chain[0].Server.Address] || m.paused(chain[0].Server) {
 		return nil
 	}
 	cached := map[string]router.Stage{}
@@ -163,9 +163,15 @@
 	return &router.Query{
 		Engine: job.Service.Engine, Servers: m.State.View().Service(job.Service.Name), LocalDomain: m.LocalDomain,
 		PromptTokens: job.PromptTokens, ResponseTokens: job.ExpectedTokens(job.Service.Engine), Used: m.Load.Used, Partitioned: m.State.Unreachable,
+		Paused: m.paused,
 	}
 }
 
+// paused reports whether a server has requested a pause. It gets no orders then.
+func (m *Monitor) paused(s *fleet.Server) bool {
+	return m.Paused != nil && m.Paused(s, time.Now()) > 0
+}
+
 // orderReroute orders the first server of a stream to use another chain. If a server
 // of that chain refuses to take part, refusedBy is its address.
 func (m *Monitor) orderReroute(stream *activeStream, next router.Chain) (result call.OrderResult, refusedBy string) {
@@ -190,7 +196,7 @@
 	for stream := range m.streams {
 		stream.mu.Lock()
 		s := drainingServer(view, stream.chain)
-		due := s != nil && !stream.rerouting && stream.drainedFrom != s.Address && stream.started.Load() && now.Sub(m.lastDrain) >= drainIntervalFor(s)
+		due := s != nil && !stream.rerouting && !m.paused(stream.chain[0].Server) && stream.drainedFrom != s.Address && stream.started.Load() && now.Sub(m.lastDrain) >= drainIntervalFor(s)
 		if due {
 			stream.drainedFrom = s.Address
 		}
--- a/entry/unary/stats.go
+++ b/entry/unary/stats.go
@@ -71,6 +71,13 @@
 	}
 }
 
+// Cancel records that a request for which Begin was called was not sent.
+func (s *Stats) Cancel(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.get(id).inFlight--
+}
+
 // Pick returns the server that is expected to respond soonest, or nil if there is none.
 // It skips servers whose address is in avoid.
 func (s *Stats) Pick(servers []*fleet.Server, localDomain domain.Name, avoid map[string]bool) *fleet.Server {
--- a/entry/unary/unary.go
+++ b/entry/unary/unary.go
@@ -14,6 +14,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"fuchsiashelf.dev/entry/call"
@@ -24,6 +25,7 @@
 	"fuchsiashelf.dev/parts/fault"
 	"fuchsiashelf.dev/parts/fleet"
 	"fuchsiashelf.dev/parts/limit"
+	"fuchsiashelf.dev/parts/pause"
 	"fuchsiashelf.dev/parts/retry"
 	"fuchsiashelf.dev/parts/route"
 )
@@ -78,6 +80,9 @@
 	err  *fault.Error
 }
 
+// paused reports whether nothing was sent, because the server has requested a pause.
+func (a *attempt) paused() bool { return a.err != nil && egress.IsPaused(a.err) }
+
 // Serve forwards a request and writes the response to the caller.
 func (f *Forwarder) Serve(ctx context.Context, w http.ResponseWriter, j *call.Job) call.Outcome {
 	out := call.Outcome{}
@@ -86,9 +91,10 @@
 	ctx, cancel := context.WithDeadlineCause(ctx, j.Deadline, context.DeadlineExceeded)
 	defer cancel()
 	// tried holds the addresses of the servers that the request was sent to, and of
-	// those whose rate limits do not allow it. limited holds the IDs of the latter.
+	// those that are paused or whose rate limits do not allow it. barred holds the
+	// latter.
 	tried := map[string]bool{}
-	var limited []string
+	var barred []*fleet.Server
 	verdict := fault.NotRun
 	// failure is the last error response of a server. The caller gets it if no later
 	// attempt has a response: an error with the verdict NotRun would deny that the
@@ -102,21 +108,28 @@
 	}
 	for {
 		server := f.Stats.Pick(f.State.View().Service(j.Service.Name), f.LocalDomain, tried)
-		if server == nil && len(limited) > 0 {
-			retryAfter := max(refusalRetryAfter, f.Limits.Wait(limited, time.Now()))
-			return fail(&fault.Error{Code: fault.Overloaded, Verdict: fault.NotRun, Message: "the rate limits of the servers are reached", RetryAfter: retryAfter})
+		if server == nil && len(barred) > 0 {
+			return fail(&fault.Error{
+				Code: fault.Overloaded, Verdict: fault.NotRun, Message: "the servers have requested pauses, or their rate limits are reached",
+				RetryAfter: f.retryAfter(barred),
+			})
 		}
 		if server == nil {
 			return fail(&fault.Error{Code: fault.NoServer, Verdict: fault.NotRun, Message: "no backend server", RetryAfter: time.Second})
 		}
 		tried[server.Address] = true
-		if !f.Limits.Take(server.ID, time.Now()) {
-			limited = append(limited, server.ID)
+		if f.Servers.Paused(server, time.Now()) > 0 || !f.Limits.Take(server.ID, time.Now()) {
+			barred = append(barred, server)
 			continue
 		}
 		out.Server = server.ID
 		mayRetry := out.Sends+1 < j.Route.Attempts
 		a := f.send(ctx, j, server, mayRetry)
+		if a.paused() {
+			f.Limits.Return(server.ID)
+			barred = append(barred, server)
+			continue
+		}
 		if a.err == nil || a.err.Verdict != fault.NotRun || a.reply.Status != 0 {
 			out.Sends++
 		}
@@ -171,6 +184,10 @@
 	start := time.Now()
 	a := f.exchange(ctx, j, server, mayRetry)
 	a.server = server.ID
+	if a.paused() {
+		f.Stats.Cancel(server.ID)
+		return a
+	}
 	failed := a.err != nil && !call.CallerGone(ctx) || a.err == nil && a.reply.Status >= http.StatusInternalServerError
 	done(time.Since(start), failed)
 	if a.err != nil && a.reply.Status == 0 && ctx.Err() == nil {
@@ -215,11 +232,30 @@
 		resp.Close()
 	}
 	if reply.NotRun {
-		a.err = &fault.Error{Code: fault.ServerRefused, Verdict: fault.NotRun, Message: "the backend server refused", Server: server.ID, RetryAfter: refusalRetryAfter}
+		a.err = &fault.Error{Code: fault.ServerRefused, Verdict: fault.NotRun, Message: "the backend server refused", Server: server.ID}
+		a.err.RetryAfter = f.retryAfter(f.State.View().Service(j.Service.Name))
 	}
 	return a
 }
 
+// retryAfter returns when a refused caller should retry: when the first of the servers
+// may get a request again.
+func (f *Forwarder) retryAfter(servers []*fleet.Server) time.Duration {
+	healthy := slices.DeleteFunc(slices.Clone(servers), func(s *fleet.Server) bool { return s.Leaving || s.Suspected })
+	if len(healthy) > 0 {
+		servers = healthy
+	}
+	now := time.Now()
+	var waits []time.Duration
+	for _, s := range servers {
+		waits = append(waits, max(f.Servers.Paused(s, now), f.Limits.Wait([]string{s.ID}, now)))
+	}
+	if len(waits) == 0 {
+		return refusalRetryAfter
+	}
+	return max(refusalRetryAfter, pause.RetryAfter(slices.Min(waits)))
+}
+
 // connectTimeout returns the connect timeout for a route; zero means the default.
 func connectTimeout(r *route.Route) time.Duration {
 	if r.Target <= 0 {
--- a/parts/pause/pause.go
+++ b/parts/pause/pause.go
@@ -12,13 +12,19 @@
 
 import (
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 )
 
-// maxLength bounds a pause, so that a wrong value does not exclude a server until it
-// restarts. A server that still wants nothing by then says so again.
-const maxLength = time.Hour
+const (
+	// maxLength bounds a pause, so that a wrong value does not exclude a server until it
+	// restarts. A server that still wants nothing by then says so again.
+	maxLength = time.Hour
+	// spreadShare and maxSpread bound the random addition of RetryAfter.
+	spreadShare = 0.25
+	maxSpread   = 500 * time.Millisecond
+)
 
 // Process is the process of a backend server.
 type Process struct {
@@ -116,3 +122,15 @@
 		}
 	}
 }
+
+// RetryAfter returns when a caller should retry that was refused because of a pause which
+// ends after the given time. The result is later by a random time: otherwise all callers
+// that were refused during the pause would return at its end, to a server that has just
+// had too many of them.
+func RetryAfter(wait time.Duration) time.Duration {
+	spread := min(maxSpread, time.Duration(spreadShare*float64(wait)))
+	if spread <= 0 {
+		return wait
+	}
+	return wait + rand.N(spread)
+}
--- a/parts/router/cost.go
+++ b/parts/router/cost.go
@@ -94,6 +94,13 @@
 		if q.FixedFirst != nil && s.Address == q.FixedFirst.Server.Address {
 			continue
 		}
+		if q.Paused != nil && q.Paused(s) {
+			stage, cached := q.Cached[s.Address]
+			if !cached {
+				continue
+			}
+			s = narrowed(s, stage)
+		}
 		if c, fits := q.candidate(s); fits {
 			c.domain = index[s.Domain]
 			list = append(list, c)
@@ -102,6 +109,14 @@
 	return list
 }
 
+// narrowed returns a server with the layers of one stage only.
+func narrowed(s *fleet.Server, stage Stage) *fleet.Server {
+	n := *s
+	n.First, n.End = max(s.First, stage.First), min(s.End, stage.End)
+	n.MemoryLayers = max(s.MemoryLayers, s.LayerCount())
+	return &n
+}
+
 // candidate returns what the layers cost on a server, and whether the request fits
 // into its memory.
 func (q *Query) candidate(s *fleet.Server) (candidate, bool) {
--- a/parts/router/router.go
+++ b/parts/router/router.go
@@ -68,6 +68,9 @@
 	NoStart map[string]bool
 	// Used returns the load of a server.
 	Used func(id string) Usage
+	// Paused reports whether a server has requested a pause. It gets no stage, except
+	// the cached one that it runs already. Nil means that none has.
+	Paused func(s *fleet.Server) bool
 	// Delay returns the expected cost, in seconds, of starting at a server beyond the
 	// work itself, such as waits and failures there. Nil means none.
 	Delay func(id string) float64
--- a/parts/router/router_test.go
+++ b/parts/router/router_test.go
@@ -256,3 +256,21 @@
 		}
 	}
 }
+
+// Guards against stages on a server that has requested a pause, and against a request in
+// flight that loses the stage which such a server runs already, or gets more there.
+func TestPausedServerGetsNoNewStage(t *testing.T) {
+	a1, a2 := server("a1", "a", "small", 0, 40), server("a2", "a", "big", 30, 80)
+	a3, b1 := server("a3", "a", "small", 40, 80), server("b1", "b", "small", 0, 80)
+	q := query(a1, a2, a3, b1)
+	q.Paused = func(s *fleet.Server) bool { return s == a2 }
+	qt.Check(t, q.Pick().String(), qt.Equals, "a1=0-40 a3=40-80")
+	q.Paused = func(s *fleet.Server) bool { return s == a1 || s == a2 }
+	qt.Check(t, q.Pick().String(), qt.Equals, "b1=0-80")
+	q = query(a1, a2, server("a4", "a", "small", 60, 80))
+	q.Paused = func(s *fleet.Server) bool { return s == a2 }
+	q.FixedFirst = &router.Stage{Server: a1, First: 0, End: 40}
+	qt.Check(t, q.Pick(), qt.IsNil)
+	q.Cached = map[string]router.Stage{a2.Address: {Server: a2, First: 40, End: 60}}
+	qt.Check(t, q.Pick().String(), qt.Equals, "a1=0-40 a2=40-60 a4=60-80")
+}
