egress, state: send nothing new to servers whose responses say that they leave

What callers saw: nothing yet; a server that leaves may say so in its responses long before its entry does, or without, and goes on to get requests until it exits under them.

Cause: the header was not read. The same class as that of the pauses: what a server says of itself in a response.

Change: egress.Client reads the header of every response that is the expected server's and records an announced departure. It lasts until the process (ID and start time) has no entry any more and a minute longer, survives restores and hosts out of touch, and is handed on while the entry does not say the same. The field is new in messages; older builds ignore it and keep the departure for a minute.

TestAnnouncedDepartureLastsUntilProcessIsGone: ten minutes, and on another host.

--- a/entry/call/call.go
+++ b/entry/call/call.go
@@ -96,6 +96,8 @@
 	// RetryAfter is the time during which the backend server wants no requests from this
 	// entry host; zero if it did not say.
 	RetryAfter time.Duration
+	// Leaving is set if the backend server says that it leaves.
+	Leaving bool
 }
 
 // LimitResponse returns what the response to a request that was sent at the given
--- a/entry/egress/egress.go
+++ b/entry/egress/egress.go
@@ -1,6 +1,6 @@
 // Package egress sends requests to backend servers, and applies what the header of a
-// response says of the server itself: a pause that it requests, and a rate limit that it
-// names.
+// response says of the server itself: a pause that it requests, a rate limit that it
+// names, and that it leaves.
 //
 // All requests of an entry host to backend servers pass through a [Client]: first and
 // later attempts of callers' requests, requests for reports, and orders. A request to a
@@ -32,6 +32,8 @@
 	State  *state.Local
 	Limits *limit.Tracker
 	Pauses *pause.Tracker
+	// Broadcast sends it to other entry hosts that a server leaves.
+	Broadcast func()
 }
 
 // Options holds the options of one request.
@@ -137,6 +139,9 @@
 		// Another server may have responded, about which nothing is known.
 		return
 	}
+	if reply.Leaving && s.ID != "" && c.State.RecordLeaving(s.ID, s.StartedAt, time.Now()) {
+		c.Broadcast()
+	}
 	// Responses that name no limit do not end one if they are not to callers' requests:
 	// a server need not name it there.
 	if s.ID != "" && (!control || reply.RateLimited) {
--- a/entry/egress/egress_test.go
+++ b/entry/egress/egress_test.go
@@ -24,7 +24,7 @@
 	"fuchsiashelf.dev/parts/pause"
 )
 
-// headerCodec reads replies from the headers Pause, By, Limit and Id.
+// headerCodec reads replies from the headers Pause, By, Limit, Leaving and Id.
 type headerCodec struct{ call.Codec }
 
 func (headerCodec) ParseReply(r *http.Response) call.Reply {
@@ -32,7 +32,8 @@
 	limited := r.Header.Get("Limit") != ""
 	return call.Reply{
 		Status: r.StatusCode, ID: r.Header.Get("Id"), RetryAfter: length, RefusedBy: r.Header.Get("By"),
-		RateLimited: limited, RateLimit: 5, Closing: true,
+		RateLimited: limited, RateLimit: 5, Closing: true, Leaving: r.Header.Get("Leaving") != "",
+		Misdirected: r.Header.Get("Misdirected") != "",
 	}
 }
 
@@ -69,7 +70,7 @@
 	servers.Replace(items, mirror.Position{Era: 1, Revision: 1})
 	s.ReadServers(time.Now())
 	limits := &limit.Tracker{Self: "e", Hosts: func() ([]string, bool) { return nil, true }, OnChange: func() {}, Log: log}
-	return &egress.Client{Codec: headerCodec{}, Pool: &conns.Pool{}, State: s, Limits: limits, Pauses: &pause.Tracker{Log: log}}
+	return &egress.Client{Broadcast: func() {}, Codec: headerCodec{}, Pool: &conns.Pool{}, State: s, Limits: limits, Pauses: &pause.Tracker{Log: log}}
 }
 
 // send sends a request for the given path.
@@ -119,3 +120,16 @@
 		qt.Check(t, c.Limits.Limited(), qt.Equals, step.limited)
 	}
 }
+
+// Guards against a server that gets new requests although a response of any kind has said
+// that it leaves, and against leaving out one because another process responded.
+func TestLeavingServerGetsNoNewRequests(t *testing.T) {
+	address, _ := testServer(t)
+	for path, leaving := range map[string]bool{"": false, "Leaving=1&Misdirected=1": false, "Leaving=1": true} {
+		for _, id := range []string{"", "r1"} {
+			c := newClient(address)
+			qt.Assert(t, send(c, address, path, id), qt.IsNil)
+			qt.Check(t, c.State.View().ByID("a").Leaving, qt.Equals, leaving, qt.Commentf("%s %s", path, id))
+		}
+	}
+}
--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -80,8 +80,8 @@
 	// hosts.
 	Assignments  func() []Assignment
 	OnAssignment func(Assignment)
-	// Departures returns the servers that get no new requests although a restored object
-	// API may say otherwise; OnDeparture handles those of other hosts.
+	// Departures returns the servers that get no new requests although their entries, or
+	// those of a restored object API, may say otherwise; OnDeparture handles those of other hosts.
 	Departures  func() []Departure
 	OnDeparture func(Departure)
 	// Config returns the version of the configuration in force, and the encoded
--- a/entry/gossip/message.go
+++ b/entry/gossip/message.go
@@ -43,6 +43,9 @@
 	StartedAt int64
 	// Left is the time until it may get new requests.
 	Left time.Duration
+	// Announced says that a response of the server has said that it leaves. Left does not
+	// end the departure then while the incarnation has an entry.
+	Announced bool
 }
 
 // Message is the state that one entry host sends to another. The names of its fields,
@@ -68,8 +71,8 @@
 	Limits map[string]limit.Report
 	// Marks holds the requests that are suspected of crashing servers.
 	Marks []poison.Suspect
-	// Departures holds the servers that get no new requests although a restored object
-	// API may say otherwise.
+	// Departures holds the servers that get no new requests although their entries, or
+	// those of a restored object API, may say otherwise.
 	Departures []Departure
 	// ConfigVersion is the version of the sender's configuration in force; zero if it has
 	// none. Config is that configuration if the receiver has an older one and the object
--- a/entry/state/restore.go
+++ b/entry/state/restore.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// departureTTL is how long a server that has said that it leaves, or whose entry was
-	// removed, is remembered. It is longer than the servers go on serving, and than
-	// the copies are old from which the object API is restored.
+	// departureTTL is how long a server that has said that it leaves is remembered once
+	// it has no entry, and one whose entry was removed. It is longer than the servers go
+	// on serving, and than the copies are old from which the object API is restored.
 	departureTTL = time.Minute
 	// restoreGrace is how long after a restore older entries are not applied. By then
 	// live servers have written theirs again, and those of others have expired.
@@ -23,11 +23,15 @@
 	// StartedAt identifies the incarnation of the server.
 	StartedAt time.Time
 	Until     time.Time
+	// Announced says that a response of the server has said that it leaves, so that it
+	// gets no new requests before it has restarted.
+	Announced bool
 }
 
 // departure is a Departure without its ID.
 type departure struct {
 	startedAt, until time.Time
+	announced        bool
 }
 
 // removal is a server whose entry was removed in an era.
@@ -121,13 +125,27 @@
 	}
 	known, exists := s.departures[d.ID]
 	same := exists && known.startedAt.Equal(d.StartedAt)
-	if exists && known.startedAt.After(d.StartedAt) || same && d.Until.Sub(known.until) < maxTransitTime {
+	announced := d.Announced || same && known.announced
+	if exists && known.startedAt.After(d.StartedAt) || same && announced == known.announced && d.Until.Sub(known.until) < maxTransitTime {
 		return false
 	}
-	s.departures[d.ID] = departure{startedAt: d.StartedAt, until: d.Until}
+	s.departures[d.ID] = departure{startedAt: d.StartedAt, until: d.Until, announced: announced}
 	return !same
 }
 
+// RecordLeaving records that a response of a server has said that it leaves. It reports
+// whether that was not known.
+func (s *Local) RecordLeaving(id string, startedAt, now time.Time) (isNew bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.depart(Departure{ID: id, StartedAt: startedAt, Until: now.Add(departureTTL), Announced: true}) {
+		return false
+	}
+	s.Log.Info("servers: leaving, by its response", "server", id)
+	s.update([]string{id}, false, now)
+	return true
+}
+
 // departed reports whether a server gets no new requests whatever its entry says. The
 // mutex is held.
 func (s *Local) departed(server fleet.Server, now time.Time) bool {
@@ -135,22 +153,29 @@
 	return known && d.startedAt.Equal(server.StartedAt) && now.Before(d.until)
 }
 
-// Departures returns the servers that get no new requests whatever their entries say. It
-// returns none unless the object API was restored lately: otherwise the entries say the
-// same.
+// Departures returns the servers that get no new requests whatever their entries say,
+// except for those of which the entries on other entry hosts say the same: unless the
+// object API was restored lately, these are all whose responses have not said it.
 func (s *Local) Departures(now time.Time) []Departure {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if now.Sub(s.restored.at) > departureTTL {
-		return nil
-	}
+	restored := now.Sub(s.restored.at) <= departureTTL
 	var list []Departure
 	for id, d := range s.departures {
-		list = append(list, Departure{ID: id, StartedAt: d.startedAt, Until: d.until})
+		server, exists := s.incarnation(id, d.startedAt)
+		if restored || d.announced && exists && !server.Leaving {
+			list = append(list, Departure{ID: id, StartedAt: d.startedAt, Until: d.until, Announced: d.announced})
+		}
 	}
 	return list
 }
 
+// incarnation returns the entry of an incarnation of a server. The mutex is held.
+func (s *Local) incarnation(id string, startedAt time.Time) (server fleet.Server, exists bool) {
+	server, exists = s.entry(id)
+	return server, exists && server.StartedAt.Equal(startedAt)
+}
+
 // MergeDeparture applies a departure that another entry host knows.
 func (s *Local) MergeDeparture(d Departure, now time.Time) {
 	s.mu.Lock()
@@ -158,15 +183,23 @@
 	if !s.depart(d) {
 		return
 	}
-	// This entry host may have started after the restore, and hands it on as well.
-	s.restored.at = now
+	if !d.Announced {
+		// This entry host may have started after the restore, and hands it on as well.
+		s.restored.at = now
+	}
 	s.update([]string{d.ID}, false, now)
 }
 
 // sweepDepartures drops old departures and removals, and returns the IDs of the servers
-// whose departure is over. The mutex is held.
+// whose departure is over. A departure that a response announced lasts as long as the
+// incarnation has an entry. The mutex is held.
 func (s *Local) sweepDepartures(now time.Time) (ids []string) {
 	for id, d := range s.departures {
+		if _, exists := s.incarnation(id, d.startedAt); exists && d.announced {
+			d.until = now.Add(departureTTL)
+			s.departures[id] = d
+			continue
+		}
 		if !now.Before(d.until) {
 			delete(s.departures, id)
 			ids = append(ids, id)
--- a/entry/state/restore_test.go
+++ b/entry/state/restore_test.go
@@ -145,3 +145,30 @@
 	_, spec = fresh.ConfigInForce()
 	qt.Check(t, spec, qt.HasLen, 0)
 }
+
+// Guards against a server that gets requests again a minute after its responses said that it
+// leaves, although the process still has an entry; also on another entry host.
+func TestAnnouncedDepartureLastsUntilProcessIsGone(t *testing.T) {
+	s := newLocal()
+	s.Decoder = entryDecoder{}
+	s.Servers.Replace([]mirror.Object{object("a", 1, 1, 10, 0)}, mirror.Position{Era: 1, Revision: 1})
+	s.ReadServers(start)
+	startedAt := s.View().ByID("a").StartedAt
+	qt.Check(t, s.RecordLeaving("a", startedAt, start), qt.IsTrue)
+	qt.Check(t, s.RecordLeaving("a", startedAt, start), qt.IsFalse)
+	other := newLocal()
+	other.Decoder = entryDecoder{}
+	other.Servers.Replace([]mirror.Object{object("a", 1, 1, 10, 0)}, mirror.Position{Era: 1, Revision: 1})
+	other.ReadServers(start)
+	for _, d := range s.Departures(start) {
+		other.MergeDeparture(d, start)
+	}
+	for minutes := range 10 {
+		now := start.Add(time.Duration(minutes) * time.Minute)
+		s.Sweep(now)
+		other.Sweep(now)
+		qt.Check(t, s.View().ByID("a").Leaving, qt.IsTrue)
+		qt.Check(t, other.View().ByID("a").Leaving, qt.IsTrue)
+		qt.Check(t, other.Departures(now), qt.HasLen, 1)
+	}
+}
