fakes: keep layers while streams pass through them, and run nothing that is refused

Traced with a delay of 60 ms before the stand-in begins a stream (a trial on a scratch copy), which made it fail 3 of 3 in the same way: the stream was rerouted behind its first server ('watch: rerouted', taken), 30 ms later the placer ordered that first server, of whose layers there was a copy, to close the gap of the crashed one, and the stand-in gave its layers up under the stream, which then had no way left ('watch: no other way').

The fault is the stand-in's. A server accepts nothing new for layers that it gives up, and waits for what passes through them; so does the stand-in now.

Two more ways in which it differed from the platform, found by the same trial: it counted a request as run that it then refused because of a server of its chain (so the test saw 3 executions where nothing had run twice), and its answer to an order to change a chain did not name the server that could not take part.

--- a/stand/fakes/order.go
+++ b/stand/fakes/order.go
@@ -53,7 +53,12 @@
 		return
 	}
 	if order.Operation == "repath" {
-		w.WriteHeader(s.reroute(order.ID, order.Path))
+		status, unavailable := s.reroute(order.ID, order.Path)
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(status)
+		if unavailable != "" {
+			writeJSON(w, map[string]string{"error": "no such part", "address": unavailable})
+		}
 		return
 	}
 	w.WriteHeader(s.assign(order.First, order.End, order.Expected))
@@ -74,36 +79,62 @@
 		return http.StatusBadRequest
 	}
 	s.orderCount++
-	s.loading = true
-	time.AfterFunc(s.LoadTime, func() {
-		s.mu.Lock()
-		s.first, s.end, s.loading = first, end, false
-		s.mu.Unlock()
-		if !s.hasCrashed() {
-			_ = s.register()
-		}
-	})
+	s.loading, s.nextFirst, s.nextEnd = true, first, end
+	go s.load(first, end)
 	return http.StatusAccepted
 }
 
-// reroute changes the chain of a stream in flight and returns the HTTP status.
-func (s *Server) reroute(id, path string) int {
+// unloadInterval is the interval at which a server checks whether streams still pass
+// through the layers that it is to give up.
+const unloadInterval = 5 * time.Millisecond
+
+// load waits for the streams that pass through the layers which the server gives up, and
+// loads the others.
+func (s *Server) load(first, end int) {
+	for s.platform.passes(s.address, first, end) && !s.hasCrashed() {
+		time.Sleep(unloadInterval)
+	}
+	time.Sleep(s.LoadTime)
+	s.mu.Lock()
+	s.first, s.end, s.loading = first, end, false
+	s.mu.Unlock()
+	if !s.hasCrashed() {
+		// The store rejects no write of a server.
+		_ = s.register()
+	}
+}
+
+// newLayers returns the layers for which the server accepts new requests: not those that
+// it gives up.
+func (s *Server) newLayers() (first, end int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.loading {
+		return s.first, s.end
+	}
+	return max(s.first, s.nextFirst), min(s.end, s.nextEnd)
+}
+
+// reroute changes the chain of a stream in flight and returns the HTTP status. If a server
+// of the new chain is unavailable, it returns its address as well.
+func (s *Server) reroute(id, path string) (status int, unavailable string) {
 	stages, err := parseChain(path)
 	if err != nil {
-		return http.StatusBadRequest
+		return http.StatusBadRequest, ""
 	}
 	s.mu.Lock()
 	updates := s.chainUpdates[id]
 	s.mu.Unlock()
 	if updates == nil {
-		return http.StatusNotFound
+		return http.StatusNotFound, ""
 	}
 	s.checkChain(id, path, stages)
-	if s.unavailableStage(stages) != "" {
-		return http.StatusConflict
+	if unavailable := s.unavailableStage(s.platform.newStages(s.ID+"/"+id, stages), (*Server).newLayers); unavailable != "" {
+		return http.StatusConflict, unavailable
 	}
+	s.platform.setStream(s.ID+"/"+id, stages)
 	updates <- stages
-	return http.StatusAccepted
+	return http.StatusAccepted, ""
 }
 
 // stage is the range of layers that one server runs in a chain.
@@ -145,14 +176,14 @@
 }
 
 // unavailableStage returns the address of the first stage whose server has crashed
-// or does not hold the layers, or "".
-func (s *Server) unavailableStage(stages []stage) string {
+// or does not hold the layers, or "". layers returns those that count.
+func (s *Server) unavailableStage(stages []stage, layers func(*Server) (first, end int)) string {
 	for _, st := range stages {
 		other := s.platform.liveServer(st.address)
 		if other == nil {
 			return st.address
 		}
-		first, end := other.Layers()
+		first, end := layers(other)
 		if first > st.first || end < st.end {
 			return st.address
 		}
--- a/stand/fakes/platform.go
+++ b/stand/fakes/platform.go
@@ -39,7 +39,9 @@
 	servers    map[string]*Server
 	executions []Execution
 	violations []string
-	stops      []func()
+	// streams holds the stages of each stream, by its first server and its request.
+	streams map[string][]stage
+	stops   []func()
 }
 
 // Start serves the object API on a free port.
@@ -139,6 +141,41 @@
 	return slices.Clone(p.violations)
 }
 
+// setStream sets the stages of a stream; nil ends it.
+func (p *Platform) setStream(key string, stages []stage) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.streams == nil {
+		p.streams = map[string][]stage{}
+	}
+	p.streams[key] = stages
+	if stages == nil {
+		delete(p.streams, key)
+	}
+}
+
+// newStages returns the stages that a stream does not have yet.
+func (p *Platform) newStages(key string, stages []stage) []stage {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(stages), func(st stage) bool { return slices.Contains(p.streams[key], st) })
+}
+
+// passes reports whether a stream passes through layers of a server other than
+// [first, end).
+func (p *Platform) passes(address string, first, end int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, stages := range p.streams {
+		for _, st := range stages {
+			if st.address == address && (st.first < first || st.end > end) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (p *Platform) recordExecution(e Execution) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/stand/fakes/server.go
+++ b/stand/fakes/server.go
@@ -44,18 +44,20 @@
 	address  string
 	stop     func()
 
-	mu            sync.Mutex
-	first, end    int
-	orderCount    uint64
-	loading       bool
-	draining      bool
-	crashed       bool
-	stalled       map[string]string
-	chainUpdates  map[string]chan []stage
-	dropNext      int
-	refuseNext    int
-	failNext      int
-	truncateAfter int
+	mu         sync.Mutex
+	first, end int
+	// nextFirst and nextEnd are the layers that the server is to hold, while it loads.
+	nextFirst, nextEnd int
+	orderCount         uint64
+	loading            bool
+	draining           bool
+	crashed            bool
+	stalled            map[string]string
+	chainUpdates       map[string]chan []stage
+	dropNext           int
+	refuseNext         int
+	failNext           int
+	truncateAfter      int
 	// writes counts the writes of the server's entry.
 	writes int
 	// limit is nil if the server names none.
@@ -231,6 +233,9 @@
 	if err != nil {
 		return
 	}
+	if s.Model != nil && s.refuseChain(w, req.Header.Get("X-Hop-Count")) {
+		return
+	}
 	s.platform.recordExecution(Execution{
 		Request: id, Server: s.ID, Service: s.Service, Team: req.Header.Get("X-Tenant"),
 		Resumed: req.Header.Get("Last-Event-Id"), Chain: req.Header.Get("X-Hop-Count"),
--- a/stand/fakes/stream.go
+++ b/stand/fakes/stream.go
@@ -17,16 +17,11 @@
 		return
 	}
 	s.checkChain(id, path, stages)
-	if unavailable := s.unavailableStage(stages); unavailable != "" {
-		w.Header().Del("X-Server-Signature")
-		w.Header().Set("X-Not-Executed", "1")
-		w.Header().Set("At-Server", unavailable)
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
 	updates := make(chan []stage, 1)
 	s.addChain(id, updates)
 	defer s.removeChain(id)
+	s.platform.setStream(s.ID+"/"+id, stages)
+	defer s.platform.setStream(s.ID+"/"+id, nil)
 	var prompt, events int
 	if _, err := fmt.Sscanf(req.Header.Get("X-Token-Counts"), "%d,%d", &prompt, &events); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
@@ -57,6 +52,23 @@
 	}
 }
 
+// refuseChain refuses a request if a server of its chain is unavailable. The request does
+// not run then.
+func (s *Server) refuseChain(w http.ResponseWriter, path string) bool {
+	stages, err := parseChain(path)
+	if err != nil {
+		return false
+	}
+	unavailable := s.unavailableStage(stages, (*Server).newLayers)
+	if unavailable == "" {
+		return false
+	}
+	w.Header().Set("X-Not-Executed", "1")
+	w.Header().Set("At-Server", unavailable)
+	w.WriteHeader(http.StatusServiceUnavailable)
+	return true
+}
+
 // truncates reports whether the stream breaks off at event n, once for each
 // TruncateAfter.
 func (s *Server) truncates(n int) bool {
@@ -74,7 +86,7 @@
 // is unavailable, the request stalls until its chain is changed.
 func (s *Server) waitStep(req *http.Request, id string, stages []stage, updates chan []stage) []stage {
 	for {
-		unavailable := s.unavailableStage(stages)
+		unavailable := s.unavailableStage(stages, (*Server).Layers)
 		s.setStalled(id, unavailable)
 		due := time.After(s.StepTime)
 		if unavailable != "" {
