stream: count attempts on servers that are suspected or have no entry

Cause: an attempt did not count towards those that the route allows when its server was not listed any more, or suspected. A server that leaves serves on after its entry was removed, and a suspicion may be wrong. What may be replaced is an attempt on a process that has ended: its address refuses connections, or belongs to another process. The rest counts now, also servers that are out of reach.

TestOnlyLiveServersCountAsAttempts asserted that a suspected server does not count, which is the fault; it now asserts that it counts, that one without entry counts, and that one that has exited or was replaced does not. It failed before (1, want 2).

--- a/entry/stream/failure.go
+++ b/entry/stream/failure.go
@@ -152,15 +152,17 @@
 }
 
 // countAttempts returns how many of the servers that may have run the request count
-// towards the attempts that its route allows: those that are still listed and not
-// suspected. An attempt on a server that crashed or is suspected does not count, so
-// another may replace it.
+// towards the attempts that its route allows: those whose process is not known to have
+// ended. An attempt on one that has ended does not count, so another may replace it.
+// Neither a suspicion nor a missing entry is enough: a live server may be behind a lossy
+// link, and one that leaves serves on after its entry was removed.
 func (r *request) countAttempts(servers []*fleet.Server) int {
 	view := r.State.View()
 	n := 0
 	for _, s := range servers {
 		current := view.ByAddress(s.Address)
-		if current != nil && current.ID == s.ID && !current.Suspected {
+		replaced := current != nil && (current.ID != s.ID || !current.StartedAt.Equal(s.StartedAt))
+		if !replaced && !r.Monitor.hasExited(s.ID) {
 			n++
 		}
 	}
--- a/entry/stream/monitor.go
+++ b/entry/stream/monitor.go
@@ -109,6 +109,8 @@
 	// failedRequests holds the requests that failed on a probed server, by the ID of
 	// the server, until it is known whether the server crashed.
 	failedRequests map[string]map[poison.Fingerprint]bool
+	// exited holds the servers whose processes are known to have ended, by ID.
+	exited map[string]time.Time
 	// lastDrain is when a stream was last rerouted around a draining server.
 	lastDrain time.Time
 	// lastSweep is the time of the last sweep, and lastLateSweep that of the last one
--- a/entry/stream/monitor_test.go
+++ b/entry/stream/monitor_test.go
@@ -295,18 +295,30 @@
 }
 
 // Guards against retries that use up the retry budget shared by all entry hosts on a
-// request that no server completes. A route allows two attempts on servers that stay
-// alive; an attempt on a server that crashed or is suspected does not count.
+// request that no server completes, and against a third server for a route that allows
+// two, because a live one is suspected or has no entry any more. Only an attempt on a process
+// that has ended does not count.
 func TestOnlyLiveServersCountAsAttempts(t *testing.T) {
 	m, servers := newMonitor(&fakeEngines{}, 1)
 	first, middle := servers["first"], servers["middle"]
 	old := middle
 	old.ID = "middle-before"
-	r := &request{Forwarder: &Forwarder{State: m.State}, mayHaveRun: []*fleet.Server{&first, &middle, &old}}
+	r := &request{Forwarder: &Forwarder{State: m.State, Monitor: m}, mayHaveRun: []*fleet.Server{&first, &middle, &old}}
 	qt.Assert(t, r.countAttempts(r.mayHaveRun), qt.Equals, 2)
-	now := time.Now()
-	m.State.Suspect("first", now.Add(time.Hour), now)
+	m.markSuspected("first", "first", "test", context.DeadlineExceeded, time.Now())
+	qt.Assert(t, m.State.View().ByID("first").Suspected, qt.IsTrue)
+	qt.Assert(t, r.countAttempts(r.mayHaveRun), qt.Equals, 2)
+	m.markSuspected("first", "first", "test", syscall.ECONNREFUSED, time.Now())
 	qt.Assert(t, r.countAttempts(r.mayHaveRun), qt.Equals, 1)
+	m.markHealthy("first", "first", time.Now())
+	qt.Assert(t, r.countAttempts(r.mayHaveRun), qt.Equals, 2)
+	before := middle
+	before.StartedAt = middle.StartedAt.Add(-time.Second)
+	qt.Assert(t, r.countAttempts([]*fleet.Server{&before}), qt.Equals, 0)
+	m.State.Servers.Merge(mirror.Batch{After: 1, Cursor: 2, Items: []mirror.Object{{Name: "first", Revision: 2, Deleted: true}}})
+	m.State.ReadServers(time.Now())
+	qt.Assert(t, m.State.View().ByID("first"), qt.IsNil)
+	qt.Assert(t, r.countAttempts(r.mayHaveRun), qt.Equals, 2)
 }
 
 // Guards against suspecting a server of a plain service because it responds to a
--- a/entry/stream/probe.go
+++ b/entry/stream/probe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"syscall"
 	"time"
 
@@ -104,7 +105,9 @@
 func (m *Monitor) markSuspected(id, address, reason string, err error, now time.Time) bool {
 	// Only a process that has ended refuses connections. A server behind a broken link
 	// does not answer either, but no request caused that.
-	m.resolveFailedRequests(id, probeOutcome(err) == probe.Exited, now)
+	exited := probeOutcome(err) == probe.Exited
+	m.setExited(id, exited, now)
+	m.resolveFailedRequests(id, exited, now)
 	if s := m.State.View().ByAddress(address); s == nil || s.ID != id {
 		return false
 	}
@@ -115,6 +118,33 @@
 	return true
 }
 
+// exitedTTL is how long it is remembered that a server has exited: longer than its entry
+// exists.
+const exitedTTL = time.Minute
+
+// setExited records whether the last probe of a server shows that its process has ended.
+func (m *Monitor) setExited(id string, exited bool, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	maps.DeleteFunc(m.exited, func(_ string, at time.Time) bool { return now.Sub(at) > exitedTTL })
+	if !exited {
+		delete(m.exited, id)
+		return
+	}
+	if m.exited == nil {
+		m.exited = map[string]time.Time{}
+	}
+	m.exited[id] = now
+}
+
+// hasExited reports whether the process of a server is known to have ended.
+func (m *Monitor) hasExited(id string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, exited := m.exited[id]
+	return exited
+}
+
 // probeSuspect probes a server until it answers or its entry is gone. The timeout is
 // short for the first probes, as many as must fail before the server is suspected:
 // until then requests are sent to the server, and no other server loads its layers.
@@ -188,6 +218,7 @@
 // markHealthy ends the suspicion of a server that answered.
 func (m *Monitor) markHealthy(id, address string, now time.Time) {
 	m.State.ClearSuspicion(id, now)
+	m.setExited(id, false, now)
 	m.resolveFailedRequests(id, false, now)
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/entry/stream/reroute_test.go
+++ b/entry/stream/reroute_test.go
@@ -94,7 +94,7 @@
 		{"sent too often", route.Route{Kind: route.Stream, Resumable: true, Attempts: 9}, nil, maxResends, 1, false},
 	} {
 		budget := &retry.WindowBudget{MinRetries: func() float64 { return test.minRetries }, Window: time.Second}
-		r := &request{Forwarder: &Forwarder{State: m.State}, job: &call.Job{Request: &call.Request{}, Route: &test.route}, mayHaveRun: test.mayHaveRun, budget: budget}
+		r := &request{Forwarder: &Forwarder{State: m.State, Monitor: m}, job: &call.Job{Request: &call.Request{}, Route: &test.route}, mayHaveRun: test.mayHaveRun, budget: budget}
 		r.out.Sends = test.sends
 		qt.Check(t, r.restartReservation(chain[0].Server)(), qt.Equals, test.allowed, qt.Commentf(test.name))
 		qt.Check(t, r.restartReserved.Load(), qt.Equals, test.allowed, qt.Commentf(test.name))
