soak: let servers request pauses and say that they leave, in series

The servers record what reaches them against it, for each entry host by the IDs of the requests. A host that was killed, stopped, paused, or cut off from the server since is excused.

The random numbers of runs without the flag stay the same.

--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"os/exec"
@@ -38,6 +39,8 @@
 	// serverProxies are the proxies in front of backend servers.
 	serverProxies []*proxy.Proxy
 
+	disturbances disturbances
+
 	mu            sync.Mutex
 	configVersion int
 	servers       []*fakes.Server
@@ -66,6 +69,9 @@
 func newCluster(s Settings) (*cluster, error) {
 	transport := &http.Transport{MaxIdleConnsPerHost: s.Callers}
 	c := &cluster{Settings: s, client: &http.Client{Timeout: callerTimeout + time.Second, Transport: transport}}
+	c.platform.Excused = func(s *fakes.Server, h fakes.Host, since time.Time) bool {
+		return c.disturbances.any(since, s.Address(), string(h))
+	}
 	if err := c.platform.Start(); err != nil {
 		return nil, err
 	}
@@ -153,6 +159,9 @@
 	return e.start()
 }
 
+// host identifies the entry host in the IDs of requests.
+func (e *entryHost) host() fakes.Host { return fakes.Host(e.name) }
+
 // start writes the settings file of an entry host and starts its process.
 func (e *entryHost) start() error {
 	file := filepath.Join(e.cluster.Dir, e.name+".yaml")
@@ -244,6 +253,7 @@
 	for _, s := range c.servers {
 		s.DropResponses(0)
 		s.RefuseNext(0)
+		s.PauseNext(0, "", 0)
 		s.TruncateAfter(0)
 		s.EndLimit()
 	}
@@ -261,6 +271,23 @@
 	return list
 }
 
+// randomServer returns a live server.
+func (c *cluster) randomServer(rng *rand.Rand) *fakes.Server {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.servers[rng.IntN(len(c.servers))]
+}
+
+// takeServer returns a live server and removes it from the list.
+func (c *cluster) takeServer(rng *rand.Rand) *fakes.Server {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	i := rng.IntN(len(c.servers))
+	s := c.servers[i]
+	c.servers = append(c.servers[:i], c.servers[i+1:]...)
+	return s
+}
+
 // close kills all entry hosts and stops the platform and the proxies.
 func (c *cluster) close() error {
 	for _, e := range c.entries {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -71,7 +71,11 @@
 		return r.degradeLink()
 	case 3:
 		e.signal(syscall.SIGSTOP)
-		return e.name + ": paused", func() { e.signal(syscall.SIGCONT) }, nil
+		end := r.cluster.disturbances.begin(e.name)
+		return e.name + ": paused", func() {
+			e.signal(syscall.SIGCONT)
+			end()
+		}, nil
 	case 4:
 		return r.restartEntryHost(e, ": killed and restarted", func() {
 			e.signal(syscall.SIGCONT)
@@ -106,6 +110,7 @@
 	}
 	r.activeFaults.Go(func() {
 		defer e.restartMu.Unlock()
+		defer r.cluster.disturbances.begin(e.name)()
 		stop()
 		if err := e.start(); err != nil {
 			r.addViolation("%v", err)
@@ -126,17 +131,17 @@
 	p := r.cluster.serverProxies[r.rand.IntN(len(r.cluster.serverProxies))]
 	m := r.randomMode()
 	p.SetMode(m)
-	return fmt.Sprintf("link to %s: mode %d", p.Address(), m), func() { p.SetMode(proxy.Forward) }, nil
+	end := r.cluster.disturbances.begin(p.Address())
+	return fmt.Sprintf("link to %s: mode %d", p.Address(), m), func() {
+		p.SetMode(proxy.Forward)
+		end()
+	}, nil
 }
 
 // replaceServer crashes a backend server and starts a new one. undo deletes the
 // entry of the crashed server from the store.
 func (r *run) replaceServer() (string, func(), error) {
-	r.cluster.mu.Lock()
-	i := r.rand.IntN(len(r.cluster.servers))
-	old := r.cluster.servers[i]
-	r.cluster.servers = append(r.cluster.servers[:i], r.cluster.servers[i+1:]...)
-	r.cluster.mu.Unlock()
+	old := r.cluster.takeServer(r.rand)
 	old.Crash()
 	err := r.cluster.addServer(old.Service, old.Zone)
 	return old.ID + ": crashed and replaced", func() { r.cluster.platform.Store.Delete("servers", old.ID) }, err
@@ -145,9 +150,7 @@
 // injectServerFault makes a backend server drop responses, refuse requests or
 // truncate a stream.
 func (r *run) injectServerFault() (string, func(), error) {
-	r.cluster.mu.Lock()
-	s := r.cluster.servers[r.rand.IntN(len(r.cluster.servers))]
-	r.cluster.mu.Unlock()
+	s := r.cluster.randomServer(r.rand)
 	switch r.rand.IntN(3) {
 	case 0:
 		s.DropResponses(3)
--- a/soak/series.go
+++ b/soak/series.go
@@ -48,33 +48,41 @@
 
 // startSeries starts one series of changes and describes it.
 func (r *run) startSeries(rng *rand.Rand) string {
-	kinds := 3
+	kinds := []func(*rand.Rand) string{r.startConfigs, r.startShutDowns, r.startLimit}
 	if r.Restores {
-		kinds++
+		kinds = append(kinds, r.startRestore)
 	}
-	switch rng.IntN(kinds) {
-	case 0:
-		r.activeFaults.Go(r.changeConfig)
-		return "configurations in series"
-	case 1:
-		order := rng.Perm(r.EntryHosts)
-		r.activeFaults.Go(func() { r.shutDownInTurn(order) })
-		return "entry hosts shut down in turn"
-	case 2:
-		r.cluster.mu.Lock()
-		s := r.cluster.servers[rng.IntN(len(r.cluster.servers))]
-		r.cluster.mu.Unlock()
-		s.NameLimit(namedLimit)
-		r.activeFaults.Go(func() {
-			time.Sleep(limitTime)
-			s.EndLimit()
-		})
-		return fmt.Sprintf("%s: names a limit of %d a second", s.ID, namedLimit)
-	default:
-		age := time.Duration(rng.Int64N(int64(maxCopyAge)))
-		r.activeFaults.Go(func() { r.restoreStore(age) })
-		return fmt.Sprintf("store: restored from a copy made in %s", age)
+	if r.Notices {
+		kinds = append(kinds, r.startPauses, r.startLeaving)
 	}
+	return kinds[rng.IntN(len(kinds))](rng)
+}
+
+func (r *run) startConfigs(*rand.Rand) string {
+	r.activeFaults.Go(r.changeConfig)
+	return "configurations in series"
+}
+
+func (r *run) startShutDowns(rng *rand.Rand) string {
+	order := rng.Perm(r.EntryHosts)
+	r.activeFaults.Go(func() { r.shutDownInTurn(order) })
+	return "entry hosts shut down in turn"
+}
+
+func (r *run) startLimit(rng *rand.Rand) string {
+	s := r.cluster.randomServer(rng)
+	s.NameLimit(namedLimit)
+	r.activeFaults.Go(func() {
+		time.Sleep(limitTime)
+		s.EndLimit()
+	})
+	return fmt.Sprintf("%s: names a limit of %d a second", s.ID, namedLimit)
+}
+
+func (r *run) startRestore(rng *rand.Rand) string {
+	age := time.Duration(rng.Int64N(int64(maxCopyAge)))
+	r.activeFaults.Go(func() { r.restoreStore(age) })
+	return fmt.Sprintf("store: restored from a copy made in %s", age)
 }
 
 // changeConfig writes several configurations in quick succession.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -30,6 +30,9 @@
 	Series, Restores bool
 	// Limits checks after the faults that the rate limits of servers are kept.
 	Limits bool
+	// Notices makes servers request pauses and say that they leave, in the series and after
+	// the faults, and checks that entry hosts keep to it.
+	Notices bool
 	// EntryHosts and Callers are the numbers of entry hosts and callers.
 	EntryHosts, Callers int
 	// Program is the path of the fsplat binary.
@@ -113,12 +116,13 @@
 	r.report.Violations = append(r.report.Violations, fmt.Sprintf(format, args...))
 }
 
-// newID returns a request ID that is unique in the run and starts with kind.
-func (r *run) newID(kind string) string {
+// newID returns a request ID that is unique in the run, starts with kind and identifies
+// the entry host e.
+func (r *run) newID(kind string, e int) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.requestCount++
-	return fmt.Sprintf("%s-%d", kind, r.requestCount)
+	return fakes.RequestID(fmt.Sprintf("%s-%d", kind, r.requestCount), r.cluster.entries[e].host())
 }
 
 // runCaller sends requests of all kinds through random entry hosts until stop is
@@ -155,7 +159,7 @@
 // sendPayment sends a request that may run at most once, and checks its response.
 // It reports whether the request succeeded.
 func (r *run) sendPayment(e int) bool {
-	id := r.newID("pay")
+	id := r.newID("pay", e)
 	resp := r.cluster.send(e, id, "/pay/1", currentKey, 0)
 	ok := resp.status == 200 && resp.err == nil
 	r.countRequest(ok)
@@ -174,7 +178,7 @@
 // sendLookup sends a request that may be retried, and checks its response. It
 // reports whether the request succeeded.
 func (r *run) sendLookup(e int) bool {
-	id := r.newID("look")
+	id := r.newID("look", e)
 	resp := r.cluster.send(e, id, "/look/1", currentKey, 0)
 	ok := resp.status == 200 && resp.err == nil
 	r.countRequest(ok)
@@ -187,7 +191,7 @@
 // sendStream sends a streaming request, and checks its response. It reports
 // whether the request succeeded.
 func (r *run) sendStream(e, events int) bool {
-	id := r.newID("ask")
+	id := r.newID("ask", e)
 	resp := r.cluster.send(e, id, "/ask/1", currentKey, events)
 	ok := resp.status == 200 && resp.err == nil
 	r.countRequest(ok)
@@ -218,6 +222,9 @@
 	if r.Limits {
 		r.checkRateLimit()
 	}
+	if r.Notices {
+		r.checkNotices()
+	}
 	r.checkPlannedStop()
 }
 
@@ -237,7 +244,7 @@
 	for e := range r.EntryHosts {
 		refused := false
 		for deadline := time.Now().Add(recoveryTimeout); time.Now().Before(deadline) && !refused; {
-			refused = r.cluster.send(e, r.newID("old"), "/look/1", oldKey, 0).status == 401
+			refused = r.cluster.send(e, r.newID("old", e), "/look/1", oldKey, 0).status == 401
 		}
 		if !refused {
 			r.addViolation("entry host %d accepts a revoked key", e)
@@ -250,7 +257,7 @@
 // process has ended, also on connections that callers have kept.
 func (r *run) checkPlannedStop() {
 	const events = 60
-	id := r.newID("ask")
+	id := r.newID("ask", 0)
 	done := make(chan reply, 1)
 	go func() { done <- r.cluster.send(0, id, "/ask/1", currentKey, events) }()
 	ended := make(chan struct{})
@@ -282,7 +289,7 @@
 			return unanswered
 		case <-time.After(paymentInterval):
 		}
-		id := r.newID("pay")
+		id := r.newID("pay", 0)
 		if resp := r.cluster.send(0, id, "/pay/1", currentKey, 0); resp.err != nil {
 			unanswered = append(unanswered, id)
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -29,11 +29,12 @@
 	}
 }
 
-// Guards against the same while restarts, configurations, rate limits and restores of the
-// store come in series that overlap with the failures.
+// Guards against the same while restarts, configurations, rate limits, restores of the
+// store, requested pauses and servers that say that they leave come in series that overlap
+// with the failures.
 func TestSeries(t *testing.T) {
 	runSeed(t, soak.Settings{
-		Seed: 3, FaultDuration: 6 * time.Second, Series: true, Restores: true, Limits: true, EntryHosts: 4, Callers: 8, Program: build(t),
+		Seed: 3, FaultDuration: 6 * time.Second, Series: true, Restores: true, Limits: true, Notices: true, EntryHosts: 4, Callers: 8, Program: build(t),
 	})
 }
 
