pause, stream: look for pauses only while there are any

Each choice of a chain asks for the pause of every server, and each refusal looked for the shortest wait; with neither a pause nor a limit known both end at once now.

--- a/entry/stream/choose.go
+++ b/entry/stream/choose.go
@@ -162,7 +162,8 @@
 }
 
 // shortestWait returns how long it takes until pauses and rate limits of servers permit a
-// chain for another request like this one, if there is one then.
+// chain for another request like this one, if there is one then. It is zero if neither is
+// in the way.
 func (r *request) shortestWait(q *router.Query) (wait time.Duration, found bool) {
 	now := time.Now()
 	paused, limited := map[*fleet.Server]time.Duration{}, map[string]time.Duration{}
@@ -177,6 +178,9 @@
 			waits = append(waits, l)
 		}
 	}
+	if len(waits) == 1 {
+		return 0, true
+	}
 	slices.Sort(waits)
 	at := sort.Search(len(waits), func(i int) bool {
 		later := *q
--- a/parts/pause/pause.go
+++ b/parts/pause/pause.go
@@ -14,6 +14,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -39,8 +40,10 @@
 	Log *slog.Logger
 
 	mu sync.Mutex
-	// pauses holds the pause of each server by address.
+	// pauses holds the pause of each server by address, and count their number: mostly
+	// there are none, and each choice of a chain asks for every server.
 	pauses map[string]pause
+	count  atomic.Int64
 }
 
 // pause is the pause of the server at an address.
@@ -79,6 +82,7 @@
 		t.pauses = map[string]pause{}
 	}
 	t.pauses[p.Address] = pause{startedBy: startedBy, until: until}
+	t.count.Store(int64(len(t.pauses)))
 	t.Log.Info("pause: requested", "address", p.Address, "length", length, "ends", until.Sub(receivedAt))
 }
 
@@ -89,6 +93,9 @@
 
 // Remaining returns how long a process wants no requests; zero if it is not paused.
 func (t *Tracker) Remaining(p Process, now time.Time) time.Duration {
+	if t.count.Load() == 0 {
+		return 0
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known, exists := t.pauses[p.Address]
@@ -121,6 +128,7 @@
 			t.Log.Info("pause: ended", "address", address)
 		}
 	}
+	t.count.Store(int64(len(t.pauses)))
 }
 
 // RetryAfter returns when a caller should retry that was refused because of a pause which
