egress: know a server that has no entry any more by the request that was sent to it

A response is attributed to the server that the request was sent to, not to the one that has the address when the response is read: a server whose entry was removed meanwhile, or lapsed in an outage of the object API, was not known, and what it said of its leaving was lost when its entry came back.

--- a/entry/egress/egress.go
+++ b/entry/egress/egress.go
@@ -67,16 +67,15 @@
 	return errors.As(err, &paused)
 }
 
-// Do sends a request to the server with the given address and reads the header of the
-// response. An error is a *fault.Error, whose verdict is NotRun if nothing was written.
-func (c *Client) Do(ctx context.Context, address string, req *http.Request, o Options) (*conns.Response, call.Reply, error) {
-	server := c.server(address)
+// Do sends a request to a server and reads the header of the response. An error is a
+// *fault.Error, whose verdict is NotRun if nothing was written.
+func (c *Client) Do(ctx context.Context, server *fleet.Server, req *http.Request, o Options) (*conns.Response, call.Reply, error) {
 	if err := c.admit(server); err != nil {
 		return nil, call.Reply{}, err
 	}
 	var reply call.Reply
 	var sentAt time.Time
-	resp, err := c.Pool.Do(ctx, address, req, conns.Options{
+	resp, err := c.Pool.Do(ctx, server.Address, req, conns.Options{
 		MaxIdle: o.MaxIdle, NewConn: o.NewConn, DialTimeout: o.DialTimeout,
 		BeforeWrite: func() error {
 			sentAt = time.Now()
@@ -94,8 +93,9 @@
 	return resp, reply, nil
 }
 
-// server returns the server with the given address, as far as it is known.
-func (c *Client) server(address string) *fleet.Server {
+// Server returns the server with the given address, of which only that is known if it has
+// no entry.
+func (c *Client) Server(address string) *fleet.Server {
 	if s := c.State.View().ByAddress(address); s != nil {
 		return s
 	}
@@ -155,6 +155,6 @@
 	now := time.Now()
 	c.Pauses.Add(process(s), reply.RetryAfter, sentAt, now)
 	if reply.RefusedBy != "" && reply.RefusedBy != s.Address {
-		c.Pauses.Add(process(c.server(reply.RefusedBy)), reply.RetryAfter, sentAt, now)
+		c.Pauses.Add(process(c.Server(reply.RefusedBy)), reply.RetryAfter, sentAt, now)
 	}
 }
--- a/entry/egress/egress_test.go
+++ b/entry/egress/egress_test.go
@@ -79,7 +79,7 @@
 		Method: http.MethodGet, Host: address, Header: http.Header{}, ProtoMajor: 1, ProtoMinor: 1,
 		URL: &url.URL{Scheme: "http", Host: address, Path: "/" + path}, Body: http.NoBody,
 	}
-	resp, _, err := c.Do(context.Background(), address, req, egress.Options{RequestID: id})
+	resp, _, err := c.Do(context.Background(), c.Server(address), req, egress.Options{RequestID: id})
 	if err == nil {
 		resp.Close()
 	}
@@ -133,3 +133,21 @@
 		}
 	}
 }
+
+// Guards against new requests to a server that said that it leaves while it had no entry,
+// and whose entry is back.
+func TestLeavingIsKeptWithoutEntry(t *testing.T) {
+	address, _ := testServer(t)
+	c := newClient(address)
+	server := c.Server(address)
+	c.State.Servers.Replace(nil, mirror.Position{Era: 1, Revision: 2})
+	c.State.ReadServers(time.Now())
+	qt.Assert(t, c.State.View().Servers, qt.HasLen, 0)
+	req := &http.Request{Method: http.MethodGet, ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{}, Body: http.NoBody, Host: address, URL: &url.URL{Scheme: "http", Host: address, Path: "/Leaving=1"}}
+	resp, _, err := c.Do(context.Background(), server, req, egress.Options{RequestID: "r1"})
+	qt.Assert(t, err, qt.IsNil)
+	resp.Close()
+	c.State.Servers.Replace([]mirror.Object{{Name: "a", Revision: 3, Spec: []byte(address)}}, mirror.Position{Era: 1, Revision: 3})
+	c.State.ReadServers(time.Now())
+	qt.Check(t, c.State.View().ByID("a").Leaving, qt.IsTrue)
+}
--- a/entry/unary/unary.go
+++ b/entry/unary/unary.go
@@ -211,7 +211,7 @@
 		o.MaxIdle = maxIdleAtMostOnce
 	}
 	req := f.Codec.NewRequest(j.Request, call.SendOptions{Server: server, Timeout: j.Remaining(), Team: j.Team, Priority: j.Priority})
-	resp, reply, err := f.Servers.Do(attemptCtx, server.Address, req, o)
+	resp, reply, err := f.Servers.Do(attemptCtx, server, req, o)
 	if err != nil {
 		return attempt{err: fault.As(err)}
 	}
