--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -245,6 +245,7 @@
 		e.storeProxy.SetMode(proxy.Forward)
 		e.signal(syscall.SIGCONT)
 	}
+	c.endPauses()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, p := range c.serverProxies {
@@ -253,12 +254,20 @@
 	for _, s := range c.servers {
 		s.DropResponses(0)
 		s.RefuseNext(0)
-		s.PauseNext(0, "", 0)
 		s.TruncateAfter(0)
 		s.EndLimit()
 	}
 }
 
+// endPauses makes all servers request no more pauses.
+func (c *cluster) endPauses() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.servers {
+		s.PauseNext(0, "", 0)
+	}
+}
+
 // serversOf returns the live servers of a service.
 func (c *cluster) serversOf(service string) (list []*fakes.Server) {
 	c.mu.Lock()
--- a/soak/notices.go
+++ b/soak/notices.go
@@ -59,7 +59,8 @@
 }
 
 // checkNotices lets one server of each service say that it leaves, and the others request
-// pauses, while callers send more requests. The servers record violations.
+// pauses, while callers send more requests. The servers record violations. It returns when
+// the pauses have ended.
 func (r *run) checkNotices() {
 	for _, service := range []string{"booking", "assist"} {
 		for i, s := range r.cluster.serversOf(service) {
@@ -80,6 +81,8 @@
 		})
 	}
 	callers.Wait()
+	r.cluster.endPauses()
+	time.Sleep(maxPauseLength)
 }
 
 // disturbances records when entry hosts and links to servers were disturbed, by the name
