pause, egress, unary, stream: plainer names and comments

Read as a newcomer: what was skipped is called so, the error of a request that only pauses and limits stand in the way of has a name that says it, a paused server is no missing report in the log of the placer. unary.Serve is shorter by the error for a request without a server.

--- a/entry/call/call.go
+++ b/entry/call/call.go
@@ -93,8 +93,8 @@
 	// second.
 	RateLimited bool
 	RateLimit   float64
-	// RetryAfter is the time during which the backend server wants no requests from this
-	// entry host; zero if it did not say.
+	// RetryAfter is the time during which the backend server asks this entry host to send
+	// it no requests; zero if it does not ask.
 	RetryAfter time.Duration
 	// Leaving is set if the backend server says that it leaves.
 	Leaving bool
--- a/entry/egress/egress.go
+++ b/entry/egress/egress.go
@@ -114,8 +114,8 @@
 	}
 }
 
-// Paused returns how long a server wants no requests; zero if it has not requested a
-// pause.
+// Paused returns the remaining time of the pause that a server has requested; zero if
+// there is none.
 func (c *Client) Paused(s *fleet.Server, now time.Time) time.Duration {
 	return c.Pauses.Remaining(process(s), now)
 }
--- a/entry/placer/assign.go
+++ b/entry/placer/assign.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"fuchsiashelf.dev/entry/call"
@@ -55,6 +56,11 @@
 	ctx, cancel := context.WithTimeout(ctx, call.ReportTimeout)
 	defer cancel()
 	report, err := p.Engine.Report(ctx, s.Address)
+	var noReport *call.NoReportError
+	if errors.As(err, &noReport) && noReport.Paused {
+		p.Log.Info("placer: server is paused", "server", s.ID)
+		return report, err
+	}
 	if err != nil {
 		p.Log.Warn("placer: no report", "server", s.ID, "error", err)
 	}
--- a/entry/stream/choose.go
+++ b/entry/stream/choose.go
@@ -148,9 +148,9 @@
 	return &fault.Error{Code: fault.Overloaded, Verdict: fault.NotRun, Message: "no server has room", RetryAfter: max(retryAfter, minRetryAfter)}
 }
 
-// barred returns the error for a request for which there would be a chain if it were not
-// for pauses and rate limits of servers. It is nil if there would be none either.
-func (r *request) barred(q *router.Query) *fault.Error {
+// pausedOrLimited returns the error for a request for which only pauses and rate limits of
+// servers leave no chain. It is nil if there is none for another reason.
+func (r *request) pausedOrLimited(q *router.Query) *fault.Error {
 	wait, found := r.shortestWait(q)
 	if !found || wait == 0 {
 		return nil
@@ -166,6 +166,8 @@
 // in the way.
 func (r *request) shortestWait(q *router.Query) (wait time.Duration, found bool) {
 	now := time.Now()
+	// paused and limited hold the remaining times of pauses, and until limits allow a
+	// request. waits holds the times at which that changes.
 	paused, limited := map[*fleet.Server]time.Duration{}, map[string]time.Duration{}
 	waits := []time.Duration{0}
 	for _, s := range q.Servers {
@@ -212,7 +214,7 @@
 	if chain := r.pickWithinLimits(q); chain != nil {
 		return chain, nil
 	}
-	if e := r.barred(q); e != nil {
+	if e := r.pausedOrLimited(q); e != nil {
 		return nil, e
 	}
 	return nil, &fault.Error{Code: fault.NoCover, Verdict: fault.NotRun, Message: "no chain of servers holds all layers", RetryAfter: loadRetryAfter}
--- a/entry/stream/monitor.go
+++ b/entry/stream/monitor.go
@@ -85,8 +85,8 @@
 	// Broadcast sends a new suspicion or a long wait to other entry hosts.
 	Broadcast func()
 
-	// Paused returns how long a server wants no requests; zero if it has not requested a
-	// pause. Nil means that none has.
+	// Paused returns the remaining time of the pause that a server has requested; zero if
+	// there is none. Nil means that no server has requested one.
 	Paused func(s *fleet.Server, now time.Time) time.Duration
 	// EntryHosts returns the number of entry hosts, including this one.
 	EntryHosts func() int
--- a/entry/unary/unary.go
+++ b/entry/unary/unary.go
@@ -91,10 +91,10 @@
 	ctx, cancel := context.WithDeadlineCause(ctx, j.Deadline, context.DeadlineExceeded)
 	defer cancel()
 	// tried holds the addresses of the servers that the request was sent to, and of
-	// those that are paused or whose rate limits do not allow it. barred holds the
-	// latter.
+	// those that were skipped, because they are paused or their rate limits do not allow
+	// it.
 	tried := map[string]bool{}
-	var barred []*fleet.Server
+	var skipped []*fleet.Server
 	verdict := fault.NotRun
 	// failure is the last error response of a server. The caller gets it if no later
 	// attempt has a response: an error with the verdict NotRun would deny that the
@@ -108,18 +108,12 @@
 	}
 	for {
 		server := f.Stats.Pick(f.State.View().Service(j.Service.Name), f.LocalDomain, tried)
-		if server == nil && len(barred) > 0 {
-			return fail(&fault.Error{
-				Code: fault.Overloaded, Verdict: fault.NotRun, Message: "the servers have requested pauses, or their rate limits are reached",
-				RetryAfter: f.retryAfter(barred),
-			})
-		}
 		if server == nil {
-			return fail(&fault.Error{Code: fault.NoServer, Verdict: fault.NotRun, Message: "no backend server", RetryAfter: time.Second})
+			return fail(f.noServer(skipped))
 		}
 		tried[server.Address] = true
 		if f.Servers.Paused(server, time.Now()) > 0 || !f.Limits.Take(server.ID, time.Now()) {
-			barred = append(barred, server)
+			skipped = append(skipped, server)
 			continue
 		}
 		out.Server = server.ID
@@ -127,7 +121,7 @@
 		a := f.send(ctx, j, server, mayRetry)
 		if a.paused() {
 			f.Limits.Return(server.ID)
-			barred = append(barred, server)
+			skipped = append(skipped, server)
 			continue
 		}
 		if a.err == nil || a.err.Verdict != fault.NotRun || a.reply.Status != 0 {
@@ -238,6 +232,18 @@
 	return a
 }
 
+// noServer returns the error for a request for which there is no server but those that
+// were skipped.
+func (f *Forwarder) noServer(skipped []*fleet.Server) *fault.Error {
+	if len(skipped) == 0 {
+		return &fault.Error{Code: fault.NoServer, Verdict: fault.NotRun, Message: "no backend server", RetryAfter: time.Second}
+	}
+	return &fault.Error{
+		Code: fault.Overloaded, Verdict: fault.NotRun, Message: "the servers have requested pauses, or their rate limits are reached",
+		RetryAfter: f.retryAfter(skipped),
+	}
+}
+
 // retryAfter returns when a refused caller should retry: when the first of the servers
 // may get a request again.
 func (f *Forwarder) retryAfter(servers []*fleet.Server) time.Duration {
--- a/parts/pause/pause.go
+++ b/parts/pause/pause.go
@@ -1,13 +1,13 @@
 // Package pause tracks the pauses that backend servers request from this entry host.
 //
-// A server that turns a request away may name a time during which it wants nothing from
-// the entry host that sent the request. Each entry host has a [Tracker] of its own, and
-// pauses are not exchanged: the server has asked nothing of the other hosts. A pause binds
-// towards the process that requested it only. Addresses and IDs are used again, so the
-// tracker knows a process by its address and by when it had started at the latest.
+// A server that refuses a request may name a time during which the entry host that sent it
+// is to send nothing more. Each entry host has a [Tracker] of its own. Pauses are not
+// exchanged, because the server has not requested one from the other hosts. A pause applies
+// to the process that requested it only. Addresses and IDs are used again, so the tracker
+// identifies a process by its address and by the latest time at which it can have started.
 //
-// Every request for a pause counts for itself. A server is paused until the last of them
-// ends: a later response that names a shorter time, or none, takes nothing back.
+// Every requested pause counts. A server is paused until the last of them ends: a later
+// response that names a shorter time, or none, does not end a pause.
 package pause
 
 import (
@@ -20,7 +20,7 @@
 
 const (
 	// maxLength bounds a pause, so that a wrong value does not exclude a server until it
-	// restarts. A server that still wants nothing by then says so again.
+	// restarts. A server that still needs a pause then requests it again.
 	maxLength = time.Hour
 	// spreadShare and maxSpread bound the random addition of RetryAfter.
 	spreadShare = 0.25
@@ -49,7 +49,7 @@
 // pause is the pause of the server at an address.
 type pause struct {
 	// startedBy is a time by which the process that requested the pause had started. A
-	// process that started later has requested nothing.
+	// process that started later has not requested it.
 	startedBy time.Time
 	until     time.Time
 }
@@ -71,7 +71,7 @@
 	}
 	until := receivedAt.Add(length)
 	if known, exists := t.pauses[p.Address]; exists {
-		if known.binds(p) && known.until.After(until) {
+		if known.appliesTo(p) && known.until.After(until) {
 			until = known.until
 		}
 		if known.startedBy.After(startedBy) {
@@ -86,12 +86,12 @@
 	t.Log.Info("pause: requested", "address", p.Address, "length", length, "ends", until.Sub(receivedAt))
 }
 
-// binds reports whether the pause binds towards a process.
-func (s pause) binds(p Process) bool {
-	return !p.StartedAt.After(s.startedBy)
+// appliesTo reports whether a process may be the one that requested the pause.
+func (e pause) appliesTo(p Process) bool {
+	return !p.StartedAt.After(e.startedBy)
 }
 
-// Remaining returns how long a process wants no requests; zero if it is not paused.
+// Remaining returns the remaining time of the pause of a process; zero if there is none.
 func (t *Tracker) Remaining(p Process, now time.Time) time.Duration {
 	if t.count.Load() == 0 {
 		return 0
@@ -99,7 +99,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known, exists := t.pauses[p.Address]
-	if !exists || !known.binds(p) {
+	if !exists || !known.appliesTo(p) {
 		return 0
 	}
 	return max(0, known.until.Sub(now))
@@ -131,10 +131,9 @@
 	t.count.Store(int64(len(t.pauses)))
 }
 
-// RetryAfter returns when a caller should retry that was refused because of a pause which
-// ends after the given time. The result is later by a random time: otherwise all callers
-// that were refused during the pause would return at its end, to a server that has just
-// had too many of them.
+// RetryAfter returns the time after which a caller should retry that was refused because
+// of a pause with the given remaining time. It adds a random time: otherwise all callers
+// that were refused during a pause would return at its end, and overload the server again.
 func RetryAfter(wait time.Duration) time.Duration {
 	spread := min(maxSpread, time.Duration(spreadShare*float64(wait)))
 	if spread <= 0 {
