stall, relay: tell the silence of servers from a stall of this process

What callers saw (TestSession/shed, eight copies at once): whole answers were lost as "server-failed may-have-run" although all servers were alive, and up to 220 prompts reached the servers for some 120 answers.

In each run all three servers were suspected within a millisecond, while the probes that were taken for unanswered were answered after 230 to 700 ms. Of 235 probes of over 100 ms, the servers took 44 ms in the mean; the entry host took 72 ms to connect, 61 ms to write and 240 ms to read what had arrived. Timers of the process fired on time meanwhile, so a ticker alone sees only a part of it.

Cause: the time out of a probe was real time from before the probe was sent, and nothing asked whether the host itself was late.

The delay is in the metric host.stalls and in the lines that conclude something from silence.

Why it works: on a host without stalls the clock agrees with real time (tests), so a frozen server is suspected after the same 0.4 s (TestFrozenServerIsReplaced).

New session stall: the entry host is stopped for 200 ms, twelve times, with 2 ms in between.

--- a/entry/internal/crash/guard.go
+++ b/entry/internal/crash/guard.go
@@ -20,6 +20,7 @@
 	"fuchsiashelf.dev/parts/host"
 	"fuchsiashelf.dev/parts/peer"
 	"fuchsiashelf.dev/parts/poison"
+	"fuchsiashelf.dev/parts/stall"
 	"fuchsiashelf.dev/parts/trace"
 	"fuchsiashelf.dev/parts/view"
 	"fuchsiashelf.dev/parts/wire"
@@ -33,6 +34,9 @@
 	Engine *engine.Client
 	Trace  *trace.Recorder
 	Log    *slog.Logger
+	// Clock tells the silence of servers and entry hosts from stalls of this process; nil
+	// knows none.
+	Clock *stall.Clock
 
 	mu       sync.Mutex
 	trackers map[string]*poison.Tracker
@@ -124,7 +128,7 @@
 
 // queryPeer sends a query to one entry host.
 func (g *Guard) queryPeer(ctx context.Context, p view.Peer, ask *wire.PoisonAsk) (*wire.PoisonReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	ctx, cancel := g.Clock.WithTimeout(ctx, queryTimeout, nil)
 	defer cancel()
 	client, err := g.Mesh.Client(ctx, host.Host{Name: p.Name, Address: p.Address})
 	if err != nil {
--- a/entry/internal/mesh/mesh.go
+++ b/entry/internal/mesh/mesh.go
@@ -19,6 +19,7 @@
 	"fuchsiashelf.dev/parts/domain"
 	"fuchsiashelf.dev/parts/host"
 	"fuchsiashelf.dev/parts/peer"
+	"fuchsiashelf.dev/parts/stall"
 	"fuchsiashelf.dev/parts/trace"
 	"fuchsiashelf.dev/parts/view"
 	"fuchsiashelf.dev/parts/wire"
@@ -39,6 +40,9 @@
 	Address string
 	// Domain is the failure domain of this entry host.
 	Domain domain.Name
+	// Clock tells the silence of other entry hosts from stalls of this process; nil
+	// knows none.
+	Clock *stall.Clock
 	// TLS secures connections to other entry hosts; nil for plain TCP.
 	TLS *tls.Config
 	// Seeds are addresses of peers to start with while the object API is down.
@@ -85,7 +89,7 @@
 	m.changed = make(chan struct{}, 1)
 	m.peer = &peer.Peer{
 		Name: m.View.Load().Self, Address: m.Address, Domain: m.Domain,
-		Secret: m.Secret, TLS: m.TLS, Seeds: m.Seeds, Trace: m.Trace, Log: m.Log,
+		Secret: m.Secret, TLS: m.TLS, Clock: m.Clock, Seeds: m.Seeds, Trace: m.Trace, Log: m.Log,
 		Hosts: m.hosts, Local: m.localState, OnEvent: m.handleEvent,
 	}
 }
--- a/entry/internal/poll/poll.go
+++ b/entry/internal/poll/poll.go
@@ -20,6 +20,7 @@
 	"fuchsiashelf.dev/parts/health"
 	"fuchsiashelf.dev/parts/host"
 	"fuchsiashelf.dev/parts/server"
+	"fuchsiashelf.dev/parts/stall"
 	"fuchsiashelf.dev/parts/trace"
 	"fuchsiashelf.dev/parts/view"
 	"fuchsiashelf.dev/parts/wait"
@@ -30,8 +31,10 @@
 type Poller struct {
 	View   *view.Publisher
 	Engine *engine.Client
-	Trace  *trace.Recorder
-	Log    *slog.Logger
+	// Clock tells the silence of servers from stalls of this process; nil knows none.
+	Clock *stall.Clock
+	Trace *trace.Recorder
+	Log   *slog.Logger
 	// Workers runs the polls.
 	Workers *ants.Pool
 	// Interval is the time between two polls of a server.
@@ -82,7 +85,8 @@
 	if meter == nil || ctx.Err() != nil {
 		return
 	}
-	callCtx, cancel := context.WithTimeout(ctx, statusTimeout)
+	startedAt := p.Clock.Mark()
+	callCtx, cancel := p.Clock.WithTimeout(ctx, statusTimeout, nil)
 	defer cancel()
 	status, err := p.Engine.Status(callCtx, h.Address)
 	switch {
@@ -92,6 +96,7 @@
 	case ctx.Err() == nil:
 		failureCount.Inc(1)
 		p.recordFailure(h.Name, meter, time.Now())
+		p.Log.Warn("poll: server does not answer", "server", h.Name, "err", err, "delay", p.Clock.Delay(startedAt))
 	}
 }
 
@@ -122,5 +127,4 @@
 func (p *Poller) recordFailure(name string, meter *server.Meter, now time.Time) {
 	until := now.Add(p.Interval + health.SuspectFor(meter.Failures.Add(1)))
 	p.View.Update(func(s *view.Snapshot) { s.Suspect(name, until, now) })
-	p.Log.Warn("poll: server does not answer", "server", name)
 }
--- a/entry/internal/relay/attempt.go
+++ b/entry/internal/relay/attempt.go
@@ -22,7 +22,7 @@
 	if e != nil {
 		return e
 	}
-	now := time.Now()
+	d.startedAt = d.Clock.Mark()
 	names := serverNames(d.stages)
 	if !d.View.Acquire(names...) {
 		return &fault.Error{Code: fault.ServerRefused, Verdict: fault.NotRun, Message: "a server is leaving"}
@@ -34,10 +34,10 @@
 	// on its servers at once: an abandoned chain must not keep running.
 	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
-	m := d.startMonitor(cancel, now)
+	m := d.startMonitor(cancel)
 	defer m.stop()
 	sentBefore := len(d.sent)
-	e = d.stream(ctx, m, now)
+	e = d.stream(ctx, m, d.startedAt.At)
 	d.recordTokens(m, len(d.sent)-sentBefore)
 	if e == nil {
 		return nil
@@ -137,7 +137,7 @@
 				return e
 			}
 			last = time.Now()
-			m.recordToken(last)
+			m.recordToken()
 		case frame.End:
 			return nil
 		case frame.Failed, frame.Invalid:
--- a/entry/internal/relay/monitor.go
+++ b/entry/internal/relay/monitor.go
@@ -4,11 +4,14 @@
 	"context"
 	"errors"
 	"math"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"fuchsiashelf.dev/parts/engine"
 	"fuchsiashelf.dev/parts/retry"
+	"fuchsiashelf.dev/parts/stall"
 )
 
 // errSilent cancels an attempt whose chain has sent nothing for too long.
@@ -22,16 +25,18 @@
 	stages    []engine.Stage
 	cancel    context.CancelCauseFunc
 	timer     *time.Timer
-	// lastToken is the time of the last token, in nanoseconds since startedAt, or
-	// paused.
+	// started is the start of the attempt, and lastToken how long this process ran from
+	// then to the last token, in nanoseconds, or paused.
+	started   stall.Mark
 	lastToken atomic.Int64
-	startedAt time.Time
 	// probeAt and failAt are the timeouts of the next token, in nanoseconds since
 	// the last one. Reading one before and the other after an update is harmless.
 	probeAt, failAt atomic.Int64
 	stopped         atomic.Bool
+	// mu is held while the chain is checked.
+	mu sync.Mutex
 	// probes are the probes of the chain's servers since it became late, nil if
-	// there are none. Only the timer sets it.
+	// there are none.
 	probes atomic.Pointer[[]*probe]
 	// gaps are the gaps between the chain's tokens. Only the stream uses them.
 	gaps retry.Gaps
@@ -42,11 +47,11 @@
 const paused = math.MaxInt64 / 2
 
 // startMonitor starts a monitor of an attempt.
-func (d *delivery) startMonitor(cancel context.CancelCauseFunc, now time.Time) *monitor {
+func (d *delivery) startMonitor(cancel context.CancelCauseFunc) *monitor {
 	timeouts := d.firstTokenTimeouts()
 	m := &monitor{
 		forwarder: d.Forwarder, stages: d.stages, cancel: cancel,
-		startedAt: now, gaps: d.pool.baseline.Gaps(),
+		started: d.startedAt, gaps: d.pool.baseline.Gaps(),
 	}
 	m.setTimeouts(timeouts)
 	// The timer starts only after the field is set, because check uses it.
@@ -56,9 +61,9 @@
 }
 
 // recordToken records that a token was received and forwarded to the caller.
-func (m *monitor) recordToken(now time.Time) {
+func (m *monitor) recordToken() {
 	m.setTimeouts(m.gaps.Timeouts())
-	m.lastToken.Store(int64(now.Sub(m.startedAt)))
+	m.lastToken.Store(int64(m.forwarder.Clock.Since(m.started)))
 }
 
 func (m *monitor) setTimeouts(t retry.Timeouts) {
@@ -77,22 +82,45 @@
 	m.timer.Stop()
 }
 
-// check runs when the timer fires. It probes the servers of a chain that is
-// late, cancels the attempt if the chain has failed, and resets the timer.
+// check runs when the timer fires or a probe ends. It probes the servers of a chain
+// that is late, cancels the attempt if the chain has failed, and resets the timer.
 func (m *monitor) check() {
-	if m.stopped.Load() {
+	failed, wait := m.hasFailed()
+	if !failed {
+		m.timer.Reset(wait)
 		return
 	}
+	// A token may have arrived that this process has not read yet.
+	m.forwarder.Clock.AfterReads(func() {
+		failed, wait := m.hasFailed()
+		if !failed {
+			m.timer.Reset(wait)
+			return
+		}
+		if !m.stopped.Load() {
+			silentChains.Inc(1)
+			m.cancel(errSilent)
+		}
+	})
+}
+
+// hasFailed reports whether the chain has failed, and otherwise how long to wait before
+// the next check. It probes the servers of a chain that is late.
+func (m *monitor) hasFailed() (failed bool, wait time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.stopped.Load() {
+		return false, math.MaxInt64
+	}
 	timeouts := retry.Timeouts{
 		Probe: time.Duration(m.probeAt.Load()), Failure: time.Duration(m.failAt.Load()),
 	}
 	last := m.lastToken.Load()
 	if last == paused {
 		m.probes.Store(nil)
-		m.timer.Reset(timeouts.Probe)
-		return
+		return false, timeouts.Probe
 	}
-	idle := time.Since(m.startedAt) - time.Duration(last)
+	idle := m.forwarder.Clock.Since(m.started) - time.Duration(last)
 	phase, wait := timeouts.Next(idle, len(m.unresponsive()) == 0)
 	switch phase {
 	case retry.Healthy:
@@ -103,30 +131,38 @@
 			wait = min(wait, retry.ProbeTimeout)
 		}
 	case retry.Failed:
-		if m.probes.Load() == nil {
-			// The timer fired late. The servers are still probed first, so that
-			// none is suspected because of the delay.
-			m.probeServers()
-			wait = retry.ProbeTimeout
-			break
+		if m.pending() {
+			// The end of the last probe starts the next check.
+			return false, retry.ProbeTimeout
 		}
-		silentChains.Inc(1)
-		m.cancel(errSilent)
-		return
+		if m.probes.Load() != nil {
+			return true, 0
+		}
+		// If there are no probes yet, the timer fired late. The servers are still probed
+		// first, so that none is suspected because of the delay.
+		m.probeServers()
+		wait = retry.ProbeTimeout
 	}
-	m.timer.Reset(max(wait, time.Millisecond))
+	return false, max(wait, time.Millisecond)
 }
 
 func (m *monitor) probeServers() {
 	var probes []*probe
 	for _, s := range m.stages {
-		probes = append(probes, m.forwarder.probe(s.Server, s.Address))
+		p := m.forwarder.probe(s.Server, s.Address)
+		p.notify(func() { m.timer.Reset(0) })
+		probes = append(probes, p)
 	}
 	m.probes.Store(&probes)
 }
 
-// unresponsive returns the servers whose probe was sent and has not been
-// answered.
+// pending reports whether a probe has not ended yet.
+func (m *monitor) pending() bool {
+	probes := m.probes.Load()
+	return probes != nil && slices.ContainsFunc(*probes, func(p *probe) bool { return !p.finished.Load() })
+}
+
+// unresponsive returns the servers that did not answer their probe.
 func (m *monitor) unresponsive() []string {
 	probes := m.probes.Load()
 	if probes == nil {
@@ -134,7 +170,7 @@
 	}
 	var names []string
 	for _, p := range *probes {
-		if p.sent.Load() && !p.answered.Load() {
+		if p.failed.Load() {
 			names = append(names, p.server)
 		}
 	}
--- a/entry/internal/relay/probe.go
+++ b/entry/internal/relay/probe.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"fuchsiashelf.dev/parts/retry"
 )
 
 // probeCache holds the latest probe of each server. Streams share it: when a
@@ -18,17 +20,40 @@
 type probe struct {
 	server    string
 	startedAt time.Time
-	sent      atomic.Bool
-	answered  atomic.Bool
+	// finished is set when the probe has ended, and then failed if the server did not
+	// answer.
+	finished, failed atomic.Bool
+
+	mu sync.Mutex
+	// onFinish holds what is called when the probe has ended.
+	onFinish []func()
+}
+
+// notify calls a function when the probe has ended, unless it has ended already.
+func (p *probe) notify(onFinish func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.finished.Load() {
+		p.onFinish = append(p.onFinish, onFinish)
+	}
+}
+
+// finish ends the probe.
+func (p *probe) finish(failed bool) {
+	p.mu.Lock()
+	p.failed.Store(failed)
+	p.finished.Store(true)
+	notified := p.onFinish
+	p.onFinish = nil
+	p.mu.Unlock()
+	for _, onFinish := range notified {
+		onFinish()
+	}
 }
 
 // probeReuse is how long after its start a probe is shared with other streams.
 const probeReuse = 50 * time.Millisecond
 
-// probeTimeout bounds a probe. It is longer than retry.ProbeTimeout, after which
-// a server that has not answered counts as unresponsive.
-const probeTimeout = time.Second
-
 // probe starts a probe of a server, or returns the latest one if it is recent.
 func (f *Forwarder) probe(server, address string) *probe {
 	now := time.Now()
@@ -43,13 +68,11 @@
 	p := &probe{server: server, startedAt: now}
 	f.probes.latest[server] = p
 	send := func() {
-		p.sent.Store(true)
-		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+		ctx, cancel := f.Clock.WithTimeout(context.Background(), retry.ProbeTimeout, nil)
 		defer cancel()
 		// Only a valid status counts as an answer.
-		if _, err := f.Engine.Status(ctx, address); err == nil {
-			p.answered.Store(true)
-		}
+		_, err := f.Engine.Status(ctx, address)
+		p.finish(err != nil)
 	}
 	if f.ProbePool == nil {
 		go send()
@@ -57,6 +80,8 @@
 	}
 	// If the pool is full, the probe is not sent, and its server does not count
 	// as unresponsive.
-	_ = f.ProbePool.Submit(send)
+	if f.ProbePool.Submit(send) != nil {
+		p.finish(false)
+	}
 	return p
 }
--- a/entry/internal/relay/relay.go
+++ b/entry/internal/relay/relay.go
@@ -22,6 +22,7 @@
 	"fuchsiashelf.dev/parts/pick"
 	"fuchsiashelf.dev/parts/pool"
 	"fuchsiashelf.dev/parts/retry"
+	"fuchsiashelf.dev/parts/stall"
 	"fuchsiashelf.dev/parts/trace"
 	"fuchsiashelf.dev/parts/view"
 )
@@ -37,6 +38,8 @@
 	Log   *slog.Logger
 	// Policy decides which servers are picked; nil means pick.Cost.
 	Policy pick.Policy
+	// Clock tells the silence of servers from stalls of this process; nil knows none.
+	Clock *stall.Clock
 	// ProbePool runs probes of servers; nil means a goroutine for each.
 	ProbePool *ants.Pool
 
@@ -121,6 +124,8 @@
 	pool         *poolState
 	// attemptNumber is the number of the current attempt, from 1.
 	attemptNumber int
+	// startedAt is when the current attempt started.
+	startedAt stall.Mark
 	// sent holds the tokens forwarded to the caller.
 	sent []string
 	// verdict covers all attempts so far.
--- a/entry/internal/relay/suspect.go
+++ b/entry/internal/relay/suspect.go
@@ -2,11 +2,13 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"fuchsiashelf.dev/parts/engine"
 	"fuchsiashelf.dev/parts/fault"
 	"fuchsiashelf.dev/parts/health"
+	"fuchsiashelf.dev/parts/pick"
 	"fuchsiashelf.dev/parts/view"
 )
 
@@ -80,23 +82,28 @@
 // suspicion are not counted again.
 func (d *delivery) suspectServers(servers ...string) {
 	d.avoided = append(d.avoided, servers...)
+	d.markSuspected(d.stages, d.hops, servers, d.hostDelay())
+}
+
+// markSuspected has failed servers of a chain avoided by all requests. The delay is how
+// long this process was stalled meanwhile.
+func (f *Forwarder) markSuspected(stages []engine.Stage, hops []pick.Hop, servers []string, delay time.Duration) {
 	now := time.Now()
-	suspects := d.View.Load().SuspectedServers
-	for i := range d.stages {
-		for _, name := range servers {
-			if d.stages[i].Server != name || now.Before(suspects[name]) {
-				continue
-			}
-			failures := d.hops[i].Meter.Failures.Add(1)
-			d.suspectUntil(now.Add(health.SuspectFor(failures)), name)
-			d.Log.Warn("relay: server suspected", "server", name, "failures", failures)
+	suspects := f.View.Load().SuspectedServers
+	for i := range stages {
+		name := stages[i].Server
+		if !slices.Contains(servers, name) || now.Before(suspects[name]) {
+			continue
 		}
+		failures := hops[i].Meter.Failures.Add(1)
+		f.suspectUntil(now.Add(health.SuspectFor(failures)), name)
+		f.Log.Warn("relay: server suspected", "server", name, "failures", failures, "delay", delay)
 	}
 }
 
 // suspectUntil has all requests avoid a server until the given time.
-func (d *delivery) suspectUntil(until time.Time, server string) {
-	d.View.Update(func(s *view.Snapshot) { s.Suspect(server, until, time.Now()) })
+func (f *Forwarder) suspectUntil(until time.Time, server string) {
+	f.View.Update(func(s *view.Snapshot) { s.Suspect(server, until, time.Now()) })
 }
 
 // avoidLinkTo has the link to a failed server in the chain avoided, since the
@@ -117,5 +124,13 @@
 			link.RecordFailure(now)
 		}
 	}
-	d.Log.Warn("relay: links suspected", "request", d.req.ID, "chain", serverNames(d.stages))
+	d.Log.Warn("relay: links suspected", "request", d.req.ID, "chain", serverNames(d.stages), "delay", d.hostDelay())
+}
+
+// hostDelay returns how long this process was stalled during the attempt.
+func (d *delivery) hostDelay() time.Duration {
+	if d.startedAt.At.IsZero() {
+		return 0
+	}
+	return d.Clock.Delay(d.startedAt)
 }
--- a/entry/prog/guard.go
+++ b/entry/prog/guard.go
@@ -11,7 +11,7 @@
 // newGuard creates the component that blocks poisoned requests, which crash
 // backend servers.
 func (d *daemon) newGuard(publisher *view.Publisher, recorder *trace.Recorder, peers *mesh.Mesh) *crash.Guard {
-	guard := &crash.Guard{View: publisher, Mesh: peers, Engine: &engine.Client{}, Trace: recorder, Log: d.log}
+	guard := &crash.Guard{View: publisher, Mesh: peers, Engine: &engine.Client{}, Trace: recorder, Log: d.log, Clock: d.clock}
 	peers.HandlePoison = guard.HandlePoison
 	return guard
 }
--- a/entry/prog/mesh.go
+++ b/entry/prog/mesh.go
@@ -16,7 +16,7 @@
 		return nil, err
 	}
 	m := &mesh.Mesh{
-		View: publisher, Trace: recorder, Log: d.log, Secret: d.settings.PeerSecret, TLS: tlsConfig,
+		View: publisher, Trace: recorder, Log: d.log, Secret: d.settings.PeerSecret, TLS: tlsConfig, Clock: d.clock,
 		Address: d.peers.Addr().String(), Domain: d.settings.LocalDomain(),
 		OnConfig: func(value []byte, _ uint64) { watcher.ApplyEncoded(value) },
 		Local:    mesh.LocalState{StoreSilence: watcher.Staleness, StoreSeen: watcher.EverConnected, Synced: watcher.HasSynced, Apply: watcher.ApplyEncoded},
--- a/entry/prog/modelpath.go
+++ b/entry/prog/modelpath.go
@@ -44,9 +44,10 @@
 	return &modelPath{
 		forwarder: &relay.Forwarder{
 			View: publisher, Engine: client, Trace: recorder, Log: d.log, Policy: policy, ProbePool: probePool,
+			Clock: d.clock,
 		},
 		poller: &poll.Poller{
-			View: publisher, Engine: client, Trace: recorder, Log: d.log, Workers: pollPool,
+			View: publisher, Engine: client, Clock: d.clock, Trace: recorder, Log: d.log, Workers: pollPool,
 			Interval: d.settings.Poll, MaxRate: d.settings.PollRate, Done: make(chan struct{}),
 		},
 		probePool: probePool, pollPool: pollPool,
--- a/entry/prog/prog.go
+++ b/entry/prog/prog.go
@@ -20,6 +20,7 @@
 	"fuchsiashelf.dev/entry/internal/setup"
 	"fuchsiashelf.dev/parts/boot"
 	"fuchsiashelf.dev/parts/httpd"
+	"fuchsiashelf.dev/parts/stall"
 	"fuchsiashelf.dev/parts/store"
 	"fuchsiashelf.dev/parts/trace"
 	"fuchsiashelf.dev/parts/view"
@@ -40,6 +41,7 @@
 	}
 	d := &daemon{settings: settings, stdout: stdout}
 	d.log = slog.New(slog.NewTextHandler(stderr, nil)).With("entry", settings.Name)
+	d.clock = &stall.Clock{OnStall: func(delay time.Duration) { hostStalls.Update(delay) }}
 	if err := d.run(ctx); err != nil {
 		d.log.Error("prog: failed", "err", err)
 		return boot.ExitFailed
@@ -53,11 +55,16 @@
 // causes 128 calls a second.
 const watchTimeout = 5 * time.Second
 
+// hostStalls counts the stalls of this process, with their lengths.
+var hostStalls = metrics.NewRegisteredTimer("host.stalls", nil)
+
 // daemon is a running fsentry process.
 type daemon struct {
 	settings *setup.Settings
 	stdout   io.Writer
 	log      *slog.Logger
+	// clock tells the silence of others from stalls of this process.
+	clock *stall.Clock
 	// stopping is set when the process is told to stop. The entry host is not ready
 	// from then on.
 	stopping atomic.Bool
@@ -126,6 +133,7 @@
 			}
 		})
 	}
+	start("clock", d.clock.Run)
 	start("watch", func(ctx context.Context) error { watcher.Run(ctx); return nil })
 	start("poll", func(ctx context.Context) error { models.poller.Run(ctx); return nil })
 	start("mesh", func(ctx context.Context) error { return peers.Run(ctx, d.peers) })
--- a/parts/engine/client.go
+++ b/parts/engine/client.go
@@ -9,11 +9,13 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"time"
 
 	"github.com/bytedance/sonic"
 
 	"fuchsiashelf.dev/parts/fault"
+	"fuchsiashelf.dev/parts/stall"
 )
 
 // maxFrame is the maximum length of one line of a response stream, in bytes.
@@ -129,6 +131,13 @@
 	if err != nil {
 		return s, err
 	}
+	// The wait for the engine begins when the request is written.
+	restart := func() { stall.Restart(ctx) }
+	req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn:              func(httptrace.GotConnInfo) { restart() },
+		WroteRequest:         func(httptrace.WroteRequestInfo) { restart() },
+		GotFirstResponseByte: restart,
+	}))
 	resp, err := c.http().Do(req)
 	if err != nil {
 		return s, err
--- a/parts/peer/conn.go
+++ b/parts/peer/conn.go
@@ -9,6 +9,7 @@
 
 	"storj.io/drpc/drpcconn"
 
+	"fuchsiashelf.dev/parts/stall"
 	"fuchsiashelf.dev/parts/wire"
 )
 
@@ -28,6 +29,7 @@
 	if err != nil {
 		return nil, err
 	}
+	stall.Restart(ctx)
 	counting := &countingConn{raw, bytesIn, bytesOut}
 	if p.TLS == nil {
 		return drpcconn.New(counting), nil
--- a/parts/peer/digest.go
+++ b/parts/peer/digest.go
@@ -162,17 +162,18 @@
 // mergeDigest merges a digest into the local state. Its first member is the
 // sender.
 func (p *Peer) mergeDigest(d *wire.Digest, now time.Time) mergeResult {
+	heardAt := p.Clock.Now()
 	var result mergeResult
 	p.Trace.Observe(d.Clock)
 	for _, m := range d.Members[:min(len(d.Members), maxDigestItems)] {
 		r := Record{Incarnation: m.Incarnation, Heartbeat: m.Beat, State: stateOf(m.State)}
-		changed, unnamed := p.table.Merge(ID(m.Id), r, m.Revision, now)
+		changed, unnamed := p.table.Merge(ID(m.Id), r, m.Revision, heardAt)
 		result.changed = result.changed || changed
 		if unnamed {
 			result.unnamed = append(result.unnamed, m.Id)
 		}
 	}
-	p.mergeSender(d, now)
+	p.mergeSender(d, heardAt)
 	for _, m := range d.Marks[:min(len(d.Marks), maxDigestItems)] {
 		mark := Mark{
 			Kind: Kind(m.Kind), Name: m.Name, Until: time.UnixMilli(m.Until), Count: int(m.Count),
--- a/parts/peer/exchange.go
+++ b/parts/peer/exchange.go
@@ -20,12 +20,13 @@
 	}
 	p.exchanging[id] = true
 	p.mu.Unlock()
+	startedAt := p.Clock.Mark()
 	reply, err := p.sendDigest(ctx, m.Address)
 	p.mu.Lock()
 	delete(p.exchanging, id)
 	p.mu.Unlock()
 	if err != nil {
-		p.recordFailure(ctx, m, err)
+		p.recordFailure(ctx, m, err, p.Clock.Delay(startedAt))
 		return
 	}
 	p.handleDigest(reply, m)
@@ -33,7 +34,7 @@
 
 // sendDigest sends a digest to an address and returns the digest of the reply.
 func (p *Peer) sendDigest(ctx context.Context, address string) (*wire.Digest, error) {
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	ctx, cancel := p.Clock.WithTimeout(ctx, exchangeTimeout, nil)
 	defer cancel()
 	local := p.localState()
 	p.mu.Lock()
@@ -44,19 +45,20 @@
 }
 
 // recordFailure records a failed exchange. If the member becomes suspect, it
-// logs the error and emits an event.
-func (p *Peer) recordFailure(ctx context.Context, m Member, err error) {
+// logs the error and emits an event. The delay is how long this process was stalled
+// during the exchange.
+func (p *Peer) recordFailure(ctx context.Context, m Member, err error, delay time.Duration) {
 	if ctx.Err() != nil {
 		return
 	}
 	p.mu.Lock()
-	suspect := p.table.RecordFailure(IDOf(m.Name), time.Now())
+	suspect := p.table.RecordFailure(IDOf(m.Name), p.Clock.Now())
 	p.mu.Unlock()
 	if !suspect {
 		return
 	}
 	p.Trace.Record("peer", "", "member does not answer: "+m.Name)
-	p.Log.Warn("peer: member did not respond", "member", m.Name, "err", err)
+	p.Log.Warn("peer: member did not respond", "member", m.Name, "err", err, "delay", delay)
 	p.emit(MembershipChanged{})
 }
 
--- a/parts/peer/lookup.go
+++ b/parts/peer/lookup.go
@@ -19,7 +19,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if req.From != nil {
-		p.mergeContact(req.From, time.Now())
+		p.mergeContact(req.From, p.Clock.Now())
 	}
 	reply := &wire.MembersReply{}
 	add := func(m *Member) {
@@ -93,7 +93,7 @@
 // the same ID are rate limited, since the host list may provide the name
 // first.
 func (p *Peer) scheduleLookup(address string, ids []uint64) {
-	now := time.Now()
+	now := p.Clock.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.lookups) >= maxLookups {
@@ -129,7 +129,7 @@
 		p.Log.Warn("peer: member lookup failed", "from", address, "err", err)
 		return
 	}
-	now := time.Now()
+	now := p.Clock.Now()
 	p.mu.Lock()
 	for _, m := range reply.Members[:min(len(reply.Members), maxDigestItems)] {
 		p.mergeContact(m, now)
--- a/parts/peer/peer.go
+++ b/parts/peer/peer.go
@@ -18,6 +18,7 @@
 
 	"fuchsiashelf.dev/parts/domain"
 	"fuchsiashelf.dev/parts/host"
+	"fuchsiashelf.dev/parts/stall"
 	"fuchsiashelf.dev/parts/trace"
 	"fuchsiashelf.dev/parts/wire"
 )
@@ -53,6 +54,9 @@
 	Trace *trace.Recorder
 	// Log may be nil.
 	Log *slog.Logger
+	// Clock tells the silence of other members from stalls of this process; nil knows
+	// none.
+	Clock *stall.Clock
 	// Done is closed when Run returns; may be nil.
 	Done chan struct{}
 
@@ -195,7 +199,7 @@
 
 // round starts one exchange with each partner of the round.
 func (p *Peer) round(ctx context.Context) {
-	now := time.Now()
+	now := p.Clock.Now()
 	p.mu.Lock()
 	if p.Hosts != nil {
 		if hosts := p.Hosts(); hosts != nil {
@@ -203,7 +207,7 @@
 		}
 	}
 	p.table.Tick(now)
-	p.marks.Sweep(now)
+	p.marks.Sweep(time.Now())
 	p.publishRates(now)
 	partners := p.table.Partners(p.rand)
 	seeds := p.Seeds
--- a/sess/command_test.go
+++ b/sess/command_test.go
@@ -1,6 +1,7 @@
 package sess
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -9,12 +10,14 @@
 	"strings"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 	"golang.org/x/sync/errgroup"
 
 	"fuchsiashelf.dev/parts/domain"
 	"fuchsiashelf.dev/parts/host"
+	"fuchsiashelf.dev/parts/wait"
 	"fuchsiashelf.dev/sess/procs"
 )
 
@@ -119,7 +122,7 @@
 		out, err := s.Control(args[0], "GET", "/counts", nil)
 		return out + "\n", err
 	}),
-	// start JOB ask|call|desk ...: runs a command concurrently with the script.
+	// start JOB ask|call|desk|pulse ...: runs a command concurrently with the script.
 	"start": command("start", func(s *session, args []string) (string, error) { return "", s.startJob(args) }),
 	// await JOB: waits for a job and prints its output.
 	"await": command("await", func(s *session, args []string) (string, error) {
@@ -286,6 +289,38 @@
 	return err
 }
 
+// pulse stops a process again and again. The arguments are its name, how long it is
+// stopped and how long it runs in between, and how often it is stopped.
+func (s *session) pulse(args []string) error {
+	p, err := s.Get(args[0])
+	if err != nil {
+		return err
+	}
+	stopped, err := time.ParseDuration(args[1])
+	if err != nil {
+		return err
+	}
+	running, err := time.ParseDuration(args[2])
+	if err != nil {
+		return err
+	}
+	count, err := strconv.Atoi(args[3])
+	if err != nil {
+		return err
+	}
+	for range count {
+		wait.For(context.Background(), running)
+		if err := p.Freeze(); err != nil {
+			return err
+		}
+		wait.For(context.Background(), stopped)
+		if err := p.Signal(syscall.SIGCONT); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (s *session) ask(args []string) (string, error) {
 	maxTokens, err := strconv.Atoi(args[3])
 	if err != nil {
@@ -327,6 +362,8 @@
 		return s.appliedOrders(args[1])
 	case "counts":
 		return s.Control(args[1], "GET", "/counts", nil)
+	case "pulse":
+		return "", s.pulse(args[1:])
 	}
 	return "", fmt.Errorf("no command %s to run", args[0])
 }
--- a/sess/desk_test.go
+++ b/sess/desk_test.go
@@ -94,6 +94,11 @@
 		}
 		return "", nil
 	}),
+	// metric ENTRY NAME: prints a counter or gauge of an entry host.
+	"metric": command("metric", func(s *session, args []string) (string, error) {
+		n, err := s.metric(args[0], args[1])
+		return fmt.Sprintln(n), err
+	}),
 	// above ENTRY METRIC: waits until a counter of an entry host is above zero.
 	"above": quietCommand(func(s *session, args []string) (string, error) {
 		return "", procs.WaitFor(args[1]+" of "+args[0]+" above zero", func() bool {
