relay: do not begin anew at the servers of the only chain

Cause: servers that did not answer a probe within 150 ms were suspected and the attempt cancelled, also where every other chain leads over the same servers. The next attempt went to them again and began anew, so that busy servers got up to six times the work, and answered probes later still.

Now an attempt is cancelled only if another chain avoids the servers that do not answer. Otherwise it goes on, is probed again, and ends after as long as the remaining attempts would have taken. The servers are suspected as soon as before, so that a new chain is used at once when there is one.

TestOnlyChainIsSlow and TestOnlyChainIsFrozen failed before: the answer was lost after 2.6 s, and six attempts were sent instead of one.

--- a/entry/internal/relay/attempt.go
+++ b/entry/internal/relay/attempt.go
@@ -50,6 +50,7 @@
 	}
 	if cause := context.Cause(ctx); errors.Is(cause, errSilent) {
 		e = &fault.Error{Code: fault.ServerFailed, Cause: cause}
+		d.exhausted = m.exhausted.Load()
 	}
 	d.suspectCause(e, m)
 	return d.reportCrash(parent, e, len(d.sent) > sentBefore)
--- a/entry/internal/relay/fake_test.go
+++ b/entry/internal/relay/fake_test.go
@@ -17,6 +17,7 @@
 	"fuchsiashelf.dev/parts/host"
 	"fuchsiashelf.dev/parts/pool"
 	"fuchsiashelf.dev/parts/view"
+	"fuchsiashelf.dev/parts/wait"
 )
 
 // fakeServer is a backend server that generates tokens for any request. A script
@@ -28,6 +29,8 @@
 	script atomic.Pointer[func(r *frameWriter, req *engine.Request) bool]
 	// frozen makes the server leave status requests unanswered.
 	frozen atomic.Bool
+	// statusDelay is how long the server takes to answer status requests.
+	statusDelay atomic.Int64
 	// calls counts the attempts, cancelled those that the client cancelled while
 	// the script ran.
 	calls, cancelled atomic.Int64
@@ -65,6 +68,7 @@
 			<-r.Context().Done()
 			return
 		}
+		wait.For(r.Context(), time.Duration(f.statusDelay.Load()))
 		_, _ = io.WriteString(w, `{}`)
 		return
 	}
--- a/entry/internal/relay/monitor.go
+++ b/entry/internal/relay/monitor.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"fuchsiashelf.dev/parts/engine"
+	"fuchsiashelf.dev/parts/pick"
 	"fuchsiashelf.dev/parts/retry"
 	"fuchsiashelf.dev/parts/stall"
 )
@@ -23,6 +24,7 @@
 type monitor struct {
 	forwarder *Forwarder
 	stages    []engine.Stage
+	hops      []pick.Hop
 	cancel    context.CancelCauseFunc
 	timer     *time.Timer
 	// started is the start of the attempt, and lastToken how long this process ran from
@@ -38,6 +40,12 @@
 	// probes are the probes of the chain's servers since it became late, nil if
 	// there are none.
 	probes atomic.Pointer[[]*probe]
+	// hasAlternative reports whether another chain avoids the given servers.
+	hasAlternative func(servers []string) bool
+	// patience is how long a chain may be silent to which there is no alternative.
+	patience time.Duration
+	// exhausted is set if the chain was silent for that long.
+	exhausted atomic.Bool
 	// gaps are the gaps between the chain's tokens. Only the stream uses them.
 	gaps retry.Gaps
 }
@@ -50,9 +58,10 @@
 func (d *delivery) startMonitor(cancel context.CancelCauseFunc) *monitor {
 	timeouts := d.firstTokenTimeouts()
 	m := &monitor{
-		forwarder: d.Forwarder, stages: d.stages, cancel: cancel,
-		started: d.startedAt, gaps: d.pool.baseline.Gaps(),
+		forwarder: d.Forwarder, stages: d.stages, hops: d.hops, cancel: cancel,
+		started: d.startedAt, gaps: d.pool.baseline.Gaps(), hasAlternative: d.alternatives(),
 	}
+	m.patience = time.Duration(retry.MaxAttempts-d.attemptNumber+1) * (timeouts.Probe + retry.ProbeTimeout)
 	m.setTimeouts(timeouts)
 	// The timer starts only after the field is set, because check uses it.
 	m.timer = time.AfterFunc(math.MaxInt64, m.check)
@@ -135,7 +144,7 @@
 			// The end of the last probe starts the next check.
 			return false, retry.ProbeTimeout
 		}
-		if m.probes.Load() != nil {
+		if m.probes.Load() != nil && !m.shouldWait(idle) {
 			return true, 0
 		}
 		// If there are no probes yet, the timer fired late. The servers are still probed
@@ -146,6 +155,19 @@
 	return false, max(wait, time.Millisecond)
 }
 
+// shouldWait reports whether to wait on for a chain with servers that do not answer: if
+// there is no alternative to them, another attempt could only make them begin anew. It
+// waits as long as the remaining attempts would have taken.
+func (m *monitor) shouldWait(idle time.Duration) bool {
+	unresponsive := m.unresponsive()
+	if len(unresponsive) == 0 || m.hasAlternative(unresponsive) {
+		return false
+	}
+	m.exhausted.Store(idle >= m.patience)
+	m.forwarder.markSuspected(m.stages, m.hops, unresponsive, m.forwarder.Clock.Delay(m.started))
+	return idle < m.patience
+}
+
 func (m *monitor) probeServers() {
 	var probes []*probe
 	for _, s := range m.stages {
--- a/entry/internal/relay/relay.go
+++ b/entry/internal/relay/relay.go
@@ -10,6 +10,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -104,6 +105,9 @@
 			Error: e, Attempt: d.attemptNumber, Remaining: time.Until(req.Deadline),
 			CallerConnected: caller.Err() == nil, Sent: len(d.sent),
 		}
+		if d.exhausted {
+			failure.Attempt = retry.MaxAttempts
+		}
 		if !d.allowRetry(failure) {
 			givenUp.Inc(1)
 			final := failure.Final(d.verdict)
@@ -124,6 +128,9 @@
 	pool         *poolState
 	// attemptNumber is the number of the current attempt, from 1.
 	attemptNumber int
+	// exhausted says that the only chains were silent for as long as further attempts
+	// would have taken.
+	exhausted bool
 	// startedAt is when the current attempt started.
 	startedAt stall.Mark
 	// sent holds the tokens forwarded to the caller.
@@ -170,6 +177,19 @@
 	})
 }
 
+// alternatives returns a function that reports whether a chain exists that avoids the
+// given servers, besides those that the request avoids now.
+func (d *delivery) alternatives() func(servers []string) bool {
+	avoided := slices.Clone(d.avoided)
+	return func(servers []string) bool {
+		other := &delivery{Forwarder: d.Forwarder, req: d.req, pool: d.pool, avoided: append(slices.Clone(avoided), servers...)}
+		if e := other.pickChain(d.View.Load(), time.Now()); e != nil {
+			return false
+		}
+		return !slices.ContainsFunc(other.stages, func(s engine.Stage) bool { return slices.Contains(servers, s.Server) })
+	}
+}
+
 // typicalStages is the number of stages that few chains exceed.
 const typicalStages = 8
 
--- a/entry/internal/relay/relay_test.go
+++ b/entry/internal/relay/relay_test.go
@@ -13,6 +13,7 @@
 	"fuchsiashelf.dev/parts/pool"
 	"fuchsiashelf.dev/parts/retry"
 	"fuchsiashelf.dev/parts/view"
+	"fuchsiashelf.dev/parts/wait"
 )
 
 // A server fails at any token: it closes the stream, reports a failure, ends the
@@ -113,6 +114,42 @@
 	}
 }
 
+// The servers of the only chain are alive, but slow to answer probes. Another attempt
+// would make them begin anew, and lose what they have computed.
+func TestOnlyChainIsSlow(t *testing.T) {
+	c := quicktest.New(t)
+	cl := newCluster(t, "a1")
+	f := cl.servers[0]
+	f.statusDelay.Store(int64(2 * retry.ProbeTimeout))
+	f.setScript(func(r *frameWriter, req *engine.Request) bool {
+		wait.For(r.ctx, 6*retry.ProbeTimeout)
+		return false
+	})
+	got := &recordingSink{}
+	_, e := cl.forwarder.Do(context.Background(), cl.request("q", 5), got)
+	c.Assert(e == nil, quicktest.IsTrue, quicktest.Commentf("%v", e))
+	c.Assert(got.tokens, quicktest.DeepEquals, wantTokens("q", 5))
+	c.Assert(f.calls.Load(), quicktest.Equals, int64(1))
+}
+
+// The servers of the only chain never answer. The caller hears after as long as it
+// would take with a new attempt for each silence, and not only at its deadline.
+func TestOnlyChainIsFrozen(t *testing.T) {
+	c := quicktest.New(t)
+	cl := newCluster(t, "a1")
+	f := cl.servers[0]
+	f.frozen.Store(true)
+	f.setScript(func(r *frameWriter, _ *engine.Request) bool {
+		<-r.ctx.Done()
+		return true
+	})
+	_, e := cl.forwarder.Do(context.Background(), cl.request("q", 5), &recordingSink{})
+	c.Assert(e.Code, quicktest.Equals, fault.ServerFailed)
+	c.Assert(e.Verdict, quicktest.Equals, fault.MayHaveRun)
+	c.Assert(f.calls.Load(), quicktest.Equals, int64(1))
+	c.Assert(cl.forwarder.View.Load().SuspectedServers["a1"].IsZero(), quicktest.IsFalse)
+}
+
 // waitFor waits until a condition holds. The test's timeout ends a wait for one
 // that never does.
 func waitFor(condition func() bool) {
