stream, gossip, conns, unary, source: measure silence on the clock of the process

What callers saw: an entry host that was stopped for some seconds ended all streams that it served and started them again at other servers, although their events lay unread. Streams that may not be started again were lost.

Probes, connects, attempts of calls, reads of the object API and the ages of other entry hosts were real time as well: after a stall of two seconds all others counted as absent, and the host took itself for the leader.

All of these use parts/stall, the part that the own interface uses. TestStalled of parts/probe goes with the function that it tested; TestTimeoutIsExtendedByStall of parts/stall guards against the same and is stricter: the wait must go on for its rest, where before the result of the probe was only dropped. An age that is sent to other hosts stays real time, so that a death that this host has slept through is not noticed later by others.

Why it works: without stalls the clock is real time.

--- a/entry/conns/conns.go
+++ b/entry/conns/conns.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"fuchsiashelf.dev/parts/fault"
+	"fuchsiashelf.dev/parts/stall"
 )
 
 // Timeouts and limits.
@@ -47,6 +48,9 @@
 
 // Pool keeps idle connections to backend servers. The zero value is ready to use.
 type Pool struct {
+	// Clock tells the silence of servers from stalls of this process; nil knows none.
+	Clock *stall.Clock
+
 	mu   sync.Mutex
 	idle map[string][]*conn
 }
@@ -111,6 +115,7 @@
 	if err != nil {
 		return nil, &fault.Error{Code: fault.ServerFailed, Verdict: fault.NotRun, Message: "no connection", Server: address, Cause: err}
 	}
+	stall.Restart(ctx)
 	if o.BeforeWrite != nil {
 		if err := o.BeforeWrite(); err != nil {
 			c.Close()
@@ -118,7 +123,7 @@
 		}
 	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
-	resp, err := p.exchange(c, req, o)
+	resp, err := p.exchange(ctx, c, req, o)
 	if err != nil {
 		stop()
 		c.Close()
@@ -132,7 +137,7 @@
 }
 
 // exchange writes a request and reads up to the header of its response.
-func (p *Pool) exchange(c *conn, req *http.Request, o Options) (*Response, error) {
+func (p *Pool) exchange(ctx context.Context, c *conn, req *http.Request, o Options) (*Response, error) {
 	// Header and body are written at once, so that they are sent in one packet if they
 	// fit.
 	bw := bufio.NewWriterSize(c.Conn, 2048+int(min(req.ContentLength, 32<<10)))
@@ -142,6 +147,7 @@
 	if err := bw.Flush(); err != nil {
 		return nil, err
 	}
+	stall.Restart(ctx)
 	for range maxResponses {
 		resp, err := http.ReadResponse(c.br, req)
 		if err != nil {
@@ -206,7 +212,7 @@
 		}
 		c.Close()
 	}
-	return dial(ctx, address, cmp.Or(o.DialTimeout, dialTimeout))
+	return p.dial(ctx, address, cmp.Or(o.DialTimeout, dialTimeout))
 }
 
 // pop removes the most recently used idle connection to an address and returns it.
@@ -275,22 +281,30 @@
 
 // Connect checks whether an address accepts connections.
 func (p *Pool) Connect(ctx context.Context, address string) error {
-	c, err := dial(ctx, address, dialTimeout)
+	c, err := p.dial(ctx, address, dialTimeout)
 	if err != nil {
 		return &fault.Error{Code: fault.ServerFailed, Verdict: fault.NotRun, Message: "no connection", Server: address, Cause: err}
 	}
 	return c.Close()
 }
 
-func dial(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
-	d := net.Dialer{Timeout: timeout, KeepAlive: -1, Control: SetUserTimeout}
+func (p *Pool) dial(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
+	ctx, cancel := p.Clock.WithTimeout(ctx, timeout, errDialTimeout)
+	defer cancel()
+	d := net.Dialer{KeepAlive: -1, Control: SetUserTimeout}
 	c, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
+		if cause := context.Cause(ctx); cause != nil {
+			err = errors.Join(cause, err)
+		}
 		return nil, err
 	}
 	return &conn{Conn: c, br: bufio.NewReader(c)}, nil
 }
 
+// errDialTimeout says that a server did not accept a connection in time.
+var errDialTimeout = errors.New("conns: no connection in time")
+
 // tcpUserTimeout is TCP_USER_TIMEOUT, which the standard library does not define on
 // all systems.
 const tcpUserTimeout = 0x12
--- a/entry/front/meter.go
+++ b/entry/front/meter.go
@@ -27,9 +27,9 @@
 	}
 	kind := j.Route.Kind.String()
 	m.Count("requests." + kind)
-	m.observe("took."+kind, took)
+	m.Observe("took."+kind, took)
 	if out.TimeToFirstByte > 0 {
-		m.observe("first."+kind, out.TimeToFirstByte)
+		m.Observe("first."+kind, out.TimeToFirstByte)
 	}
 	if out.Sends > 1 {
 		m.Count("repeats." + kind)
@@ -46,8 +46,8 @@
 	metrics.GetOrRegisterGauge(name, m.Registry).Update(value)
 }
 
-// observe adds a duration, in milliseconds, to a histogram.
-func (m *Meter) observe(name string, d time.Duration) {
+// Observe adds a duration, in milliseconds, to a histogram.
+func (m *Meter) Observe(name string, d time.Duration) {
 	item := m.Registry.GetOrRegister(name, func() metrics.Histogram {
 		return metrics.NewHistogram(metrics.NewUniformSample(sampleSize))
 	})
--- a/entry/gossip/drpc.go
+++ b/entry/gossip/drpc.go
@@ -10,6 +10,8 @@
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcserver"
+
+	"fuchsiashelf.dev/parts/stall"
 )
 
 // exchangeCall is the name of the only RPC, which sends a Message and returns one.
@@ -72,6 +74,7 @@
 		if err != nil {
 			return err
 		}
+		stall.Restart(ctx)
 		c.conn = drpcconn.New(raw)
 	}
 	err := c.conn.Invoke(ctx, exchangeCall, codec{}, sent, received)
--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -22,6 +22,7 @@
 	"fuchsiashelf.dev/parts/mirror"
 	"fuchsiashelf.dev/parts/poison"
 	"fuchsiashelf.dev/parts/router"
+	"fuchsiashelf.dev/parts/stall"
 )
 
 // Timeouts, intervals and fan-out.
@@ -70,6 +71,8 @@
 	Crashes      *poison.Counter
 	Limits       *limit.Tracker
 	Log          *slog.Logger
+	// Clock tells the silence of other hosts from stalls of this process; nil knows none.
+	Clock *stall.Clock
 	// Suspects returns the suspected servers; OnSuspect handles those of other hosts.
 	Suspects  func() []Suspect
 	OnSuspect func(Suspect)
@@ -123,7 +126,7 @@
 // init initializes the unexported fields once.
 func (p *Peer) init() {
 	p.once.Do(func() {
-		p.started = time.Now()
+		p.started = p.Clock.Now()
 		p.members = map[string]*memberState{}
 		p.clients = map[string]*client{}
 		p.pulls = map[string]bool{}
@@ -206,11 +209,11 @@
 func (p *Peer) partners(local, remote int) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
+	now := p.Clock.Now()
 	var localHosts, remoteHosts []string
 	for name, m := range p.members {
 		switch {
-		case now.Sub(m.lastHeard) > removeAfter:
+		case now.Sub(m.heardAt) > removeAfter:
 			p.remove(name, m.Address)
 		case m.Domain == p.Self.Domain:
 			localHosts = append(localHosts, m.Address)
@@ -286,14 +289,15 @@
 // exchange sends the local state, without changes, to one entry host and merges the
 // response, which contains no changes either if brief is set.
 func (p *Peer) exchange(ctx context.Context, c *client, brief bool) {
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	startedAt := p.Clock.Mark()
+	ctx, cancel := p.Clock.WithIdleTimeout(ctx, exchangeTimeout, nil)
 	defer cancel()
 	sent := p.message(nil)
 	sent.Brief = brief
 	received := &Message{}
 	if err := c.call(ctx, sent, received); err != nil {
 		if !c.failing {
-			p.Log.Warn("peers: no answer", "address", c.address, "error", err)
+			p.Log.Warn("peers: no answer", "address", c.address, "error", err, "delay", p.Clock.Delay(startedAt))
 		}
 		c.failing = true
 		return
--- a/entry/gossip/leader.go
+++ b/entry/gossip/leader.go
@@ -13,7 +13,7 @@
 	p.init()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.settled || time.Since(p.started) >= settleTime
+	return p.settled || p.Clock.Now().Sub(p.started) >= settleTime
 }
 
 // IsLeader reports whether this entry host is the leader, which places layers on
--- a/entry/gossip/member.go
+++ b/entry/gossip/member.go
@@ -29,10 +29,11 @@
 	Settled bool
 }
 
-// memberState holds a member's last known state and when the member sent it.
+// memberState holds a member's last known state and when the member sent it: in real time,
+// and on the clock of this process, which does not count its stalls.
 type memberState struct {
 	Member
-	lastHeard time.Time
+	lastHeard, heardAt time.Time
 }
 
 // remove removes an entry host that has sent no message for removeAfter. The mutex is
@@ -49,13 +50,25 @@
 
 // Members returns the other known entry hosts, ordered by name.
 func (p *Peer) Members() []Member {
+	now := time.Now()
+	return p.list(func(m *memberState) time.Duration { return now.Sub(m.lastHeard) })
+}
+
+// listened returns the same hosts, but each with the time for which this process has
+// listened without hearing from it as its age.
+func (p *Peer) listened() []Member {
+	now := p.Clock.Now()
+	return p.list(func(m *memberState) time.Duration { return now.Sub(m.heardAt) })
+}
+
+// list returns the other known entry hosts with the given ages, ordered by name.
+func (p *Peer) list(age func(m *memberState) time.Duration) []Member {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
 	list := make([]Member, 0, len(p.members))
 	for _, known := range p.members {
 		member := known.Member
-		member.Age = now.Sub(known.lastHeard)
+		member.Age = age(known)
 		list = append(list, member)
 	}
 	slices.SortFunc(list, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
@@ -90,14 +103,14 @@
 // Alive returns the other entry hosts that have sent a message within aliveFor and are
 // not leaving.
 func (p *Peer) Alive() []Member {
-	return slices.DeleteFunc(p.Members(), func(m Member) bool { return m.Age > aliveFor || m.Leaving })
+	return slices.DeleteFunc(p.listened(), func(m Member) bool { return m.Age > aliveFor || m.Leaving })
 }
 
 // Senders returns the names of the other entry hosts that may send requests to servers.
 // A host that sends no messages counts until it is removed: it may be cut off from this
 // one only. complete says that no others exist.
 func (p *Peer) Senders() (names []string, complete bool) {
-	for _, m := range p.Members() {
+	for _, m := range p.listened() {
 		if !m.Leaving || m.Age <= aliveFor {
 			names = append(names, m.Name)
 		}
@@ -126,11 +139,11 @@
 	if m.Name == p.Self.Name || m.Age > removeAfter {
 		return
 	}
-	lastHeard := now.Add(-m.Age)
+	lastHeard, heardAt := now.Add(-m.Age), p.Clock.Now().Add(-m.Age)
 	known := p.members[m.Name]
 	if known == nil {
 		p.Log.Info("peers: new", "peer", m.Name, "address", m.Address, "domain", m.Domain)
-		p.members[m.Name] = &memberState{Member: m, lastHeard: lastHeard}
+		p.members[m.Name] = &memberState{Member: m, lastHeard: lastHeard, heardAt: heardAt}
 		return
 	}
 	if precedes(m, known.Member) || m.Boot == known.Boot && m.Seq == known.Seq && lastHeard.Before(known.lastHeard) {
@@ -140,7 +153,7 @@
 		p.Load.SetRemote(m.Name, nil)
 	}
 	known.Member = m
-	known.lastHeard = lastHeard
+	known.lastHeard, known.heardAt = lastHeard, heardAt
 }
 
 // precedes reports whether m was sent before other, a state of the same member.
--- a/entry/internal/crash/guard.go
+++ b/entry/internal/crash/guard.go
@@ -128,7 +128,7 @@
 
 // queryPeer sends a query to one entry host.
 func (g *Guard) queryPeer(ctx context.Context, p view.Peer, ask *wire.PoisonAsk) (*wire.PoisonReply, error) {
-	ctx, cancel := g.Clock.WithTimeout(ctx, queryTimeout, nil)
+	ctx, cancel := g.Clock.WithIdleTimeout(ctx, queryTimeout, nil)
 	defer cancel()
 	client, err := g.Mesh.Client(ctx, host.Host{Name: p.Name, Address: p.Address})
 	if err != nil {
--- a/entry/internal/crash/tracker.go
+++ b/entry/internal/crash/tracker.go
@@ -193,7 +193,7 @@
 // there. A timeout proves nothing, since the link may be cut or the process
 // paused.
 func (g *Guard) isDead(ctx context.Context, address string) bool {
-	ctx, cancel := g.Clock.WithTimeout(ctx, probeTimeout, nil)
+	ctx, cancel := g.Clock.WithIdleTimeout(ctx, probeTimeout, nil)
 	defer cancel()
 	_, err := g.Engine.Status(ctx, address)
 	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
--- a/entry/internal/poll/poll.go
+++ b/entry/internal/poll/poll.go
@@ -86,7 +86,7 @@
 		return
 	}
 	startedAt := p.Clock.Mark()
-	callCtx, cancel := p.Clock.WithTimeout(ctx, statusTimeout, nil)
+	callCtx, cancel := p.Clock.WithIdleTimeout(ctx, statusTimeout, nil)
 	defer cancel()
 	status, err := p.Engine.Status(callCtx, h.Address)
 	switch {
--- a/entry/internal/relay/probe.go
+++ b/entry/internal/relay/probe.go
@@ -68,7 +68,7 @@
 	p := &probe{server: server, startedAt: now}
 	f.probes.latest[server] = p
 	send := func() {
-		ctx, cancel := f.Clock.WithTimeout(context.Background(), retry.ProbeTimeout, nil)
+		ctx, cancel := f.Clock.WithIdleTimeout(context.Background(), retry.ProbeTimeout, nil)
 		defer cancel()
 		// Only a valid status counts as an answer.
 		_, err := f.Engine.Status(ctx, address)
--- a/entry/source/source.go
+++ b/entry/source/source.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"fuchsiashelf.dev/parts/mirror"
+	"fuchsiashelf.dev/parts/stall"
 )
 
 // ErrCompacted says that the changes after a revision have been compacted and are no
@@ -278,6 +279,9 @@
 	Mirror     *mirror.Mirror
 	Watchers   []*Watcher
 	Log        *slog.Logger
+	// Clock tells the silence of the object API from stalls of this process; nil knows
+	// none.
+	Clock *stall.Clock
 	// OnRecovery is called when the object API answers again, or was restored from an
 	// older copy.
 	OnRecovery func()
@@ -324,13 +328,14 @@
 // check reads the revision of the object, and restarts the watches if the object API
 // answers again or a watch has missed a change.
 func (m *Monitor) check(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	startedAt := m.Clock.Mark()
+	ctx, cancel := m.Clock.WithIdleTimeout(ctx, readTimeout, nil)
 	defer cancel()
 	read, err := m.Store.StaleRevision(ctx, m.Kind, m.Name)
 	wasAlive := m.setAlive(err == nil)
 	if err != nil {
 		if wasAlive {
-			m.Log.Warn("store: lost", "error", err)
+			m.Log.Warn("store: lost", "error", err, "delay", m.Clock.Delay(startedAt))
 		}
 		return
 	}
--- a/entry/stream/active.go
+++ b/entry/stream/active.go
@@ -9,6 +9,7 @@
 	"fuchsiashelf.dev/entry/call"
 	"fuchsiashelf.dev/parts/probe"
 	"fuchsiashelf.dev/parts/router"
+	"fuchsiashelf.dev/parts/stall"
 )
 
 // activeStream is a stream in progress.
@@ -18,8 +19,10 @@
 	// reserveRestart reserves an attempt of the request on another chain, and reports
 	// whether its route and the retry budget allow one. Nil means that they do not.
 	reserveRestart func() bool
-	// lastActivity is the time of the last event or reroute, in Unix nanoseconds, and
-	// meanGap the mean gap between two events, in nanoseconds.
+	// clock tells the silence of servers from stalls of this process.
+	clock *stall.Clock
+	// lastActivity is the time of the last event or reroute on the clock, in Unix
+	// nanoseconds, and meanGap the mean gap between two events, in nanoseconds.
 	lastActivity, meanGap atomic.Int64
 	// started is set by the first event.
 	started atomic.Bool
@@ -46,8 +49,7 @@
 
 // recordEvent records an event and reports whether it is the first one.
 func (s *activeStream) recordEvent() (first bool) {
-	now := time.Now().UnixNano()
-	gap := now - s.lastActivity.Swap(now)
+	gap := s.recordActivity()
 	if !s.started.Swap(true) {
 		return true
 	}
@@ -60,24 +62,32 @@
 	return false
 }
 
-func (s *activeStream) silence(now time.Time) time.Duration {
-	return time.Duration(now.UnixNano() - s.lastActivity.Load())
+// recordActivity records an event or a reroute, and returns the time since the last one
+// in nanoseconds.
+func (s *activeStream) recordActivity() int64 {
+	now := s.clock.Now().UnixNano()
+	return now - s.lastActivity.Swap(now)
+}
+
+// silence returns how long this process has waited for the next event.
+func (s *activeStream) silence() time.Duration {
+	return time.Duration(s.clock.Now().UnixNano() - s.lastActivity.Load())
 }
 
 // silent reports whether the time since the last event is longer than expected.
-func (s *activeStream) silent(now time.Time) bool {
+func (s *activeStream) silent() bool {
 	if s.started.Load() {
-		return s.silence(now) > max(silentTimeout(s.job.Route), silentGaps*time.Duration(s.meanGap.Load()))
+		return s.silence() > max(silentTimeout(s.job.Route), silentGaps*time.Duration(s.meanGap.Load()))
 	}
-	return s.silence(now) > silentStartTimeout(s.job.Route)
+	return s.silence() > silentStartTimeout(s.job.Route)
 }
 
 // overdue reports whether the time since the last event exceeds both the timeout of
 // a short probe and the mean gap. An event during the probe shows that the stream is
 // still served, and a stream whose next event is not due yet must not be rerouted
 // because of a lost probe.
-func (s *activeStream) overdue(now time.Time) bool {
-	return s.silence(now) > max(probe.MinTimeout, time.Duration(s.meanGap.Load()))
+func (s *activeStream) overdue() bool {
+	return s.silence() > max(probe.MinTimeout, time.Duration(s.meanGap.Load()))
 }
 
 // addresses returns the addresses of the servers of the chain.
--- a/entry/stream/monitor.go
+++ b/entry/stream/monitor.go
@@ -15,15 +15,13 @@
 	"fuchsiashelf.dev/parts/poison"
 	"fuchsiashelf.dev/parts/probe"
 	"fuchsiashelf.dev/parts/router"
+	"fuchsiashelf.dev/parts/stall"
 )
 
 // Timeouts and intervals that do not depend on routes.
 const (
 	// sweepInterval is the interval between two checks of all streams.
 	sweepInterval = 15 * time.Millisecond
-	// maxSweepDelay is the interval between two sweeps above which silence is
-	// attributed to this entry host, not to servers.
-	maxSweepDelay = 40 * time.Millisecond
 	// silentGaps is the number of mean gaps without an event after which the servers
 	// of a stream are probed, if that is longer than silentTimeout. The number of
 	// probes is limited, and where all streams are slow, enough of them must be left
@@ -66,9 +64,6 @@
 	errFirstServerDead = errors.New("stream: the first server does not answer")
 	errSilent          = errors.New("stream: silent for too long")
 	errNoChain         = errors.New("stream: no other way behind the first server")
-	// errHostDelayed is the error of a probe that is inconclusive, because this entry
-	// host was delayed meanwhile.
-	errHostDelayed = errors.New("stream: this entry host lagged")
 )
 
 // Monitor monitors the streams in progress. Set the exported fields before Run.
@@ -80,6 +75,8 @@
 	StartLatency *router.StartLatency
 	LocalDomain  domain.Name
 	Log          *slog.Logger
+	// Clock tells the silence of servers from stalls of this process; nil knows none.
+	Clock *stall.Clock
 	// Crashes counts the servers that crashed under each request.
 	Crashes *poison.Counter
 	// Broadcast sends a new suspicion or a long wait to other entry hosts.
@@ -113,14 +110,11 @@
 	exited map[string]time.Time
 	// lastDrain is when a stream was last rerouted around a draining server.
 	lastDrain time.Time
-	// lastSweep is the time of the last sweep, and lastLateSweep that of the last one
-	// that was delayed.
-	lastSweep, lastLateSweep time.Time
 }
 
 func (m *Monitor) add(job *call.Job, chain router.Chain, cancel context.CancelCauseFunc, reserveRestart func() bool) *activeStream {
-	stream := &activeStream{job: job, chain: chain, cancel: cancel, reserveRestart: reserveRestart, releaseChain: m.Load.Reserve(chain, totalTokens(job))}
-	stream.lastActivity.Store(time.Now().UnixNano())
+	stream := &activeStream{job: job, chain: chain, clock: m.Clock, cancel: cancel, reserveRestart: reserveRestart, releaseChain: m.Load.Reserve(chain, totalTokens(job))}
+	stream.recordActivity()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.streams == nil {
@@ -172,27 +166,22 @@
 func (m *Monitor) sweep(ctx context.Context, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	delayed := !m.lastSweep.IsZero() && now.Sub(m.lastSweep) > maxSweepDelay
-	if delayed {
-		m.lastLateSweep = now
-	}
-	m.lastSweep = now
 	anyLate := false
 	for stream := range m.streams {
-		silence := stream.silence(now)
+		silence := stream.silence()
 		if stream.started.Load() && silence > restartTimeout(stream.job.Route) {
 			stream.cancel(errSilent)
 		}
 		anyLate = anyLate || silence > time.Duration(stream.meanGap.Load())
 	}
 	maps.DeleteFunc(m.lastAnswer, func(_ string, at time.Time) bool { return now.Sub(at) > healthyProbeInterval })
-	if !anyLate || delayed {
+	if !anyLate {
 		return
 	}
 	streams := make([]probe.Stream, 0, len(m.streams))
 	for stream := range m.streams {
 		streams = append(streams, probe.Stream{
-			Servers: stream.addresses(), Silent: stream.silent(now), Pause: stream.silence(now), TypicalGap: time.Duration(stream.meanGap.Load()),
+			Servers: stream.addresses(), Silent: stream.silent(), Pause: stream.silence(), TypicalGap: time.Duration(stream.meanGap.Load()),
 		})
 	}
 	for _, address := range m.probes.Next(streams, now) {
@@ -203,13 +192,8 @@
 // probeSilent probes a server of a silent stream. If the server does not answer, the
 // streams that use it are rerouted or restarted.
 func (m *Monitor) probeSilent(ctx context.Context, address string) {
+	startedAt := m.Clock.Mark()
 	report, err := m.fetchReport(ctx, address, m.probeTimeout())
-	if errors.Is(err, errHostDelayed) {
-		m.mu.Lock()
-		m.probes.Discard(address)
-		m.mu.Unlock()
-		return
-	}
 	m.mu.Lock()
 	outcome := m.probes.Record(address, isAlive(err), probeOutcome(err) == probe.Exited)
 	m.mu.Unlock()
@@ -220,7 +204,7 @@
 	if isAlive(err) {
 		return
 	}
-	m.Log.Warn("watch: no report", "address", address, "finding", outcome.String(), "error", err)
+	m.Log.Warn("watch: no report", "address", address, "finding", outcome.String(), "error", err, "delay", m.Clock.Delay(startedAt))
 	m.DropConns(address)
 	if outcome.Failed() {
 		m.suspect(address, "no report", err)
@@ -235,24 +219,17 @@
 	return m.timeout.Current()
 }
 
-// fetchReport asks a server for its report. If the server does not answer while this
-// entry host is delayed, the error is errHostDelayed: nothing follows about the
-// server, unless it refused the connection.
+// fetchReport asks a server for its report.
 func (m *Monitor) fetchReport(ctx context.Context, address string, timeout time.Duration) (call.Report, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := m.Clock.WithIdleTimeout(ctx, timeout, nil)
 	defer cancel()
-	start := time.Now()
+	start := m.Clock.Mark()
 	report, err := m.Engine.Report(ctx, address)
-	elapsed := time.Since(start)
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	if isAlive(err) {
+		elapsed := m.Clock.Since(start)
+		m.mu.Lock()
+		defer m.mu.Unlock()
 		m.timeout.Record(elapsed, timeout <= m.timeout.Current())
-		return report, err
-	}
-	delayed := probe.Stalled(timeout, elapsed) || m.lastLateSweep.After(start) || !m.lastSweep.IsZero() && time.Since(m.lastSweep) > maxSweepDelay
-	if delayed && probeOutcome(err) != probe.Exited {
-		return report, errHostDelayed
 	}
 	return report, err
 }
@@ -284,16 +261,15 @@
 // it, and on a first server in any case, because a server that shuts down may close
 // its port before its last stream ends.
 func (m *Monitor) evacuate(address string, outcome probe.State) {
-	now := time.Now()
 	var affected []*activeStream
 	m.mu.Lock()
 	for stream := range m.streams {
-		if outcome != probe.Exited && !stream.overdue(now) || !stream.uses(address) {
+		if outcome != probe.Exited && !stream.overdue() || !stream.uses(address) {
 			continue
 		}
 		if stream.firstAddress() != address {
 			affected = append(affected, stream)
-		} else if outcome.Failed() && stream.silent(now) {
+		} else if outcome.Failed() && stream.silent() {
 			stream.cancel(errFirstServerDead)
 		}
 	}
--- a/entry/stream/probe.go
+++ b/entry/stream/probe.go
@@ -163,9 +163,6 @@
 		err := m.probeOnce(address, timeout)
 		now := time.Now()
 		switch {
-		case errors.Is(err, errHostDelayed):
-			time.Sleep(reprobeDelay)
-			continue
 		case err == nil:
 			if misses < probe.FailureThreshold && via.from != via.to {
 				m.State.MarkUnreachable(via.from, via.to, now)
--- a/entry/stream/reroute.go
+++ b/entry/stream/reroute.go
@@ -76,7 +76,7 @@
 	}
 	started := stream.started.Load()
 	restart := !started || m.blocksLoad(stream, chain) || m.reserveSingleDomainRestart(stream, chain, avoid)
-	m.Log.Info("watch: no other way", "request", stream.job.ID, "failed", failed, "began", started, "restart", restart, "silence", stream.silence(time.Now()))
+	m.Log.Info("watch: no other way", "request", stream.job.ID, "failed", failed, "began", started, "restart", restart, "silence", stream.silence())
 	if restart {
 		stream.cancel(errNoChain)
 	}
@@ -126,7 +126,7 @@
 // that use the layers it gives up have ended, but this stream would never end.
 func (m *Monitor) blocksLoad(stream *activeStream, chain router.Chain) bool {
 	s := drainingServer(m.State.View(), chain)
-	return s != nil && s.AwaitsReload && stream.silent(time.Now())
+	return s != nil && s.AwaitsReload && stream.silent()
 }
 
 // reserveTransfer reserves the transfer of a request's prompt over the link between
@@ -177,11 +177,11 @@
 func (m *Monitor) orderReroute(stream *activeStream, next router.Chain) (result call.OrderResult, refusedBy string) {
 	ctx, cancel := context.WithTimeout(context.Background(), call.OrderTimeout)
 	defer cancel()
-	silence := stream.silence(time.Now())
+	silence := stream.silence()
 	result, refusedBy, err := m.Engine.Reroute(ctx, stream.job.ID, next)
 	m.Log.Info("watch: rerouted", "request", stream.job.ID, "chain", next.String(), "taken", result.String(), "at", refusedBy, "silence", silence, "error", err)
 	if result == call.OrderStarted {
-		stream.lastActivity.Store(time.Now().UnixNano())
+		stream.recordActivity()
 	}
 	return result, refusedBy
 }
--- a/entry/unary/unary.go
+++ b/entry/unary/unary.go
@@ -28,6 +28,7 @@
 	"fuchsiashelf.dev/parts/pause"
 	"fuchsiashelf.dev/parts/retry"
 	"fuchsiashelf.dev/parts/route"
+	"fuchsiashelf.dev/parts/stall"
 )
 
 const (
@@ -62,6 +63,8 @@
 	Stats       *Stats
 	Limits      *limit.Tracker
 	LocalDomain domain.Name
+	// Clock tells the silence of servers from stalls of this process; nil knows none.
+	Clock *stall.Clock
 	// Probe probes a server that did not respond to a request.
 	Probe func(j *call.Job, address, reason string)
 	// RetryBudget returns the retry budget of a service.
@@ -197,7 +200,7 @@
 	if mayRetry && j.Route.Repeatable() && j.Route.Target > 0 {
 		cancel()
 		timeout := time.Duration(float64(j.Route.Target) * attemptTimeoutShare)
-		attemptCtx, cancel = context.WithTimeoutCause(ctx, timeout, errAttemptTimeout)
+		attemptCtx, cancel = f.Clock.WithTimeout(ctx, timeout, errAttemptTimeout)
 	}
 	defer cancel()
 	o := egress.Options{RequestID: j.ID, DialTimeout: connectTimeout(j.Route)}
--- a/parts/peer/exchange.go
+++ b/parts/peer/exchange.go
@@ -34,7 +34,7 @@
 
 // sendDigest sends a digest to an address and returns the digest of the reply.
 func (p *Peer) sendDigest(ctx context.Context, address string) (*wire.Digest, error) {
-	ctx, cancel := p.Clock.WithTimeout(ctx, exchangeTimeout, nil)
+	ctx, cancel := p.Clock.WithIdleTimeout(ctx, exchangeTimeout, nil)
 	defer cancel()
 	local := p.localState()
 	p.mu.Lock()
--- a/parts/probe/probe.go
+++ b/parts/probe/probe.go
@@ -115,7 +115,7 @@
 }
 
 // Next returns the addresses to probe now and marks the probes as in flight.
-// Each must be followed by one call of Record or Discard.
+// Each must be followed by one call of Record.
 func (s *Scheduler) Next(streams []Stream, now time.Time) []string {
 	s.refill(now)
 	var addresses []string
@@ -151,11 +151,6 @@
 	return st.state
 }
 
-// Discard ends a probe without a result.
-func (s *Scheduler) Discard(address string) {
-	s.server(address).inFlight = false
-}
-
 // refill adds the tokens for the time that has passed, and drops the state of
 // servers that have not been probed for forgetAfter.
 func (s *Scheduler) refill(now time.Time) {
--- a/parts/probe/timeout.go
+++ b/parts/probe/timeout.go
@@ -13,9 +13,6 @@
 	meanWeight      = 0.125
 	deviationWeight = 0.25
 	maxDeviations   = 4
-	// stallThreshold is how late a timer must fire to show that the process
-	// itself was stalled. Answers that arrived meanwhile were not read.
-	stallThreshold = 25 * time.Millisecond
 )
 
 // Timeout adapts the timeout of probes to the measured response times. An
@@ -43,9 +40,3 @@
 	t.mean += time.Duration(meanWeight * float64(diff))
 	t.deviation += time.Duration(deviationWeight * float64(max(diff, -diff)-t.deviation))
 }
-
-// Stalled reports whether a probe with the given timeout ended so late that the
-// process itself was stalled. Its result is then meaningless.
-func Stalled(timeout, took time.Duration) bool {
-	return took > timeout+stallThreshold
-}
--- a/parts/probe/timeout_test.go
+++ b/parts/probe/timeout_test.go
@@ -32,10 +32,3 @@
 	}
 	qt.Assert(t, timeout.Current(), qt.Equals, probe.MinTimeout)
 }
-
-// Guards against taking a server for failed because this process got no
-// processor time and did not read an answer in time.
-func TestStalled(t *testing.T) {
-	qt.Assert(t, probe.Stalled(40*time.Millisecond, 45*time.Millisecond), qt.IsFalse)
-	qt.Assert(t, probe.Stalled(40*time.Millisecond, 90*time.Millisecond), qt.IsTrue)
-}
--- a/parts/stall/stall.go
+++ b/parts/stall/stall.go
@@ -39,8 +39,10 @@
 
 	mu sync.Mutex
 	// origin is the time of the first reading, and tick the reading at the last tick.
-	origin   time.Time
-	tick     Mark
+	origin time.Time
+	tick   Mark
+	// counted is the time since the last tick that was counted in a reading.
+	counted  time.Duration
 	running  bool
 	barriers barriers
 }
@@ -74,10 +76,11 @@
 		c.tick.At, c.origin = now, now
 	}
 	gap := max(0, now.Sub(c.tick.At))
-	if c.running {
-		gap = min(gap, MaxGap)
+	if c.running && gap > MaxGap {
+		gap = TickInterval
 	}
-	return Mark{At: now, Ran: c.tick.Ran + gap}
+	c.counted = max(c.counted, gap)
+	return Mark{At: now, Ran: c.tick.Ran + c.counted}
 }
 
 // Now returns the time of the first reading plus how long this process ran since. It is
@@ -135,7 +138,7 @@
 	c.mu.Lock()
 	gap := now.Sub(c.tick.At)
 	stalled := c.running && gap > MaxGap
-	c.tick = c.read(now)
+	c.tick, c.counted = c.read(now), 0
 	c.mu.Unlock()
 	if stalled && c.OnStall != nil {
 		c.OnStall(gap)
--- a/parts/stall/stall_test.go
+++ b/parts/stall/stall_test.go
@@ -133,7 +133,7 @@
 		c := quicktest.New(t)
 		clock := &stall.Clock{}
 		start := time.Now()
-		ctx, cancel := clock.WithTimeout(context.Background(), time.Second, nil)
+		ctx, cancel := clock.WithIdleTimeout(context.Background(), time.Second, nil)
 		defer cancel()
 		time.Sleep(900 * time.Millisecond)
 		stall.Restart(ctx)
--- a/parts/stall/timeout.go
+++ b/parts/stall/timeout.go
@@ -8,15 +8,33 @@
 
 // WithTimeout returns a context that ends after a wait for someone else that was in vain:
 // only the time in which this process ran counts, and what has arrived is read before. The
-// cause is then the given one, or context.DeadlineExceeded if it is nil.
+// cause is then the given one, or context.DeadlineExceeded if it is nil. A nil Clock gives
+// a context with a deadline.
 func (c *Clock) WithTimeout(parent context.Context, timeout time.Duration, cause error) (context.Context, context.CancelFunc) {
+	ctx, _, cancel := c.withWait(parent, timeout, cause)
+	return ctx, cancel
+}
+
+// WithIdleTimeout is like WithTimeout, but the timeout starts anew at each [Restart].
+func (c *Clock) WithIdleTimeout(parent context.Context, timeout time.Duration, cause error) (context.Context, context.CancelFunc) {
+	ctx, w, cancel := c.withWait(parent, timeout, cause)
+	return context.WithValue(ctx, waitKey{}, w), cancel
+}
+
+// withWait returns the context of a wait, which is nil if the clock is.
+
+func (c *Clock) withWait(parent context.Context, timeout time.Duration, cause error) (context.Context, *wait, context.CancelFunc) {
 	if cause == nil {
 		cause = context.DeadlineExceeded
 	}
+	if c == nil {
+		ctx, cancel := context.WithTimeoutCause(parent, timeout, cause)
+		return ctx, nil, cancel
+	}
 	ctx, cancel := context.WithCancelCause(parent)
 	w := &wait{clock: c, timeout: timeout, expire: func() { cancel(cause) }}
 	w.restart()
-	return context.WithValue(ctx, waitKey{}, w), func() {
+	return ctx, w, func() {
 		w.stop()
 		cancel(context.Canceled)
 	}
@@ -25,10 +43,10 @@
 // waitKey is the key of the wait of a context.
 type waitKey struct{}
 
-// Restart makes the timeout of a context of [Clock.WithTimeout] start anew, since this
+// Restart makes the timeout of a context of [Clock.WithIdleTimeout] start anew, since this
 // process has finished a step of its own, and the wait for others begins only now.
 func Restart(ctx context.Context) {
-	if w, ok := ctx.Value(waitKey{}).(*wait); ok {
+	if w, _ := ctx.Value(waitKey{}).(*wait); w != nil {
 		w.restart()
 	}
 }
