stream: keep a stream that cannot be restarted at a server that may be slow

What callers saw: a stream was cut off when its first server left two probes unanswered, 40 to 300 ms each, although nothing could take it over: its route allows no further attempt, the retry budget was used up, or no other chain exists. If the server was only slow, a whole answer was lost.

Cause: evacuate ended the attempt first, and only then the forwarder asked whether another one was possible.

Now the attempt of a silent stream ends if another chain exists and a further attempt is reserved, or if the server's port refuses connections. Otherwise the stream stays until an event comes, the next probe finds a chain, or the restart timeout is over. The server is suspected as before, so that new requests avoid it at once.

TestStreamWithoutRestartStaysOnUnreachableServer fails on the code before (cancelled when unreachable).

--- a/entry/stream/active.go
+++ b/entry/stream/active.go
@@ -24,8 +24,9 @@
 	// lastActivity is the time of the last event or reroute on the clock, in Unix
 	// nanoseconds, and meanGap the mean gap between two events, in nanoseconds.
 	lastActivity, meanGap atomic.Int64
-	// started is set by the first event.
-	started atomic.Bool
+	// started is set by the first event, and restarting when the attempt has been ended
+	// because of its first server.
+	started, restarting atomic.Bool
 
 	mu           sync.Mutex
 	chain        router.Chain
--- a/entry/stream/monitor.go
+++ b/entry/stream/monitor.go
@@ -259,9 +259,10 @@
 // and restarts those of which it is the first server. Streams that still get events
 // stay on a server that is unreachable from here, because its peers may still reach
 // it, and on a first server in any case, because a server that shuts down may close
-// its port before its last stream ends.
+// its port before its last stream ends. Streams that cannot be restarted stay on a first
+// server that has not exited, because it may be slow.
 func (m *Monitor) evacuate(address string, outcome probe.State) {
-	var affected []*activeStream
+	var affected, silent []*activeStream
 	m.mu.Lock()
 	for stream := range m.streams {
 		if outcome != probe.Exited && !stream.overdue() || !stream.uses(address) {
@@ -269,11 +270,17 @@
 		}
 		if stream.firstAddress() != address {
 			affected = append(affected, stream)
-		} else if outcome.Failed() && stream.silent() {
-			stream.cancel(errFirstServerDead)
+		} else if outcome.Failed() && stream.silent() && !stream.restarting.Load() {
+			silent = append(silent, stream)
 		}
 	}
 	m.mu.Unlock()
+	for _, stream := range silent {
+		if outcome == probe.Exited || m.reserveRestart(stream, address) {
+			stream.restarting.Store(true)
+			stream.cancel(errFirstServerDead)
+		}
+	}
 	for _, stream := range affected {
 		go m.rerouteStream(stream, address)
 	}
--- a/entry/stream/monitor_test.go
+++ b/entry/stream/monitor_test.go
@@ -130,6 +130,22 @@
 	return stream
 }
 
+// Guards against cutting off a stream that cannot be restarted, because its first server
+// does not answer probes for a moment.
+func TestStreamWithoutRestartStaysOnUnreachableServer(t *testing.T) {
+	for _, test := range []struct {
+		outcome   probe.State
+		cancelled bool
+	}{{probe.Suspected, false}, {probe.Unreachable, false}, {probe.Exited, true}} {
+		m, servers := newMonitor(&fakeEngines{}, 1)
+		stream := m.addStream(servers, "silent", silentTimeout(testRoute)+time.Millisecond)
+		cancelled := false
+		stream.cancel = func(error) { cancelled = true }
+		m.evacuate("first", test.outcome)
+		qt.Check(t, cancelled, qt.Equals, test.cancelled, qt.Commentf("%v", test.outcome))
+	}
+}
+
 // Guards against streams that wait for their own silence timeout, or even for the
 // report of the first server, after a server of their chains has crashed. One silent
 // stream is enough: its servers are probed, one refuses the connection, and all
--- a/entry/stream/reroute.go
+++ b/entry/stream/reroute.go
@@ -121,6 +121,17 @@
 	return q.Pick() != nil && stream.reserveRestart()
 }
 
+// reserveRestart reports whether a stream can restart on a chain that avoids its first
+// server, and reserves an attempt for it.
+func (m *Monitor) reserveRestart(stream *activeStream, first string) bool {
+	if stream.reserveRestart == nil {
+		return false
+	}
+	q := m.chainQuery(stream.job)
+	q.Avoid = map[string]bool{first: true}
+	return q.Pick() != nil && stream.reserveRestart()
+}
+
 // blocksLoad reports whether a stalled stream keeps a server from loading the layers
 // that this stream and others wait for. The server starts to load once all requests
 // that use the layers it gives up have ended, but this stream would never end.
