--- a/parts/stall/stall_test.go
+++ b/parts/stall/stall_test.go
@@ -142,6 +142,18 @@
 	})
 }
 
+func TestStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		clock := &stall.Clock{}
+		ctx, cancel := clock.WithTimeout(context.Background(), time.Second, nil)
+		defer cancel()
+		stall.Stop(ctx)
+		time.Sleep(time.Minute)
+		c.Assert(ctx.Err(), quicktest.IsNil)
+	})
+}
+
 func TestCancelledTimeout(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := quicktest.New(t)
--- a/parts/stall/timeout.go
+++ b/parts/stall/timeout.go
@@ -9,32 +9,28 @@
 // WithTimeout returns a context that ends after a wait for someone else that was in vain:
 // only the time in which this process ran counts, and what has arrived is read before. The
 // cause is then the given one, or context.DeadlineExceeded if it is nil. A nil Clock gives
-// a context with a deadline.
+// a context with a deadline, to which neither [Restart] nor [Stop] applies.
 func (c *Clock) WithTimeout(parent context.Context, timeout time.Duration, cause error) (context.Context, context.CancelFunc) {
-	ctx, _, cancel := c.withWait(parent, timeout, cause)
-	return ctx, cancel
+	return c.withWait(parent, &wait{timeout: timeout}, cause)
 }
 
 // WithIdleTimeout is like WithTimeout, but the timeout starts anew at each [Restart].
 func (c *Clock) WithIdleTimeout(parent context.Context, timeout time.Duration, cause error) (context.Context, context.CancelFunc) {
-	ctx, w, cancel := c.withWait(parent, timeout, cause)
-	return context.WithValue(ctx, waitKey{}, w), cancel
+	return c.withWait(parent, &wait{timeout: timeout, idle: true}, cause)
 }
 
-// withWait returns the context of a wait, which is nil if the clock is.
-
-func (c *Clock) withWait(parent context.Context, timeout time.Duration, cause error) (context.Context, *wait, context.CancelFunc) {
+// withWait returns the context of a wait.
+func (c *Clock) withWait(parent context.Context, w *wait, cause error) (context.Context, context.CancelFunc) {
 	if cause == nil {
 		cause = context.DeadlineExceeded
 	}
 	if c == nil {
-		ctx, cancel := context.WithTimeoutCause(parent, timeout, cause)
-		return ctx, nil, cancel
+		return context.WithTimeoutCause(parent, w.timeout, cause)
 	}
 	ctx, cancel := context.WithCancelCause(parent)
-	w := &wait{clock: c, timeout: timeout, expire: func() { cancel(cause) }}
+	w.clock, w.expire = c, func() { cancel(cause) }
 	w.restart()
-	return ctx, w, func() {
+	return context.WithValue(ctx, waitKey{}, w), func() {
 		w.stop()
 		cancel(context.Canceled)
 	}
@@ -46,16 +42,26 @@
 // Restart makes the timeout of a context of [Clock.WithIdleTimeout] start anew, since this
 // process has finished a step of its own, and the wait for others begins only now.
 func Restart(ctx context.Context) {
-	if w, _ := ctx.Value(waitKey{}).(*wait); w != nil {
+	if w, _ := ctx.Value(waitKey{}).(*wait); w != nil && w.idle {
 		w.restart()
 	}
 }
 
+// Stop ends the wait of a context of [Clock.WithTimeout] or [Clock.WithIdleTimeout], which
+// is then no longer limited by the timeout.
+func Stop(ctx context.Context) {
+	if w, _ := ctx.Value(waitKey{}).(*wait); w != nil {
+		w.stop()
+	}
+}
+
 // wait is a wait for someone else.
 type wait struct {
 	clock   *Clock
 	timeout time.Duration
-	expire  func()
+	// idle says that Restart applies to the wait.
+	idle   bool
+	expire func()
 
 	mu      sync.Mutex
 	start   Mark
