stream: pass on error responses of servers whole

What callers saw: the body of an engine's error response was cut at 4 KiB and passed on with the server's signature as if it were whole.

Cause: it was read into a buffer of the size for events, and what lay beyond was dropped without notice.

It is kept up to 1 MiB. A larger one is not passed on: the caller gets 502 of the entry host, which says that the request may have run.

--- a/entry/stream/failure.go
+++ b/entry/stream/failure.go
@@ -46,12 +46,15 @@
 	return &fault.Error{Code: fault.ServerRefused, Verdict: fault.NotRun, Message: "a backend server refused", Server: address, RetryAfter: r.refusalRetryAfter()}
 }
 
+// maxErrorBody is the largest body of an error response that is kept for the caller.
+const maxErrorBody = 1 << 20
+
 // handleServerError keeps the error response of a server. It is delivered if no
 // other attempt succeeds and the caller has no header yet.
 func (r *request) handleServerError(resp *conns.Response, reply call.Reply) *fault.Error {
-	body, err := io.ReadAll(io.LimitReader(resp, readBufferSize))
+	body, err := io.ReadAll(io.LimitReader(resp, maxErrorBody+1))
 	r.avoid[resp.Request.URL.Host] = true
-	if err == nil && !call.StatusMeansNotRun(reply.Status) {
+	if err == nil && len(body) <= maxErrorBody && !call.StatusMeansNotRun(reply.Status) {
 		r.serverError = &errorResponse{header: resp.Header, status: reply.Status, body: body}
 	}
 	return &fault.Error{Code: fault.ServerFailed, Verdict: fault.MayHaveRun, Message: "the backend server failed", Server: r.out.Server, Cause: err}
--- a/entry/stream/forwarder.go
+++ b/entry/stream/forwarder.go
@@ -39,8 +39,7 @@
 	loadRetryAfter = 2 * time.Second
 	// maxIdleReuse is the longest idle time of a connection that is reused.
 	maxIdleReuse = 3 * time.Second
-	// readBufferSize is the size of a buffer that holds several events. It also bounds
-	// the body of an error response.
+	// readBufferSize is the size of a buffer that holds several events.
 	readBufferSize = 4 << 10
 	// capacityPollInterval is the polling interval of a request that waits for
 	// capacity.
