front: close a connection that is accepted during a stop

What callers saw: nothing but a long silence; the entry host's process did not end before SIGKILL.

Cause: Run hands each accepted connection to the HTTP server in force. One that was accepted just before a stop had no receiver any more, so Run waited for ever and the caller's connection stayed open, unread.

Run now closes such a connection. Nothing of it was read, so the caller may send its request to another host at once, whatever its kind.

TestConnectionAcceptedDuringStopIsClosed did not end before (5 s); 20 times in a row green with the race detector.

--- a/entry/front/server.go
+++ b/entry/front/server.go
@@ -55,7 +55,13 @@
 		s.mu.Lock()
 		l := s.accepted
 		s.mu.Unlock()
-		l.conns <- c
+		select {
+		case l.conns <- c:
+		case <-l.done():
+			// Its HTTP server has stopped. A caller whose request was not read may send it
+			// again.
+			_ = c.Close()
+		}
 	}
 }
 
