claim: write outcomes that wait for a retry before a stop

What callers saw: a call that had run was answered "may have run" instead of its stored answer when it was sent again, if the store had failed just before its entry host stopped.

Cause: at a stop the writer ends as soon as it is idle, and outcomes that wait for their retry did not count.

They count now.

--- a/parts/claim/writer.go
+++ b/parts/claim/writer.go
@@ -221,11 +221,10 @@
 	}
 }
 
-// idle reports whether no op is queued and no commit runs. Deferred outcomes
-// do not count.
+// idle reports whether no op is queued or waits for a retry and no commit runs.
 func (w *Writer) idle() bool {
 	for _, q := range w.queues {
-		if q.busy || len(q.waiting) > 0 {
+		if q.busy || len(q.waiting)+len(q.deferred) > 0 {
 			return false
 		}
 	}
--- a/parts/claim/writer_test.go
+++ b/parts/claim/writer_test.go
@@ -135,6 +135,29 @@
 	qt.Assert(t, m.writes, qt.Equals, 2)
 }
 
+// An outcome waits for its retry, because the store failed, when the entry host stops.
+// Without it, a resend would only be told that the call may have run.
+func TestStopWritesDeferredOutcomes(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	failed := make(chan struct{})
+	m := &memStore{writeErr: func(write int) error {
+		if write == 2 {
+			close(failed)
+			return &fault.Error{Code: fault.StoreDown, Verdict: fault.NotRun}
+		}
+		return nil
+	}}
+	w, stop := startWriter(t, m)
+	first := newTake("seat", 1)
+	_, e := w.Acquire(context.Background(), first)
+	qt.Assert(t, e == nil, qt.IsTrue)
+	written := w.Settle(settleOf(first))
+	<-failed
+	stop()
+	qt.Assert(t, m.writes, qt.Equals, 3)
+	<-written
+}
+
 // A caller's deadline ends while its claim waits for the store. The claim is
 // withdrawn, so that the caller can send its call again.
 func TestReleaseAfterCancel(t *testing.T) {
