stream: lay the crash of a server to the requests that it failed, and to no others

What callers saw: a request could be refused as one that crashes servers although it had crashed none, and one that does crash servers was overlooked each time that its server had answered a probe within the last 500 ms, or was back before it was probed.

Cause: ProbeFor recorded the request before it was known whether a probe starts. A server that had answered lately was not probed, so the record stayed and the next crash of that server, by whatever cause, was laid to it. And a probe that was answered by a new process at the old address counted as an answer of the old one.

A failed request is newer than any answer, so it is always followed by a probe, unless one is running; what is recorded and not resolved by then is dropped. A report of a later start is a crash of the process before.

--- a/entry/stream/monitor.go
+++ b/entry/stream/monitor.go
@@ -243,7 +243,7 @@
 	if s == nil {
 		return
 	}
-	if s.StartedAt.Unix() > 0 && report.StartedAt.After(s.StartedAt) {
+	if m.restarted(address, report) {
 		m.Log.Warn("watch: server restarted", "server", s.ID, "address", address)
 		m.State.Suspect(s.ID, now.Add(entryPropagation), now)
 		m.evacuate(address, probe.Exited)
--- a/entry/stream/probe.go
+++ b/entry/stream/probe.go
@@ -19,23 +19,31 @@
 	m.probeServer(address, reason, link{})
 }
 
-// ProbeFor is like Probe for a server that failed while it ran a request. If the
-// server crashed, the crash is recorded against the request.
+// ProbeFor is like Probe for a server that failed while it ran a request, which is newer
+// than any answer. If the server crashed, the crash is recorded against the request.
 func (m *Monitor) ProbeFor(job *call.Job, address, reason string) {
 	s := m.State.View().ByAddress(address)
 	if s == nil {
 		return
 	}
+	m.recordFailedRequest(s.ID, job.Fingerprint)
+	if m.claimProbe(address) {
+		go m.probeSuspect(s.ID, address, reason, link{})
+	}
+}
+
+// recordFailedRequest records a request that failed on a server until a probe shows
+// whether the server crashed.
+func (m *Monitor) recordFailedRequest(id string, fingerprint poison.Fingerprint) {
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	if m.failedRequests == nil {
 		m.failedRequests = map[string]map[poison.Fingerprint]bool{}
 	}
-	if m.failedRequests[s.ID] == nil {
-		m.failedRequests[s.ID] = map[poison.Fingerprint]bool{}
+	if m.failedRequests[id] == nil {
+		m.failedRequests[id] = map[poison.Fingerprint]bool{}
 	}
-	m.failedRequests[s.ID][job.Fingerprint] = true
-	m.mu.Unlock()
-	m.probeServer(address, reason, link{})
+	m.failedRequests[id][fingerprint] = true
 }
 
 // resolveFailedRequests removes the requests that failed on a server, once it is
@@ -151,8 +159,10 @@
 func (m *Monitor) probeSuspect(id, address, reason string, via link) {
 	defer func() {
 		m.mu.Lock()
+		defer m.mu.Unlock()
 		delete(m.probing, address)
-		m.mu.Unlock()
+		// Requests that failed since the result are not laid to a later crash.
+		delete(m.failedRequests, id)
 	}()
 	misses := 0
 	for range maxSuspectProbes {
@@ -160,9 +170,14 @@
 		if misses < probe.FailureThreshold {
 			timeout = m.probeTimeout()
 		}
-		err := m.probeOnce(address, timeout)
+		report, err := m.probeOnce(address, timeout)
 		now := time.Now()
 		switch {
+		case err == nil && m.restarted(address, report):
+			m.setExited(id, true, now)
+			m.resolveFailedRequests(id, true, now)
+			m.handleReport(address, report)
+			return
 		case err == nil:
 			if misses < probe.FailureThreshold && via.from != via.to {
 				m.State.MarkUnreachable(via.from, via.to, now)
@@ -205,11 +220,19 @@
 }
 
 // probeOnce sends one probe. A response without a report counts as an answer.
-func (m *Monitor) probeOnce(address string, timeout time.Duration) error {
-	if _, err := m.fetchReport(context.Background(), address, timeout); !isAlive(err) {
-		return err
+func (m *Monitor) probeOnce(address string, timeout time.Duration) (call.Report, error) {
+	report, err := m.fetchReport(context.Background(), address, timeout)
+	if isAlive(err) {
+		return report, nil
 	}
-	return nil
+	return report, err
+}
+
+// restarted reports whether a report is of a process that has started at the address of
+// another one.
+func (m *Monitor) restarted(address string, report call.Report) bool {
+	s := m.State.View().ByAddress(address)
+	return s != nil && s.StartedAt.Unix() > 0 && report.StartedAt.After(s.StartedAt)
 }
 
 // markHealthy ends the suspicion of a server that answered.
