mesh, peer: let entry hosts know a blocked request, and each other, before they answer

Cause, from the logs of the servers and the traces of the entry hosts: - The third server was crashed by a resend through another entry host, some ms after the caller had its final answer, which is held back until all others know.

TestMarkIsInSnapshotAtReply and TestBroadcastReachesNewlyListedMember failed before.

--- a/entry/internal/mesh/marks_test.go
+++ b/entry/internal/mesh/marks_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"fuchsiashelf.dev/parts/peer"
+	"fuchsiashelf.dev/parts/poison"
 	"fuchsiashelf.dev/parts/trace"
 	"fuchsiashelf.dev/parts/view"
 	"fuchsiashelf.dev/parts/wire"
@@ -83,3 +84,15 @@
 	_, err = m.Members(context.Background(), &wire.MembersAsk{})
 	c.Assert(err, qt.Equals, peer.ErrSecret)
 }
+
+// Guards against a resend that arrives between the reply to a broadcast and the snapshot:
+// it would run although its request is blocked.
+func TestMarkIsInSnapshotAtReply(t *testing.T) {
+	c := qt.New(t)
+	observer, receiver := newMesh("e1"), newMesh("e2")
+	observer.Mark(peer.Mark{Kind: peer.PoisonRequest, Name: "f00d", Until: time.Now().Add(time.Minute), Count: poison.MaxCrashes})
+	_, err := receiver.Exchange(context.Background(), digest(c, observer))
+	c.Assert(err, qt.IsNil)
+	_, blocked := receiver.View.Load().PoisonedRequests["f00d"]
+	c.Assert(blocked, qt.IsTrue)
+}
--- a/entry/internal/mesh/mesh.go
+++ b/entry/internal/mesh/mesh.go
@@ -138,8 +138,9 @@
 	return drains
 }
 
-// handleEvent handles an event of the membership. It must not block, so it only
-// notifies syncLoop.
+// handleEvent handles an event of the membership. Marks are in the snapshot when it
+// returns, since the sender of a broadcast takes the reply for that. It must not block,
+// so all else is left to syncLoop.
 func (m *Mesh) handleEvent(e peer.Event) {
 	switch e := e.(type) {
 	case peer.NewerConfig:
@@ -147,7 +148,9 @@
 		case m.newerConfigs <- e:
 		default:
 		}
-	case peer.MarksReceived, peer.MembershipChanged:
+	case peer.MarksReceived:
+		m.syncMarks(time.Now())
+	case peer.MembershipChanged:
 	}
 	select {
 	case m.changed <- struct{}{}:
@@ -163,8 +166,18 @@
 func (m *Mesh) syncLoop(ctx context.Context) {
 	tick := time.NewTicker(syncInterval)
 	defer tick.Stop()
+	var revision uint64
+	var listed []string
 	for {
 		changed := m.View.Changed()
+		if snap := m.View.Load(); snap.HostsRevision != revision {
+			revision = snap.HostsRevision
+			if now := listedEntryHosts(snap); !slices.Equal(now, listed) {
+				// New hosts must know each other before they decide anything together.
+				listed = now
+				m.peer.TriggerRound()
+			}
+		}
 		m.syncPeers()
 		m.syncMarks(time.Now())
 		select {
@@ -179,6 +192,18 @@
 	}
 }
 
+// listedEntryHosts returns the names of the entry hosts of the host list, in order.
+func listedEntryHosts(snap *view.Snapshot) []string {
+	var names []string
+	for _, h := range snap.Hosts {
+		if h.Role == host.Entry {
+			names = append(names, h.Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // syncPeers writes the other members into the snapshot.
 func (m *Mesh) syncPeers() {
 	peers := map[string]view.Peer{}
--- a/parts/peer/broadcast.go
+++ b/parts/peer/broadcast.go
@@ -31,6 +31,8 @@
 	p.init()
 	p.mu.Lock()
 	p.marks.Add(m, time.Now())
+	// A member may have been listed since the last round.
+	p.updateHosts(p.Clock.Now())
 	d := p.buildDigest(&LocalState{})
 	d.Secret, d.Usages = p.Secret, nil
 	d.Members = d.Members[:1]
--- a/parts/peer/peer.go
+++ b/parts/peer/peer.go
@@ -201,11 +201,7 @@
 func (p *Peer) round(ctx context.Context) {
 	now := p.Clock.Now()
 	p.mu.Lock()
-	if p.Hosts != nil {
-		if hosts := p.Hosts(); hosts != nil {
-			p.table.SetHosts(hosts, now)
-		}
-	}
+	p.updateHosts(now)
 	p.table.Tick(now)
 	p.marks.Sweep(time.Now())
 	p.publishRates(now)
@@ -228,6 +224,16 @@
 	}
 }
 
+// updateHosts applies the host list as it is known now. The mutex is held.
+func (p *Peer) updateHosts(now time.Time) {
+	if p.Hosts == nil {
+		return
+	}
+	if hosts := p.Hosts(); hosts != nil {
+		p.table.SetHosts(hosts, now)
+	}
+}
+
 // submit runs work in the pool, or skips it if the pool is full.
 func (p *Peer) submit(work func()) {
 	if err := p.pool.Submit(work); err != nil {
--- a/parts/peer/peer_test.go
+++ b/parts/peer/peer_test.go
@@ -15,6 +15,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"fuchsiashelf.dev/parts/domain"
+	"fuchsiashelf.dev/parts/host"
 	"fuchsiashelf.dev/parts/trace"
 	"fuchsiashelf.dev/parts/wire"
 )
@@ -109,6 +110,18 @@
 	first.await(c, func() bool { return first.state("e3") == Left })
 }
 
+// Guards against a broadcast that leaves out a member which has been listed since the last
+// round.
+func TestBroadcastReachesNewlyListedMember(t *testing.T) {
+	c := qt.New(t)
+	other := startPeer(c, "e2", "a")
+	p := &Peer{Name: "e1", Domain: "a", Secret: "s", Trace: &trace.Recorder{Process: "e1"}, Hosts: func() map[string]host.Host {
+		return map[string]host.Host{"e2": {Name: "e2", Address: other.Address, Domain: "a", Role: host.Entry}}
+	}}
+	p.Broadcast(context.Background(), Mark{Kind: PoisonRequest, Name: "f00d", Until: time.Now().Add(time.Minute), Count: 2})
+	c.Assert(other.Marks(PoisonRequest)["f00d"].Count, qt.Equals, 2)
+}
+
 // hasRevision reports whether a peer knows of a member with a revision.
 func hasRevision(p *testPeer, revision uint64) bool {
 	for _, m := range p.Others() {
