gossip, node: do not serve with an older copy before others have answered

What callers saw: an entry host that started after a restore of the object API served with the copy until the first message of another host: a revoked key was accepted, and servers that had said that they leave got requests.

Cause: the configuration of the object API was applied as soon as it was listed, while the first exchange with another host was under way.

A new host now exchanges messages with all its seeds at once, and applies no configuration of the object API before one that has a configuration has answered, or all exchanges have ended, after 500 ms at the latest. Until then it answers 503, as before its first list, and is not ready. Where all hosts start together the exchanges end within some ms, since none has a configuration yet or the connections are refused. Servers that have left are in the same message.

What nobody can know stays: if none of the seeds remembers, or all hosts are restarted before the operator has written again, the copy is taken.

--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -119,8 +119,9 @@
 	// lastRemote is when Run last chose a host of another failure domain.
 	lastRemote time.Time
 	// broadcast tells Run to start a broadcast.
-	broadcast chan struct{}
-	once      sync.Once
+	broadcast    chan struct{}
+	introduction introduction
+	once         sync.Once
 }
 
 // init initializes the unexported fields once.
@@ -131,6 +132,7 @@
 		p.clients = map[string]*client{}
 		p.pulls = map[string]bool{}
 		p.broadcast = make(chan struct{}, 1)
+		p.introduction.done = make(chan struct{})
 	})
 }
 
@@ -147,6 +149,7 @@
 func (p *Peer) Run(ctx context.Context, l net.Listener) {
 	p.init()
 	go p.serve(ctx, l)
+	p.introduce(ctx)
 	tick := time.NewTicker(localInterval)
 	defer tick.Stop()
 	p.round(ctx, broadcastLocal, broadcastRemote)
@@ -287,8 +290,9 @@
 }
 
 // exchange sends the local state, without changes, to one entry host and merges the
-// response, which contains no changes either if brief is set.
-func (p *Peer) exchange(ctx context.Context, c *client, brief bool) {
+// response, which contains no changes either if brief is set. It returns the response, or
+// nil if there is none.
+func (p *Peer) exchange(ctx context.Context, c *client, brief bool) *Message {
 	startedAt := p.Clock.Mark()
 	ctx, cancel := p.Clock.WithIdleTimeout(ctx, exchangeTimeout, nil)
 	defer cancel()
@@ -300,10 +304,11 @@
 			p.Log.Warn("peers: no answer", "address", c.address, "error", err, "delay", p.Clock.Delay(startedAt))
 		}
 		c.failing = true
-		return
+		return nil
 	}
 	c.failing = false
 	p.Merge(received)
+	return received
 }
 
 // self returns the current state of this entry host for the next message.
