state: keep servers whose entries expired for 1.9 s after the outage, not after the news

What callers saw: requests were sent to a server later than two seconds after its leaving was acknowledged (DRAIN).

Live servers have registered again two seconds after the end of an outage, and what is missing then is gone. So the 1.9 s count from the end of the outage. Where entries disappear without an outage that the host has seen, they count from the removal, as before.

TestServerThatLeavesAfterOutageIsDropped failed before.

--- a/entry/state/state.go
+++ b/entry/state/state.go
@@ -32,8 +32,8 @@
 
 // Timeouts and intervals.
 const (
-	// expiredGrace is how long a server is kept after its entry expired in an outage.
-	// The entries of live servers are back within two seconds of its end.
+	// expiredGrace is how long after the end of an outage a server is kept whose entry
+	// expired in it. The entries of live servers are back within two seconds of the end.
 	expiredGrace = 1900 * time.Millisecond
 	// recoveryWindow is how long after the end of an outage a missing entry counts as
 	// expired rather than removed.
@@ -308,7 +308,12 @@
 	})
 	// Many entries that disappear at once have expired in an outage of the object API,
 	// even if this entry host has not noticed one itself.
-	outage := now.Before(s.recoveredAt.Add(recoveryWindow)) || len(removed) > 2 && len(removed)*4 > len(s.decoded)
+	recovered := now.Before(s.recoveredAt.Add(recoveryWindow))
+	outage := recovered || len(removed) > 2 && len(removed)*4 > len(s.decoded)
+	keepUntil := now.Add(expiredGrace)
+	if recovered {
+		keepUntil = s.recoveredAt.Add(expiredGrace)
+	}
 	for _, id := range removed {
 		old := s.decoded[id].server
 		delete(s.decoded, id)
@@ -316,7 +321,7 @@
 			s.recordRemoval(old, now)
 		}
 		if outage && !old.Leaving && !s.departed(old, now) {
-			s.expired[id] = expiredServer{server: old, until: now.Add(expiredGrace)}
+			s.expired[id] = expiredServer{server: old, until: keepUntil}
 			s.lastExpiry = now
 			expired = append(expired, old.Address)
 		}
--- a/entry/state/state_test.go
+++ b/entry/state/state_test.go
@@ -94,6 +94,19 @@
 	qt.Assert(t, s.KeepsExpired(), qt.IsFalse)
 }
 
+// Guards against requests to a server that left a second after an outage ended. Its entry
+// was missing when all live servers had registered again.
+func TestServerThatLeavesAfterOutageIsDropped(t *testing.T) {
+	s := newLocal()
+	s.Servers.Replace([]mirror.Object{object("i-1", 1, 1), object("i-2", 2, 1)}, mirror.Position{Revision: 2})
+	s.ReadServers(start)
+	s.StoreRecovered(start)
+	s.Servers.Merge(mirror.Batch{After: 2, Cursor: 3, Items: []mirror.Object{{Name: "i-1", Revision: 3, Deleted: true}}})
+	s.ReadServers(start.Add(1400 * time.Millisecond))
+	s.Sweep(start.Add(2 * time.Second))
+	qt.Assert(t, ids(s), qt.DeepEquals, []string{"i-2"})
+}
+
 // Guards against sending requests for two seconds to servers that stopped during an
 // outage of the object API. Their entries are missing afterwards, but so are those of
 // live servers.
