gossip: create the list of members before it is read

Cause: the fields of a Peer are created by the first call that needs them. Members, Alive and Senders read the list of members without that, while Run created it: a data race at the start, in which an entry host could for a moment take itself for the only one.

--- a/entry/gossip/member.go
+++ b/entry/gossip/member.go
@@ -63,6 +63,7 @@
 
 // list returns the other known entry hosts with the given ages, ordered by name.
 func (p *Peer) list(age func(m *memberState) time.Duration) []Member {
+	p.init()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := make([]Member, 0, len(p.members))
