unary: count servers that are suspected for a moment in Retry-After

What callers saw: "come back in 30 s" while one of the servers was to be used again in four.

Cause: a suspected server was left out of the time to come back if there was another one, although a suspicion lasts two seconds and may be wrong. If the other one had requested a long pause, only that counted.

A suspected server counts from the end of its suspicion; if all are suspected nothing changes.

--- a/entry/unary/unary.go
+++ b/entry/unary/unary.go
@@ -256,16 +256,22 @@
 }
 
 // retryAfter returns when a refused caller should retry: when the first of the servers
-// may get a request again.
+// may get a request again. A suspected server may be alive: it is used again when the
+// suspicion ends, or at once if there is no other.
 func (f *Forwarder) retryAfter(servers []*fleet.Server) time.Duration {
-	healthy := slices.DeleteFunc(slices.Clone(servers), func(s *fleet.Server) bool { return s.Leaving || s.Suspected })
-	if len(healthy) > 0 {
-		servers = healthy
+	staying := slices.DeleteFunc(slices.Clone(servers), func(s *fleet.Server) bool { return s.Leaving })
+	if len(staying) > 0 {
+		servers = staying
 	}
+	anyHealthy := slices.ContainsFunc(servers, func(s *fleet.Server) bool { return !s.Suspected })
 	now := time.Now()
 	var waits []time.Duration
 	for _, s := range servers {
-		waits = append(waits, max(f.Servers.Paused(s, now), f.Limits.Wait([]string{s.ID}, now)))
+		wait := max(f.Servers.Paused(s, now), f.Limits.Wait([]string{s.ID}, now))
+		if s.Suspected && anyHealthy {
+			wait = max(wait, state.SuspectFor)
+		}
+		waits = append(waits, wait)
 	}
 	if len(waits) == 0 {
 		return refusalRetryAfter
