--- a/entry/internal/relay/monitor.go
+++ b/entry/internal/relay/monitor.go
@@ -42,8 +42,8 @@
 	probes atomic.Pointer[[]*probe]
 	// hasAlternative reports whether another chain avoids the given servers.
 	hasAlternative func(servers []string) bool
-	// patience is how long a chain may be silent to which there is no alternative.
-	patience time.Duration
+	// maxSilence is how long a chain without an alternative may be silent.
+	maxSilence time.Duration
 	// exhausted is set if the chain was silent for that long.
 	exhausted atomic.Bool
 	// gaps are the gaps between the chain's tokens. Only the stream uses them.
@@ -61,7 +61,7 @@
 		forwarder: d.Forwarder, stages: d.stages, hops: d.hops, cancel: cancel,
 		started: d.startedAt, gaps: d.pool.baseline.Gaps(), hasAlternative: d.alternatives(),
 	}
-	m.patience = time.Duration(retry.MaxAttempts-d.attemptNumber+1) * (timeouts.Probe + retry.ProbeTimeout)
+	m.maxSilence = time.Duration(retry.MaxAttempts-d.attemptNumber+1) * (timeouts.Probe + retry.ProbeTimeout)
 	m.setTimeouts(timeouts)
 	// The timer starts only after the field is set, because check uses it.
 	m.timer = time.AfterFunc(math.MaxInt64, m.check)
@@ -155,17 +155,17 @@
 	return false, max(wait, time.Millisecond)
 }
 
-// shouldWait reports whether to wait on for a chain with servers that do not answer: if
-// there is no alternative to them, another attempt could only make them begin anew. It
-// waits as long as the remaining attempts would have taken.
+// shouldWait reports whether to keep the attempt although servers of its chain do not
+// answer. If there is no alternative to them, another attempt would only repeat their
+// work. The attempt is kept for as long as the remaining ones would have taken.
 func (m *monitor) shouldWait(idle time.Duration) bool {
 	unresponsive := m.unresponsive()
 	if len(unresponsive) == 0 || m.hasAlternative(unresponsive) {
 		return false
 	}
-	m.exhausted.Store(idle >= m.patience)
+	m.exhausted.Store(idle >= m.maxSilence)
 	m.forwarder.markSuspected(m.stages, m.hops, unresponsive, m.forwarder.Clock.Delay(m.started))
-	return idle < m.patience
+	return idle < m.maxSilence
 }
 
 func (m *monitor) probeServers() {
--- a/entry/source/source.go
+++ b/entry/source/source.go
@@ -279,11 +279,9 @@
 	Mirror     *mirror.Mirror
 	Watchers   []*Watcher
 	Log        *slog.Logger
-	// Clock tells the silence of the object API from stalls of this process; nil knows
-	// none.
+	// Clock measures the timeout of a read; nil means real time.
 	Clock *stall.Clock
-	// OnRecovery is called when the object API answers again, or was restored from an
-	// older copy.
+	// OnRecovery is called when the object API answers again or was restored.
 	OnRecovery func()
 	// Role returns the role of this entry host in its failure domain; nil means
 	// Primary.
