reach, node: tell a host that is cut off from the servers from servers that are down

In the incident nothing on the cut host said what was wrong: its log names one server after the other as suspected, as it would if they were down, readiness and alerts say nothing, and the other hosts log nothing at all.

parts/reach compares the attempts to connect to all servers: a host is isolated if no server has accepted a new connection since three of them (or all, if fewer are known) did not. Connections that live on do not count. Decisions do not use it yet.

--- a/entry/conns/conns.go
+++ b/entry/conns/conns.go
@@ -50,6 +50,11 @@
 type Pool struct {
 	// Clock tells the silence of servers from stalls of this process; nil knows none.
 	Clock *stall.Clock
+	// Dial connects to a server; nil means a TCP connection from this host.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// OnDial is called after each attempt to connect, with the error if the server did
+	// not accept the connection; nil for none. Attempts that were given up do not count.
+	OnDial func(address string, err error, startedAt time.Time)
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -289,10 +294,17 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
+	startedAt, parent := time.Now(), ctx
 	ctx, cancel := p.Clock.WithTimeout(ctx, timeout, errDialTimeout)
 	defer cancel()
-	d := net.Dialer{KeepAlive: -1, Control: SetUserTimeout}
-	c, err := d.DialContext(ctx, "tcp", address)
+	dial := p.Dial
+	if dial == nil {
+		dial = (&net.Dialer{KeepAlive: -1, Control: SetUserTimeout}).DialContext
+	}
+	c, err := dial(ctx, "tcp", address)
+	if p.OnDial != nil && (err == nil || parent.Err() == nil) {
+		p.OnDial(address, err, startedAt)
+	}
 	if err != nil {
 		if cause := context.Cause(ctx); cause != nil {
 			err = errors.Join(cause, err)
--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -21,6 +21,7 @@
 	"fuchsiashelf.dev/parts/limit"
 	"fuchsiashelf.dev/parts/mirror"
 	"fuchsiashelf.dev/parts/poison"
+	"fuchsiashelf.dev/parts/reach"
 	"fuchsiashelf.dev/parts/router"
 	"fuchsiashelf.dev/parts/stall"
 )
@@ -96,6 +97,9 @@
 	OnChange func(kind string)
 	// StoreUp reports whether the object API answers this entry host.
 	StoreUp func() bool
+	// Reach returns whether this entry host reaches backend servers; nil means that it is
+	// unknown.
+	Reach func() reach.State
 	// Leaving reports whether this entry host is about to stop.
 	Leaving func() bool
 	// ExpectsFromStore reports whether changes of a kind also arrive from the object
@@ -316,6 +320,9 @@
 	self := p.Self
 	self.Seq = p.lastSeq.Add(1)
 	self.Store = p.StoreUp()
+	if p.Reach != nil {
+		self.Reach = p.Reach()
+	}
 	self.Leaving = p.Leaving()
 	self.Settled = p.Settled()
 	return self
--- a/entry/gossip/member.go
+++ b/entry/gossip/member.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"fuchsiashelf.dev/parts/domain"
+	"fuchsiashelf.dev/parts/reach"
 )
 
 // Member is the state of an entry host.
@@ -22,6 +23,8 @@
 	Age time.Duration
 	// Store says that the object API answers the member.
 	Store bool
+	// Reach says whether the member reaches backend servers.
+	Reach reach.State
 	// Leaving says that the member is about to stop.
 	Leaving bool
 	// Settled says that the member has listened long enough to know which hosts are
