--- a/stand/fakes/link.go
+++ b/stand/fakes/link.go
@@ -198,9 +198,11 @@
 	if cut != Hanging {
 		return c.tcp.Close()
 	}
+	// Ends reads that wait.
+	err := c.tcp.SetReadDeadline(time.Now())
 	go func() {
 		<-changed
 		_ = c.tcp.Close()
 	}()
-	return nil
+	return err
 }
--- a/stand/fakes/server.go
+++ b/stand/fakes/server.go
@@ -57,7 +57,10 @@
 	dropNext           int
 	refuseNext         int
 	failNext           int
-	truncateAfter      int
+	// closeEvery is after how many responses a connection is closed, zero for never, and
+	// responses counts them.
+	closeEvery, responses int
+	truncateAfter         int
 	// writes counts the writes of the server's entry.
 	writes int
 	// limit is nil if the server names none.
@@ -147,6 +150,24 @@
 	s.failNext = n
 }
 
+// CloseEvery makes the server close the connection after every n-th response to a request,
+// which says so.
+func (s *Server) CloseEvery(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closeEvery = n
+}
+
+// sayClose sets the header of a response after which the connection is closed.
+func (s *Server) sayClose(header http.Header) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.responses++
+	if s.closeEvery > 0 && s.responses%s.closeEvery == 0 {
+		header.Set("Connection", "close")
+	}
+}
+
 // SetCallTime sets how long the calls of a plain server take.
 func (s *Server) SetCallTime(d time.Duration) {
 	s.mu.Lock()
@@ -233,6 +254,7 @@
 func (s *Server) serveRequest(w http.ResponseWriter, req *http.Request) {
 	id := req.Header.Get("X-Attempt-Id")
 	w.Header().Set("X-Attempt-Id", id)
+	s.sayClose(w.Header())
 	if rate, limited := s.countArrival(time.Now()); limited {
 		w.Header().Set("Server-Limit", rate)
 	}
