tunnel, conns, node: connect through another entry host where only this one's links are cut

They got 503 or 502 within milliseconds, most without Retry-After.

Cause: a host takes "I do not reach it" for "it is down". Each refused, reset or unanswered connection is laid to the one server; all are suspected in turn, and the host refuses what every other entry host could have served.

Routing, retries, verdicts, probes, orders and stops stay as they are. Streams that are silent on a direct connection are restarted as soon as a probe through a tunnel shows that their first server lives.

Why it works: what is known to this host, and what was promised to its callers, stays with it; only the bytes take another way. A peer of an older version rejects the call, and the next one is tried.

--- a/entry/conns/conns.go
+++ b/entry/conns/conns.go
@@ -18,10 +18,12 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
+	"fuchsiashelf.dev/entry/tunnel"
 	"fuchsiashelf.dev/parts/fault"
 	"fuchsiashelf.dev/parts/stall"
 )
@@ -52,9 +54,9 @@
 	Clock *stall.Clock
 	// Dial connects to a server; nil means a TCP connection from this host.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
-	// OnDial is called after each attempt to connect, with the error if the server did
-	// not accept the connection; nil for none. Attempts that were given up do not count.
-	OnDial func(address string, err error, startedAt time.Time)
+	// Direct reports whether connections to a server are direct ones now, so that idle
+	// connections of the other kind are not reused; nil means always.
+	Direct func(address string) bool
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -70,6 +72,12 @@
 	idleSince time.Time
 }
 
+// tunnel reports whether the connection goes through another entry host.
+func (c *conn) tunnel() bool {
+	_, ok := c.Conn.(*tunnel.Conn)
+	return ok
+}
+
 // ResponseInfo is what Options.Inspect reads from a response header.
 type ResponseInfo struct {
 	// OtherRequest says that the response belongs to another request.
@@ -105,9 +113,9 @@
 	NewConn bool
 	// DialTimeout limits the time to connect; zero means dialTimeout.
 	DialTimeout time.Duration
-	// BeforeWrite, if not nil, is called when a connection is available. If it fails,
-	// nothing is written, and its error is returned as it is.
-	BeforeWrite func() error
+	// BeforeWrite, if not nil, is called when a connection is available, directly or through
+	// another entry host. If it fails, nothing is written, and its error is returned as it is.
+	BeforeWrite func(direct bool) error
 	// Inspect reads a response header.
 	Inspect func(*http.Response) ResponseInfo
 }
@@ -122,7 +130,7 @@
 	}
 	stall.Restart(ctx)
 	if o.BeforeWrite != nil {
-		if err := o.BeforeWrite(); err != nil {
+		if err := o.BeforeWrite(!c.tunnel()); err != nil {
 			c.Close()
 			return nil, err
 		}
@@ -206,13 +214,14 @@
 // get returns an idle connection or opens a new one.
 func (p *Pool) get(ctx context.Context, address string, o Options) (*conn, error) {
 	now := time.Now()
+	direct := p.Direct == nil || p.Direct(address)
 	for !o.NewConn {
 		c := p.pop(address)
 		if c == nil {
 			break
 		}
 		expired := now.After(c.expires) || o.MaxIdle > 0 && now.Sub(c.idleSince) > o.MaxIdle
-		if !expired && reusable(c.Conn) {
+		if !expired && c.tunnel() == !direct && reusable(c.Conn) {
 			return c, nil
 		}
 		c.Close()
@@ -260,6 +269,27 @@
 	}
 }
 
+// CloseThrough closes the idle connections through the entry hosts with the given addresses,
+// which are about to stop.
+func (p *Pool) CloseThrough(peers map[string]bool) {
+	var closed []*conn
+	p.mu.Lock()
+	for address, list := range p.idle {
+		p.idle[address] = slices.DeleteFunc(list, func(c *conn) bool {
+			t, ok := c.Conn.(*tunnel.Conn)
+			through := ok && peers[t.Peer]
+			if through {
+				closed = append(closed, c)
+			}
+			return through
+		})
+	}
+	p.mu.Unlock()
+	for _, c := range closed {
+		c.Close()
+	}
+}
+
 // CloseExpired closes the connections that have been idle for too long to be reused.
 func (p *Pool) CloseExpired(now time.Time) {
 	var expired []*conn
@@ -294,7 +324,6 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
-	startedAt, parent := time.Now(), ctx
 	ctx, cancel := p.Clock.WithTimeout(ctx, timeout, errDialTimeout)
 	defer cancel()
 	dial := p.Dial
@@ -302,9 +331,6 @@
 		dial = (&net.Dialer{KeepAlive: -1, Control: SetUserTimeout}).DialContext
 	}
 	c, err := dial(ctx, "tcp", address)
-	if p.OnDial != nil && (err == nil || parent.Err() == nil) {
-		p.OnDial(address, err, startedAt)
-	}
 	if err != nil {
 		if cause := context.Cause(ctx); cause != nil {
 			err = errors.Join(cause, err)
@@ -333,6 +359,9 @@
 
 // reusable reports whether an idle connection is open and has no unread bytes.
 func reusable(c net.Conn) bool {
+	if t, ok := c.(*tunnel.Conn); ok {
+		return t.Idle()
+	}
 	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return true
--- a/entry/conns/conns_test.go
+++ b/entry/conns/conns_test.go
@@ -284,7 +284,7 @@
 	})
 	p := &conns.Pool{}
 	notAllowed := errors.New("not allowed")
-	_, err := do(t, p, address, "a", conns.Options{BeforeWrite: func() error { return notAllowed }})
+	_, err := do(t, p, address, "a", conns.Options{BeforeWrite: func(bool) error { return notAllowed }})
 	qt.Check(t, err, qt.Equals, notAllowed)
 	qt.Check(t, p.Connect(context.Background(), address), qt.IsNil)
 	qt.Check(t, requests.Load(), qt.Equals, int64(0))
--- a/entry/egress/egress.go
+++ b/entry/egress/egress.go
@@ -45,6 +45,9 @@
 	MaxIdle     time.Duration
 	NewConn     bool
 	DialTimeout time.Duration
+	// OnConn, if not nil, is called when a connection is available, directly or through
+	// another entry host.
+	OnConn func(direct bool)
 }
 
 // PausedError is the cause of the error of a request that was not sent, because its
@@ -77,8 +80,11 @@
 	var sentAt time.Time
 	resp, err := c.Pool.Do(ctx, server.Address, req, conns.Options{
 		MaxIdle: o.MaxIdle, NewConn: o.NewConn, DialTimeout: o.DialTimeout,
-		BeforeWrite: func() error {
+		BeforeWrite: func(direct bool) error {
 			sentAt = time.Now()
+			if o.OnConn != nil {
+				o.OnConn(direct)
+			}
 			return c.admit(server)
 		},
 		Inspect: func(r *http.Response) conns.ResponseInfo {
--- a/entry/gossip/drpc.go
+++ b/entry/gossip/drpc.go
@@ -11,14 +11,18 @@
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcserver"
 
+	"fuchsiashelf.dev/entry/tunnel"
 	"fuchsiashelf.dev/parts/stall"
 )
 
-// exchangeCall is the name of the only RPC, which sends a Message and returns one.
+// exchangeCall is the name of the RPC that sends a Message and returns one.
 const exchangeCall = "/fuchsiashelf.Gossip/Exchange"
 
 // HandleRPC implements drpc.Handler.
 func (p *Peer) HandleRPC(stream drpc.Stream, rpc string) error {
+	if rpc == tunnel.Call && p.Tunnels != nil {
+		return p.Tunnels.HandleRPC(stream, rpc)
+	}
 	if rpc != exchangeCall {
 		return fmt.Errorf("gossip: unknown call %q", rpc)
 	}
--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -18,6 +18,8 @@
 	"sync/atomic"
 	"time"
 
+	"storj.io/drpc"
+
 	"fuchsiashelf.dev/parts/limit"
 	"fuchsiashelf.dev/parts/mirror"
 	"fuchsiashelf.dev/parts/poison"
@@ -105,6 +107,8 @@
 	// ExpectsFromStore reports whether changes of a kind also arrive from the object
 	// API. If not, they are pulled from other hosts at once.
 	ExpectsFromStore func(kind string) bool
+	// Tunnels handles the calls of other hosts that open tunnels; nil rejects them.
+	Tunnels drpc.Handler
 	// Random returns a number in [0, n); nil means math/rand.
 	Random func(n int) int
 
@@ -320,10 +324,16 @@
 	self := p.Self
 	self.Seq = p.lastSeq.Add(1)
 	self.Store = p.StoreUp()
-	if p.Reach != nil {
-		self.Reach = p.Reach()
-	}
+	self.Reach = p.reach()
 	self.Leaving = p.Leaving()
 	self.Settled = p.Settled()
 	return self
 }
+
+// reach returns whether this entry host reaches backend servers.
+func (p *Peer) reach() reach.State {
+	if p.Reach == nil {
+		return reach.Unknown
+	}
+	return p.Reach()
+}
--- a/entry/stream/active.go
+++ b/entry/stream/active.go
@@ -27,6 +27,8 @@
 	// started is set by the first event, and restarting when the attempt has been ended
 	// because of its first server.
 	started, restarting atomic.Bool
+	// direct says that the request was sent on a direct connection.
+	direct atomic.Bool
 
 	mu           sync.Mutex
 	chain        router.Chain
--- a/entry/stream/forwarder.go
+++ b/entry/stream/forwarder.go
@@ -125,7 +125,7 @@
 	r.out.Sends++
 	r.out.Server = first.ID
 	r.out.Chain = chain.String()
-	resp, reply, err := r.Servers.Do(attemptCtx, first, req, egress.Options{RequestID: r.job.ID, MaxIdle: maxIdleReuse})
+	resp, reply, err := r.Servers.Do(attemptCtx, first, req, egress.Options{RequestID: r.job.ID, MaxIdle: maxIdleReuse, OnConn: stream.direct.Store})
 	if egress.IsPaused(err) {
 		r.out.Sends--
 		r.Limits.Return(first.ID)
--- a/entry/stream/monitor.go
+++ b/entry/stream/monitor.go
@@ -64,6 +64,7 @@
 	errFirstServerDead = errors.New("stream: the first server does not answer")
 	errSilent          = errors.New("stream: silent for too long")
 	errNoChain         = errors.New("stream: no other way behind the first server")
+	errLinkCut         = errors.New("stream: the first server is alive, but the link to it is cut")
 )
 
 // Monitor monitors the streams in progress. Set the exported fields before Run.
@@ -87,6 +88,8 @@
 	Paused func(s *fleet.Server, now time.Time) time.Duration
 	// EntryHosts returns the number of entry hosts, including this one.
 	EntryHosts func() int
+	// Direct reports whether connections to an address are direct ones now; nil means always.
+	Direct func(address string) bool
 	// DropConns closes the idle connections to an address. A connection that was lost
 	// without a reset would make a live server seem not to answer.
 	DropConns func(address string)
@@ -197,6 +200,9 @@
 	m.mu.Lock()
 	outcome := m.probes.Record(address, isAlive(err), probeOutcome(err) == probe.Exited)
 	m.mu.Unlock()
+	if isAlive(err) {
+		m.restartCut(address)
+	}
 	if err == nil {
 		m.handleReport(address, report)
 		return
@@ -255,6 +261,28 @@
 	m.rerouteStalled(address, report.Stalled)
 }
 
+// restartCut restarts the silent streams of a first server that is alive but not reached
+// directly, if they are on direct connections: what the server sends there does not arrive.
+func (m *Monitor) restartCut(address string) {
+	if m.Direct == nil || m.Direct(address) {
+		return
+	}
+	m.mu.Lock()
+	var cut []*activeStream
+	for stream := range m.streams {
+		if stream.direct.Load() && stream.firstAddress() == address && stream.silent() && !stream.restarting.Load() {
+			cut = append(cut, stream)
+		}
+	}
+	m.mu.Unlock()
+	for _, stream := range cut {
+		if m.reserveRestart(stream, address) {
+			stream.restarting.Store(true)
+			stream.cancel(errLinkCut)
+		}
+	}
+}
+
 // evacuate reroutes streams around a server that does not answer or has restarted,
 // and restarts those of which it is the first server. Streams that still get events
 // stay on a server that is unreachable from here, because its peers may still reach
--- a/parts/reach/reach.go
+++ b/parts/reach/reach.go
@@ -6,9 +6,13 @@
 // no server has accepted a connection since several of them did not.
 //
 // Only new connections count. Those that are open may live on while new ones are refused.
+//
+// While an entry host does not reach a server, it connects through another host that does.
+// The Tracker says when: see [Tracker.Direct].
 package reach
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -17,6 +21,9 @@
 	// minUnreached is how many servers must have accepted no connection before an entry
 	// host counts as isolated, if it knows as many: a rack of servers may be down.
 	minUnreached = 3
+	// relayedFor is how long connections to a server go through another entry host after
+	// the last direct attempt failed. Then a direct one is made again.
+	relayedFor = 2 * time.Second
 	// reachedFor is how long an accepted connection shows that servers are reached.
 	reachedFor = 10 * time.Second
 )
@@ -64,6 +71,8 @@
 type attempt struct {
 	startedAt time.Time
 	reached   bool
+	// relayed says that another entry host has reached the server since.
+	relayed bool
 }
 
 // Record records whether a server accepted a connection that was attempted at a time. It
@@ -76,12 +85,59 @@
 		t.attempts = map[string]attempt{}
 	}
 	if old := t.attempts[address]; !startedAt.Before(old.startedAt) {
-		t.attempts[address] = attempt{startedAt: startedAt, reached: reached}
+		t.attempts[address] = attempt{startedAt: startedAt, reached: reached, relayed: old.relayed && !reached}
 	}
 	if reached && startedAt.After(t.lastReached) {
 		t.lastReached = startedAt
 	}
-	return t.isolated() != before
+	after := t.isolated()
+	if before && !after {
+		// The servers that were not reached are tried directly again.
+		maps.DeleteFunc(t.attempts, func(_ string, a attempt) bool { return !a.reached })
+	}
+	return after != before
+}
+
+// RecordRelayed records that another entry host has connected to a server that this one
+// did not reach.
+func (t *Tracker) RecordRelayed(address string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if a, tried := t.attempts[address]; tried && !a.reached {
+		a.relayed = true
+		t.attempts[address] = a
+	}
+}
+
+// Direct reports whether a connection to a server is to be attempted directly. It is not
+// while this entry host is isolated, and while another host has reached the server after
+// this one had not.
+func (t *Tracker) Direct(address string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	a := t.attempts[address]
+	return !t.isolated() && (!a.relayed || now.Sub(a.startedAt) > relayedFor)
+}
+
+// ReachedSince reports whether a server has accepted a connection that was attempted after
+// a time.
+func (t *Tracker) ReachedSince(at time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lastReached.After(at)
+}
+
+// Unreached returns the servers whose latest attempt was not accepted.
+func (t *Tracker) Unreached() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []string
+	for address, a := range t.attempts {
+		if !a.reached {
+			list = append(list, address)
+		}
+	}
+	return list
 }
 
 // isolated reports whether this entry host is isolated. The mutex is held.
@@ -112,15 +168,6 @@
 	return Unknown
 }
 
-// Reached reports whether the latest attempt at a server was accepted. A server that was
-// not tried counts as reached.
-func (t *Tracker) Reached(address string) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	a, tried := t.attempts[address]
-	return a.reached || !tried
-}
-
 // Counts returns the numbers of servers whose latest attempt was accepted and was not.
 func (t *Tracker) Counts() (reached, unreached int) {
 	t.mu.Lock()
