gossip: a host that is cut off from the servers does not lead

Cause: the leader is the first by name of the hosts that the object API answers; whether it reaches the servers, to which a leader gives orders, did not count.

Change: hosts that are not isolated precede the others, then those that the object API answers, then by name. What an isolated host concludes from waiting (suspicions, waits for a first event) is not merged by others. Members of older versions count as not isolated, as before.

--- a/entry/gossip/leader.go
+++ b/entry/gossip/leader.go
@@ -1,6 +1,10 @@
 package gossip
 
-import "time"
+import (
+	"time"
+
+	"fuchsiashelf.dev/parts/reach"
+)
 
 // settleTime is how long a new entry host listens before it treats hosts that it does
 // not know as absent. A live host can go unheard for that long.
@@ -17,24 +21,34 @@
 }
 
 // IsLeader reports whether this entry host is the leader, which places layers on
-// servers. The leader is the first by name of the hosts that the object API answers,
-// or of all hosts if it answers none.
+// servers. The leader is the first of all hosts: those that are not cut off from the
+// servers precede the others, then those that the object API answers, then those whose
+// names sort first.
 func (p *Peer) IsLeader() bool {
 	if p.Leaving() || !p.Settled() {
 		return false
 	}
-	storeUp := p.StoreUp()
+	self := p.Self
+	self.Store, self.Reach = p.StoreUp(), p.reach()
 	for _, m := range p.Alive() {
-		if m.Store && !storeUp {
-			return false
-		}
-		if m.Store == storeUp && m.Name < p.Self.Name {
+		if leadsBefore(m, self) {
 			return false
 		}
 	}
 	return true
 }
 
+// leadsBefore reports whether a member precedes another as leader.
+func leadsBefore(a, b Member) bool {
+	if isolated := a.Reach == reach.Isolated; isolated != (b.Reach == reach.Isolated) {
+		return !isolated
+	}
+	if a.Store != b.Store {
+		return a.Store
+	}
+	return a.Name < b.Name
+}
+
 // maxWatcherAge is the age of its last message from which a host no longer counts as
 // a watcher of the object API.
 const maxWatcherAge = 1200 * time.Millisecond
--- a/entry/gossip/message.go
+++ b/entry/gossip/message.go
@@ -7,6 +7,7 @@
 	"fuchsiashelf.dev/parts/limit"
 	"fuchsiashelf.dev/parts/mirror"
 	"fuchsiashelf.dev/parts/poison"
+	"fuchsiashelf.dev/parts/reach"
 	"fuchsiashelf.dev/parts/router"
 )
 
@@ -201,16 +202,16 @@
 	if m.From.Name != p.Self.Name {
 		p.Load.SetRemote(m.From.Name, m.Load)
 	}
-	p.StartLatency.Merge(m.Waits, time.Now())
+	if m.From.Reach != reach.Isolated {
+		// What a host that is cut off from the servers finds says nothing of them.
+		p.mergeFindings(m)
+	}
 	for id, left := range m.Full {
 		p.Load.RecordRemoteRefusal(id, left, time.Now())
 	}
 	if p.Limits.Merge(m.Limits, time.Now()) {
 		p.Broadcast()
 	}
-	for _, s := range m.Suspects {
-		p.OnSuspect(s)
-	}
 	for _, slow := range m.Slows {
 		p.OnSlow(slow)
 	}
@@ -231,6 +232,14 @@
 	}
 }
 
+// mergeFindings merges what the sender has concluded from waiting for servers.
+func (p *Peer) mergeFindings(m *Message) {
+	p.StartLatency.Merge(m.Waits, time.Now())
+	for _, s := range m.Suspects {
+		p.OnSuspect(s)
+	}
+}
+
 // mergeChanges merges the changes of a kind from a message into its mirror.
 func (p *Peer) mergeChanges(m *Message, batch mirror.Batch) {
 	for _, local := range p.Mirrors {
