stream: do not take a refused or reset connection for the end of a process

Cause: ECONNREFUSED was taken for the end of the server's process. A link that rejects connections gives the same.

--- a/entry/stream/probe.go
+++ b/entry/stream/probe.go
@@ -4,11 +4,11 @@
 	"context"
 	"errors"
 	"maps"
-	"syscall"
 	"time"
 
 	"fuchsiashelf.dev/entry/call"
 	"fuchsiashelf.dev/entry/state"
+	"fuchsiashelf.dev/entry/tunnel"
 	"fuchsiashelf.dev/parts/poison"
 	"fuchsiashelf.dev/parts/probe"
 )
@@ -111,8 +111,7 @@
 // markSuspected marks a server that did not answer as suspected. It reports whether
 // the entry of the server still exists.
 func (m *Monitor) markSuspected(id, address, reason string, err error, now time.Time) bool {
-	// Only a process that has ended refuses connections. A server behind a broken link
-	// does not answer either, but no request caused that.
+	// A server behind a broken link does not answer either, but no request caused that.
 	exited := probeOutcome(err) == probe.Exited
 	m.setExited(id, exited, now)
 	m.resolveFailedRequests(id, exited, now)
@@ -250,7 +249,7 @@
 
 // probeOutcome returns the state of a server that a failed probe indicates.
 func probeOutcome(err error) probe.State {
-	if errors.Is(err, syscall.ECONNREFUSED) {
+	if errors.Is(err, tunnel.ErrExited) {
 		return probe.Exited
 	}
 	return probe.Unreachable
