tunnel, stream: lose less in the first second of a cut

Cause, from the logs of the hosts: a peer that was cut as well was waited for up to 250 ms; the failure was then remembered for the server, so that new requests hung for the 600 ms of a direct attempt; probes that failed so meanwhile gave up streams.

Change: up to three peers are tried 20 ms apart, the first that reaches the server wins, and the others come last for a second; a peer answers after 80 ms; a direct attempt that hangs asks for a tunnel again every 20 ms; a host that has just reached another server asks one peer only. The end of an isolation no longer clears what is known of single servers, since where one server is still reached it came and went.

--- a/entry/stream/monitor.go
+++ b/entry/stream/monitor.go
@@ -175,6 +175,9 @@
 		if stream.started.Load() && silence > restartTimeout(stream.job.Route) {
 			stream.cancel(errSilent)
 		}
+		if m.isCutOff(stream) {
+			go m.restartCutOff(stream)
+		}
 		anyLate = anyLate || silence > time.Duration(stream.meanGap.Load())
 	}
 	maps.DeleteFunc(m.lastAnswer, func(_ string, at time.Time) bool { return now.Sub(at) > healthyProbeInterval })
@@ -200,9 +203,6 @@
 	m.mu.Lock()
 	outcome := m.probes.Record(address, isAlive(err), probeOutcome(err) == probe.Exited)
 	m.mu.Unlock()
-	if isAlive(err) {
-		m.restartCut(address)
-	}
 	if err == nil {
 		m.handleReport(address, report)
 		return
@@ -261,25 +261,17 @@
 	m.rerouteStalled(address, report.Stalled)
 }
 
-// restartCut restarts the silent streams of a first server that is alive but not reached
-// directly, if they are on direct connections: what the server sends there does not arrive.
-func (m *Monitor) restartCut(address string) {
-	if m.Direct == nil || m.Direct(address) {
-		return
-	}
-	m.mu.Lock()
-	var cut []*activeStream
-	for stream := range m.streams {
-		if stream.direct.Load() && stream.firstAddress() == address && stream.silent() && !stream.restarting.Load() {
-			cut = append(cut, stream)
-		}
-	}
-	m.mu.Unlock()
-	for _, stream := range cut {
-		if m.reserveRestart(stream, address) {
-			stream.restarting.Store(true)
-			stream.cancel(errLinkCut)
-		}
+// isCutOff reports whether a stream is silent on a direct connection to a first server that
+// is not reached directly now: what the server sends there does not arrive.
+func (m *Monitor) isCutOff(stream *activeStream) bool {
+	return m.Direct != nil && stream.direct.Load() && stream.silent() && !stream.restarting.Load() && !m.Direct(stream.firstAddress())
+}
+
+// restartCutOff restarts a stream whose connection to its first server is cut, if it can.
+func (m *Monitor) restartCutOff(stream *activeStream) {
+	if m.reserveRestart(stream, stream.firstAddress()) && !stream.restarting.Swap(true) {
+		m.Log.Info("watch: connection cut", "request", stream.job.ID, "silence", stream.silence())
+		stream.cancel(errLinkCut)
 	}
 }
 
--- a/entry/tunnel/dialer.go
+++ b/entry/tunnel/dialer.go
@@ -9,7 +9,6 @@
 	"net"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -25,23 +24,27 @@
 	raceDelay = 20 * time.Millisecond
 	// checkTimeout limits attempts to connect that only tell whether this host reaches
 	// servers.
-	checkTimeout = 100 * time.Millisecond
+	checkTimeout = 40 * time.Millisecond
 	// checkServers is how many other servers are tried when one was not reached.
 	checkServers = 3
 	// recheckInterval is the interval at which servers that were not reached are tried
 	// directly again, and recheckServers how many of them at once.
 	recheckInterval = 500 * time.Millisecond
 	recheckServers  = 2
-	// maxPeers is how many peers are tried for one connection.
-	maxPeers = 3
+	// maxPeers is how many peers are tried for one connection, each peerDelay after the one
+	// before, or when that has failed.
+	maxPeers  = 3
+	peerDelay = 20 * time.Millisecond
 	// peerTimeout limits the time in which a peer opens a tunnel.
 	peerTimeout = serverDialTimeout + 50*time.Millisecond
+	// peerFailedFor is how long a peer that did not reach a server is tried last.
+	peerFailedFor = time.Second
 	// failedFor is how long it is remembered that neither this host nor a peer reached a
 	// server. No tunnel to it is opened meanwhile.
 	failedFor = 300 * time.Millisecond
-	// maxRaces bounds the tunnels that are opened beside direct attempts at the same time:
-	// where all servers are slow to accept, more attempts would make them slower.
-	maxRaces = 32
+	// maxRaces bounds the tunnels that are opened beside direct attempts at one server at the
+	// same time: where it is slow to accept, more attempts would make it slower.
+	maxRaces = 4
 )
 
 // ErrExited is matched by the error of a connection to a server whose process has ended: it
@@ -93,9 +96,11 @@
 	// Clock tells the silence of servers from stalls of this process; nil knows none.
 	Clock *stall.Clock
 
-	races atomic.Int32
-
 	mu sync.Mutex
+	// races counts the tunnels that are being opened beside direct attempts, by server.
+	races map[string]int
+	// peerFailed holds when a peer last did not reach a server.
+	peerFailed map[string]time.Time
 	// failed holds the servers that were not reached, by address.
 	failed map[string]failedServer
 	// checked is closed when the check in progress is done; nil if there is none.
@@ -113,7 +118,7 @@
 // unless the context has ended.
 func (d *Dialer) Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	if !d.Reach.Direct(address, time.Now()) {
-		if c, err := d.throughPeer(ctx, address); err == nil {
+		if c, err := d.throughPeer(ctx, address, time.Now()); err == nil {
 			return c, nil
 		}
 	}
@@ -134,14 +139,19 @@
 		c, err := d.direct(ctx, network, address, startedAt)
 		direct <- result{c, err}
 	}()
-	if r, done := d.await(ctx, direct); done {
-		return d.finish(ctx, address, startedAt, r)
-	}
-	if c := d.overtake(ctx, address, startedAt); c != nil {
-		go closeLate(direct)
-		return c, nil
+	for {
+		r, done := d.await(ctx, direct)
+		if done {
+			return d.finish(ctx, address, startedAt, r)
+		}
+		if ctx.Err() != nil {
+			return d.finish(ctx, address, startedAt, <-direct)
+		}
+		if c := d.overtake(ctx, address, startedAt); c != nil {
+			go closeLate(direct)
+			return c, nil
+		}
 	}
-	return d.finish(ctx, address, startedAt, <-direct)
 }
 
 // await waits for a direct attempt, for raceDelay at most.
@@ -159,14 +169,12 @@
 // overtake connects through a peer while a direct attempt takes long. It returns nil if
 // that is not possible.
 func (d *Dialer) overtake(ctx context.Context, address string, startedAt time.Time) net.Conn {
-	defer d.races.Add(-1)
-	if d.races.Add(1) > maxRaces || ctx.Err() != nil {
+	if !d.beginRace(address) {
 		return nil
 	}
-	// The wait for the peer begins only now.
-	stall.Restart(ctx)
+	defer d.endRace(address)
 	d.check(address)
-	c, err := d.throughPeer(ctx, address)
+	c, err := d.throughPeer(ctx, address, startedAt)
 	if err != nil {
 		return nil
 	}
@@ -175,13 +183,36 @@
 	return c
 }
 
+// beginRace reserves a tunnel beside a direct attempt, and reports whether one is allowed.
+func (d *Dialer) beginRace(address string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.races[address] >= maxRaces {
+		return false
+	}
+	if d.races == nil {
+		d.races = map[string]int{}
+	}
+	d.races[address]++
+	return true
+}
+
+// endRace ends the reservation made by beginRace.
+func (d *Dialer) endRace(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.races[address]--; d.races[address] == 0 {
+		delete(d.races, address)
+	}
+}
+
 // finish returns the connection of a direct attempt or, if that failed, one through a peer.
 func (d *Dialer) finish(ctx context.Context, address string, startedAt time.Time, r result) (net.Conn, error) {
 	if r.err == nil || ctx.Err() != nil {
 		return r.conn, r.err
 	}
 	checked := d.check(address)
-	c, err := d.throughPeer(ctx, address)
+	c, err := d.throughPeer(ctx, address, startedAt)
 	if err == nil {
 		return c, nil
 	}
@@ -230,28 +261,108 @@
 	errFailedBefore = errors.New("tunnel: no peer reached the server a moment ago")
 )
 
-// throughPeer connects through one of the peers.
-func (d *Dialer) throughPeer(ctx context.Context, address string) (net.Conn, error) {
+// opened is the outcome of an attempt to open a tunnel.
+type opened struct {
+	peer string
+	conn *Conn
+	err  error
+}
+
+// throughPeer connects through one of several peers, the first that reaches the server. Only
+// one is tried if this host has reached another server since a time.
+func (d *Dialer) throughPeer(ctx context.Context, address string, since time.Time) (net.Conn, error) {
 	startedAt := time.Now()
 	if d.failedSince(address, startedAt.Add(-failedFor)) {
 		return nil, errFailedBefore
 	}
-	err := errNoPeer
-	peers := d.Peers(address)
-	for _, peer := range peers[:min(len(peers), maxPeers)] {
-		var c *Conn
-		if c, err = d.open(ctx, peer, address); err == nil {
-			d.Reach.RecordRelayed(address)
-			return c, nil
-		}
-		if ctx.Err() != nil {
-			break
+	peers := d.choosePeers(address, startedAt)
+	if len(peers) == 0 {
+		d.recordFailure(address, startedAt, false)
+		return nil, errNoPeer
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan opened, len(peers))
+	next := time.NewTimer(0)
+	defer next.Stop()
+	var err error
+	for started, ended := 0, 0; ended < len(peers); {
+		select {
+		case <-next.C:
+			if started > 0 && d.Reach.ReachedSince(since) {
+				// This host is not cut off, so one peer is enough.
+				peers = peers[:started]
+			}
+			if started < len(peers) {
+				peer := peers[started]
+				started++
+				// The wait for this peer begins only now.
+				stall.Restart(ctx)
+				go func() {
+					c, err := d.open(ctx, peer, address)
+					results <- opened{peer, c, err}
+				}()
+				next.Reset(peerDelay)
+			}
+		case r := <-results:
+			ended++
+			if r.err == nil {
+				d.Reach.RecordRelayed(address)
+				d.recordSlowPeers(peers[:started], r.peer)
+				go closeOthers(results, started-ended)
+				return r.conn, nil
+			}
+			err = r.err
+			next.Reset(0)
+		case <-ctx.Done():
+			go closeOthers(results, started-ended)
+			return nil, errors.Join(context.Cause(ctx), err)
 		}
 	}
 	d.recordFailure(address, startedAt, false)
 	return nil, err
 }
 
+// closeOthers closes the tunnels that are not needed.
+func closeOthers(results <-chan opened, n int) {
+	for range n {
+		if r := <-results; r.err == nil {
+			r.conn.Close()
+		}
+	}
+}
+
+// choosePeers returns the peers to try for a server, in order. Those that did not reach a
+// server a moment ago, for example because they are cut off as well, come last.
+func (d *Dialer) choosePeers(address string, now time.Time) []string {
+	peers := d.Peers(address)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	failed := func(peer string) int {
+		if at, known := d.peerFailed[peer]; known && now.Sub(at) < peerFailedFor {
+			return 1
+		}
+		return 0
+	}
+	slices.SortStableFunc(peers, func(a, b string) int { return failed(a) - failed(b) })
+	return peers[:min(len(peers), maxPeers)]
+}
+
+// recordSlowPeers records the peers that were tried before the one that reached a server.
+func (d *Dialer) recordSlowPeers(tried []string, winner string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.peerFailed == nil {
+		d.peerFailed = map[string]time.Time{}
+	}
+	for _, peer := range tried {
+		if peer == winner {
+			return
+		}
+		d.peerFailed[peer] = time.Now()
+	}
+}
+
 // failedSince reports whether neither this host nor a peer reached a server since a time.
 func (d *Dialer) failedSince(address string, since time.Time) bool {
 	d.mu.Lock()
@@ -347,4 +458,5 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	maps.DeleteFunc(d.failed, func(_ string, f failedServer) bool { return now.Sub(f.at) >= failedFor })
+	maps.DeleteFunc(d.peerFailed, func(_ string, at time.Time) bool { return now.Sub(at) >= peerFailedFor })
 }
--- a/entry/tunnel/server.go
+++ b/entry/tunnel/server.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// serverDialTimeout limits the time in which a peer connects to a server.
-	serverDialTimeout = 250 * time.Millisecond
+	// serverDialTimeout limits the time in which a peer connects to a server, which usually
+	// takes a few milliseconds. Another peer may reach it.
+	serverDialTimeout = 80 * time.Millisecond
 	// maxTunnels bounds the tunnels through one peer. Each has a goroutine for each
 	// direction, two sockets and two buffers.
 	maxTunnels = 2048
--- a/parts/reach/reach.go
+++ b/parts/reach/reach.go
@@ -65,6 +65,7 @@
 	attempts map[string]attempt
 	// lastReached is when the latest attempt that was accepted began.
 	lastReached time.Time
+	isolated    bool
 }
 
 // attempt is an attempt to connect to a server.
@@ -80,7 +81,6 @@
 func (t *Tracker) Record(address string, reached bool, startedAt time.Time) (changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	before := t.isolated()
 	if t.attempts == nil {
 		t.attempts = map[string]attempt{}
 	}
@@ -90,12 +90,14 @@
 	if reached && startedAt.After(t.lastReached) {
 		t.lastReached = startedAt
 	}
-	after := t.isolated()
-	if before && !after {
-		// The servers that were not reached are tried directly again.
-		maps.DeleteFunc(t.attempts, func(_ string, a attempt) bool { return !a.reached })
-	}
-	return after != before
+	return t.update()
+}
+
+// update updates isolated and reports whether that changed. The mutex is held.
+func (t *Tracker) update() (changed bool) {
+	before := t.isolated
+	t.isolated = t.allUnreached()
+	return t.isolated != before
 }
 
 // RecordRelayed records that another entry host has connected to a server that this one
@@ -116,7 +118,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	a := t.attempts[address]
-	return !t.isolated() && (!a.relayed || now.Sub(a.startedAt) > relayedFor)
+	return !t.isolated && (!a.relayed || now.Sub(a.startedAt) > relayedFor)
 }
 
 // ReachedSince reports whether a server has accepted a connection that was attempted after
@@ -140,8 +142,9 @@
 	return list
 }
 
-// isolated reports whether this entry host is isolated. The mutex is held.
-func (t *Tracker) isolated() bool {
+// allUnreached reports whether no server has accepted a connection since enough servers
+// did not. The mutex is held.
+func (t *Tracker) allUnreached() bool {
 	enough := minUnreached
 	if t.Known != nil {
 		enough = max(1, min(enough, t.Known()))
@@ -160,7 +163,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch {
-	case t.isolated():
+	case t.isolated:
 		return Isolated
 	case now.Sub(t.lastReached) <= reachedFor:
 		return Reaching
@@ -186,9 +189,6 @@
 func (t *Tracker) Retain(inUse func(address string) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for address := range t.attempts {
-		if !inUse(address) {
-			delete(t.attempts, address)
-		}
-	}
+	maps.DeleteFunc(t.attempts, func(address string, _ attempt) bool { return !inUse(address) })
+	t.update()
 }
