sess, stand: cut entry hosts off from all servers in sessions, add the failing session cut

Real processes could not be cut off one by one: all hosts of a session or a soak come from 127.0.0.1. Entry hosts can now connect to servers from an address of their own (-source of fsentry, source_ip of fsplat), and stand/sever cuts single addresses off from a listener: its sockets expect signed segments (TCP_MD5SIG) of that address, so that the kernel discards everything in both directions, as a partition does, and delivers it when the link is restored. stand/proxy, which was soak/proxy, uses it.

Session cut, own interface: one host hangs, one gets no new connections, one is reset. The rest of this commit only hands the dialer to the clients of servers.

--- a/entry/internal/invoke/attempt.go
+++ b/entry/internal/invoke/attempt.go
@@ -107,7 +107,7 @@
 	}
 	defer f.View.Release(to.Name)
 	increment("pass.attempts")
-	response, e := send(ctx, call, to, canSend)
+	response, e := send(ctx, f.httpClient(), call, to, canSend)
 	f.recordResult(snap.Meters[to.Name], to.Name, e)
 	return response, e
 }
--- a/entry/internal/invoke/forwarder.go
+++ b/entry/internal/invoke/forwarder.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -41,15 +42,34 @@
 	Signer ticket.Signer
 	// Peers queries the other entry hosts.
 	Peers Peers
+	// Dial connects to backend servers; nil means TCP connections without a time limit.
+	Dial DialFunc
 	// Done is closed when Run returns. It must be set before Run.
 	Done chan struct{}
 
 	flights      claim.Table[callResult]
 	ticketSerial atomic.Uint64
+	clientOnce   sync.Once
+	client       *http.Client
 	// budgets holds the *retry.Budget of each pool by pool name.
 	budgets sync.Map
 }
 
+// httpClient returns the client that sends calls.
+func (f *Forwarder) httpClient() *http.Client {
+	f.clientOnce.Do(func() {
+		dial := f.Dial
+		if dial == nil {
+			dial = (&net.Dialer{}).DialContext
+		}
+		f.client = newClient(dial)
+	})
+	return f.client
+}
+
+// CloseIdleConnections closes the idle connections to backend servers.
+func (f *Forwarder) CloseIdleConnections() { f.httpClient().CloseIdleConnections() }
+
 // Peers queries other entry hosts about calls.
 type Peers interface {
 	// AwaitClaim asks the holder of a claim for the status of its call, and waits
--- a/entry/internal/invoke/send.go
+++ b/entry/internal/invoke/send.go
@@ -29,16 +29,28 @@
 // maxResponseBytes bounds the body of a response.
 const maxResponseBytes = 16 << 20
 
-// dialTimeout bounds the time to connect to a backend server.
-const dialTimeout = 2 * time.Second
-
-var client = &http.Client{
-	Transport: &http.Transport{
-		DialContext:         dial,
-		MaxIdleConnsPerHost: 64,
-		DisableCompression:  true,
-	},
-	CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+// maxIdle bounds the idle connections per backend server.
+const maxIdle = 64
+
+// DialFunc connects to a backend server.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// newClient returns a client whose connections are guarded.
+func newClient(dial DialFunc) *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				conn, err := dial(ctx, network, address)
+				if err != nil {
+					return nil, err
+				}
+				return &guardedConn{Conn: conn}, nil
+			},
+			MaxIdleConnsPerHost: maxIdle,
+			DisableCompression:  true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
 }
 
 // sendGuard decides whether the first byte of a call may be written. It is the
@@ -90,22 +102,13 @@
 	return c.Conn.Write(b)
 }
 
-// dial returns a guarded connection to a backend server.
-func dial(ctx context.Context, network, address string) (net.Conn, error) {
-	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
-	}
-	return &guardedConn{Conn: conn}, nil
-}
-
 // oneShotBody is a body that cannot be read twice, so that net/http never resends
 // a call. Otherwise it resends a call without a body that carries an
 // Idempotency-Key if a pooled connection turns out to be closed.
 type oneShotBody struct{ io.Reader }
 
 // send sends a call to a backend server once, if canSend still allows it.
-func send(ctx context.Context, call *Call, to host.Host, canSend func() bool) (*Response, *fault.Error) {
+func send(ctx context.Context, client *http.Client, call *Call, to host.Host, canSend func() bool) (*Response, *fault.Error) {
 	s := &sendGuard{canSend: canSend}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) { info.Conn.(*guardedConn).guard.Store(s) },
--- a/entry/internal/invoke/send_test.go
+++ b/entry/internal/invoke/send_test.go
@@ -16,6 +16,8 @@
 	"fuchsiashelf.dev/parts/host"
 )
 
+var testClient = newClient((&net.Dialer{}).DialContext)
+
 // backend responds to the first call on a connection, and closes the connection
 // without a response after it has read a second one.
 type backend struct {
@@ -40,7 +42,7 @@
 	})
 	t.Cleanup(func() {
 		l.Close()
-		client.CloseIdleConnections()
+		testClient.CloseIdleConnections()
 		conns.Wait()
 	})
 	return b
@@ -89,9 +91,9 @@
 			t.Run(method+" "+body, func(t *testing.T) {
 				b := newBackend(t)
 				to := host.Host{Name: "p1", Address: b.Addr().String()}
-				_, e := send(t.Context(), newCall("POST", "first", "x"), to, always)
+				_, e := send(t.Context(), testClient, newCall("POST", "first", "x"), to, always)
 				qt.Assert(t, e == nil, qt.IsTrue)
-				_, e = send(t.Context(), newCall(method, "second", body), to, always)
+				_, e = send(t.Context(), testClient, newCall(method, "second", body), to, always)
 				qt.Assert(t, e != nil, qt.IsTrue)
 				qt.Assert(t, e.Verdict, qt.Equals, fault.MayHaveRun)
 				qt.Assert(t, b.count("second"), qt.Equals, 1)
@@ -109,10 +111,10 @@
 	never := func() bool { return false }
 	for _, reuse := range []bool{false, true} {
 		if reuse {
-			_, e := send(t.Context(), newCall("POST", "first", "x"), to, always)
+			_, e := send(t.Context(), testClient, newCall("POST", "first", "x"), to, always)
 			qt.Assert(t, e == nil, qt.IsTrue)
 		}
-		_, e := send(t.Context(), newCall("POST", "late", "x"), to, never)
+		_, e := send(t.Context(), testClient, newCall("POST", "late", "x"), to, never)
 		qt.Assert(t, e != nil, qt.IsTrue)
 		qt.Assert(t, e.Verdict, qt.Equals, fault.NotRun)
 		qt.Assert(t, e.Code, qt.Equals, fault.Deadline)
@@ -126,11 +128,11 @@
 	qt.Assert(t, err, qt.IsNil)
 	to := host.Host{Name: "p1", Address: l.Addr().String()}
 	l.Close()
-	_, e := send(t.Context(), newCall("POST", "x", "x"), to, always)
+	_, e := send(t.Context(), testClient, newCall("POST", "x", "x"), to, always)
 	qt.Assert(t, e.Verdict, qt.Equals, fault.NotRun)
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	_, e = send(ctx, newCall("POST", "x", "x"), to, always)
+	_, e = send(ctx, testClient, newCall("POST", "x", "x"), to, always)
 	qt.Assert(t, e.Verdict, qt.Equals, fault.NotRun)
 	qt.Assert(t, e.Code, qt.Equals, fault.Cancelled)
 }
--- a/entry/internal/setup/setup.go
+++ b/entry/internal/setup/setup.go
@@ -31,6 +31,9 @@
 	Ops     string
 	// Store is the address of the platform's object API.
 	Store string
+	// Source is the IP address from which backend servers are connected to; empty leaves
+	// the choice to the system.
+	Source string
 	// Seeds are the addresses of peers, separated by commas.
 	Seeds string
 	// PeerSecret and DeskSecret authenticate peers and operators. They are never
@@ -85,6 +88,7 @@
 	fs.StringVar(&s.Desk, "desk", "127.0.0.1:0", "host:port of the operators' listener")
 	fs.StringVar(&s.Ops, "ops", "127.0.0.1:0", "host:port of the metrics page")
 	fs.StringVar(&s.Store, "store", "", "host:port of the platform's object API (required)")
+	fs.StringVar(&s.Source, "source", "", "IP address from which backend servers are connected to; empty leaves the choice to the system")
 	fs.StringVar(&s.Seeds, "seeds", "", "host:port of other entry hosts' peers listeners, separated by commas, for a start while the store is down")
 	fs.StringVar(&s.PeerSecret, "peer-secret", "", "secret shared by all entry hosts (required)")
 	fs.StringVar(&s.DeskSecret, "desk-secret", "", "secret of the operators (required)")
@@ -131,6 +135,9 @@
 	checkAddress("desk", s.Desk)
 	checkAddress("ops", s.Ops)
 	checkAddress("store", s.Store)
+	if s.Source != "" && net.ParseIP(s.Source) == nil {
+		errs = append(errs, fmt.Errorf("-source: %q is not an IP address", s.Source))
+	}
 	for seed := range strings.SplitSeq(s.Seeds, ",") {
 		checkAddress("seeds", seed)
 	}
--- a/entry/internal/setup/setup_test.go
+++ b/entry/internal/setup/setup_test.go
@@ -15,13 +15,13 @@
 	c := quicktest.New(t)
 	_, err := setup.Parse([]string{
 		"-callers", "here", "-store", "there", "-max-body", "0", "-grace", "-1s",
-		"-peer-secret", "same", "-desk-secret", "same",
+		"-peer-secret", "same", "-desk-secret", "same", "-source", "nowhere",
 	}, io.Discard)
 	c.Assert(err, quicktest.IsNotNil)
 	for _, want := range []string{
 		"-name: missing", "-domain: missing", `-callers: "here" is not host:port`,
 		`-store: "there" is not host:port`, "-max-body: 0 is not above 0", "-grace: -1s is not above 0",
-		"-desk-secret: must differ from -peer-secret",
+		"-desk-secret: must differ from -peer-secret", `-source: "nowhere" is not an IP address`,
 	} {
 		c.Assert(err.Error(), quicktest.Contains, want)
 	}
--- a/entry/prog/calls.go
+++ b/entry/prog/calls.go
@@ -16,7 +16,7 @@
 
 // newForwarder creates the components that forward calls to plain services, or to
 // the entry host that owns a call.
-func (d *daemon) newForwarder(publisher *view.Publisher, recorder *trace.Recorder, api store.API, peers *mesh.Mesh) *invoke.Forwarder {
+func (d *daemon) newForwarder(publisher *view.Publisher, recorder *trace.Recorder, api store.API, peers *mesh.Mesh, dial invoke.DialFunc) *invoke.Forwarder {
 	owners := &owner.Client{View: publisher, Secret: d.settings.PeerSecret, NewClient: peers.Client}
 	forwarder := &invoke.Forwarder{
 		View: publisher, Trace: recorder, Log: d.log,
@@ -28,6 +28,7 @@
 		Started:     time.Now(),
 		Signer:      ticket.Signer{Secret: d.settings.PeerSecret},
 		Peers:       owners,
+		Dial:        dial,
 		Done:        make(chan struct{}),
 	}
 	owners.Forwarder = forwarder
--- a/entry/prog/modelpath.go
+++ b/entry/prog/modelpath.go
@@ -27,7 +27,7 @@
 
 // newModelPath creates the components that forward model requests and poll the
 // engines.
-func (d *daemon) newModelPath(publisher *view.Publisher, recorder *trace.Recorder) (*modelPath, error) {
+func (d *daemon) newModelPath(publisher *view.Publisher, recorder *trace.Recorder, client *engine.Client) (*modelPath, error) {
 	policy, err := pick.ParsePolicy(d.settings.Policy)
 	if err != nil {
 		return nil, err
@@ -40,7 +40,6 @@
 	if err != nil {
 		return nil, err
 	}
-	client := &engine.Client{}
 	return &modelPath{
 		forwarder: &relay.Forwarder{
 			View: publisher, Engine: client, Trace: recorder, Log: d.log, Policy: policy, ProbePool: probePool,
--- a/entry/prog/prog.go
+++ b/entry/prog/prog.go
@@ -19,6 +19,7 @@
 	"fuchsiashelf.dev/entry/internal/edge"
 	"fuchsiashelf.dev/entry/internal/setup"
 	"fuchsiashelf.dev/parts/boot"
+	"fuchsiashelf.dev/parts/engine"
 	"fuchsiashelf.dev/parts/httpd"
 	"fuchsiashelf.dev/parts/stall"
 	"fuchsiashelf.dev/parts/store"
@@ -108,13 +109,15 @@
 		return err
 	}
 	defer adminServer.Workers.Release()
-	models, err := d.newModelPath(publisher, recorder)
+	dial := d.serverDialer().DialContext
+	engines := &engine.Client{HTTP: engine.NewHTTP(dial)}
+	models, err := d.newModelPath(publisher, recorder, engines)
 	if err != nil {
 		return err
 	}
 	defer models.release()
-	models.forwarder.Guard = d.newGuard(publisher, recorder, peers)
-	calls := d.newForwarder(publisher, recorder, api, peers)
+	models.forwarder.Guard = d.newGuard(publisher, recorder, peers, engines)
+	calls := d.newForwarder(publisher, recorder, api, peers, dial)
 	handler := &edge.Handler{
 		View:           publisher,
 		Relay:          models.forwarder,
@@ -140,7 +143,7 @@
 	start("seat", func(ctx context.Context) error { return adminServer.Run(ctx, d.desk) })
 	start("claims", calls.Claims.Run)
 	start("calls", calls.Run)
-	start("order", d.newOrderController(publisher, recorder, api).Run)
+	start("order", d.newOrderController(publisher, recorder, api, engines).Run)
 	start("ops", func(ctx context.Context) error { return d.serveOps(ctx, handler) })
 	fmt.Fprintf(d.stdout, "ready callers=%s peers=%s desk=%s ops=%s\n",
 		d.callers.Addr(), d.peers.Addr(), d.desk.Addr(), d.ops.Addr())
@@ -150,6 +153,19 @@
 	return err
 }
 
+// serverDialTimeout bounds the time to connect to a backend server. A host that is down may
+// send no reply at all, and only this timeout distinguishes it from a slow one.
+const serverDialTimeout = 2 * time.Second
+
+// serverDialer returns the dialer for connections to backend servers.
+func (d *daemon) serverDialer() *net.Dialer {
+	dialer := &net.Dialer{Timeout: serverDialTimeout}
+	if d.settings.Source != "" {
+		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(d.settings.Source)}
+	}
+	return dialer
+}
+
 // serveCallers serves callers until the context ends. It then accepts requests for
 // the linger period and waits for those in flight, at most for the grace period.
 func (d *daemon) serveCallers(ctx context.Context, handler *edge.Handler) error {
--- a/parts/engine/client.go
+++ b/parts/engine/client.go
@@ -36,11 +36,12 @@
 const maxIdle = 256
 
 // defaultClient is used by Clients without an HTTP client of their own.
-var defaultClient = &http.Client{Transport: &http.Transport{
-	DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-	MaxIdleConnsPerHost: maxIdle,
-	DisableCompression:  true,
-}}
+var defaultClient = NewHTTP((&net.Dialer{Timeout: dialTimeout}).DialContext)
+
+// NewHTTP returns a client for Client.HTTP that connects with the given function.
+func NewHTTP(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Client {
+	return &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdle, DisableCompression: true}}
+}
 
 func (c *Client) http() *http.Client {
 	if c.HTTP != nil {
--- a/sess/procs/cluster.go
+++ b/sess/procs/cluster.go
@@ -83,6 +83,7 @@
 		"-name", name, "-domain", string(dom), "-store", storeAddr,
 		"-peer-secret", PeerSecret, "-desk-secret", DeskSecret,
 	}, extraArgs...)
+	args = append(args, c.cuts.sourceArgs(name)...)
 	if _, err := c.Start(name, "fsentry", args...); err != nil {
 		return err
 	}
@@ -95,19 +96,23 @@
 	if err != nil {
 		return err
 	}
+	serve, err := c.cuts.proxy(p.Addresses["serve"])
+	if err != nil {
+		return err
+	}
 	h := host.Host{Name: name, Domain: dom, State: state}
 	switch {
 	case p.Program == "fsentry":
 		h.Role, h.Address = host.Entry, p.Addresses["peers"]
 	case p.Args[0] == "engine":
-		h.Role, h.Address = host.Engine, p.Addresses["serve"]
+		h.Role, h.Address = host.Engine, serve
 		h.Model = p.flagValue("model", "lotus")
 		h.Kind = p.flagValue("kind", "std")
 		h.First, _ = strconv.Atoi(p.flagValue("first", "0"))
 		h.End, _ = strconv.Atoi(p.flagValue("end", "32"))
 		h.Fencing = p.flagValue("fencing", "true") == "true"
 	default:
-		h.Role, h.Address = host.Plain, p.Addresses["serve"]
+		h.Role, h.Address = host.Plain, serve
 	}
 	value, err := json.Marshal(h)
 	if err != nil {
--- a/sess/procs/procs.go
+++ b/sess/procs/procs.go
@@ -45,6 +45,7 @@
 	Dir string
 
 	partition *partition
+	cuts      *cuts
 
 	mu    sync.Mutex
 	procs map[string]*Process
@@ -182,6 +183,7 @@
 	if c.partition != nil {
 		defer c.partition.close()
 	}
+	defer c.cuts.close()
 	var errs []error
 	for _, p := range c.All() {
 		select {
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -13,8 +13,8 @@
 	"syscall"
 	"time"
 
-	"fuchsiashelf.dev/soak/proxy"
 	"fuchsiashelf.dev/stand/fakes"
+	"fuchsiashelf.dev/stand/proxy"
 )
 
 // Keys of the only team. The run revokes oldKey at its end.
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -7,8 +7,8 @@
 	"syscall"
 	"time"
 
-	"fuchsiashelf.dev/soak/proxy"
 	"fuchsiashelf.dev/stand/fakes"
+	"fuchsiashelf.dev/stand/proxy"
 )
 
 // Bounds of the random pause before each fault and of its duration. Faults
--- a/stand/fakes/caller.go
+++ b/stand/fakes/caller.go
@@ -58,15 +58,17 @@
 	Name, Zone          string
 	Callers, Ops, Peers string
 	Seed, Store         string
+	// Source is the IP address from which the process connects to backend servers.
+	Source string
 	// GraceSeconds is the time from a stop signal to the exit of the process.
 	GraceSeconds int
 }
 
 // YAML returns the contents of the settings file.
 func (s Settings) YAML() string {
-	return fmt.Sprintf("node_name: %s\nzone: %s\nlisten: {front: %q, ready: %q, control: %q}\nseeds: [%q]\n"+
+	return fmt.Sprintf("node_name: %s\nzone: %s\nsource_ip: %q\nlisten: {front: %q, ready: %q, control: %q}\nseeds: [%q]\n"+
 		"limits: {memory_mb: 200}\nbounds: {grace_s: %d, retry_budget_ratio: 0.2, budget_window_s: 10, budget_slack: 100}\n"+
-		"platform: {address: %q}\n", s.Name, s.Zone, s.Callers, s.Ops, s.Peers, s.Seed, s.GraceSeconds, s.Store)
+		"platform: {address: %q}\n", s.Name, s.Zone, s.Source, s.Callers, s.Ops, s.Peers, s.Seed, s.GraceSeconds, s.Store)
 }
 
 // Config is an operator's configuration with four routes: the stream /ask/, the
--- a/soak/proxy/proxy.go
+++ b/stand/proxy/proxy.go
@@ -6,8 +6,11 @@
 	"errors"
 	"io"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
+
+	"fuchsiashelf.dev/stand/sever"
 )
 
 // Mode selects how a proxy handles connections.
@@ -33,7 +36,7 @@
 // Proxy forwards connections to one address.
 type Proxy struct {
 	target   string
-	listener net.Listener
+	listener *sever.Listener
 
 	mu    sync.Mutex
 	mode  Mode
@@ -42,7 +45,7 @@
 
 // New starts a proxy that forwards to target.
 func New(target string) (*Proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := sever.Listen("127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
@@ -67,6 +70,9 @@
 	}
 }
 
+// Cut cuts the link between one source address and the proxy.
+func (p *Proxy) Cut(source netip.Addr, m sever.Mode) error { return p.listener.Cut(source, m) }
+
 // Close stops the proxy and resets its connections.
 func (p *Proxy) Close() {
 	p.listener.Close()
@@ -81,7 +87,7 @@
 
 // reset closes a connection with a TCP reset instead of a FIN.
 func reset(c net.Conn) {
-	if t, ok := c.(*net.TCPConn); ok {
+	if t, ok := c.(interface{ SetLinger(seconds int) error }); ok {
 		_ = t.SetLinger(0)
 	}
 	c.Close()
@@ -143,7 +149,7 @@
 			}
 		}
 		if err == io.EOF {
-			if t, ok := dst.(*net.TCPConn); ok && !discard {
+			if t, ok := dst.(interface{ CloseWrite() error }); ok && !discard {
 				_ = t.CloseWrite()
 			}
 			return
