links, mesh, prog: connect through another entry host on the own interface, too

Cause: as on the users' platform: a server that this host does not reach counts as down. A refused or reset connection also counted as the end of its process, so that requests were convicted of crashes; the holder of the lease of orders kept it while it could order nothing; chains that were silent because of the own link were laid to links between servers.

Change: entry/internal/links connects all clients of servers (models, status, orders, calls) through the dialer of package tunnel, with the secret and TLS of the peers. An isolated host does not contend for or renew the lease. A stop waits for tunnels in use, within the grace period.

--- a/entry/internal/crash/tracker.go
+++ b/entry/internal/crash/tracker.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"syscall"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
+	"fuchsiashelf.dev/entry/tunnel"
 	"fuchsiashelf.dev/parts/fault"
 	"fuchsiashelf.dev/parts/peer"
 	"fuchsiashelf.dev/parts/poison"
@@ -188,13 +190,21 @@
 	return false
 }
 
-// isDead reports whether the process of a server is gone: its host refuses or
-// resets connections. A server that answers is alive even if the request failed
-// there. A timeout proves nothing, since the link may be cut or the process
-// paused.
+// resetRetryDelay is the delay after which a server that reset a connection is asked again.
+const resetRetryDelay = 5 * time.Millisecond
+
+// isDead reports whether the process of a server is gone. A server that answers is alive
+// even if the request failed there. A timeout, or a refused connection to a server that
+// others reach, proves nothing, since the link may be cut or the process paused. A process
+// that is ending resets connections at first, and then its host refuses them.
 func (g *Guard) isDead(ctx context.Context, address string) bool {
 	ctx, cancel := g.Clock.WithIdleTimeout(ctx, probeTimeout, nil)
 	defer cancel()
-	_, err := g.Engine.Status(ctx, address)
-	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+	for {
+		_, err := g.Engine.Status(ctx, address)
+		if !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, io.EOF) || ctx.Err() != nil {
+			return errors.Is(err, tunnel.ErrExited)
+		}
+		wait.For(ctx, resetRetryDelay)
+	}
 }
--- a/entry/internal/mesh/mesh.go
+++ b/entry/internal/mesh/mesh.go
@@ -13,9 +13,11 @@
 	"slices"
 	"time"
 
+	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"fuchsiashelf.dev/entry/tunnel"
 	"fuchsiashelf.dev/parts/domain"
 	"fuchsiashelf.dev/parts/host"
 	"fuchsiashelf.dev/parts/peer"
@@ -62,6 +64,8 @@
 	// HandlePoison answers other entry hosts' queries about requests that crash
 	// servers; nil rejects them.
 	HandlePoison func(*wire.PoisonAsk) *wire.PoisonReply
+	// Tunnels handles the tunnels that other entry hosts open; nil rejects them.
+	Tunnels drpc.Handler
 
 	peer         *peer.Peer
 	newerConfigs chan peer.NewerConfig
@@ -76,12 +80,33 @@
 		return err
 	}
 	served := make(chan error, 1)
-	go func() { served <- drpcserver.New(mux).Serve(ctx, peer.Listener{Listener: listener}) }()
+	go func() {
+		served <- drpcserver.New(&handler{Handler: mux, tunnels: m.Tunnels}).Serve(ctx, peer.Listener{Listener: listener})
+	}()
 	go m.syncLoop(ctx)
 	err := m.peer.Run(ctx)
 	return errors.Join(err, <-served)
 }
 
+// handler handles the calls of other entry hosts.
+type handler struct {
+	drpc.Handler
+	tunnels drpc.Handler
+}
+
+// HandleRPC implements drpc.Handler.
+func (h *handler) HandleRPC(stream drpc.Stream, rpc string) error {
+	if rpc == tunnel.Call && h.tunnels != nil {
+		return h.tunnels.HandleRPC(stream, rpc)
+	}
+	return h.Handler.HandleRPC(stream, rpc)
+}
+
+// Dial opens a connection to the entry host at an address.
+func (m *Mesh) Dial(ctx context.Context, address string) (drpc.Conn, error) {
+	return m.peer.Dial(ctx, address)
+}
+
 // Init prepares the mesh. Call it once after the fields are set, before Run and
 // any other method.
 func (m *Mesh) Init() {
--- a/entry/internal/relay/relay.go
+++ b/entry/internal/relay/relay.go
@@ -41,6 +41,8 @@
 	Policy pick.Policy
 	// Clock tells the silence of servers from stalls of this process; nil knows none.
 	Clock *stall.Clock
+	// Direct reports whether connections to a server are direct ones now; nil means always.
+	Direct func(address string) bool
 	// ProbePool runs probes of servers; nil means a goroutine for each.
 	ProbePool *ants.Pool
 
--- a/entry/internal/relay/suspect.go
+++ b/entry/internal/relay/suspect.go
@@ -68,6 +68,10 @@
 // chains in a row is suspected; tokens of other chains reset the count of the
 // healthy ones.
 func (d *delivery) handleSilence() {
+	if d.Direct != nil && !d.Direct(d.stages[0].Address) {
+		// The link from this host to the first server is cut.
+		return
+	}
 	d.avoidLinks()
 	for i := range d.hops {
 		d.avoided = append(d.avoided, d.stages[i].Server)
--- a/entry/prog/modelpath.go
+++ b/entry/prog/modelpath.go
@@ -27,7 +27,7 @@
 
 // newModelPath creates the components that forward model requests and poll the
 // engines.
-func (d *daemon) newModelPath(publisher *view.Publisher, recorder *trace.Recorder, client *engine.Client) (*modelPath, error) {
+func (d *daemon) newModelPath(publisher *view.Publisher, recorder *trace.Recorder, client *engine.Client, direct func(address string) bool) (*modelPath, error) {
 	policy, err := pick.ParsePolicy(d.settings.Policy)
 	if err != nil {
 		return nil, err
@@ -43,7 +43,7 @@
 	return &modelPath{
 		forwarder: &relay.Forwarder{
 			View: publisher, Engine: client, Trace: recorder, Log: d.log, Policy: policy, ProbePool: probePool,
-			Clock: d.clock,
+			Clock: d.clock, Direct: direct,
 		},
 		poller: &poll.Poller{
 			View: publisher, Engine: client, Clock: d.clock, Trace: recorder, Log: d.log, Workers: pollPool,
--- a/entry/prog/prog.go
+++ b/entry/prog/prog.go
@@ -109,15 +109,19 @@
 		return err
 	}
 	defer adminServer.Workers.Release()
-	dial := d.serverDialer().DialContext
-	engines := &engine.Client{HTTP: engine.NewHTTP(dial)}
-	models, err := d.newModelPath(publisher, recorder, engines)
+	servers := d.newLinks(publisher, peers)
+	engines := &engine.Client{HTTP: engine.NewHTTP(servers.Dial)}
+	models, err := d.newModelPath(publisher, recorder, engines, servers.Direct)
 	if err != nil {
 		return err
 	}
 	defer models.release()
 	models.forwarder.Guard = d.newGuard(publisher, recorder, peers, engines)
-	calls := d.newForwarder(publisher, recorder, api, peers, dial)
+	calls := d.newForwarder(publisher, recorder, api, peers, servers.Dial)
+	servers.OnChange = func() {
+		engines.HTTP.CloseIdleConnections()
+		calls.CloseIdleConnections()
+	}
 	handler := &edge.Handler{
 		View:           publisher,
 		Relay:          models.forwarder,
@@ -138,34 +142,25 @@
 	}
 	start("clock", d.clock.Run)
 	start("watch", func(ctx context.Context) error { watcher.Run(ctx); return nil })
+	start("links", servers.Run)
 	start("poll", func(ctx context.Context) error { models.poller.Run(ctx); return nil })
 	start("mesh", func(ctx context.Context) error { return peers.Run(ctx, d.peers) })
 	start("seat", func(ctx context.Context) error { return adminServer.Run(ctx, d.desk) })
 	start("claims", calls.Claims.Run)
 	start("calls", calls.Run)
-	start("order", d.newOrderController(publisher, recorder, api, engines).Run)
+	start("order", d.newOrderController(publisher, recorder, api, engines, servers.Isolated).Run)
 	start("ops", func(ctx context.Context) error { return d.serveOps(ctx, handler) })
 	fmt.Fprintf(d.stdout, "ready callers=%s peers=%s desk=%s ops=%s\n",
 		d.callers.Addr(), d.peers.Addr(), d.desk.Addr(), d.ops.Addr())
 	err = d.serveCallers(ctx, handler)
+	drainCtx, stopDrain := context.WithTimeout(runCtx, d.settings.Grace)
+	servers.Drain(drainCtx)
+	stopDrain()
 	stopRun()
 	components.Wait()
 	return err
 }
 
-// serverDialTimeout bounds the time to connect to a backend server. A host that is down may
-// send no reply at all, and only this timeout distinguishes it from a slow one.
-const serverDialTimeout = 2 * time.Second
-
-// serverDialer returns the dialer for connections to backend servers.
-func (d *daemon) serverDialer() *net.Dialer {
-	dialer := &net.Dialer{Timeout: serverDialTimeout}
-	if d.settings.Source != "" {
-		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(d.settings.Source)}
-	}
-	return dialer
-}
-
 // serveCallers serves callers until the context ends. It then accepts requests for
 // the linger period and waits for those in flight, at most for the grace period.
 func (d *daemon) serveCallers(ctx context.Context, handler *edge.Handler) error {
--- a/entry/tunnel/dialer.go
+++ b/entry/tunnel/dialer.go
@@ -217,16 +217,28 @@
 		return c, nil
 	}
 	e := &Error{Address: address, Direct: r.err, Tunnel: err}
-	if errors.Is(err, errFailedBefore) {
-		e.Exited = d.hasExited(address)
-	} else if errors.Is(r.err, syscall.ECONNREFUSED) {
-		<-checked
-		e.Exited = d.Reach.ReachedSince(startedAt)
-		d.recordFailure(address, startedAt, e.Exited)
+	if errors.Is(r.err, syscall.ECONNREFUSED) {
+		e.Exited = d.hasExited(address, checked, startedAt)
 	}
 	return nil, e
 }
 
+// hasExited reports whether the process of a server has ended that neither this host, which
+// it refused, nor a peer reached: whether this host reaches another server. checked is
+// closed when a check that may have begun before the attempt is done.
+func (d *Dialer) hasExited(address string, checked <-chan struct{}, startedAt time.Time) bool {
+	if d.exitKnown(address) {
+		return true
+	}
+	<-checked
+	if !d.Reach.ReachedSince(startedAt) {
+		<-d.check(address)
+	}
+	exited := d.Reach.ReachedSince(startedAt)
+	d.recordFailure(address, startedAt, exited)
+	return exited
+}
+
 // closeLate closes the connection of a direct attempt that is not needed.
 func closeLate(direct <-chan result) {
 	if r := <-direct; r.err == nil {
@@ -371,10 +383,12 @@
 	return failed && f.at.After(since)
 }
 
-func (d *Dialer) hasExited(address string) bool {
+// exitKnown reports whether it was found a moment ago that a server's process has ended.
+func (d *Dialer) exitKnown(address string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.failed[address].exited
+	f := d.failed[address]
+	return f.exited && time.Since(f.at) < failedFor
 }
 
 func (d *Dialer) recordFailure(address string, at time.Time, exited bool) {
@@ -383,7 +397,9 @@
 	if d.failed == nil {
 		d.failed = map[string]failedServer{}
 	}
-	d.failed[address] = failedServer{at: at, exited: exited}
+	if old := d.failed[address]; !at.Before(old.at) {
+		d.failed[address] = failedServer{at: at, exited: exited}
+	}
 }
 
 func (d *Dialer) open(ctx context.Context, peer, address string) (*Conn, error) {
--- a/entry/tunnel/server.go
+++ b/entry/tunnel/server.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,15 +28,20 @@
 	Known func(address string) bool
 	// Dial connects to a server directly.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
-	// Stopping reports whether this host is about to stop and opens no tunnels; nil means
-	// that it is not.
-	Stopping func() bool
 	// Authorized reports whether a secret is that of the entry hosts; nil accepts all.
 	Authorized func(secret string) bool
 
-	active atomic.Int64
+	stopping atomic.Bool
+	active   atomic.Int64
+
+	mu sync.Mutex
+	// usedAt holds when bytes last passed through each tunnel.
+	usedAt map[*atomic.Int64]struct{}
 }
 
+// busyFor is how long a tunnel counts as in use after bytes have passed through it.
+const busyFor = 2 * time.Second
+
 var (
 	errUnknownServer = errors.New("tunnel: not the address of a known backend server")
 	errTooMany       = errors.New("tunnel: too many tunnels")
@@ -46,6 +52,42 @@
 // Active returns the number of open tunnels.
 func (s *Server) Active() int { return int(s.active.Load()) }
 
+// Stop makes the server open no more tunnels, because this host is about to stop.
+func (s *Server) Stop() { s.stopping.Store(true) }
+
+// Busy returns the number of tunnels through which bytes have passed lately. The others may
+// be idle connections of the hosts that opened them.
+func (s *Server) Busy() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for at := range s.usedAt {
+		if time.Since(time.Unix(0, at.Load())) < busyFor {
+			n++
+		}
+	}
+	return n
+}
+
+// track adds a tunnel, and returns a function that records that bytes pass through it and
+// one that removes it.
+func (s *Server) track() (use, remove func()) {
+	at := &atomic.Int64{}
+	use = func() { at.Store(time.Now().UnixNano()) }
+	use()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.usedAt == nil {
+		s.usedAt = map[*atomic.Int64]struct{}{}
+	}
+	s.usedAt[at] = struct{}{}
+	return use, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.usedAt, at)
+	}
+}
+
 // HandleRPC implements drpc.Handler for [Call].
 func (s *Server) HandleRPC(stream drpc.Stream, rpc string) error {
 	if rpc != Call {
@@ -72,7 +114,9 @@
 	if err := stream.MsgSend(&message{kind: kindOpened}, encoding{}); err != nil {
 		return err
 	}
-	return relay(stream, server)
+	use, remove := s.track()
+	defer remove()
+	return relay(stream, server, use)
 }
 
 // check returns an error if a tunnel is not allowed. n is the number of tunnels with it.
@@ -80,7 +124,7 @@
 	switch {
 	case s.Authorized != nil && !s.Authorized(open.Secret):
 		return errUnauthorized
-	case s.Stopping != nil && s.Stopping():
+	case s.stopping.Load():
 		return errStopping
 	case !s.Known(open.Address):
 		return errUnknownServer
@@ -106,14 +150,16 @@
 }
 
 // relay copies bytes in both directions until either side ends. The server's connection is
-// closed as soon as the host that opened the tunnel has left, so that the server stops.
-func relay(stream drpc.Stream, server net.Conn) error {
+// closed as soon as the host that opened the tunnel has left, so that the server stops. use
+// is called when bytes pass.
+func relay(stream drpc.Stream, server net.Conn, use func()) error {
 	stop := context.AfterFunc(stream.Context(), func() { server.Close() })
 	defer stop()
-	go copyToServer(stream, server)
+	go copyToServer(stream, server, use)
 	buffer := make([]byte, maxData)
 	for {
 		n, err := server.Read(buffer)
+		use()
 		if n > 0 {
 			if err := stream.MsgSend(&message{kind: kindData, body: buffer[:n]}, encoding{}); err != nil {
 				return err
@@ -129,10 +175,11 @@
 }
 
 // copyToServer copies the bytes for a server until the tunnel ends.
-func copyToServer(stream drpc.Stream, server net.Conn) {
+func copyToServer(stream drpc.Stream, server net.Conn, use func()) {
 	for {
 		var m message
 		err := stream.MsgRecv(&m, encoding{})
+		use()
 		if err == nil && m.kind == kindData {
 			_, err = server.Write(m.body)
 		}
--- a/entry/tunnel/tunnel_test.go
+++ b/entry/tunnel/tunnel_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -179,9 +180,11 @@
 // about to stop, and for strangers.
 func TestPeerRejects(t *testing.T) {
 	server := listen(t, echo)
+	stopping := &tunnel.Server{Dial: dial, Known: all}
+	stopping.Stop()
 	for _, s := range []*tunnel.Server{
+		stopping,
 		{Dial: dial, Known: func(string) bool { return false }},
-		{Dial: dial, Known: all, Stopping: func() bool { return true }},
 		{Dial: dial, Known: all, Authorized: func(secret string) bool { return secret == "right" }},
 	} {
 		peer, _ := servePeer(t, s)
@@ -257,6 +260,30 @@
 	qt.Assert(t, direct, qt.IsTrue)
 }
 
+// Guards against a crash that is overlooked while several connections to the server are
+// attempted at the same time.
+func TestExitIsToldToAllWhoDial(t *testing.T) {
+	up, down := listen(t, echo), "127.0.0.1:1"
+	refusing, _ := servePeer(t, &tunnel.Server{Known: all, Dial: refuse})
+	d := newDialer(func(ctx context.Context, network, address string) (net.Conn, error) {
+		if address == up {
+			return dial(ctx, network, address)
+		}
+		return nil, errRefused
+	}, []string{up, down}, []string{refusing})
+	var dials sync.WaitGroup
+	var exited atomic.Int64
+	for range 50 {
+		dials.Go(func() {
+			if _, err := d.Dial(t.Context(), "tcp", down); errors.Is(err, tunnel.ErrExited) {
+				exited.Add(1)
+			}
+		})
+	}
+	dials.Wait()
+	qt.Assert(t, exited.Load(), qt.Equals, int64(50))
+}
+
 // waitUntil waits until a condition holds. The timeout of the test ends a wait in vain.
 func waitUntil(condition func() bool) {
 	for !condition() {
--- a/parts/peer/conn.go
+++ b/parts/peer/conn.go
@@ -20,10 +20,11 @@
 // connection, or dials on first use if none is idle.
 func (p *Peer) Client(ctx context.Context, address string) wire.DRPCEntryClient {
 	p.init()
-	return wire.NewDRPCEntryClient(p.conns.Get(ctx, address, p.dial))
+	return wire.NewDRPCEntryClient(p.conns.Get(ctx, address, p.Dial))
 }
 
-func (p *Peer) dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
+// Dial opens a connection to the member at an address.
+func (p *Peer) Dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
--- a/parts/reach/reach.go
+++ b/parts/reach/reach.go
@@ -185,6 +185,20 @@
 	return reached, unreached
 }
 
+// Relayed returns the number of servers that this entry host did not reach and another one
+// did.
+func (t *Tracker) Relayed() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, a := range t.attempts {
+		if a.relayed {
+			n++
+		}
+	}
+	return n
+}
+
 // Retain forgets the servers whose addresses are not in use.
 func (t *Tracker) Retain(inUse func(address string) bool) {
 	t.mu.Lock()
