stream: tell when to retry in every refusal of a request that did not run

Cause: an attempt that did not reach its server ends with an error that names no time, and only errors of choosing a chain did.

Change: a refusal of a request that did not run names at least minRetryAfter.

--- a/entry/stream/failure.go
+++ b/entry/stream/failure.go
@@ -187,6 +187,9 @@
 	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		final.Code = fault.Deadline
 	}
+	if final.Verdict == fault.NotRun && final.RetryAfter == 0 {
+		final.RetryAfter = minRetryAfter
+	}
 	if r.serverError != nil && !r.headerSent {
 		return r.deliverServerError()
 	}
