soak: cut entry hosts off from all servers

The series cuts one host, those of a failure domain, or all but one off from all servers, for 0.5 to 4 s, in one of three ways, beside all other faults; servers that join meanwhile are cut off as well.

--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -15,6 +16,7 @@
 
 	"fuchsiashelf.dev/stand/fakes"
 	"fuchsiashelf.dev/stand/proxy"
+	"fuchsiashelf.dev/stand/sever"
 )
 
 // Keys of the only team. The run revokes oldKey at its end.
@@ -53,10 +55,15 @@
 	cluster                       *cluster
 	name, zone                    string
 	callerAddr, opsAddr, peerAddr string
-	storeProxy                    *proxy.Proxy
-	seedAddr                      string
+	// source is the address from which the process connects to backend servers.
+	source     netip.Addr
+	storeProxy *proxy.Proxy
+	seedAddr   string
 	// restartMu is held during a restart of the process.
 	restartMu sync.Mutex
+	// cut is how the entry host is cut off from all backend servers. The mutex of the
+	// cluster guards it.
+	cut sever.Mode
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
@@ -116,9 +123,14 @@
 			return "", err
 		}
 		c.mu.Lock()
+		defer c.mu.Unlock()
 		c.serverProxies = append(c.serverProxies, p)
-		c.mu.Unlock()
-		return p.Address(), nil
+		for _, e := range c.entries {
+			if e.cut != sever.Connected {
+				err = errors.Join(err, p.Cut(e.source, e.cut))
+			}
+		}
+		return p.Address(), err
 	}
 	if err := c.platform.AddServer(s); err != nil {
 		return err
@@ -141,7 +153,7 @@
 
 // addEntryHost starts an entry host.
 func (c *cluster) addEntryHost(i int) error {
-	e := &entryHost{cluster: c, name: fmt.Sprintf("entry-%d", i), zone: zone(i)}
+	e := &entryHost{cluster: c, name: fmt.Sprintf("entry-%d", i), zone: zone(i), source: netip.AddrFrom4([4]byte{127, 0, 1, byte(i + 1)})}
 	for _, address := range []*string{&e.callerAddr, &e.opsAddr, &e.peerAddr} {
 		var err error
 		if *address, err = fakes.FreeAddress(); err != nil {
@@ -167,7 +179,7 @@
 func (e *entryHost) start() error {
 	file := filepath.Join(e.cluster.Dir, e.name+".yaml")
 	text := fakes.Settings{
-		Name: e.name, Zone: e.zone, Callers: e.callerAddr, Ops: e.opsAddr, Peers: e.peerAddr, Seed: e.seedAddr, Store: e.storeProxy.Address(), GraceSeconds: 6,
+		Name: e.name, Zone: e.zone, Callers: e.callerAddr, Ops: e.opsAddr, Peers: e.peerAddr, Seed: e.seedAddr, Source: e.source.String(), Store: e.storeProxy.Address(), GraceSeconds: 6,
 	}.YAML()
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return err
@@ -239,6 +251,19 @@
 	return nil
 }
 
+// cutOff cuts an entry host off from all backend servers, or restores its links with
+// sever.Connected.
+func (c *cluster) cutOff(e *entryHost, mode sever.Mode) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e.cut = mode
+	var errs []error
+	for _, p := range c.serverProxies {
+		errs = append(errs, p.Cut(e.source, mode))
+	}
+	return errors.Join(errs...)
+}
+
 // clearFaults ends all faults. Crashed backend servers stay down.
 func (c *cluster) clearFaults() {
 	c.platform.Store.SetFailureMode(fakes.Healthy)
--- a/soak/series.go
+++ b/soak/series.go
@@ -55,6 +55,9 @@
 	if r.Notices {
 		kinds = append(kinds, r.startPauses, r.startLeaving)
 	}
+	if r.Cuts {
+		kinds = append(kinds, r.startCuts)
+	}
 	return kinds[rng.IntN(len(kinds))](rng)
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -33,6 +33,9 @@
 	// Notices makes servers request pauses and say that they leave, in the series and after
 	// the faults, and checks that entry hosts keep to it.
 	Notices bool
+	// Cuts cuts entry hosts off from all backend servers, in the series and after the
+	// faults, and checks that they serve their callers.
+	Cuts bool
 	// EntryHosts and Callers are the numbers of entry hosts and callers.
 	EntryHosts, Callers int
 	// Program is the path of the fsplat binary.
@@ -225,6 +228,9 @@
 	if r.Notices {
 		r.checkNotices()
 	}
+	if r.Cuts {
+		r.checkCuts()
+	}
 	r.checkPlannedStop()
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -45,6 +45,12 @@
 	runSeed(t, soak.Settings{Seed: 131, FaultDuration: 10 * time.Second, EntryHosts: 4, Callers: 16, Program: build(t)})
 }
 
+// Guards against entry hosts that refuse their callers while they are cut off from all
+// servers and others are not.
+func TestCuts(t *testing.T) {
+	runSeed(t, soak.Settings{Seed: 5, FaultDuration: 5 * time.Second, Series: true, Cuts: true, EntryHosts: 4, Callers: 8, Program: build(t)})
+}
+
 func runSeed(t *testing.T, s soak.Settings) {
 	s.Dir = t.TempDir()
 	report, err := soak.Run(s)
