--- a/entry/tunnel/dialer.go
+++ b/entry/tunnel/dialer.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	// raceDelay is how long a direct attempt may take before a tunnel is opened beside it.
+	// raceDelay is how long a direct attempt may take before a tunnel is opened as well.
 	// A server usually accepts within a few milliseconds.
 	raceDelay = 20 * time.Millisecond
 	// checkTimeout limits attempts to connect that only tell whether this host reaches
@@ -42,8 +42,8 @@
 	// failedFor is how long it is remembered that neither this host nor a peer reached a
 	// server. No tunnel to it is opened meanwhile.
 	failedFor = 300 * time.Millisecond
-	// maxRaces bounds the tunnels that are opened beside direct attempts at one server at the
-	// same time: where it is slow to accept, more attempts would make it slower.
+	// maxRaces bounds the tunnels to one server that are opened in parallel with direct
+	// attempts: where it is slow to accept, more attempts would make it slower.
 	maxRaces = 4
 )
 
@@ -97,7 +97,7 @@
 	Clock *stall.Clock
 
 	mu sync.Mutex
-	// races counts the tunnels that are being opened beside direct attempts, by server.
+	// races counts the tunnels that are opened in parallel with direct attempts, by server.
 	races map[string]int
 	// peerFailed holds when a peer last did not reach a server.
 	peerFailed map[string]time.Time
@@ -183,7 +183,8 @@
 	return c
 }
 
-// beginRace reserves a tunnel beside a direct attempt, and reports whether one is allowed.
+// beginRace reserves a tunnel in parallel with a direct attempt, and reports whether one
+// is allowed.
 func (d *Dialer) beginRace(address string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -413,8 +414,8 @@
 }
 
 // check starts to connect to some other servers, unless that is being done, and returns a
-// channel that is closed when it is done. The result tells a server that is down from a
-// host that is cut off.
+// channel that is closed when it is done. The result distinguishes a server that is down
+// from a host that is cut off.
 func (d *Dialer) check(failed string) <-chan struct{} {
 	startedAt := time.Now()
 	d.mu.Lock()
--- a/entry/tunnel/server.go
+++ b/entry/tunnel/server.go
@@ -19,7 +19,7 @@
 	serverDialTimeout = 80 * time.Millisecond
 	// maxTunnels bounds the tunnels through one peer. Each has a goroutine for each
 	// direction, two sockets and two buffers.
-	maxTunnels = 2048
+	maxTunnels = 1024
 )
 
 // Server is the peer's side of tunnels. Set the exported fields before use.
--- a/stand/fakes/server.go
+++ b/stand/fakes/server.go
@@ -57,6 +57,8 @@
 	dropNext           int
 	refuseNext         int
 	failNext           int
+	// frozenUntil is until when the server is silent.
+	frozenUntil time.Time
 	// closeEvery is after how many responses a connection is closed, zero for never, and
 	// responses counts them.
 	closeEvery, responses int
@@ -150,6 +152,21 @@
 	s.failNext = n
 }
 
+// Freeze makes the server silent for a while, after which it goes on where it was.
+func (s *Server) Freeze(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.frozenUntil = time.Now().Add(d)
+}
+
+// waitFrozen waits while the server is silent.
+func (s *Server) waitFrozen() {
+	s.mu.Lock()
+	left := time.Until(s.frozenUntil)
+	s.mu.Unlock()
+	time.Sleep(left)
+}
+
 // CloseEvery makes the server close the connection after every n-th response to a request,
 // which says so.
 func (s *Server) CloseEvery(n int) {
@@ -202,6 +219,7 @@
 	case <-ctx.Done():
 	case <-time.After(callTime):
 	}
+	s.waitFrozen()
 }
 
 // Register writes the server's current state into the store again, as a heartbeat
@@ -231,6 +249,7 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	s.waitFrozen()
 	now, host := time.Now(), hostOf(req)
 	control := req.URL.Path == "/report" || req.URL.Path == "/order"
 	s.countPaused(host, now)
--- a/stand/fakes/stream.go
+++ b/stand/fakes/stream.go
@@ -40,6 +40,7 @@
 		if stages = s.waitStep(req, id, stages, updates); stages == nil {
 			return
 		}
+		s.waitFrozen()
 		if s.truncates(n) {
 			fmt.Fprintf(w, "id: %d\nda", n)
 			_ = controller.Flush()
