dialer, reach: keep direct connections where no host reaches the servers

Cause: a host that reaches no server stopped reusing its idle direct connections. Where all servers are slow to accept, because they are overloaded, it would have opened new ones in their place and added to the load.

Change: that needs another host that has lately reached servers for this one. The test of parts/reach failed before.

--- a/entry/tunnel/dialer.go
+++ b/entry/dialer/dialer.go
@@ -1,13 +1,16 @@
-package tunnel
+// Package dialer connects to backend servers, directly or through another entry host.
+//
+// A [Dialer] connects directly, and opens a tunnel (package tunnel) if a server refuses that
+// or takes long. It compares the outcome with attempts at other servers: a server that is
+// down is told from a host that is cut off, which connects through tunnels until servers
+// accept its connections again.
+package dialer
 
 import (
 	"context"
 	"errors"
 	"fmt"
-	"maps"
-	"math/rand/v2"
 	"net"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -22,23 +25,6 @@
 	// raceDelay is how long a direct attempt may take before a tunnel is opened as well.
 	// A server usually accepts within a few milliseconds.
 	raceDelay = 20 * time.Millisecond
-	// checkTimeout limits attempts to connect that only tell whether this host reaches
-	// servers.
-	checkTimeout = 40 * time.Millisecond
-	// checkServers is how many other servers are tried when one was not reached.
-	checkServers = 3
-	// recheckInterval is the interval at which servers that were not reached are tried
-	// directly again, and recheckServers how many of them at once.
-	recheckInterval = 500 * time.Millisecond
-	recheckServers  = 2
-	// maxPeers is how many peers are tried for one connection, each peerDelay after the one
-	// before, or when that has failed.
-	maxPeers  = 3
-	peerDelay = 20 * time.Millisecond
-	// peerTimeout limits the time in which a peer opens a tunnel.
-	peerTimeout = serverDialTimeout + 50*time.Millisecond
-	// peerFailedFor is how long a peer that did not reach a server is tried last.
-	peerFailedFor = time.Second
 	// failedFor is how long it is remembered that neither this host nor a peer reached a
 	// server. No tunnel to it is opened meanwhile.
 	failedFor = 300 * time.Millisecond
@@ -179,7 +165,7 @@
 		return nil
 	}
 	d.record(address, false, startedAt)
-	d.Reach.RecordRelayed(address)
+	d.Reach.RecordRelayed(address, time.Now())
 	return c
 }
 
@@ -268,212 +254,3 @@
 		d.OnChange()
 	}
 }
-
-var (
-	errNoPeer       = errors.New("tunnel: no peer")
-	errFailedBefore = errors.New("tunnel: no peer reached the server a moment ago")
-)
-
-// opened is the outcome of an attempt to open a tunnel.
-type opened struct {
-	peer string
-	conn *Conn
-	err  error
-}
-
-// throughPeer connects through one of several peers, the first that reaches the server. Only
-// one is tried if this host has reached another server since a time.
-func (d *Dialer) throughPeer(ctx context.Context, address string, since time.Time) (net.Conn, error) {
-	startedAt := time.Now()
-	if d.failedSince(address, startedAt.Add(-failedFor)) {
-		return nil, errFailedBefore
-	}
-	peers := d.choosePeers(address, startedAt)
-	if len(peers) == 0 {
-		d.recordFailure(address, startedAt, false)
-		return nil, errNoPeer
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	results := make(chan opened, len(peers))
-	next := time.NewTimer(0)
-	defer next.Stop()
-	var err error
-	for started, ended := 0, 0; ended < len(peers); {
-		select {
-		case <-next.C:
-			if started > 0 && d.Reach.ReachedSince(since) {
-				// This host is not cut off, so one peer is enough.
-				peers = peers[:started]
-			}
-			if started < len(peers) {
-				peer := peers[started]
-				started++
-				// The wait for this peer begins only now.
-				stall.Restart(ctx)
-				go func() {
-					c, err := d.open(ctx, peer, address)
-					results <- opened{peer, c, err}
-				}()
-				next.Reset(peerDelay)
-			}
-		case r := <-results:
-			ended++
-			if r.err == nil {
-				d.Reach.RecordRelayed(address)
-				d.recordSlowPeers(peers[:started], r.peer)
-				go closeOthers(results, started-ended)
-				return r.conn, nil
-			}
-			err = r.err
-			next.Reset(0)
-		case <-ctx.Done():
-			go closeOthers(results, started-ended)
-			return nil, errors.Join(context.Cause(ctx), err)
-		}
-	}
-	d.recordFailure(address, startedAt, false)
-	return nil, err
-}
-
-// closeOthers closes the tunnels that are not needed.
-func closeOthers(results <-chan opened, n int) {
-	for range n {
-		if r := <-results; r.err == nil {
-			r.conn.Close()
-		}
-	}
-}
-
-// choosePeers returns the peers to try for a server, in order. Those that did not reach a
-// server a moment ago, for example because they are cut off as well, come last.
-func (d *Dialer) choosePeers(address string, now time.Time) []string {
-	peers := d.Peers(address)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	failed := func(peer string) int {
-		if at, known := d.peerFailed[peer]; known && now.Sub(at) < peerFailedFor {
-			return 1
-		}
-		return 0
-	}
-	slices.SortStableFunc(peers, func(a, b string) int { return failed(a) - failed(b) })
-	return peers[:min(len(peers), maxPeers)]
-}
-
-// recordSlowPeers records the peers that were tried before the one that reached a server.
-func (d *Dialer) recordSlowPeers(tried []string, winner string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.peerFailed == nil {
-		d.peerFailed = map[string]time.Time{}
-	}
-	for _, peer := range tried {
-		if peer == winner {
-			return
-		}
-		d.peerFailed[peer] = time.Now()
-	}
-}
-
-// failedSince reports whether neither this host nor a peer reached a server since a time.
-func (d *Dialer) failedSince(address string, since time.Time) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	f, failed := d.failed[address]
-	return failed && f.at.After(since)
-}
-
-// exitKnown reports whether it was found a moment ago that a server's process has ended.
-func (d *Dialer) exitKnown(address string) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	f := d.failed[address]
-	return f.exited && time.Since(f.at) < failedFor
-}
-
-func (d *Dialer) recordFailure(address string, at time.Time, exited bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.failed == nil {
-		d.failed = map[string]failedServer{}
-	}
-	if old := d.failed[address]; !at.Before(old.at) {
-		d.failed[address] = failedServer{at: at, exited: exited}
-	}
-}
-
-func (d *Dialer) open(ctx context.Context, peer, address string) (*Conn, error) {
-	ctx, cancel := d.Clock.WithTimeout(ctx, peerTimeout, nil)
-	defer cancel()
-	carrier, err := d.DialPeer(ctx, peer)
-	if err != nil {
-		return nil, fmt.Errorf("tunnel through %s: %w", peer, err)
-	}
-	return Open(ctx, carrier, peer, address, d.Secret)
-}
-
-// check starts to connect to some other servers, unless that is being done, and returns a
-// channel that is closed when it is done. The result distinguishes a server that is down
-// from a host that is cut off.
-func (d *Dialer) check(failed string) <-chan struct{} {
-	startedAt := time.Now()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.checked != nil {
-		return d.checked
-	}
-	others := slices.DeleteFunc(d.Servers(), func(address string) bool { return address == failed })
-	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	done := make(chan struct{})
-	d.checked = done
-	go func() {
-		var checks sync.WaitGroup
-		for _, address := range others[:min(len(others), checkServers)] {
-			checks.Go(func() { d.tryDirect(address, startedAt) })
-		}
-		checks.Wait()
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		d.checked = nil
-		close(done)
-	}()
-	return done
-}
-
-// tryDirect tries a server directly, without sending anything.
-func (d *Dialer) tryDirect(address string, startedAt time.Time) {
-	ctx, cancel := d.Clock.WithTimeout(context.Background(), checkTimeout, nil)
-	defer cancel()
-	c, err := d.Direct(ctx, "tcp", address)
-	d.record(address, err == nil, startedAt)
-	if err == nil {
-		c.Close()
-	}
-}
-
-// Run tries servers that were not reached again until the context ends.
-func (d *Dialer) Run(ctx context.Context) {
-	tick := time.NewTicker(recheckInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-tick.C:
-			d.forgetFailures(now)
-			list := d.Reach.Unreached()
-			rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-			for _, address := range list[:min(len(list), recheckServers)] {
-				go d.tryDirect(address, now)
-			}
-		}
-	}
-}
-
-func (d *Dialer) forgetFailures(now time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	maps.DeleteFunc(d.failed, func(_ string, f failedServer) bool { return now.Sub(f.at) >= failedFor })
-	maps.DeleteFunc(d.peerFailed, func(_ string, at time.Time) bool { return now.Sub(at) >= peerFailedFor })
-}
--- a/entry/internal/crash/tracker.go
+++ b/entry/internal/crash/tracker.go
@@ -9,7 +9,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
-	"fuchsiashelf.dev/entry/tunnel"
+	"fuchsiashelf.dev/entry/dialer"
 	"fuchsiashelf.dev/parts/fault"
 	"fuchsiashelf.dev/parts/peer"
 	"fuchsiashelf.dev/parts/poison"
@@ -203,7 +203,7 @@
 	for {
 		_, err := g.Engine.Status(ctx, address)
 		if !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, io.EOF) || ctx.Err() != nil {
-			return errors.Is(err, tunnel.ErrExited)
+			return errors.Is(err, dialer.ErrExited)
 		}
 		wait.For(ctx, resetRetryDelay)
 	}
--- a/entry/internal/links/links.go
+++ b/entry/internal/links/links.go
@@ -15,6 +15,7 @@
 	"github.com/rcrowley/go-metrics"
 	"storj.io/drpc"
 
+	"fuchsiashelf.dev/entry/dialer"
 	"fuchsiashelf.dev/entry/tunnel"
 	"fuchsiashelf.dev/parts/domain"
 	"fuchsiashelf.dev/parts/host"
@@ -43,14 +44,14 @@
 	OnChange func()
 
 	reach   *reach.Tracker
-	dialer  *tunnel.Dialer
+	dialer  *dialer.Dialer
 	tunnels *tunnel.Server
 }
 
 // Init prepares the links. Call it once after the fields are set, before any other method.
 func (l *Links) Init() {
 	l.reach = &reach.Tracker{Known: func() int { return len(l.servers()) }}
-	l.dialer = &tunnel.Dialer{
+	l.dialer = &dialer.Dialer{
 		Direct: l.Dialer.DialContext, Peers: l.peers, DialPeer: l.DialPeer, Secret: l.Secret, Servers: l.servers,
 		Reach: l.reach, OnChange: l.changed, Clock: l.Clock,
 	}
--- a/entry/stream/monitor_test.go
+++ b/entry/stream/monitor_test.go
@@ -12,8 +12,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"fuchsiashelf.dev/entry/call"
+	"fuchsiashelf.dev/entry/dialer"
 	"fuchsiashelf.dev/entry/state"
-	"fuchsiashelf.dev/entry/tunnel"
 	"fuchsiashelf.dev/parts/fleet"
 	"fuchsiashelf.dev/parts/mirror"
 	"fuchsiashelf.dev/parts/poison"
@@ -151,7 +151,7 @@
 // stream is enough: its servers are probed, one refuses the connection, and all
 // streams are rerouted around it.
 func TestAllStreamsAreReroutedAroundExitedServer(t *testing.T) {
-	e := &fakeEngines{reportErrors: map[string]error{"middle": tunnel.ErrExited}}
+	e := &fakeEngines{reportErrors: map[string]error{"middle": dialer.ErrExited}}
 	m, servers := newMonitor(e, 1)
 	m.addStream(servers, "silent", silentTimeout(testRoute)+time.Millisecond)
 	m.addStream(servers, "still-comes", 0)
@@ -180,7 +180,7 @@
 // Once a probe from here confirms the suspicion, the streams that use the server must
 // be rerouted without waiting for their silence timeout and the next probe.
 func TestStreamsAreReroutedWhenPeerSuspectsServer(t *testing.T) {
-	e := &fakeEngines{reportErrors: map[string]error{"middle": tunnel.ErrExited}}
+	e := &fakeEngines{reportErrors: map[string]error{"middle": dialer.ErrExited}}
 	m, servers := newMonitor(e, 1)
 	m.addStream(servers, "r", 0)
 	m.Probe("middle", "another entry host suspects it")
@@ -252,7 +252,7 @@
 // They choose within a millisecond, before the load of that server shows that the
 // first stream makes it read a whole prompt; the last one would wait for all others.
 func TestReroutedStreamsSpreadOverServers(t *testing.T) {
-	e := &fakeEngines{reportErrors: map[string]error{"middle": tunnel.ErrExited}, block: make(chan struct{})}
+	e := &fakeEngines{reportErrors: map[string]error{"middle": dialer.ErrExited}, block: make(chan struct{})}
 	m, servers := newMonitor(e, 2)
 	const streams = 8
 	for i := range streams {
@@ -290,7 +290,7 @@
 // the chain is ordered to load the missing layers and waits for a stream that uses
 // the layers it gives up, while the stream waits for the missing layers.
 func TestStreamBlockingALoadRestarts(t *testing.T) {
-	e := &fakeEngines{reportErrors: map[string]error{"middle": tunnel.ErrExited}}
+	e := &fakeEngines{reportErrors: map[string]error{"middle": dialer.ErrExited}}
 	m, servers := newMonitor(e, 0)
 	next := servers["middle"]
 	next.ID, next.Address, next.First, next.End = "next", "next", 8, 12
@@ -324,7 +324,7 @@
 	m.markSuspected("first", "first", "test", context.DeadlineExceeded, time.Now())
 	qt.Assert(t, m.State.View().ByID("first").Suspected, qt.IsTrue)
 	qt.Assert(t, r.countAttempts(r.mayHaveRun), qt.Equals, 2)
-	m.markSuspected("first", "first", "test", tunnel.ErrExited, time.Now())
+	m.markSuspected("first", "first", "test", dialer.ErrExited, time.Now())
 	qt.Assert(t, r.countAttempts(r.mayHaveRun), qt.Equals, 1)
 	m.markHealthy("first", "first", time.Now())
 	qt.Assert(t, r.countAttempts(r.mayHaveRun), qt.Equals, 2)
--- a/entry/stream/probe.go
+++ b/entry/stream/probe.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"fuchsiashelf.dev/entry/call"
+	"fuchsiashelf.dev/entry/dialer"
 	"fuchsiashelf.dev/entry/state"
-	"fuchsiashelf.dev/entry/tunnel"
 	"fuchsiashelf.dev/parts/poison"
 	"fuchsiashelf.dev/parts/probe"
 )
@@ -249,7 +249,7 @@
 
 // probeOutcome returns the state of a server that a failed probe indicates.
 func probeOutcome(err error) probe.State {
-	if errors.Is(err, tunnel.ErrExited) {
+	if errors.Is(err, dialer.ErrExited) {
 		return probe.Exited
 	}
 	return probe.Unreachable
--- a/entry/stream/probe_test.go
+++ b/entry/stream/probe_test.go
@@ -8,7 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"fuchsiashelf.dev/entry/call"
-	"fuchsiashelf.dev/entry/tunnel"
+	"fuchsiashelf.dev/entry/dialer"
 	"fuchsiashelf.dev/parts/poison"
 )
 
@@ -29,7 +29,7 @@
 		defer m.mu.Unlock()
 		return !m.probing["middle"]
 	})
-	m.markSuspected("middle", "middle", "another request", tunnel.ErrExited, time.Now())
+	m.markSuspected("middle", "middle", "another request", dialer.ErrExited, time.Now())
 	qt.Assert(t, m.Crashes.Suspects(time.Now()), qt.HasLen, 0)
 }
 
@@ -50,7 +50,7 @@
 // before, or that has restarted at its address before it is probed.
 func TestCrashIsRecordedAgainstRequest(t *testing.T) {
 	for _, e := range []*fakeEngines{
-		{reportErrors: map[string]error{"middle": tunnel.ErrExited}},
+		{reportErrors: map[string]error{"middle": dialer.ErrExited}},
 		{startedAt: map[string]time.Time{"middle": time.Now().Add(time.Hour)}},
 	} {
 		m, _ := newMonitor(e, 1)
--- a/entry/tunnel/server.go
+++ b/entry/tunnel/server.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// serverDialTimeout limits the time in which a peer connects to a server, which usually
+	// DialTimeout limits the time in which a peer connects to a server, which usually
 	// takes a few milliseconds. Another peer may reach it.
-	serverDialTimeout = 80 * time.Millisecond
+	DialTimeout = 80 * time.Millisecond
 	// maxTunnels bounds the tunnels through one peer. Each has a goroutine for each
 	// direction, two sockets and two buffers.
 	maxTunnels = 1024
@@ -144,7 +144,7 @@
 }
 
 func (s *Server) connect(ctx context.Context, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, serverDialTimeout)
+	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
 	defer cancel()
 	return s.Dial(ctx, "tcp", address)
 }
--- a/entry/tunnel/tunnel.go
+++ b/entry/tunnel/tunnel.go
@@ -9,7 +9,7 @@
 // end of the server's bytes is a message of its own, because a connection that ends when
 // the peer is killed must not look like the end of a response.
 //
-// A [Dialer] connects directly or through a tunnel, and a [Server] is the peer's side.
+// [Open] opens a tunnel, and a [Server] is the peer's side. Package dialer decides when.
 package tunnel
 
 import (
--- a/entry/tunnel/tunnel_test.go
+++ b/entry/tunnel/tunnel_test.go
@@ -7,12 +7,7 @@
 	"fmt"
 	"io"
 	"net"
-	"os"
-	"sync"
-	"sync/atomic"
-	"syscall"
 	"testing"
-	"time"
 
 	qt "github.com/frankban/quicktest"
 	"storj.io/drpc"
@@ -20,7 +15,6 @@
 	"storj.io/drpc/drpcserver"
 
 	"fuchsiashelf.dev/entry/tunnel"
-	"fuchsiashelf.dev/parts/reach"
 )
 
 // listen accepts connections and serves each; it returns the address.
@@ -194,136 +188,3 @@
 		qt.Assert(t, failed.Rejected, qt.IsTrue)
 	}
 }
-
-// errRefused is the error of a refused connection.
-var errRefused = &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
-
-// refuse refuses connections.
-func refuse(context.Context, string, string) (net.Conn, error) { return nil, errRefused }
-
-// hang neither accepts nor refuses connections.
-func hang(ctx context.Context, _, _ string) (net.Conn, error) {
-	<-ctx.Done()
-	return nil, ctx.Err()
-}
-
-// newDialer returns a dialer whose direct connections are made by direct.
-func newDialer(direct func(context.Context, string, string) (net.Conn, error), servers, peers []string) *tunnel.Dialer {
-	return &tunnel.Dialer{
-		Direct: direct, DialPeer: dialPeer, Reach: &reach.Tracker{Known: func() int { return len(servers) }},
-		Peers: func(string) []string { return peers }, Servers: func() []string { return append([]string(nil), servers...) },
-	}
-}
-
-// Guards against a server that counts as down while only this host's link to it is cut.
-func TestCutHostConnectsThroughPeer(t *testing.T) {
-	for name, cut := range map[string]func(context.Context, string, string) (net.Conn, error){"refused": refuse, "hanging": hang} {
-		t.Run(name, func(t *testing.T) {
-			peer, _ := servePeer(t, &tunnel.Server{Known: all, Dial: dial})
-			servers := []string{listen(t, echo), listen(t, echo), listen(t, echo), listen(t, echo)}
-			d := newDialer(cut, servers, []string{peer})
-			for _, server := range servers {
-				c, err := d.Dial(t.Context(), "tcp", server)
-				qt.Assert(t, err, qt.IsNil)
-				_, through := c.(*tunnel.Conn)
-				qt.Assert(t, through, qt.IsTrue)
-				c.Close()
-			}
-			waitUntil(func() bool { return d.Reach.State(time.Now()) == reach.Isolated })
-			qt.Assert(t, d.Reach.Direct(servers[0], time.Now()), qt.IsFalse)
-		})
-	}
-}
-
-// Guards against connections that go on through a peer after the cut has ended.
-func TestConnectionsAreDirectAgainAfterCut(t *testing.T) {
-	peer, _ := servePeer(t, &tunnel.Server{Known: all, Dial: dial})
-	var cut atomic.Bool
-	cut.Store(true)
-	server := listen(t, echo)
-	d := newDialer(func(ctx context.Context, network, address string) (net.Conn, error) {
-		if cut.Load() {
-			return nil, errRefused
-		}
-		return dial(ctx, network, address)
-	}, []string{server}, []string{peer})
-	go d.Run(t.Context())
-	c, err := d.Dial(t.Context(), "tcp", server)
-	qt.Assert(t, err, qt.IsNil)
-	c.Close()
-	cut.Store(false)
-	waitUntil(func() bool { return d.Reach.Direct(server, time.Now()) })
-	c, err = d.Dial(t.Context(), "tcp", server)
-	qt.Assert(t, err, qt.IsNil)
-	defer c.Close()
-	_, direct := c.(*net.TCPConn)
-	qt.Assert(t, direct, qt.IsTrue)
-}
-
-// Guards against a crash that is overlooked while several connections to the server are
-// attempted at the same time.
-func TestExitIsToldToAllWhoDial(t *testing.T) {
-	up, down := listen(t, echo), "127.0.0.1:1"
-	refusing, _ := servePeer(t, &tunnel.Server{Known: all, Dial: refuse})
-	d := newDialer(func(ctx context.Context, network, address string) (net.Conn, error) {
-		if address == up {
-			return dial(ctx, network, address)
-		}
-		return nil, errRefused
-	}, []string{up, down}, []string{refusing})
-	var dials sync.WaitGroup
-	var exited atomic.Int64
-	for range 50 {
-		dials.Go(func() {
-			if _, err := d.Dial(t.Context(), "tcp", down); errors.Is(err, tunnel.ErrExited) {
-				exited.Add(1)
-			}
-		})
-	}
-	dials.Wait()
-	qt.Assert(t, exited.Load(), qt.Equals, int64(50))
-}
-
-// waitUntil waits until a condition holds. The timeout of the test ends a wait in vain.
-func waitUntil(condition func() bool) {
-	for !condition() {
-		time.Sleep(time.Millisecond)
-	}
-}
-
-// Guards against a refused connection that counts as the end of the server's process while
-// this host reaches no server, and against a crash that does not.
-func TestExitIsToldFromCut(t *testing.T) {
-	up, down := listen(t, echo), "127.0.0.1:1"
-	onlyUp := func(ctx context.Context, network, address string) (net.Conn, error) {
-		if address == up {
-			return dial(ctx, network, address)
-		}
-		return nil, errRefused
-	}
-	refusing, _ := servePeer(t, &tunnel.Server{Known: all, Dial: refuse})
-	for _, test := range []struct {
-		name   string
-		direct func(context.Context, string, string) (net.Conn, error)
-		peers  []string
-		exited bool
-	}{
-		{"another server accepts", onlyUp, nil, true},
-		{"another server accepts, a peer does not reach it either", onlyUp, []string{refusing}, true},
-		{"no server accepts", refuse, nil, false},
-		{"no server accepts, nor does one accept a peer", refuse, []string{refusing}, false},
-		{"no answer", hang, nil, false},
-	} {
-		t.Run(test.name, func(t *testing.T) {
-			d := newDialer(test.direct, []string{up, down}, test.peers)
-			// The second attempt finds what the first has found.
-			for range 2 {
-				ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
-				_, err := d.Dial(ctx, "tcp", down)
-				cancel()
-				qt.Assert(t, err, qt.IsNotNil)
-				qt.Assert(t, errors.Is(err, tunnel.ErrExited), qt.Equals, test.exited, qt.Commentf("%v", err))
-			}
-		})
-	}
-}
--- a/parts/reach/reach.go
+++ b/parts/reach/reach.go
@@ -65,6 +65,8 @@
 	attempts map[string]attempt
 	// lastReached is when the latest attempt that was accepted began.
 	lastReached time.Time
+	// lastRelayed is when another entry host last connected to a server for this one.
+	lastRelayed time.Time
 	isolated    bool
 }
 
@@ -100,11 +102,12 @@
 	return t.isolated != before
 }
 
-// RecordRelayed records that another entry host has connected to a server that this one
-// did not reach.
-func (t *Tracker) RecordRelayed(address string) {
+// RecordRelayed records that another entry host has connected to a server, which this one
+// did not reach or did not try.
+func (t *Tracker) RecordRelayed(address string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.lastRelayed = now
 	if a, tried := t.attempts[address]; tried && !a.reached {
 		a.relayed = true
 		t.attempts[address] = a
@@ -112,13 +115,17 @@
 }
 
 // Direct reports whether a connection to a server is to be attempted directly. It is not
-// while this entry host is isolated, and while another host has reached the server after
-// this one had not.
+// while this entry host is isolated and another one has lately reached servers for it, and
+// while another host has reached the server after this one had not. Servers that are slow to
+// accept for all do not make this host give up connections that it has.
 func (t *Tracker) Direct(address string, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.isolated && now.Sub(t.lastRelayed) <= reachedFor {
+		return false
+	}
 	a := t.attempts[address]
-	return !t.isolated && (!a.relayed || now.Sub(a.startedAt) > relayedFor)
+	return !a.relayed || now.Sub(a.startedAt) > relayedFor
 }
 
 // ReachedSince reports whether a server has accepted a connection that was attempted after
--- a/parts/reach/reach_test.go
+++ b/parts/reach/reach_test.go
@@ -64,3 +64,18 @@
 	tr.Retain(func(string) bool { return false })
 	qt.Assert(t, tr.State(time.Now()), qt.Equals, reach.Unknown)
 }
+
+// Guards against direct connections that are given up while servers accept no connections of
+// any host, for example because all are overloaded.
+func TestConnectionsStayDirectWhereNoHostReachesServers(t *testing.T) {
+	now := time.Now()
+	var tr reach.Tracker
+	for i := range 5 {
+		tr.Record(fmt.Sprint(i), false, now)
+	}
+	qt.Assert(t, tr.State(now), qt.Equals, reach.Isolated)
+	qt.Assert(t, tr.Direct("0", now), qt.IsTrue)
+	tr.RecordRelayed("1", now)
+	qt.Assert(t, tr.Direct("0", now), qt.IsFalse)
+	qt.Assert(t, tr.Direct("0", now.Add(time.Minute)), qt.IsTrue)
+}
