--- a/entry/stream/active.go
+++ b/entry/stream/active.go
@@ -123,6 +123,18 @@
 	return s.chain[0].Server.Address
 }
 
+// beginSearch reports whether another chain may be searched for the stream, which happens
+// once in searchInterval.
+func (s *activeStream) beginSearch(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.rerouting || now.Sub(s.lastSearch) < searchInterval {
+		return false
+	}
+	s.lastSearch = now
+	return true
+}
+
 // switchChain releases the chain of the stream and reserves another one. It does
 // nothing once the stream has ended, because the response to an order to reroute may
 // arrive later, and a reservation made then would never be released.
--- a/entry/stream/monitor.go
+++ b/entry/stream/monitor.go
@@ -175,7 +175,7 @@
 		if stream.started.Load() && silence > restartTimeout(stream.job.Route) {
 			stream.cancel(errSilent)
 		}
-		if m.isCutOff(stream) {
+		if m.isCutOff(stream) && stream.beginSearch(now) {
 			go m.restartCutOff(stream)
 		}
 		anyLate = anyLate || silence > time.Duration(stream.meanGap.Load())
--- a/entry/stream/monitor_test.go
+++ b/entry/stream/monitor_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -365,3 +366,40 @@
 		}
 	}
 }
+
+// Guards against streams that wait for what does not arrive, because only this host's link to
+// their first server is cut, and against reserving an attempt for one with each sweep.
+func TestStreamOnCutConnectionIsRestartedOnce(t *testing.T) {
+	for _, test := range []struct {
+		name           string
+		direct, silent bool
+		reserved       int64
+	}{
+		{"silent on a direct connection", true, true, 1},
+		{"silent on a connection through another host", false, true, 0},
+		{"not silent", true, false, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			m, servers := newMonitor(&fakeEngines{}, 1)
+			addServer(m, servers, fleet.Server{ID: "spare", Service: "assist", Address: "spare", Domain: "a", Accelerator: "card", First: 0, End: testLayers, StartedAt: time.Unix(1, 0)})
+			m.Direct = func(string) bool { return false }
+			silence := time.Duration(0)
+			if test.silent {
+				silence = silentTimeout(testRoute) + time.Millisecond
+			}
+			stream := m.addStream(servers, "r", silence)
+			stream.direct.Store(test.direct)
+			var reserved atomic.Int64
+			stream.reserveRestart = func() bool { reserved.Add(1); return false }
+			now := time.Now()
+			for i := range 5 {
+				m.sweep(t.Context(), now.Add(time.Duration(i)*sweepInterval))
+			}
+			if test.reserved > 0 {
+				waitUntil(func() bool { return reserved.Load() > 0 })
+			}
+			time.Sleep(sweepInterval)
+			qt.Assert(t, reserved.Load(), qt.Equals, test.reserved)
+		})
+	}
+}
