crash: bound how often a server that resets connections is asked again

Each request restarts the idle time limit, so that a link that resets all connections would have kept a failed request in this loop until its deadline. Read in the code.

--- a/entry/internal/crash/tracker.go
+++ b/entry/internal/crash/tracker.go
@@ -190,8 +190,12 @@
 	return false
 }
 
-// resetRetryDelay is the delay after which a server that reset a connection is asked again.
-const resetRetryDelay = 5 * time.Millisecond
+// A server that reset a connection is asked again after resetRetryDelay, up to maxResetRetries
+// times: a link that is cut may reset all connections.
+const (
+	resetRetryDelay = 5 * time.Millisecond
+	maxResetRetries = 10
+)
 
 // isDead reports whether the process of a server is gone. A server that answers is alive
 // even if the request failed there. A timeout, or a refused connection to a server that
@@ -200,11 +204,12 @@
 func (g *Guard) isDead(ctx context.Context, address string) bool {
 	ctx, cancel := g.Clock.WithIdleTimeout(ctx, probeTimeout, nil)
 	defer cancel()
-	for {
+	for range maxResetRetries {
 		_, err := g.Engine.Status(ctx, address)
 		if !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, io.EOF) || ctx.Err() != nil {
 			return errors.Is(err, dialer.ErrExited)
 		}
 		wait.For(ctx, resetRetryDelay)
 	}
+	return false
 }
