dialer: do not conclude that a process has ended before a peer has tried it

Cause: a host that reaches other servers asked one peer. If that one rejected the tunnel (older version, about to stop, no entry of the server) or did not answer, a refused connection over a link that is cut to one server only still counted as a crash.

Change: the next peer is asked until one has tried; if none does, the server is suspected and nothing is laid to requests.

--- a/entry/dialer/dialer.go
+++ b/entry/dialer/dialer.go
@@ -96,6 +96,8 @@
 // failedServer is a server that neither this host nor a peer reached.
 type failedServer struct {
 	at time.Time
+	// conclusive says that a peer has tried to connect to it, or that there is no peer.
+	conclusive bool
 	// exited says that its process has ended.
 	exited bool
 }
@@ -214,16 +216,17 @@
 // it refused, nor a peer reached: whether this host reaches another server. checked is
 // closed when a check that may have begun before the attempt is done.
 func (d *Dialer) hasExited(address string, checked <-chan struct{}, startedAt time.Time) bool {
-	if d.exitKnown(address) {
-		return true
+	f := d.recentFailure(address)
+	if f.exited || !f.conclusive {
+		return f.exited
 	}
 	<-checked
 	if !d.Reach.ReachedSince(startedAt) {
 		<-d.check(address)
 	}
-	exited := d.Reach.ReachedSince(startedAt)
-	d.recordFailure(address, startedAt, exited)
-	return exited
+	f.exited = d.Reach.ReachedSince(startedAt)
+	d.recordFailure(address, f)
+	return f.exited
 }
 
 // closeLate closes the connection of a direct attempt that is not needed.
--- a/entry/dialer/dialer_test.go
+++ b/entry/dialer/dialer_test.go
@@ -180,6 +180,7 @@
 		return nil, errRefused
 	}
 	refusing := servePeer(t, refuse)
+	rejecting := "127.0.0.1:1"
 	for _, test := range []struct {
 		name   string
 		direct func(context.Context, string, string) (net.Conn, error)
@@ -188,6 +189,8 @@
 	}{
 		{"another server accepts", onlyUp, nil, true},
 		{"another server accepts, a peer does not reach it either", onlyUp, []string{refusing}, true},
+		{"another server accepts, a peer does not try", onlyUp, []string{rejecting}, false},
+		{"another server accepts, one of two peers tries", onlyUp, []string{rejecting, refusing}, true},
 		{"no server accepts", refuse, nil, false},
 		{"no server accepts, nor does one accept a peer", refuse, []string{refusing}, false},
 		{"no answer", hang, nil, false},
--- a/entry/dialer/hedge.go
+++ b/entry/dialer/hedge.go
@@ -42,7 +42,7 @@
 		return c, nil
 	}
 	if ctx.Err() == nil {
-		d.recordFailure(address, startedAt, false)
+		d.recordFailure(address, failedServer{at: startedAt, conclusive: h.tried || len(h.peers) == 0})
 	}
 	return nil, err
 }
@@ -56,7 +56,9 @@
 	peers   []string
 	// started and ended count the peers that were asked and those that have answered.
 	started, ended int
-	results        chan opened
+	// tried says that a peer has tried to connect to the server.
+	tried   bool
+	results chan opened
 }
 
 // opened is the outcome of an attempt to open a tunnel.
@@ -87,6 +89,8 @@
 				return r.conn, nil
 			}
 			err = r.err
+			var failed *tunnel.PeerError
+			h.tried = h.tried || errors.As(r.err, &failed) && !failed.Rejected
 			next.Reset(0)
 		case <-ctx.Done():
 			go h.closeOthers()
@@ -99,8 +103,12 @@
 // startNext asks the next peer, if there is one.
 func (h *hedge) startNext(ctx context.Context) {
 	if h.started > 0 && h.Reach.ReachedSince(h.since) {
-		// This host is not cut off, so one peer is enough.
-		h.peers = h.peers[:h.started]
+		// This host is not cut off, so one peer that tries is enough.
+		if h.tried {
+			h.peers = h.peers[:h.started]
+		} else if h.started > h.ended {
+			return
+		}
 	}
 	if h.started == len(h.peers) {
 		return
@@ -174,21 +182,24 @@
 	return failed && f.at.After(since)
 }
 
-// exitKnown reports whether it was found a moment ago that a server's process has ended.
-func (d *Dialer) exitKnown(address string) bool {
+// recentFailure returns what is known of a server that was not reached a moment ago.
+func (d *Dialer) recentFailure(address string) failedServer {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	f := d.failed[address]
-	return f.exited && time.Since(f.at) < failedFor
+	if time.Since(f.at) >= failedFor {
+		return failedServer{}
+	}
+	return f
 }
 
-func (d *Dialer) recordFailure(address string, at time.Time, exited bool) {
+func (d *Dialer) recordFailure(address string, f failedServer) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.failed == nil {
 		d.failed = map[string]failedServer{}
 	}
-	if old := d.failed[address]; !at.Before(old.at) {
-		d.failed[address] = failedServer{at: at, exited: exited}
+	if old := d.failed[address]; !f.at.Before(old.at) {
+		d.failed[address] = f
 	}
 }
