place: give passed layers up in the direction in which they were taken

In this state servers of a domain load a layer and give it up again for ever. Requests that pass through them are rerouted each time, and the overloaded server keeps its layers.

Cause: an overloaded server's layer may be passed along several neighbours, each of which takes one layer from the one before. Which side then gives up a layer that two hold was chosen by the capacity of that layer's holders alone, which is equal along such a chain; and one server gave up layers at both ends. So the servers in the middle gave back what they had taken, and the next plan passed it along again.

Change: of a layer that two servers hold, the one keeps it that is nearer to the highest capacity along the chain, and servers give up one layer at a time, from the lowest capacity. Each passed layer then ends at the server with the most capacity, so the lowest capacities only rise.

--- a/parts/place/group.go
+++ b/parts/place/group.go
@@ -88,6 +88,25 @@
 	return span{first, end}
 }
 
+// farLayer returns the last layer that a server holds with up, or the first one
+// otherwise.
+func (g *group) farLayer(s *fleet.Server, up bool) int {
+	if up {
+		return g.held[s.ID].end - 1
+	}
+	return g.held[s.ID].first
+}
+
+// otherHolder returns another server that holds a layer.
+func (g *group) otherHolder(s *fleet.Server, layer int) *fleet.Server {
+	for _, other := range g.servers {
+		if r := g.held[other.ID]; other != s && r.first <= layer && layer < r.end {
+			return other
+		}
+	}
+	return nil
+}
+
 // replicated reports whether other servers hold all layers of a range.
 func (g *group) replicated(r span) bool {
 	for l := r.first; l < r.end; l++ {
--- a/parts/place/place_test.go
+++ b/parts/place/place_test.go
@@ -306,6 +306,51 @@
 	})
 }
 
+// Guards against servers that load a layer and give it up again without end, because
+// a layer which is passed along several servers is given up by the one that took it.
+func TestPassedLayersAreNotGivenBack(t *testing.T) {
+	type held struct {
+		accelerator string
+		first, end  int
+	}
+	for _, servers := range [][]held{
+		{
+			{"t4", 0, 7},
+			{"a100s", 7, 24},
+			{"t4", 24, 31},
+			{"t4", 30, 36},
+			{"t4", 36, 42},
+			{"l4", 42, 51},
+			{"l4", 51, 60},
+			{"l4", 60, 67},
+			{"t4", 67, 72},
+			{"t4", 72, 77},
+			{"t4", 75, 80},
+		},
+		{
+			{"a100s", 0, 13},
+			{"l4", 13, 21},
+			{"t4", 21, 26},
+			{"a100s", 26, 40},
+			{"l4", 29, 36},
+			{"l4", 40, 48},
+			{"t4", 47, 53},
+			{"t4", 53, 59},
+			{"t4", 59, 65},
+			{"t4", 65, 70},
+			{"t4", 70, 75},
+			{"t4", 75, 80},
+		},
+	} {
+		var list []*fleet.Server
+		for i, s := range servers {
+			list = append(list, &fleet.Server{ID: fmt.Sprintf("%s-%02d", s.accelerator, i), Domain: "a", Accelerator: s.accelerator, First: s.first, End: s.end})
+		}
+		converge(t, list, stable)
+		qt.Check(t, covered(list, "a"), qt.IsTrue)
+	}
+}
+
 // mixedAccelerators returns an engine whose smallest accelerators are three times as
 // fast as its medium ones; the largest are the fastest.
 func mixedAccelerators() *route.Engine {
--- a/parts/place/rebalance.go
+++ b/parts/place/rebalance.go
@@ -90,12 +90,7 @@
 			return nil
 		}
 		list = append(list, n)
-		r := g.held[n.ID]
-		farLayer := r.end - 1
-		if !up {
-			farLayer = r.first
-		}
-		if capacity(g.engine, n, r.len()+1) >= need || g.holders[farLayer] > 1 {
+		if capacity(g.engine, n, g.held[n.ID].len()+1) >= need || g.holders[g.farLayer(n, up)] > 1 {
 			return list
 		}
 		at = n
@@ -140,24 +135,49 @@
 }
 
 // trim makes overloaded servers give up replicated layers above their target number,
-// starting with the server of the lowest capacity.
+// one at a time from the server of the lowest capacity.
 func (g *group) trim() {
 	if g.missing() > 0 {
 		return
 	}
-	for _, s := range g.overloaded() {
-		targetLayers := g.targetLayers(s)
-		for r := g.held[s.ID]; r.len() > targetLayers; {
-			switch {
-			case g.holders[r.first] > 1 && (g.holders[r.end-1] < 2 || g.capacities[r.first] >= g.capacities[r.end-1]):
-				r.first++
-			case g.holders[r.end-1] > 1:
-				r.end--
-			default:
-				targetLayers = r.len()
-				continue
-			}
-			g.set(s, r)
+	for slices.ContainsFunc(g.overloaded(), g.giveUpLayer) {
+	}
+}
+
+// giveUpLayer takes the first or the last layer from a server if another one holds it
+// too, and reports whether it did.
+func (g *group) giveUpLayer(s *fleet.Server) bool {
+	r := g.held[s.ID]
+	first, last := g.holders[r.first] > 1, g.holders[r.end-1] > 1
+	switch {
+	case first && (!last || g.relief(s, false) >= g.relief(s, true)):
+		r.first++
+	case last:
+		r.end--
+	default:
+		return false
+	}
+	g.set(s, r)
+	return true
+}
+
+// relief returns the highest capacity among the servers that can keep a layer which a
+// server gives up, its last one with up or its first one otherwise. If the only other
+// holder can give up a layer at its far end in turn, the servers beyond it count too.
+// Layers that are passed along several servers are thereby given up in the direction
+// in which they were taken.
+func (g *group) relief(s *fleet.Server, up bool) float64 {
+	var highest float64
+	for range g.servers {
+		l := g.farLayer(s, up)
+		if g.holders[l] != 2 {
+			return max(highest, g.capacities[l]-capacity(g.engine, s, g.held[s.ID].len()))
+		}
+		s = g.otherHolder(s, l)
+		highest = max(highest, capacity(g.engine, s, g.held[s.ID].len()))
+		if g.holders[g.farLayer(s, up)] < 2 {
+			return highest
 		}
 	}
+	return highest
 }
