parts/seed: draw the same values in each run of the property tests

Their tests import a package that sets rapid's seed unless the command line gives one. claim, conf and drain set theirs as before.

--- a/entry/stream/events_test.go
+++ b/entry/stream/events_test.go
@@ -7,6 +7,8 @@
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
+
+	_ "fuchsiashelf.dev/parts/seed"
 )
 
 func eventText(n int) string {
--- a/load/internal/plan/plan_test.go
+++ b/load/internal/plan/plan_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"fuchsiashelf.dev/load/internal/plan"
+	_ "fuchsiashelf.dev/parts/seed"
 )
 
 func newPlan(c *qt.C, rate string) *plan.Plan {
--- a/parts/admit/limiter_test.go
+++ b/parts/admit/limiter_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"fuchsiashelf.dev/parts/admit"
+	_ "fuchsiashelf.dev/parts/seed"
 )
 
 // tokenWait models the wait of a token: half a step up to the capacity of the
--- a/parts/admit/localrate_test.go
+++ b/parts/admit/localrate_test.go
@@ -9,6 +9,7 @@
 
 	"fuchsiashelf.dev/parts/admit"
 	"fuchsiashelf.dev/parts/quota"
+	_ "fuchsiashelf.dev/parts/seed"
 )
 
 // Guards against parts of entry hosts that add up to more than the limit, for
--- a/parts/admit/queue_test.go
+++ b/parts/admit/queue_test.go
@@ -10,6 +10,7 @@
 
 	"fuchsiashelf.dev/parts/admit"
 	"fuchsiashelf.dev/parts/fault"
+	_ "fuchsiashelf.dev/parts/seed"
 )
 
 var start = time.Unix(1000, 0)
--- a/parts/chain/chain_test.go
+++ b/parts/chain/chain_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"fuchsiashelf.dev/parts/host"
+	_ "fuchsiashelf.dev/parts/seed"
 )
 
 func servers(ranges ...[2]int) []host.Host {
--- a/parts/flow/flow_test.go
+++ b/parts/flow/flow_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"fuchsiashelf.dev/parts/flow"
+	_ "fuchsiashelf.dev/parts/seed"
 )
 
 func TestCapacity(t *testing.T) {
--- a/parts/frame/frame_test.go
+++ b/parts/frame/frame_test.go
@@ -9,6 +9,7 @@
 
 	"fuchsiashelf.dev/parts/engine"
 	"fuchsiashelf.dev/parts/fault"
+	_ "fuchsiashelf.dev/parts/seed"
 )
 
 var stages = []engine.Stage{
--- a/parts/health/health_test.go
+++ b/parts/health/health_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/frankban/quicktest"
 	"pgregory.net/rapid"
+
+	_ "fuchsiashelf.dev/parts/seed"
 )
 
 // Guards against slow responses over a link whose delay grows twentyfold from
--- a/parts/lease/lease_test.go
+++ b/parts/lease/lease_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"fuchsiashelf.dev/parts/fault"
+	_ "fuchsiashelf.dev/parts/seed"
 )
 
 const term = 4 * time.Second
--- a/parts/mirror/mirror_test.go
+++ b/parts/mirror/mirror_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"fuchsiashelf.dev/parts/mirror"
+	_ "fuchsiashelf.dev/parts/seed"
 )
 
 func object(name string, revision uint64) mirror.Object {
--- a/parts/peer/table_test.go
+++ b/parts/peer/table_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"fuchsiashelf.dev/parts/host"
+	_ "fuchsiashelf.dev/parts/seed"
 )
 
 // start is the fixed time at which the tests run.
--- a/parts/pick/pick_test.go
+++ b/parts/pick/pick_test.go
@@ -11,6 +11,7 @@
 
 	"fuchsiashelf.dev/parts/chain"
 	"fuchsiashelf.dev/parts/host"
+	_ "fuchsiashelf.dev/parts/seed"
 	"fuchsiashelf.dev/parts/server"
 )
 
--- a/parts/place/place_test.go
+++ b/parts/place/place_test.go
@@ -14,6 +14,7 @@
 	"fuchsiashelf.dev/parts/fleet"
 	"fuchsiashelf.dev/parts/place"
 	"fuchsiashelf.dev/parts/route"
+	_ "fuchsiashelf.dev/parts/seed"
 )
 
 func engine() *route.Engine {
--- a/parts/poison/poison_test.go
+++ b/parts/poison/poison_test.go
@@ -7,6 +7,8 @@
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
+
+	_ "fuchsiashelf.dev/parts/seed"
 )
 
 var start = time.UnixMilli(1_800_000_000_000)
--- a/parts/retry/retry_test.go
+++ b/parts/retry/retry_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"fuchsiashelf.dev/parts/fault"
+	_ "fuchsiashelf.dev/parts/seed"
 )
 
 const ms = time.Millisecond
--- a/parts/router/load_test.go
+++ b/parts/router/load_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"fuchsiashelf.dev/parts/router"
+	_ "fuchsiashelf.dev/parts/seed"
 )
 
 // Guards against an attempt every 200 ms on a server that refuses all requests, such
--- a/parts/router/router_test.go
+++ b/parts/router/router_test.go
@@ -12,6 +12,7 @@
 	"fuchsiashelf.dev/parts/fleet"
 	"fuchsiashelf.dev/parts/route"
 	"fuchsiashelf.dev/parts/router"
+	_ "fuchsiashelf.dev/parts/seed"
 )
 
 const layers = 80
