order: keep the lease on an entry host that is cut off from the servers

Only three hosts contend, chosen by their names, so with all three cut off there was no holder. The orders of an isolated host need no other holder: since they go through another entry host like everything else that is sent to servers.

Change: package order does not ask whether the host is isolated.

--- a/entry/internal/order/order.go
+++ b/entry/internal/order/order.go
@@ -35,9 +35,6 @@
 	Engine *engine.Client
 	Trace  *trace.Recorder
 	Log    *slog.Logger
-	// Isolated reports whether this entry host is cut off from all servers, so that another
-	// one is to hold the lease; nil means that it is not.
-	Isolated func() bool
 	// Term is how long a renewal of the lease lasts.
 	Term time.Duration
 	// Done, if not nil, is closed when Run returns.
@@ -94,13 +91,11 @@
 	}
 }
 
-// isContender reports whether this entry host reaches servers, and holds the lease or is
-// one of the maxContenders that contend for it, chosen by rendezvous hashing over the live
-// entry hosts.
+// isContender reports whether this entry host holds the lease or is one of the
+// maxContenders that contend for it, chosen by rendezvous hashing over the live entry
+// hosts. Reaching no server directly is no reason against it: orders go through other
+// entry hosts then.
 func (c *Controller) isContender() bool {
-	if c.Isolated != nil && c.Isolated() {
-		return false
-	}
 	if c.isHolder {
 		return true
 	}
--- a/entry/prog/order.go
+++ b/entry/prog/order.go
@@ -9,9 +9,9 @@
 )
 
 // newOrderController creates the component that sends orders to engines.
-func (d *daemon) newOrderController(publisher *view.Publisher, recorder *trace.Recorder, api store.API, client *engine.Client, isolated func() bool) *order.Controller {
+func (d *daemon) newOrderController(publisher *view.Publisher, recorder *trace.Recorder, api store.API, client *engine.Client) *order.Controller {
 	return &order.Controller{
 		View: publisher, Store: api, Engine: client, Trace: recorder, Log: d.log,
-		Term: d.settings.OrderTerm, Isolated: isolated,
+		Term: d.settings.OrderTerm,
 	}
 }
--- a/entry/prog/prog.go
+++ b/entry/prog/prog.go
@@ -148,7 +148,7 @@
 	start("seat", func(ctx context.Context) error { return adminServer.Run(ctx, d.desk) })
 	start("claims", calls.Claims.Run)
 	start("calls", calls.Run)
-	start("order", d.newOrderController(publisher, recorder, api, engines, servers.Isolated).Run)
+	start("order", d.newOrderController(publisher, recorder, api, engines).Run)
 	start("ops", func(ctx context.Context) error { return d.serveOps(ctx, handler) })
 	fmt.Fprintf(d.stdout, "ready callers=%s peers=%s desk=%s ops=%s\n",
 		d.callers.Addr(), d.peers.Addr(), d.desk.Addr(), d.ops.Addr())
