--- a/entry/conns/conns.go
+++ b/entry/conns/conns.go
@@ -50,7 +50,7 @@
 
 // Pool keeps idle connections to backend servers. The zero value is ready to use.
 type Pool struct {
-	// Clock tells the silence of servers from stalls of this process; nil knows none.
+	// Clock distinguishes the silence of servers from stalls of this process; nil assumes none.
 	Clock *stall.Clock
 	// Dial connects to a server; nil means a TCP connection from this host.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
--- a/entry/dialer/dialer.go
+++ b/entry/dialer/dialer.go
@@ -1,9 +1,9 @@
 // Package dialer connects to backend servers, directly or through another entry host.
 //
 // A [Dialer] connects directly, and opens a tunnel (package tunnel) if a server refuses that
-// or takes long. It compares the outcome with attempts at other servers: a server that is
-// down is told from a host that is cut off, which connects through tunnels until servers
-// accept its connections again.
+// or takes long. Attempts at other servers distinguish a server that is down from a host
+// that is cut off. Such a host connects through tunnels until servers accept its
+// connections again.
 package dialer
 
 import (
@@ -79,7 +79,7 @@
 	// ceases to be isolated.
 	Reach    *reach.Tracker
 	OnChange func()
-	// Clock tells the silence of servers from stalls of this process; nil knows none.
+	// Clock distinguishes the silence of servers from stalls of this process; nil assumes none.
 	Clock *stall.Clock
 
 	mu sync.Mutex
--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -74,7 +74,7 @@
 	Crashes      *poison.Counter
 	Limits       *limit.Tracker
 	Log          *slog.Logger
-	// Clock tells the silence of other hosts from stalls of this process; nil knows none.
+	// Clock distinguishes the silence of other hosts from stalls of this process; nil assumes none.
 	Clock *stall.Clock
 	// Suspects returns the suspected servers; OnSuspect handles those of other hosts.
 	Suspects  func() []Suspect
--- a/entry/internal/crash/guard.go
+++ b/entry/internal/crash/guard.go
@@ -34,8 +34,8 @@
 	Engine *engine.Client
 	Trace  *trace.Recorder
 	Log    *slog.Logger
-	// Clock tells the silence of servers and entry hosts from stalls of this process; nil
-	// knows none.
+	// Clock distinguishes the silence of servers and entry hosts from stalls of this process; nil
+	// assumes none.
 	Clock *stall.Clock
 
 	mu       sync.Mutex
--- a/entry/internal/links/links.go
+++ b/entry/internal/links/links.go
@@ -36,7 +36,7 @@
 	Secret string
 	// Domain is the failure domain of this entry host.
 	Domain domain.Name
-	// Clock tells the silence of others from stalls of this process; nil knows none.
+	// Clock distinguishes the silence of others from stalls of this process; nil assumes none.
 	Clock *stall.Clock
 	Log   *slog.Logger
 	// OnChange is called when this host begins or ceases to be cut off from the servers:
--- a/entry/internal/mesh/mesh.go
+++ b/entry/internal/mesh/mesh.go
@@ -42,8 +42,8 @@
 	Address string
 	// Domain is the failure domain of this entry host.
 	Domain domain.Name
-	// Clock tells the silence of other entry hosts from stalls of this process; nil
-	// knows none.
+	// Clock distinguishes the silence of other entry hosts from stalls of this process; nil
+	// assumes none.
 	Clock *stall.Clock
 	// TLS secures connections to other entry hosts; nil for plain TCP.
 	TLS *tls.Config
--- a/entry/internal/poll/poll.go
+++ b/entry/internal/poll/poll.go
@@ -31,7 +31,7 @@
 type Poller struct {
 	View   *view.Publisher
 	Engine *engine.Client
-	// Clock tells the silence of servers from stalls of this process; nil knows none.
+	// Clock distinguishes the silence of servers from stalls of this process; nil assumes none.
 	Clock *stall.Clock
 	Trace *trace.Recorder
 	Log   *slog.Logger
--- a/entry/internal/relay/relay.go
+++ b/entry/internal/relay/relay.go
@@ -39,7 +39,7 @@
 	Log   *slog.Logger
 	// Policy decides which servers are picked; nil means pick.Cost.
 	Policy pick.Policy
-	// Clock tells the silence of servers from stalls of this process; nil knows none.
+	// Clock distinguishes the silence of servers from stalls of this process; nil assumes none.
 	Clock *stall.Clock
 	// Direct reports whether connections to a server are direct ones now; nil means always.
 	Direct func(address string) bool
--- a/entry/prog/prog.go
+++ b/entry/prog/prog.go
@@ -64,7 +64,7 @@
 	settings *setup.Settings
 	stdout   io.Writer
 	log      *slog.Logger
-	// clock tells the silence of others from stalls of this process.
+	// clock distinguishes the silence of others from stalls of this process.
 	clock *stall.Clock
 	// stopping is set when the process is told to stop. The entry host is not ready
 	// from then on.
--- a/entry/stream/active.go
+++ b/entry/stream/active.go
@@ -19,7 +19,7 @@
 	// reserveRestart reserves an attempt of the request on another chain, and reports
 	// whether its route and the retry budget allow one. Nil means that they do not.
 	reserveRestart func() bool
-	// clock tells the silence of servers from stalls of this process.
+	// clock distinguishes the silence of servers from stalls of this process.
 	clock *stall.Clock
 	// lastActivity is the time of the last event or reroute on the clock, in Unix
 	// nanoseconds, and meanGap the mean gap between two events, in nanoseconds.
--- a/entry/stream/monitor.go
+++ b/entry/stream/monitor.go
@@ -76,7 +76,7 @@
 	StartLatency *router.StartLatency
 	LocalDomain  domain.Name
 	Log          *slog.Logger
-	// Clock tells the silence of servers from stalls of this process; nil knows none.
+	// Clock distinguishes the silence of servers from stalls of this process; nil assumes none.
 	Clock *stall.Clock
 	// Crashes counts the servers that crashed under each request.
 	Crashes *poison.Counter
--- a/entry/unary/unary.go
+++ b/entry/unary/unary.go
@@ -62,7 +62,7 @@
 	Stats       *Stats
 	Limits      *limit.Tracker
 	LocalDomain domain.Name
-	// Clock tells the silence of servers from stalls of this process; nil knows none.
+	// Clock distinguishes the silence of servers from stalls of this process; nil assumes none.
 	Clock *stall.Clock
 	// Probe probes a server that did not respond to a request.
 	Probe func(j *call.Job, address, reason string)
--- a/parts/peer/peer.go
+++ b/parts/peer/peer.go
@@ -54,8 +54,8 @@
 	Trace *trace.Recorder
 	// Log may be nil.
 	Log *slog.Logger
-	// Clock tells the silence of other members from stalls of this process; nil knows
-	// none.
+	// Clock distinguishes the silence of other members from stalls of this process; nil
+	// assumes none.
 	Clock *stall.Clock
 	// Done is closed when Run returns; may be nil.
 	Done chan struct{}
--- a/parts/reach/reach.go
+++ b/parts/reach/reach.go
@@ -2,8 +2,8 @@
 //
 // A connection that a server refuses, or does not answer, has two explanations: the
 // server is down, or this entry host is cut off from it. One attempt cannot
-// distinguish them. A [Tracker] compares the attempts at all servers: an entry host is isolated if
-// no server has accepted a connection since several of them did not.
+// distinguish them. A [Tracker] compares the attempts at all servers: an entry host is
+// isolated if no server has accepted a connection since several of them did not.
 //
 // Only new connections count. Those that are open may live on while new ones are refused.
 //
