soak: report why no process was started

What we saw: fssoak with a -dir that does not exist ended with a nil pointer dereference in place of a message. Cause: after a failed start the cluster signals and awaits all entry hosts, also those that have no process. TestRunReportsWhyNoHostStarts panicked before, and passes.

--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -210,10 +210,13 @@
 	return nil
 }
 
-// signal sends a signal to the process.
+// signal sends a signal to the process, if it has been started.
 func (e *entryHost) signal(s syscall.Signal) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.cmd == nil {
+		return
+	}
 	// The process may have exited already.
 	_ = e.cmd.Process.Signal(s)
 }
@@ -223,7 +226,9 @@
 	e.mu.Lock()
 	exited := e.exited
 	e.mu.Unlock()
-	<-exited
+	if exited != nil {
+		<-exited
+	}
 }
 
 // shutDown sends SIGTERM, upon which the process drains and exits, and waits until
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"io/fs"
 	"os/exec"
 	"path/filepath"
 	"testing"
@@ -51,6 +52,12 @@
 	runSeed(t, soak.Settings{Seed: 5, FaultDuration: 5 * time.Second, Series: true, Cuts: true, EntryHosts: 4, Callers: 8, Program: build(t)})
 }
 
+// Guards against a panic in place of the reason for which no process was started.
+func TestRunReportsWhyNoHostStarts(t *testing.T) {
+	_, err := soak.Run(soak.Settings{Seed: 1, EntryHosts: 1, Dir: filepath.Join(t.TempDir(), "missing"), Program: "fsplat"})
+	qt.Assert(t, err, qt.ErrorIs, fs.ErrNotExist)
+}
+
 func runSeed(t *testing.T, s soak.Settings) {
 	s.Dir = t.TempDir()
 	report, err := soak.Run(s)
