sess: refresh the host list after an entry host has started, where domains can be cut off

Cause: in the stand-in. Relays give each failure domain host lists with other addresses under one revision; the platform has one list for all. An entry host that starts may get the list from a peer (FillReply, at a start only), so e1 in domain a had the list of domain b, with direct addresses there and relays to its own domain. Its pushes went past the cut, and it took e2, beside it, for dead.

Change: once an entry host is ready it is sent a newer list through its own proxy, and the session waits until it has received that. No check, wait or bound of a session is changed.

--- a/sess/procs/calls.go
+++ b/sess/procs/calls.go
@@ -282,8 +282,12 @@
 	if err != nil {
 		return err
 	}
-	return WaitFor(entry+" ready", func() bool {
+	err = WaitFor(entry+" ready", func() bool {
 		_, err := do("GET", "http://"+p.Addresses["callers"]+"/ready", nil)
 		return err == nil
 	})
+	if err != nil || c.partition == nil {
+		return err
+	}
+	return c.refreshHosts(entry)
 }
--- a/sess/procs/relay.go
+++ b/sess/procs/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"io"
 	"log"
@@ -15,6 +16,7 @@
 
 	"fuchsiashelf.dev/parts/domain"
 	"fuchsiashelf.dev/parts/host"
+	"fuchsiashelf.dev/parts/store"
 )
 
 // partition relays connections between the processes of a cluster, so that a
@@ -30,8 +32,10 @@
 	// relayAddrs holds the addresses of the relays.
 	relayAddrs map[relayKey]string
 	listeners  []net.Listener
-	// entryDomains holds the domains of the entry hosts by name.
-	entryDomains map[string]domain.Name
+	// entryDomains holds the domains of the entry hosts by name, and hostRevisions the
+	// revisions of the host lists that they have received through their store proxies.
+	entryDomains  map[string]domain.Name
+	hostRevisions map[string]uint64
 	// isolated is the domain that is cut off; empty for none.
 	isolated domain.Name
 	// reconnected is closed when the domain is connected again.
@@ -40,6 +44,9 @@
 	blocked sync.WaitGroup
 }
 
+// hostsPath is the path of the host list in the object API.
+const hostsPath = "/v1/hosts"
+
 // relayKey names a relay by the domain of its clients and the address of its
 // host.
 type relayKey struct {
@@ -52,6 +59,7 @@
 func (c *Cluster) EnablePartitions() {
 	c.partition = &partition{
 		storeProxies: map[domain.Name]string{}, relayAddrs: map[relayKey]string{}, entryDomains: map[string]domain.Name{},
+		hostRevisions: map[string]uint64{},
 	}
 }
 
@@ -104,14 +112,57 @@
 	// Do not log canceled watches: entry hosts cancel them in normal operation.
 	proxy.ErrorLog = log.New(io.Discard, "", 0)
 	proxy.ModifyResponse = func(resp *http.Response) error { return p.rewriteHostList(resp, dom) }
-	go func() { _ = http.Serve(l, proxy) }()
+	go func() {
+		_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			p.recordHostRevision(r)
+			proxy.ServeHTTP(w, r)
+		}))
+	}()
 	p.storeProxies[dom] = l.Addr().String()
 	return p.storeProxies[dom], nil
 }
 
+// recordHostRevision records which host list an entry host has received, which its next
+// watch says.
+func (p *partition) recordHostRevision(r *http.Request) {
+	if r.URL.Path != hostsPath {
+		return
+	}
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.hostRevisions[r.Header.Get(store.EntryHeader)] = after
+}
+
+// refreshHosts raises the revision of the host list, and waits until an entry host has
+// received it. While it started, the entry host may have received a list from a peer, with
+// the addresses of that peer's relays.
+func (c *Cluster) refreshHosts(entry string) error {
+	p := c.partition
+	p.mu.Lock()
+	dom := p.entryDomains[entry]
+	p.mu.Unlock()
+	if err := c.SetHost(entry, dom, host.Live); err != nil {
+		return err
+	}
+	s, err := c.Get(StoreName)
+	if err != nil {
+		return err
+	}
+	list, err := (&store.Client{Address: s.Addresses["serve"]}).Hosts(context.Background(), 0)
+	if err != nil {
+		return err
+	}
+	return WaitFor(entry+" receives the host list", func() bool {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.hostRevisions[entry] >= list.Revision
+	})
+}
+
 // rewriteHostList replaces the addresses of a host list by those of relays.
 func (p *partition) rewriteHostList(resp *http.Response, dom domain.Name) error {
-	if resp.Request.URL.Path != "/v1/hosts" || resp.StatusCode != http.StatusOK {
+	if resp.Request.URL.Path != hostsPath || resp.StatusCode != http.StatusOK {
 		return nil
 	}
 	var list host.List
