setup, prog: split the check of settings and the stop of tunnels off long functions

Settings are checked as texts, then as quantities, in the same order of messages but for -certs, which comes before -desk-secret as it did; run leaves the wait for tunnels to drainTunnels. A comment of package pick says plainly why waits count longer than reports.

--- a/entry/internal/setup/setup.go
+++ b/entry/internal/setup/setup.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"strings"
 	"time"
 
@@ -111,6 +112,22 @@
 }
 
 func (s *Settings) check() error {
+	errs := slices.Concat(s.checkTexts(), s.checkQuantities())
+	if err := s.Certs.Check(certs.Entry); err != nil {
+		errs = append(errs, err)
+	}
+	if s.PeerSecret != "" && s.PeerSecret == s.DeskSecret {
+		errs = append(errs, errors.New("-desk-secret: must differ from -peer-secret"))
+	}
+	errs = append(errs, s.Admit.check()...)
+	if err := s.Claims.check(); err != nil {
+		errs = append(errs, err)
+	}
+	return errors.Join(errs...)
+}
+
+// checkTexts checks names, secrets and addresses.
+func (s *Settings) checkTexts() []error {
 	var errs []error
 	require := func(name, value string) {
 		if value == "" {
@@ -141,12 +158,15 @@
 	for seed := range strings.SplitSeq(s.Seeds, ",") {
 		checkAddress("seeds", seed)
 	}
+	return errs
+}
+
+// checkQuantities checks sizes, times, rates and the policy.
+func (s *Settings) checkQuantities() []error {
+	var errs []error
 	if s.MaxBody <= 0 {
 		errs = append(errs, fmt.Errorf("-max-body: %d is not above 0", s.MaxBody))
 	}
-	if err := s.Certs.Check(certs.Entry); err != nil {
-		errs = append(errs, err)
-	}
 	if s.Linger < 0 {
 		errs = append(errs, fmt.Errorf("-linger: %s is below 0", s.Linger))
 	}
@@ -165,12 +185,5 @@
 	if s.PollRate <= 0 {
 		errs = append(errs, fmt.Errorf("-poll-rate: %v is not above 0", s.PollRate))
 	}
-	if s.PeerSecret != "" && s.PeerSecret == s.DeskSecret {
-		errs = append(errs, errors.New("-desk-secret: must differ from -peer-secret"))
-	}
-	errs = append(errs, s.Admit.check()...)
-	if err := s.Claims.check(); err != nil {
-		errs = append(errs, err)
-	}
-	return errors.Join(errs...)
+	return errs
 }
--- a/entry/prog/links.go
+++ b/entry/prog/links.go
@@ -1,6 +1,7 @@
 package prog
 
 import (
+	"context"
 	"net"
 	"time"
 
@@ -28,3 +29,11 @@
 	peers.Tunnels = l.Tunnels()
 	return l
 }
+
+// drainTunnels waits until no tunnel of another entry host is in use, at most for the grace
+// period.
+func (d *daemon) drainTunnels(ctx context.Context, l *links.Links) {
+	ctx, cancel := context.WithTimeout(ctx, d.settings.Grace)
+	defer cancel()
+	l.Drain(ctx)
+}
--- a/entry/prog/prog.go
+++ b/entry/prog/prog.go
@@ -123,11 +123,8 @@
 		calls.CloseIdleConnections()
 	}
 	handler := &edge.Handler{
-		View:           publisher,
-		Relay:          models.forwarder,
-		PlainForwarder: calls, Admission: d.newAdmission(publisher, recorder, peers),
-		Trace: recorder, Log: d.log, MaxBody: d.settings.MaxBody,
-		Ready: d.readyFunc(watcher),
+		View: publisher, Relay: models.forwarder, PlainForwarder: calls, Admission: d.newAdmission(publisher, recorder, peers),
+		Trace: recorder, Log: d.log, MaxBody: d.settings.MaxBody, Ready: d.readyFunc(watcher),
 	}
 	peers.Local.Ready = handler.Ready
 	runCtx, stopRun := context.WithCancel(context.Background())
@@ -153,9 +150,7 @@
 	fmt.Fprintf(d.stdout, "ready callers=%s peers=%s desk=%s ops=%s\n",
 		d.callers.Addr(), d.peers.Addr(), d.desk.Addr(), d.ops.Addr())
 	err = d.serveCallers(ctx, handler)
-	drainCtx, stopDrain := context.WithTimeout(runCtx, d.settings.Grace)
-	servers.Drain(drainCtx)
-	stopDrain()
+	d.drainTunnels(runCtx, servers)
 	stopRun()
 	components.Wait()
 	return err
--- a/parts/pick/pick.go
+++ b/parts/pick/pick.go
@@ -140,8 +140,8 @@
 const avoidPenalty = 1e15
 
 // The ages at which the weight of a measurement is half, in nanoseconds. An
-// old report says little about the current load; a wait that was measured on
-// local requests is fresher and counts longer.
+// old report says little about the current load; waits of local requests are more
+// recent and count longer.
 const (
 	reportHalfLife = 250e6
 	waitHalfLife   = 500e6
