--- a/entry/call/call.go
+++ b/entry/call/call.go
@@ -37,6 +37,9 @@
 	// number of tokens of the response, and TokensHint the caller's estimate of it;
 	// zero if not given.
 	PromptTokens, MaxTokens, TokensHint int
+	// PromptParts holds the IDs of the parts of the prompt, in order. Other requests may share
+	// all of them but the last.
+	PromptParts []string
 	// LastEvent is the ID of the last event that the caller has of a resumed stream.
 	LastEvent string
 	// Arrived is the time at which the request had been read.
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -208,6 +208,9 @@
 		return
 	}
 	attrs = append(attrs, "sends", out.Sends, "broken", out.Truncated, "late", late)
+	if j != nil && len(j.PromptParts) > 0 {
+		attrs = append(attrs, "parts", j.PromptParts)
+	}
 	if out.Error != nil {
 		attrs = append(attrs, "verdict", out.Error.Verdict.String(), "after", out.Error.RetryAfter, "error", out.Error)
 	}
--- a/entry/stream/monitor.go
+++ b/entry/stream/monitor.go
@@ -108,7 +108,7 @@
 	lastAnswer map[string]time.Time
 	// failedRequests holds the requests that failed on a probed server, by the ID of
 	// the server, until it is known whether the server crashed.
-	failedRequests map[string]map[poison.Fingerprint]bool
+	failedRequests map[string][]*call.Job
 	// exited holds the servers whose processes are known to have ended, by ID.
 	exited map[string]time.Time
 	// lastDrain is when a stream was last rerouted around a draining server.
--- a/entry/stream/probe.go
+++ b/entry/stream/probe.go
@@ -9,7 +9,6 @@
 	"fuchsiashelf.dev/entry/call"
 	"fuchsiashelf.dev/entry/dialer"
 	"fuchsiashelf.dev/entry/state"
-	"fuchsiashelf.dev/parts/poison"
 	"fuchsiashelf.dev/parts/probe"
 )
 
@@ -26,7 +25,7 @@
 	if s == nil {
 		return
 	}
-	m.recordFailedRequest(s.ID, job.Fingerprint)
+	m.recordFailedRequest(s.ID, job)
 	if m.claimProbe(address) {
 		go m.probeSuspect(s.ID, address, reason, link{})
 	}
@@ -34,31 +33,31 @@
 
 // recordFailedRequest records a request that failed on a server until a probe shows
 // whether the server crashed.
-func (m *Monitor) recordFailedRequest(id string, fingerprint poison.Fingerprint) {
+func (m *Monitor) recordFailedRequest(id string, job *call.Job) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.failedRequests == nil {
-		m.failedRequests = map[string]map[poison.Fingerprint]bool{}
+		m.failedRequests = map[string][]*call.Job{}
 	}
-	if m.failedRequests[id] == nil {
-		m.failedRequests[id] = map[poison.Fingerprint]bool{}
-	}
-	m.failedRequests[id][fingerprint] = true
+	m.failedRequests[id] = append(m.failedRequests[id], job)
 }
 
 // resolveFailedRequests removes the requests that failed on a server, once it is
 // known whether the server crashed. A crash is recorded against each of them.
 func (m *Monitor) resolveFailedRequests(id string, crashed bool, now time.Time) {
 	m.mu.Lock()
-	fingerprints := m.failedRequests[id]
+	jobs := m.failedRequests[id]
 	delete(m.failedRequests, id)
 	m.mu.Unlock()
-	if !crashed {
+	if !crashed || len(jobs) == 0 {
 		return
 	}
-	for fingerprint := range fingerprints {
-		m.Crashes.RecordCrash(fingerprint, id, now)
+	requests := make([]string, len(jobs))
+	for i, job := range jobs {
+		requests[i] = job.ID
+		m.Crashes.RecordCrash(job.Fingerprint, id, now)
 	}
+	m.Log.Warn("crashes: server ended", "server", id, "requests", requests)
 }
 
 // probeServer starts to probe a server, unless the server has answered recently or is
--- a/entry/stream/probe_test.go
+++ b/entry/stream/probe_test.go
@@ -39,7 +39,7 @@
 	for _, err := range []error{syscall.ECONNREFUSED, syscall.ECONNRESET} {
 		m, _ := newMonitor(&fakeEngines{}, 1)
 		m.Crashes.RecordCrash(testFingerprint, "other-0", time.Now())
-		m.recordFailedRequest("middle", testFingerprint)
+		m.recordFailedRequest("middle", &call.Job{Request: &call.Request{ID: "r"}, Fingerprint: testFingerprint})
 		m.markSuspected("middle", "middle", "test", err, time.Now())
 		qt.Assert(t, m.Crashes.Suspects(time.Now()), qt.HasLen, 0)
 		qt.Assert(t, m.hasExited("middle"), qt.IsFalse)
