stand, soak, platform/node: reproduce servers that crash under a part of prompts

No test and no soak ended servers in that way. Change: the stand-in ends each engine that begins to answer a request with a given part, after the header of the response, and starts another one at its address some seconds later.

--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -29,6 +29,8 @@
 	layers = 12
 	// callerTimeout limits one request of a caller.
 	callerTimeout = 6 * time.Second
+	// serverRestart is how long servers that crash under a part of a prompt are away.
+	serverRestart = 1500 * time.Millisecond
 )
 
 // cluster is a fake platform with entry hosts in front of it.
@@ -115,7 +117,7 @@
 	c.mu.Unlock()
 	if service == "assist" {
 		s.Model, s.Kind, s.MemoryMB = &fakes.Model{Layers: layers, LayerMB: 1000}, "card", 6000
-		s.StepTime, s.LoadTime = 8*time.Millisecond, 20*time.Millisecond
+		s.StepTime, s.LoadTime, s.RestartTime = 8*time.Millisecond, 20*time.Millisecond, serverRestart
 	}
 	s.Proxy = func(address string) (string, error) {
 		p, err := proxy.New(address)
@@ -351,10 +353,10 @@
 }
 
 // send sends a request to entry host e, without retries. events is zero for a
-// request to a plain service.
-func (c *cluster) send(e int, id, path, key string, events int) reply {
+// request to a plain service, and parts are the parts of the prompt.
+func (c *cluster) send(e int, id, path, key string, events int, parts ...string) reply {
 	req, err := fakes.Request{
-		Address: c.entries[e].callerAddr, Path: path, ID: id, Key: key, Body: "body", Timeout: callerTimeout, Events: events,
+		Address: c.entries[e].callerAddr, Path: path, ID: id, Key: key, Body: "body", Timeout: callerTimeout, Events: events, Parts: parts,
 	}.HTTP()
 	if err != nil {
 		return reply{err: err}
--- a/soak/series.go
+++ b/soak/series.go
@@ -58,6 +58,9 @@
 	if r.Cuts {
 		kinds = append(kinds, r.startCuts)
 	}
+	if r.Crashes {
+		kinds = append(kinds, r.startCrashes)
+	}
 	return kinds[rng.IntN(len(kinds))](rng)
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -36,6 +36,10 @@
 	// Cuts cuts entry hosts off from all backend servers, in the series and after the
 	// faults, and checks that they serve their callers.
 	Cuts bool
+	// Crashes makes parts of prompts crash servers that begin to answer requests with them, in
+	// the series and after the faults, and checks that they are blocked and that requests that
+	// share their other parts are served.
+	Crashes bool
 	// EntryHosts and Callers are the numbers of entry hosts and callers.
 	EntryHosts, Callers int
 	// Program is the path of the fsplat binary.
@@ -194,8 +198,13 @@
 // sendStream sends a streaming request, and checks its response. It reports
 // whether the request succeeded.
 func (r *run) sendStream(e, events int) bool {
+	return r.sendPrompt(e, events)
+}
+
+// sendPrompt is sendStream for a prompt with the given parts.
+func (r *run) sendPrompt(e, events int, parts ...string) bool {
 	id := r.newID("ask", e)
-	resp := r.cluster.send(e, id, "/ask/1", currentKey, events)
+	resp := r.cluster.send(e, id, "/ask/1", currentKey, events, parts...)
 	ok := resp.status == 200 && resp.err == nil
 	r.countRequest(ok)
 	if ok && resp.body != fakes.StreamBody(id, events) {
@@ -212,15 +221,7 @@
 // of requests, and then checks a revoked key and a planned stop.
 func (r *run) checkRecovery() {
 	r.cluster.clearFaults()
-	for e := range r.EntryHosts {
-		served := false
-		for deadline := time.Now().Add(recoveryTimeout); time.Now().Before(deadline) && !served; {
-			served = r.sendStream(e, 5) && r.sendLookup(e) && r.sendPayment(e)
-		}
-		if !served {
-			r.addViolation("entry host %d has not recovered", e)
-		}
-	}
+	r.awaitRecovery()
 	r.checkRevokedKey()
 	if r.Limits {
 		r.checkRateLimit()
@@ -231,9 +232,26 @@
 	if r.Cuts {
 		r.checkCuts()
 	}
+	if r.Crashes {
+		r.checkCrashes()
+		r.awaitRecovery()
+	}
 	r.checkPlannedStop()
 }
 
+// awaitRecovery waits until every entry host serves all kinds of requests.
+func (r *run) awaitRecovery() {
+	for e := range r.EntryHosts {
+		served := false
+		for deadline := time.Now().Add(recoveryTimeout); time.Now().Before(deadline) && !served; {
+			served = r.sendStream(e, 5) && r.sendLookup(e) && r.sendPayment(e)
+		}
+		if !served {
+			r.addViolation("entry host %d has not recovered", e)
+		}
+	}
+}
+
 // checkRevokedKey revokes a key and checks that every entry host refuses it. With
 // Restores it restores the store before, so that its revision is lower than those that
 // the entry hosts know.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -65,3 +65,9 @@
 	qt.Check(t, report.Violations, qt.HasLen, 0, qt.Commentf("seed %d: %v", s.Seed, report.Faults))
 	qt.Check(t, report.Succeeded > 0, qt.IsTrue)
 }
+
+// Guards against parts of prompts that crash one server after the other, and against blocking
+// requests that share their other parts.
+func TestCrashes(t *testing.T) {
+	runSeed(t, soak.Settings{Seed: 9, FaultDuration: 4 * time.Second, Series: true, Crashes: true, EntryHosts: 4, Callers: 8, Program: build(t)})
+}
--- a/stand/fakes/caller.go
+++ b/stand/fakes/caller.go
@@ -26,6 +26,8 @@
 	Timeout time.Duration
 	// Events is the requested number of events; zero calls a plain service.
 	Events int
+	// Parts holds the IDs of the parts of the prompt.
+	Parts []string
 }
 
 // HTTP returns the HTTP request with the platform's headers.
@@ -41,9 +43,15 @@
 	if r.Events > 0 {
 		req.Header.Set("X-Token-Counts", fmt.Sprintf("50,%d", r.Events))
 	}
+	if len(r.Parts) > 0 {
+		req.Header.Set("X-Prompt-Prefix", PromptPrefix(r.Parts...))
+	}
 	return req, nil
 }
 
+// PromptPrefix returns the header with the parts of a prompt, ten tokens each.
+func PromptPrefix(parts ...string) string { return strings.Join(parts, ":10,") + ":10" }
+
 // StreamBody returns the body of a complete stream.
 func StreamBody(id string, events int) string {
 	var b strings.Builder
--- a/stand/fakes/platform.go
+++ b/stand/fakes/platform.go
@@ -42,6 +42,11 @@
 	// streams holds the stages of each stream, by its first server and its request.
 	streams map[string][]stage
 	stops   []func()
+	// badParts holds the parts of prompts that crash engines, by ID.
+	badParts map[string]*BadPart
+	// closed is closed by Close, which waits for restarts.
+	closed   chan struct{}
+	restarts sync.WaitGroup
 }
 
 // Start serves the object API on a free port.
@@ -60,6 +65,8 @@
 
 // Close crashes all servers and stops the object API.
 func (p *Platform) Close() {
+	close(p.closing())
+	p.restarts.Wait()
 	p.mu.Lock()
 	servers := make([]*Server, 0, len(p.servers))
 	for _, s := range p.servers {
@@ -82,6 +89,7 @@
 	if err != nil {
 		return err
 	}
+	s.listen = address
 	if s.Proxy != nil {
 		if address, err = s.Proxy(address); err != nil {
 			stop()
@@ -206,10 +214,15 @@
 	if err != nil {
 		return "", nil, err
 	}
+	return listener.Addr().String(), serveOn(listener, h), nil
+}
+
+// serveOn serves on a listener until stop is called.
+func serveOn(l net.Listener, h http.Handler) (stop func()) {
 	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
 	go func() {
 		// Serve returns once the server is closed.
-		_ = server.Serve(listener)
+		_ = server.Serve(l)
 	}()
-	return listener.Addr().String(), func() { _ = server.Close() }, nil
+	return func() { _ = server.Close() }
 }
--- a/stand/fakes/server.go
+++ b/stand/fakes/server.go
@@ -36,13 +36,17 @@
 	StepTime time.Duration
 	// LoadTime is how long loading newly assigned layers takes.
 	LoadTime time.Duration
+	// RestartTime is how long after a crash by a bad part the server is back, under another ID; zero
+	// means that it stays down.
+	RestartTime time.Duration
 	// Proxy starts a proxy in front of the server's address and returns the
 	// address to register; nil means no proxy.
 	Proxy func(address string) (string, error)
 
 	platform *Platform
-	address  string
-	stop     func()
+	// address is registered, and listen the address at which the server listens.
+	address, listen string
+	stop            func()
 
 	mu         sync.Mutex
 	first, end int
@@ -298,6 +302,7 @@
 	if s.Model != nil && s.refuseChain(w, req.Header.Get("X-Hop-Count")) {
 		return
 	}
+	s.platform.recordBadParts(req, func(b *BadPart) { b.Arrivals = append(b.Arrivals, time.Now()) })
 	s.platform.recordExecution(Execution{
 		Request: id, Server: s.ID, Service: s.Service, Team: req.Header.Get("X-Tenant"),
 		Resumed: req.Header.Get("Last-Event-Id"), Chain: req.Header.Get("X-Hop-Count"),
--- a/stand/fakes/stream.go
+++ b/stand/fakes/stream.go
@@ -42,6 +42,9 @@
 			return
 		}
 		s.waitFrozen()
+		if n == from+1 && s.crashOnPart(req, controller) {
+			panic(http.ErrAbortHandler)
+		}
 		if s.truncates(n) {
 			fmt.Fprintf(w, "id: %d\nda", n)
 			_ = controller.Flush()
