stand, soak: let the address of a server that a part crashed refuse connections

Cause: in the soak a server that crashes under a part stays behind a proxy, which goes on accepting connections and resets them. The protocol says otherwise: a port with no listener resets the channel (DEPLOY.md, Network), so a process that has ended can be told from a link that is cut. With the proxy left open no code could conclude that a process has ended, and TestCrashes asked for something impossible. Change: the proxy of such a server closes; the one that replaces it gets a new one. Nothing changes for servers that other faults crash. The check and its bounds are the same.

--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -119,6 +120,7 @@
 		s.Model, s.Kind, s.MemoryMB = &fakes.Model{Layers: layers, LayerMB: 1000}, "card", 6000
 		s.StepTime, s.LoadTime, s.RestartTime = 8*time.Millisecond, 20*time.Millisecond, serverRestart
 	}
+	var current *proxy.Proxy
 	s.Proxy = func(address string) (string, error) {
 		p, err := proxy.New(address)
 		if err != nil {
@@ -126,6 +128,7 @@
 		}
 		c.mu.Lock()
 		defer c.mu.Unlock()
+		current = p
 		c.serverProxies = append(c.serverProxies, p)
 		for _, e := range c.entries {
 			if e.cut != sever.Connected {
@@ -134,6 +137,9 @@
 		}
 		return p.Address(), err
 	}
+	// The address of a process that has ended refuses connections.
+	s.OnCrash = func() { c.closeProxy(current) }
+	s.OnRestart = c.addRestarted
 	if err := c.platform.AddServer(s); err != nil {
 		return err
 	}
@@ -143,6 +149,21 @@
 	return nil
 }
 
+// closeProxy closes the proxy of a server that has crashed.
+func (c *cluster) closeProxy(p *proxy.Proxy) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.serverProxies = slices.DeleteFunc(c.serverProxies, func(other *proxy.Proxy) bool { return other == p })
+	p.Close()
+}
+
+// addRestarted adds a server that has replaced one which crashed.
+func (c *cluster) addRestarted(next *fakes.Server) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.servers = append(slices.DeleteFunc(c.servers, (*fakes.Server).Crashed), next)
+}
+
 // configure writes a new version of the configuration, with the given keys.
 func (c *cluster) configure(keys ...string) error {
 	c.mu.Lock()
--- a/stand/fakes/crash.go
+++ b/stand/fakes/crash.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -101,10 +100,13 @@
 
 // crashAndRestart crashes the server and starts it again after its RestartTime, if it has one.
 func (s *Server) crashAndRestart() {
-	if s.hasCrashed() {
+	if s.Crashed() {
 		return
 	}
 	s.Crash()
+	if s.OnCrash != nil {
+		s.OnCrash()
+	}
 	if s.RestartTime == 0 {
 		return
 	}
@@ -126,24 +128,26 @@
 	})
 }
 
-// restart starts another server at the address of one that has crashed, under another ID.
+// restart starts another server in place of one that has crashed, under another ID. It has the same
+// address, unless there is a proxy.
 func (s *Server) restart() error {
 	id, _, _ := strings.Cut(s.ID, ".")
 	now := time.Now().UnixMilli()
 	next := &Server{
 		ID: fmt.Sprintf("%s.%d", id, now), Service: s.Service, Zone: s.Zone, Slots: s.Slots, Model: s.Model, Kind: s.Kind,
 		MemoryMB: s.MemoryMB, StepTime: s.StepTime, LoadTime: s.LoadTime, RestartTime: s.RestartTime,
-		platform: s.platform, address: s.address, listen: s.listen, bornMs: now,
+		OnCrash: s.OnCrash, OnRestart: s.OnRestart, Proxy: s.Proxy, listen: s.listen,
+	}
+	if s.Proxy != nil {
+		next.listen = ""
 	}
-	l, err := net.Listen("tcp", s.listen)
-	if err != nil {
+	if err := s.platform.startServer(next, now); err != nil {
 		return err
 	}
-	next.stop = serveOn(l, next)
-	s.platform.mu.Lock()
-	s.platform.servers[s.address] = next
-	s.platform.mu.Unlock()
-	return next.register()
+	if s.OnRestart != nil {
+		s.OnRestart(next)
+	}
+	return nil
 }
 
 // closing returns a channel that is closed when the platform is.
--- a/stand/fakes/order.go
+++ b/stand/fakes/order.go
@@ -91,14 +91,14 @@
 // load waits for the streams that pass through the layers which the server gives up, and
 // loads the others.
 func (s *Server) load(first, end int) {
-	for s.platform.passes(s.address, first, end) && !s.hasCrashed() {
+	for s.platform.passes(s.address, first, end) && !s.Crashed() {
 		time.Sleep(unloadInterval)
 	}
 	time.Sleep(s.LoadTime)
 	s.mu.Lock()
 	s.first, s.end, s.loading = first, end, false
 	s.mu.Unlock()
-	if !s.hasCrashed() {
+	if !s.Crashed() {
 		// The store rejects no write of a server.
 		_ = s.register()
 	}
--- a/stand/fakes/platform.go
+++ b/stand/fakes/platform.go
@@ -1,6 +1,7 @@
 package fakes
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"maps"
@@ -82,10 +83,13 @@
 }
 
 // AddServer starts a server and registers it in the store.
-func (p *Platform) AddServer(s *Server) error {
+func (p *Platform) AddServer(s *Server) error { return p.startServer(s, firstStart) }
+
+// startServer is AddServer with the start time of the server in Unix milliseconds.
+func (p *Platform) startServer(s *Server, bornMs int64) error {
 	s.platform = p
-	s.bornMs = firstStart
-	address, stop, err := serve(s)
+	s.bornMs = bornMs
+	address, stop, err := serveAt(cmp.Or(s.listen, anyAddress), s)
 	if err != nil {
 		return err
 	}
@@ -123,7 +127,7 @@
 	p.mu.Unlock()
 	var errs []error
 	for _, s := range servers {
-		if s.hasCrashed() {
+		if s.Crashed() {
 			p.Store.Delete("servers", s.ID)
 			continue
 		}
@@ -202,27 +206,28 @@
 	p.mu.Lock()
 	s := p.servers[address]
 	p.mu.Unlock()
-	if s == nil || s.hasCrashed() {
+	if s == nil || s.Crashed() {
 		return nil
 	}
 	return s
 }
 
+// anyAddress is a free port of loopback.
+const anyAddress = "127.0.0.1:0"
+
 // serve listens on a free port of loopback.
-func serve(h http.Handler) (address string, stop func(), err error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+func serve(h http.Handler) (address string, stop func(), err error) { return serveAt(anyAddress, h) }
+
+// serveAt listens on an address.
+func serveAt(listen string, h http.Handler) (address string, stop func(), err error) {
+	listener, err := net.Listen("tcp", listen)
 	if err != nil {
 		return "", nil, err
 	}
-	return listener.Addr().String(), serveOn(listener, h), nil
-}
-
-// serveOn serves on a listener until stop is called.
-func serveOn(l net.Listener, h http.Handler) (stop func()) {
 	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
 	go func() {
 		// Serve returns once the server is closed.
-		_ = server.Serve(l)
+		_ = server.Serve(listener)
 	}()
-	return func() { _ = server.Close() }
+	return listener.Addr().String(), func() { _ = server.Close() }, nil
 }
--- a/stand/fakes/server.go
+++ b/stand/fakes/server.go
@@ -39,6 +39,10 @@
 	// RestartTime is how long after a crash by a bad part the server is back, under another ID; zero
 	// means that it stays down.
 	RestartTime time.Duration
+	// OnCrash is called when a bad part has crashed the server, and OnRestart when another one has
+	// replaced it; nil means not.
+	OnCrash   func()
+	OnRestart func(next *Server)
 	// Proxy starts a proxy in front of the server's address and returns the
 	// address to register; nil means no proxy.
 	Proxy func(address string) (string, error)
@@ -111,7 +115,8 @@
 	}
 }
 
-func (s *Server) hasCrashed() bool {
+// Crashed reports whether the server has crashed.
+func (s *Server) Crashed() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.crashed
