poison, stream, unary, gossip: block the part of prompts that crashes servers

Cause: a crash was laid to the request as a whole (team, method, host, target, body), so requests of which no two are alike were never blocked. Beside it: a crash was told to other hosts only from the second under the same request on, one success cleared a request for a minute, and one request could end four servers, since attempts on ended servers do not count. Change: poison.Detector replaces poison.Counter. A crash is laid to all causes (the request, each part but the last) of the requests that the server had not begun to answer; hosts exchange crashes and answers while they are new, and for good what a block rests on. The cause that alone explains most crashes, and that requests are hardly answered with, is blocked; crashes that it explains are not laid to others. Only the host that owns a blocked cause tries it again, 10, 40, 160 s after the last crash. A request under which two servers failed before they answered is not sent again. Refused requests get 503 with Retry-After, and the cause in the text and the log. A server whose address has another process counts as ended. Why this works: a part that crashes each server that begins to answer is in all of these crashes and in no answer; what all requests share is in the answers too. Replaced: TestCounter by TestRequestIsBlocked, as strict up to the block; a block now lasts while trials crash servers, up to ten minutes, in place of one minute for all. TestSuccessClearsRequest stays. The three tests of entry/stream check the block itself instead of the list of suspects.

--- a/entry/call/job.go
+++ b/entry/call/job.go
@@ -24,15 +24,33 @@
 	// Deadline is when the caller stops waiting, or when the timeout that the operator
 	// set expires.
 	Deadline time.Time
-	// Fingerprint identifies copies and retries of the same request.
-	Fingerprint poison.Fingerprint
+	// Causes are what the request holds that may crash servers, the most specific first.
+	Causes []poison.Cause
+	// Trial says that one of the causes is blocked, and that the request is to show whether it
+	// still crashes servers.
+	Trial bool
+	// Unanswered is the number of servers that got the request and failed before they began to
+	// answer it.
+	Unanswered int
 }
 
+// MaxUnanswered bounds Unanswered: the request may be what makes the servers fail.
+const MaxUnanswered = 2
+
 // Remaining returns the time until the deadline.
 func (j *Job) Remaining() time.Duration {
 	return time.Until(j.Deadline)
 }
 
+// BlockedError returns the error for a request that is blocked because it crashes servers.
+func BlockedError(d *poison.Detector, j *Job, v fault.Verdict) *fault.Error {
+	cause, retryAfter := d.Blocked(j.Causes, time.Now())
+	return &fault.Error{
+		Code: fault.Poisoned, Verdict: v, Field: string(cause), RetryAfter: max(retryAfter, time.Second),
+		Message: "each server that begins to answer it crashes",
+	}
+}
+
 // Outcome is how a request ended, for logs and metrics.
 type Outcome struct {
 	// Status is the status that the caller received; zero if the caller left before.
@@ -97,6 +115,10 @@
 // sent, or zero if the response could not be written.
 func WriteError(w http.ResponseWriter, c Codec, e *fault.Error) int {
 	status := e.Status()
+	if e.Code == fault.Poisoned {
+		// Nothing is wrong with the request itself: it may be served later.
+		status = http.StatusServiceUnavailable
+	}
 	if e.Verdict != fault.NotRun {
 		switch status {
 		case http.StatusServiceUnavailable, http.StatusTooManyRequests:
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -37,9 +37,8 @@
 	Streams, Plain Forwarder
 	Log            *slog.Logger
 	Meter          *Meter
-	// Crashes counts the servers that crashed under each request and blocks poisoned
-	// requests.
-	Crashes *poison.Counter
+	// Crashes blocks requests that crash servers.
+	Crashes *poison.Detector
 	// CloseConns is set when the process is about to stop: connections are closed
 	// after their responses.
 	CloseConns atomic.Bool
@@ -84,7 +83,10 @@
 	}
 	out := forwarder.Serve(r.Context(), w, j)
 	if out.Error == nil && !out.Truncated {
-		h.Crashes.RecordSuccess(j.Fingerprint, time.Now())
+		h.Crashes.RecordAnswer(j.Causes, j.ID, time.Now())
+	}
+	if j.Trial {
+		h.Crashes.Close(j.Causes, j.ID)
 	}
 	h.record(j, r, out, start)
 	if out.Truncated {
@@ -134,9 +136,10 @@
 	if err != nil {
 		return j, err
 	}
-	j.Fingerprint = poison.NewFingerprint(j.Team, req.Method, req.Host, req.Target, string(req.Body))
-	if h.Crashes.Blocked(j.Fingerprint, start) {
-		return j, &fault.Error{Code: fault.ServerFailed, Verdict: fault.MayHaveRun, Message: "each server that ran the request died"}
+	j.Causes = poison.Causes(poison.NewFingerprint(j.Team, req.Method, req.Host, req.Target, string(req.Body)), req.PromptParts)
+	var admitted bool
+	if admitted, j.Trial = h.Crashes.Admit(j.Causes, j.ID, start); !admitted {
+		return j, call.BlockedError(h.Crashes, j, fault.NotRun)
 	}
 	return j, nil
 }
--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -1,7 +1,7 @@
 // Package gossip exchanges state between entry hosts: objects of the object API that
 // other hosts lack, suspected, slow and saturated servers, assignments, the load that
-// each host puts on the servers, requests that may be poisoned, and the list of entry
-// hosts.
+// each host puts on the servers, crashes of servers with their possible causes, and the list
+// of entry hosts.
 //
 // Each entry host exchanges messages with a few others several times a second, and at
 // once when something changes. There is no consensus protocol: every fact carries a
@@ -71,7 +71,7 @@
 	Load    *router.LoadTracker
 	// StartLatency holds how long requests wait at the first servers of chains.
 	StartLatency *router.StartLatency
-	Crashes      *poison.Counter
+	Crashes      *poison.Detector
 	Limits       *limit.Tracker
 	Log          *slog.Logger
 	// Clock distinguishes the silence of other hosts from stalls of this process; nil assumes none.
--- a/entry/gossip/gossip_test.go
+++ b/entry/gossip/gossip_test.go
@@ -21,7 +21,7 @@
 	name := fmt.Sprintf("entry-%03d", n)
 	return &gossip.Peer{
 		Self: gossip.Member{Name: name, Address: name + ":1", Domain: domain.Name(fmt.Sprint(n % 5)), Boot: 1}, Mirrors: mirrors,
-		Load: &router.LoadTracker{}, StartLatency: &router.StartLatency{}, Crashes: &poison.Counter{}, Limits: &limit.Tracker{}, Log: slog.New(slog.DiscardHandler),
+		Load: &router.LoadTracker{}, StartLatency: &router.StartLatency{}, Crashes: &poison.Detector{Log: slog.New(slog.DiscardHandler)}, Limits: &limit.Tracker{}, Log: slog.New(slog.DiscardHandler),
 		Suspects: func() []gossip.Suspect { return nil }, OnSuspect: func(gossip.Suspect) {},
 		SlowServers: func() []gossip.SlowServer { return nil }, OnSlow: func(gossip.SlowServer) {},
 		Assignments: func() []gossip.Assignment { return nil }, OnAssignment: func(gossip.Assignment) {},
--- a/entry/gossip/leader.go
+++ b/entry/gossip/leader.go
@@ -1,8 +1,11 @@
 package gossip
 
 import (
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"fuchsiashelf.dev/parts/reach"
 )
 
@@ -67,3 +70,14 @@
 	}
 	return rank
 }
+
+// Owns reports whether this entry host is responsible for something with a name. Hosts that
+// know the same others agree on one of them; which one it is differs from name to name.
+func (p *Peer) Owns(name string) bool {
+	if p.Leaving() || !p.Settled() {
+		return false
+	}
+	weight := func(host string) uint64 { return xxhash.Sum64String(name + "\x00" + host) }
+	own := weight(p.Self.Name)
+	return !slices.ContainsFunc(p.Alive(), func(m Member) bool { return weight(m.Name) > own })
+}
--- a/entry/gossip/leader_test.go
+++ b/entry/gossip/leader_test.go
@@ -21,7 +21,7 @@
 	name := fmt.Sprintf("entry-%03d", n)
 	return &Peer{
 		Self: Member{Name: name, Address: name, Domain: domain.Name(fmt.Sprint(n % 5)), Boot: 1},
-		Load: &router.LoadTracker{}, StartLatency: &router.StartLatency{}, Crashes: &poison.Counter{}, Limits: &limit.Tracker{}, Log: slog.New(slog.DiscardHandler),
+		Load: &router.LoadTracker{}, StartLatency: &router.StartLatency{}, Crashes: &poison.Detector{Log: slog.New(slog.DiscardHandler)}, Limits: &limit.Tracker{}, Log: slog.New(slog.DiscardHandler),
 		Suspects: func() []Suspect { return nil }, OnSuspect: func(Suspect) {},
 		SlowServers: func() []SlowServer { return nil }, OnSlow: func(SlowServer) {},
 		Assignments: func() []Assignment { return nil }, OnAssignment: func(Assignment) {},
--- a/entry/gossip/message.go
+++ b/entry/gossip/message.go
@@ -70,8 +70,8 @@
 	Orders   []Assignment
 	// Limits holds what the sender knows of the rate limits of servers, by server.
 	Limits map[string]limit.Report
-	// Marks holds the requests that are suspected of crashing servers.
-	Marks []poison.Suspect
+	// Evidence holds what the sender knows of crashes of servers that the receiver may lack.
+	Evidence poison.Evidence
 	// Departures holds the servers that get no new requests although their entries, or
 	// those of a restored object API, may say otherwise.
 	Departures []Departure
@@ -104,7 +104,7 @@
 	m := &Message{
 		From: p.self(), Cursors: map[string]uint64{}, Eras: map[string]uint64{}, Members: p.sample(),
 		Load: p.Load.Local(), Waits: p.StartLatency.Waits(time.Now()), Full: p.Load.Saturated(time.Now()),
-		Suspects: p.Suspects(), Slows: p.SlowServers(), Orders: p.Assignments(), Marks: p.Crashes.Suspects(time.Now()),
+		Suspects: p.Suspects(), Slows: p.SlowServers(), Orders: p.Assignments(), Evidence: p.Crashes.Evidence(time.Now()),
 		Limits: p.Limits.Reports(time.Now()), Departures: p.Departures(),
 	}
 	var config []byte
@@ -218,8 +218,8 @@
 	for _, a := range m.Orders {
 		p.OnAssignment(a)
 	}
-	for _, suspect := range m.Marks {
-		p.Crashes.Merge(suspect, time.Now())
+	if p.Crashes.Merge(m.Evidence, m.From.Name, time.Now()) {
+		p.Broadcast()
 	}
 	for _, d := range m.Departures {
 		p.OnDeparture(d)
--- a/entry/stream/active.go
+++ b/entry/stream/active.go
@@ -27,6 +27,8 @@
 	// started is set by the first event, and restarting when the attempt has been ended
 	// because of its first server.
 	started, restarting atomic.Bool
+	// answered says that a server has begun to answer the request, and more followed.
+	answered atomic.Bool
 	// direct says that the request was sent on a direct connection.
 	direct atomic.Bool
 
@@ -54,19 +56,25 @@
 // there is one left.
 func (s *activeStream) mayRestart() bool { return s.reserveRestart != nil && s.reserveRestart() }
 
-// recordEvent records an event and reports whether it is the first one.
-func (s *activeStream) recordEvent() (first bool) {
+// recordEvent records an event and reports whether it is the first one, and whether it shows
+// that the servers survive to answer the request.
+func (s *activeStream) recordEvent() (first, answered bool) {
 	gap := s.recordActivity()
 	if !s.started.Swap(true) {
-		return true
+		return true, false
 	}
+	s.recordGap(gap)
+	return false, !s.answered.Swap(true)
+}
+
+// recordGap adds a gap between two events, in nanoseconds, to the mean.
+func (s *activeStream) recordGap(gap int64) {
 	mean := s.meanGap.Load()
 	if mean == 0 {
 		s.meanGap.Store(gap)
-		return false
+		return
 	}
 	s.meanGap.Store(mean + int64(gapWeight*float64(min(gap, maxGapRatio*mean)-mean)))
-	return false
 }
 
 // recordActivity records an event or a reroute, and returns the time since the last one
--- a/entry/stream/failure.go
+++ b/entry/stream/failure.go
@@ -73,7 +73,7 @@
 
 // handleBrokenResponse closes the connection of a response that ended early, avoids
 // its server, and returns the error.
-func (r *request) handleBrokenResponse(ctx context.Context, resp *conns.Response, err error) *fault.Error {
+func (r *request) handleBrokenResponse(ctx context.Context, resp *conns.Response, stream *activeStream, err error) *fault.Error {
 	resp.Reset()
 	if r.events.skipped {
 		err = errors.New("an event is missing")
@@ -85,28 +85,33 @@
 	if cause := context.Cause(ctx); cause != nil {
 		e.Cause = cause
 	}
-	r.avoidFailedServer(ctx, resp.Request.URL.Host, e)
+	r.avoidFailedServer(ctx, stream, e)
 	return e
 }
 
 // avoidFailedServer avoids the first server of a failed attempt, unless the caller
 // left or the deadline passed. It probes the server, unless this entry host ended the
 // attempt.
-func (r *request) avoidFailedServer(ctx context.Context, address string, e *fault.Error) {
+func (r *request) avoidFailedServer(ctx context.Context, stream *activeStream, e *fault.Error) {
 	if call.CallerGone(ctx) || errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		return
 	}
-	r.avoid[address] = true
-	r.Servers.Pool.CloseIdle(address)
-	if context.Cause(ctx) == nil {
-		r.Monitor.ProbeFor(r.job, address, e.Error())
+	first := stream.currentChain()[0].Server
+	r.avoid[first.Address] = true
+	r.Servers.Pool.CloseIdle(first.Address)
+	if context.Cause(ctx) != nil {
+		return
 	}
+	r.Monitor.ProbeFor(r.job, first, e.Verdict != fault.NotRun && !stream.answered.Load(), e.Error())
 }
 
 // shouldRetry reports whether the request is sent again on another chain. It
 // withdraws the retry from the retry budget, unless the monitor has reserved it.
 func (r *request) shouldRetry(ctx context.Context, e *fault.Error) bool {
-	if ctx.Err() != nil || e.Code == fault.Cancelled || r.Monitor.Crashes.Blocked(r.job.Fingerprint, time.Now()) {
+	if ctx.Err() != nil || e.Code == fault.Cancelled || e.Code == fault.Poisoned || r.job.Unanswered >= call.MaxUnanswered {
+		return false
+	}
+	if r.job.Trial && e.Verdict != fault.NotRun {
 		return false
 	}
 	if egress.IsPaused(e) {
--- a/entry/stream/forwarder.go
+++ b/entry/stream/forwarder.go
@@ -97,6 +97,9 @@
 	r.events.lastID = job.LastEvent
 	for {
 		chain, err := r.chooseChain(ctx)
+		if err == nil {
+			err = r.blocked(chain)
+		}
 		if err == nil {
 			err = r.attempt(ctx, chain)
 		}
@@ -109,6 +112,16 @@
 	}
 }
 
+// blocked returns the error of a request that has been blocked since it was admitted. It frees the
+// place on the chain that was chosen for the request.
+func (r *request) blocked(chain router.Chain) *fault.Error {
+	if cause, _ := r.Monitor.Crashes.Blocked(r.job.Causes, time.Now()); cause == "" || r.job.Trial {
+		return nil
+	}
+	r.Limits.Return(chain[0].Server.ID)
+	return call.BlockedError(r.Monitor.Crashes, r.job, fault.NotRun)
+}
+
 // attempt sends the request to one chain and forwards the response.
 func (r *request) attempt(ctx context.Context, chain router.Chain) *fault.Error {
 	first := chain[0].Server
@@ -136,7 +149,7 @@
 		if e.Verdict != fault.NotRun {
 			r.mayHaveRun = append(r.mayHaveRun, first)
 		}
-		r.avoidFailedServer(attemptCtx, first.Address, e)
+		r.avoidFailedServer(attemptCtx, stream, e)
 		return e
 	}
 	defer resp.Close()
@@ -164,10 +177,14 @@
 	for {
 		n, err := resp.Read(buffer)
 		if n > 0 {
-			if stream.recordEvent() {
+			first, answered := stream.recordEvent()
+			if first {
 				r.Monitor.StartLatency.RecordFirstEvent(pending, time.Now())
 				r.Load.RecordAccepted(stream.currentChain())
 			}
+			if answered {
+				r.Monitor.Crashes.RecordAnswer(r.job.Causes, r.job.ID, time.Now())
+			}
 			if whole := r.events.add(buffer[:n]); len(whole) > 0 {
 				if e := r.sendEvents(whole, controller); e != nil {
 					return e
@@ -179,7 +196,7 @@
 			return nil
 		}
 		if err != nil || r.events.skipped || len(r.events.pending) > maxEventBytes {
-			return r.handleBrokenResponse(ctx, resp, err)
+			return r.handleBrokenResponse(ctx, resp, stream, err)
 		}
 	}
 }
--- a/entry/stream/monitor.go
+++ b/entry/stream/monitor.go
@@ -78,8 +78,8 @@
 	Log          *slog.Logger
 	// Clock distinguishes the silence of servers from stalls of this process; nil assumes none.
 	Clock *stall.Clock
-	// Crashes counts the servers that crashed under each request.
-	Crashes *poison.Counter
+	// Crashes finds out which requests crash servers.
+	Crashes *poison.Detector
 	// Broadcast sends a new suspicion or a long wait to other entry hosts.
 	Broadcast func()
 
@@ -108,7 +108,7 @@
 	lastAnswer map[string]time.Time
 	// failedRequests holds the requests that failed on a probed server, by the ID of
 	// the server, until it is known whether the server crashed.
-	failedRequests map[string][]*call.Job
+	failedRequests map[string][]failedRequest
 	// exited holds the servers whose processes are known to have ended, by ID.
 	exited map[string]time.Time
 	// lastDrain is when a stream was last rerouted around a draining server.
--- a/entry/stream/monitor_test.go
+++ b/entry/stream/monitor_test.go
@@ -111,7 +111,7 @@
 	s := &state.Local{Decoder: servers, Log: log, LocalDomain: "a", Servers: serverMirror}
 	s.ReadServers(time.Now())
 	return &Monitor{
-		Engine: engines, State: s, Load: &router.LoadTracker{}, StartLatency: &router.StartLatency{}, LocalDomain: "a", Log: log, Crashes: &poison.Counter{},
+		Engine: engines, State: s, Load: &router.LoadTracker{}, StartLatency: &router.StartLatency{}, LocalDomain: "a", Log: log, Crashes: &poison.Detector{Log: slog.New(slog.DiscardHandler)},
 		Broadcast: func() {}, EntryHosts: func() int { return 1 }, DropConns: func(string) {},
 	}, servers
 }
--- a/entry/stream/probe.go
+++ b/entry/stream/probe.go
@@ -4,11 +4,14 @@
 	"context"
 	"errors"
 	"maps"
+	"strconv"
 	"time"
 
 	"fuchsiashelf.dev/entry/call"
 	"fuchsiashelf.dev/entry/dialer"
 	"fuchsiashelf.dev/entry/state"
+	"fuchsiashelf.dev/parts/fleet"
+	"fuchsiashelf.dev/parts/poison"
 	"fuchsiashelf.dev/parts/probe"
 )
 
@@ -19,45 +22,89 @@
 }
 
 // ProbeFor is like Probe for a server that failed while it ran a request, which is newer
-// than any answer. If the server crashed, the crash is recorded against the request.
-func (m *Monitor) ProbeFor(job *call.Job, address, reason string) {
-	s := m.State.View().ByAddress(address)
-	if s == nil {
-		return
-	}
-	m.recordFailedRequest(s.ID, job)
-	if m.claimProbe(address) {
-		go m.probeSuspect(s.ID, address, reason, link{})
+// than any answer. mayBeCause says that the server got the request and had not begun to answer
+// it: if the server crashed, that is recorded against the request.
+func (m *Monitor) ProbeFor(job *call.Job, s *fleet.Server, mayBeCause bool, reason string) {
+	m.recordFailedRequest(s, job, mayBeCause)
+	if m.claimProbe(s.Address) {
+		go m.probeSuspect(s.ID, s.Address, reason, link{})
 	}
 }
 
+// failedRequest is a request that failed on a server.
+type failedRequest struct {
+	job    *call.Job
+	server *fleet.Server
+	// mayBeCause says that the server got the request and had not begun to answer it.
+	mayBeCause bool
+	// retried says that the server got the request after another one had failed under it.
+	retried bool
+	at      time.Time
+}
+
 // recordFailedRequest records a request that failed on a server until a probe shows
 // whether the server crashed.
-func (m *Monitor) recordFailedRequest(id string, job *call.Job) {
+func (m *Monitor) recordFailedRequest(s *fleet.Server, job *call.Job, mayBeCause bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.failedRequests == nil {
-		m.failedRequests = map[string][]*call.Job{}
+		m.failedRequests = map[string][]failedRequest{}
+	}
+	m.failedRequests[s.ID] = append(m.failedRequests[s.ID], failedRequest{job, s, mayBeCause, job.Unanswered > 0, time.Now()})
+	if mayBeCause {
+		job.Unanswered++
 	}
-	m.failedRequests[id] = append(m.failedRequests[id], job)
 }
 
 // resolveFailedRequests removes the requests that failed on a server, once it is
-// known whether the server crashed. A crash is recorded against each of them.
+// known whether the server crashed. A crash is recorded against those that may be the
+// cause.
 func (m *Monitor) resolveFailedRequests(id string, crashed bool, now time.Time) {
 	m.mu.Lock()
-	jobs := m.failedRequests[id]
+	failed := m.failedRequests[id]
 	delete(m.failedRequests, id)
+	if crashed {
+		failed = append(failed, m.unansweredStreams(id, now)...)
+	}
 	m.mu.Unlock()
-	if !crashed || len(jobs) == 0 {
+	if !crashed || len(failed) == 0 {
 		return
 	}
-	requests := make([]string, len(jobs))
-	for i, job := range jobs {
-		requests[i] = job.ID
-		m.Crashes.RecordCrash(job.Fingerprint, id, now)
+	var requests []string
+	var victims []poison.Victim
+	others := 0
+	for _, f := range failed {
+		if !f.mayBeCause {
+			others++
+			continue
+		}
+		requests = append(requests, f.job.ID)
+		victims = append(victims, poison.Victim{Causes: f.job.Causes, Retried: f.retried})
+	}
+	process := processID(failed[0].server)
+	m.Log.Warn("crashes: server ended", "server", id, "process", process, "requests", requests, "others", others)
+	m.Crashes.RecordCrash(process, victims, failed[0].at, now)
+}
+
+// processID identifies the process of a server, also after it has restarted under its ID.
+func processID(s *fleet.Server) string {
+	return s.ID + "@" + strconv.FormatInt(s.StartedAt.UnixMilli(), 36)
+}
+
+// unansweredStreams returns the streams whose chains hold a server and which got no answer yet.
+// The mutex is held.
+func (m *Monitor) unansweredStreams(id string, now time.Time) (list []failedRequest) {
+	for stream := range m.streams {
+		if stream.answered.Load() {
+			continue
+		}
+		for _, stage := range stream.currentChain() {
+			if stage.Server.ID == id {
+				list = append(list, failedRequest{job: stream.job, server: stage.Server, mayBeCause: true, at: now})
+			}
+		}
 	}
-	m.Log.Warn("crashes: server ended", "server", id, "requests", requests)
+	return list
 }
 
 // probeServer starts to probe a server, unless the server has answered recently or is
@@ -112,9 +159,13 @@
 func (m *Monitor) markSuspected(id, address, reason string, err error, now time.Time) bool {
 	// A server behind a broken link does not answer either, but no request caused that.
 	exited := probeOutcome(err) == probe.Exited
-	m.setExited(id, exited, now)
-	m.resolveFailedRequests(id, exited, now)
-	if s := m.State.View().ByAddress(address); s == nil || s.ID != id {
+	s := m.State.View().ByAddress(address)
+	replaced := s != nil && s.ID != id
+	m.setExited(id, exited || replaced, now)
+	if exited || replaced {
+		m.resolveFailedRequests(id, true, now)
+	}
+	if s == nil || replaced {
 		return false
 	}
 	if m.State.Suspect(id, now.Add(state.SuspectFor), now) {
--- a/entry/stream/probe_test.go
+++ b/entry/stream/probe_test.go
@@ -1,6 +1,7 @@
 package stream
 
 import (
+	"fmt"
 	"syscall"
 	"testing"
 	"time"
@@ -12,53 +13,88 @@
 	"fuchsiashelf.dev/parts/poison"
 )
 
-// testFingerprint is that of the request in these tests.
-var testFingerprint = poison.Fingerprint("seven")
+// testCauses are those of the request in these tests.
+var testCauses = poison.Causes("seven", nil)
+
+// suspectTestCauses records crashes of other servers, one fewer than needed to block the
+// request.
+func suspectTestCauses(m *Monitor) {
+	for i := range poison.DetectorMaxCrashes - 1 {
+		at := time.Now().Add(time.Duration(i-10) * time.Second)
+		m.Crashes.RecordCrash(fmt.Sprintf("other-%d", i), []poison.Victim{{Causes: testCauses}}, at, at)
+	}
+}
+
+// isBlocked reports whether the request is blocked.
+func isBlocked(m *Monitor) bool {
+	cause, _ := m.Crashes.Blocked(testCauses, time.Now())
+	return cause != ""
+}
 
 // Guards against laying a later crash to a request that failed on a server that had just
 // answered: it would be blocked as one that crashes servers.
 func TestFailedRequestIsNotBlamedForLaterCrash(t *testing.T) {
 	e := &fakeEngines{}
-	m, _ := newMonitor(e, 1)
-	m.Crashes.RecordCrash(testFingerprint, "other-0", time.Now())
+	m, servers := newMonitor(e, 1)
+	suspectTestCauses(m)
 	m.markHealthy("middle", "middle", time.Now())
-	job := &call.Job{Request: &call.Request{ID: "r"}, Fingerprint: testFingerprint}
-	m.ProbeFor(job, "middle", "no answer")
+	middle := servers["middle"]
+	m.ProbeFor(&call.Job{Request: &call.Request{ID: "r"}, Causes: testCauses}, &middle, true, "no answer")
 	waitUntil(func() bool {
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		return !m.probing["middle"]
 	})
 	m.markSuspected("middle", "middle", "another request", dialer.ErrExited, time.Now())
-	qt.Assert(t, m.Crashes.Suspects(time.Now()), qt.HasLen, 0)
+	qt.Assert(t, isBlocked(m), qt.IsFalse)
 }
 
 // Guards against laying a refused or reset connection to a request that ran on the server,
 // although the link to the server may be cut.
 func TestRefusedConnectionIsNoCrash(t *testing.T) {
 	for _, err := range []error{syscall.ECONNREFUSED, syscall.ECONNRESET} {
-		m, _ := newMonitor(&fakeEngines{}, 1)
-		m.Crashes.RecordCrash(testFingerprint, "other-0", time.Now())
-		m.recordFailedRequest("middle", &call.Job{Request: &call.Request{ID: "r"}, Fingerprint: testFingerprint})
+		m, servers := newMonitor(&fakeEngines{}, 1)
+		suspectTestCauses(m)
+		middle := servers["middle"]
+		m.recordFailedRequest(&middle, &call.Job{Request: &call.Request{ID: "r"}, Causes: testCauses}, true)
 		m.markSuspected("middle", "middle", "test", err, time.Now())
-		qt.Assert(t, m.Crashes.Suspects(time.Now()), qt.HasLen, 0)
+		qt.Assert(t, isBlocked(m), qt.IsFalse)
 		qt.Assert(t, m.hasExited("middle"), qt.IsFalse)
 	}
 }
 
 // Guards against overlooking that a request crashed a server that had answered just
-// before, or that has restarted at its address before it is probed.
+// before, or that has restarted at its address before it is probed, and against laying a crash
+// to a request that the server did not get or had begun to answer.
 func TestCrashIsRecordedAgainstRequest(t *testing.T) {
-	for _, e := range []*fakeEngines{
-		{reportErrors: map[string]error{"middle": dialer.ErrExited}},
-		{startedAt: map[string]time.Time{"middle": time.Now().Add(time.Hour)}},
-	} {
-		m, _ := newMonitor(e, 1)
-		m.Crashes.RecordCrash(testFingerprint, "other-0", time.Now())
-		m.markHealthy("middle", "middle", time.Now())
-		m.ProbeFor(&call.Job{Request: &call.Request{ID: "r"}, Fingerprint: testFingerprint}, "middle", "no answer")
-		waitUntil(func() bool { return len(m.Crashes.Suspects(time.Now())) == 1 })
-		waitUntil(func() bool { return m.State.View().ByAddress("middle").Suspected })
+	for _, mayBeCause := range []bool{true, false} {
+		for _, e := range []*fakeEngines{
+			{reportErrors: map[string]error{"middle": dialer.ErrExited}},
+			{startedAt: map[string]time.Time{"middle": time.Now().Add(time.Hour)}},
+		} {
+			m, servers := newMonitor(e, 1)
+			suspectTestCauses(m)
+			m.markHealthy("middle", "middle", time.Now())
+			middle := servers["middle"]
+			m.ProbeFor(&call.Job{Request: &call.Request{ID: "r"}, Causes: testCauses}, &middle, mayBeCause, "no answer")
+			waitUntil(func() bool { return m.State.View().ByAddress("middle").Suspected })
+			waitUntil(func() bool { return m.hasExited("middle") || isBlocked(m) })
+			waitUntil(func() bool { return isBlocked(m) == mayBeCause })
+		}
+	}
+}
+
+// Guards against overlooking the requests that wait for a first event when a later server of
+// their chain crashes, and against blaming those that have got answers.
+func TestCrashOfLaterServerIsRecorded(t *testing.T) {
+	for _, answered := range []bool{false, true} {
+		m, servers := newMonitor(&fakeEngines{}, 1)
+		suspectTestCauses(m)
+		stream := m.addStream(servers, "r", time.Second)
+		stream.job.Causes = testCauses
+		stream.answered.Store(answered)
+		m.markSuspected("middle", "middle", "no report", dialer.ErrExited, time.Now())
+		qt.Assert(t, isBlocked(m), qt.Equals, !answered)
 	}
 }
 
--- a/entry/unary/unary.go
+++ b/entry/unary/unary.go
@@ -26,6 +26,7 @@
 	"fuchsiashelf.dev/parts/fleet"
 	"fuchsiashelf.dev/parts/limit"
 	"fuchsiashelf.dev/parts/pause"
+	"fuchsiashelf.dev/parts/poison"
 	"fuchsiashelf.dev/parts/retry"
 	"fuchsiashelf.dev/parts/route"
 	"fuchsiashelf.dev/parts/stall"
@@ -62,10 +63,13 @@
 	Stats       *Stats
 	Limits      *limit.Tracker
 	LocalDomain domain.Name
+	// Crashes blocks requests that crash servers.
+	Crashes *poison.Detector
 	// Clock distinguishes the silence of servers from stalls of this process; nil assumes none.
 	Clock *stall.Clock
-	// Probe probes a server that did not respond to a request.
-	Probe func(j *call.Job, address, reason string)
+	// Probe probes a server that did not respond to a request, which may be the cause if the
+	// server got it.
+	Probe func(j *call.Job, s *fleet.Server, mayBeCause bool, reason string)
 	// RetryBudget returns the retry budget of a service.
 	RetryBudget func(service string) *retry.WindowBudget
 }
@@ -165,7 +169,7 @@
 	if notSent {
 		return true
 	}
-	if sends >= j.Route.Attempts {
+	if sends >= j.Route.Attempts || j.Unanswered >= call.MaxUnanswered || f.blocked(j) {
 		return false
 	}
 	if !j.Route.Repeatable() && a.err.Verdict != fault.NotRun {
@@ -174,6 +178,13 @@
 	return budget.Withdraw(time.Now())
 }
 
+// blocked reports whether a request that was sent before must not be sent again, because such
+// requests crash servers.
+func (f *Forwarder) blocked(j *call.Job) bool {
+	cause, _ := f.Crashes.Blocked(j.Causes, time.Now())
+	return cause != "" || j.Trial
+}
+
 // send makes one attempt and records its duration and outcome. If the server did not
 // respond, send closes the idle connections to it and starts a probe.
 func (f *Forwarder) send(ctx context.Context, j *call.Job, server *fleet.Server, mayRetry bool) attempt {
@@ -189,7 +200,7 @@
 	done(time.Since(start), failed)
 	if a.err != nil && a.reply.Status == 0 && ctx.Err() == nil {
 		f.Servers.Pool.CloseIdle(server.Address)
-		f.Probe(j, server.Address, a.err.Error())
+		f.Probe(j, server, a.err.Verdict != fault.NotRun, a.err.Error())
 	}
 	return a
 }
