front, sched, node: serve what a host can carry when it gets most new connections

Cause: nothing limited what a host begins. New connections and their requests, which have arrived and can be read at once, keep the run queue from becoming empty, so that what waits for others is not read for 1.5 to 3.4 s (shown by a byte through a pipe in the log of a trial, while timers were on time): answers, and that callers have left. Ruled out: tunnels through other hosts (none opened), garbage collection (a tenth of the time), scheduling latencies of the runtime as the measure (about 1 ms while reads were 1.5 s late), late ticks (none). Connections that callers have kept go first. The measure of the runtime goes. Why this works: what has been begun is read before more is begun, and no more is begun than is read in time.

--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -49,6 +49,9 @@
 	// RetryAfter returns how long a caller refused in this way should wait before it
 	// retries: by then another entry host is likely to accept the request.
 	RetryAfter func() time.Duration
+	// Admit decides whether to serve a request, which is among those in flight; kept says that its
+	// connection has served others before. Nil serves all.
+	Admit func(inFlight int, kept bool) bool
 
 	inFlight atomic.Int64
 }
@@ -58,19 +61,23 @@
 const maxRequestTime = 10 * time.Minute
 
 // InFlight returns the number of requests in flight.
-func (h *Handler) InFlight() int64 {
-	return h.inFlight.Load()
+func (h *Handler) InFlight() int {
+	return int(h.inFlight.Load())
 }
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	h.inFlight.Add(1)
+	inFlight := h.inFlight.Add(1)
 	defer h.inFlight.Add(-1)
 	if h.CloseConns.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	start := time.Now()
-	j, err := h.newJob(w, r, start)
+	var j *call.Job
+	err := h.admit(r, inFlight)
+	if err == nil {
+		j, err = h.newJob(w, r, start)
+	}
 	if err != nil {
 		e := fault.As(err)
 		out := call.Outcome{Error: e, Status: call.WriteError(w, h.Codec, e)}
@@ -96,6 +103,14 @@
 	}
 }
 
+// admit returns an error for a request that this host cannot carry besides those in flight.
+func (h *Handler) admit(r *http.Request, inFlight int64) error {
+	if kept := isKept(r.Context()); h.Admit == nil || h.Admit(int(inFlight), kept) {
+		return nil
+	}
+	return &fault.Error{Code: fault.Overloaded, Verdict: fault.NotRun, Message: "this entry host is out of processor time", RetryAfter: h.RetryAfter()}
+}
+
 // newJob reads a request and finds its route, team and service. If it fails after it
 // has found the service, it returns the job with the error, for the log and metrics.
 func (h *Handler) newJob(w http.ResponseWriter, r *http.Request, start time.Time) (*call.Job, error) {
--- a/entry/front/server.go
+++ b/entry/front/server.go
@@ -27,6 +27,13 @@
 	Listener net.Listener
 	Handler  http.Handler
 	Log      *slog.Logger
+	// Accept decides whether to read from a new connection, besides the given number of
+	// connections from which no request has been read yet. The others are closed; their callers may
+	// send their requests again. Nil accepts all.
+	Accept func(unread int) bool
+	// AfterRound calls a function once this process has read what has arrived before; nil means
+	// that new connections do not wait for that.
+	AfterRound func(func())
 
 	mu     sync.Mutex
 	limits route.Limits
@@ -35,14 +42,19 @@
 	servers  []*http.Server
 	accepted *chanListener
 	// idle holds the idle connections, and since when each has been idle.
-	idle    map[net.Conn]time.Time
+	idle map[net.Conn]time.Time
+	// unread holds the connections from which no request has been read yet.
+	unread  map[net.Conn]bool
 	stopped bool
 }
 
 // Run accepts connections until Stop is called.
 func (s *Server) Run() {
 	s.SetLimits(defaultLimits)
-	for {
+	for n := 1; ; n++ {
+		if n%acceptBatch == 0 {
+			s.awaitRound()
+		}
 		c, err := s.Listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
@@ -52,19 +64,52 @@
 			time.Sleep(acceptBackoff)
 			continue
 		}
-		s.mu.Lock()
-		l := s.accepted
-		s.mu.Unlock()
+		l := s.admit(c)
+		if l == nil {
+			_ = c.Close()
+			continue
+		}
 		select {
 		case l.conns <- c:
 		case <-l.done():
 			// Its HTTP server has stopped. A caller whose request was not read may send it
 			// again.
+			s.trackState(c, http.StateClosed)
 			_ = c.Close()
 		}
 	}
 }
 
+// acceptBatch is the number of connections that are accepted before the requests in flight get
+// their turn.
+const acceptBatch = 4
+
+// awaitRound waits until this process has read what has arrived before. Otherwise the requests of
+// new connections, which can be read at once, would delay all that waits for others.
+func (s *Server) awaitRound() {
+	if s.AfterRound == nil {
+		return
+	}
+	passed := make(chan struct{})
+	s.AfterRound(func() { close(passed) })
+	<-passed
+}
+
+// admit returns the listener of the HTTP server for a new connection, or nil if the connection is
+// to be closed.
+func (s *Server) admit(c net.Conn) *chanListener {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.Accept != nil && !s.Accept(len(s.unread)) {
+		return nil
+	}
+	if s.unread == nil {
+		s.unread = map[net.Conn]bool{}
+	}
+	s.unread[c] = true
+	return s.accepted
+}
+
 // acceptBackoff is the pause after an accept that failed, for example because the
 // process has no file descriptor left.
 const acceptBackoff = 20 * time.Millisecond
@@ -82,7 +127,7 @@
 	s.accepted = &chanListener{conns: make(chan net.Conn), address: s.Listener.Addr()}
 	server := &http.Server{
 		Handler: s.Handler, ReadHeaderTimeout: l.HeaderTime, MaxHeaderBytes: l.HeaderBytes,
-		ConnState: s.trackIdle, ErrorLog: log.New(discard{}, "", 0),
+		ConnState: s.trackState, ConnContext: withConn, ErrorLog: log.New(discard{}, "", 0),
 	}
 	s.servers = append(s.servers, server)
 	go s.serve(server, s.accepted)
@@ -100,11 +145,34 @@
 
 func (discard) Write(b []byte) (int, error) { return len(b), nil }
 
-// trackIdle records when a connection becomes idle, and removes the record when it is
-// no longer idle.
-func (s *Server) trackIdle(c net.Conn, state http.ConnState) {
+// connKey is the key of the *connUse in the context of a request.
+type connKey struct{}
+
+// connUse counts the requests on a connection. Requests on one connection follow each other.
+type connUse struct{ requests int }
+
+func withConn(ctx context.Context, _ net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, &connUse{})
+}
+
+// isKept counts a request on its connection, and reports whether it is not the first one.
+func isKept(ctx context.Context) bool {
+	use, ok := ctx.Value(connKey{}).(*connUse)
+	if !ok {
+		return false
+	}
+	use.requests++
+	return use.requests > 1
+}
+
+// trackState records when a connection becomes idle, and removes the record when it is
+// no longer idle. It also records from which connections no request has been read.
+func (s *Server) trackState(c net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if state != http.StateNew {
+		delete(s.unread, c)
+	}
 	if s.idle == nil {
 		s.idle = map[net.Conn]time.Time{}
 	}
--- a/parts/sched/sched.go
+++ b/parts/sched/sched.go
@@ -1,120 +1,120 @@
-// Package sched measures whether this process gets enough processor time.
+// Package sched tells whether this process gets enough processor time, and limits the requests
+// that it takes to what it can carry.
 //
-// The delay is how long goroutines that are ready to run wait until they do. On a host
-// with processor time to spare it is well under a millisecond; on one that is out of it, every
-// step of every request waits that long. A [Meter] samples the delay of the
-// Go runtime, and says when the process begins and ceases to be saturated.
+// A process that is out of processor time reads late what has arrived. A [Meter] adds up how late.
+// A [Gate] limits the requests in flight: the limit grows step by step with the load, and shrinks
+// while the process falls behind.
 package sched
 
 import (
-	"runtime/metrics"
-	"slices"
 	"sync"
 	"time"
 )
 
 const (
-	// SampleInterval is the interval at which Sample is to be called.
+	// SampleInterval is the interval at which Meter.Sample and Gate.Sample are to be called.
 	SampleInterval = 100 * time.Millisecond
-	// saturatedDelay is the delay above which the process is saturated, and recoveredDelay
-	// the delay below which it is no longer. A request takes some tens of steps.
-	saturatedDelay = 10 * time.Millisecond
-	recoveredDelay = 4 * time.Millisecond
-	// saturatedSamples and recoveredSamples are the numbers of samples in a row after
-	// which the state changes. A garbage collection delays goroutines for a single one.
-	saturatedSamples = 2
-	recoveredSamples = 5
-	// quantile is the share of the delays in a sample that are shorter than the result.
-	quantile = 0.75
-	// latencies is the histogram of the runtime.
-	latencies = "/sched/latencies:seconds"
+	// window is the time over which delays are added up.
+	window = 500 * time.Millisecond
+	// saturatedShare is the share of the window from which the process is saturated, and
+	// recoveredFor how long it must be below that until it is no longer.
+	saturatedShare = 0.1
+	recoveredFor   = time.Second
+	// minDelay is the delay from which a probe counts.
+	minDelay = 10 * time.Millisecond
 )
 
-// Meter measures the scheduling delay. The zero value is ready to use. It is safe for
-// concurrent use.
+// Meter measures how much of its time a process is behind with reading. Set the exported field
+// before use. It is safe for concurrent use.
 type Meter struct {
-	// Read returns the counts of delays since the start, by the lower bounds of their buckets in
-	// seconds; nil reads those of the Go runtime.
-	Read func() (counts []uint64, bounds []float64)
+	// AfterRound calls a function once this process has read what has arrived before.
+	AfterRound func(func())
 
-	mu        sync.Mutex
-	last      []uint64
-	delay     time.Duration
+	mu sync.Mutex
+	// delays holds the delays in the window.
+	delays []delay
+	// probing says that a probe is in progress, since probedAt.
+	probing   bool
+	probedAt  time.Time
 	saturated bool
-	// streak counts the samples in a row that contradict the state.
-	streak int
+	// lastHigh is when the share was last saturatedShare or more.
+	lastHigh time.Time
 }
 
-// Sample measures the delay since the last call. It reports whether the process has begun
-// or ceased to be saturated.
-func (m *Meter) Sample() (changed bool) {
-	read := m.Read
-	if read == nil {
-		read = readRuntime
-	}
-	counts, bounds := read()
+// delay is the delay of a probe.
+type delay struct {
+	at   time.Time
+	took time.Duration
+}
+
+// Probe starts a probe unless one is in progress.
+func (m *Meter) Probe() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.delay = delayBetween(m.last, counts, bounds)
-	m.last = slices.Clone(counts)
-	contradicts := m.delay > saturatedDelay
-	needed := saturatedSamples
-	if m.saturated {
-		contradicts, needed = m.delay < recoveredDelay, recoveredSamples
-	}
-	if !contradicts {
-		m.streak = 0
-		return false
-	}
-	m.streak++
-	if m.streak < needed {
-		return false
+	if m.probing {
+		return
 	}
-	m.saturated, m.streak = !m.saturated, 0
-	return true
+	m.probing, m.probedAt = true, time.Now()
+	go m.AfterRound(m.endProbe)
 }
 
-// Delay returns the delay in the last sample.
-func (m *Meter) Delay() time.Duration {
+func (m *Meter) endProbe() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.delay
+	now := time.Now()
+	m.probing = false
+	m.record(now.Sub(m.probedAt), now)
 }
 
-// Saturated reports whether the process lacks processor time.
-func (m *Meter) Saturated() bool {
+// record adds a delay. The mutex is held.
+func (m *Meter) record(took time.Duration, now time.Time) {
+	if took >= minDelay {
+		m.delays = append(m.delays, delay{now, took})
+	}
+}
+
+// Lost returns the share of the last window in which the process was behind.
+func (m *Meter) Lost(now time.Time) float64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.saturated
+	return m.lost(now)
 }
 
-// delayBetween returns the delay that the quantile of the goroutines did not exceed between
-// two readings.
-func delayBetween(before, after []uint64, bounds []float64) time.Duration {
-	if len(before) != len(after) {
-		return 0
+// lost is Lost. The mutex is held.
+func (m *Meter) lost(now time.Time) float64 {
+	for len(m.delays) > 0 && now.Sub(m.delays[0].at) > window {
+		m.delays = m.delays[1:]
 	}
-	total := uint64(0)
-	for i := range after {
-		total += after[i] - before[i]
+	var sum time.Duration
+	for _, d := range m.delays {
+		sum += min(d.took, window-now.Sub(d.at))
 	}
-	rest := float64(total) * quantile
-	for i := range after {
-		rest -= float64(after[i] - before[i])
-		if rest <= 0 && total > 0 {
-			return time.Duration(max(0, bounds[i]) * float64(time.Second))
-		}
+	if m.probing {
+		sum += now.Sub(m.probedAt)
 	}
-	return 0
+	return min(1, sum.Seconds()/window.Seconds())
 }
 
-// readRuntime reads the histogram of the Go runtime.
-func readRuntime() (counts []uint64, bounds []float64) {
-	samples := []metrics.Sample{{Name: latencies}}
-	metrics.Read(samples)
-	if samples[0].Value.Kind() != metrics.KindFloat64Histogram {
-		return nil, nil
+// Saturated reports whether the process lacks processor time.
+func (m *Meter) Saturated() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.saturated
+}
+
+// Sample updates the state, and reports whether the process has begun or ceased to be saturated.
+func (m *Meter) Sample(now time.Time) (changed bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.lost(now) >= saturatedShare {
+		m.lastHigh = now
+		changed = !m.saturated
+		m.saturated = true
+		return changed
 	}
-	h := samples[0].Value.Float64Histogram()
-	return h.Counts, h.Buckets
+	if !m.saturated || now.Sub(m.lastHigh) < recoveredFor {
+		return false
+	}
+	m.saturated = false
+	return true
 }
--- a/parts/stall/barrier.go
+++ b/parts/stall/barrier.go
@@ -41,6 +41,16 @@
 	c.send(&barrier{passed: passed})
 }
 
+// AfterRound is like AfterReads, but does not repeat a barrier that takes long: everything that had
+// arrived when it was called has been read once.
+func (c *Clock) AfterRound(passed func()) {
+	if c == nil {
+		passed()
+		return
+	}
+	c.send(&barrier{passed: passed, count: maxBarriers})
+}
+
 func (c *Clock) send(b *barrier) {
 	b.sentAt = time.Now()
 	b.count++
