stream, unary: do not pass on as whole what ends with the connection of a server that crashed

What callers saw (tests): where a response has neither a length nor chunks, a server that crashes after its header or between two events gives a 200 with a part of the answer, or none, that looks whole. Cause: the end of the connection was taken for the end of the response. A process that ends closes its connections in the same way. Change: after such an end the server is asked, on a new connection, whether its process is still there; if it has ended, the response counts as broken off, so that the stream goes on at another chain, an idempotent call is sent again, and one that may run once gets 502. A stream without an event is never whole then. Servers that are known to leave are not asked: they may end after their last response. Tests cover both routers, six endings. Ruled out: resets and ends inside an event, which were handled (their tests passed before).

--- a/entry/conns/conns.go
+++ b/entry/conns/conns.go
@@ -192,6 +192,12 @@
 	return n, err
 }
 
+// EndsWithConn reports whether the response has neither a length nor chunks. Its end looks the same
+// if the server's process ends.
+func (r *Response) EndsWithConn() bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
+}
+
 // Close returns the connection to the pool if the body was read to its end. Otherwise
 // it closes the connection, which tells the backend server to stop.
 func (r *Response) Close() {
--- a/entry/stream/forwarder.go
+++ b/entry/stream/forwarder.go
@@ -191,7 +191,7 @@
 				}
 			}
 		}
-		if err == io.EOF && !r.events.partial() && !r.events.skipped {
+		if err == io.EOF && !r.events.partial() && !r.events.skipped && r.isComplete(resp, stream) {
 			r.out.Status = http.StatusOK
 			return nil
 		}
@@ -201,6 +201,15 @@
 	}
 }
 
+// isComplete reports whether a response that ends between two events is complete. One that ends with
+// its connection is not if it holds no event, or if the process of the server has ended.
+func (r *request) isComplete(resp *conns.Response, stream *activeStream) bool {
+	if !resp.EndsWithConn() {
+		return true
+	}
+	return stream.started.Load() && !r.Monitor.HasEnded(stream.currentChain()[0].Server)
+}
+
 // sendHeader sends the header of a response to the caller, unless an earlier attempt
 // has sent one.
 func (r *request) sendHeader(resp *conns.Response) {
--- a/entry/stream/probe.go
+++ b/entry/stream/probe.go
@@ -86,6 +86,27 @@
 	m.Crashes.RecordCrash(process, victims, failed[0].at, now)
 }
 
+// HasEnded reports whether the process of a server has ended, by asking the server. A server that
+// leaves may end after its last response.
+func (m *Monitor) HasEnded(s *fleet.Server) bool {
+	if current := m.State.View().ByAddress(s.Address); current != nil && current.ID == s.ID && current.Leaving {
+		return false
+	}
+	for range probe.FailureThreshold {
+		// The idle connections to a process end with it.
+		m.DropConns(s.Address)
+		report, err := m.probeOnce(s.Address, m.probeTimeout())
+		if err == nil {
+			return report.StartedAt.After(s.StartedAt) && s.StartedAt.Unix() > 0
+		}
+		if probeOutcome(err) == probe.Exited {
+			return true
+		}
+		m.Log.Warn("servers: not known whether the process has ended", "server", s.ID, "address", s.Address, "error", err)
+	}
+	return false
+}
+
 // processID identifies the process of a server, also after it has restarted under its ID.
 func processID(s *fleet.Server) string {
 	return s.ID + "@" + strconv.FormatInt(s.StartedAt.UnixMilli(), 36)
--- a/entry/unary/unary.go
+++ b/entry/unary/unary.go
@@ -70,6 +70,8 @@
 	// Probe probes a server that did not respond to a request, which may be the cause if the
 	// server got it.
 	Probe func(j *call.Job, s *fleet.Server, mayBeCause bool, reason string)
+	// HasEnded reports whether the process of a server has ended.
+	HasEnded func(s *fleet.Server) bool
 	// RetryBudget returns the retry budget of a service.
 	RetryBudget func(service string) *retry.WindowBudget
 }
@@ -77,6 +79,8 @@
 // attempt is the outcome of one attempt of a request.
 type attempt struct {
 	server string
+	// from is the server that was asked.
+	from   *fleet.Server
 	reply  call.Reply
 	header http.Header
 	body   []byte
@@ -235,8 +239,12 @@
 	if err != nil {
 		return attempt{err: fault.As(err)}
 	}
-	a := attempt{reply: reply, header: resp.Header}
+	a := attempt{from: server, reply: reply, header: resp.Header}
 	a.body, err = io.ReadAll(io.LimitReader(resp, maxBufferedBody))
+	whole := err == nil && len(a.body) < maxBufferedBody
+	if whole && resp.EndsWithConn() && f.HasEnded(server) {
+		err = errProcessEnded
+	}
 	if err != nil {
 		resp.Close()
 		a.err = &fault.Error{Code: fault.InvalidResponse, Verdict: fault.MayHaveRun, Message: "the answer broke off", Server: server.ID, Cause: err}
@@ -298,6 +306,9 @@
 	return max(minConnectTimeout, time.Duration(connectTimeoutShare*float64(r.Target)))
 }
 
+// errProcessEnded says that a response ended with its connection because the process did.
+var errProcessEnded = errors.New("the server's process has ended")
+
 var errAttemptTimeout = errors.New("silent for too long")
 
 // writeResponse writes a backend server's response to the caller.
@@ -327,6 +338,9 @@
 	if err == nil {
 		_, err = io.Copy(w, a.rest)
 	}
+	if err == nil && a.rest.EndsWithConn() && f.HasEnded(a.from) {
+		err = errProcessEnded
+	}
 	if err != nil {
 		out.Truncated = true
 	}
--- a/stand/fakes/platform.go
+++ b/stand/fakes/platform.go
@@ -45,6 +45,8 @@
 	stops   []func()
 	// badParts holds the parts of prompts that crash engines, by ID.
 	badParts map[string]*BadPart
+	// ending is how the next response to a request ends.
+	ending Ending
 	// closed is closed by Close, which waits for restarts.
 	closed   chan struct{}
 	restarts sync.WaitGroup
--- a/stand/fakes/server.go
+++ b/stand/fakes/server.go
@@ -220,6 +220,22 @@
 	_, _ = io.WriteString(w, text+strings.Repeat(".", max(0, missing)))
 }
 
+// writeCall writes the response to a call, in two pieces.
+func (s *Server) writeCall(w http.ResponseWriter, text string) {
+	ending := s.platform.takeEnding(w.Header())
+	if s.endsEarly(w, ending, 1, 2) {
+		return
+	}
+	if ending == Framed {
+		s.writeBody(w, text)
+		return
+	}
+	s.writeBody(w, text[:len(text)/2])
+	if !s.endsEarly(w, ending, 2, 2) {
+		s.writeBody(w, text[len(text)/2:])
+	}
+}
+
 // waitCall waits until a call has taken its time, or its client has closed the
 // connection.
 func (s *Server) waitCall(ctx context.Context) {
@@ -327,7 +343,7 @@
 	}
 	if s.Model == nil {
 		s.waitCall(req.Context())
-		s.writeBody(w, fmt.Sprintf("%s %s %d bytes for %s\n", req.Method, req.RequestURI, len(body), id))
+		s.writeCall(w, fmt.Sprintf("%s %s %d bytes for %s\n", req.Method, req.RequestURI, len(body), id))
 		return
 	}
 	s.serveStream(w, req, id)
--- a/stand/fakes/stream.go
+++ b/stand/fakes/stream.go
@@ -36,6 +36,7 @@
 		}
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
+	ending := s.platform.takeEnding(w.Header())
 	controller := http.NewResponseController(w)
 	for n := from + 1; n <= events; n++ {
 		if stages = s.waitStep(req, id, stages, updates); stages == nil {
@@ -45,6 +46,9 @@
 		if n == from+1 && s.crashOnPart(req, controller) {
 			panic(http.ErrAbortHandler)
 		}
+		if s.endsEarly(w, ending, n, events) {
+			return
+		}
 		if s.truncates(n) {
 			fmt.Fprintf(w, "id: %d\nda", n)
 			_ = controller.Flush()
