--- a/parts/poison/detector.go
+++ b/parts/poison/detector.go
@@ -84,7 +84,9 @@
 	// earlier is the number of answers before the first crash, maxEarlierAnswers at most.
 	earlier int
 	changed time.Time
-	trial   trial
+	// expiredAt is when old answers were last looked for.
+	expiredAt time.Time
+	trial     trial
 }
 
 // answered returns when the last of the answers came.
@@ -246,10 +248,19 @@
 	if s == nil {
 		return
 	}
-	maps.DeleteFunc(s.answers, func(_ uint32, at time.Time) bool { return now.Sub(at) > crashTTL })
-	if _, known := s.answers[request]; known || len(s.answers) >= maxAnswers || now.Sub(at) > crashTTL {
+	if _, known := s.answers[request]; known || now.Sub(at) > crashTTL {
 		return
 	}
+	if len(s.answers) >= maxAnswers {
+		if now.Sub(s.expiredAt) < sweepInterval {
+			return
+		}
+		s.expiredAt = now
+		maps.DeleteFunc(s.answers, func(_ uint32, at time.Time) bool { return now.Sub(at) > crashTTL })
+		if len(s.answers) >= maxAnswers {
+			return
+		}
+	}
 	s.answers[request], s.changed = at, now
 	d.stale = d.stale || len(s.crashes) >= DetectorMaxCrashes
 }
