sched, front: always take some new connections, and do not count silent ones for long

Cause: found in reading the gate again. A host whose requests in flight last long took no new one until enough of them ended; and connections that callers open ahead of need counted against the limit until the header timeout, so that 200 of them closed the host to all others for three seconds. Change: one new connection in 200 ms is taken and served whatever is in flight; a connection from which nothing was read counts for 500 ms.

--- a/entry/front/server.go
+++ b/entry/front/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -43,8 +44,9 @@
 	accepted *chanListener
 	// idle holds the idle connections, and since when each has been idle.
 	idle map[net.Conn]time.Time
-	// unread holds the connections from which no request has been read yet.
-	unread  map[net.Conn]bool
+	// unread holds the connections from which no request has been read yet, and when they were
+	// accepted, for unreadFor.
+	unread  map[net.Conn]time.Time
 	stopped bool
 }
 
@@ -104,9 +106,9 @@
 		return nil
 	}
 	if s.unread == nil {
-		s.unread = map[net.Conn]bool{}
+		s.unread = map[net.Conn]time.Time{}
 	}
-	s.unread[c] = true
+	s.unread[c] = time.Now()
 	return s.accepted
 }
 
@@ -183,11 +185,16 @@
 	delete(s.idle, c)
 }
 
+// unreadFor is how long a connection counts as one whose request is about to be read. Callers may
+// open connections before they need them.
+const unreadFor = 500 * time.Millisecond
+
 // CloseIdle closes connections that have been idle for longer than the limit, plus
 // idleGrace.
 func (s *Server) CloseIdle(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	maps.DeleteFunc(s.unread, func(_ net.Conn, at time.Time) bool { return now.Sub(at) > unreadFor })
 	if s.limits.Idle <= 0 {
 		return
 	}
--- a/entry/front/server_test.go
+++ b/entry/front/server_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -93,6 +94,9 @@
 	defer silent.Close()
 	qt.Assert(t, get(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}), qt.IsNil)
 	qt.Assert(t, unread.Load(), qt.Equals, int64(1))
+	s.CloseIdle(time.Now().Add(2 * unreadFor))
+	qt.Assert(t, get(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}), qt.IsNil)
+	qt.Assert(t, unread.Load(), qt.Equals, int64(0))
 	full.Store(true)
 	qt.Assert(t, get(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}), qt.IsNotNil)
 	qt.Assert(t, get(client), qt.IsNil)
--- a/parts/sched/gate.go
+++ b/parts/sched/gate.go
@@ -25,6 +25,8 @@
 	// maxRefusals is how many requests a second are read to be refused. The others' connections
 	// are closed.
 	maxRefusals = 50
+	// minInterval is the longest time without a new request, however many are in flight.
+	minInterval = 200 * time.Millisecond
 )
 
 // Gate limits the requests in flight. The zero value is ready to use. It is safe for concurrent
@@ -38,6 +40,10 @@
 	// refusals is how many requests may be read to be refused now, as of refilledAt.
 	refusals   float64
 	refilledAt time.Time
+	// acceptedAt is when a connection was last accepted within the limit or after minInterval, and
+	// granted how many of the latter have not been admitted yet.
+	acceptedAt time.Time
+	granted    int
 }
 
 // Sample adapts the limit. lost is the share of its time in which the process waits for a
@@ -77,6 +83,12 @@
 	defer g.mu.Unlock()
 	g.peak = max(g.peak, inFlight)
 	if inFlight < g.current() {
+		g.acceptedAt = now
+		return true
+	}
+	if now.Sub(g.acceptedAt) >= minInterval {
+		g.acceptedAt = now
+		g.granted++
 		return true
 	}
 	g.refusals = min(maxRefusals, g.refusals+maxRefusals*now.Sub(g.refilledAt).Seconds())
@@ -98,5 +110,9 @@
 	if kept {
 		limit = int(reserve * float64(limit))
 	}
+	if inFlight > limit && g.granted > 0 {
+		g.granted--
+		return true
+	}
 	return inFlight <= limit
 }
