poison: name successive crashes as such, and say in the package comment what a detector is

That a request was sent after another crash is no longer told by its retries, and RecordCrash went through a list with holes. Change: names, comments, the loop. No decision changes.

--- a/entry/stream/probe_test.go
+++ b/entry/stream/probe_test.go
@@ -19,7 +19,7 @@
 // suspectTestCauses records crashes of other servers, one fewer than needed to block the
 // request.
 func suspectTestCauses(m *Monitor) {
-	for i := range poison.DetectorMaxCrashes - 1 {
+	for i := range poison.MinCrashes - 1 {
 		at := time.Now().Add(time.Duration(i-10) * time.Second)
 		m.Crashes.RecordCrash(fmt.Sprintf("other-%d", i), []poison.Victim{{Causes: testCauses}}, at, at)
 	}
--- a/parts/poison/detector.go
+++ b/parts/poison/detector.go
@@ -11,10 +11,10 @@
 
 // The limits of a detector.
 const (
-	// DetectorMaxCrashes is how many crashes a cause must explain before it is blocked, besides
+	// MinCrashes is how many crashes a cause must explain before it is blocked, besides
 	// crashesPerAnswer for each answer to a request with it.
-	DetectorMaxCrashes = 3
-	crashesPerAnswer   = 2
+	MinCrashes       = 3
+	crashesPerAnswer = 2
 	// sameEvent is the time between two crashes from which they count as two: the servers
 	// of a rack fail together, whatever they run.
 	sameEvent = 50 * time.Millisecond
@@ -67,9 +67,9 @@
 	at     time.Time
 	// causes holds the possible causes with their ranks.
 	causes map[Cause]uint8
-	// retried holds the causes of requests that were sent to the server after another one had
+	// sequential holds the causes of requests that were sent to the server after another one had
 	// crashed under a request with the cause.
-	retried map[Cause]bool
+	sequential map[Cause]bool
 	// changed is when this entry host last learned something of it.
 	changed time.Time
 }
@@ -121,13 +121,15 @@
 	d.mu.Lock()
 	changed := false
 	for _, v := range victims {
-		for i, cause := range d.relevant(v.Causes) {
-			if cause == "" {
+		// Blocked causes explain the crash.
+		explained := slices.ContainsFunc(v.Causes, func(c Cause) bool { return d.blocked[c] })
+		for i, cause := range v.Causes {
+			if explained && !d.blocked[cause] {
 				continue
 			}
 			added := d.addCause(server, cause, rank(i, len(v.Causes)), at, now)
-			if c := d.crashes[server]; c != nil && !c.retried[cause] && d.sentAfterCrash(cause, c, v.Sent) {
-				c.setRetried(cause, now)
+			if c := d.crashes[server]; c != nil && !c.sequential[cause] && d.sentAfterCrash(cause, c, v.Sent) {
+				c.setSequential(cause, now)
 				added = true
 			}
 			if s := d.suspects[cause]; s != nil && i < len(v.Answers) {
@@ -150,27 +152,13 @@
 	return s != nil && slices.ContainsFunc(s.crashes, func(other *crash) bool { return other != c && other.at.Before(sent) })
 }
 
-// setRetried records that a request with a cause was sent to the server after another one had
+// setSequential records that a request with a cause was sent to the server after another one had
 // crashed under a request with it.
-func (c *crash) setRetried(cause Cause, now time.Time) {
-	if c.retried == nil {
-		c.retried = map[Cause]bool{}
+func (c *crash) setSequential(cause Cause, now time.Time) {
+	if c.sequential == nil {
+		c.sequential = map[Cause]bool{}
 	}
-	c.retried[cause], c.changed = true, now
-}
-
-// relevant returns the blocked causes of a request, which explain a crash, or all causes if none is
-// blocked. The mutex is held.
-func (d *Detector) relevant(causes []Cause) []Cause {
-	list := slices.Clone(causes)
-	if slices.ContainsFunc(causes, func(c Cause) bool { return d.blocked[c] }) {
-		for i, c := range list {
-			if !d.blocked[c] {
-				list[i] = ""
-			}
-		}
-	}
-	return list
+	c.sequential[cause], c.changed = true, now
 }
 
 // addCause adds a possible cause of a crash, and reports whether it is new. The mutex is held.
@@ -232,7 +220,7 @@
 // removeCause removes a possible cause of a crash. The mutex is held.
 func (d *Detector) removeCause(c *crash, cause Cause) {
 	delete(c.causes, cause)
-	delete(c.retried, cause)
+	delete(c.sequential, cause)
 	s := d.suspects[cause]
 	s.crashes = slices.DeleteFunc(s.crashes, func(other *crash) bool { return other == c })
 	if len(s.crashes) == 0 {
@@ -275,7 +263,7 @@
 		}
 	}
 	s.answers[request], s.changed = at, now
-	d.stale = d.stale || len(s.crashes) >= DetectorMaxCrashes
+	d.stale = d.stale || len(s.crashes) >= MinCrashes
 }
 
 // Blocked returns the cause for which a request is blocked, if it is, and when it may be tried
--- a/parts/poison/evidence.go
+++ b/parts/poison/evidence.go
@@ -37,9 +37,9 @@
 	Age    time.Duration
 	// Causes holds the possible causes, with their ranks.
 	Causes map[Cause]uint8
-	// Retried holds the causes of requests that were sent to the server after another one had
+	// Sequential holds the causes of requests that were sent to the server after another one had
 	// crashed under a request with the cause.
-	Retried map[Cause]bool
+	Sequential map[Cause]bool
 }
 
 // Evidence returns what other entry hosts may lack: what is new, and why causes are blocked.
@@ -55,7 +55,7 @@
 			causes = maps.Clone(c.causes)
 		}
 		if len(causes) > 0 {
-			e.Crashes = append(e.Crashes, Crash{Server: c.server, Age: now.Sub(c.at), Causes: causes, Retried: maps.Clone(c.retried)})
+			e.Crashes = append(e.Crashes, Crash{Server: c.server, Age: now.Sub(c.at), Causes: causes, Sequential: maps.Clone(c.sequential)})
 			room -= len(causes)
 		}
 	}
@@ -110,8 +110,8 @@
 			if c.Age < crashTTL-maxDelay || lasting[cause] {
 				added = d.addCause(c.Server, cause, rank, now.Add(-c.Age), now) || added
 			}
-			if record := d.crashes[c.Server]; record != nil && c.Retried[cause] && !record.retried[cause] {
-				record.setRetried(cause, now)
+			if record := d.crashes[c.Server]; record != nil && c.Sequential[cause] && !record.sequential[cause] {
+				record.setSequential(cause, now)
 				added = true
 			}
 		}
@@ -152,7 +152,7 @@
 	}
 	list := map[Cause]bool{}
 	for cause, n := range crashes {
-		list[cause] = n >= DetectorMaxCrashes && last[cause] < BlockFor-maxDelay
+		list[cause] = n >= MinCrashes && last[cause] < BlockFor-maxDelay
 	}
 	return list
 }
--- a/parts/poison/explain.go
+++ b/parts/poison/explain.go
@@ -47,7 +47,7 @@
 func (d *Detector) explain(now time.Time) map[Cause]bool {
 	candidates := map[Cause]*suspect{}
 	for cause, s := range d.suspects {
-		if len(s.crashes) >= DetectorMaxCrashes {
+		if len(s.crashes) >= MinCrashes {
 			candidates[cause] = s
 		}
 	}
@@ -77,7 +77,7 @@
 
 // blocks reports whether a cause that explains these crashes is to be blocked.
 func (e explanation) blocks() bool {
-	return e.answers < maxAnswers && e.events >= DetectorMaxCrashes+crashesPerAnswer*(e.answers+e.earlier)
+	return e.answers < maxAnswers && e.events >= MinCrashes+crashesPerAnswer*(e.answers+e.earlier)
 }
 
 // compare is negative if e is the better explanation. Of several causes that all requests under which
@@ -96,7 +96,7 @@
 	n := 0
 	var last time.Time
 	for _, c := range s.sorted() {
-		if !explained[c] && (n == 0 || c.retried[cause] || c.at.Sub(last) >= sameEvent) {
+		if !explained[c] && (n == 0 || c.sequential[cause] || c.at.Sub(last) >= sameEvent) {
 			n, last = n+1, c.at
 		}
 	}
--- a/parts/poison/poison.go
+++ b/parts/poison/poison.go
@@ -13,6 +13,11 @@
 // A [Tracker] holds the suspected requests of one pool, for all entry hosts
 // that consult it. It is a pure state machine: times are arguments, and it is
 // not safe for concurrent use.
+//
+// A [Detector] also finds parts of prompts that crash servers, under requests of which
+// no two are alike. A request holds several [Cause]s: itself, and the parts of its prompt.
+// Entry hosts exchange [Evidence]: the crashes that they observed with all possible causes,
+// and answers, which speak for the causes of their requests.
 package poison
 
 import (
