poison: keep blocked causes when memory is full, and bound what is sent of answers

When crashes of many other servers fill a detector, the oldest crashes go, and those of a blocked part are among the oldest: the part was let through. A message that added nothing but had removed one left a blocked cause without its crashes, which ends the process at the next look. Also, answers of all causes that had just become suspected went into a message, without the bound that causes have. Evidence: TestBlockedPartIsKeptWhenFull failed before (released after 204 crashes with 40 causes each). Change: crashes for which causes are blocked stay; a cause is released with its last crash; no crash beyond the bound; one bound for what is sent of answers.

--- a/parts/poison/detector.go
+++ b/parts/poison/detector.go
@@ -175,8 +175,8 @@
 			return false
 		}
 	}
-	if len(d.suspects) >= maxSuspects || c == nil && len(d.crashes) >= maxCrashRecords {
-		if d.removeOldest(at, c); len(d.suspects) >= maxSuspects {
+	if d.isFull(c) {
+		if d.removeOldest(at, c); d.isFull(c) {
 			return false
 		}
 	}
@@ -195,12 +195,19 @@
 	return true
 }
 
-// removeOldest removes the oldest crash but the given one, if it is older than the given time. The
+// isFull reports whether there is no room for another cause, or for another crash if c is nil. The
 // mutex is held.
+func (d *Detector) isFull(c *crash) bool {
+	return len(d.suspects) >= maxSuspects || c == nil && len(d.crashes) >= maxCrashRecords
+}
+
+// removeOldest removes the oldest crash but the given one and those for which causes are blocked, if
+// it is older than the given time. The mutex is held.
 func (d *Detector) removeOldest(than time.Time, kept *crash) {
+	lasting := d.lastingCrashes()
 	var oldest *crash
 	for _, c := range d.crashes {
-		if c != kept && c.at.Before(than) {
+		if c != kept && lasting[c] == nil && c.at.Before(than) {
 			oldest, than = c, c.at
 		}
 	}
@@ -225,6 +232,7 @@
 	s.crashes = slices.DeleteFunc(s.crashes, func(other *crash) bool { return other == c })
 	if len(s.crashes) == 0 {
 		delete(d.suspects, cause)
+		delete(d.blocked, cause)
 	}
 }
 
--- a/parts/poison/detector_test.go
+++ b/parts/poison/detector_test.go
@@ -300,3 +300,21 @@
 	}
 	qt.Assert(t, sent <= 2048, qt.IsTrue, qt.Commentf("%d", sent))
 }
+
+// Guards against a crash of the host, and against releasing a blocked part, when the crashes of many
+// other servers fill the memory.
+func TestBlockedPartIsKeptWhenFull(t *testing.T) {
+	d := newDetector()
+	for i := range 3 {
+		crash(d, float64(i), fmt.Sprint("i-", i), prompt(fmt.Sprint("r", i), "all", "bad"))
+	}
+	for i := range 1000 {
+		c := poison.Crash{Server: fmt.Sprint("j-", i), Causes: map[poison.Cause]uint8{}}
+		for n := range 40 {
+			c.Causes[poison.Cause(fmt.Sprint("part ", i, "-", n))] = 1
+		}
+		now := at(3 + float64(i)/100)
+		d.Merge(poison.Evidence{Crashes: []poison.Crash{c}}, "a", now)
+		qt.Assert(t, blocked(d, 3+float64(i)/100, "all", "bad"), qt.IsTrue, qt.Commentf("after %d crashes", i))
+	}
+}
--- a/parts/poison/evidence.go
+++ b/parts/poison/evidence.go
@@ -55,13 +55,15 @@
 			causes = maps.Clone(c.causes)
 		}
 		if len(causes) > 0 {
-			e.Crashes = append(e.Crashes, Crash{Server: c.server, Age: now.Sub(c.at), Causes: causes, Sequential: maps.Clone(c.sequential)})
+			sequential := maps.Clone(c.sequential)
+			maps.DeleteFunc(sequential, func(cause Cause, _ bool) bool { return causes[cause] == 0 })
+			e.Crashes = append(e.Crashes, Crash{Server: c.server, Age: now.Sub(c.at), Causes: causes, Sequential: sequential})
 			room -= len(causes)
 		}
 	}
 	e.Answers, e.Earlier = map[Cause]map[uint32]time.Duration{}, map[Cause]int{}
 	for cause, s := range d.suspects {
-		if now.Sub(s.changed) > spreadFor && !d.blocked[cause] {
+		if !d.blocked[cause] && (now.Sub(s.changed) > spreadFor || len(e.Earlier)+len(e.Answers) >= maxSentCauses) {
 			continue
 		}
 		if s.earlier > 0 {
@@ -110,7 +112,8 @@
 			if c.Age < crashTTL-maxDelay || lasting[cause] {
 				added = d.addCause(c.Server, cause, rank, now.Add(-c.Age), now) || added
 			}
-			if record := d.crashes[c.Server]; record != nil && c.Sequential[cause] && !record.sequential[cause] {
+			record := d.crashes[c.Server]
+			if record != nil && record.causes[cause] != 0 && c.Sequential[cause] && !record.sequential[cause] {
 				record.setSequential(cause, now)
 				added = true
 			}
