unary: probe a server whose response breaks off after its header

A plain server that crashes after the header of its response was not probed, since there was a status: neither the crash nor the request that may cause it was recorded, so that such a request could go on crashing servers. Streams did not have this. Evidence: with a check for the line crashes: server ended, the four cases of TestResponseThatEndsWithItsConnection in which a server crashes failed before. Change: a response that breaks off is treated like none. A request that was blocked meanwhile is not sent again after an error response either. Result: all cases pass with the race detector, as do the tests of lost, failed, large and refused responses.

--- a/entry/unary/unary.go
+++ b/entry/unary/unary.go
@@ -159,7 +159,7 @@
 // budget allows it.
 func (f *Forwarder) retryResponse(j *call.Job, a attempt, mayRetry bool, budget *retry.WindowBudget) bool {
 	failed := a.reply.Status >= http.StatusInternalServerError
-	return failed && mayRetry && a.rest == nil && j.Route.Repeatable() && budget.Withdraw(time.Now())
+	return failed && mayRetry && a.rest == nil && j.Route.Repeatable() && !f.blocked(j) && budget.Withdraw(time.Now())
 }
 
 // retryError reports whether a request is retried after an attempt without a response
@@ -190,7 +190,7 @@
 }
 
 // send makes one attempt and records its duration and outcome. If the server did not
-// respond, send closes the idle connections to it and starts a probe.
+// respond with a whole answer, send closes the idle connections to it and starts a probe.
 func (f *Forwarder) send(ctx context.Context, j *call.Job, server *fleet.Server, mayRetry bool) attempt {
 	done := f.Stats.Begin(server.ID)
 	start := time.Now()
@@ -203,7 +203,7 @@
 	}
 	failed := a.err != nil && !call.CallerGone(ctx) || a.err == nil && a.reply.Status >= http.StatusInternalServerError
 	done(time.Since(start), failed)
-	if a.err != nil && a.reply.Status == 0 && ctx.Err() == nil {
+	if a.err != nil && (a.reply.Status == 0 || a.err.Code == fault.InvalidResponse) && ctx.Err() == nil {
 		f.Servers.Pool.CloseIdle(server.Address)
 		f.Probe(j, server, a.err.Verdict != fault.NotRun, a.err.Error())
 	}
