route: keep the priority of a route for teams that have none

Cause: a team without a priority in the configuration got -1, which took the place of the priority of the route. Neither the queue nor the engines knew a rank then.

--- a/entry/call/job.go
+++ b/entry/call/job.go
@@ -19,7 +19,8 @@
 	Version uint64
 	// Team is empty if the request needs none.
 	Team string
-	// Priority is negative if the request has none.
+	// Priority is 0 for the most urgent requests, and route.LowestPriority for the least
+	// urgent ones.
 	Priority int
 	// Deadline is when the caller stops waiting, or when the timeout that the operator
 	// set expires.
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -129,14 +129,15 @@
 	if matched == nil {
 		return nil, &fault.Error{Code: fault.NoRoute, Verdict: fault.NotRun, Message: "no route"}
 	}
-	j := &call.Job{Request: req, Route: matched, Version: table.Version, Priority: matched.Priority}
+	j := &call.Job{Request: req, Route: matched, Version: table.Version}
+	var team *route.Team
 	if table.NeedsKey(matched) {
-		team := table.Team(req.Key)
-		if team == nil {
+		if team = table.Team(req.Key); team == nil {
 			return nil, &fault.Error{Code: fault.Unauthorized, Verdict: fault.NotRun, Message: "unknown key"}
 		}
-		j.Team, j.Priority = team.Name, team.Priority
+		j.Team = team.Name
 	}
+	j.Priority = matched.PriorityFor(team)
 	service, known := table.Services[matched.ServiceFor(rand.Float64())]
 	if !known {
 		return nil, &fault.Error{Code: fault.NoServer, Verdict: fault.NotRun, Message: "the route's service is unknown", RetryAfter: time.Second}
--- a/entry/state/state.go
+++ b/entry/state/state.go
@@ -214,7 +214,16 @@
 	t.Index()
 	s.table.Store(t)
 	s.tableSpec = spec
-	s.Log.Info("config: taken", append(source, "version", t.Version, "routes", len(t.Routes), "teams", len(t.Teams))...)
+	ranked := 0
+	for _, team := range t.Teams {
+		if team.Priority != route.RoutePriority {
+			ranked++
+		}
+	}
+	s.Log.Info("config: taken", append(source, "version", t.Version, "routes", len(t.Routes), "teams", len(t.Teams), "prioritized", ranked)...)
+	for _, what := range t.Replaced {
+		s.Log.Warn("config: invalid value replaced", "version", t.Version, "value", what)
+	}
 }
 
 // ReadServers applies the changes of the Servers mirror since the last call.
--- a/parts/route/route.go
+++ b/parts/route/route.go
@@ -79,6 +79,19 @@
 	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
 }
 
+// PriorityFor returns the priority of a team's requests of the route; team is nil for a
+// request without a key. A priority out of range counts as the lowest.
+func (r *Route) PriorityFor(team *Team) int {
+	priority := r.Priority
+	if team != nil && team.Priority != RoutePriority {
+		priority = team.Priority
+	}
+	if !ValidPriority(priority) {
+		return LowestPriority
+	}
+	return priority
+}
+
 // ServiceFor returns the service whose share contains draw, a random number
 // with uniform distribution over [0, 1).
 func (r *Route) ServiceFor(draw float64) string {
@@ -100,10 +113,17 @@
 type Team struct {
 	Name string
 	Keys []string
-	// Priority takes precedence over that of the route.
+	// Priority takes precedence over that of the route, unless it is RoutePriority.
 	Priority int
 }
 
+const (
+	// RoutePriority is the Priority of a team whose requests have that of their route.
+	RoutePriority = -1
+	// LowestPriority is the priority of the least urgent requests.
+	LowestPriority = 9
+)
+
 // Limits bounds what callers may send.
 type Limits struct {
 	// HeaderBytes and BodyBytes bound the size of a request's header and body.
@@ -120,6 +140,9 @@
 	Services map[string]Service
 	Teams    []Team
 	Limits   Limits
+	// Replaced describes the invalid values of the configuration that were replaced by
+	// defaults.
+	Replaced []string
 
 	byHost map[string][]*Route
 	byKey  map[string]*Team
@@ -168,6 +191,11 @@
 	return t.byKey[key]
 }
 
+// ValidPriority reports whether a priority is in range.
+func ValidPriority(priority int) bool {
+	return priority >= 0 && priority <= LowestPriority
+}
+
 // NeedsKey reports whether requests of the route must carry a key.
 func (t *Table) NeedsKey(r *Route) bool {
 	return len(t.Teams) > 0 && !r.Public
--- a/parts/route/route_test.go
+++ b/parts/route/route_test.go
@@ -48,3 +48,23 @@
 	qt.Assert(t, (&route.Route{Kind: route.Stream, Resumable: true}).Repeatable(), qt.IsTrue)
 	qt.Assert(t, (&route.Route{Kind: route.AtMostOnce, Resumable: true}).Repeatable(), qt.IsFalse)
 }
+
+// Guards against requests that lose the priority of their route because their team has
+// none of its own.
+func TestPriorityOfTeamWithoutOne(t *testing.T) {
+	urgent, batch := &route.Route{Priority: 0}, &route.Route{Priority: 2}
+	own, none := &route.Team{Priority: 1}, &route.Team{Priority: route.RoutePriority}
+	for _, test := range []struct {
+		route *route.Route
+		team  *route.Team
+		want  int
+	}{
+		{urgent, nil, 0},
+		{batch, nil, 2},
+		{batch, none, 2},
+		{batch, own, 1},
+		{&route.Route{Priority: 12}, none, route.LowestPriority},
+	} {
+		qt.Check(t, test.route.PriorityFor(test.team), qt.Equals, test.want, qt.Commentf("%+v", test))
+	}
+}
