front: hold requests until the first configuration is in force

A starting host applies a configuration only once its seeds have answered, or after 500 ms. Until then it refused all requests with a Retry-After of 1 s. After a loss of power all hosts of a domain start at the same time, and these refusals took the last attempts of callers whose streams had broken off (docs/design/overload.md, baseline).

entry/front now holds up to 64 requests, each until 1 s after the introduction began and for at most a third of its caller's time; further ones, and those for which no configuration came, are refused with the rest of the introduction plus up to 0.5 s as Retry-After. After the introduction its length takes the place of the rest. The deadline and the time of arrival are unchanged. The host reads up to 64 KiB of the body meanwhile: net/http does not notice that a caller has left before the body is read. A stop refuses held and later requests at once. Metrics front.held and front.held.refused, log line "front: held".

sched.Gate: the limit before the first sample (100 ms after the start) was 16 requests, although a process that has not been saturated gets 200; of the 20 requests of the new test some had their connections closed unread.

--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -52,6 +52,8 @@
 	// Admit decides whether to serve a request, which is among those in flight; kept says that its
 	// connection has served others before. Nil serves all.
 	Admit func(inFlight int, kept bool) bool
+	// Hold keeps requests that arrive before the first configuration is in force.
+	Hold *Hold
 
 	inFlight atomic.Int64
 }
@@ -79,8 +81,10 @@
 		j, err = h.newJob(w, r, start)
 	}
 	if err != nil {
-		e := fault.As(err)
-		out := call.Outcome{Error: e, Status: call.WriteError(w, h.Codec, e)}
+		out := call.Outcome{Error: fault.As(err)}
+		if out.Error.Code != fault.Cancelled {
+			out.Status = call.WriteError(w, h.Codec, out.Error)
+		}
 		h.record(j, r, out, start)
 		return
 	}
@@ -117,14 +121,16 @@
 	if h.RefuseAll.Load() {
 		return nil, h.draining()
 	}
-	table := h.State.Table()
-	if table == nil {
-		return nil, &fault.Error{Code: fault.NoServer, Verdict: fault.NotRun, Message: "no configuration is known yet", RetryAfter: time.Second}
-	}
 	req, err := h.Codec.ParseRequest(r)
 	if err != nil {
 		return nil, err
 	}
+	table := h.State.Table()
+	if table == nil {
+		if table, err = h.awaitTable(w, r, req.Timeout); err != nil {
+			return nil, err
+		}
+	}
 	matched := table.Match(req.Host, req.Path)
 	if matched == nil {
 		return nil, &fault.Error{Code: fault.NoRoute, Verdict: fault.NotRun, Message: "no route"}
--- a/entry/gossip/intro.go
+++ b/entry/gossip/intro.go
@@ -5,6 +5,9 @@
 	"sync"
 )
 
+// MaxIntroduction is the longest time until Introduced ends, unless this process stalls.
+const MaxIntroduction = exchangeTimeout
+
 // introduction is the first exchange of a new entry host with its seeds. Until it ends the
 // host knows only what the object API shows, which may be an older copy.
 type introduction struct {
--- a/entry/state/state.go
+++ b/entry/state/state.go
@@ -94,6 +94,9 @@
 	adjustedServers []*fleet.Server
 	// changed is closed when the view changes; nil if Changed was not called since.
 	changed chan struct{}
+	// configured is closed when the first configuration is in force; nil if Configured was not
+	// called.
+	configured chan struct{}
 }
 
 // decodedServer is a server with the position of its entry.
@@ -113,6 +116,19 @@
 	return s.table.Load()
 }
 
+// Configured returns a channel that is closed once a configuration is in force.
+func (s *Local) Configured() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.configured == nil {
+		s.configured = make(chan struct{})
+		if s.table.Load() != nil {
+			close(s.configured)
+		}
+	}
+	return s.configured
+}
+
 // View returns the current view of the backend servers.
 func (s *Local) View() *fleet.View {
 	if v := s.view.Load(); v != nil {
@@ -214,6 +230,9 @@
 	t.Index()
 	s.table.Store(t)
 	s.tableSpec = spec
+	if old == nil && s.configured != nil {
+		close(s.configured)
+	}
 	ranked := 0
 	for _, team := range t.Teams {
 		if team.Priority != route.RoutePriority {
--- a/entry/state/state_test.go
+++ b/entry/state/state_test.go
@@ -75,6 +75,25 @@
 	qt.Assert(t, s.Table().Version, qt.Equals, uint64(7))
 }
 
+// Guards against requests that wait for the first configuration after it is in force, and against
+// a panic at the second one.
+func TestConfiguredEndsWithFirstConfig(t *testing.T) {
+	s := newLocal()
+	before := s.Configured()
+	select {
+	case <-before:
+		t.Fatal("configured without a configuration")
+	default:
+	}
+	s.MergeConfig([]byte{1})
+	<-before
+	s.MergeConfig([]byte{2})
+	<-s.Configured()
+	late := newLocal()
+	late.MergeConfig([]byte{1})
+	<-late.Configured()
+}
+
 // Guards against dropping live servers whose entries expired in an outage of the
 // object API. They register again within seconds; without them no request could be
 // served.
--- a/parts/sched/gate.go
+++ b/parts/sched/gate.go
@@ -72,8 +72,13 @@
 	return g.current()
 }
 
-// current returns the limit. The mutex is held.
-func (g *Gate) current() int { return int(max(minLimit, g.limit)) }
+// current returns the limit, which is startLimit before the first sample. The mutex is held.
+func (g *Gate) current() int {
+	if g.limit == 0 {
+		return startLimit
+	}
+	return int(max(minLimit, g.limit))
+}
 
 // Accept decides whether to read the request on a new connection, besides those in flight. If
 // alone is set, some requests beyond the limit are read, so that their callers learn when to retry:
--- a/parts/sched/sched_test.go
+++ b/parts/sched/sched_test.go
@@ -77,6 +77,19 @@
 	qt.Assert(t, g.Limit(), qt.Equals, 200)
 }
 
+// Guards against a process that closes connections as if it lacked processor time, until it has
+// measured that for the first time.
+func TestGateAcceptsFromItsStart(t *testing.T) {
+	var g sched.Gate
+	accepted := 0
+	for g.Accept(accepted, false, start) && accepted < 500 {
+		accepted++
+	}
+	qt.Assert(t, accepted, qt.Equals, 200)
+	qt.Assert(t, g.Admit(200, false), qt.IsTrue)
+	qt.Assert(t, g.Admit(201, false), qt.IsFalse)
+}
+
 // Guards against closing the connections of all callers where no other host is left, and against
 // reading all their requests.
 func TestGateTellsSomeCallersWhenAlone(t *testing.T) {
