unary: tell callers the pause of a server that was asked as well

If all servers of a plain service ask for pauses, the Retry-After was the shortest pause of the servers that had been skipped. A server that had just been asked, and had answered with a pause itself, was not considered: its caller was told 30 s instead of 4 s, and 1 s with "no backend server" if it was the only one.

The wait is now the shortest of the servers that were skipped and of those that refused the request. Requests whose servers all refused without a pause get what they got before.

--- a/entry/unary/unary.go
+++ b/entry/unary/unary.go
@@ -94,6 +94,9 @@
 // paused reports whether nothing was sent, because the server has requested a pause.
 func (a *attempt) paused() bool { return a.err != nil && egress.IsPaused(a.err) }
 
+// refused reports whether the server responded that it did not run the request.
+func (a *attempt) refused() bool { return a.err != nil && a.reply.NotRun }
+
 // Serve forwards a request and writes the response to the caller.
 func (f *Forwarder) Serve(ctx context.Context, w http.ResponseWriter, j *call.Job) call.Outcome {
 	out := call.Outcome{}
@@ -105,7 +108,8 @@
 	// those that were skipped, because they are paused or their rate limits do not allow
 	// it.
 	tried := map[string]bool{}
-	var skipped []*fleet.Server
+	// refused holds the servers that refused it.
+	var skipped, refused []*fleet.Server
 	verdict := fault.NotRun
 	// failure is the last error response of a server. The caller gets it if no later
 	// attempt has a response: an error with the verdict NotRun would deny that the
@@ -120,7 +124,7 @@
 	for {
 		server := f.Stats.Pick(f.State.View().Service(j.Service.Name), f.LocalDomain, tried)
 		if server == nil {
-			return fail(f.noServer(skipped))
+			return fail(f.noServer(skipped, refused))
 		}
 		tried[server.Address] = true
 		if f.Servers.Paused(server, time.Now()) > 0 || !f.Limits.Take(server.ID, time.Now()) {
@@ -141,6 +145,9 @@
 		if a.err != nil {
 			verdict = verdict.Weaken(a.err.Verdict)
 		}
+		if a.refused() {
+			refused = append(refused, server)
+		}
 		if a.err == nil {
 			if !f.retryResponse(j, a, mayRetry, budget) {
 				return f.writeResponse(w, out, j, a)
@@ -264,14 +271,16 @@
 }
 
 // noServer returns the error for a request for which there is no server but those that
-// were skipped.
-func (f *Forwarder) noServer(skipped []*fleet.Server) *fault.Error {
-	if len(skipped) == 0 {
+// were skipped, and those that refused it and may have requested pauses.
+func (f *Forwarder) noServer(skipped, refused []*fleet.Server) *fault.Error {
+	now := time.Now()
+	paused := func(s *fleet.Server) bool { return f.Servers.Paused(s, now) > 0 }
+	if len(skipped) == 0 && !slices.ContainsFunc(refused, paused) {
 		return &fault.Error{Code: fault.NoServer, Verdict: fault.NotRun, Message: "no backend server", RetryAfter: time.Second}
 	}
 	return &fault.Error{
 		Code: fault.Overloaded, Verdict: fault.NotRun, Message: "the servers have requested pauses, or their rate limits are reached",
-		RetryAfter: f.retryAfter(skipped),
+		RetryAfter: f.retryAfter(slices.Concat(skipped, refused)),
 	}
 }
 
