--- a/entry/front/hold.go
+++ b/entry/front/hold.go
@@ -23,6 +23,12 @@
 	maxHoldShare = 1.0 / 3
 	// holdRetrySpread spreads the callers that are refused at the same time.
 	holdRetrySpread = 500 * time.Millisecond
+	// releaseInterval is the interval between held requests that go on. Hosts that start at the
+	// same time know nothing of each other's load, and all choose the same servers until they
+	// have exchanged messages.
+	releaseInterval = 12 * time.Millisecond
+	// maxReleaseTime limits the time after which the last of them goes on.
+	maxReleaseTime = 500 * time.Millisecond
 )
 
 // Hold keeps requests that arrive before the first configuration is in force. Set the exported
@@ -39,6 +45,8 @@
 	// longest the longest time of those.
 	held, total int
 	longest     time.Duration
+	// released is the number of requests that went on once the configuration was in force.
+	released int
 	// stopping is closed by Stop; nil until it is used.
 	stopping chan struct{}
 	stopOnce sync.Once
@@ -78,6 +86,27 @@
 	return rest + time.Duration(random*float64(holdRetrySpread))
 }
 
+// releaseDelay returns how long after the configuration came into force a held request goes on, if
+// the given number have done so before and its caller has the given time left; zero if not given.
+func releaseDelay(before int, remaining time.Duration) time.Duration {
+	delay := min(time.Duration(before)*releaseInterval, maxReleaseTime)
+	if remaining > 0 {
+		delay = min(delay, time.Duration(maxHoldShare*float64(remaining)))
+	}
+	return delay
+}
+
+// release waits until a held request may go on, or its context ends.
+func (h *Hold) release(ctx context.Context, remaining time.Duration) {
+	h.mu.Lock()
+	before := h.released
+	h.released++
+	h.mu.Unlock()
+	if delay := releaseDelay(before, remaining); delay > 0 {
+		h.await(ctx, nil, delay)
+	}
+}
+
 // Stop refuses the requests that are held, and later ones.
 func (h *Hold) Stop() {
 	h.stopOnce.Do(func() { close(h.stopped()) })
@@ -156,6 +185,9 @@
 	defer cancel(nil)
 	body := readEarly(r, cancel)
 	h.Hold.await(ctx, h.State.Configured(), wait)
+	if h.State.Table() != nil {
+		h.Hold.release(ctx, remaining(timeout, time.Since(start)))
+	}
 	// Abandoning the body ends the context as well.
 	ended := context.Cause(ctx)
 	if table := h.State.Table(); table != nil && ended == nil {
@@ -168,6 +200,14 @@
 	return nil, h.refuseHeld()
 }
 
+// remaining returns what is left of a caller's timeout; zero if it gave none.
+func remaining(timeout, elapsed time.Duration) time.Duration {
+	if timeout <= 0 {
+		return 0
+	}
+	return max(timeout-elapsed, 1)
+}
+
 // refuseHeld returns the error for a request that is held no longer, or not at all.
 func (h *Handler) refuseHeld() error {
 	h.Meter.Count("front.held.refused")
--- a/entry/front/hold_test.go
+++ b/entry/front/hold_test.go
@@ -55,6 +55,30 @@
 	qt.Check(t, holdRetryAfter(time.Minute, introduction, 0.5), qt.Equals, 750*time.Millisecond)
 }
 
+// Guards against the requests of all hosts of a domain that meet at the same servers at the same
+// time, because the hosts started together.
+func TestHeldRequestsGoOnOneAfterAnother(t *testing.T) {
+	qt.Check(t, releaseDelay(0, 0), qt.Equals, time.Duration(0))
+	qt.Check(t, releaseDelay(10, time.Minute), qt.Equals, 10*releaseInterval)
+	qt.Check(t, releaseDelay(maxHeld, 0), qt.Equals, maxReleaseTime)
+	qt.Check(t, releaseDelay(maxHeld, 300*time.Millisecond), qt.Equals, 100*time.Millisecond)
+	synctest.Test(t, func(t *testing.T) {
+		h, forwarder := newHeldHandler()
+		start := time.Now()
+		var held []<-chan *httptest.ResponseRecorder
+		for range 5 {
+			held = append(held, serve(t.Context(), h, "6s"))
+		}
+		synctest.Wait()
+		h.State.MergeConfig([]byte{1})
+		for _, ended := range held {
+			qt.Assert(t, (<-ended).Code, qt.Equals, http.StatusOK)
+		}
+		qt.Assert(t, time.Since(start), qt.Equals, 4*releaseInterval)
+		qt.Assert(t, forwarder.jobs, qt.HasLen, 5)
+	})
+}
+
 // testCodec reads the timeout of a request from its header.
 type testCodec struct{ call.Codec }
 
