admit: take the order of waiting requests from package fair

Cause: Queue kept its own start tags beside those of package fair. Change: it keeps limits, credit, headroom and run times; fair tells the order, the work ahead of a request and who has credit. Its tests are unchanged. A request that stops waiting no longer counts as work that its team was served; before, its team had to make up for it.

--- a/parts/admit/admit.go
+++ b/parts/admit/admit.go
@@ -2,12 +2,11 @@
 // requests run now, which wait, and which are refused.
 //
 // A [Queue] runs as many requests concurrently as its limit allows. Further
-// requests wait in one queue for each team, and these queues are served by
-// weighted fair queueing: a team's share of the pool is its weight among the
-// teams with waiting requests, however many requests it sends. A request that
-// would wait too long, or could not meet its deadline, is refused on arrival.
-// So a refusal costs the caller no time, and a refused request was never sent
-// to a backend server.
+// requests wait in the order of package fair: a team's share of the pool is its
+// weight among the teams with waiting requests, however many requests it sends.
+// A request that would wait too long, or could not meet its deadline, is refused
+// on arrival. So a refusal costs the caller no time, and a refused request was
+// never sent to a backend server.
 //
 // A [Limiter] adapts the limit to what the engines report for each token: how
 // long it waited for its step compared to how long the step took.
--- a/parts/admit/queue.go
+++ b/parts/admit/queue.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"fuchsiashelf.dev/parts/fair"
 	"fuchsiashelf.dev/parts/fault"
 )
 
@@ -13,24 +14,17 @@
 	// Limit is the maximum number of requests that run concurrently.
 	Limit float64
 
-	teams   map[string]*teamQueue
-	running int
-	waiting int
-	bytes   int
-	// virtualTime is the virtual time of the fair queueing: the start tag of
-	// the last request that was started.
-	virtualTime float64
-	runTimes    runTimes
+	// order holds the waiting requests, all of one rank, and entries the
+	// entries of these.
+	order    fair.Queue
+	entries  map[*fair.Waiter]*Entry
+	running  int
+	bytes    int
+	runTimes runTimes
 }
 
-// teamQueue holds the waiting requests of one team.
-type teamQueue struct {
-	weight float64
-	// finishTag is the finish tag of the last request of the team.
-	finishTag float64
-	running   int
-	entries   []*Entry
-}
+// rank is the rank of all requests: those of one pool differ by team only.
+const rank = 0
 
 // Entry is a waiting or running request.
 type Entry struct {
@@ -40,132 +34,78 @@
 	// Credit reports that its team had credit left when it was started.
 	Credit bool
 
-	arrivedAt, startedAt time.Time
-	startTag             float64
-	wake                 chan struct{}
+	waiter    fair.Waiter
+	startedAt time.Time
+	wake      chan struct{}
+}
+
+// newEntry returns the entry of a request.
+func newEntry(now time.Time, req Request) *Entry {
+	return &Entry{Request: req, waiter: fair.Waiter{
+		Team: req.Team, Rank: rank, Weight: req.Weight, Cost: req.Cost, Arrived: now,
+	}}
 }
 
 // Running returns the number of running requests.
 func (q *Queue) Running() int { return q.running }
 
 // Waiting returns the number of waiting requests.
-func (q *Queue) Waiting() int { return q.waiting }
+func (q *Queue) Waiting() int { return len(q.entries) }
 
 // Submit starts a request, queues it, or refuses it.
 func (q *Queue) Submit(now time.Time, req Request) (*Entry, *fault.Error) {
+	q.order.MaxCredit = q.Limits.MaxCredit
 	req.Weight, req.Cost = max(req.Weight, 1), max(req.Cost, 1)
-	tq := q.teamQueue(&req)
 	remaining := req.Deadline.Sub(now)
 	if req.RunTime > remaining {
-		q.dropIdle(req.Team)
 		return nil, deadlineExceeded("runs longer than its deadline allows", 0)
 	}
-	entry := &Entry{Request: req, arrivedAt: now}
-	if len(tq.entries) == 0 && q.hasCapacity(q.startTag(tq)) {
-		q.assignTags(tq, entry)
-		q.begin(now, tq, entry)
+	entry := newEntry(now, req)
+	if q.order.Waiting(req.Team, rank) == 0 && q.hasCapacity(req.Team) {
+		q.begin(now, entry)
 		return entry, nil
 	}
-	if e := q.rejection(tq, &req, remaining); e != nil {
-		q.dropIdle(req.Team)
+	if e := q.rejection(entry, remaining); e != nil {
 		return nil, e
 	}
-	q.assignTags(tq, entry)
-	tq.entries = append(tq.entries, entry)
-	q.waiting++
+	if q.entries == nil {
+		q.entries = map[*fair.Waiter]*Entry{}
+	}
+	q.entries[&entry.waiter] = entry
+	q.order.Push(&entry.waiter)
 	q.bytes += req.Bytes
 	return entry, nil
 }
 
 // rejection returns why a request must not wait, or nil.
-func (q *Queue) rejection(tq *teamQueue, req *Request, remaining time.Duration) *fault.Error {
-	wait := q.expectedWait(tq)
+func (q *Queue) rejection(entry *Entry, remaining time.Duration) *fault.Error {
+	wait := q.runTimes.expectedWait(q.order.WorkAhead(&entry.waiter), q.running)
 	switch {
 	case wait > q.Limits.MaxWait:
 		return overloaded("too many requests of the team wait", wait)
-	case wait+req.RunTime > remaining:
+	case wait+entry.RunTime > remaining:
 		return deadlineExceeded("waits longer than its deadline allows", wait)
-	case q.waiting >= q.Limits.MaxRequests:
+	case q.Waiting() >= q.Limits.MaxRequests:
 		return overloaded("too many requests wait", wait)
-	case q.bytes+req.Bytes > q.Limits.MaxBytes:
+	case q.bytes+entry.Bytes > q.Limits.MaxBytes:
 		return overloaded("the waiting requests hold too much memory", wait)
 	}
 	return nil
 }
 
-// expectedWait returns how long a request that joins a team's queue now is
-// expected to wait if the running requests end at the same rate as before.
-// Requests of a team with credit are served in the order of their start tags,
-// and those of another team at the rate of its share.
-func (q *Queue) expectedWait(tq *teamQueue) time.Duration {
-	start, ahead, share := q.startTag(tq), 0.0, 1.0
-	queues := q.teams
-	if start > q.virtualTime {
-		queues, share = map[string]*teamQueue{"": tq}, tq.weight/q.activeWeight(tq)
-	}
-	for _, other := range queues {
-		for _, entry := range other.entries {
-			if entry.startTag <= start {
-				ahead += entry.Cost
-			}
-		}
-	}
-	return q.runTimes.expectedWait(ahead, share, q.running)
-}
-
-// startTag returns the start tag of a request that joins a team's queue now. An
-// idle team starts at the virtual time less the maximum credit: it saves up no
-// more than that while it sends little.
-func (q *Queue) startTag(tq *teamQueue) float64 {
-	return max(q.virtualTime-q.Limits.MaxCredit, tq.finishTag)
-}
-
-// activeWeight returns the total weight of the teams with waiting requests,
-// including the given one.
-func (q *Queue) activeWeight(tq *teamQueue) float64 {
-	sum := 0.0
-	for _, other := range q.teams {
-		if len(other.entries) > 0 || other == tq {
-			sum += other.weight
-		}
-	}
-	return sum
-}
-
-// teamQueue returns the queue of a team, with its weight up to date.
-func (q *Queue) teamQueue(req *Request) *teamQueue {
-	if q.teams == nil {
-		q.teams = map[string]*teamQueue{}
-	}
-	tq := q.teams[req.Team]
-	if tq == nil {
-		tq = &teamQueue{finishTag: q.virtualTime - q.Limits.MaxCredit}
-		q.teams[req.Team] = tq
-	}
-	tq.weight = req.Weight
-	return tq
-}
-
-// assignTags sets the start tag of a request and the finish tag of its team.
-func (q *Queue) assignTags(tq *teamQueue, entry *Entry) {
-	entry.startTag = q.startTag(tq)
-	tq.finishTag = entry.startTag + entry.Cost/tq.weight
-}
-
-// hasCapacity reports whether a request with a start tag may run now. Below the
+// hasCapacity reports whether the next request of a team may run now. Below the
 // limit any request may; within the headroom above it, those of teams with
 // credit.
-func (q *Queue) hasCapacity(start float64) bool {
+func (q *Queue) hasCapacity(team string) bool {
 	running := float64(q.running)
-	return running < q.Limit || running < q.Limit*(1+q.Limits.Headroom) && start < q.virtualTime
+	return running < q.Limit || running < q.Limit*(1+q.Limits.Headroom) && q.order.HasCredit(team, rank)
 }
 
 // begin starts a request.
-func (q *Queue) begin(now time.Time, tq *teamQueue, entry *Entry) {
-	entry.Credit = entry.startTag < q.virtualTime
-	q.virtualTime = max(q.virtualTime, entry.startTag)
+func (q *Queue) begin(now time.Time, entry *Entry) {
+	entry.Credit = q.order.HasCredit(entry.Team, rank)
+	q.order.Serve(&entry.waiter)
 	q.running++
-	tq.running++
 	entry.Running, entry.startedAt = true, now
 }
 
@@ -178,93 +118,41 @@
 
 // Abort is like Done for a request that was started but did not run, so that
 // its time is not observed.
-func (q *Queue) Abort(now time.Time, entry *Entry) []*Entry {
+func (q *Queue) Abort(now time.Time, _ *Entry) []*Entry {
 	q.running--
-	q.teams[entry.Team].running--
-	next := q.Dispatch(now)
-	q.dropIdle(entry.Team)
-	return next
+	return q.Dispatch(now)
 }
 
-// Dispatch starts waiting requests while there is capacity, lowest start tag
-// first. Call it after Limit has grown.
+// Dispatch starts waiting requests in order while there is capacity. Call it
+// after Limit has grown.
 func (q *Queue) Dispatch(now time.Time) []*Entry {
 	var next []*Entry
-	for q.waiting > 0 {
-		tq := q.next()
-		if tq == nil {
-			break
+	for {
+		// Teams with credit are first, so that no other waiter has capacity if
+		// the first one has none.
+		head := q.order.Head(1)
+		if len(head) == 0 || !q.hasCapacity(head[0].Team) {
+			return next
 		}
-		entry := tq.entries[0]
-		q.remove(tq, 0)
-		q.begin(now, tq, entry)
+		entry := q.entries[head[0]]
+		q.forget(entry)
+		q.begin(now, entry)
 		next = append(next, entry)
 	}
-	return next
-}
-
-// next returns the team queue to serve next, or nil if there is no capacity.
-// Equal start tags are served by arrival, so that the choice never depends on
-// the order of a map.
-func (q *Queue) next() *teamQueue {
-	var best *teamQueue
-	for _, tq := range q.teams {
-		if len(tq.entries) == 0 || !q.hasCapacity(tq.entries[0].startTag) {
-			continue
-		}
-		if best == nil || tq.entries[0].less(best.entries[0]) {
-			best = tq
-		}
-	}
-	return best
-}
-
-// less reports whether an entry is served before another one.
-func (e *Entry) less(other *Entry) bool {
-	if e.startTag != other.startTag {
-		return e.startTag < other.startTag
-	}
-	if !e.arrivedAt.Equal(other.arrivedAt) {
-		return e.arrivedAt.Before(other.arrivedAt)
-	}
-	return e.Team < other.Team
 }
 
 // Cancel removes a waiting request, and reports whether it was still waiting. A
 // request that was started meanwhile stays until Done.
 func (q *Queue) Cancel(entry *Entry) bool {
-	if entry.Running {
+	if !q.order.Remove(&entry.waiter) {
 		return false
 	}
-	tq := q.teams[entry.Team]
-	if tq == nil {
-		return false
-	}
-	for i, other := range tq.entries {
-		if other == entry {
-			q.remove(tq, i)
-			q.dropIdle(entry.Team)
-			return true
-		}
-	}
-	return false
-}
-
-// remove removes the entry at an index from a team's queue.
-func (q *Queue) remove(tq *teamQueue, i int) {
-	q.waiting--
-	q.bytes -= tq.entries[i].Bytes
-	copy(tq.entries[i:], tq.entries[i+1:])
-	tq.entries[len(tq.entries)-1] = nil
-	tq.entries = tq.entries[:len(tq.entries)-1]
+	q.forget(entry)
+	return true
 }
 
-// dropIdle removes the queue of a team that has no requests and whose finish
-// tag is not ahead of the virtual time less the credit. Otherwise the queues
-// of teams that no longer send requests would accumulate.
-func (q *Queue) dropIdle(team string) {
-	tq := q.teams[team]
-	if tq != nil && tq.running == 0 && len(tq.entries) == 0 && tq.finishTag <= q.virtualTime-q.Limits.MaxCredit {
-		delete(q.teams, team)
-	}
+// forget releases what a request holds while it waits.
+func (q *Queue) forget(entry *Entry) {
+	delete(q.entries, &entry.waiter)
+	q.bytes -= entry.Bytes
 }
--- a/parts/admit/runtimes.go
+++ b/parts/admit/runtimes.go
@@ -26,10 +26,9 @@
 }
 
 // expectedWait returns the expected wait behind requests of the given total
-// cost, in a queue that gets the given share of the slots that become free. It
-// is zero while nothing is known.
-func (r *runTimes) expectedWait(ahead, share float64, running int) time.Duration {
-	seconds := (r.mean + r.perCost*ahead/share) / float64(max(running, 1))
+// cost. It is zero while nothing is known.
+func (r *runTimes) expectedWait(ahead float64, running int) time.Duration {
+	seconds := (r.mean + r.perCost*ahead) / float64(max(running, 1))
 	return time.Duration(min(seconds, expectedWaitCap.Seconds()) * float64(time.Second))
 }
 
--- a/parts/fair/bench_test.go
+++ b/parts/fair/bench_test.go
@@ -15,20 +15,23 @@
 		for i := range 400 * perTeam {
 			q.Push(newWaiter(fmt.Sprint("team-", i%400), 0, float64(1+i%7)))
 		}
-		for name, operation := range map[string]func(){
-			"decision": func() {
+		for _, test := range []struct {
+			name      string
+			operation func()
+		}{
+			{"decision", func() {
 				w := q.Head(3)[0]
 				q.Serve(w)
 				q.Ahead(w)
 				q.Push(w)
-			},
-			"last":   func() { q.Last() },
-			"charge": func() { q.Charge("team-9", 0, 1, 10) },
+			}},
+			{"last", func() { q.Last() }},
+			{"charge", func() { q.Charge("team-9", 0, 1, 10) }},
 		} {
-			b.Run(fmt.Sprint(name, "/", perTeam), func(b *testing.B) {
+			b.Run(fmt.Sprint(test.name, "/", perTeam), func(b *testing.B) {
 				b.ReportAllocs()
 				for b.Loop() {
-					operation()
+					test.operation()
 				}
 			})
 		}
--- a/parts/fair/fair.go
+++ b/parts/fair/fair.go
@@ -110,6 +110,14 @@
 	return l.tag(l.flows[team]) < l.virtualTime
 }
 
+// Waiting returns how many requests of a team wait in a rank.
+func (q *Queue) Waiting(team string, rank int) int {
+	if l := q.find(rank); l != nil && l.flows[team] != nil {
+		return len(l.flows[team].waiters)
+	}
+	return 0
+}
+
 // Len returns the number of waiters.
 func (q *Queue) Len() int {
 	n := 0
--- a/parts/fair/fair_test.go
+++ b/parts/fair/fair_test.go
@@ -46,6 +46,8 @@
 	push(q, "quiet", 0, 10)
 	c.Assert(q.HasCredit("quiet", 0), quicktest.IsTrue)
 	c.Assert(q.HasCredit("loud", 0), quicktest.IsFalse)
+	c.Assert(q.Waiting("loud", 0), quicktest.Equals, 50)
+	c.Assert(q.Waiting("loud", 1), quicktest.Equals, 0)
 	c.Assert(serve(q, 10), quicktest.DeepEquals, map[string]int{"quiet": 10})
 }
 
