resv: choose slots, measure the rate and keep promises by key

Cause: Retry-After is computed by one host and is the same for all requests that are refused at the same time.

--- a/parts/resv/resv.go
+++ b/parts/resv/resv.go
@@ -1,55 +1,184 @@
 // Package resv tells refused callers when to return, and recognizes them when they do.
+//
+// A [Book] makes a promise for a refused request: a time at which there will probably be capacity for
+// it, since few others were told the same time. Time is divided into slots. In each slot the host
+// promises a share of what it serves in that time, and leaves the rest to new requests. A request that
+// arrives when its promise is due is on time, and goes before new requests; one that arrives before is
+// early, and goes after them. A promise that nobody keeps lapses some time after it was due.
+//
+// A promise belongs to the key of a request, see [NewKey], since each attempt has a new ID. Several
+// callers with equal requests share a key. Each of them has a promise, and each arrival consumes one.
+//
+// Entry hosts tell each other their promises, and which of them were kept, since callers may return to
+// another host. A promise has an ID, and is remembered for a while after it was kept or has lapsed: it does
+// not return in the message of a host that still holds it. Messages hold durations, so that a promise is due later at other hosts by
+// the transit time of the message; of several messages with a promise the earliest time counts.
 package resv
 
 import (
 	"log/slog"
+	"sync"
 	"time"
 
 	"fuchsiashelf.dev/parts/fair"
 )
 
+const (
+	// returnShare is the share of the served requests of a slot that is promised.
+	returnShare = 0.5
+	// minPerSlot is the minimum number of promises for a slot, on average.
+	minPerSlot = 0.5
+	// maxDelay bounds the time until a promise is due.
+	maxDelay = 5 * time.Second
+	// earlyTolerance is how long before a promise is due an arrival is on time.
+	earlyTolerance = 50 * time.Millisecond
+	// grace is how long after a promise was due an arrival is on time.
+	grace = 2 * time.Second
+	// earlySpread is the time over which callers that were early are spread. It is less than grace, so
+	// that they are on time if they wait.
+	earlySpread = time.Second
+	// minLogInterval is the minimum time between two log lines.
+	minLogInterval = time.Second
+)
+
 // Book holds the promises of this entry host and of others. Set the exported fields before use. It is
 // safe for concurrent use.
 type Book struct {
 	// Log is the log; nil discards.
 	Log *slog.Logger
-}
 
-// Promise is a promise in a message. The names of its fields are part of the encoding.
-type Promise struct {
-	Key uint64
-	// Due counts from the moment of the message and is negative once past.
-	Due time.Duration
+	mu sync.Mutex
+	// start is the first time that was passed to the book. Other times are relative to it.
+	start    time.Time
+	served   meter
+	slots    slots
+	ledger   ledger
+	stats    Stats
+	loggedAt time.Time
 }
 
 // Stats counts promises since the start of the process.
 type Stats struct {
-	// Promised is the number of promises made here. Kept, Early and Lapsed count the outcomes of
-	// promises seen here.
+	// Promised is the number of promises made by this entry host, and Lapsed the number of those that
+	// no caller is known to have kept. Kept and Early are the numbers of arrivals here that were on time
+	// and early.
 	Promised, Kept, Early, Lapsed int64
 }
 
 // Served records that a request took capacity.
-func (b *Book) Served(now time.Time) {}
+func (b *Book) Served(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.served.add(b.since(now))
+}
 
-// Promise returns the Retry-After of a refused request and remembers it. earliest and latest bound it,
-// and ahead is the number of requests that wait for capacity before it.
+// Promise returns the Retry-After of a refused request: at least earliest, and at most latest unless
+// earliest is longer. ahead is the number of requests that wait for capacity before it. A request that
+// was early is told of its earlier promise again. No promise is made beyond maxDelay.
 func (b *Book) Promise(key uint64, earliest, latest time.Duration, ahead int, now time.Time) time.Duration {
-	return earliest
+	earliest = max(earliest, 0)
+	if earliest > maxDelay {
+		return earliest
+	}
+	latest = min(latest, maxDelay)
+	if latest <= earliest {
+		// The spread over a slot avoids a burst of callers that are told the same time.
+		latest = earliest + slot
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	at := b.since(now)
+	if delay, ok := b.promisedBefore(key, earliest, latest, at); ok {
+		return delay
+	}
+	from := at + earliest + b.served.duration(max(ahead, 0), at)
+	due := b.slots.take(at+earliest, from, at+latest, b.perSlot(at))
+	b.stats.Promised++
+	b.add(&promise{promiseID: newPromiseID(key, now, b.stats.Promised), due: due, own: true}, now)
+	return due - at
+}
+
+// promisedBefore returns the Retry-After of a request that was early. Only the first of several such
+// requests with one key may have a promise; the others are spread. The mutex is held.
+func (b *Book) promisedBefore(key uint64, earliest, latest, at time.Duration) (delay time.Duration, ok bool) {
+	e := b.ledger.entries[key]
+	if e == nil || e.early == 0 {
+		return 0, false
+	}
+	e.early--
+	p := e.next(at)
+	if p == nil {
+		return 0, false
+	}
+	e.refused++
+	interval := time.Duration(float64(slot) / b.perSlot(at))
+	delay = max(earliest, p.due-at)
+	spread := time.Duration(e.refused) * interval % earlySpread
+	return min(delay+spread, max(delay, latest)), true
 }
 
 // Arrive reports whether a request that arrives now returns as it was told. It consumes the promise if
 // it is due.
-func (b *Book) Arrive(key uint64, now time.Time) fair.Return { return fair.New }
-
-// Promises returns the promises for the next message.
-func (b *Book) Promises(now time.Time) []Promise { return nil }
-
-// Merge adds the promises of a message from another entry host.
-func (b *Book) Merge(list []Promise, now time.Time) {}
+func (b *Book) Arrive(key uint64, now time.Time) fair.Return {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e, at := b.ledger.entries[key], b.since(now)
+	if e == nil {
+		return fair.New
+	}
+	p := e.next(at)
+	switch {
+	case p == nil:
+		return fair.New
+	case at < p.due-earlyTolerance:
+		e.early++
+		b.stats.Early++
+		return fair.Early
+	}
+	b.ledger.end(p)
+	b.stats.Kept++
+	return fair.OnTime
+}
 
 // Sweep drops promises that nobody kept in time.
-func (b *Book) Sweep(now time.Time) {}
+func (b *Book) Sweep(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.stats.Lapsed += b.ledger.sweep(b.since(now))
+}
 
 // Stats returns the counts.
-func (b *Book) Stats() Stats { return Stats{} }
+func (b *Book) Stats() Stats {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.stats
+}
+
+// add adds a promise, and drops the oldest if there are too many. The mutex is held.
+func (b *Book) add(p *promise, now time.Time) {
+	if b.ledger.add(p) {
+		b.warn("returns: too many promises, oldest dropped", maxRecords, now)
+	}
+}
+
+// warn logs a message with a count, at most once per minLogInterval. The mutex is held.
+func (b *Book) warn(message string, count int, now time.Time) {
+	if b.Log == nil || now.Sub(b.loggedAt) < minLogInterval {
+		return
+	}
+	b.loggedAt = now
+	b.Log.Warn(message, "count", count)
+}
+
+// perSlot returns how many promises a slot should hold. The mutex is held.
+func (b *Book) perSlot(at time.Duration) float64 {
+	return max(minPerSlot, returnShare*b.served.rate(at)*slot.Seconds())
+}
+
+// since returns the time since the start of the book. The mutex is held.
+func (b *Book) since(now time.Time) time.Duration {
+	if b.start.IsZero() {
+		b.start = now
+	}
+	return max(now.Sub(b.start), 0)
+}
