--- a/entry/gossip/codec_test.go
+++ b/entry/gossip/codec_test.go
@@ -4,12 +4,16 @@
 	"bytes"
 	"compress/flate"
 	"fmt"
+	"math"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
 
 	"fuchsiashelf.dev/parts/mirror"
+	"fuchsiashelf.dev/parts/resv"
 )
 
 // configMessage returns a message with a configuration of many routes.
@@ -36,6 +40,24 @@
 	}
 }
 
+// Guards against messages that grow by more than the overload design allows for, and against fields of
+// promises that are lost on the way.
+func TestPromisesAreEncoded(t *testing.T) {
+	sent, received := &Message{}, &Message{}
+	empty, err := codec{}.Marshal(sent)
+	qt.Assert(t, err, qt.IsNil)
+	for i := range uint64(128) {
+		sent.Promises = append(sent.Promises, resv.Promise{Key: math.MaxUint64 - i, Due: 4*time.Second + 123456789, ID: 50000, Kept: i%2 == 0})
+	}
+	b, err := cbor.Marshal(sent)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, len(b)-len(empty) <= 128*24, qt.IsTrue, qt.Commentf("%d bytes", len(b)-len(empty)))
+	b, err = codec{}.Marshal(sent)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, codec{}.Unmarshal(b, received), qt.IsNil)
+	qt.Check(t, received.Promises, qt.DeepEquals, sent.Promises)
+}
+
 // Guards against accepting malformed messages, and small ones that exhaust memory when
 // decompressed.
 func TestInvalidMessagesAreRejected(t *testing.T) {
--- a/entry/gossip/gossip_test.go
+++ b/entry/gossip/gossip_test.go
@@ -11,9 +11,11 @@
 
 	"fuchsiashelf.dev/entry/gossip"
 	"fuchsiashelf.dev/parts/domain"
+	"fuchsiashelf.dev/parts/fair"
 	"fuchsiashelf.dev/parts/limit"
 	"fuchsiashelf.dev/parts/mirror"
 	"fuchsiashelf.dev/parts/poison"
+	"fuchsiashelf.dev/parts/resv"
 	"fuchsiashelf.dev/parts/router"
 )
 
@@ -99,3 +101,33 @@
 	other.Merge(one.Respond(&gossip.Message{From: other.Self}))
 	qt.Assert(t, received, qt.DeepEquals, []gossip.SlowServer{slow})
 }
+
+// Guards against refused callers that are taken for new when they return to another entry host, and
+// against hosts that pass on only what they told callers themselves.
+func TestPromisesArePropagated(t *testing.T) {
+	peers := []*gossip.Peer{newPeer(1), newPeer(2), newPeer(3)}
+	for _, p := range peers {
+		p.Returns = &resv.Book{}
+	}
+	now := time.Now()
+	due := now.Add(peers[0].Returns.Promise(7, 2*time.Second, 5*time.Second, 0, now))
+	for i, p := range peers[1:] {
+		p.Merge(peers[i].Respond(&gossip.Message{From: p.Self}))
+	}
+	qt.Check(t, peers[2].Returns.Arrive(7, now), qt.Equals, fair.Early)
+	qt.Check(t, peers[2].Returns.Arrive(7, due.Add(time.Second)), qt.Equals, fair.OnTime)
+}
+
+// Guards against an entry host of an older version, which sends no promises, or one that makes none, whose
+// messages end those that are known or cause a crash.
+func TestMessageWithoutPromisesIsNoNews(t *testing.T) {
+	one, other := newPeer(1), newPeer(2)
+	one.Returns = &resv.Book{}
+	now := time.Now()
+	one.Returns.Promise(7, 2*time.Second, 5*time.Second, 0, now)
+	message := one.Respond(&gossip.Message{From: other.Self})
+	qt.Check(t, message.Promises, qt.HasLen, 1)
+	other.Merge(message)
+	one.Merge(other.Respond(&gossip.Message{From: one.Self}))
+	qt.Check(t, one.Returns.Arrive(7, now), qt.Equals, fair.Early)
+}
--- a/entry/gossip/message.go
+++ b/entry/gossip/message.go
@@ -8,6 +8,7 @@
 	"fuchsiashelf.dev/parts/mirror"
 	"fuchsiashelf.dev/parts/poison"
 	"fuchsiashelf.dev/parts/reach"
+	"fuchsiashelf.dev/parts/resv"
 	"fuchsiashelf.dev/parts/router"
 )
 
@@ -75,6 +76,9 @@
 	// Departures holds the servers that get no new requests although their entries, or
 	// those of a restored object API, may say otherwise.
 	Departures []Departure
+	// Promises holds what refused callers were told, at the sender and at others. Older versions
+	// send none.
+	Promises []resv.Promise
 	// ConfigVersion is the version of the sender's configuration in force; zero if it has
 	// none. Config is that configuration if the receiver has an older one and the object
 	// API does not hold it.
@@ -107,6 +111,9 @@
 		Suspects: p.Suspects(), Slows: p.SlowServers(), Orders: p.Assignments(), Evidence: p.Crashes.Evidence(time.Now()),
 		Limits: p.Limits.Reports(time.Now()), Departures: p.Departures(),
 	}
+	if p.Returns != nil {
+		m.Promises = p.Returns.Promises(time.Now())
+	}
 	var config []byte
 	m.ConfigVersion, config = p.Config()
 	if to != nil && to.ConfigVersion < m.ConfigVersion {
@@ -224,6 +231,9 @@
 	for _, d := range m.Departures {
 		p.OnDeparture(d)
 	}
+	if p.Returns != nil {
+		p.Returns.Merge(m.Promises, time.Now())
+	}
 	for _, batch := range m.Changes {
 		p.mergeChanges(m, batch)
 	}
