fair: count ranks out of range as the last

Each value of Rank created the state of a rank, which is never dropped, and a negative one went before rank 0. Before created state too. TestRankOutOfRangeIsTheLast fails without either change.

--- a/parts/fair/ahead.go
+++ b/parts/fair/ahead.go
@@ -41,7 +41,7 @@
 // isDue reports whether a request goes before all other ranks because its own
 // is due.
 func (q *Queue) isDue(w *Waiter) bool {
-	l := q.find(w.Rank)
+	l := q.find(w.rank())
 	return l != nil && l.turns.due && l.isFirst(w)
 }
 
@@ -50,10 +50,13 @@
 	if x, y := q.isDue(a), q.isDue(b); x != y {
 		return x
 	}
-	if a.Rank != b.Rank {
-		return a.Rank < b.Rank
+	if a.rank() != b.rank() {
+		return a.rank() < b.rank()
+	}
+	l := q.find(a.rank())
+	if l == nil {
+		return a.precedes(b)
 	}
-	l := q.level(a.Rank)
 	return l.key(a).before(l.key(b))
 }
 
@@ -63,12 +66,12 @@
 	for _, l := range q.levels {
 		switch {
 		case due:
-			if l.rank < w.Rank && l.turns.due {
+			if l.rank < w.rank() && l.turns.due {
 				n++
 			}
-		case l.rank < w.Rank:
+		case l.rank < w.rank():
 			n += l.waiting
-		case l.rank == w.Rank:
+		case l.rank == w.rank():
 			n += l.countAhead(l.key(w))
 		case l.turns.due:
 			n++
--- a/parts/fair/export_test.go
+++ b/parts/fair/export_test.go
@@ -8,3 +8,6 @@
 	}
 	return n
 }
+
+// Ranks returns how many ranks the queue has state of.
+func (q *Queue) Ranks() int { return len(q.levels) }
--- a/parts/fair/fair.go
+++ b/parts/fair/fair.go
@@ -52,7 +52,7 @@
 	}
 	q.pushed++
 	w.sequence = q.pushed
-	q.level(w.Rank).push(w)
+	q.level(w.rank()).push(w)
 }
 
 // Remove removes a waiter that was not served, and reports whether it waited.
@@ -61,21 +61,21 @@
 	if w.flow == nil {
 		return false
 	}
-	q.level(w.Rank).remove(w)
+	q.level(w.rank()).remove(w)
 	return true
 }
 
 // Serve records that w, waiting or not, takes capacity now: it charges the team
 // and advances the virtual time.
 func (q *Queue) Serve(w *Waiter) {
-	q.level(w.Rank).serve(w)
+	q.level(w.rank()).serve(w)
 	w.served = true
 	for _, l := range q.levels {
 		switch {
 		case l.waiting == 0:
-		case l.rank == w.Rank:
+		case l.rank == w.rank():
 			l.turns.use(w.cost(), l.first().cost())
-		case l.rank > w.Rank:
+		case l.rank > w.rank():
 			l.turns.pass(w.cost(), l.first().cost())
 		}
 	}
@@ -88,7 +88,7 @@
 		return
 	}
 	w.served = false
-	q.level(w.Rank).charge(w.Team, -w.work())
+	q.level(w.rank()).charge(w.Team, -w.work())
 }
 
 // Charge records work of a team that other hosts served. The virtual time
--- a/parts/fair/fair_test.go
+++ b/parts/fair/fair_test.go
@@ -302,6 +302,29 @@
 	c.Assert(serve(q, 10), quicktest.DeepEquals, map[string]int{"a": 5, "b": 5})
 }
 
+// Guards against invalid ranks that go first or take up memory each, and against
+// queries that create state.
+func TestRankOutOfRangeIsTheLast(t *testing.T) {
+	c := quicktest.New(t)
+	q := &fair.Queue{MaxCredit: 10, MaxDebt: 10}
+	a, b := newWaiter("a", 4, 1), newWaiter("b", 4, 1)
+	b.Return = fair.OnTime
+	c.Assert(q.Before(a, b), quicktest.IsFalse)
+	c.Assert(q.Before(b, a), quicktest.IsTrue)
+	c.Assert(q.Ranks(), quicktest.Equals, 0)
+	push(q, "valid", 8, 1)
+	for _, rank := range []int{-1, 10, math.MinInt, math.MaxInt} {
+		push(q, "invalid", rank, 1)
+		q.Charge("invalid", rank, 1, 1)
+	}
+	push(q, "last", 9, 1)
+	c.Assert(q.Ranks(), quicktest.Equals, 2)
+	c.Assert(q.Head(1)[0].Team, quicktest.Equals, "valid")
+	c.Assert(q.Waiting("invalid", -5), quicktest.Equals, 4)
+	c.Assert(q.Last().Team, quicktest.Equals, "invalid")
+	c.Assert(q.Remove(q.Last()), quicktest.IsTrue)
+}
+
 // Guards against decisions that allocate, which would grow with the teams.
 func TestDecisionsDoNotAllocate(t *testing.T) {
 	c := quicktest.New(t)
--- a/parts/fair/level.go
+++ b/parts/fair/level.go
@@ -28,6 +28,7 @@
 
 // level returns the level of a rank.
 func (q *Queue) level(rank int) *level {
+	rank = validRank(rank)
 	i, found := q.search(rank)
 	if !found {
 		q.levels = slices.Insert(q.levels, i, &level{
@@ -39,7 +40,7 @@
 
 // find returns the level of a rank, or nil if the rank was never used.
 func (q *Queue) find(rank int) *level {
-	if i, found := q.search(rank); found {
+	if i, found := q.search(validRank(rank)); found {
 		return q.levels[i]
 	}
 	return nil
--- a/parts/fair/waiter.go
+++ b/parts/fair/waiter.go
@@ -21,7 +21,8 @@
 type Waiter struct {
 	// Team is the team that sends the request.
 	Team string
-	// Rank is the urgency of the request; 0 is the most urgent.
+	// Rank is the urgency of the request, from 0, the most urgent, to 9.
+	// Another value counts as 9.
 	Rank int
 	// Weight is the weight of the team; at least 1.
 	Weight float64
@@ -54,6 +55,21 @@
 	return 1
 }
 
+// numRanks is the number of ranks. It bounds the state that requests with
+// invalid ranks can create.
+const numRanks = 10
+
+// validRank returns the least urgent rank for one out of range.
+func validRank(rank int) int {
+	if rank < 0 || rank >= numRanks {
+		return numRanks - 1
+	}
+	return rank
+}
+
+// rank returns the valid rank.
+func (w *Waiter) rank() int { return validRank(w.Rank) }
+
 // cost returns the valid cost.
 func (w *Waiter) cost() float64 { return atLeastOne(w.Cost) }
 
--- a/parts/fair/work.go
+++ b/parts/fair/work.go
@@ -8,9 +8,9 @@
 	work := 0.0
 	for _, l := range q.levels {
 		switch {
-		case l.rank < w.Rank:
+		case l.rank < w.rank():
 			work += l.work()
-		case l.rank == w.Rank:
+		case l.rank == w.rank():
 			work += l.workAhead(w)
 		}
 	}
