fair: leave the virtual time alone on a refund

Refund shared the path of Charge. After it, the virtual time followed the tag of a team that was served a large request, so that the usage of the others fell below the lower bound and was forgotten; and a team that had waited since before that bound lost its place. Refund now only lowers the tag. TestRefundLeavesOthersInOrder fails without the change.

--- a/parts/fair/fair.go
+++ b/parts/fair/fair.go
@@ -88,7 +88,7 @@
 		return
 	}
 	w.served = false
-	q.level(w.rank()).charge(w.Team, -w.work())
+	q.level(w.rank()).refund(w.Team, w.work())
 }
 
 // Charge records work of a team that other hosts served. The virtual time
--- a/parts/fair/fair_test.go
+++ b/parts/fair/fair_test.go
@@ -266,6 +266,35 @@
 	c.Assert(serve(q, 11), quicktest.DeepEquals, map[string]int{"a": 7, "b": 4})
 }
 
+// Guards against a refund that raises the virtual time, so that the usage of
+// other teams is forgotten, and against one that costs its team the place that
+// it has waited for.
+func TestRefundLeavesOthersInOrder(t *testing.T) {
+	c := quicktest.New(t)
+	q := &fair.Queue{MaxCredit: 10, MaxDebt: 5}
+	q.Serve(newWaiter("used", 0, 9))
+	unsent := newWaiter("large", 0, 1)
+	q.Serve(unsent)
+	q.Serve(newWaiter("large", 0, 100))
+	q.Refund(unsent)
+	push(q, "used", 0, 1)
+	push(q, "idle", 0, 1)
+	c.Assert(teams(q.Head(2)), quicktest.DeepEquals, []string{"idle", "used"})
+
+	q = &fair.Queue{MaxCredit: 10, MaxDebt: 5}
+	unsent = newWaiter("refunded", 0, 1)
+	q.Serve(unsent)
+	push(q, "refunded", 0, 1)
+	q.Serve(newWaiter("other", 0, 2))
+	push(q, "other", 0, 1)
+	for range 10 {
+		q.Charge("elsewhere", 0, 1, 15)
+	}
+	c.Assert(teams(q.Head(2)), quicktest.DeepEquals, []string{"refunded", "other"})
+	q.Refund(unsent)
+	c.Assert(teams(q.Head(2)), quicktest.DeepEquals, []string{"refunded", "other"})
+}
+
 // Guards against memory and time that grow with all teams that ever sent a
 // request.
 func TestStateOfIdleTeamsIsDropped(t *testing.T) {
--- a/parts/fair/level.go
+++ b/parts/fair/level.go
@@ -126,7 +126,14 @@
 	l.advance(start)
 }
 
-// charge changes the tag of a team by work for each unit of its weight. The
+// refund takes back a charge of work for each unit of the weight of a team.
+func (l *level) refund(team string, work float64) {
+	f := l.detach(team)
+	f.setTag(f.tag - work)
+	l.attach(f)
+}
+
+// charge adds work for each unit of its weight to the tag of a team. The
 // virtual time follows at the maximum debt.
 func (l *level) charge(team string, work float64) {
 	f := l.detach(team)
