admit: do not charge for requests that did not run

A request that was started in the moment when its caller left is aborted, but its team stayed charged for its whole cost. Abort now refunds it, as Cancel does by not charging. TestRequestsThatDidNotRunAreNotCharged fails without the change.

--- a/parts/admit/queue.go
+++ b/parts/admit/queue.go
@@ -113,12 +113,14 @@
 // may run now.
 func (q *Queue) Done(now time.Time, entry *Entry) []*Entry {
 	q.runTimes.observe(now.Sub(entry.startedAt), entry.Cost)
-	return q.Abort(now, entry)
+	q.running--
+	return q.Dispatch(now)
 }
 
-// Abort is like Done for a request that was started but did not run, so that
-// its time is not observed.
-func (q *Queue) Abort(now time.Time, _ *Entry) []*Entry {
+// Abort is like Done for a request that was started but did not run. Its time
+// is not observed, and its team is not charged.
+func (q *Queue) Abort(now time.Time, entry *Entry) []*Entry {
+	q.order.Refund(&entry.waiter)
 	q.running--
 	return q.Dispatch(now)
 }
@@ -141,8 +143,9 @@
 	}
 }
 
-// Cancel removes a waiting request, and reports whether it was still waiting. A
-// request that was started meanwhile stays until Done.
+// Cancel removes a waiting request, and reports whether it was still waiting.
+// Its team is not charged. A request that was started meanwhile stays until
+// Done or Abort.
 func (q *Queue) Cancel(entry *Entry) bool {
 	if !q.order.Remove(&entry.waiter) {
 		return false
--- a/parts/admit/queue_test.go
+++ b/parts/admit/queue_test.go
@@ -279,6 +279,27 @@
 	})
 }
 
+// Guards against a team that loses its turn because its callers left before
+// their requests ran, while they waited or in the moment when they were started.
+func TestRequestsThatDidNotRunAreNotCharged(t *testing.T) {
+	c := qt.New(t)
+	q := &admit.Queue{Limits: limits(), Limit: 1}
+	running, e := q.Submit(start, newRequestWithCost("b", 1))
+	c.Assert(e == nil, qt.IsTrue)
+	submit := func(team string) *admit.Entry {
+		entry, e := q.Submit(start, newRequestWithCost(team, 10))
+		c.Assert(e == nil, qt.IsTrue)
+		return entry
+	}
+	started, left := submit("a"), submit("a")
+	c.Assert(q.Done(start, running)[0] == started, qt.IsTrue)
+	c.Assert(q.Cancel(left), qt.IsTrue)
+	second, first := submit("b"), submit("a")
+	c.Assert(q.Cancel(started), qt.IsFalse)
+	c.Assert(q.Abort(start, started)[0] == first, qt.IsTrue)
+	c.Assert(q.Done(start, first)[0] == second, qt.IsTrue)
+}
+
 func BenchmarkQueue(b *testing.B) {
 	q := &admit.Queue{Limits: limits(), Limit: 100}
 	reqs := make([]admit.Request, 400)
