resv: give callers with less time a promise of their own

A caller whose request equals one that was refused before counts as early, and was told the time of the earlier promise, up to 5 s away, even when that is beyond its own latest time. It now gets a promise of its own then. TestEarlyCallerWithLessTime fails without the change: told 3.9 s instead of at most 1 s. Also reflow the package comment.

--- a/parts/resv/resv.go
+++ b/parts/resv/resv.go
@@ -10,9 +10,10 @@
 // callers with equal requests share a key. Each of them has a promise, and each arrival consumes one.
 //
 // Entry hosts tell each other their promises, and which of them were kept, since callers may return to
-// another host. A promise has an ID, and is remembered for a while after it was kept or has lapsed: it does
-// not return in the message of a host that still holds it. Messages hold durations, so that a promise is due later at other hosts by
-// the transit time of the message; of several messages with a promise the earliest time counts.
+// another host. A promise has an ID, and is remembered for a while after it was kept or has lapsed, so
+// that it does not return in the message of a host that still holds it. Messages hold durations, so that a
+// promise is due later at other hosts by the transit time of the message; of several messages with a
+// promise the earliest time counts.
 package resv
 
 import (
@@ -74,7 +75,8 @@
 
 // Promise returns the Retry-After of a refused request: at least earliest, and at most latest unless
 // earliest is longer. ahead is the number of requests that wait for capacity before it. A request that
-// was early is told of its earlier promise again. No promise is made beyond maxDelay.
+// was early is told of its earlier promise again if that is within these bounds. No promise is made
+// beyond maxDelay.
 func (b *Book) Promise(key uint64, earliest, latest time.Duration, ahead int, now time.Time) time.Duration {
 	earliest = max(earliest, 0)
 	if earliest > maxDelay {
@@ -110,11 +112,15 @@
 	if p == nil {
 		return 0, false
 	}
-	e.refused++
 	interval := time.Duration(float64(slot) / b.perSlot(at))
 	delay = max(earliest, p.due-at)
+	if delay > latest {
+		// It was promised to another caller, with more time left.
+		return 0, false
+	}
+	e.refused++
 	spread := time.Duration(e.refused) * interval % earlySpread
-	return min(delay+spread, max(delay, latest)), true
+	return min(delay+spread, latest), true
 }
 
 // Arrive reports whether a request that arrives now returns as it was told. It consumes the promise if
--- a/parts/resv/resv_test.go
+++ b/parts/resv/resv_test.go
@@ -49,6 +49,18 @@
 	qt.Check(t, len(slots) >= 5, qt.IsTrue, qt.Commentf("%v", slots))
 }
 
+// Guards against a caller that is told to return after its deadline, since one with more time left was
+// refused the same request before.
+func TestEarlyCallerWithLessTime(t *testing.T) {
+	b := &resv.Book{}
+	due := start.Add(b.Promise(1, 4*time.Second, 5*time.Second, 0, start))
+	qt.Assert(t, b.Arrive(1, at(0.1)), qt.Equals, fair.Early)
+	delay := b.Promise(1, 100*time.Millisecond, time.Second, 0, at(0.1))
+	qt.Assert(t, delay <= time.Second, qt.IsTrue, qt.Commentf("told %v", delay))
+	qt.Check(t, b.Arrive(1, at(0.1).Add(delay)), qt.Equals, fair.OnTime)
+	qt.Check(t, b.Arrive(1, due), qt.Equals, fair.OnTime)
+}
+
 // Guards against equal requests of several callers of which only one counts as on time, here or at another
 // host, and against one caller that uses the promises of all.
 func TestEqualRequestsOfSeveralCallers(t *testing.T) {
