resv: promise anew when an early caller cannot keep its promise

A caller that came early and waited in the queue until after its promise was due was told a time at which that had lapsed, and was taken for new when it returned. It now gets a new promise. TestEarlyCallerThatWaited fails without the change.

--- a/parts/resv/resv.go
+++ b/parts/resv/resv.go
@@ -75,8 +75,8 @@
 
 // Promise returns the Retry-After of a refused request: at least earliest, and at most latest unless
 // earliest is longer. ahead is the number of requests that wait for capacity before it. A request that
-// was early is told of its earlier promise again if that is within these bounds. No promise is made
-// beyond maxDelay.
+// was early is told of its earlier promise again if it can keep it within these bounds. No promise is
+// made beyond maxDelay.
 func (b *Book) Promise(key uint64, earliest, latest time.Duration, ahead int, now time.Time) time.Duration {
 	earliest = max(earliest, 0)
 	if earliest > maxDelay {
@@ -112,15 +112,20 @@
 	if p == nil {
 		return 0, false
 	}
-	interval := time.Duration(float64(slot) / b.perSlot(at))
 	delay = max(earliest, p.due-at)
 	if delay > latest {
 		// It was promised to another caller, with more time left.
 		return 0, false
 	}
+	interval := time.Duration(float64(slot) / b.perSlot(at))
+	spread := time.Duration(e.refused+1) * interval % earlySpread
+	delay = min(delay+spread, latest)
+	if p.lapsed(at + delay) {
+		// The request has waited until after it was due.
+		return 0, false
+	}
 	e.refused++
-	spread := time.Duration(e.refused) * interval % earlySpread
-	return min(delay+spread, latest), true
+	return delay, true
 }
 
 // Arrive reports whether a request that arrives now returns as it was told. It consumes the promise if
--- a/parts/resv/resv_test.go
+++ b/parts/resv/resv_test.go
@@ -61,6 +61,17 @@
 	qt.Check(t, b.Arrive(1, due), qt.Equals, fair.OnTime)
 }
 
+// Guards against a caller that came early, waited in the queue until after its promise was due, and is told
+// a time at which that has lapsed.
+func TestEarlyCallerThatWaited(t *testing.T) {
+	b := &resv.Book{}
+	due := start.Add(b.Promise(1, time.Second, 5*time.Second, 0, start))
+	qt.Assert(t, b.Arrive(1, due.Add(-500*time.Millisecond)), qt.Equals, fair.Early)
+	refused := due.Add(1500 * time.Millisecond)
+	returned := refused.Add(b.Promise(1, 700*time.Millisecond, 5*time.Second, 0, refused))
+	qt.Check(t, b.Arrive(1, returned), qt.Equals, fair.OnTime)
+}
+
 // Guards against equal requests of several callers of which only one counts as on time, here or at another
 // host, and against one caller that uses the promises of all.
 func TestEqualRequestsOfSeveralCallers(t *testing.T) {
