--- a/parts/fair/turns.go
+++ b/parts/fair/turns.go
@@ -1,7 +1,7 @@
 package fair
 
 // maxPassed is how many times the cost of its first waiter a rank lets requests
-// of more urgent ranks pass. It costs those at most one part in 17.
+// of more urgent ranks pass. Each rank costs those at most one part in 17.
 const maxPassed = 16
 
 // turns decides when a rank with waiters is due.
