resv: log without holding the mutex

Each request locks the book, so that a log handler that blocks would have stopped them all. Lines are now written after the mutex is released, and the limit of one a second is per message: a full book no longer hides invalid messages. TestLogDoesNotHoldTheBook deadlocks without the change.

--- a/parts/resv/exchange.go
+++ b/parts/resv/exchange.go
@@ -1,6 +1,9 @@
 package resv
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// maxPromises bounds the promises in a message.
@@ -52,30 +55,38 @@
 // Merge adds the promises of a message from another entry host. A promise that was kept here stays
 // so. Invalid ones are dropped, and those beyond maxPromises.
 func (b *Book) Merge(list []Promise, now time.Time) {
+	invalid, dropped := b.mergeAll(list[:min(len(list), maxPromises)], now)
+	if invalid > 0 {
+		b.warn("returns: invalid promises dropped", invalid, now)
+	}
+	if dropped > 0 {
+		b.warn(droppedMessage, dropped, now)
+	}
+}
+
+// mergeAll adds the valid promises of a message. It returns how many were not, and how many others were
+// dropped because there are too many.
+func (b *Book) mergeAll(list []Promise, now time.Time) (invalid, dropped int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	list = list[:min(len(list), maxPromises)]
-	invalid := 0
 	// The newest is added last.
-	for i := len(list) - 1; i >= 0; i-- {
-		if !list[i].valid() {
+	for _, heard := range slices.Backward(list) {
+		switch {
+		case !heard.valid():
 			invalid++
-			continue
+		case b.merge(heard, b.since(now)):
+			dropped++
 		}
-		b.merge(list[i], now)
-	}
-	if invalid > 0 {
-		b.warn("returns: invalid promises dropped", invalid, now)
 	}
+	return invalid, dropped
 }
 
-// merge adds a promise of another host. The mutex is held.
-func (b *Book) merge(heard Promise, now time.Time) {
-	id, due := promiseID{key: heard.Key, number: heard.ID}, b.since(now)+heard.Due
+// merge adds a promise of another host, and reports whether the oldest was dropped. The mutex is held.
+func (b *Book) merge(heard Promise, at time.Duration) (dropped bool) {
+	id, due := promiseID{key: heard.Key, number: heard.ID}, at+heard.Due
 	known := b.ledger.find(id)
 	if known == nil {
-		b.add(&promise{promiseID: id, due: due, ended: heard.Kept}, now)
-		return
+		return b.ledger.add(&promise{promiseID: id, due: due, ended: heard.Kept})
 	}
 	if heard.Kept && !known.ended {
 		b.ledger.end(known)
@@ -84,4 +95,5 @@
 		// Without the minimum, the transit times of messages would add up.
 		known.due = min(known.due, due)
 	}
+	return false
 }
--- a/parts/resv/exchange_test.go
+++ b/parts/resv/exchange_test.go
@@ -1,6 +1,8 @@
 package resv_test
 
 import (
+	"context"
+	"log/slog"
 	"math"
 	"math/rand/v2"
 	"testing"
@@ -69,6 +71,33 @@
 	qt.Check(t, list[0].Key, qt.Equals, uint64(5))
 }
 
+// blockingLog is a log handler that waits until the book can be used.
+type blockingLog struct {
+	slog.Handler
+	book  *resv.Book
+	lines []string
+}
+
+func (l *blockingLog) Handle(_ context.Context, r slog.Record) error {
+	l.book.Stats()
+	l.lines = append(l.lines, r.Message)
+	return nil
+}
+
+// Guards against a log that blocks all requests, and against messages that hide each other or fill the log.
+func TestLogDoesNotHoldTheBook(t *testing.T) {
+	b := &resv.Book{}
+	log := &blockingLog{Handler: slog.Default().Handler(), book: b}
+	b.Log = slog.New(log)
+	for key := range uint64(4100) {
+		b.Promise(key, time.Second, 5*time.Second, 0, start)
+	}
+	b.Merge([]resv.Promise{{Key: 1, Due: time.Minute}}, start)
+	b.Merge([]resv.Promise{{Key: 5000, Due: time.Second}}, at(2))
+	dropped, invalid := "returns: too many promises, oldest dropped", "returns: invalid promises dropped"
+	qt.Check(t, log.lines, qt.DeepEquals, []string{dropped, invalid, dropped})
+}
+
 // Guards against messages and memory that grow with the number of hosts.
 func TestPromisesOfManyHosts(t *testing.T) {
 	b := &resv.Book{}
--- a/parts/resv/resv.go
+++ b/parts/resv/resv.go
@@ -38,10 +38,13 @@
 	// earlySpread is the time over which callers that were early are spread. It is less than grace, so
 	// that they are on time if they wait.
 	earlySpread = time.Second
-	// minLogInterval is the minimum time between two log lines.
+	// minLogInterval is the minimum time between two log lines with one message.
 	minLogInterval = time.Second
 )
 
+// droppedMessage is logged when there are more than maxRecords promises.
+const droppedMessage = "returns: too many promises, oldest dropped"
+
 // Book holds the promises of this entry host and of others. Set the exported fields before use. It is
 // safe for concurrent use.
 type Book struct {
@@ -50,12 +53,13 @@
 
 	mu sync.Mutex
 	// start is the first time that was passed to the book. Other times are relative to it.
-	start    time.Time
-	served   meter
-	slots    slots
-	ledger   ledger
-	stats    Stats
-	loggedAt time.Time
+	start  time.Time
+	served meter
+	slots  slots
+	ledger ledger
+	stats  Stats
+	// loggedAt is the time of the last log line, by message.
+	loggedAt map[string]time.Time
 }
 
 // Stats counts promises since the start of the process.
@@ -87,17 +91,26 @@
 		// The spread over a slot avoids a burst of callers that are told the same time.
 		latest = earliest + slot
 	}
+	delay, dropped := b.promise(key, earliest, latest, ahead, now)
+	if dropped {
+		b.warn(droppedMessage, 1, now)
+	}
+	return delay
+}
+
+// promise makes or repeats a promise, and reports whether the oldest was dropped for it.
+func (b *Book) promise(key uint64, earliest, latest time.Duration, ahead int, now time.Time) (delay time.Duration, dropped bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	at := b.since(now)
 	if delay, ok := b.promisedBefore(key, earliest, latest, at); ok {
-		return delay
+		return delay, false
 	}
 	from := at + earliest + b.served.duration(max(ahead, 0), at)
 	due := b.slots.take(at+earliest, from, at+latest, b.perSlot(at))
 	b.stats.Promised++
-	b.add(&promise{promiseID: newPromiseID(key, now, b.stats.Promised), due: due, own: true}, now)
-	return due - at
+	dropped = b.ledger.add(&promise{promiseID: newPromiseID(key, now, b.stats.Promised), due: due, own: true})
+	return due - at, dropped
 }
 
 // promisedBefore returns the Retry-After of a request that was early. Only the first of several such
@@ -165,20 +178,26 @@
 	return b.stats
 }
 
-// add adds a promise, and drops the oldest if there are too many. The mutex is held.
-func (b *Book) add(p *promise, now time.Time) {
-	if b.ledger.add(p) {
-		b.warn("returns: too many promises, oldest dropped", maxRecords, now)
+// warn logs a message with a count, at most once per minLogInterval. The mutex is not held, since a
+// handler may block.
+func (b *Book) warn(message string, count int, now time.Time) {
+	if b.Log != nil && b.mayLog(message, now) {
+		b.Log.Warn(message, "count", count)
 	}
 }
 
-// warn logs a message with a count, at most once per minLogInterval. The mutex is held.
-func (b *Book) warn(message string, count int, now time.Time) {
-	if b.Log == nil || now.Sub(b.loggedAt) < minLogInterval {
-		return
+// mayLog reports whether a message may be logged again.
+func (b *Book) mayLog(message string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if last, logged := b.loggedAt[message]; logged && now.Sub(last) < minLogInterval {
+		return false
+	}
+	if b.loggedAt == nil {
+		b.loggedAt = map[string]time.Time{}
 	}
-	b.loggedAt = now
-	b.Log.Warn(message, "count", count)
+	b.loggedAt[message] = now
+	return true
 }
 
 // perSlot returns how many promises a slot should hold. The mutex is held.
