fakes: let configurations have several teams and streams of other priorities

The trials of docs/design/overload.md need two teams, and two routes of one service that differ in priority only. Configurations without them are unchanged.

--- a/stand/fakes/caller.go
+++ b/stand/fakes/caller.go
@@ -79,12 +79,30 @@
 		"platform: {address: %q}\n", s.Name, s.Zone, s.Source, s.Callers, s.Ops, s.Peers, s.Seed, s.GraceSeconds, s.Store)
 }
 
+// Team is a team of a Config.
+type Team struct {
+	Name string
+	Keys []string
+	// Priority is nil for that of the route.
+	Priority *int
+}
+
+// Stream is a route to the engines, for the paths /NAME/.
+type Stream struct {
+	Name     string
+	Priority int
+}
+
 // Config is an operator's configuration with four routes: the stream /ask/, the
-// non-idempotent /pay/, the idempotent /look/ and the public /open/.
+// non-idempotent /pay/, the idempotent /look/ and the public /open/, all of priority 1.
 type Config struct {
 	Version int
-	// Keys are the API keys of the only team.
+	// Keys are the API keys of the team choir, which has priority 1; it is left out
+	// without keys.
 	Keys []string
+	// Teams are further teams, and Streams further routes to the engines.
+	Teams   []Team
+	Streams []Stream
 	// Model is served by /ask/ on accelerators with MemoryMB of memory.
 	Model    Model
 	MemoryMB float64
@@ -94,10 +112,7 @@
 func (c Config) Put(store *Store) error {
 	return store.Put("config", "main", map[string]any{
 		"version": c.Version,
-		"routes": []any{
-			routeConfig("ask", "streaming", "assist", 2), routeConfig("pay", "non_idempotent", "booking", 1),
-			routeConfig("look", "idempotent", "booking", 2), routeConfig("open", "idempotent", "booking", 2),
-		},
+		"routes":  c.routeConfigs(),
 		"services": []any{
 			map[string]any{"name": "assist", "max_connections": 100, "engine": c.engineConfig()},
 			map[string]any{"name": "booking", "max_connections": 100},
@@ -105,10 +120,36 @@
 		"limits": map[string]any{
 			"max_header_bytes": 4096, "max_body_bytes": 10000, "header_timeout_ms": 1000, "idle_timeout_ms": 5000,
 		},
-		"tenants": []any{map[string]any{"name": "choir", "api_keys": c.Keys, "priority": 1}},
+		"tenants": c.teamConfigs(),
 	})
 }
 
+func (c Config) routeConfigs() []any {
+	list := []any{
+		routeConfig("ask", "streaming", "assist", 2, 1), routeConfig("pay", "non_idempotent", "booking", 1, 1),
+		routeConfig("look", "idempotent", "booking", 2, 1), routeConfig("open", "idempotent", "booking", 2, 1),
+	}
+	for _, s := range c.Streams {
+		list = append(list, routeConfig(s.Name, "streaming", "assist", 2, s.Priority))
+	}
+	return list
+}
+
+func (c Config) teamConfigs() []any {
+	var list []any
+	if len(c.Keys) > 0 {
+		list = append(list, map[string]any{"name": "choir", "api_keys": c.Keys, "priority": 1})
+	}
+	for _, team := range c.Teams {
+		record := map[string]any{"name": team.Name, "api_keys": team.Keys}
+		if team.Priority != nil {
+			record["priority"] = *team.Priority
+		}
+		list = append(list, record)
+	}
+	return list
+}
+
 func (c Config) engineConfig() map[string]any {
 	return map[string]any{
 		"slots": 16, "kv_token_bytes": 1000, "stride": 1, "step_ms": 1, "read_per_s": 100000, "chunk": 512, "loads_at_once": 4,
@@ -119,10 +160,10 @@
 	}
 }
 
-func routeConfig(name, kind, service string, attempts int) map[string]any {
+func routeConfig(name, kind, service string, attempts, priority int) map[string]any {
 	return map[string]any{
 		"name": name, "host": hostHeader, "path_prefix": "/" + name + "/", "kind": kind, "service": service,
-		"timeout_ms": 8000, "target_latency_ms": 500, "target_gap_ms": 400, "attempts": attempts, "priority": 1,
+		"timeout_ms": 8000, "target_latency_ms": 500, "target_gap_ms": 400, "attempts": attempts, "priority": priority,
 		"public": name == "open", "resumable": kind == "streaming",
 	}
 }
