--- a/parts/router/cost.go
+++ b/parts/router/cost.go
@@ -125,14 +125,14 @@
 	need := float64(q.PromptTokens+q.ResponseTokens) * float64(s.LayerCount())
 	fill := (used.TokenLayers + need) / max(capacity, 1)
 	_, cached := q.Cached[s.Address]
-	if (used.Full || fill > maxFill) && !q.Overcommit && !cached {
+	if (used.Full || fill > q.maxFill()) && !q.Overcommit && !cached {
 		return candidate{}, false
 	}
 	c := candidate{server: s}
 	c.prefill, c.decode = q.EstimateTimes(s, used.Requests)
 	// Only servers that hold layer 0 can start a chain; the others need no delay.
 	if s.First == 0 {
-		slotsTaken := s.Slots > 0 && used.Starts >= maxFill*float64(s.Slots) && !q.Overcommit
+		slotsTaken := s.Slots > 0 && used.Starts >= q.maxFill()*float64(s.Slots) && !q.Overcommit
 		c.noStart = slotsTaken || q.NoStart[s.ID]
 		if q.Delay != nil {
 			c.delay = q.Delay(s.ID)
@@ -146,6 +146,10 @@
 	return c, true
 }
 
+// maxFill returns the share of the memory and slots of a server from which the request
+// counts it as full.
+func (q *Query) maxFill() float64 { return maxFill * (1 - q.Headroom) }
+
 // EstimateTimes returns the seconds that a server with the given number of other
 // requests in flight would take to prefill the prompt and to decode the response if it
 // ran all layers.
--- a/parts/router/router.go
+++ b/parts/router/router.go
@@ -83,6 +83,9 @@
 	// Overcommit permits reserving more than the memory of the servers; their engines
 	// queue the requests that do not fit.
 	Overcommit bool
+	// Headroom is the share of the usable memory and slots of each server that the request
+	// leaves free for others. Servers that hold its tokens already are exempt.
+	Headroom float64
 	// Partitioned reports whether servers of one failure domain cannot reach those of
 	// another; nil means that all can.
 	Partitioned func(from, to domain.Name) bool
