queue: admit streams by rank, team and return, with reserves for others

Requests that lack capacity were ordered by priority alone, a full queue refused every newcomer, and the longest wait followed the target of a request's own route, so that the least urgent kind waited longest. entry/queue replaces parts/prio: the order is that of parts/fair, a newcomer that goes before others displaces those that it makes too late, and a request leaves free what parts/share reserves. The longest wait is that of the less urgent routes of the service.

--- /dev/null
+++ b/entry/queue/pace.go
@@ -0,0 +1,76 @@
+package queue
+
+import (
+	"fmt"
+	"time"
+
+	"fuchsiashelf.dev/parts/share"
+)
+
+const (
+	// intervalWeight is the weight of the latest interval in the mean.
+	intervalWeight = 0.1
+	// maxInterval bounds each interval.
+	maxInterval = time.Second
+)
+
+// pace measures the mean interval between two requests that take capacity while others wait.
+// Without waiters it would measure how often requests arrive.
+type pace struct {
+	// interval is the mean, zero if it is unknown. last is when the latest request took capacity,
+	// or when the first one began to wait after that.
+	interval time.Duration
+	last     time.Time
+}
+
+// begin records that a request begins to wait behind the given number of others.
+func (p *pace) begin(waiting int, now time.Time) {
+	if waiting == 0 {
+		p.last = now
+	}
+}
+
+// record records that a request took capacity while the given number waited, itself included.
+func (p *pace) record(waiting int, now time.Time) {
+	if waiting == 0 {
+		return
+	}
+	interval := min(now.Sub(p.last), maxInterval)
+	if p.interval == 0 {
+		p.interval = interval
+	} else {
+		p.interval += time.Duration(intervalWeight * float64(interval-p.interval))
+	}
+	p.last = now
+}
+
+// wait returns the time that it takes until the given number of requests have taken capacity.
+func (p *pace) wait(ahead int) time.Duration { return time.Duration(ahead) * p.interval }
+
+// recentSize is how many of the latest requests are remembered.
+const recentSize = 32
+
+// recent holds the classes of the latest requests that took capacity, for logs.
+type recent struct {
+	classes [recentSize]share.Class
+	// count is the number of requests so far.
+	count uint64
+}
+
+func (r *recent) add(c share.Class) {
+	r.classes[r.count%recentSize] = c
+	r.count++
+}
+
+// since returns the requests, by class, that took capacity after the given number of others.
+func (r *recent) since(count uint64) map[string]int {
+	if r.count-count > recentSize {
+		count = r.count - recentSize
+	}
+	passed := map[string]int{}
+	for ; count < r.count; count++ {
+		c := r.classes[count%recentSize]
+		passed[fmt.Sprintf("%s/%d", c.Team, c.Rank)]++
+	}
+	return passed
+}
--- /dev/null
+++ b/entry/queue/round.go
@@ -0,0 +1,124 @@
+package queue
+
+import (
+	"time"
+
+	"fuchsiashelf.dev/parts/fault"
+)
+
+const (
+	// pollInterval is the interval of rounds: other hosts free capacity as well.
+	pollInterval = 20 * time.Millisecond
+	// minRoundInterval is the shortest interval between two rounds if no request of this host has
+	// ended meanwhile.
+	minRoundInterval = 10 * time.Millisecond
+)
+
+// run runs rounds while requests wait.
+func (l *line) run() {
+	tick := time.NewTicker(pollInterval)
+	defer tick.Stop()
+	for l.goesOn() {
+		select {
+		case <-tick.C:
+		case <-l.wake:
+		}
+		l.round()
+	}
+}
+
+// goesOn reports whether requests wait. The goroutine of the rounds ends otherwise.
+func (l *line) goesOn() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.running = l.queue.Len() > 0
+	return l.running
+}
+
+// roundDue reports whether capacity may have become free since the last round.
+func (l *line) roundDue(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.queue.Len() > 0 && (l.freed || now.Sub(l.lastRound) >= minRoundInterval)
+}
+
+// round looks for capacity on behalf of the first waiters, in their order, until none finds any. It
+// refuses those that have waited for too long.
+func (l *line) round() {
+	l.rounds.Lock()
+	defer l.rounds.Unlock()
+	now := time.Now()
+	l.mu.Lock()
+	l.freed, l.lastRound = false, now
+	l.mu.Unlock()
+	l.refuseOverdue(now)
+	for l.pass() {
+		// Those behind a request that was served have moved up.
+	}
+}
+
+// pass looks on behalf of the first waiters, and reports whether one of them left the line.
+func (l *line) pass() bool {
+	l.mu.Lock()
+	var head []*waiter
+	for _, w := range l.queue.Head(headSize) {
+		head = append(head, l.waiters[w])
+	}
+	l.mu.Unlock()
+	for _, w := range head {
+		if !l.beginLook(w) {
+			continue
+		}
+		found, e := l.look(w)
+		if l.endLook(w, found, e) {
+			return true
+		}
+	}
+	return false
+}
+
+// beginLook reports whether w still waits, and keeps it in the line until endLook.
+func (l *line) beginLook(w *waiter) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, w.looking = l.waiters[&w.Waiter]
+	return w.looking
+}
+
+// endLook ends the wait of w if it found capacity, cannot be served, or its caller has left.
+func (l *line) endLook(w *waiter, found bool, e *fault.Error) (ended bool) {
+	if found {
+		w.result <- result{ticket: l.serve(w, time.Now())}
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	w.looking = false
+	if e == nil && w.left {
+		e = errLeft()
+	}
+	if e == nil {
+		return false
+	}
+	l.remove(w)
+	w.result <- result{err: e}
+	return true
+}
+
+// refuseOverdue refuses the waiters that cannot be served in time any more.
+func (l *line) refuseOverdue(now time.Time) {
+	l.mu.Lock()
+	var overdue []displacement
+	for _, w := range l.waiters {
+		if w.remaining(now) <= pollInterval {
+			overdue = append(overdue, displacement{w, l.queue.Ahead(&w.Waiter)})
+		}
+	}
+	for _, d := range overdue {
+		l.remove(d.waiter)
+	}
+	l.mu.Unlock()
+	for _, d := range overdue {
+		l.refuseWaiter(d.waiter, timeoutReason, d.ahead, now)
+	}
+}
--- a/entry/stream/choose.go
+++ b/entry/stream/choose.go
@@ -7,11 +7,13 @@
 	"time"
 
 	"fuchsiashelf.dev/entry/call"
+	"fuchsiashelf.dev/entry/queue"
 	"fuchsiashelf.dev/parts/fault"
 	"fuchsiashelf.dev/parts/fleet"
 	"fuchsiashelf.dev/parts/pause"
-	"fuchsiashelf.dev/parts/prio"
+	"fuchsiashelf.dev/parts/resv"
 	"fuchsiashelf.dev/parts/router"
+	"fuchsiashelf.dev/parts/share"
 )
 
 // chainQuery returns the query for the chain of a new attempt.
@@ -28,34 +30,56 @@
 }
 
 // chooseChain returns a chain for the next attempt. A request for which there is no
-// capacity now is queued, or refused at once if the queue is full.
+// capacity now is queued, or refused at once if it cannot be served in time.
 func (r *request) chooseChain(ctx context.Context) (router.Chain, *fault.Error) {
 	if r.headerSent {
 		return r.chooseRestartChain(ctx)
 	}
-	if !r.Queue.HasWaiters() {
-		if chain, e := r.findChain(); chain != nil || e != nil {
-			return chain, e
+	r.ticket.End()
+	var chain router.Chain
+	ticket, e := r.Queue.Enter(ctx, r.admission(), func(headroom float64) (bool, *fault.Error) {
+		var e *fault.Error
+		if chain, e = r.findChain(headroom); chain != nil {
+			r.holdLoad(chain)
 		}
+		return chain != nil, e
+	})
+	r.ticket = ticket
+	return chain, e
+}
+
+// admission returns the description of the request for the queue.
+func (r *request) admission() queue.Request {
+	return queue.Request{
+		Class: share.Class{Service: r.job.Service.Name, Team: r.job.Team, Rank: r.job.Priority},
+		Key:   r.key, Return: r.returned, Cost: float64(totalTokens(r.job)),
+		MaxWait: maxQueueWait(r.job), Deadline: r.job.Deadline,
 	}
-	waiter, retryAfter := r.Queue.Enqueue(r.job.Priority, maxQueueWait(r.job.Route))
-	if waiter == nil {
-		return r.findOrRefuse(retryAfter)
+}
+
+// arrive finds out whether the request returns after a refusal.
+func (r *request) arrive() {
+	j := r.job
+	r.key = resv.NewKey(j.Team, j.Method, j.Host, j.Target, j.Body)
+	returned := r.Queue.Book.Arrive(r.key, time.Now())
+	if j.Service.DistinctClasses {
+		r.returned = returned
 	}
-	chain, e := r.waitForCapacity(ctx, waiter)
-	r.Queue.Remove(waiter, chain != nil, time.Now())
-	return chain, e
 }
 
-// findOrRefuse returns a chain if there is capacity that the queued requests cannot
-// use, because they are larger or avoid its servers. Otherwise it refuses the request
-// at once.
-func (r *request) findOrRefuse(retryAfter time.Duration) (router.Chain, *fault.Error) {
-	chain, e := r.findChain()
-	if chain == nil && e == nil {
-		e = overloaded(retryAfter)
+// holdLoad reserves the load of a chain until the attempt reserves it, so that other requests do
+// not choose the same capacity meanwhile.
+func (r *request) holdLoad(chain router.Chain) {
+	r.releaseHeld()
+	r.held = r.Load.Reserve(chain, totalTokens(r.job))
+}
+
+// releaseHeld ends the reservation of holdLoad.
+func (r *request) releaseHeld() {
+	if r.held != nil {
+		r.held()
+		r.held = nil
 	}
-	return chain, e
 }
 
 // chooseRestartChain returns a chain for a response that broke off. It polls until
@@ -64,12 +88,12 @@
 func (r *request) chooseRestartChain(ctx context.Context) (router.Chain, *fault.Error) {
 	deadline := r.lastEventAt.Add(restartSearchWait(r.job.Route))
 	for {
-		chain, e := r.findChain()
+		chain, e := r.findChain(0)
 		if chain != nil {
 			return chain, nil
 		}
 		if e == nil {
-			e = overloaded(0)
+			e = &fault.Error{Code: fault.Overloaded, Verdict: fault.NotRun, Message: "no server has room", RetryAfter: minRetryAfter}
 		}
 		if !time.Now().Add(capacityPollInterval).Before(deadline) {
 			return nil, e
@@ -82,10 +106,11 @@
 	}
 }
 
-// findChain returns a chain with free capacity. It returns neither a chain nor an
-// error if there is none now.
-func (r *request) findChain() (router.Chain, *fault.Error) {
+// findChain returns a chain with free capacity beyond the given share of each server. It
+// returns neither a chain nor an error if there is none now.
+func (r *request) findChain(headroom float64) (router.Chain, *fault.Error) {
 	q := r.chainQuery(r.job)
+	q.Headroom = headroom
 	q.Avoid = r.avoid
 	if chain := r.pickChain(q); chain != nil {
 		return chain, nil
@@ -126,28 +151,6 @@
 	}
 }
 
-// waitForCapacity waits in the queue until there is capacity for the request.
-func (r *request) waitForCapacity(ctx context.Context, waiter *prio.Waiter) (router.Chain, *fault.Error) {
-	deadline := time.Now().Add(min(maxQueueWait(r.job.Route), r.job.Remaining()/2))
-	for time.Now().Add(capacityPollInterval).Before(deadline) {
-		if r.Queue.AtHead(waiter) {
-			if chain, e := r.findChain(); chain != nil || e != nil {
-				return chain, e
-			}
-		}
-		select {
-		case <-ctx.Done():
-			return nil, &fault.Error{Code: fault.Cancelled, Verdict: fault.NotRun, Message: "ended while it waited for room"}
-		case <-time.After(capacityPollInterval):
-		}
-	}
-	return nil, overloaded(0)
-}
-
-func overloaded(retryAfter time.Duration) *fault.Error {
-	return &fault.Error{Code: fault.Overloaded, Verdict: fault.NotRun, Message: "no server has room", RetryAfter: max(retryAfter, minRetryAfter)}
-}
-
 // pausedOrLimited returns the error for a request for which only pauses and rate limits of
 // servers leave no chain. It is nil if there is none for another reason.
 func (r *request) pausedOrLimited(q *router.Query) *fault.Error {
--- a/entry/stream/forwarder.go
+++ b/entry/stream/forwarder.go
@@ -20,12 +20,13 @@
 	"fuchsiashelf.dev/entry/call"
 	"fuchsiashelf.dev/entry/conns"
 	"fuchsiashelf.dev/entry/egress"
+	"fuchsiashelf.dev/entry/queue"
 	"fuchsiashelf.dev/entry/state"
 	"fuchsiashelf.dev/parts/domain"
+	"fuchsiashelf.dev/parts/fair"
 	"fuchsiashelf.dev/parts/fault"
 	"fuchsiashelf.dev/parts/fleet"
 	"fuchsiashelf.dev/parts/limit"
-	"fuchsiashelf.dev/parts/prio"
 	"fuchsiashelf.dev/parts/retry"
 	"fuchsiashelf.dev/parts/router"
 )
@@ -41,8 +42,8 @@
 	maxIdleReuse = 3 * time.Second
 	// readBufferSize is the size of a buffer that holds several events.
 	readBufferSize = 4 << 10
-	// capacityPollInterval is the polling interval of a request that waits for
-	// capacity.
+	// capacityPollInterval is the polling interval of a response that broke off and
+	// waits for capacity.
 	capacityPollInterval = 20 * time.Millisecond
 )
 
@@ -53,7 +54,7 @@
 	State       *state.Local
 	Load        *router.LoadTracker
 	Monitor     *Monitor
-	Queue       *prio.Queue
+	Queue       *queue.Admission
 	Failures    *Failures
 	Limits      *limit.Tracker
 	LocalDomain domain.Name
@@ -84,6 +85,14 @@
 	lastEventAt time.Time
 	// serverError is the last error response of a server.
 	serverError *errorResponse
+	// key identifies what the caller asks for, and returned says whether it has returned
+	// after a refusal.
+	key      uint64
+	returned fair.Return
+	// ticket is the capacity that the request has taken in the queue, and held, if not nil,
+	// ends the reservation of a chain before its attempt.
+	ticket queue.Ticket
+	held   func()
 }
 
 // Serve forwards a request, on several chains in turn if need be, and responds to
@@ -95,6 +104,8 @@
 	defer cancel()
 	r := &request{Forwarder: f, job: job, w: w, avoid: map[string]bool{}, verdict: fault.NotRun, budget: budget}
 	r.events.lastID = job.LastEvent
+	r.arrive()
+	defer r.finish()
 	for {
 		chain, err := r.chooseChain(ctx)
 		if err == nil {
@@ -106,12 +117,21 @@
 		if err == nil {
 			return r.out
 		}
+		if err.Verdict == fault.NotRun && !r.headerSent {
+			r.ticket.Refund()
+		}
 		if !r.shouldRetry(ctx, err) {
 			return r.finishFailed(ctx, err)
 		}
 	}
 }
 
+// finish gives back what the request has taken.
+func (r *request) finish() {
+	r.releaseHeld()
+	r.ticket.End()
+}
+
 // blocked returns the error of a request that has been blocked since it was admitted. It frees the
 // place on the chain that was chosen for the request.
 func (r *request) blocked(chain router.Chain) *fault.Error {
@@ -119,6 +139,7 @@
 		return nil
 	}
 	r.Limits.Return(chain[0].Server.ID)
+	r.releaseHeld()
 	return call.BlockedError(r.Monitor.Crashes, r.job, fault.NotRun)
 }
 
@@ -129,6 +150,7 @@
 	defer cancel(nil)
 	stream := r.Monitor.add(r.job, chain, cancel, r.restartReservation(first))
 	defer r.Monitor.remove(stream)
+	r.releaseHeld()
 	pending := r.Monitor.StartLatency.Track(first.ID, notableWait(r.job.Route), time.Now())
 	defer r.Monitor.StartLatency.Untrack(pending)
 	req := r.Codec.NewRequest(r.job.Request, call.SendOptions{
--- a/entry/stream/reroute_test.go
+++ b/entry/stream/reroute_test.go
@@ -11,7 +11,6 @@
 	"fuchsiashelf.dev/parts/fleet"
 	"fuchsiashelf.dev/parts/limit"
 	"fuchsiashelf.dev/parts/mirror"
-	"fuchsiashelf.dev/parts/prio"
 	"fuchsiashelf.dev/parts/retry"
 	"fuchsiashelf.dev/parts/route"
 	"fuchsiashelf.dev/parts/router"
@@ -121,12 +120,8 @@
 func TestFullQueueDoesNotRefuseUsableCapacity(t *testing.T) {
 	m, servers := newMonitor(&fakeEngines{}, 1)
 	job := m.addStream(servers, "other", 0).job
-	f := &Forwarder{State: m.State, Load: m.Load, Monitor: m, Queue: &prio.Queue{}, Failures: &Failures{}, Limits: &limit.Tracker{}, LocalDomain: "a"}
-	for {
-		if waiter, _ := f.Queue.Enqueue(0, time.Second); waiter == nil {
-			break
-		}
-	}
+	f := &Forwarder{State: m.State, Load: m.Load, Monitor: m, Queue: fullQueue(t), Failures: &Failures{}, Limits: &limit.Tracker{}, LocalDomain: "a"}
+	job.Deadline = time.Now().Add(time.Minute)
 	r := &request{Forwarder: f, job: job}
 	chain, e := r.chooseChain(t.Context())
 	qt.Assert(t, e == nil, qt.IsTrue, qt.Commentf("%v", e))
--- a/entry/stream/timeouts.go
+++ b/entry/stream/timeouts.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"time"
 
+	"fuchsiashelf.dev/entry/call"
 	"fuchsiashelf.dev/parts/route"
 )
 
@@ -20,7 +21,8 @@
 	// are notified at once, as a fraction of the target for the first event.
 	notableWaitFraction = 0.2
 	// queueWaitFraction is the longest wait of a request for capacity, as a fraction
-	// of the target for the first event. The rest is enough to read the prompt.
+	// of the longest target for the first event of the routes of the service that are
+	// as urgent or less. The rest is enough to read the prompt.
 	queueWaitFraction = 0.8
 	// linkWaitFraction bounds the time that the transfers of one entry host are
 	// queued for the link between failure domains, as a fraction of the route's
@@ -61,8 +63,11 @@
 	return fractionOf(r.Target, defaultTarget, silentStartFraction)
 }
 
-func maxQueueWait(r *route.Route) time.Duration {
-	return fractionOf(r.Target, defaultTarget, queueWaitFraction)
+// maxQueueWait returns the longest wait of a request for capacity: a more urgent one is not
+// refused where a less urgent one for the service would wait.
+func maxQueueWait(j *call.Job) time.Duration {
+	target := max(firstEventTarget(j.Route), j.Service.LongestTarget(j.Priority, defaultTarget))
+	return fractionOf(target, defaultTarget, queueWaitFraction)
 }
 
 func maxLinkWait(r *route.Route) time.Duration {
--- a/parts/route/route.go
+++ b/parts/route/route.go
@@ -166,6 +166,39 @@
 			t.byKey[key] = &t.Teams[i]
 		}
 	}
+	t.indexServices()
+}
+
+// indexServices sets what the services need to know of the routes and the teams.
+func (t *Table) indexServices() {
+	ranks := map[string]int{}
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		lowest := t.lowestPriority(r)
+		for _, share := range r.Shares {
+			s, known := t.Services[share.Service]
+			if !known {
+				continue
+			}
+			s.addRoute(r, lowest)
+			rank, routed := ranks[s.Name]
+			s.DistinctClasses = s.DistinctClasses || len(t.Teams) > 0 || routed && rank != lowest
+			ranks[s.Name] = lowest
+			t.Services[share.Service] = s
+		}
+	}
+}
+
+// lowestPriority returns the priority of the least urgent requests of a route.
+func (t *Table) lowestPriority(r *Route) int {
+	if !t.NeedsKey(r) {
+		return r.PriorityFor(nil)
+	}
+	lowest := 0
+	for i := range t.Teams {
+		lowest = max(lowest, r.PriorityFor(&t.Teams[i]))
+	}
+	return lowest
 }
 
 // Match returns the route of the host with the longest prefix of the path, or
--- a/parts/route/service.go
+++ b/parts/route/service.go
@@ -8,6 +8,33 @@
 	// Engine describes the backend servers of a model that is split by layers;
 	// nil for a plain service.
 	Engine *Engine
+	// DistinctClasses says that requests to the service may differ in team or priority.
+	// Table.Index sets it.
+	DistinctClasses bool
+
+	// targets holds, by priority, the longest target of the routes whose requests may be as
+	// urgent or less, and untargeted whether one of these routes has none.
+	targets    [LowestPriority + 1]time.Duration
+	untargeted [LowestPriority + 1]bool
+}
+
+// LongestTarget returns the longest target of the routes to the service whose requests may be
+// as urgent as the given priority or less; zero if there is none. Unset counts for routes
+// without a target.
+func (s *Service) LongestTarget(priority int, unset time.Duration) time.Duration {
+	priority = min(max(priority, 0), LowestPriority)
+	if s.untargeted[priority] {
+		return max(s.targets[priority], unset)
+	}
+	return s.targets[priority]
+}
+
+// addRoute records a route to the service whose requests have at most the given priority.
+func (s *Service) addRoute(r *Route, lowest int) {
+	for priority := range lowest + 1 {
+		s.targets[priority] = max(s.targets[priority], r.Target)
+		s.untargeted[priority] = s.untargeted[priority] || r.Target == 0
+	}
 }
 
 // Engine holds the expected performance and sizes of the engines of a service.
