--- a/entry/queue/line.go
+++ b/entry/queue/line.go
@@ -80,7 +80,7 @@
 		l.mu.Unlock()
 		return false
 	}
-	l.pace.begin(l.queue.Len(), now)
+	l.pace.begin(l.queue.Len())
 	w.result = make(chan result, 1)
 	w.served = l.recent.count
 	w.stopWaiting = l.Shares.Wait(w.request.Class, w.Cost, now)
@@ -108,7 +108,11 @@
 	if remaining <= pollInterval {
 		return false
 	}
-	return ahead < minLength || l.pace.interval > 0 && l.pace.wait(ahead) <= remaining
+	if ahead < minLength {
+		return true
+	}
+	wait := l.pace.wait(ahead, now)
+	return wait > 0 && wait < remaining-pollInterval
 }
 
 // displacement is a waiter that is refused, and the number of those that went before it.
--- /dev/null
+++ b/entry/queue/overload_test.go
@@ -0,0 +1,147 @@
+package queue_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fuchsiashelf.dev/parts/fault"
+)
+
+// simulate runs ten seconds in which requests of one class arrive at one interval and capacity
+// becomes free at another; what nobody takes is lost. It returns how many requests were served,
+// refused at once or timed out, and the longest wait of a served one.
+func simulate(t *testing.T, arrivalInterval, capacityInterval time.Duration) (served, refused, timedOut int, longest time.Duration) {
+	synctest.Test(t, func(t *testing.T) {
+		a, r := newAdmission(), &room{}
+		var all []*entered
+		nextArrival, nextCapacity := time.Now(), time.Now()
+		for end := time.Now().Add(10 * time.Second); time.Now().Before(end); pass(time.Millisecond) {
+			if now := time.Now(); !now.Before(nextArrival) {
+				nextArrival = nextArrival.Add(arrivalInterval)
+				q := request("team", 0)
+				q.MaxWait = time.Second
+				all = append(all, enter(t, a, q, r.find))
+			}
+			if now := time.Now(); !now.Before(nextCapacity) {
+				nextCapacity = nextCapacity.Add(capacityInterval)
+				r.free.Store(1)
+			}
+		}
+		for _, e := range all {
+			switch {
+			case e.served():
+				served++
+				longest = max(longest, e.result.Load().took)
+			case e.done() && e.result.Load().took == 0:
+				refused++
+			case e.done():
+				timedOut++
+			}
+		}
+		leaveAll(all)
+	})
+	return served, refused, timedOut, longest
+}
+
+// Guards against unused capacity, and against long waits that end in a timeout, under overload:
+// after the loss of a failure domain requests arrive one and a half times as fast as capacity
+// becomes free. The excess requests are refused at once.
+func TestOverload(t *testing.T) {
+	served, refused, timedOut, longest := simulate(t, 33*time.Millisecond, 50*time.Millisecond)
+	t.Logf("served %d, refused %d, timed out %d, longest wait %s", served, refused, timedOut, longest)
+	qt.Assert(t, served >= 195, qt.IsTrue)
+	qt.Assert(t, refused >= 70, qt.IsTrue)
+	qt.Assert(t, timedOut <= 5, qt.IsTrue)
+	qt.Assert(t, longest <= time.Second, qt.IsTrue)
+}
+
+// Guards against refusals while requests arrive more slowly than capacity becomes free.
+func TestUnderload(t *testing.T) {
+	_, refused, timedOut, _ := simulate(t, 60*time.Millisecond, 50*time.Millisecond)
+	qt.Assert(t, refused+timedOut, qt.Equals, 0)
+}
+
+// Guards against a long queue that holds requests until they time out while no capacity becomes
+// free at all.
+func TestNoCapacity(t *testing.T) {
+	served, refused, timedOut, _ := simulate(t, 33*time.Millisecond, time.Hour)
+	t.Logf("served %d, refused %d, timed out %d", served, refused, timedOut)
+	qt.Assert(t, timedOut <= 40, qt.IsTrue)
+	qt.Assert(t, refused >= 260, qt.IsTrue)
+}
+
+// Guards against an urgent request that waits behind others, and against a large request at the
+// head that blocks the next ones.
+func TestPriorityOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, large, small := newAdmission(), &room{}, &room{}
+		first := enter(t, a, request("team", 1), large.find)
+		second := enter(t, a, request("team", 1), small.find)
+		urgent := enter(t, a, request("team", 0), small.find)
+		small.free.Store(1)
+		pass(100 * time.Millisecond)
+		qt.Assert(t, urgent.served(), qt.IsTrue)
+		small.free.Store(1)
+		pass(100 * time.Millisecond)
+		qt.Assert(t, second.served(), qt.IsTrue)
+		qt.Assert(t, first.done(), qt.IsFalse)
+		leaveAll([]*entered{first})
+	})
+}
+
+// Guards against capacity that is given to two requests, lost, or never given back while callers
+// come, leave and end at the same time.
+func TestConcurrentCallers(t *testing.T) {
+	a := newAdmission()
+	var mu sync.Mutex
+	const size = 4
+	running, most := 0, 0
+	find := func(float64) (bool, *fault.Error) {
+		mu.Lock()
+		defer mu.Unlock()
+		if running == size {
+			return false, nil
+		}
+		running++
+		most = max(most, running)
+		return true, nil
+	}
+	var callers sync.WaitGroup
+	for i := range 40 {
+		callers.Go(func() {
+			for n := range 30 {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Duration(1+(i*7+n*3)%20)*time.Millisecond)
+				ticket, e := a.Enter(ctx, request([]string{"x", "y", "z"}[i%3], n%3), find)
+				if e == nil {
+					time.Sleep(time.Millisecond)
+					mu.Lock()
+					running--
+					mu.Unlock()
+					ticket.End()
+				}
+				cancel()
+			}
+		})
+	}
+	callers.Wait()
+	qt.Check(t, running, qt.Equals, 0)
+	qt.Check(t, most, qt.Equals, size)
+	qt.Check(t, a.Stats().Waiting, qt.Equals, 0)
+}
+
+// BenchmarkEnter measures the decision on a request for which there is capacity.
+func BenchmarkEnter(b *testing.B) {
+	a := newAdmission()
+	r := request("team", 1)
+	find := func(float64) (bool, *fault.Error) { return true, nil }
+	b.ReportAllocs()
+	for b.Loop() {
+		ticket, _ := a.Enter(b.Context(), r, find)
+		ticket.End()
+	}
+}
--- a/entry/queue/pace.go
+++ b/entry/queue/pace.go
@@ -18,15 +18,15 @@
 // Without waiters it would measure how often requests arrive.
 type pace struct {
 	// interval is the mean, zero if it is unknown. last is when the latest request took capacity,
-	// or when the first one began to wait after that.
+	// zero if none has since requests wait.
 	interval time.Duration
 	last     time.Time
 }
 
 // begin records that a request begins to wait behind the given number of others.
-func (p *pace) begin(waiting int, now time.Time) {
+func (p *pace) begin(waiting int) {
 	if waiting == 0 {
-		p.last = now
+		p.last = time.Time{}
 	}
 }
 
@@ -35,17 +35,25 @@
 	if waiting == 0 {
 		return
 	}
-	interval := min(now.Sub(p.last), maxInterval)
-	if p.interval == 0 {
-		p.interval = interval
-	} else {
+	if !p.last.IsZero() {
+		interval := min(now.Sub(p.last), maxInterval)
+		if p.interval == 0 {
+			p.interval = interval
+		}
 		p.interval += time.Duration(intervalWeight * float64(interval-p.interval))
 	}
 	p.last = now
 }
 
-// wait returns the time that it takes until the given number of requests have taken capacity.
-func (p *pace) wait(ahead int) time.Duration { return time.Duration(ahead) * p.interval }
+// wait returns the expected time until a request behind the given number of others takes capacity;
+// zero if it is unknown. The interval that is not over yet counts once it is longer than the mean.
+func (p *pace) wait(ahead int, now time.Time) time.Duration {
+	mean := p.interval
+	if mean > 0 && !p.last.IsZero() {
+		mean += max(0, time.Duration(intervalWeight*float64(now.Sub(p.last)-mean)))
+	}
+	return time.Duration(ahead+1) * mean
+}
 
 // recentSize is how many of the latest requests are remembered.
 const recentSize = 32
