--- a/entry/queue/line.go
+++ b/entry/queue/line.go
@@ -111,8 +111,9 @@
 	if ahead < minLength {
 		return true
 	}
+	// The capacity is found at the next interval, and the wait ends at the one before its deadline.
 	wait := l.pace.wait(ahead, now)
-	return wait > 0 && wait < remaining-pollInterval
+	return wait > 0 && wait < remaining-2*pollInterval
 }
 
 // displacement is a waiter that is refused, and the number of those that went before it.
--- a/entry/queue/pace.go
+++ b/entry/queue/pace.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// intervalWeight is the weight of the latest interval in the mean.
+	// intervalWeight is the weight of the latest interval in the mean of many.
 	intervalWeight = 0.1
 	// maxInterval bounds each interval.
 	maxInterval = time.Second
@@ -21,6 +21,8 @@
 	// zero if none has since requests wait.
 	interval time.Duration
 	last     time.Time
+	// count is the number of intervals so far.
+	count float64
 }
 
 // begin records that a request begins to wait behind the given number of others.
@@ -36,11 +38,10 @@
 		return
 	}
 	if !p.last.IsZero() {
+		p.count++
+		weight := max(intervalWeight, 1/p.count)
 		interval := min(now.Sub(p.last), maxInterval)
-		if p.interval == 0 {
-			p.interval = interval
-		}
-		p.interval += time.Duration(intervalWeight * float64(interval-p.interval))
+		p.interval += time.Duration(weight * float64(interval-p.interval))
 	}
 	p.last = now
 }
--- a/entry/queue/round.go
+++ b/entry/queue/round.go
@@ -51,10 +51,10 @@
 	l.mu.Lock()
 	l.freed, l.lastRound = false, now
 	l.mu.Unlock()
-	l.refuseOverdue(now)
 	for l.pass() {
 		// Those behind a request that was served have moved up.
 	}
+	l.refuseOverdue(now)
 }
 
 // pass looks on behalf of the first waiters, and reports whether one of them left the line.
