--- a/parts/route/route_test.go
+++ b/parts/route/route_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -68,3 +69,36 @@
 		qt.Check(t, test.route.PriorityFor(test.team), qt.Equals, test.want, qt.Commentf("%+v", test))
 	}
 }
+
+// Guards against waits by rank that leave out routes whose requests are less urgent because of the
+// priority of their team, and against new ones for services with one route.
+func TestLongestTargetByPriority(t *testing.T) {
+	shares := []route.Share{{Service: "assist", Weight: 1}}
+	routes := []route.Route{
+		{Name: "urgent", Priority: 0, Target: time.Second, Shares: shares},
+		{Name: "calm", Priority: 2, Target: 4 * time.Second, Shares: shares},
+		{Name: "open", Priority: 1, Shares: shares, Public: true},
+	}
+	const unset = 2 * time.Second
+	for _, test := range []struct {
+		name     string
+		routes   []route.Route
+		teams    []route.Team
+		want     []time.Duration
+		distinct bool
+	}{
+		{"ranks", routes, nil, []time.Duration{4 * time.Second, 4 * time.Second, 4 * time.Second, 0}, true},
+		{"one route", routes[:1], nil, []time.Duration{time.Second, 0, 0, 0}, false},
+		{"no target", routes[2:], nil, []time.Duration{unset, unset, 0, 0}, false},
+		{"team without a priority", routes[:1], []route.Team{{Priority: route.RoutePriority}}, []time.Duration{time.Second, 0, 0, 0}, true},
+		{"less urgent team", routes[:1], []route.Team{{Priority: 2}, {Priority: 1}}, []time.Duration{time.Second, time.Second, time.Second, 0}, true},
+	} {
+		table := &route.Table{Routes: test.routes, Teams: test.teams, Services: map[string]route.Service{"assist": {Name: "assist"}}}
+		table.Index()
+		service := table.Services["assist"]
+		for priority, want := range test.want {
+			qt.Check(t, service.LongestTarget(priority, unset), qt.Equals, want, qt.Commentf("%s, %d", test.name, priority))
+		}
+		qt.Check(t, service.DistinctClasses, qt.Equals, test.distinct, qt.Commentf(test.name))
+	}
+}
