share: reserve capacity for preceding classes; gossip: exchange demand

A team or rank with a large demand took all capacity, at its own entry host and at others.

share.Tracker counts the demand of classes at this host, sums up what others report, and computes ten times a second what a request of each class leaves free of each server. gossip.Message carries the demand in the field Demand.

--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -1,7 +1,7 @@
 // Package gossip exchanges state between entry hosts: objects of the object API that
 // other hosts lack, suspected, slow and saturated servers, assignments, the load that
-// each host puts on the servers, crashes of servers with their possible causes, and the list
-// of entry hosts.
+// each host puts on the servers, the demand for contended services, crashes of servers
+// with their possible causes, and the list of entry hosts.
 //
 // Each entry host exchanges messages with a few others several times a second, and at
 // once when something changes. There is no consensus protocol: every fact carries a
@@ -25,6 +25,7 @@
 	"fuchsiashelf.dev/parts/poison"
 	"fuchsiashelf.dev/parts/reach"
 	"fuchsiashelf.dev/parts/router"
+	"fuchsiashelf.dev/parts/share"
 	"fuchsiashelf.dev/parts/stall"
 )
 
@@ -73,7 +74,9 @@
 	StartLatency *router.StartLatency
 	Crashes      *poison.Detector
 	Limits       *limit.Tracker
-	Log          *slog.Logger
+	// Shares tracks the demand of classes of requests; nil means none.
+	Shares *share.Tracker
+	Log    *slog.Logger
 	// Clock distinguishes the silence of other hosts from stalls of this process; nil assumes none.
 	Clock *stall.Clock
 	// Suspects returns the suspected servers; OnSuspect handles those of other hosts.
--- a/entry/gossip/member.go
+++ b/entry/gossip/member.go
@@ -48,9 +48,17 @@
 		delete(p.clients, address)
 	}
 	p.Load.SetRemote(name, nil)
+	p.forgetDemand(name)
 	p.Log.Info("peers: removed", "peer", name, "address", address)
 }
 
+// forgetDemand drops what is known of the demand at an entry host.
+func (p *Peer) forgetDemand(name string) {
+	if p.Shares != nil {
+		p.Shares.Forget(name)
+	}
+}
+
 // Members returns the other known entry hosts, ordered by name.
 func (p *Peer) Members() []Member {
 	now := time.Now()
@@ -110,6 +118,16 @@
 	return slices.DeleteFunc(p.listened(), func(m Member) bool { return m.Age > aliveFor || m.Leaving })
 }
 
+// AliveByDomain returns the number of entry hosts alive by failure domain, including this
+// one.
+func (p *Peer) AliveByDomain() map[domain.Name]int {
+	alive := map[domain.Name]int{p.Self.Domain: 1}
+	for _, m := range p.Alive() {
+		alive[m.Domain]++
+	}
+	return alive
+}
+
 // Senders returns the names of the other entry hosts that may send requests to servers.
 // A host that sends no messages counts until it is removed: it may be cut off from this
 // one only. complete says that no others exist.
@@ -155,6 +173,10 @@
 	}
 	if m.Leaving && !known.Leaving {
 		p.Load.SetRemote(m.Name, nil)
+		p.forgetDemand(m.Name)
+	}
+	if m.Boot > known.Boot {
+		p.forgetDemand(m.Name)
 	}
 	known.Member = m
 	known.lastHeard, known.heardAt = lastHeard, heardAt
--- a/entry/gossip/message.go
+++ b/entry/gossip/message.go
@@ -9,6 +9,7 @@
 	"fuchsiashelf.dev/parts/poison"
 	"fuchsiashelf.dev/parts/reach"
 	"fuchsiashelf.dev/parts/router"
+	"fuchsiashelf.dev/parts/share"
 )
 
 // Suspect is a server that is suspected to have failed, and avoided for a while.
@@ -70,6 +71,8 @@
 	Orders   []Assignment
 	// Limits holds what the sender knows of the rate limits of servers, by server.
 	Limits map[string]limit.Report
+	// Demand is the demand for contended services at the sender. Older versions send none.
+	Demand []share.Row
 	// Evidence holds what the sender knows of crashes of servers that the receiver may lack.
 	Evidence poison.Evidence
 	// Departures holds the servers that get no new requests although their entries, or
@@ -107,6 +110,9 @@
 		Suspects: p.Suspects(), Slows: p.SlowServers(), Orders: p.Assignments(), Evidence: p.Crashes.Evidence(time.Now()),
 		Limits: p.Limits.Reports(time.Now()), Departures: p.Departures(),
 	}
+	if p.Shares != nil {
+		m.Demand = p.Shares.Rows(time.Now())
+	}
 	var config []byte
 	m.ConfigVersion, config = p.Config()
 	if to != nil && to.ConfigVersion < m.ConfigVersion {
@@ -202,6 +208,9 @@
 	if m.From.Name != p.Self.Name {
 		p.Load.SetRemote(m.From.Name, m.Load)
 	}
+	if p.Shares != nil && !m.From.Leaving {
+		p.Shares.Merge(m.From.Name, m.From.Domain, m.Demand, time.Now())
+	}
 	if m.From.Reach != reach.Isolated {
 		// What a host that is cut off from the servers finds says nothing of them.
 		p.mergeFindings(m)
--- /dev/null
+++ b/parts/share/rows_test.go
@@ -0,0 +1,112 @@
+package share_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fuchsiashelf.dev/parts/domain"
+	"fuchsiashelf.dev/parts/share"
+)
+
+// Guards against messages that grow with the number of teams, and against demand that is
+// lost from them.
+func TestRowsAreBounded(t *testing.T) {
+	tr, now := newTracker(0, map[domain.Name]int{"a": 1}), time.Unix(1000, 0)
+	total := 0.0
+	for i := range 400 {
+		work := float64(10 + i)
+		total += work
+		tr.Begin(share.Class{Service: "s", Team: fmt.Sprint(i), Rank: i % 3}, work, now)
+	}
+	qt.Check(t, tr.Rows(now), qt.HasLen, 0)
+	tr.Wait(share.Class{Service: "s", Team: "0"}, 10, now)
+	rows := tr.Rows(now)
+	qt.Assert(t, rows, qt.HasLen, 64)
+	rest := map[int]bool{}
+	for _, r := range rows {
+		total -= r.Running
+		if r.Team == "" {
+			rest[r.Rank] = true
+		} else {
+			qt.Check(t, r.Running >= 10+400-64, qt.IsTrue, qt.Commentf("%v", r))
+		}
+	}
+	qt.Check(t, rest, qt.DeepEquals, map[int]bool{0: true, 1: true, 2: true})
+	qt.Check(t, total, qt.Equals, 0.0)
+}
+
+// Guards against messages with amounts that are none, ranks out of range and too many rows.
+func TestInvalidRows(t *testing.T) {
+	tr, now := newTracker(0, map[domain.Name]int{"a": 2}), time.Unix(1000, 0)
+	zero := 0.0
+	rows := []share.Row{{Service: "s", Team: "x", Rank: 77, Running: -1, Waiting: 1 / zero, Refused: zero / zero, Served: 5}}
+	for i := range 200 {
+		rows = append(rows, share.Row{Service: "s", Team: fmt.Sprint(i), Rank: -1, Running: 1, Waiting: 1})
+	}
+	tr.Merge("1", "a", rows, now)
+	tr.Sweep(now)
+	classes := 0
+	tr.Sweep(now.Add(time.Second))
+	tr.TakeRemote("s", func(c share.Class, work float64) {
+		classes++
+		qt.Check(t, c, qt.Equals, share.Class{Service: "s", Team: "x", Rank: 9})
+		qt.Check(t, work > 5 && work < 6, qt.IsTrue, qt.Commentf("%f", work))
+	})
+	qt.Check(t, classes, qt.Equals, 1)
+	tr.TakeRemote("s", func(share.Class, float64) { t.Error("taken twice") })
+	qt.Check(t, tr.Headroom(share.Class{Service: "s", Team: "x", Rank: 9}), qt.Equals, tr.Headroom(share.Class{Service: "s", Team: "x", Rank: -1}))
+	qt.Check(t, tr.Stats(now), qt.HasLen, 16)
+}
+
+// crowded returns a tracker with the demand of 400 teams and 10 ranks at 300 hosts.
+func crowded(now time.Time) *share.Tracker {
+	tr := newTracker(0, map[domain.Name]int{"a": 300})
+	class := func(i int) share.Class {
+		return share.Class{Service: "s", Team: fmt.Sprint("team-", i/10), Rank: i % 10}
+	}
+	for i := range 4000 {
+		tr.Begin(class(i), 50, now)
+		tr.Refuse(class(i), 50, now)
+	}
+	for host := range 300 {
+		var rows []share.Row
+		for i := range 64 {
+			c := class((host*64 + i) % 4000)
+			rows = append(rows, share.Row{Service: "s", Team: c.Team, Rank: c.Rank, Running: float64(100 + i), Waiting: 50, Served: 100})
+		}
+		tr.Merge(fmt.Sprint(host+1), "a", rows, now)
+	}
+	tr.Sweep(now)
+	return tr
+}
+
+func BenchmarkHeadroom(b *testing.B) {
+	tr := crowded(time.Unix(1000, 0))
+	c := share.Class{Service: "s", Team: "team-77", Rank: 4}
+	b.ReportAllocs()
+	for b.Loop() {
+		tr.Headroom(c)
+	}
+}
+
+func BenchmarkSweep(b *testing.B) {
+	now := time.Unix(1000, 0)
+	tr := crowded(now)
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Millisecond / 100)
+		tr.Sweep(now)
+	}
+}
+
+func BenchmarkRows(b *testing.B) {
+	now := time.Unix(1000, 0)
+	tr := crowded(now)
+	b.ReportAllocs()
+	for b.Loop() {
+		tr.Rows(now)
+	}
+}
--- a/parts/share/share.go
+++ b/parts/share/share.go
@@ -1,32 +1,67 @@
-// Package share computes the capacity that a request leaves free for classes of requests
-// that precede it, over all entry hosts.
+// Package share computes how much capacity a request leaves free for others, so that entry
+// hosts that share backend servers serve urgent requests first and teams alike, without
+// asking each other.
+//
+// A [Class] holds the requests of one team and rank for one service. Its demand is the work
+// that runs plus the work that finds no capacity, which waits or was refused. Each entry
+// host counts its own demand with a [Tracker] and tells it to others in [Row]s. What it
+// hears from some hosts of a failure domain stands for all hosts alive there.
+//
+// A service is contended while requests wait or are refused. Only then a class leaves free
+// a share of the capacity of each server, its headroom: what the classes that precede it
+// still lack, and what their demand varies by. More urgent ranks precede. Within a rank,
+// the work that runs is divided by max-min fairness, and classes that run less than their
+// share precede those that run more. A rank that gets less than a minimum of what is served
+// leaves nothing free.
+//
+// An entry host without news from others decides by its own demand: reserves that are too
+// small or too large cost some precedence or idle capacity, nothing else.
 package share
 
-import (
-	"log/slog"
-	"time"
-
-	"fuchsiashelf.dev/parts/domain"
+import "time"
+
+const (
+	// Ranks is the number of ranks. Rank 0 is the most urgent; one out of range counts as
+	// the last.
+	Ranks = 10
+	// maxHeadroom bounds the headroom: a demand that was estimated too high must not idle
+	// more than half of the servers.
+	maxHeadroom = 0.5
+	// minShare is the share of what is served below which a rank leaves nothing free.
+	minShare = 1.0 / 16
+	// deviations is how many standard deviations of the demand that precedes are kept
+	// free.
+	deviations = 2
+	// contendedFor is how long a service counts as contended after a request waited or
+	// was refused.
+	contendedFor = 2 * time.Second
+	// maxAge is the age from which the demand of another host no longer counts. Of 143
+	// hosts, an entry host hears from some fifteen in that time.
+	maxAge = 3 * time.Second
+	// maxRows bounds the rows of a message.
+	maxRows = 64
+	// maxStats bounds the classes in metrics.
+	maxStats = 16
+	// idleFor is how long a class is kept without requests.
+	idleFor = 10 * time.Second
 )
 
 // Class is a group of requests that compete as one: those of one team and rank for one
 // service.
 type Class struct {
 	Service, Team string
-	// Rank is the priority; 0 is the most urgent.
-	Rank int
+	Rank          int
 }
 
-// Usage is the demand of one class at one host, in work: tokens of prompt and answer, or 1
-// for a call.
+// Usage is the demand of a class, in work: tokens of prompt and answer, or 1 for a call.
 type Usage struct {
 	Running, Waiting float64
 	// Refused is the work refused per second for lack of capacity.
 	Refused float64
 }
 
-// Row is the usage of a class in a message. The names of its fields are part of the
-// encoding.
+// Row is the demand of a class at one entry host in a message. The names of its fields are
+// part of the encoding.
 type Row struct {
 	Service, Team    string
 	Rank             int
@@ -35,58 +70,19 @@
 	Refused, Served float64
 }
 
-// Stat describes a class, for metrics.
+// Stat describes the demand of a class at all entry hosts, for metrics.
 type Stat struct {
 	Class
-	// Running, Waiting, Refused and Served are those of all hosts, as in Row.
-	Running, Waiting, Refused, Served float64
-	// Headroom is what Tracker.Headroom returns.
+	Usage
+	// Served is the work begun per second.
+	Served   float64
 	Headroom float64
 }
 
-// Tracker tracks the demand of classes at this entry host and at others. Set the exported
-// fields before use. It is safe for concurrent use.
-type Tracker struct {
-	// Self is the name of this entry host, and Domain its failure domain.
-	Self   string
-	Domain domain.Name
-	// Alive returns the number of entry hosts alive by failure domain, including this one.
-	Alive func() map[domain.Name]int
-	Log   *slog.Logger
+// normal returns the class with a rank out of range replaced by the last.
+func (c Class) normal() Class {
+	if c.Rank < 0 || c.Rank >= Ranks {
+		c.Rank = Ranks - 1
+	}
+	return c
 }
-
-// Begin records that a request takes capacity until end is called.
-func (t *Tracker) Begin(c Class, work float64, now time.Time) (end func()) { return func() {} }
-
-// Wait records that a request waits for capacity until stop is called.
-func (t *Tracker) Wait(c Class, work float64, now time.Time) (stop func()) { return func() {} }
-
-// Refuse records that a request was refused for lack of capacity.
-func (t *Tracker) Refuse(c Class, work float64, now time.Time) {}
-
-// Rows returns the rows for the next message: the largest classes, and the rest added up
-// by service and rank under team "".
-func (t *Tracker) Rows(now time.Time) []Row { return nil }
-
-// Merge replaces what is known of another entry host with the rows of its message.
-func (t *Tracker) Merge(host string, d domain.Name, rows []Row, now time.Time) {}
-
-// Forget drops what is known of another entry host.
-func (t *Tracker) Forget(host string) {}
-
-// Sweep recomputes the headrooms. Call it every 100 ms.
-func (t *Tracker) Sweep(now time.Time) {}
-
-// Headroom returns the share of the capacity of each server that a request of a class
-// leaves free.
-func (t *Tracker) Headroom(c Class) float64 { return 0 }
-
-// Contended reports whether a request for the service waits, or was refused lately, here or
-// at a host that has reported it.
-func (t *Tracker) Contended(service string) bool { return false }
-
-// TakeRemote yields the work that other hosts have begun for a service since the last call.
-func (t *Tracker) TakeRemote(service string, yield func(c Class, work float64)) {}
-
-// Stats returns the classes with the highest demand, at most 16.
-func (t *Tracker) Stats(now time.Time) []Stat { return nil }
