fair: order waiting requests by rank, share and return

Flows with waiters are sorted by their first one, so that a decision touches the flows ahead of a request only.

Two ways to bound the work of other hosts were compared. If the tag is cut at MaxDebt, two teams that both exceed it look alike (of 50 requests of a team with 30 a round elsewhere, beside one with 100, MaxDebt 20, 27 are served in time); if the virtual time follows instead, all 50 are. The second is in.

--- /dev/null
+++ b/parts/fair/export_test.go
@@ -0,0 +1,10 @@
+package fair
+
+// Teams returns how many teams the queue has state of, over all ranks.
+func (q *Queue) Teams() int {
+	n := 0
+	for _, l := range q.levels {
+		n += len(l.flows)
+	}
+	return n
+}
--- a/parts/fair/fair.go
+++ b/parts/fair/fair.go
@@ -1,151 +1,120 @@
-// Package fair orders requests that wait for capacity: by rank, then by
-// weighted fair queueing among teams, then by arrival.
+// Package fair decides in which order waiting requests take capacity.
 //
-// It is a pure state machine.
+// A request belongs to a team and has a rank, of which 0 is the most urgent.
+// More urgent ranks go first. So that none starves, a rank is due once requests
+// of more urgent ranks with a multiple of the cost of its first waiter were
+// served while it waited. Its first waiter then goes before all other ranks,
+// until one request of the rank is served.
+//
+// Within a rank, teams share capacity by start-time fair queueing. Each team has
+// a start tag, the work that it was served for each unit of its weight, and the
+// rank has a virtual time, the highest start tag that was served. A team whose
+// start tag is below the virtual time has used less than its share: it has
+// credit, which is bounded by MaxCredit, so that a team that was idle for long
+// does not shut out the others. One above it has debt; only work at other hosts
+// adds debt beyond the last request, and it is bounded by MaxDebt. The order is:
+//
+//  1. requests of teams with credit, then the others;
+//  2. requests that returned on time after a refusal, then new ones, then those
+//     that returned early;
+//  3. by start tag: each waiter has that of its team plus the work of the
+//     team's waiters before it;
+//  4. by arrival.
+//
+// The bounds are applied to a team when it begins to wait and when it is
+// charged. Queries answer for the present state: whoever is served or arrives
+// later changes the order.
+//
+// The state of a team without waiters is dropped once its start tag is at the
+// lower bound, where that of an unknown team is. The package is a pure state
+// machine: the same calls give the same order.
 package fair
 
-import (
-	"slices"
-	"time"
-)
-
-// Return says whether a request returned after a refusal.
-type Return uint8
-
-const (
-	// OnTime is a request that was refused and returned as told.
-	OnTime Return = iota + 1
-	// Early is a request that was refused and returned before it was told to.
-	Early
-	// New is a request that was not refused before.
-	New Return = 0
-)
-
-// Waiter is a request. Set the exported fields before Push.
-type Waiter struct {
-	// Team is the team that sends the request.
-	Team string
-	// Rank is the urgency of the request; 0 is the most urgent.
-	Rank int
-	// Weight is the weight of the team; at least 1.
-	Weight float64
-	// Cost is the work of the request; at least 1.
-	Cost float64
-	// Return says whether the request returned after a refusal.
-	Return Return
-	// Arrived is when the request arrived.
-	Arrived time.Time
-}
-
-// Queue orders requests that wait for capacity. It is not safe for concurrent
-// use.
+// Queue orders requests that wait for capacity. Set the exported fields before
+// first use. It is not safe for concurrent use.
 type Queue struct {
-	// MaxCredit and MaxDebt bound how far the tags of a team may be behind and
-	// ahead of the virtual time, in work per unit of weight.
+	// MaxCredit and MaxDebt bound how far the start tag of a team may be behind
+	// and ahead of the virtual time, in work per unit of weight.
 	MaxCredit, MaxDebt float64
 
-	waiters     []*Waiter
-	tags        map[class]float64
-	virtualTime float64
+	// levels holds the state of each rank that was used, by rank.
+	levels []*level
+	// pushed counts calls of Push, to order requests that arrived at once.
+	pushed uint64
+	// head is the buffer of Head.
+	head []*Waiter
 }
 
-// class is a team and rank.
-type class struct {
-	team string
-	rank int
+// Push adds a waiter. It does nothing if w waits already.
+func (q *Queue) Push(w *Waiter) {
+	if w.flow != nil {
+		return
+	}
+	q.pushed++
+	w.sequence = q.pushed
+	q.level(w.Rank).push(w)
 }
 
-// Push adds a waiter.
-func (q *Queue) Push(w *Waiter) { q.waiters = append(q.waiters, w) }
-
 // Remove removes a waiter that was not served, and reports whether it waited.
+// Its team is not charged.
 func (q *Queue) Remove(w *Waiter) bool {
-	i := slices.Index(q.waiters, w)
-	if i >= 0 {
-		q.waiters = slices.Delete(q.waiters, i, i+1)
+	if w.flow == nil {
+		return false
 	}
-	return i >= 0
+	q.level(w.Rank).remove(w)
+	return true
 }
 
-// Serve records that w, waiting or not, takes capacity now.
+// Serve records that w, waiting or not, takes capacity now: it charges the team
+// and advances the virtual time.
 func (q *Queue) Serve(w *Waiter) {
-	q.Remove(w)
-	q.virtualTime = max(q.virtualTime, q.tag(w.Team, w.Rank))
-	q.add(w.Team, w.Rank, w.Cost/max(w.Weight, 1))
-}
-
-// Charge records work that other hosts served.
-func (q *Queue) Charge(team string, rank int, weight, work float64) {
-	q.add(team, rank, min(work/max(weight, 1), q.MaxDebt))
-}
-
-// Refund records that w was served but not sent.
-func (q *Queue) Refund(w *Waiter) { q.add(w.Team, w.Rank, -w.Cost/max(w.Weight, 1)) }
-
-// add adds work to the tag of a team.
-func (q *Queue) add(team string, rank int, work float64) {
-	if q.tags == nil {
-		q.tags = map[class]float64{}
+	q.level(w.Rank).serve(w)
+	w.served = true
+	for _, l := range q.levels {
+		switch {
+		case l.waiting == 0:
+		case l.rank == w.Rank:
+			l.turns.use(w.cost(), l.first().cost())
+		case l.rank > w.Rank:
+			l.turns.pass(w.cost(), l.first().cost())
+		}
 	}
-	q.tags[class{team, rank}] = q.tag(team, rank) + work
 }
 
-// tag returns the start tag of the next request of a team.
-func (q *Queue) tag(team string, rank int) float64 {
-	tag, found := q.tags[class{team, rank}]
-	if !found {
-		return q.virtualTime - q.MaxCredit
+// Refund takes back the charge of a request that was served but not sent. It
+// does nothing if w was not served.
+func (q *Queue) Refund(w *Waiter) {
+	if !w.served {
+		return
 	}
-	return max(tag, q.virtualTime-q.MaxCredit)
+	w.served = false
+	q.level(w.Rank).charge(w.Team, -w.work())
 }
 
-// Ahead returns how many waiters would be served before w, which waits or not.
-func (q *Queue) Ahead(w *Waiter) int {
-	n := 0
-	for _, other := range q.waiters {
-		if other != w && q.Before(other, w) {
-			n++
-		}
+// Charge records work of a team that other hosts served. The virtual time
+// follows at MaxDebt behind the start tag, so that among several teams with
+// high usage elsewhere those with less of it still go first. A single call
+// charges at most MaxCredit plus MaxDebt, the greatest distance of two tags.
+func (q *Queue) Charge(team string, rank int, weight, work float64) {
+	if work > 0 {
+		q.level(rank).charge(team, min(work/atLeastOne(weight), q.MaxCredit+q.MaxDebt))
 	}
-	return n
-}
-
-// Head returns the next n waiters in order. The slice is valid until the next
-// call.
-func (q *Queue) Head(n int) []*Waiter {
-	slices.SortStableFunc(q.waiters, func(a, b *Waiter) int {
-		switch {
-		case q.Before(a, b):
-			return -1
-		case q.Before(b, a):
-			return 1
-		}
-		return 0
-	})
-	return slices.Clone(q.waiters[:min(n, len(q.waiters))])
 }
 
-// Last returns the waiter that would be served last, or nil if none waits.
-func (q *Queue) Last() *Waiter {
-	if len(q.waiters) == 0 {
-		return nil
+// HasCredit reports whether a team has used less than its share in a rank.
+func (q *Queue) HasCredit(team string, rank int) bool {
+	l := q.find(rank)
+	if l == nil {
+		return q.MaxCredit > 0
 	}
-	return q.Head(len(q.waiters))[len(q.waiters)-1]
+	return l.tag(l.flows[team]) < l.virtualTime
 }
 
-// Before reports whether a is served before b.
-func (q *Queue) Before(a, b *Waiter) bool {
-	if a.Rank != b.Rank {
-		return a.Rank < b.Rank
-	}
-	if x, y := q.tag(a.Team, a.Rank), q.tag(b.Team, b.Rank); x != y {
-		return x < y
+// Len returns the number of waiters.
+func (q *Queue) Len() int {
+	n := 0
+	for _, l := range q.levels {
+		n += l.waiting
 	}
-	return a.Arrived.Before(b.Arrived)
+	return n
 }
-
-// HasCredit reports whether a team has used less than its share in a rank.
-func (q *Queue) HasCredit(team string, rank int) bool { return q.tag(team, rank) < q.virtualTime }
-
-// Len returns the number of waiters.
-func (q *Queue) Len() int { return len(q.waiters) }
