share: log settled reserves, and split the decision

The first line of a contention had no reserves yet, and reserves for a more urgent rank were logged without what its demand varies by. The line comes a second after contention began, with both.

--- a/parts/share/decide.go
+++ b/parts/share/decide.go
@@ -17,7 +17,7 @@
 	// ranks holds the headroom of a class without usage, by rank.
 	ranks [Ranks]float64
 	// classes holds the headrooms of the classes, in the order of the demands, and
-	// reserved the work that others leave free for each.
+	// reserved about how much work others leave free for each.
 	classes, reserved []float64
 }
 
@@ -27,38 +27,53 @@
 // decide computes the headrooms for the classes of a contended service.
 func decide(list []demand) headrooms {
 	out := headrooms{classes: make([]float64, len(list)), reserved: make([]float64, len(list))}
-	var all totals
-	var byRank [Ranks][]int
-	for i, d := range list {
-		all.running += d.Running
-		all.served += d.served
-		byRank[d.rank] = append(byRank[d.rank], i)
-	}
-	// unmet, variance and wanted are sums over the more urgent ranks.
-	var unmet, variance, wanted float64
+	all, byRank, last := split(list)
+	var urgent preceding
 	for rank, members := range byRank {
 		g := newGroup(list, members, all)
-		ahead := unmet + deviations*math.Sqrt(variance)
-		g.divide(max(g.running, all.running-wanted))
-		if wanted > 0 && g.served < minShare*all.served {
+		g.divide(max(g.running, all.running-urgent.wanted))
+		reserve, missing := urgent.reserve(), g.missing
+		if urgent.wanted > 0 && g.served < minShare*all.served {
 			// Until it has its minimum share again, the rank leaves nothing free.
-			ahead, g.missing = 0, 0
+			reserve, missing = 0, 0
 		}
-		out.ranks[rank] = headroom(ahead, all.running)
+		out.ranks[rank] = headroom(reserve, all.running)
 		for n, i := range members {
 			out.classes[i] = out.ranks[rank]
-			out.reserved[i] = max(0, g.shares[n]-list[i].Running)
-			if list[i].Running > g.shares[n] {
-				out.classes[i] = headroom(ahead+g.missing, all.running)
+			if g.runs[n] > g.shares[n] {
+				out.classes[i] = headroom(reserve+missing, all.running)
 			}
+			out.reserved[i] = g.reserved(n, rank < last)
 		}
-		unmet += g.unmet
-		variance += g.variance
-		wanted += g.running + g.unmet
+		urgent.add(g)
 	}
 	return out
 }
 
+// split returns the totals, the indices of the classes by rank, and the least urgent rank
+// that has classes.
+func split(list []demand) (all totals, byRank [Ranks][]int, last int) {
+	for i, d := range list {
+		all.running += d.Running
+		all.served += d.served
+		byRank[d.rank] = append(byRank[d.rank], i)
+		last = max(last, d.rank)
+	}
+	return all, byRank, last
+}
+
+// preceding is the sum of the ranks that are more urgent than one.
+type preceding struct{ unmet, variance, wanted float64 }
+
+func (p *preceding) add(g *group) {
+	p.unmet += g.unmet
+	p.variance += g.variance
+	p.wanted += g.running + g.unmet
+}
+
+// reserve returns the work that less urgent ranks leave free.
+func (p *preceding) reserve() float64 { return p.unmet + deviations*math.Sqrt(p.variance) }
+
 // headroom returns the share of the capacity that an amount of work takes. The work that
 // runs falls by what is kept free, so the capacity is about the sum of both; dividing by
 // the work that runs alone would let a reserve increase itself.
@@ -104,6 +119,15 @@
 	}
 }
 
+// reserved returns about how much work others leave free for the n-th class.
+func (g *group) reserved(n int, hasLessUrgent bool) float64 {
+	limit := g.shares[n]
+	if hasLessUrgent {
+		limit = max(limit, g.demands[n]+deviations*math.Sqrt(g.variances[n]))
+	}
+	return max(0, limit-g.runs[n])
+}
+
 // unmet returns the work that would run in addition if there were capacity. A request that
 // is refused has often waited before, and waits again when it returns, so that not both are
 // counted. Refused work counts for as long as it would have run, but at most as much as the
--- a/parts/share/decide_test.go
+++ b/parts/share/decide_test.go
@@ -36,6 +36,7 @@
 	qt.Check(t, h.classes[2] > 0.15, qt.IsTrue, qt.Commentf("%f", h.classes[2]))
 	qt.Check(t, h.classes[0] > h.classes[2]+0.05, qt.IsTrue, qt.Commentf("%f", h.classes[0]))
 	qt.Check(t, h.ranks[2], qt.Equals, h.classes[2])
+	qt.Check(t, h.reserved[1] > 200, qt.IsTrue, qt.Commentf("%f", h.reserved[1]))
 	h = decide([]demand{of(2, 40, 900), of(0, 900, 900), of(2, 10, 10)})
 	qt.Check(t, h.classes, qt.DeepEquals, []float64{0, 0, 0})
 }
--- a/parts/share/log.go
+++ b/parts/share/log.go
@@ -12,17 +12,22 @@
 const (
 	// logInterval is the time between two lines on a service that stays contended.
 	logInterval = 5 * time.Second
+	// firstLogAfter is the time from which the averages include what made it contended.
+	firstLogAfter = time.Second
 	// maxLogged bounds the classes in a line.
 	maxLogged = 4
 )
 
-// logContended logs who precedes and who leaves how much free, when the service becomes
-// contended and at intervals.
+// logContended logs who precedes and who leaves how much free, at intervals while the
+// service is contended.
 func (s *service) logContended(log *slog.Logger, list []*class, h headrooms, now time.Time) {
-	if s.contended && now.Sub(s.loggedAt) < logInterval {
+	if !s.contended {
+		s.contended, s.loggedAt = true, now.Add(firstLogAfter-logInterval)
+	}
+	if now.Sub(s.loggedAt) < logInterval {
 		return
 	}
-	s.contended, s.loggedAt = true, now
+	s.loggedAt = now
 	log.Info("shares: contended", "service", s.name,
 		"precede", largest(list, h.reserved, "%.0f"), "headrooms", largest(list, h.classes, "%.3f"))
 }
--- a/parts/share/rows.go
+++ b/parts/share/rows.go
@@ -12,49 +12,52 @@
 func (t *Tracker) Rows(now time.Time) []Row {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	rows := []Row{}
+	var list []sized
 	for _, s := range t.services {
 		if !s.isContended(now) {
 			continue
 		}
 		for _, c := range s.classes {
 			if v := c.own(now); v.size()+v.served > 0 {
-				rows = append(rows, newRow(c.Class, v))
+				list = append(list, sized{c.Class, v})
 			}
 		}
 	}
-	return bounded(rows)
+	list = bounded(list)
+	rows := make([]Row, 0, len(list))
+	for _, e := range list {
+		rows = append(rows, Row{
+			Service: e.Service, Team: e.Team, Rank: e.Rank,
+			Running: e.Running, Waiting: e.Waiting, Refused: e.Refused, Served: e.served,
+		})
+	}
+	return rows
 }
 
-func newRow(c Class, v volume) Row {
-	return Row{
-		Service: c.Service, Team: c.Team, Rank: c.Rank,
-		Running: v.Running, Waiting: v.Waiting, Refused: v.Refused, Served: v.served,
-	}
+// sized is the demand of a class.
+type sized struct {
+	Class
+	volume
 }
 
-// bounded returns at most maxRows rows, the largest first; the rest is added up. It reorders
-// the rows.
-func bounded(rows []Row) []Row {
-	bySize := func(a, b Row) int {
-		return cmp.Compare(b.Running+b.Waiting+b.Refused, a.Running+a.Waiting+a.Refused)
-	}
-	slices.SortFunc(rows, bySize)
-	kept, rest := len(rows), map[Class]Row{}
+// bounded returns the largest classes, at most maxRows, of which the last ones may be sums.
+// It reorders the list.
+func bounded(list []sized) []sized {
+	bySize := func(a, b sized) int { return cmp.Compare(b.size(), a.size()) }
+	slices.SortFunc(list, bySize)
+	kept, rest := len(list), map[Class]*volume{}
 	for kept > 0 && kept+len(rest) > maxRows {
 		kept--
-		r := rows[kept]
-		key := Class{Service: r.Service, Rank: r.Rank}
-		sum := rest[key]
-		rest[key] = Row{
-			Service: r.Service, Rank: r.Rank, Running: sum.Running + r.Running, Waiting: sum.Waiting + r.Waiting,
-			Refused: sum.Refused + r.Refused, Served: sum.Served + r.Served,
+		key := Class{Service: list[kept].Service, Rank: list[kept].Rank}
+		if rest[key] == nil {
+			rest[key] = &volume{}
 		}
+		rest[key].add(list[kept].volume, 1)
 	}
-	rows = rows[:kept:kept]
-	for _, sum := range rest {
-		rows = append(rows, sum)
+	sums := make([]sized, 0, len(rest))
+	for key, v := range rest {
+		sums = append(sums, sized{key, *v})
 	}
-	slices.SortFunc(rows, bySize)
-	return rows[:min(len(rows), maxRows)]
+	slices.SortFunc(sums, bySize)
+	return append(list[:kept], sums[:min(len(sums), maxRows-kept)]...)
 }
--- a/parts/share/service.go
+++ b/parts/share/service.go
@@ -12,8 +12,8 @@
 	perRequest float64
 	// contendedAt is when a request last waited or was refused at a host known of.
 	contendedAt time.Time
-	// contended says that the last sweep found the service contended; loggedAt is when
-	// that was logged last.
+	// contended says that the last sweep found the service contended; logInterval after
+	// loggedAt that is logged.
 	contended bool
 	loggedAt  time.Time
 }
