queue: look also for waiters that leave less free than the first ones

Three waiters whose class is over its share left the reserved capacity idle, while a request of a class within its share waited behind them: returning callers go first within a rank whatever their team uses elsewhere.

--- a/entry/queue/line.go
+++ b/entry/queue/line.go
@@ -17,6 +17,9 @@
 	// headSize is how many requests at the head look for capacity, so that a large one does not
 	// block the others.
 	headSize = 3
+	// maxScan bounds the waiters among which those are found that leave less capacity free than
+	// the head.
+	maxScan = 16
 	// maxCredit and maxDebt bound how much less and more than the others a team counts as having
 	// been served, in tokens: some ten seconds of a team that uses a server for itself.
 	maxCredit = 10_000
--- a/entry/queue/queue_test.go
+++ b/entry/queue/queue_test.go
@@ -334,6 +334,41 @@
 	})
 }
 
+// Guards against capacity that stays idle because the first waiters must leave it free for others,
+// while one that need not waits behind them.
+func TestReservedCapacityIsUsedByWaitersBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, r := newAdmission(), &room{}
+		a.Shares.Alive = func() map[domain.Name]int { return map[domain.Name]int{"a": 2} }
+		find := func(headroom float64) (bool, *fault.Error) {
+			if headroom > 0 {
+				return false, nil
+			}
+			return r.find(headroom)
+		}
+		rows := []share.Row{
+			{Service: "assist", Team: "crowd", Rank: 1, Running: 10_000, Waiting: 10_000, Served: 5000},
+			{Service: "assist", Team: "few", Rank: 1, Running: 500, Waiting: 1000, Served: 5000},
+		}
+		for range 10 {
+			pass(100 * time.Millisecond)
+			a.Shares.Merge("other", "a", rows, time.Now())
+			a.Shares.Sweep(time.Now())
+		}
+		qt.Assert(t, a.Shares.Headroom(request("crowd", 1).Class) > 0, qt.IsTrue)
+		qt.Assert(t, a.Shares.Headroom(request("few", 1).Class), qt.Equals, 0.0)
+		a.Sweep(time.Now())
+		onTime := request("crowd", 1)
+		onTime.Return = fair.OnTime
+		ahead := fill(t, a, onTime, find, 3)
+		behind := enter(t, a, request("few", 1), find)
+		r.free.Store(1)
+		pass(100 * time.Millisecond)
+		qt.Check(t, behind.served(), qt.IsTrue)
+		leaveAll(ahead, []*entered{behind})
+	})
+}
+
 // Guards against a request that waits although nothing can serve it.
 func TestRequestThatCannotBeServedIsRefusedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/entry/queue/round.go
+++ b/entry/queue/round.go
@@ -1,6 +1,7 @@
 package queue
 
 import (
+	"math"
 	"time"
 
 	"fuchsiashelf.dev/parts/fault"
@@ -59,13 +60,7 @@
 
 // pass looks on behalf of the first waiters, and reports whether one of them left the line.
 func (l *line) pass() bool {
-	l.mu.Lock()
-	var head []*waiter
-	for _, w := range l.queue.Head(headSize) {
-		head = append(head, l.waiters[w])
-	}
-	l.mu.Unlock()
-	for _, w := range head {
+	for _, w := range l.head() {
 		if !l.beginLook(w) {
 			continue
 		}
@@ -77,6 +72,23 @@
 	return false
 }
 
+// head returns the waiters that look for capacity, in their order: the first ones, and behind them
+// those that need to leave less of it free than all before them.
+func (l *line) head() (list []*waiter) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	least := math.Inf(1)
+	for i, first := range l.queue.Head(maxScan) {
+		w := l.waiters[first]
+		headroom := l.Shares.Headroom(w.request.Class)
+		if i < headSize || headroom < least {
+			list = append(list, w)
+		}
+		least = min(least, headroom)
+	}
+	return list
+}
+
 // beginLook reports whether w still waits, and keeps it in the line until endLook.
 func (l *line) beginLook(w *waiter) bool {
 	l.mu.Lock()
