--- a/entry/queue/queue_test.go
+++ b/entry/queue/queue_test.go
@@ -340,6 +340,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		a, r := newAdmission(), &room{}
 		a.Shares.Alive = func() map[domain.Name]int { return map[domain.Name]int{"a": 2} }
+		// With a known interval more requests may wait than look for capacity.
+		fill(t, a, request("other", 1), r.find, 3)
+		for range 3 {
+			r.free.Store(1)
+			pass(100 * time.Millisecond)
+		}
 		find := func(headroom float64) (bool, *fault.Error) {
 			if headroom > 0 {
 				return false, nil
@@ -362,6 +368,7 @@
 		onTime.Return = fair.OnTime
 		ahead := fill(t, a, onTime, find, 3)
 		behind := enter(t, a, request("few", 1), find)
+		qt.Assert(t, a.Stats().Waiting, qt.Equals, 4)
 		r.free.Store(1)
 		pass(100 * time.Millisecond)
 		qt.Check(t, behind.served(), qt.IsTrue)
