--- a/entry/queue/queue_test.go
+++ b/entry/queue/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"sync/atomic"
 	"testing"
@@ -424,3 +425,32 @@
 		}
 	})
 }
+
+// Guards against counts that lose the requests of teams which are not named.
+func TestStatsNameTheTeamsWithTheMostRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, r := newAdmission(), &room{}
+		const teams = 30
+		total := 0
+		for i := range teams {
+			for range i + 1 {
+				r.free.Store(1)
+				enter(t, a, request(fmt.Sprint("team-", i), i%12), r.find)
+				total++
+			}
+		}
+		stats := a.Stats()
+		qt.Assert(t, stats.Teams, qt.HasLen, 17)
+		qt.Check(t, stats.Teams[0], qt.Equals, queue.TeamCount{Team: "team-29", Count: queue.Count{Served: 30}})
+		qt.Check(t, stats.Teams[16].Team, qt.Equals, "other")
+		sum, byRank := int64(0), int64(0)
+		for _, count := range stats.Teams {
+			sum += count.Served
+		}
+		for _, count := range stats.Ranks {
+			byRank += count.Served
+		}
+		qt.Check(t, sum, qt.Equals, int64(total))
+		qt.Check(t, byRank, qt.Equals, int64(total))
+	})
+}
