queue: keep refused newcomers from what became free for waiters, and average the interval over time

It looks only if it needs less than a request that found nothing. The mean interval follows bursts of requests that end together less.

--- a/entry/queue/line.go
+++ b/entry/queue/line.go
@@ -45,6 +45,8 @@
 	// freed says that capacity became free since the last round, which began at lastRound.
 	freed     bool
 	lastRound time.Time
+	// missed holds the looks since then that found nothing.
+	missed []missedLook
 }
 
 func newLine(a *Admission, service string) *line {
@@ -192,14 +194,16 @@
 	}
 }
 
-// findOrRefuse takes capacity that the waiters cannot use, because they are larger or avoid its
-// servers. Otherwise it refuses the request at once.
+// findOrRefuse takes capacity that the waiters cannot use, because they are larger, avoid its
+// servers or leave more of it free. Otherwise it refuses the request at once.
 func (l *line) findOrRefuse(w *waiter) (Ticket, *fault.Error) {
 	if l.roundDue(time.Now()) {
 		l.round()
 	}
-	if found, e := l.look(w); found || e != nil {
-		return l.conclude(w, found, e)
+	if l.mayFind(w) {
+		if found, e := l.look(w); found || e != nil {
+			return l.conclude(w, found, e)
+		}
 	}
 	now := time.Now()
 	l.mu.Lock()
--- a/entry/queue/pace.go
+++ b/entry/queue/pace.go
@@ -2,27 +2,24 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"fuchsiashelf.dev/parts/share"
 )
 
-const (
-	// intervalWeight is the weight of the latest interval in the mean of many.
-	intervalWeight = 0.1
-	// maxInterval bounds each interval.
-	maxInterval = time.Second
-)
+// paceWindow is the time over which the interval is averaged. Streams that began together end
+// together, so that a mean of the latest few would follow each burst.
+const paceWindow = 2 * time.Second
 
 // pace measures the mean interval between two requests that take capacity while others wait.
 // Without waiters it would measure how often requests arrive.
 type pace struct {
-	// interval is the mean, zero if it is unknown. last is when the latest request took capacity,
-	// zero if none has since requests wait.
-	interval time.Duration
-	last     time.Time
-	// count is the number of intervals so far.
-	count float64
+	// last is when the latest request took capacity, zero if none has since requests wait.
+	last time.Time
+	// intervals is the number of intervals, and total their sum in seconds, both decayed
+	// exponentially.
+	intervals, total float64
 }
 
 // begin records that a request begins to wait behind the given number of others.
@@ -38,22 +35,36 @@
 		return
 	}
 	if !p.last.IsZero() {
-		p.count++
-		weight := max(intervalWeight, 1/p.count)
-		interval := min(now.Sub(p.last), maxInterval)
-		p.interval += time.Duration(weight * float64(interval-p.interval))
+		p.add(now.Sub(p.last).Seconds(), 1)
 	}
 	p.last = now
 }
 
+// add adds a time in which the given number of intervals ended.
+func (p *pace) add(seconds, intervals float64) {
+	decay := math.Exp(-seconds / paceWindow.Seconds())
+	p.intervals = p.intervals*decay + intervals
+	p.total = p.total*decay + seconds
+}
+
+// mean returns the mean interval in seconds, zero if it is unknown.
+func (p *pace) mean() float64 {
+	if p.intervals == 0 {
+		return 0
+	}
+	return p.total / p.intervals
+}
+
 // wait returns the expected time until a request behind the given number of others takes capacity;
 // zero if it is unknown. The interval that is not over yet counts once it is longer than the mean.
 func (p *pace) wait(ahead int, now time.Time) time.Duration {
-	mean := p.interval
-	if mean > 0 && !p.last.IsZero() {
-		mean += max(0, time.Duration(intervalWeight*float64(now.Sub(p.last)-mean)))
+	mean := p.mean()
+	if elapsed := now.Sub(p.last).Seconds(); !p.last.IsZero() && elapsed > mean {
+		longer := *p
+		longer.add(elapsed-mean, 0)
+		mean = longer.mean()
 	}
-	return time.Duration(ahead+1) * mean
+	return time.Duration(float64(ahead+1) * mean * float64(time.Second))
 }
 
 // recentSize is how many of the latest requests are remembered.
--- a/entry/queue/queue.go
+++ b/entry/queue/queue.go
@@ -47,6 +47,8 @@
 	Return fair.Return
 	// Cost is the work of the request, in tokens of prompt and response.
 	Cost float64
+	// Restricted says that servers which others may use are of no use to the request.
+	Restricted bool
 	// MaxWait is the longest wait for capacity, and Deadline when the caller stops waiting.
 	MaxWait  time.Duration
 	Deadline time.Time
--- a/entry/queue/queue_test.go
+++ b/entry/queue/queue_test.go
@@ -377,6 +377,27 @@
 	})
 }
 
+// Guards against a refused newcomer that takes what became free a moment ago from the waiters, and
+// against refusing one that can use what they cannot.
+func TestNewcomerTakesOnlyWhatWaitersCannotUse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, r := newAdmission(), &room{}
+		small := request("team", 1)
+		small.Cost = 10
+		find := func(float64) (bool, *fault.Error) { return false, nil }
+		waiting := fill(t, a, request("team", 1), find, 3)
+		r.free.Store(10)
+		checkRefused(t, enter(t, a, request("team", 1), r.find))
+		qt.Check(t, enter(t, a, small, r.find).served(), qt.IsTrue)
+		leaveAll(waiting)
+		restricted := request("team", 1)
+		restricted.Restricted = true
+		waiting = fill(t, a, restricted, find, 3)
+		qt.Check(t, enter(t, a, request("team", 1), r.find).served(), qt.IsTrue)
+		leaveAll(waiting)
+	})
+}
+
 // Guards against a request that waits although nothing can serve it.
 func TestRequestThatCannotBeServedIsRefusedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/entry/stream/choose.go
+++ b/entry/stream/choose.go
@@ -53,7 +53,7 @@
 	return queue.Request{
 		Class: share.Class{Service: r.job.Service.Name, Team: r.job.Team, Rank: r.job.Priority},
 		Key:   r.key, Return: r.returned, Cost: float64(totalTokens(r.job)),
-		MaxWait: maxQueueWait(r.job), Deadline: r.job.Deadline,
+		Restricted: len(r.avoid) > 0, MaxWait: maxQueueWait(r.job), Deadline: r.job.Deadline,
 	}
 }
 
