share: bound the work that callers pass, and count requests

Begin, Wait and Refuse took any number: with NaN, infinite or negative work headrooms were NaN or negative, with which no server counts as full. Amounts of 1e308 in a message did the same through their sum. Work is now bounded as that of messages was, and both at 1e15.

A sum of fractions kept a rounding error after its last request, so that the class counted as in use and was never dropped. The requests are counted, and the sum of none is zero.

--- a/parts/share/class.go
+++ b/parts/share/class.go
@@ -39,7 +39,7 @@
 	Class
 	service *service
 	// running and waiting are the work of this entry host's requests.
-	running, waiting float64
+	running, waiting held
 	refused, served  rate
 	refusedAt        time.Time
 	// usedAt is when the class was last found to have requests at any host.
@@ -52,9 +52,30 @@
 	charge float64
 }
 
+// held is the work of a number of requests.
+type held struct {
+	work     float64
+	requests int
+}
+
+func (h *held) add(work float64) {
+	h.work += work
+	h.requests++
+}
+
+// remove subtracts the work of a request. Without requests the work is zero exactly: the
+// rounding error of a sum must not keep a class from being dropped.
+func (h *held) remove(work float64) {
+	h.requests--
+	h.work = max(0, h.work-work)
+	if h.requests == 0 {
+		h.work = 0
+	}
+}
+
 // own returns the demand at this entry host.
 func (c *class) own(now time.Time) volume {
-	v := volume{Usage: Usage{Running: c.running, Waiting: c.waiting}, served: c.served.at(servedWindow, now)}
+	v := volume{Usage: Usage{Running: c.running.work, Waiting: c.waiting.work}, served: c.served.at(servedWindow, now)}
 	if now.Sub(c.refusedAt) < contendedFor {
 		v.Refused = c.refused.at(refusedWindow, now)
 	}
@@ -78,7 +99,7 @@
 
 // update advances the averages by the time since the last sweep.
 func (c *class) update(elapsed time.Duration, now time.Time) {
-	if c.running > 0 || c.waiting > 0 || c.remote.size()+c.remote.served > 0 {
+	if c.running.requests > 0 || c.waiting.requests > 0 || c.remote.size()+c.remote.served > 0 {
 		c.usedAt = now
 	}
 	v := c.own(now)
--- a/parts/share/remote.go
+++ b/parts/share/remote.go
@@ -46,12 +46,15 @@
 	t.reports[host] = r
 }
 
-// amount returns a received amount of work, or zero if it cannot be one.
+// maxAmount bounds an amount of work, so that no sum of amounts is infinite.
+const maxAmount = 1e15
+
+// amount returns an amount of work within its bounds, and zero if it is not a number.
 func amount(f float64) float64 {
 	if math.IsNaN(f) || math.IsInf(f, 0) {
 		return 0
 	}
-	return max(0, f)
+	return min(max(0, f), maxAmount)
 }
 
 // Forget drops what is known of another entry host, which was removed, leaves or has
--- a/parts/share/rows_test.go
+++ b/parts/share/rows_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -61,6 +62,65 @@
 	qt.Check(t, tr.Stats(now), qt.HasLen, 16)
 }
 
+// Guards against work that is not a number, infinite or too large, here or in a message,
+// which makes headrooms that are not numbers: no server would count as full.
+func TestInvalidWork(t *testing.T) {
+	for _, work := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1, math.MaxFloat64} {
+		tr, now := newTracker(0, map[domain.Name]int{"a": 2}), time.Unix(1000, 0)
+		var ends []func()
+		for _, c := range []share.Class{large, small, lesser} {
+			ends = append(ends, tr.Begin(c, work, now), tr.Wait(c, work, now))
+			tr.Refuse(c, work, now)
+		}
+		tr.Merge("1", "a", []share.Row{
+			{Service: "s", Team: "small", Running: work, Waiting: work, Refused: work, Served: work},
+			{Service: "s", Team: "large", Running: work, Waiting: work, Refused: work, Served: work},
+		}, now)
+		for range 20 {
+			now = now.Add(sweep)
+			tr.Sweep(now)
+			for _, c := range []share.Class{large, small, lesser} {
+				h := tr.Headroom(c)
+				qt.Check(t, h >= 0 && h <= 0.5, qt.IsTrue, qt.Commentf("%f: %f", work, h))
+			}
+		}
+		for _, end := range ends {
+			end()
+		}
+		now = now.Add(time.Second)
+		for _, r := range tr.Rows(now) {
+			qt.Check(t, r.Running+r.Waiting, qt.Equals, 0.0)
+		}
+	}
+}
+
+// Guards against classes that are kept for ever since their sums of work are not zero
+// without requests, and against an end that counts twice.
+func TestClassesAreDropped(t *testing.T) {
+	tr, now := newTracker(0, map[domain.Name]int{"a": 1}), time.Unix(1000, 0)
+	var ends []func()
+	for _, work := range []float64{0.1, 0.2, 0.3} {
+		ends = append(ends, tr.Begin(small, work, now), tr.Wait(small, work, now))
+	}
+	stays := tr.Begin(small, 5, now)
+	for _, end := range ends {
+		end()
+		end()
+	}
+	known := func() []share.Stat {
+		for range 110 {
+			now = now.Add(sweep)
+			tr.Sweep(now)
+		}
+		return tr.Stats(now)
+	}
+	list := known()
+	qt.Assert(t, list, qt.HasLen, 1)
+	qt.Check(t, math.Abs(list[0].Running-5) < 1e-6, qt.IsTrue, qt.Commentf("%f", list[0].Running))
+	stays()
+	qt.Check(t, known(), qt.HasLen, 0)
+}
+
 // crowded returns a tracker with the demand of 400 teams and 10 ranks at 300 hosts.
 func crowded(now time.Time) *share.Tracker {
 	tr := newTracker(0, map[domain.Name]int{"a": 300})
@@ -83,6 +143,16 @@
 	return tr
 }
 
+func BenchmarkBegin(b *testing.B) {
+	now := time.Unix(1000, 0)
+	tr := crowded(now)
+	c := share.Class{Service: "s", Team: "team-77", Rank: 4}
+	b.ReportAllocs()
+	for b.Loop() {
+		tr.Begin(c, 50, now)()
+	}
+}
+
 func BenchmarkHeadroom(b *testing.B) {
 	tr := crowded(time.Unix(1000, 0))
 	c := share.Class{Service: "s", Team: "team-77", Rank: 4}
--- a/parts/share/service.go
+++ b/parts/share/service.go
@@ -33,7 +33,7 @@
 func (s *service) update(elapsed time.Duration, now time.Time) {
 	for key, c := range s.classes {
 		c.update(elapsed, now)
-		if c.waiting > 0 {
+		if c.waiting.requests > 0 {
 			s.contendedAt = now
 		}
 		if now.Sub(c.usedAt) > idleFor {
--- a/parts/share/tracker.go
+++ b/parts/share/tracker.go
@@ -41,6 +41,7 @@
 func (t *Tracker) Begin(c Class, work float64, now time.Time) (end func()) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	work = amount(work)
 	state := t.class(c, now)
 	state.request(work, now)
 	state.served.add(work, servedWindow, now)
@@ -51,26 +52,32 @@
 func (t *Tracker) Wait(c Class, work float64, now time.Time) (stop func()) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	work = amount(work)
 	state := t.class(c, now)
 	state.request(work, now)
 	state.service.contendedAt = now
 	return t.hold(&state.waiting, work)
 }
 
-// hold adds work to a sum until release is called. The mutex is held.
-func (t *Tracker) hold(sum *float64, work float64) (release func()) {
-	*sum += work
-	return sync.OnceFunc(func() {
+// hold adds the work of a request until release is called. The mutex is held.
+func (t *Tracker) hold(h *held, work float64) (release func()) {
+	h.add(work)
+	released := false
+	return func() {
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		*sum = max(0, *sum-work)
-	})
+		if !released {
+			released = true
+			h.remove(work)
+		}
+	}
 }
 
 // Refuse records that a request was refused for lack of capacity.
 func (t *Tracker) Refuse(c Class, work float64, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	work = amount(work)
 	state := t.class(c, now)
 	state.request(work, now)
 	state.refused.add(work, refusedWindow, now)
