share: bound the lines on contention, and log them without the lock

A service that is refused a request every 2.5 s was logged as contended and free each time, 24 lines in 30 s, and so was one with a single class, whose lines said nothing.

The lines were logged with the mutex that each request needs. A handler that blocked stopped all requests, and one that used the tracker blocked for ever.

--- a/parts/share/log.go
+++ b/parts/share/log.go
@@ -3,14 +3,13 @@
 import (
 	"cmp"
 	"fmt"
-	"log/slog"
 	"slices"
 	"strings"
 	"time"
 )
 
 const (
-	// logInterval is the time between two lines on a service that stays contended.
+	// logInterval is the time between two lines on a service that is contended.
 	logInterval = 5 * time.Second
 	// firstLogAfter is the time from which the averages include what made it contended.
 	firstLogAfter = time.Second
@@ -18,26 +17,42 @@
 	maxLogged = 4
 )
 
-// logContended logs who precedes and who leaves how much free, at intervals while the
-// service is contended.
-func (s *service) logContended(log *slog.Logger, list []*class, h headrooms, now time.Time) {
+// line is a log line. It is logged without the mutex of the tracker, which requests need.
+type line struct {
+	message string
+	args    []any
+}
+
+// contendedLines returns the line on who precedes and who leaves how much free. There is
+// none while nobody leaves anything free, and at most one in logInterval, also if the
+// service is free meanwhile.
+func (s *service) contendedLines(list []*class, h headrooms, now time.Time) []line {
 	if !s.contended {
-		s.contended, s.loggedAt = true, now.Add(firstLogAfter-logInterval)
+		s.contended = true
+		if due := now.Add(firstLogAfter); s.logDue.Before(due) {
+			s.logDue = due
+		}
 	}
-	if now.Sub(s.loggedAt) < logInterval {
-		return
+	if now.Before(s.logDue) {
+		return nil
 	}
-	s.loggedAt = now
-	log.Info("shares: contended", "service", s.name,
-		"precede", largest(list, h.reserved, "%.0f"), "headrooms", largest(list, h.classes, "%.3f"))
+	leave := largest(list, h.classes, "%.3f")
+	if leave == "" {
+		return nil
+	}
+	s.logDue, s.logged = now.Add(logInterval), true
+	return []line{{"shares: contended", []any{"service", s.name, "precede", largest(list, h.reserved, "%.0f"), "headrooms", leave}}}
 }
 
-// logFree logs that the service is no longer contended.
-func (s *service) logFree(log *slog.Logger) {
-	if s.contended {
-		s.contended = false
-		log.Info("shares: free", "service", s.name)
+// freeLines returns the line on a service that is no longer contended, if one has said
+// that it was.
+func (s *service) freeLines() []line {
+	logged := s.logged
+	s.contended, s.logged = false, false
+	if !logged {
+		return nil
 	}
+	return []line{{"shares: free", []any{"service", s.name}}}
 }
 
 // largest lists the classes with the largest values as TEAM/RANK=VALUE.
@@ -48,7 +63,12 @@
 			order = append(order, i)
 		}
 	}
-	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(values[b], values[a]) })
+	slices.SortFunc(order, func(a, b int) int {
+		if c := cmp.Compare(values[b], values[a]); c != 0 {
+			return c
+		}
+		return list[a].compare(list[b].Class)
+	})
 	var parts []string
 	for _, i := range order[:min(len(order), maxLogged)] {
 		parts = append(parts, fmt.Sprintf("%s/%d="+format, list[i].Team, list[i].Rank, values[i]))
--- a/parts/share/service.go
+++ b/parts/share/service.go
@@ -1,8 +1,6 @@
 package share
 
-import (
-	"time"
-)
+import "time"
 
 // service holds the classes of a service. The mutex of the tracker protects it.
 type service struct {
@@ -12,10 +10,10 @@
 	perRequest float64
 	// contendedAt is when a request last waited or was refused at a host known of.
 	contendedAt time.Time
-	// contended says that the last sweep found the service contended; logInterval after
-	// loggedAt that is logged.
-	contended bool
-	loggedAt  time.Time
+	// contended says that the last sweep found the service contended, and logged that a
+	// line has said so. logDue is when the next such line may follow.
+	contended, logged bool
+	logDue            time.Time
 }
 
 // teamRank identifies a class of a service.
--- a/parts/share/share.go
+++ b/parts/share/share.go
@@ -18,7 +18,10 @@
 // small or too large cost some precedence or idle capacity, nothing else.
 package share
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 const (
 	// Ranks is the number of ranks. Rank 0 is the most urgent; one out of range counts as
@@ -87,3 +90,8 @@
 	}
 	return c
 }
+
+// compare orders classes of the same size.
+func (c Class) compare(other Class) int {
+	return cmp.Or(cmp.Compare(c.Service, other.Service), cmp.Compare(c.Rank, other.Rank), cmp.Compare(c.Team, other.Team))
+}
--- a/parts/share/tracker.go
+++ b/parts/share/tracker.go
@@ -107,7 +107,14 @@
 
 // Sweep recomputes the headrooms. Call it every 100 ms.
 func (t *Tracker) Sweep(now time.Time) {
-	alive := t.Alive() // It may lock what calls Forget.
+	for _, l := range t.sweep(t.Alive(), now) {
+		t.Log.Info(l.message, l.args...)
+	}
+}
+
+// sweep does the work of Sweep and returns the lines to log. Alive and Log are called
+// without the mutex: the former may lock what calls Forget, the latter may block.
+func (t *Tracker) sweep(alive map[domain.Name]int, now time.Time) (lines []line) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	elapsed := sweepInterval
@@ -126,12 +133,13 @@
 		if s.isContended(now) {
 			list, decision := s.decide()
 			next[name] = newEntry(list, decision)
-			s.logContended(t.Log, list, decision, now)
+			lines = append(lines, s.contendedLines(list, decision, now)...)
 		} else {
-			s.logFree(t.Log)
+			lines = append(lines, s.freeLines()...)
 		}
 	}
 	t.table.Store(&next)
+	return lines
 }
 
 // Headroom returns the share of the capacity of each server that a request of a class
