share: order equal classes, and hold no lock while sorting or yielding

Which of equal classes were named in rows and metrics depended on the order of a map, so that metrics of teams came and went. Equal ones are ordered by rank and name.

Rows and Stats sorted with the mutex that each request needs, some 2 ms with 4,000 classes. TakeRemote called back with it, so that a callback that used the tracker blocked for ever.

--- a/parts/share/remote.go
+++ b/parts/share/remote.go
@@ -108,18 +108,26 @@
 }
 
 // TakeRemote yields the work that other hosts have begun for a service since the last call.
-// The function must not call the tracker.
 func (t *Tracker) TakeRemote(service string, yield func(c Class, work float64)) {
+	for c, work := range t.takeCharges(service) {
+		yield(c, work)
+	}
+}
+
+// takeCharges returns the charges of the classes of a service and resets them.
+func (t *Tracker) takeCharges(service string) map[Class]float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.services[service]
 	if s == nil {
-		return
+		return nil
 	}
+	charges := map[Class]float64{}
 	for _, c := range s.classes {
 		if c.charge > 0 {
-			yield(c.Class, c.charge)
+			charges[c.Class] = c.charge
 			c.charge = 0
 		}
 	}
+	return charges
 }
--- a/parts/share/rows.go
+++ b/parts/share/rows.go
@@ -10,9 +10,21 @@
 // contended services: at most 64, the largest. The rest is added up by service and rank
 // under team "". The list is never nil, which would be no news.
 func (t *Tracker) Rows(now time.Time) []Row {
+	list := bounded(t.contendedDemand(now))
+	rows := make([]Row, 0, len(list))
+	for _, e := range list {
+		rows = append(rows, Row{
+			Service: e.Service, Team: e.Team, Rank: e.Rank,
+			Running: e.Running, Waiting: e.Waiting, Refused: e.Refused, Served: e.served,
+		})
+	}
+	return rows
+}
+
+// contendedDemand returns the demand of this entry host for the contended services.
+func (t *Tracker) contendedDemand(now time.Time) (list []sized) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var list []sized
 	for _, s := range t.services {
 		if !s.isContended(now) {
 			continue
@@ -23,15 +35,7 @@
 			}
 		}
 	}
-	list = bounded(list)
-	rows := make([]Row, 0, len(list))
-	for _, e := range list {
-		rows = append(rows, Row{
-			Service: e.Service, Team: e.Team, Rank: e.Rank,
-			Running: e.Running, Waiting: e.Waiting, Refused: e.Refused, Served: e.served,
-		})
-	}
-	return rows
+	return list
 }
 
 // sized is the demand of a class.
@@ -43,7 +47,12 @@
 // bounded returns the largest classes, at most maxRows, of which the last ones may be sums.
 // It reorders the list.
 func bounded(list []sized) []sized {
-	bySize := func(a, b sized) int { return cmp.Compare(b.size(), a.size()) }
+	bySize := func(a, b sized) int {
+		if c := cmp.Compare(b.size(), a.size()); c != 0 {
+			return c
+		}
+		return a.compare(b.Class)
+	}
 	slices.SortFunc(list, bySize)
 	kept, rest := len(list), map[Class]*volume{}
 	for kept > 0 && kept+len(rest) > maxRows {
--- a/parts/share/rows_test.go
+++ b/parts/share/rows_test.go
@@ -121,6 +121,38 @@
 	qt.Check(t, known(), qt.HasLen, 0)
 }
 
+// Guards against rows, metrics and charges that depend on the order of a map: of equal
+// classes, others would be named each time.
+func TestEqualClassesAreOrdered(t *testing.T) {
+	tr, now := newTracker(0, map[domain.Name]int{"a": 1}), time.Unix(1000, 0)
+	for i := range 400 {
+		tr.Refuse(share.Class{Service: "s", Team: fmt.Sprint(i)}, 10, now)
+	}
+	tr.Sweep(now)
+	rows, stats := tr.Rows(now), tr.Stats(now)
+	for range 20 {
+		qt.Check(t, tr.Rows(now), qt.DeepEquals, rows)
+		qt.Check(t, tr.Stats(now), qt.DeepEquals, stats)
+	}
+}
+
+// Guards against a callback that blocks for ever if it uses the tracker.
+func TestTakeRemoteMayUseTracker(t *testing.T) {
+	tr, now := newTracker(0, map[domain.Name]int{"a": 2}), time.Unix(1000, 0)
+	tr.Merge("1", "a", []share.Row{{Service: "s", Team: "large", Waiting: 5, Served: 50}}, now)
+	tr.Sweep(now)
+	done := make(chan bool, 1)
+	go func() {
+		tr.TakeRemote("s", func(c share.Class, work float64) { tr.Refuse(c, work, now) })
+		done <- true
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("blocked")
+	}
+}
+
 // crowded returns a tracker with the demand of 400 teams and 10 ranks at 300 hosts.
 func crowded(now time.Time) *share.Tracker {
 	tr := newTracker(0, map[domain.Name]int{"a": 300})
--- a/parts/share/tracker.go
+++ b/parts/share/tracker.go
@@ -160,9 +160,19 @@
 
 // Stats returns the classes with the highest demand, at most 16.
 func (t *Tracker) Stats(time.Time) []Stat {
+	list := t.allStats()
+	slices.SortFunc(list, func(a, b Stat) int {
+		if c := cmp.Compare(volume{Usage: b.Usage}.size(), volume{Usage: a.Usage}.size()); c != 0 {
+			return c
+		}
+		return a.compare(b.Class)
+	})
+	return list[:min(len(list), maxStats)]
+}
+
+func (t *Tracker) allStats() (list []Stat) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var list []Stat
 	for _, s := range t.services {
 		for _, c := range s.classes {
 			list = append(list, Stat{
@@ -170,8 +180,5 @@
 			})
 		}
 	}
-	slices.SortFunc(list, func(a, b Stat) int {
-		return cmp.Compare(volume{Usage: b.Usage}.size(), volume{Usage: a.Usage}.size())
-	})
-	return list[:min(len(list), maxStats)]
+	return list
 }
