gossip: ignore the demand in messages of an earlier incarnation

A message that a host sent before it restarted, and that arrived after the first one since, brought back its former demand for up to 3 s. It is merged only if the sender's incarnation is the latest one known and does not leave.

The case "no demand" of TestDemandIsExchanged passed without the feature, since the earlier report had expired when the result was read; the report is now sent again before. That a host ignores its own rows had no test.

--- a/entry/gossip/demand_test.go
+++ b/entry/gossip/demand_test.go
@@ -63,9 +63,19 @@
 			restarted.Boot++
 			other.Merge(&gossip.Message{From: restarted})
 		}, false},
+		"old message of one that restarts": {func(one, other *gossip.Peer, _ func()) {
+			old := one.Respond(&gossip.Message{From: other.Self})
+			restarted := one.Self
+			restarted.Boot++
+			other.Merge(&gossip.Message{From: restarted})
+			other.Merge(old)
+		}, false},
+		// The last report of demand is too recent to have expired.
 		"no demand": {func(one, other *gossip.Peer, end func()) {
+			time.Sleep(1900 * time.Millisecond)
+			send(t, one, other)
 			end()
-			time.Sleep(2 * time.Second)
+			time.Sleep(200 * time.Millisecond)
 			send(t, one, other)
 		}, false},
 	} {
--- a/entry/gossip/member.go
+++ b/entry/gossip/member.go
@@ -59,6 +59,21 @@
 	}
 }
 
+// mergeDemand replaces what is known of the demand at the sender of a message, unless a
+// newer message has said that the sender leaves or has restarted.
+func (p *Peer) mergeDemand(m *Message) {
+	if p.Shares == nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.members[m.From.Name]
+	if known == nil || known.Leaving || known.Boot != m.From.Boot {
+		return
+	}
+	p.Shares.Merge(m.From.Name, m.From.Domain, m.Demand, time.Now())
+}
+
 // Members returns the other known entry hosts, ordered by name.
 func (p *Peer) Members() []Member {
 	now := time.Now()
--- a/entry/gossip/message.go
+++ b/entry/gossip/message.go
@@ -208,9 +208,7 @@
 	if m.From.Name != p.Self.Name {
 		p.Load.SetRemote(m.From.Name, m.Load)
 	}
-	if p.Shares != nil && !m.From.Leaving {
-		p.Shares.Merge(m.From.Name, m.From.Domain, m.Demand, time.Now())
-	}
+	p.mergeDemand(m)
 	if m.From.Reach != reach.Isolated {
 		// What a host that is cut off from the servers finds says nothing of them.
 		p.mergeFindings(m)
--- a/parts/share/rows_test.go
+++ b/parts/share/rows_test.go
@@ -62,6 +62,15 @@
 	qt.Check(t, tr.Stats(now), qt.HasLen, 16)
 }
 
+// Guards against a host that counts its own demand twice, since others tell it of itself.
+func TestOwnRowsAreIgnored(t *testing.T) {
+	tr, now := newTracker(0, map[domain.Name]int{"a": 2}), time.Unix(1000, 0)
+	tr.Merge("0", "a", []share.Row{{Service: "s", Team: "large", Running: 50, Waiting: 50}}, now)
+	tr.Sweep(now)
+	qt.Check(t, tr.Contended("s"), qt.IsFalse)
+	qt.Check(t, tr.Stats(now), qt.HasLen, 0)
+}
+
 // Guards against work that is not a number, infinite or too large, here or in a message,
 // which makes headrooms that are not numbers: no server would count as full.
 func TestInvalidWork(t *testing.T) {
