router: let a request larger than its headroom leaves take an unused server

With a headroom of 0.5, a request that needs more than 46% of the memory of a server found no room even if nothing ran, so that it waited for capacity that could not become available while the service was contended. Smaller requests leave the headroom free as before.

--- a/parts/router/cost.go
+++ b/parts/router/cost.go
@@ -124,8 +124,11 @@
 	capacity := Capacity(q.Engine, s)
 	need := float64(q.PromptTokens+q.ResponseTokens) * float64(s.LayerCount())
 	fill := (used.TokenLayers + need) / max(capacity, 1)
+	// An unused server is left free only by requests that fit beside the headroom. A larger one
+	// would never be served.
+	limit := max(q.maxFill(), min(maxFill, need/max(capacity, 1)))
 	_, cached := q.Cached[s.Address]
-	if (used.Full || fill > q.maxFill()) && !q.Overcommit && !cached {
+	if (used.Full || fill > limit) && !q.Overcommit && !cached {
 		return candidate{}, false
 	}
 	c := candidate{server: s}
--- a/parts/router/headroom_test.go
+++ b/parts/router/headroom_test.go
@@ -37,3 +37,27 @@
 		qt.Check(t, q.Pick() != nil, qt.Equals, test.fits, qt.Commentf("%+v", test))
 	}
 }
+
+// Guards against a request that cannot be served even by unused servers, since it needs more
+// than the headroom leaves, and against one that takes a server beside others for that reason.
+func TestLargeRequestTakesUnusedServer(t *testing.T) {
+	s := server("a1", "a", "small", 0, 80)
+	q := query(s)
+	q.Headroom = 0.5
+	capacity := router.Capacity(q.Engine, s)
+	for _, test := range []struct {
+		need, used float64
+		fits       bool
+	}{
+		{0.45, 0, true},
+		{0.6, 0, true},
+		{0.9, 0, true},
+		{0.95, 0, false},
+		{0.6, 0.01, false},
+		{0.4, 0.1, false},
+	} {
+		q.PromptTokens = int(test.need*capacity/layers) - q.ResponseTokens
+		q.Used = func(string) router.Usage { return router.Usage{TokenLayers: test.used * capacity} }
+		qt.Check(t, q.Pick() != nil, qt.Equals, test.fits, qt.Commentf("%+v", test))
+	}
+}
--- a/parts/router/router.go
+++ b/parts/router/router.go
@@ -84,7 +84,8 @@
 	// queue the requests that do not fit.
 	Overcommit bool
 	// Headroom is the share of the usable memory and slots of each server that the request
-	// leaves free for others. Servers that hold its tokens already are exempt.
+	// leaves free for others. Servers that hold its tokens already are exempt as to memory,
+	// and unused ones if it would need more than the rest of their memory.
 	Headroom float64
 	// Partitioned reports whether servers of one failure domain cannot reach those of
 	// another; nil means that all can.
