--- a/entry/stream/queue_test.go
+++ b/entry/stream/queue_test.go
@@ -25,19 +25,18 @@
 	a := newAdmission()
 	never := func(float64) (bool, *fault.Error) { return false, nil }
 	r := queue.Request{Class: share.Class{Service: "assist"}, Cost: 1e12, MaxWait: time.Minute, Deadline: time.Now().Add(time.Hour)}
-	for refused := false; !refused; {
-		done := make(chan struct{})
+	for waiting := 1; ; waiting++ {
+		refused := make(chan struct{})
 		go func() {
-			defer close(done)
 			_, _ = a.Enter(t.Context(), r, never)
+			close(refused)
 		}()
-		for waiting := a.Stats().Waiting; a.Stats().Waiting == waiting && !refused; {
+		for a.Stats().Waiting < waiting {
 			select {
-			case <-done:
-				refused = true
+			case <-refused:
+				return a
 			case <-time.After(time.Millisecond):
 			}
 		}
 	}
-	return a
 }
