--- a/entry/gossip/message.go
+++ b/entry/gossip/message.go
@@ -10,6 +10,7 @@
 	"fuchsiashelf.dev/parts/reach"
 	"fuchsiashelf.dev/parts/resv"
 	"fuchsiashelf.dev/parts/router"
+	"fuchsiashelf.dev/parts/share"
 )
 
 // Suspect is a server that is suspected to have failed, and avoided for a while.
@@ -71,6 +72,8 @@
 	Orders   []Assignment
 	// Limits holds what the sender knows of the rate limits of servers, by server.
 	Limits map[string]limit.Report
+	// Demand is the demand for contended services at the sender. Older versions send none.
+	Demand []share.Row
 	// Evidence holds what the sender knows of crashes of servers that the receiver may lack.
 	Evidence poison.Evidence
 	// Departures holds the servers that get no new requests although their entries, or
@@ -114,6 +117,9 @@
 	if p.Returns != nil {
 		m.Promises = p.Returns.Promises(time.Now())
 	}
+	if p.Shares != nil {
+		m.Demand = p.Shares.Rows(time.Now())
+	}
 	var config []byte
 	m.ConfigVersion, config = p.Config()
 	if to != nil && to.ConfigVersion < m.ConfigVersion {
@@ -209,6 +215,7 @@
 	if m.From.Name != p.Self.Name {
 		p.Load.SetRemote(m.From.Name, m.Load)
 	}
+	p.mergeDemand(m)
 	if m.From.Reach != reach.Isolated {
 		// What a host that is cut off from the servers finds says nothing of them.
 		p.mergeFindings(m)
--- /dev/null
+++ b/entry/queue/round.go
@@ -0,0 +1,153 @@
+package queue
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"fuchsiashelf.dev/parts/fault"
+)
+
+const (
+	// pollInterval is the interval of rounds: other hosts free capacity as well.
+	pollInterval = 20 * time.Millisecond
+	// minRoundInterval is the shortest interval between two rounds if no request of this host has
+	// ended meanwhile.
+	minRoundInterval = 10 * time.Millisecond
+)
+
+// run runs rounds while requests wait.
+func (l *line) run() {
+	tick := time.NewTicker(pollInterval)
+	defer tick.Stop()
+	for l.goesOn() {
+		select {
+		case <-tick.C:
+		case <-l.wake:
+		}
+		l.round()
+	}
+}
+
+// goesOn reports whether requests wait. The goroutine of the rounds ends otherwise.
+func (l *line) goesOn() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.running = l.queue.Len() > 0
+	return l.running
+}
+
+// roundDue reports whether capacity may have become free since the last round.
+func (l *line) roundDue(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.queue.Len() > 0 && (l.freed || now.Sub(l.lastRound) >= minRoundInterval)
+}
+
+// round looks for capacity on behalf of the first waiters, in their order, until none finds any. It
+// refuses those that have waited for too long.
+func (l *line) round() {
+	l.rounds.Lock()
+	defer l.rounds.Unlock()
+	now := time.Now()
+	l.mu.Lock()
+	l.freed, l.lastRound, l.missed = false, now, l.missed[:0]
+	l.mu.Unlock()
+	for l.pass() {
+		// Those behind a request that was served have moved up.
+	}
+	l.refuseOverdue(now)
+}
+
+// pass looks on behalf of the first waiters, and reports whether one of them left the line.
+func (l *line) pass() bool {
+	for _, w := range l.head() {
+		if !l.beginLook(w) {
+			continue
+		}
+		headroom := l.Shares.Headroom(w.request.Class)
+		found, e := w.find(headroom)
+		if l.endLook(w, found, e, headroom) {
+			return true
+		}
+	}
+	return false
+}
+
+// head returns the waiters that look for capacity, in their order: the first ones, and behind them
+// those that need to leave less of it free than all before them.
+func (l *line) head() (list []*waiter) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	least := math.Inf(1)
+	for i, first := range l.queue.Head(maxScan) {
+		w := l.waiters[first]
+		headroom := l.Shares.Headroom(w.request.Class)
+		if i < headSize || headroom < least {
+			list = append(list, w)
+		}
+		least = min(least, headroom)
+	}
+	return list
+}
+
+// beginLook reports whether w still waits, and keeps it in the line until endLook.
+func (l *line) beginLook(w *waiter) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, w.looking = l.waiters[&w.Waiter]
+	return w.looking
+}
+
+// endLook ends the wait of w if it found capacity, cannot be served, or its caller has left.
+func (l *line) endLook(w *waiter, found bool, e *fault.Error, headroom float64) (ended bool) {
+	if found {
+		w.result <- result{ticket: l.serve(w, time.Now())}
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	w.looking = false
+	if e == nil && !w.request.Restricted {
+		l.missed = append(l.missed, missedLook{w.Cost, headroom})
+	}
+	if e == nil && w.left {
+		e = errLeft()
+	}
+	if e == nil {
+		return false
+	}
+	l.remove(w)
+	w.result <- result{err: e}
+	return true
+}
+
+// missedLook is a request that found no capacity on any server.
+type missedLook struct{ cost, headroom float64 }
+
+// mayFind reports whether a request may find capacity that those which looked in the last round
+// did not. One that needs as much would only take what became free for them a moment ago.
+func (l *line) mayFind(w *waiter) bool {
+	headroom := l.Shares.Headroom(w.request.Class)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.queue.Len() == 0 || !slices.ContainsFunc(l.missed, func(m missedLook) bool { return m.cost <= w.Cost && m.headroom <= headroom })
+}
+
+// refuseOverdue refuses the waiters that cannot be served in time any more.
+func (l *line) refuseOverdue(now time.Time) {
+	l.mu.Lock()
+	var overdue []displacement
+	for _, w := range l.waiters {
+		if w.remaining(now) <= pollInterval {
+			overdue = append(overdue, displacement{w, l.queue.Ahead(&w.Waiter)})
+		}
+	}
+	for _, d := range overdue {
+		l.remove(d.waiter)
+	}
+	l.mu.Unlock()
+	for _, d := range overdue {
+		l.refuseWaiter(d.waiter, timeoutReason, d.ahead, now)
+	}
+}
