resv: measure the rate of each service

A book measured one rate for all services of the host. With 100 requests a second of one service and 2 of another, 20 callers that the second refused in 2 s were told to return within some 2 s, ten a second, and the wait of those ahead was computed from the total too. Rates and slots are now kept by service. TestServicesHaveRatesOfTheirOwn fails with one schedule for all: ten promises fall into one fifth of a second instead of ten. Served and Promise take the service as a new first argument.

--- a/entry/gossip/gossip_test.go
+++ b/entry/gossip/gossip_test.go
@@ -110,7 +110,7 @@
 		p.Returns = &resv.Book{}
 	}
 	now := time.Now()
-	due := now.Add(peers[0].Returns.Promise(7, 2*time.Second, 5*time.Second, 0, now))
+	due := now.Add(peers[0].Returns.Promise("s", 7, 2*time.Second, 5*time.Second, 0, now))
 	for i, p := range peers[1:] {
 		p.Merge(peers[i].Respond(&gossip.Message{From: p.Self}))
 	}
@@ -124,7 +124,7 @@
 	one, other := newPeer(1), newPeer(2)
 	one.Returns = &resv.Book{}
 	now := time.Now()
-	one.Returns.Promise(7, 2*time.Second, 5*time.Second, 0, now)
+	one.Returns.Promise("s", 7, 2*time.Second, 5*time.Second, 0, now)
 	message := one.Respond(&gossip.Message{From: other.Self})
 	qt.Check(t, message.Promises, qt.HasLen, 1)
 	other.Merge(message)
--- a/parts/resv/bench_test.go
+++ b/parts/resv/bench_test.go
@@ -11,7 +11,7 @@
 func fullBook() *resv.Book {
 	b := &resv.Book{}
 	for key := range uint64(4096) {
-		b.Promise(key, time.Second, 5*time.Second, 30, start)
+		b.Promise("s", key, time.Second, 5*time.Second, 30, start)
 	}
 	return b
 }
@@ -22,7 +22,7 @@
 	key := uint64(4096)
 	for b.Loop() {
 		key++
-		book.Promise(key, time.Second, 5*time.Second, 30, start)
+		book.Promise("s", key, time.Second, 5*time.Second, 30, start)
 	}
 }
 
--- a/parts/resv/exchange_test.go
+++ b/parts/resv/exchange_test.go
@@ -18,7 +18,7 @@
 // a message, and against one promise that is used at several hosts.
 func TestReturnToAnotherHost(t *testing.T) {
 	a, b, unaware := &resv.Book{}, &resv.Book{}, &resv.Book{}
-	due := start.Add(a.Promise(1, time.Second, 5*time.Second, 0, start))
+	due := start.Add(a.Promise("s", 1, time.Second, 5*time.Second, 0, start))
 	b.Merge(a.Promises(at(0.4)), at(0.45))
 	qt.Check(t, b.Arrive(1, at(0.5)), qt.Equals, fair.Early)
 	qt.Check(t, b.Arrive(1, due), qt.Equals, fair.OnTime)
@@ -42,12 +42,12 @@
 // are taken for its old ones.
 func TestHostRestarts(t *testing.T) {
 	before, other := &resv.Book{}, &resv.Book{}
-	due := start.Add(before.Promise(1, time.Second, 5*time.Second, 0, start))
+	due := start.Add(before.Promise("s", 1, time.Second, 5*time.Second, 0, start))
 	other.Merge(before.Promises(start), start)
 	after := &resv.Book{}
 	after.Merge(other.Promises(at(0.5)), at(0.5))
-	after.Promise(2, time.Second, 5*time.Second, 0, at(0.6))
-	after.Promise(1, time.Second, 5*time.Second, 0, at(0.6))
+	after.Promise("s", 2, time.Second, 5*time.Second, 0, at(0.6))
+	after.Promise("s", 1, time.Second, 5*time.Second, 0, at(0.6))
 	other.Merge(after.Promises(at(0.7)), at(0.7))
 	for _, b := range []*resv.Book{after, other} {
 		qt.Check(t, b.Arrive(1, due), qt.Equals, fair.OnTime)
@@ -90,7 +90,7 @@
 	log := &blockingLog{Handler: slog.Default().Handler(), book: b}
 	b.Log = slog.New(log)
 	for key := range uint64(4100) {
-		b.Promise(key, time.Second, 5*time.Second, 0, start)
+		b.Promise("s", key, time.Second, 5*time.Second, 0, start)
 	}
 	b.Merge([]resv.Promise{{Key: 1, Due: time.Minute}}, start)
 	b.Merge([]resv.Promise{{Key: 5000, Due: time.Second}}, at(2))
@@ -125,7 +125,7 @@
 func TestKeptPromisesLeaveRoom(t *testing.T) {
 	b := &resv.Book{}
 	for key := range uint64(400) {
-		b.Promise(key, time.Second, 2*time.Second, 0, start)
+		b.Promise("s", key, time.Second, 2*time.Second, 0, start)
 	}
 	for key := range uint64(200) {
 		qt.Assert(t, b.Arrive(key, at(2)), qt.Equals, fair.OnTime)
@@ -144,9 +144,9 @@
 // Guards against one request that many callers repeat and that drops the promises of all others.
 func TestPromisesForOneKeyAreBounded(t *testing.T) {
 	b := &resv.Book{}
-	b.Promise(1, time.Second, 5*time.Second, 0, start)
+	b.Promise("s", 1, time.Second, 5*time.Second, 0, start)
 	for range 5000 {
-		b.Promise(2, time.Second, 5*time.Second, 0, start)
+		b.Promise("s", 2, time.Second, 5*time.Second, 0, start)
 	}
 	qt.Check(t, b.Arrive(1, at(2)), qt.Equals, fair.OnTime)
 }
@@ -166,7 +166,7 @@
 	for i := range hosts {
 		hosts[i] = &resv.Book{}
 	}
-	due := hosts[0].Promise(1, time.Second, 5*time.Second, 0, start)
+	due := hosts[0].Promise("s", 1, time.Second, 5*time.Second, 0, start)
 	var sent []message
 	for now := start; now.Before(at(9)); now = now.Add(10 * time.Millisecond) {
 		for _, m := range sent {
--- a/parts/resv/overload_test.go
+++ b/parts/resv/overload_test.go
@@ -78,7 +78,7 @@
 				o.served++
 			}
 			o.waiting = o.waiting[1:]
-			o.book.Served(now)
+			o.book.Served("s", now)
 		}
 		o.book.Sweep(now)
 	}
@@ -89,7 +89,7 @@
 func TestReturnsAreServedUnderOverload(t *testing.T) {
 	var told overloaded
 	told.retryAfter = func(key uint64, ahead int, now time.Time) time.Duration {
-		return told.book.Promise(key, 100*time.Millisecond, 5*time.Second, ahead, now)
+		return told.book.Promise("s", key, 100*time.Millisecond, 5*time.Second, ahead, now)
 	}
 	told.run()
 	constant := overloaded{retryAfter: func(uint64, int, time.Time) time.Duration { return 700 * time.Millisecond }}
--- a/parts/resv/resv.go
+++ b/parts/resv/resv.go
@@ -2,9 +2,9 @@
 //
 // A [Book] makes a promise for a refused request: a time at which there will probably be capacity for
 // it, since few others were told the same time. Time is divided into slots. In each slot the host
-// promises a share of what it serves in that time, and leaves the rest to new requests. A request that
-// arrives when its promise is due is on time, and goes before new requests; one that arrives before is
-// early, and goes after them. A promise that nobody keeps lapses some time after it was due.
+// promises a share of what it serves of a service in that time, and leaves the rest to new requests. A
+// request that arrives when its promise is due is on time, and goes before new requests; one that arrives
+// before is early, and goes after them. A promise that nobody keeps lapses some time after it was due.
 //
 // A promise belongs to the key of a request, see [NewKey], since each attempt has a new ID. Several
 // callers with equal requests share a key. Each of them has a promise, and each arrival consumes one.
@@ -53,11 +53,11 @@
 
 	mu sync.Mutex
 	// start is the first time that was passed to the book. Other times are relative to it.
-	start  time.Time
-	served meter
-	slots  slots
-	ledger ledger
-	stats  Stats
+	start time.Time
+	// schedules holds the schedules by service: they are as many as there are services.
+	schedules map[string]*schedule
+	ledger    ledger
+	stats     Stats
 	// loggedAt is the time of the last log line, by message.
 	loggedAt map[string]time.Time
 }
@@ -70,18 +70,42 @@
 	Promised, Kept, Early, Lapsed int64
 }
 
-// Served records that a request took capacity.
-func (b *Book) Served(now time.Time) {
+// schedule holds what promises for one service follow from.
+type schedule struct {
+	served meter
+	slots  slots
+}
+
+// schedule returns the schedule of a service. The mutex is held.
+func (b *Book) schedule(service string) *schedule {
+	s := b.schedules[service]
+	if s == nil {
+		if b.schedules == nil {
+			b.schedules = map[string]*schedule{}
+		}
+		s = &schedule{}
+		b.schedules[service] = s
+	}
+	return s
+}
+
+// perSlot returns how many promises a slot should hold.
+func (s *schedule) perSlot(at time.Duration) float64 {
+	return max(minPerSlot, returnShare*s.served.rate(at)*slot.Seconds())
+}
+
+// Served records that a request took capacity of a service.
+func (b *Book) Served(service string, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.served.add(b.since(now))
+	b.schedule(service).served.add(b.since(now))
 }
 
-// Promise returns the Retry-After of a refused request: at least earliest, and at most latest unless
+// Promise returns the Retry-After of a request that a service refused: at least earliest, and at most latest unless
 // earliest is longer. ahead is the number of requests that wait for capacity before it. A request that
 // was early is told of its earlier promise again if it can keep it within these bounds. No promise is
 // made beyond maxDelay.
-func (b *Book) Promise(key uint64, earliest, latest time.Duration, ahead int, now time.Time) time.Duration {
+func (b *Book) Promise(service string, key uint64, earliest, latest time.Duration, ahead int, now time.Time) time.Duration {
 	earliest = max(earliest, 0)
 	if earliest > maxDelay {
 		return earliest
@@ -91,7 +115,7 @@
 		// The spread over a slot avoids a burst of callers that are told the same time.
 		latest = earliest + slot
 	}
-	delay, dropped := b.promise(key, earliest, latest, ahead, now)
+	delay, dropped := b.promise(service, key, earliest, latest, ahead, now)
 	if dropped {
 		b.warn(droppedMessage, 1, now)
 	}
@@ -99,15 +123,18 @@
 }
 
 // promise makes or repeats a promise, and reports whether the oldest was dropped for it.
-func (b *Book) promise(key uint64, earliest, latest time.Duration, ahead int, now time.Time) (delay time.Duration, dropped bool) {
+func (b *Book) promise(
+	service string, key uint64, earliest, latest time.Duration, ahead int, now time.Time,
+) (delay time.Duration, dropped bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	at := b.since(now)
-	if delay, ok := b.promisedBefore(key, earliest, latest, at); ok {
+	at, s := b.since(now), b.schedule(service)
+	perSlot := s.perSlot(at)
+	if delay, ok := b.promisedBefore(key, earliest, latest, at, perSlot); ok {
 		return delay, false
 	}
-	from := at + earliest + b.served.duration(max(ahead, 0), at)
-	due := b.slots.take(at+earliest, from, at+latest, b.perSlot(at))
+	from := at + earliest + s.served.duration(max(ahead, 0), at)
+	due := s.slots.take(at+earliest, from, at+latest, perSlot)
 	b.stats.Promised++
 	dropped = b.ledger.add(&promise{promiseID: newPromiseID(key, now, b.stats.Promised), due: due, own: true})
 	return due - at, dropped
@@ -115,7 +142,7 @@
 
 // promisedBefore returns the Retry-After of a request that was early. Only the first of several such
 // requests with one key may have a promise; the others are spread. The mutex is held.
-func (b *Book) promisedBefore(key uint64, earliest, latest, at time.Duration) (delay time.Duration, ok bool) {
+func (b *Book) promisedBefore(key uint64, earliest, latest, at time.Duration, perSlot float64) (delay time.Duration, ok bool) {
 	e := b.ledger.entries[key]
 	if e == nil || e.early == 0 {
 		return 0, false
@@ -130,7 +157,7 @@
 		// It was promised to another caller, with more time left.
 		return 0, false
 	}
-	interval := time.Duration(float64(slot) / b.perSlot(at))
+	interval := time.Duration(float64(slot) / perSlot)
 	spread := time.Duration(e.refused+1) * interval % earlySpread
 	delay = min(delay+spread, latest)
 	if p.lapsed(at + delay) {
@@ -200,11 +227,6 @@
 	return true
 }
 
-// perSlot returns how many promises a slot should hold. The mutex is held.
-func (b *Book) perSlot(at time.Duration) float64 {
-	return max(minPerSlot, returnShare*b.served.rate(at)*slot.Seconds())
-}
-
 // since returns the time since the start of the book. The mutex is held.
 func (b *Book) since(now time.Time) time.Duration {
 	if b.start.IsZero() {
--- a/parts/resv/resv_test.go
+++ b/parts/resv/resv_test.go
@@ -22,10 +22,10 @@
 // promise for each of their attempts.
 func TestCallerThatIgnoresRetryAfter(t *testing.T) {
 	b := &resv.Book{}
-	due := b.Promise(1, time.Second, 5*time.Second, 0, start)
+	due := b.Promise("s", 1, time.Second, 5*time.Second, 0, start)
 	for now := 100 * time.Millisecond; now < due-50*time.Millisecond; now += 100 * time.Millisecond {
 		qt.Assert(t, b.Arrive(1, start.Add(now)), qt.Equals, fair.Early)
-		again := b.Promise(1, 100*time.Millisecond, 5*time.Second, 0, start.Add(now))
+		again := b.Promise("s", 1, 100*time.Millisecond, 5*time.Second, 0, start.Add(now))
 		qt.Assert(t, now+again >= due && now+again < due+2*time.Second, qt.IsTrue, qt.Commentf("told %v at %v, due %v", again, now, due))
 	}
 	qt.Check(t, b.Arrive(1, start.Add(due)), qt.Equals, fair.OnTime)
@@ -40,11 +40,11 @@
 // no promise, and would all be told the time of that one.
 func TestEarlyCallersAreSpread(t *testing.T) {
 	b := &resv.Book{}
-	b.Promise(1, time.Second, 5*time.Second, 0, start)
+	b.Promise("s", 1, time.Second, 5*time.Second, 0, start)
 	slots := map[time.Duration]int{}
 	for range 50 {
 		b.Arrive(1, at(0.5))
-		slots[b.Promise(1, 0, 4*time.Second, 0, at(0.5))/(100*time.Millisecond)]++
+		slots[b.Promise("s", 1, 0, 4*time.Second, 0, at(0.5))/(100*time.Millisecond)]++
 	}
 	qt.Check(t, len(slots) >= 5, qt.IsTrue, qt.Commentf("%v", slots))
 }
@@ -53,9 +53,9 @@
 // refused the same request before.
 func TestEarlyCallerWithLessTime(t *testing.T) {
 	b := &resv.Book{}
-	due := start.Add(b.Promise(1, 4*time.Second, 5*time.Second, 0, start))
+	due := start.Add(b.Promise("s", 1, 4*time.Second, 5*time.Second, 0, start))
 	qt.Assert(t, b.Arrive(1, at(0.1)), qt.Equals, fair.Early)
-	delay := b.Promise(1, 100*time.Millisecond, time.Second, 0, at(0.1))
+	delay := b.Promise("s", 1, 100*time.Millisecond, time.Second, 0, at(0.1))
 	qt.Assert(t, delay <= time.Second, qt.IsTrue, qt.Commentf("told %v", delay))
 	qt.Check(t, b.Arrive(1, at(0.1).Add(delay)), qt.Equals, fair.OnTime)
 	qt.Check(t, b.Arrive(1, due), qt.Equals, fair.OnTime)
@@ -65,10 +65,10 @@
 // a time at which that has lapsed.
 func TestEarlyCallerThatWaited(t *testing.T) {
 	b := &resv.Book{}
-	due := start.Add(b.Promise(1, time.Second, 5*time.Second, 0, start))
+	due := start.Add(b.Promise("s", 1, time.Second, 5*time.Second, 0, start))
 	qt.Assert(t, b.Arrive(1, due.Add(-500*time.Millisecond)), qt.Equals, fair.Early)
 	refused := due.Add(1500 * time.Millisecond)
-	returned := refused.Add(b.Promise(1, 700*time.Millisecond, 5*time.Second, 0, refused))
+	returned := refused.Add(b.Promise("s", 1, 700*time.Millisecond, 5*time.Second, 0, refused))
 	qt.Check(t, b.Arrive(1, returned), qt.Equals, fair.OnTime)
 }
 
@@ -80,7 +80,7 @@
 		qt.Check(t, b.Arrive(1, start), qt.Equals, fair.New)
 	}
 	for range 3 {
-		b.Promise(1, 0, time.Second, 0, start)
+		b.Promise("s", 1, 0, time.Second, 0, start)
 	}
 	other.Merge(b.Promises(at(0.1)), at(0.1))
 	for _, book := range []*resv.Book{b, other} {
@@ -98,7 +98,7 @@
 	const quarter = 25 * time.Millisecond
 	var quarters [200]int
 	for key := range uint64(1000) {
-		delay := b.Promise(key, 0, 5*time.Second, 0, start)
+		delay := b.Promise("s", key, 0, 5*time.Second, 0, start)
 		qt.Assert(t, delay < 5*time.Second, qt.IsTrue, qt.Commentf("told %v", delay))
 		quarters[delay/quarter]++
 		if key < 25 {
@@ -115,14 +115,32 @@
 // the one measured.
 func TestWaitOfThoseAhead(t *testing.T) {
 	b := &resv.Book{}
-	qt.Check(t, b.Promise(1, 0, 5*time.Second, 20, start), qt.Equals, 2*time.Second)
+	qt.Check(t, b.Promise("s", 1, 0, 5*time.Second, 20, start), qt.Equals, 2*time.Second)
 	for i := range 500 {
-		b.Served(at(float64(i) / 100))
+		b.Served("s", at(float64(i)/100))
 	}
-	delay := b.Promise(2, 0, 5*time.Second, 100, at(5))
+	delay := b.Promise("s", 2, 0, 5*time.Second, 100, at(5))
 	qt.Check(t, delay >= 900*time.Millisecond && delay <= 1100*time.Millisecond, qt.IsTrue, qt.Commentf("told %v", delay))
 }
 
+// Guards against callers of a service with little capacity that all return at once, since another service
+// of the same host serves many.
+func TestServicesHaveRatesOfTheirOwn(t *testing.T) {
+	b := &resv.Book{}
+	b.Served("small", start)
+	for i := range 1000 {
+		b.Served("large", at(float64(i)/100))
+	}
+	b.Served("small", at(9.5))
+	slots := map[time.Duration]int{}
+	for key := range uint64(10) {
+		slots[b.Promise("small", key, 0, 5*time.Second, 0, at(10))/(200*time.Millisecond)]++
+	}
+	qt.Check(t, slots, qt.HasLen, 10, qt.Commentf("%v", slots))
+	delay := b.Promise("small", 10, 0, 5*time.Second, 4, at(10))
+	qt.Check(t, delay >= 3*time.Second, qt.IsTrue, qt.Commentf("told %v", delay))
+}
+
 // Guards against a Retry-After that is beyond the caller's time, or before servers have capacity.
 func TestRetryAfterIsWithinBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -131,7 +149,7 @@
 			now := start.Add(time.Duration(rapid.Int64Range(0, int64(time.Second)).Draw(t, "now")))
 			earliest := time.Duration(rapid.Int64Range(0, int64(4*time.Second)).Draw(t, "earliest"))
 			latest := earliest + time.Duration(rapid.Int64Range(1, int64(3*time.Second)).Draw(t, "range"))
-			delay := b.Promise(key, earliest, latest, rapid.IntRange(0, 100).Draw(t, "ahead"), now)
+			delay := b.Promise("s", key, earliest, latest, rapid.IntRange(0, 100).Draw(t, "ahead"), now)
 			if delay < earliest || delay > min(latest, 5*time.Second) {
 				t.Fatalf("told %v, not within %v and %v", delay, earliest, latest)
 			}
@@ -143,17 +161,17 @@
 // against promises that are kept for as long as that.
 func TestLongPauseOfServer(t *testing.T) {
 	b := &resv.Book{}
-	qt.Check(t, b.Promise(1, 30*time.Second, 2*time.Second, 0, start), qt.Equals, 30*time.Second)
+	qt.Check(t, b.Promise("s", 1, 30*time.Second, 2*time.Second, 0, start), qt.Equals, 30*time.Second)
 	qt.Check(t, b.Promises(start), qt.HasLen, 0)
-	delay := b.Promise(2, 3*time.Second, 2*time.Second, 0, start)
+	delay := b.Promise("s", 2, 3*time.Second, 2*time.Second, 0, start)
 	qt.Check(t, delay >= 3*time.Second && delay <= 3100*time.Millisecond, qt.IsTrue, qt.Commentf("told %v", delay))
 }
 
 // Guards against promises that are never dropped.
 func TestLapsedPromises(t *testing.T) {
 	b := &resv.Book{}
-	due := b.Promise(1, time.Second, 5*time.Second, 0, start)
-	b.Promise(2, time.Second, 5*time.Second, 0, start)
+	due := b.Promise("s", 1, time.Second, 5*time.Second, 0, start)
+	b.Promise("s", 2, time.Second, 5*time.Second, 0, start)
 	qt.Check(t, b.Arrive(1, start.Add(due+1900*time.Millisecond)), qt.Equals, fair.OnTime)
 	qt.Check(t, b.Arrive(2, start.Add(due+2500*time.Millisecond)), qt.Equals, fair.New)
 	b.Sweep(start.Add(due + 2500*time.Millisecond))
--- a/parts/resv/slots.go
+++ b/parts/resv/slots.go
@@ -11,7 +11,7 @@
 	horizon = 64
 )
 
-// slots counts the promises of this host by the time at which they are due. Those of other hosts are
+// slots counts the promises of this host for a service by the time at which they are due. Those of other hosts are
 // not counted: each host promises a share of what it serves itself, and callers are spread over hosts.
 type slots [horizon]struct {
 	index int64
