soak: check that a team is served beside a crowd of another

With -teams (Settings.Teams) the configuration has a second team without a priority of its own and a second streaming route of priority 2. Crowds of 120 callers of that team come in the series and after the faults, where nine in ten of the first team's streams (20 events, 14 a second, 8 s) must be served. The random numbers of the other series are unchanged without the option.

--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -20,7 +20,7 @@
 	"fuchsiashelf.dev/stand/sever"
 )
 
-// Keys of the only team. The run revokes oldKey at its end.
+// Keys of the first team. The run revokes oldKey at its end.
 const (
 	currentKey = "key-kept"
 	oldKey     = "key-old"
@@ -169,9 +169,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.configVersion++
-	return fakes.Config{
+	config := fakes.Config{
 		Version: c.configVersion, Keys: keys, Model: fakes.Model{Layers: layers, LayerMB: 1000}, MemoryMB: 6000,
-	}.Put(&c.platform.Store)
+	}
+	if c.Teams {
+		addTeams(&config)
+	}
+	return config.Put(&c.platform.Store)
 }
 
 // addEntryHost starts an entry host.
--- a/soak/series.go
+++ b/soak/series.go
@@ -27,8 +27,10 @@
 	// requests per second.
 	limitTime  = 2 * time.Second
 	namedLimit = 3
-	// seriesStream is the stream of random numbers of the series.
+	// seriesStream is the stream of random numbers of the series, crowdStream that of the crowd
+	// after the faults.
 	seriesStream = 1 << 32
+	crowdStream  = 1 << 33
 )
 
 // runSeries makes series of changes until stop is closed. They overlap with each other
@@ -61,6 +63,9 @@
 	if r.Crashes {
 		kinds = append(kinds, r.startCrashes)
 	}
+	if r.Teams {
+		kinds = append(kinds, r.startCrowd)
+	}
 	return kinds[rng.IntN(len(kinds))](rng)
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -40,6 +40,10 @@
 	// the series and after the faults, and checks that they are blocked and that requests that
 	// share their other parts are served.
 	Crashes bool
+	// Teams configures a second team and a second streaming route of a less urgent priority. Crowds
+	// of callers of the second team come in the series and after the faults, and the run checks that
+	// the first team's requests are served beside them.
+	Teams bool
 	// EntryHosts and Callers are the numbers of entry hosts and callers.
 	EntryHosts, Callers int
 	// Program is the path of the fsplat binary.
@@ -203,8 +207,13 @@
 
 // sendPrompt is sendStream for a prompt with the given parts.
 func (r *run) sendPrompt(e, events int, parts ...string) bool {
-	id := r.newID("ask", e)
-	resp := r.cluster.send(e, id, "/ask/1", currentKey, events, parts...)
+	return r.sendOn(r.newID("ask", e), e, "/ask/1", currentKey, events, parts...)
+}
+
+// sendOn sends a streaming request on a path, with a key, and checks its response. It reports
+// whether the request succeeded.
+func (r *run) sendOn(id string, e int, path, key string, events int, parts ...string) bool {
+	resp := r.cluster.send(e, id, path, key, events, parts...)
 	ok := resp.status == 200 && resp.err == nil
 	r.countRequest(ok)
 	if ok && resp.body != fakes.StreamBody(id, events) {
@@ -236,6 +245,10 @@
 		r.checkCrashes()
 		r.awaitRecovery()
 	}
+	if r.Teams {
+		r.checkTeams()
+		r.awaitRecovery()
+	}
 	r.checkPlannedStop()
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -71,3 +71,9 @@
 func TestCrashes(t *testing.T) {
 	runSeed(t, soak.Settings{Seed: 9, FaultDuration: 4 * time.Second, Series: true, Crashes: true, EntryHosts: 4, Callers: 8, Program: build(t)})
 }
+
+// Guards against a team that is refused because another team sends more requests, and is back at
+// once after each refusal.
+func TestTeams(t *testing.T) {
+	runSeed(t, soak.Settings{Seed: 31, FaultDuration: 4 * time.Second, Series: true, Teams: true, EntryHosts: 4, Callers: 8, Program: build(t)})
+}
