--- a/entry/queue/line.go
+++ b/entry/queue/line.go
@@ -167,7 +167,7 @@
 	}
 	l.recent.add(w.request.Class)
 	l.mu.Unlock()
-	l.Book.Served(now)
+	l.Book.Served(l.service, now)
 	l.counts.served(w.request.Class)
 	return Ticket{&taken{line: l, waiter: w, end: l.Shares.Begin(w.request.Class, w.Cost, now)}}
 }
--- a/entry/queue/refuse.go
+++ b/entry/queue/refuse.go
@@ -33,7 +33,7 @@
 func (l *line) refuse(w *waiter, why reason, ahead int, now time.Time) *fault.Error {
 	r := &w.request
 	latest := min(maxRetryAfter, time.Duration(maxRetryOfRemaining*float64(r.Deadline.Sub(now))))
-	after := l.Book.Promise(r.Key, minRetryAfter, latest, ahead, now)
+	after := l.Book.Promise(l.service, r.Key, minRetryAfter, latest, ahead, now)
 	l.Shares.Refuse(r.Class, w.Cost, now)
 	l.counts.refused(r.Class, why)
 	l.logRefused(w, why, ahead, after, now)
