queue, share: refuse, charge and log in a fixed order, and log without a mutex

Cause, from the review: who got which promise and the charges of other hosts followed the order of maps, a line was written under the mutex of the queue, and negative ranks counted as the first in metrics but as the last in the order.

--- a/entry/queue/line.go
+++ b/entry/queue/line.go
@@ -162,11 +162,15 @@
 	l.pace.record(l.queue.Len(), now)
 	l.queue.Serve(&w.Waiter)
 	l.forget(w)
-	if waited {
-		l.logWaited(w, now)
+	var passed map[string]int
+	if waited && l.logged.allow(subject{waitedMessage, w.request.Class}, now) {
+		passed = l.recent.since(w.served)
 	}
 	l.recent.add(w.request.Class)
 	l.mu.Unlock()
+	if passed != nil {
+		l.logWaited(w, passed, now)
+	}
 	l.Book.Served(l.service, now)
 	l.counts.served(w.request.Class)
 	return Ticket{&taken{line: l, waiter: w, end: l.Shares.Begin(w.request.Class, w.Cost, now)}}
--- a/entry/queue/log.go
+++ b/entry/queue/log.go
@@ -54,10 +54,12 @@
 	}
 }
 
-// logWaited logs who was served before a request that waited. The mutex is held.
-func (l *line) logWaited(w *waiter, now time.Time) {
-	const message = "queue: waited"
-	if c := w.request.Class; l.logged.allow(subject{message, c}, now) {
-		l.Log.Info(message, "service", c.Service, "team", c.Team, "rank", c.Rank, "waited", now.Sub(w.Arrived), "passed", l.recent.since(w.served))
-	}
+// waitedMessage is the message of a line about a request that waited.
+const waitedMessage = "queue: waited"
+
+// logWaited logs who was served before a request that waited: the number of requests by team and
+// rank.
+func (l *line) logWaited(w *waiter, passed map[string]int, now time.Time) {
+	c := w.request.Class
+	l.Log.Info(waitedMessage, "service", c.Service, "team", c.Team, "rank", c.Rank, "waited", now.Sub(w.Arrived), "passed", passed)
 }
--- a/entry/queue/round.go
+++ b/entry/queue/round.go
@@ -138,9 +138,9 @@
 func (l *line) refuseOverdue(now time.Time) {
 	l.mu.Lock()
 	var overdue []displacement
-	for _, w := range l.waiters {
-		if w.remaining(now) <= pollInterval {
-			overdue = append(overdue, displacement{w, l.queue.Ahead(&w.Waiter)})
+	for ahead, waiting := range l.queue.Head(l.queue.Len()) {
+		if w := l.waiters[waiting]; w.remaining(now) <= pollInterval {
+			overdue = append(overdue, displacement{w, ahead})
 		}
 	}
 	for _, d := range overdue {
--- a/entry/queue/stats.go
+++ b/entry/queue/stats.go
@@ -76,7 +76,10 @@
 func (c *counts) add(class share.Class, n Count) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	rank := min(max(class.Rank, 0), route.LowestPriority)
+	rank := class.Rank
+	if !route.ValidPriority(rank) {
+		rank = route.LowestPriority
+	}
 	c.ranks[rank] = c.ranks[rank].plus(n)
 	if c.teams == nil {
 		c.teams = map[string]Count{}
--- a/parts/share/remote.go
+++ b/parts/share/remote.go
@@ -1,7 +1,9 @@
 package share
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"fuchsiashelf.dev/parts/domain"
@@ -109,8 +111,9 @@
 
 // TakeRemote yields the work that other hosts have begun for a service since the last call.
 func (t *Tracker) TakeRemote(service string, yield func(c Class, work float64)) {
-	for c, work := range t.takeCharges(service) {
-		yield(c, work)
+	charges := t.takeCharges(service)
+	for _, c := range slices.SortedFunc(maps.Keys(charges), Class.compare) {
+		yield(c, charges[c])
 	}
 }
 
