--- a/entry/gossip/message.go
+++ b/entry/gossip/message.go
@@ -8,7 +8,9 @@
 	"fuchsiashelf.dev/parts/mirror"
 	"fuchsiashelf.dev/parts/poison"
 	"fuchsiashelf.dev/parts/reach"
+	"fuchsiashelf.dev/parts/resv"
 	"fuchsiashelf.dev/parts/router"
+	"fuchsiashelf.dev/parts/share"
 )
 
 // Suspect is a server that is suspected to have failed, and avoided for a while.
@@ -70,11 +72,16 @@
 	Orders   []Assignment
 	// Limits holds what the sender knows of the rate limits of servers, by server.
 	Limits map[string]limit.Report
+	// Demand is the demand for contended services at the sender. Older versions send none.
+	Demand []share.Row
 	// Evidence holds what the sender knows of crashes of servers that the receiver may lack.
 	Evidence poison.Evidence
 	// Departures holds the servers that get no new requests although their entries, or
 	// those of a restored object API, may say otherwise.
 	Departures []Departure
+	// Promises holds what refused callers were told, at the sender and at others. Older versions
+	// send none.
+	Promises []resv.Promise
 	// ConfigVersion is the version of the sender's configuration in force; zero if it has
 	// none. Config is that configuration if the receiver has an older one and the object
 	// API does not hold it.
@@ -107,6 +114,12 @@
 		Suspects: p.Suspects(), Slows: p.SlowServers(), Orders: p.Assignments(), Evidence: p.Crashes.Evidence(time.Now()),
 		Limits: p.Limits.Reports(time.Now()), Departures: p.Departures(),
 	}
+	if p.Returns != nil {
+		m.Promises = p.Returns.Promises(time.Now())
+	}
+	if p.Shares != nil {
+		m.Demand = p.Shares.Rows(time.Now())
+	}
 	var config []byte
 	m.ConfigVersion, config = p.Config()
 	if to != nil && to.ConfigVersion < m.ConfigVersion {
@@ -202,6 +215,7 @@
 	if m.From.Name != p.Self.Name {
 		p.Load.SetRemote(m.From.Name, m.Load)
 	}
+	p.mergeDemand(m)
 	if m.From.Reach != reach.Isolated {
 		// What a host that is cut off from the servers finds says nothing of them.
 		p.mergeFindings(m)
@@ -224,6 +238,9 @@
 	for _, d := range m.Departures {
 		p.OnDeparture(d)
 	}
+	if p.Returns != nil {
+		p.Returns.Merge(m.Promises, time.Now())
+	}
 	for _, batch := range m.Changes {
 		p.mergeChanges(m, batch)
 	}
