--- a/entry/queue/line.go
+++ b/entry/queue/line.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"fuchsiashelf.dev/parts/fair"
@@ -36,9 +35,6 @@
 	// wake receives a value when a round is due before the next interval.
 	wake chan struct{}
 
-	// reserved says that some class leaves capacity free for others.
-	reserved atomic.Bool
-
 	mu      sync.Mutex
 	queue   fair.Queue
 	waiters map[*fair.Waiter]*waiter
@@ -101,7 +97,6 @@
 		go l.run()
 	}
 	l.mu.Unlock()
-	l.tell(l.news.waits(w.request.Class, now))
 	for _, d := range displaced {
 		l.refuseWaiter(d.waiter, displacedReason, d.ahead, now)
 	}
--- a/entry/queue/queue.go
+++ b/entry/queue/queue.go
@@ -30,16 +30,12 @@
 	Shares *share.Tracker
 	Book   *resv.Book
 	Log    *slog.Logger
-	// OnLack is called when other hosts should hear at once that a class lacks capacity here, at
-	// most once in 400 ms; nil if there are none.
-	OnLack func()
 
 	mu    sync.Mutex
 	lines map[string]*line
 
 	counts counts
 	logged limiter
-	news   news
 }
 
 // Request describes a request for admission.
@@ -84,8 +80,6 @@
 	for _, l := range a.allLines() {
 		l.chargeRemote()
 	}
-	a.updateReserved(now)
-	a.news.sweep(now)
 	a.logged.sweep(now)
 }
 
--- a/entry/queue/refuse.go
+++ b/entry/queue/refuse.go
@@ -36,7 +36,6 @@
 	after := l.Book.Promise(l.service, r.Key, minRetryAfter, latest, ahead, now)
 	l.Shares.Refuse(r.Class, w.Cost, now)
 	l.counts.refused(r.Class, why)
-	l.tell(l.news.refused(l.precedes(r.Class), now))
 	l.logRefused(w, why, ahead, after, now)
 	return &fault.Error{Code: fault.Overloaded, Verdict: fault.NotRun, Message: "no server has room", RetryAfter: after}
 }
