reach: count a host as isolated only after checks of other servers

Cause: a host without requests tries only servers that it probes and, every 500 ms, two of those that it did not reach (dialer.Run). After three servers have crashed together, these rounds alone make three failed attempts since the last accepted connection, and the host reports itself as isolated. Nothing but a new connection ends that, as only the crashed servers are tried again.

Ruled out: a higher number than three, which a crash of a larger rack exceeds, and which delays the conclusion where requests fail.

Change: where the tracker knows candidates, a host is isolated only if three checks have failed as well, or all candidates were tried. A check is an attempt at a server that was chosen for no failure of its own: those that the dialer already makes beside a failed connection, and those that are due when failed attempts leave a doubt, at most once in 200 ms. Servers that are known to be down do not count, unless all are. Only an accepted connection ends an isolation, not a checked server whose entry is removed.

Measured: TestRechecksOfCrashedServersDoNotIsolate fails without candidates and passes with them.

--- a/entry/dialer/check.go
+++ b/entry/dialer/check.go
@@ -31,14 +31,13 @@
 	if d.checked != nil {
 		return d.checked
 	}
-	others := slices.DeleteFunc(d.Servers(), func(address string) bool { return address == failed })
-	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	others := slices.DeleteFunc(d.checkable(), func(address string) bool { return address == failed })
 	done := make(chan struct{})
 	d.checked = done
 	go func() {
 		var checks sync.WaitGroup
 		for _, address := range others[:min(len(others), checkServers)] {
-			checks.Go(func() { d.tryDirect(address, startedAt) })
+			checks.Go(func() { d.tryDirect(address, d.Reach.RecordCheck, startedAt) })
 		}
 		checks.Wait()
 		d.mu.Lock()
@@ -49,12 +48,34 @@
 	return done
 }
 
+// checkable returns the servers at which to check whether this host is cut off, the preferred
+// ones first.
+func (d *Dialer) checkable() []string {
+	if d.Reach.Candidates != nil {
+		return d.Reach.Candidates()
+	}
+	list := d.Servers()
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list
+}
+
+// startDueChecks starts the checks without which this host does not count as isolated.
+func (d *Dialer) startDueChecks(now time.Time) {
+	for _, address := range d.Reach.DueChecks(now) {
+		go d.tryDirect(address, d.Reach.RecordCheck, now)
+	}
+}
+
+// recordFunc records whether a server accepted a connection, and reports whether that changed
+// the state of this host.
+type recordFunc func(address string, reached bool, startedAt time.Time) (changed bool)
+
 // tryDirect tries a server directly, without sending anything.
-func (d *Dialer) tryDirect(address string, startedAt time.Time) {
+func (d *Dialer) tryDirect(address string, record recordFunc, startedAt time.Time) {
 	ctx, cancel := d.Clock.WithTimeout(context.Background(), checkTimeout, nil)
 	defer cancel()
 	c, err := d.Direct(ctx, "tcp", address)
-	d.record(address, err == nil, startedAt)
+	d.record(address, err == nil, record, startedAt)
 	if err == nil {
 		c.Close()
 	}
@@ -73,7 +94,7 @@
 			list := d.Reach.Unreached()
 			rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 			for _, address := range list[:min(len(list), recheckServers)] {
-				go d.tryDirect(address, now)
+				go d.tryDirect(address, d.Reach.Record, now)
 			}
 		}
 	}
--- a/entry/dialer/dialer.go
+++ b/entry/dialer/dialer.go
@@ -166,7 +166,7 @@
 	if err != nil {
 		return nil
 	}
-	d.record(address, false, startedAt)
+	d.record(address, false, d.Reach.Record, startedAt)
 	d.Reach.RecordRelayed(address, time.Now())
 	return c
 }
@@ -247,13 +247,16 @@
 	c, err := d.Direct(ctx, network, address)
 	givenUp := ctx.Err() != nil && (errors.Is(context.Cause(ctx), context.Canceled) || time.Since(startedAt) < raceDelay)
 	if err == nil || !givenUp {
-		d.record(address, err == nil, startedAt)
+		d.record(address, err == nil, d.Reach.Record, startedAt)
 	}
 	return c, err
 }
 
-func (d *Dialer) record(address string, reached bool, startedAt time.Time) {
-	if d.Reach.Record(address, reached, startedAt) && d.OnChange != nil {
+func (d *Dialer) record(address string, reached bool, record recordFunc, startedAt time.Time) {
+	if record(address, reached, startedAt) && d.OnChange != nil {
 		d.OnChange()
 	}
+	if !reached {
+		d.startDueChecks(time.Now())
+	}
 }
--- a/entry/dialer/dialer_test.go
+++ b/entry/dialer/dialer_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -208,3 +209,33 @@
 		})
 	}
 }
+
+// Guards against a host that counts as isolated, and connects through others, because it tries
+// no servers but three that have crashed.
+func TestRechecksOfCrashedServersDoNotIsolate(t *testing.T) {
+	servers := []string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", "up:4", "up:5", "up:6"}
+	var rechecks, isolations atomic.Int64
+	d := newDialer(func(_ context.Context, _, address string) (net.Conn, error) {
+		if strings.HasPrefix(address, "up") {
+			near, far := net.Pipe()
+			far.Close()
+			return near, nil
+		}
+		rechecks.Add(1)
+		return nil, errRefused
+	}, servers, nil)
+	d.Reach.Candidates = func() []string { return append([]string(nil), servers[3:]...) }
+	d.OnChange = func() {
+		if d.Reach.State(time.Now()) == reach.Isolated {
+			isolations.Add(1)
+		}
+	}
+	for _, address := range servers[:3] {
+		_, err := d.Dial(t.Context(), "tcp", address)
+		qt.Assert(t, err, qt.IsNotNil)
+	}
+	go d.Run(t.Context())
+	// Two servers are tried in each round, so this takes four rounds.
+	waitUntil(func() bool { return rechecks.Load() >= 3+8 })
+	qt.Assert(t, isolations.Load(), qt.Equals, int64(0))
+}
--- a/parts/reach/reach.go
+++ b/parts/reach/reach.go
@@ -5,6 +5,11 @@
 // distinguish them. A [Tracker] compares the attempts at all servers: an entry host is
 // isolated if no server has accepted a connection since several of them did not.
 //
+// A host with few requests may connect only to servers that have crashed together. If
+// Candidates is set, a host is therefore isolated only after some *checks* have failed too:
+// attempts at servers that are chosen for no failure of theirs. [Tracker.DueChecks] says which.
+// Servers that are known to be down from other hosts show nothing and do not count.
+//
 // Only new connections count. Those that are open may live on while new ones are refused.
 //
 // While an entry host does not reach a server, it connects through another host that does.
@@ -13,6 +18,8 @@
 
 import (
 	"maps"
+	"math"
+	"slices"
 	"sync"
 	"time"
 )
@@ -21,6 +28,10 @@
 	// minUnreached is how many servers must have accepted no connection before an entry
 	// host counts as isolated, if it knows as many: a rack of servers may be down.
 	minUnreached = 3
+	// minChecks is how many checks must have failed, if there are as many servers.
+	minChecks = 3
+	// checkInterval is the shortest interval between two rounds of checks that are due.
+	checkInterval = 200 * time.Millisecond
 	// relayedFor is how long connections to a server go through another entry host after
 	// the last direct attempt failed. Then a direct one is made again.
 	relayedFor = 2 * time.Second
@@ -55,10 +66,16 @@
 }
 
 // Tracker records which servers accept connections of this entry host. Set the exported
-// field before use.
+// fields before use. Its functions must not call the Tracker.
 type Tracker struct {
 	// Known returns the number of servers in use; nil means that it is large.
 	Known func() int
+	// Down reports whether a server is known to be down, not only from attempts of this
+	// entry host; nil means that none is.
+	Down func(address string) bool
+	// Candidates returns the servers that may be checked, the preferred ones first; nil means
+	// that isolation needs no checks.
+	Candidates func() []string
 
 	mu sync.Mutex
 	// attempts holds the latest attempt at each server, by address.
@@ -67,7 +84,9 @@
 	lastReached time.Time
 	// lastRelayed is when another entry host last connected to a server for this one.
 	lastRelayed time.Time
-	isolated    bool
+	// lastChecks is when checks were last due.
+	lastChecks time.Time
+	isolated   bool
 }
 
 // attempt is an attempt to connect to a server.
@@ -76,18 +95,31 @@
 	reached   bool
 	// relayed says that another entry host has reached the server since.
 	relayed bool
+	// check says that the server was chosen for a check.
+	check bool
 }
 
 // Record records whether a server accepted a connection that was attempted at a time. It
 // reports whether that changed the state of this entry host.
 func (t *Tracker) Record(address string, reached bool, startedAt time.Time) (changed bool) {
+	return t.record(address, reached, false, startedAt)
+}
+
+// RecordCheck is like Record for a check.
+func (t *Tracker) RecordCheck(address string, reached bool, startedAt time.Time) (changed bool) {
+	return t.record(address, reached, true, startedAt)
+}
+
+func (t *Tracker) record(address string, reached, check bool, startedAt time.Time) (changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.attempts == nil {
 		t.attempts = map[string]attempt{}
 	}
-	if old := t.attempts[address]; !startedAt.Before(old.startedAt) {
-		t.attempts[address] = attempt{startedAt: startedAt, reached: reached, relayed: old.relayed && !reached}
+	old := t.attempts[address]
+	check = check || old.check && t.failed(old)
+	if !startedAt.Before(old.startedAt) {
+		t.attempts[address] = attempt{startedAt: startedAt, reached: reached, relayed: old.relayed && !reached, check: check}
 	}
 	if reached && startedAt.After(t.lastReached) {
 		t.lastReached = startedAt
@@ -98,7 +130,12 @@
 // update updates isolated and reports whether that changed. The mutex is held.
 func (t *Tracker) update() (changed bool) {
 	before := t.isolated
-	t.isolated = t.allUnreached()
+	if before {
+		// Only an accepted connection ends an isolation.
+		t.isolated = t.countFailed(nil) >= t.enough(t.knownServers())
+	} else {
+		t.isolated = t.inDoubt() && t.checked()
+	}
 	return t.isolated != before
 }
 
@@ -149,20 +186,84 @@
 	return list
 }
 
-// allUnreached reports whether no server has accepted a connection since enough servers
-// did not. The mutex is held.
-func (t *Tracker) allUnreached() bool {
-	enough := minUnreached
-	if t.Known != nil {
-		enough = max(1, min(enough, t.Known()))
+// failed reports whether an attempt was not accepted, and began after the latest one that
+// was. The mutex is held.
+func (t *Tracker) failed(a attempt) bool {
+	return !a.reached && a.startedAt.After(t.lastReached)
+}
+
+// countFailed returns the number of servers whose latest attempt failed, without those that are
+// known to be down. The mutex is held.
+func (t *Tracker) countFailed(down func(address string) bool) (n int) {
+	for address, a := range t.attempts {
+		if t.failed(a) && (down == nil || !down(address)) {
+			n++
+		}
+	}
+	return n
+}
+
+// knownServers returns the number of servers in use. The mutex is held.
+func (t *Tracker) knownServers() int {
+	if t.Known == nil {
+		return math.MaxInt
 	}
-	n := 0
+	return t.Known()
+}
+
+// enough returns how many of some servers must not have accepted a connection.
+func (t *Tracker) enough(servers int) int { return max(1, min(minUnreached, servers)) }
+
+// inDoubt reports whether no server has accepted a connection since enough servers that are
+// not known to be down did not. If all are known to be down, all count: whoever found that may
+// be cut off as well. The mutex is held.
+func (t *Tracker) inDoubt() bool {
+	if t.countFailed(nil) < t.enough(t.knownServers()) {
+		return false
+	}
+	if t.Down == nil || t.Candidates == nil {
+		return true
+	}
+	up := len(slices.DeleteFunc(t.Candidates(), t.Down))
+	return up == 0 || t.countFailed(t.Down) >= t.enough(up)
+}
+
+// checked reports whether enough checks have failed, or all servers were tried. The mutex is
+// held.
+func (t *Tracker) checked() bool {
+	return t.Candidates == nil || t.missingChecks() <= 0 || len(t.untried()) == 0
+}
+
+// missingChecks returns how many more checks must fail. The mutex is held.
+func (t *Tracker) missingChecks() int {
+	n := minChecks
 	for _, a := range t.attempts {
-		if !a.reached && a.startedAt.After(t.lastReached) {
-			n++
+		if a.check && t.failed(a) {
+			n--
 		}
 	}
-	return n >= enough
+	return n
+}
+
+// untried returns the servers for checks that were not tried since one has accepted a
+// connection. The mutex is held.
+func (t *Tracker) untried() []string {
+	return slices.DeleteFunc(t.Candidates(), func(address string) bool {
+		return t.failed(t.attempts[address]) || t.Down != nil && t.Down(address)
+	})
+}
+
+// DueChecks returns the servers at which a check must start now, because the attempts so far
+// may mean an isolation.
+func (t *Tracker) DueChecks(now time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.Candidates == nil || t.isolated || now.Sub(t.lastChecks) < checkInterval || !t.inDoubt() {
+		return nil
+	}
+	t.lastChecks = now
+	list := t.untried()
+	return list[:max(0, min(t.missingChecks(), len(list)))]
 }
 
 // State returns the state of this entry host.
