--- a/parts/share/share.go
+++ b/parts/share/share.go
@@ -33,9 +33,7 @@
 	// minShare is the share of what is served below which a rank leaves nothing free.
 	minShare = 1.0 / 16
 	// deviations is how many standard deviations of the demand that precedes are kept
-	// free. With one, a team with few requests beside a crowd was refused up to a tenth of
-	// them; with two, a lower rank loses over a fifth of its requests where one server of 37
-	// requests is used to nine tenths, and 3% where five are.
+	// free. Fewer refuse requests when that demand varies, more idle small services.
 	deviations = 2
 	// contendedFor is how long a service counts as contended after a request waited or
 	// was refused.
