--- a/entry/queue/line.go
+++ b/entry/queue/line.go
@@ -121,7 +121,7 @@
 	return wait > 0 && wait < remaining-2*pollInterval
 }
 
-// displacement is a waiter that is refused, and the number of those that went before it.
+// displacement is a waiter that is refused, and the number of waiters ahead of it.
 type displacement struct {
 	waiter *waiter
 	ahead  int
--- a/entry/queue/queue.go
+++ b/entry/queue/queue.go
@@ -26,7 +26,7 @@
 // Admission admits requests to all services. Set the exported fields before use. It is safe for
 // concurrent use.
 type Admission struct {
-	// Shares tracks the demand of all hosts, and Book when refused callers come back.
+	// Shares tracks the demand of all hosts, and Book the promises to refused callers.
 	Shares *share.Tracker
 	Book   *resv.Book
 	Log    *slog.Logger
--- a/parts/fair/fair.go
+++ b/parts/fair/fair.go
@@ -22,8 +22,8 @@
 //  4. by arrival.
 //
 // The bounds are applied to a team when it begins to wait and when it is
-// charged. Queries answer for the present state: whoever is served or arrives
-// later changes the order.
+// charged. Queries answer for the present state: requests that are served or
+// arrive later change the order.
 //
 // The state of a team without waiters is dropped once its start tag is at the
 // lower bound, where that of an unknown team is. The package is a pure state
--- a/parts/reach/reach.go
+++ b/parts/reach/reach.go
@@ -215,8 +215,8 @@
 func (t *Tracker) enough(servers int) int { return max(1, min(minUnreached, servers)) }
 
 // inDoubt reports whether no server has accepted a connection since enough servers that are
-// not known to be down did not. If all are known to be down, all count: whoever found that may
-// be cut off as well. The mutex is held.
+// not known to be down did not. If all are known to be down, all count, since the hosts that
+// reported it may be cut off as well. The mutex is held.
 func (t *Tracker) inDoubt() bool {
 	if t.countFailed(nil) < t.enough(t.knownServers()) {
 		return false
--- a/parts/resv/resv.go
+++ b/parts/resv/resv.go
@@ -4,7 +4,7 @@
 // it, since few others were told the same time. Time is divided into slots. In each slot the host
 // promises a share of what it serves of a service in that time, and leaves the rest to new requests. A
 // request that arrives when its promise is due is on time, and goes before new requests; one that arrives
-// before is early, and goes after them. A promise that nobody keeps lapses some time after it was due.
+// before is early, and goes after them. A promise lapses if no request keeps it within grace.
 //
 // A promise belongs to the key of a request, see [NewKey], since each attempt has a new ID. Several
 // callers with equal requests share a key. Each of them has a promise, and each arrival consumes one.
@@ -65,7 +65,7 @@
 // Stats counts promises since the start of the process.
 type Stats struct {
 	// Promised is the number of promises made by this entry host, and Lapsed the number of those that
-	// no caller is known to have kept. Kept and Early are the numbers of arrivals here that were on time
+	// lapsed. Kept and Early are the numbers of arrivals here that were on time
 	// and early.
 	Promised, Kept, Early, Lapsed int64
 }
@@ -191,7 +191,7 @@
 	return fair.OnTime
 }
 
-// Sweep drops promises that nobody kept in time.
+// Sweep drops the promises that have lapsed.
 func (b *Book) Sweep(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/parts/share/class.go
+++ b/parts/share/class.go
@@ -110,7 +110,7 @@
 	v.add(c.average, weight)
 	v.served = served // This is an average already, and a rank must not get too much at once.
 	c.average = v
-	// If nobody takes the charge, it must not outgrow what is known of the other hosts.
+	// Without calls of TakeRemote the charge would grow without bound.
 	c.charge = min(c.charge+c.remote.served*elapsed.Seconds(), c.remote.served*maxAge.Seconds())
 }
 
--- a/parts/share/log.go
+++ b/parts/share/log.go
@@ -23,9 +23,9 @@
 	args    []any
 }
 
-// contendedLines returns the line on who precedes and who leaves how much free. There is
-// none while nobody leaves anything free, and at most one in logInterval, also if the
-// service is free meanwhile.
+// contendedLines returns the line with the classes that precede and the headrooms. There is
+// none while all headrooms are zero, and at most one in logInterval, even if the contention
+// ends and begins again meanwhile.
 func (s *service) contendedLines(list []*class, h headrooms, now time.Time) []line {
 	if !s.contended {
 		s.contended = true
