soak: all prompts of a crash run hold the shared part

The logs show that "part all" was blocked with no answers: two series with different bad parts shared it, and no other prompt of the run held it, although the run counts on a part that all prompts hold. The detector is right by its evidence (docs/design/poison.md). Change: prompts of all callers hold the shared part in crash runs, as the comment said. Recovery then also requires that the part is not blocked, so the check is stricter.

--- a/soak/crashes.go
+++ b/soak/crashes.go
@@ -23,7 +23,8 @@
 	// minBegunShare is the least share of these that must be served, as a fraction of the share
 	// before.
 	minBegunShare = 0.5
-	// sharedPart is the first part of all prompts.
+	// sharedPart is the first part of all prompts. Without answers to other prompts with it, it
+	// explains the crashes of several parts better than each of these, and is blocked.
 	sharedPart = "all"
 )
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -202,10 +202,13 @@
 // sendStream sends a streaming request, and checks its response. It reports
 // whether the request succeeded.
 func (r *run) sendStream(e, events int) bool {
+	if r.Crashes {
+		return r.sendPrompt(e, events, sharedPart, r.newID("own", e))
+	}
 	return r.sendPrompt(e, events)
 }
 
-// sendPrompt is sendStream for a prompt with the given parts.
+// sendPrompt is sendStream for a prompt with the given parts only.
 func (r *run) sendPrompt(e, events int, parts ...string) bool {
 	return r.sendOn(r.newID("ask", e), e, "/ask/1", currentKey, events, parts...)
 }
