source: bound the reads of passive entry hosts by domain

Each passive host reads every 4 s, and every second during an outage, so the load grows with the number of hosts. Change: the hosts of a domain together read at most every 250 ms, and every 60 ms in an outage, unless the object API answers another host of the domain; then each reads every second as before. Nothing changes below 17 hosts a domain. Result: TestPassiveHostsReadRarely: one of 100 passive hosts reads 2 to 3 times a minute (15 before), 9 to 11 times in an outage (60 before).

--- a/entry/source/source.go
+++ b/entry/source/source.go
@@ -65,6 +65,10 @@
 	// passiveReadInterval is the interval of the stale reads of a passive entry host:
 	// only hosts that watch need to notice an outage at once.
 	passiveReadInterval = 4 * time.Second
+	// The entry hosts of a failure domain together read at most once in
+	// minReadSpacing, and once in minOutageReadSpacing during an outage.
+	minReadSpacing       = 250 * time.Millisecond
+	minOutageReadSpacing = 60 * time.Millisecond
 	// watchPauseShare is the pause after a watch that returned changes, as a fraction
 	// of WatchTimeout, so that a burst of changes costs one call. A backup adds a
 	// random time up to the fraction backupJitterShare: meanwhile it usually receives
@@ -286,6 +290,12 @@
 	// Role returns the role of this entry host in its failure domain; nil means
 	// Primary.
 	Role func() Role
+	// Hosts returns the number of entry hosts alive in the failure domain, including
+	// this one; nil means one.
+	Hosts func() int
+	// PeersReach reports whether the object API answers another entry host of the failure
+	// domain; nil means that it does not.
+	PeersReach func() bool
 
 	mu         sync.Mutex
 	alive      bool
@@ -308,7 +318,8 @@
 	var lastCheck time.Time
 	for ctx.Err() == nil {
 		sleep(ctx, readInterval)
-		if m.passive() && time.Since(lastCheck) < passiveReadInterval {
+		// The sleeps may take a little less than the interval between two reads.
+		if time.Since(lastCheck) < m.interval()-readInterval/2 {
 			continue
 		}
 		lastCheck = time.Now()
@@ -316,11 +327,24 @@
 	}
 }
 
-// passive reports whether this entry host is passive and the object API answered the
-// last read. During an outage, passive hosts read as often as others, to notice its end.
-func (m *Monitor) passive() bool {
-	alive, _ := m.Alive()
-	return alive && m.Role != nil && m.Role() == Passive
+// interval returns the interval between reads. That of passive hosts grows with their number,
+// so that the load on the object API does not. During an outage they read as often as others
+// while they are few, and once the object API answers another host.
+func (m *Monitor) interval() time.Duration {
+	if m.Role == nil || m.Role() != Passive {
+		return readInterval
+	}
+	hosts := 1
+	if m.Hosts != nil {
+		hosts = m.Hosts()
+	}
+	if alive, _ := m.Alive(); alive {
+		return max(passiveReadInterval, time.Duration(hosts)*minReadSpacing)
+	}
+	if m.PeersReach != nil && m.PeersReach() {
+		return readInterval
+	}
+	return max(readInterval, time.Duration(hosts)*minOutageReadSpacing)
 }
 
 // check reads the revision of the object, and restarts the watches if the object API
--- a/entry/source/source_test.go
+++ b/entry/source/source_test.go
@@ -270,26 +270,46 @@
 	<-done
 }
 
-// Guards against passive entry hosts that read as often as those that watch, so that
-// the load on the object API at rest grows with the number of entry hosts.
+// Guards against passive entry hosts whose reads load the object API more the more of them there
+// are, and against few of them, or one that lags behind its peers, that notice the end of an
+// outage late.
 func TestPassiveHostsReadRarely(t *testing.T) {
-	for _, role := range []source.Role{source.Primary, source.Passive} {
-		synctest.Test(t, func(t *testing.T) {
-			reads := 0
-			m := &source.Monitor{
-				Store: &store{read: func() (mirror.Position, error) { reads++; return mirror.Position{}, nil }}, Mirror: &mirror.Mirror{},
-				Log: slog.New(slog.DiscardHandler), OnRecovery: func() {}, Role: func() source.Role { return role },
-			}
-			ctx, cancel := context.WithCancel(t.Context())
-			go m.Run(ctx)
-			time.Sleep(time.Minute)
-			cancel()
-			synctest.Wait()
-			if role == source.Passive {
-				qt.Check(t, reads <= 15, qt.IsTrue, qt.Commentf("%d reads a minute", reads))
-				return
-			}
-			qt.Check(t, reads >= 58, qt.IsTrue, qt.Commentf("%d reads a minute", reads))
+	for name, c := range map[string]struct {
+		role       source.Role
+		hosts      int
+		down       bool
+		peersReach bool
+		min, max   int
+	}{
+		"primary":            {role: source.Primary, hosts: 100, min: 58, max: 60},
+		"primary, outage":    {role: source.Primary, hosts: 100, down: true, min: 58, max: 60},
+		"passive":            {role: source.Passive, hosts: 10, min: 11, max: 15},
+		"one of 100 passive": {role: source.Passive, hosts: 100, min: 2, max: 3},
+		"passive, outage":    {role: source.Passive, hosts: 10, down: true, min: 58, max: 60},
+		"one of 100, outage": {role: source.Passive, hosts: 100, down: true, min: 9, max: 11},
+		"peers are answered": {role: source.Passive, hosts: 100, down: true, peersReach: true, min: 58, max: 60},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				reads := 0
+				read := func() (mirror.Position, error) {
+					reads++
+					if c.down {
+						return mirror.Position{}, errors.New("no answer")
+					}
+					return mirror.Position{}, nil
+				}
+				m := &source.Monitor{
+					Store: &store{read: read}, Mirror: &mirror.Mirror{}, Log: slog.New(slog.DiscardHandler), OnRecovery: func() {},
+					Role: func() source.Role { return c.role }, Hosts: func() int { return c.hosts }, PeersReach: func() bool { return c.peersReach },
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				go m.Run(ctx)
+				time.Sleep(time.Minute)
+				cancel()
+				synctest.Wait()
+				qt.Check(t, c.min <= reads && reads <= c.max, qt.IsTrue, qt.Commentf("%d reads a minute", reads))
+			})
 		})
 	}
 }
