queue: order only the waiters that are overdue

Each round ordered the whole queue (Head) to find the waiters that are overdue, and the number of waiters ahead of each. It now looks for the overdue ones first and finds the place of each (Ahead).

The allocation of the order of the whole queue is gone.

--- a/entry/queue/line.go
+++ b/entry/queue/line.go
@@ -109,8 +109,7 @@
 // inTime reports whether w can be expected to be served within its wait with the given number of
 // waiters ahead of it. The mutex is held.
 func (l *line) inTime(w *waiter, ahead int, now time.Time) bool {
-	remaining := w.remaining(now)
-	if remaining <= pollInterval {
+	if w.isOverdue(now) {
 		return false
 	}
 	if ahead < minLength {
@@ -118,7 +117,7 @@
 	}
 	// The capacity is found at the next interval, and the wait ends at the one before its deadline.
 	wait := l.pace.wait(ahead, now)
-	return wait > 0 && wait < remaining-2*pollInterval
+	return wait > 0 && wait < w.remaining(now)-2*pollInterval
 }
 
 // displacement is a waiter that is refused, and the number of waiters ahead of it.
--- a/entry/queue/round.go
+++ b/entry/queue/round.go
@@ -1,6 +1,7 @@
 package queue
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -134,20 +135,43 @@
 	return l.queue.Len() == 0 || !slices.ContainsFunc(l.missed, func(m missedLook) bool { return m.cost <= w.Cost && m.headroom <= headroom })
 }
 
-// refuseOverdue refuses the waiters that cannot be served in time any more.
+// refuseOverdue refuses the waiters that cannot be served in time any more, in their order.
 func (l *line) refuseOverdue(now time.Time) {
 	l.mu.Lock()
-	var overdue []displacement
-	for ahead, waiting := range l.queue.Head(l.queue.Len()) {
-		if w := l.waiters[waiting]; w.remaining(now) <= pollInterval {
-			overdue = append(overdue, displacement{w, ahead})
-		}
-	}
-	for _, d := range overdue {
+	list := l.overdue(now)
+	for _, d := range list {
 		l.remove(d.waiter)
 	}
 	l.mu.Unlock()
-	for _, d := range overdue {
+	for _, d := range list {
 		l.refuseWaiter(d.waiter, timeoutReason, d.ahead, now)
 	}
 }
+
+// maxPlaced is the number of waiters from which it is faster to order the whole queue than to find
+// the place of each: after a stall of the process all may be overdue.
+const maxPlaced = 32
+
+// overdue returns the waiters that cannot be served in time any more, in their order. The mutex is
+// held.
+func (l *line) overdue(now time.Time) (list []displacement) {
+	for _, w := range l.waiters {
+		if w.isOverdue(now) {
+			list = append(list, displacement{waiter: w})
+		}
+	}
+	if len(list) > maxPlaced {
+		list = list[:0]
+		for ahead, waiting := range l.queue.Head(l.queue.Len()) {
+			if w := l.waiters[waiting]; w.isOverdue(now) {
+				list = append(list, displacement{w, ahead})
+			}
+		}
+		return list
+	}
+	for i, d := range list {
+		list[i].ahead = l.queue.Ahead(&d.waiter.Waiter)
+	}
+	slices.SortFunc(list, func(a, b displacement) int { return cmp.Compare(a.ahead, b.ahead) })
+	return list
+}
--- a/entry/queue/waiter.go
+++ b/entry/queue/waiter.go
@@ -45,3 +45,6 @@
 
 // remaining returns how long the waiter may still wait.
 func (w *waiter) remaining(now time.Time) time.Duration { return w.deadline.Sub(now) }
+
+// isOverdue reports whether the wait ends before another round can serve the waiter.
+func (w *waiter) isOverdue(now time.Time) bool { return w.remaining(now) <= pollInterval }
