queue: count the time without capacity since requests wait

The expected wait follows from the mean interval between two requests that took capacity. The interval that is not over was counted only once a request had taken capacity since others wait, and the mean of an earlier overload does not expire. If capacity was gone when requests began to wait again, the old mean was believed for ever: the queue accepted as many as would have been served then, and all timed out.

The interval counts from when requests began to wait. One that began so is no sample, as before.

TestOverload and TestNoCapacity are unchanged.

--- a/entry/queue/line.go
+++ b/entry/queue/line.go
@@ -85,7 +85,7 @@
 		l.mu.Unlock()
 		return false
 	}
-	l.pace.begin(l.queue.Len())
+	l.pace.begin(l.queue.Len(), now)
 	w.result = make(chan result, 1)
 	w.served = l.recent.count
 	w.stopWaiting = l.Shares.Wait(w.request.Class, w.Cost, now)
--- a/entry/queue/overload_test.go
+++ b/entry/queue/overload_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"fuchsiashelf.dev/entry/queue"
 	"fuchsiashelf.dev/parts/fault"
 )
 
@@ -17,37 +18,48 @@
 // refused at once or timed out, and the longest wait of a served one.
 func simulate(t *testing.T, arrivalInterval, capacityInterval time.Duration) (served, refused, timedOut int, longest time.Duration) {
 	synctest.Test(t, func(t *testing.T) {
-		a, r := newAdmission(), &room{}
-		var all []*entered
-		nextArrival, nextCapacity := time.Now(), time.Now()
-		for end := time.Now().Add(10 * time.Second); time.Now().Before(end); pass(time.Millisecond) {
-			if now := time.Now(); !now.Before(nextArrival) {
-				nextArrival = nextArrival.Add(arrivalInterval)
-				q := request("team", 0)
-				q.MaxWait = time.Second
-				all = append(all, enter(t, a, q, r.find))
-			}
-			if now := time.Now(); !now.Before(nextCapacity) {
-				nextCapacity = nextCapacity.Add(capacityInterval)
-				r.free.Store(1)
-			}
-		}
-		for _, e := range all {
-			switch {
-			case e.served():
-				served++
-				longest = max(longest, e.result.Load().took)
-			case e.done() && e.result.Load().took == 0:
-				refused++
-			case e.done():
-				timedOut++
-			}
-		}
+		all := offer(t, newAdmission(), arrivalInterval, capacityInterval)
+		served, refused, timedOut, longest = count(all)
 		leaveAll(all)
 	})
 	return served, refused, timedOut, longest
 }
 
+// offer makes the requests of simulate, and returns them.
+func offer(t *testing.T, a *queue.Admission, arrivalInterval, capacityInterval time.Duration) (all []*entered) {
+	r := &room{}
+	nextArrival, nextCapacity := time.Now(), time.Now()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); pass(time.Millisecond) {
+		if now := time.Now(); !now.Before(nextArrival) {
+			nextArrival = nextArrival.Add(arrivalInterval)
+			q := request("team", 0)
+			q.MaxWait = time.Second
+			all = append(all, enter(t, a, q, r.find))
+		}
+		if now := time.Now(); !now.Before(nextCapacity) {
+			nextCapacity = nextCapacity.Add(capacityInterval)
+			r.free.Store(1)
+		}
+	}
+	return all
+}
+
+// count counts requests by how they ended.
+func count(all []*entered) (served, refused, timedOut int, longest time.Duration) {
+	for _, e := range all {
+		switch {
+		case e.served():
+			served++
+			longest = max(longest, e.result.Load().took)
+		case e.done() && e.result.Load().took == 0:
+			refused++
+		case e.done():
+			timedOut++
+		}
+	}
+	return served, refused, timedOut, longest
+}
+
 // Guards against unused capacity, and against long waits that end in a timeout, under overload:
 // after the loss of a failure domain requests arrive one and a half times as fast as capacity
 // becomes free. The excess requests are refused at once.
@@ -75,6 +87,21 @@
 	qt.Assert(t, refused >= 260, qt.IsTrue)
 }
 
+// Guards against the same after an earlier overload, whose rate says nothing about now.
+func TestNoCapacityAfterOverload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newAdmission()
+		leaveAll(offer(t, a, 33*time.Millisecond, 50*time.Millisecond))
+		pass(time.Minute)
+		all := offer(t, a, 33*time.Millisecond, time.Hour)
+		served, refused, timedOut, _ := count(all)
+		t.Logf("served %d, refused %d, timed out %d", served, refused, timedOut)
+		qt.Check(t, timedOut <= 60, qt.IsTrue)
+		qt.Check(t, refused >= 240, qt.IsTrue)
+		leaveAll(all)
+	})
+}
+
 // Guards against an urgent request that waits behind others, and against a large request at the
 // head that blocks the next ones.
 func TestPriorityOrder(t *testing.T) {
--- a/entry/queue/pace.go
+++ b/entry/queue/pace.go
@@ -15,17 +15,19 @@
 // pace measures the mean interval between two requests that take capacity while others wait.
 // Without waiters it would measure how often requests arrive.
 type pace struct {
-	// last is when the latest request took capacity, zero if none has since requests wait.
-	last time.Time
+	// since is when the interval that is not over yet began: when the latest request took capacity,
+	// or when requests began to wait. partial says that it is the latter.
+	since   time.Time
+	partial bool
 	// intervals is the number of intervals, and total their sum in seconds, both decayed
 	// exponentially.
 	intervals, total float64
 }
 
 // begin records that a request begins to wait behind the given number of others.
-func (p *pace) begin(waiting int) {
+func (p *pace) begin(waiting int, now time.Time) {
 	if waiting == 0 {
-		p.last = time.Time{}
+		p.since, p.partial = now, true
 	}
 }
 
@@ -34,10 +36,10 @@
 	if waiting == 0 {
 		return
 	}
-	if !p.last.IsZero() {
-		p.add(now.Sub(p.last).Seconds(), 1)
+	if !p.partial {
+		p.add(now.Sub(p.since).Seconds(), 1)
 	}
-	p.last = now
+	p.since, p.partial = now, false
 }
 
 // add adds a time in which the given number of intervals ended.
@@ -56,10 +58,11 @@
 }
 
 // wait returns the expected time until a request behind the given number of others takes capacity;
-// zero if it is unknown. The interval that is not over yet counts once it is longer than the mean.
+// zero if it is unknown. The interval that is not over yet counts once it is longer than the mean: the
+// mean may be of an earlier overload, and the capacity gone since.
 func (p *pace) wait(ahead int, now time.Time) time.Duration {
 	mean := p.mean()
-	if elapsed := now.Sub(p.last).Seconds(); !p.last.IsZero() && elapsed > mean {
+	if elapsed := now.Sub(p.since).Seconds(); elapsed > mean {
 		longer := *p
 		longer.add(elapsed-mean, 0)
 		mean = longer.mean()
