queue: one round for refused requests that wait for the one before

A request that is refused first runs a round if one is due, so that the waiters get what became free before it does. While a round takes longer than 10 ms, each such request found one due, waited for it and ran its own, one after the other: with 100 of them, 100 more searches for each of the first waiters, in the requests that were to be refused at once.

One that finds that a round began while it waited does not run another.

--- a/entry/queue/line.go
+++ b/entry/queue/line.go
@@ -200,9 +200,7 @@
 // findOrRefuse takes capacity that the waiters cannot use, because they are larger, avoid its
 // servers or leave more of it free. Otherwise it refuses the request at once.
 func (l *line) findOrRefuse(w *waiter) (Ticket, *fault.Error) {
-	if l.roundDue(time.Now()) {
-		l.round()
-	}
+	l.roundIfDue()
 	if l.mayFind(w) {
 		if found, e := l.look(w); found || e != nil {
 			return l.conclude(w, found, e)
--- a/entry/queue/overload_test.go
+++ b/entry/queue/overload_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -102,6 +103,58 @@
 	})
 }
 
+// Guards against refused requests of which each makes the waiters look for capacity once more,
+// while all wait for a slow search.
+func TestRefusedRequestsShareRound(t *testing.T) {
+	a := newAdmission()
+	var looks atomic.Int64
+	proceed, searching := make(chan struct{}), make(chan struct{}, 1)
+	var slow atomic.Bool
+	find := func(float64) (bool, *fault.Error) {
+		looks.Add(1)
+		if slow.Load() {
+			select {
+			case searching <- struct{}{}:
+			default:
+			}
+			<-proceed
+		}
+		return false, nil
+	}
+	ctx, leave := context.WithCancel(t.Context())
+	var waiting, refused sync.WaitGroup
+	for range 3 {
+		waiting.Go(func() { a.Enter(ctx, request("team", 1), find) })
+	}
+	for a.Stats().Waiting < 3 {
+		time.Sleep(time.Millisecond)
+	}
+	slow.Store(true)
+	<-searching
+	// Another round is due by now.
+	time.Sleep(20 * time.Millisecond)
+	const callers, headSize = 100, 3
+	none := func(float64) (bool, *fault.Error) { return false, nil }
+	for range callers {
+		refused.Go(func() {
+			_, e := a.Enter(t.Context(), request("team", 1), none)
+			qt.Check(t, e, qt.IsNotNil)
+		})
+	}
+	time.Sleep(50 * time.Millisecond)
+	slow.Store(false)
+	before, released := looks.Load(), time.Now()
+	close(proceed)
+	refused.Wait()
+	// The requests may have a round each 10 ms, and so may the line each 20 ms.
+	rounds := 4 + int64(time.Since(released)/(10*time.Millisecond)) + int64(time.Since(released)/(20*time.Millisecond))
+	made := looks.Load() - before
+	t.Logf("%d looks of %d waiters, in %s", made, headSize, time.Since(released))
+	qt.Check(t, made <= headSize*rounds, qt.IsTrue)
+	leave()
+	waiting.Wait()
+}
+
 // Guards against an urgent request that waits behind others, and against a large request at the
 // head that blocks the next ones.
 func TestPriorityOrder(t *testing.T) {
--- a/entry/queue/round.go
+++ b/entry/queue/round.go
@@ -38,11 +38,11 @@
 	return l.running
 }
 
-// roundDue reports whether capacity may have become free since the last round.
-func (l *line) roundDue(now time.Time) bool {
+// roundDue reports whether capacity may have become free since the last round, and when that began.
+func (l *line) roundDue(now time.Time) (due bool, last time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.queue.Len() > 0 && (l.freed || now.Sub(l.lastRound) >= minRoundInterval)
+	return l.queue.Len() > 0 && (l.freed || now.Sub(l.lastRound) >= minRoundInterval), l.lastRound
 }
 
 // round looks for capacity on behalf of the first waiters, in their order, until none finds any. It
@@ -50,6 +50,25 @@
 func (l *line) round() {
 	l.rounds.Lock()
 	defer l.rounds.Unlock()
+	l.runRound()
+}
+
+// roundIfDue runs a round if one is due. Of several callers that wait for the round before, only the
+// first one does.
+func (l *line) roundIfDue() {
+	due, last := l.roundDue(time.Now())
+	if !due {
+		return
+	}
+	l.rounds.Lock()
+	defer l.rounds.Unlock()
+	if _, latest := l.roundDue(time.Now()); latest.Equal(last) {
+		l.runRound()
+	}
+}
+
+// runRound is round while the mutex of the rounds is held.
+func (l *line) runRound() {
 	now := time.Now()
 	l.mu.Lock()
 	l.freed, l.lastRound, l.missed = false, now, l.missed[:0]
