reach: an isolation outlasts the servers that showed it

An isolated host ceased to count as isolated without an accepted connection when servers that had not accepted one left, so that fewer than three remained, or when more servers became known than at the beginning. It then tells others that it may reach servers, and connects directly again, which hangs while it is cut off.

Only an accepted connection ends an isolation now, or that no failed attempt is left. Found by reading; TestIsolationOutlastsItsServers fails on the code before in both cases.

--- a/parts/reach/check_test.go
+++ b/parts/reach/check_test.go
@@ -94,6 +94,24 @@
 	qt.Assert(t, tr.State(now.Add(time.Second)), qt.Equals, reach.Reaching)
 }
 
+// Guards against the same where fewer servers are left that did not accept a connection than an
+// isolation needs, or where more servers become known.
+func TestIsolationOutlastsItsServers(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	known := 3
+	tr := &reach.Tracker{Known: func() int { return known }}
+	for _, address := range testServers(3) {
+		tr.Record(address, false, now)
+	}
+	tr.Retain(func(address string) bool { return address == "server-00" })
+	qt.Check(t, tr.State(now), qt.Equals, reach.Isolated)
+	known = 10
+	qt.Check(t, tr.Record("server-03", false, now.Add(time.Second)), qt.IsFalse)
+	qt.Check(t, tr.State(now), qt.Equals, reach.Isolated)
+	qt.Check(t, tr.Record("server-04", true, now.Add(2*time.Second)), qt.IsTrue)
+	qt.Check(t, tr.State(now.Add(2*time.Second)), qt.Equals, reach.Reaching)
+}
+
 // Guards against checks at servers that other hosts have found to be down, which show nothing,
 // and against a host that never counts as isolated because all servers are found to be down.
 func TestServersKnownToBeDownDoNotCount(t *testing.T) {
--- a/parts/reach/reach.go
+++ b/parts/reach/reach.go
@@ -73,8 +73,8 @@
 	// Down reports whether a server is known to be down, not only from attempts of this
 	// entry host; nil means that none is.
 	Down func(address string) bool
-	// Candidates returns the servers that may be checked, the preferred ones first; nil means
-	// that isolation needs no checks.
+	// Candidates returns the servers that may be checked, the preferred ones first, in a new list;
+	// nil means that isolation needs no checks.
 	Candidates func() []string
 
 	mu sync.Mutex
@@ -124,17 +124,18 @@
 	if reached && startedAt.After(t.lastReached) {
 		t.lastReached = startedAt
 	}
-	return t.update()
+	return t.update(reached)
 }
 
-// update updates isolated and reports whether that changed. The mutex is held.
-func (t *Tracker) update() (changed bool) {
+// update updates isolated after an attempt, and reports whether that changed. Only an accepted
+// connection ends an isolation. The mutex is held.
+func (t *Tracker) update(reached bool) (changed bool) {
 	before := t.isolated
-	if before {
-		// Only an accepted connection ends an isolation.
-		t.isolated = t.countFailed(nil) >= t.enough(t.knownServers())
-	} else {
+	switch {
+	case !before:
 		t.isolated = t.inDoubt() && t.checked()
+	case reached:
+		t.isolated = t.countFailed(nil) >= t.enough(t.knownServers())
 	}
 	return t.isolated != before
 }
@@ -307,10 +308,15 @@
 	return n
 }
 
-// Retain forgets the servers whose addresses are not in use.
+// Retain forgets the servers whose addresses are not in use. An isolation ends if no attempt is left
+// that shows it.
 func (t *Tracker) Retain(inUse func(address string) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	maps.DeleteFunc(t.attempts, func(address string, _ attempt) bool { return !inUse(address) })
-	t.update()
+	if t.isolated {
+		t.isolated = t.countFailed(nil) > 0
+		return
+	}
+	t.update(false)
 }
