front: say and test what a stop does to requests that wait for their turn

Stop said that it refuses the requests that are held. Those that wait for their turn after the configuration came into force go on at once, which is right: a stopping host still serves what ends in time. No behaviour changes; TestStopReleasesHeldRequests guards it.

--- a/entry/front/hold.go
+++ b/entry/front/hold.go
@@ -107,7 +107,8 @@
 	}
 }
 
-// Stop refuses the requests that are held, and later ones.
+// Stop refuses the requests that are held, and later ones. Those that wait for their turn after the
+// configuration came into force go on at once.
 func (h *Hold) Stop() {
 	h.stopOnce.Do(func() { close(h.stopped()) })
 }
--- a/entry/front/hold_test.go
+++ b/entry/front/hold_test.go
@@ -212,6 +212,27 @@
 	})
 }
 
+// Guards against a stop that waits for the turns of held requests, or refuses them although the
+// configuration is in force.
+func TestStopReleasesHeldRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, _ := newHeldHandler()
+		start := time.Now()
+		var held []<-chan *httptest.ResponseRecorder
+		for range 5 {
+			held = append(held, serve(t.Context(), h, "1m"))
+		}
+		synctest.Wait()
+		h.State.MergeConfig([]byte{1})
+		synctest.Wait()
+		h.Hold.Stop()
+		for _, ended := range held {
+			qt.Assert(t, (<-ended).Code, qt.Equals, http.StatusOK)
+		}
+		qt.Assert(t, time.Since(start), qt.Equals, time.Duration(0))
+	})
+}
+
 // Guards against places that are taken by callers who have left.
 func TestHeldRequestEndsWithItsCaller(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
