reach: a failed check counts although a later attempt has failed before

A check that ended after a later attempt at the same server was dropped as outdated, so that the host did not count it: one that is cut off and sends many requests, all refused at once, could take another round of checks, 200 ms later, to notice it. Found by reading; TestCheckCountsBesideLaterAttempts fails on the code before.

--- a/parts/reach/check_test.go
+++ b/parts/reach/check_test.go
@@ -77,6 +77,32 @@
 	}
 }
 
+// Guards against a host that is cut off and does not notice it, because requests fail at the servers
+// that are checked before the checks do.
+func TestCheckCountsBesideLaterAttempts(t *testing.T) {
+	servers := testServers(96)
+	tr := newCheckedTracker(servers)
+	now := time.Unix(1_000_000, 0)
+	for _, address := range servers[:3] {
+		tr.Record(address, false, now)
+	}
+	for _, address := range tr.DueChecks(now) {
+		tr.Record(address, false, now.Add(time.Millisecond))
+		tr.RecordCheck(address, false, now)
+	}
+	qt.Assert(t, tr.State(now), qt.Equals, reach.Isolated)
+	// One that succeeds does not count as failed.
+	tr = newCheckedTracker(servers)
+	for _, address := range servers[:3] {
+		tr.Record(address, false, now)
+	}
+	for i, address := range tr.DueChecks(now) {
+		tr.Record(address, false, now.Add(time.Millisecond))
+		tr.RecordCheck(address, i == 0, now)
+	}
+	qt.Assert(t, tr.State(now), qt.Not(qt.Equals), reach.Isolated)
+}
+
 // Guards against an isolation that ends, so that connections hang again, because a server that
 // was checked leaves or is found to be down.
 func TestOnlyAcceptedConnectionEndsIsolation(t *testing.T) {
--- a/parts/reach/reach.go
+++ b/parts/reach/reach.go
@@ -117,10 +117,13 @@
 		t.attempts = map[string]attempt{}
 	}
 	old := t.attempts[address]
-	check = check || old.check && t.failed(old)
+	latest := old
 	if !startedAt.Before(old.startedAt) {
-		t.attempts[address] = attempt{startedAt: startedAt, reached: reached, relayed: old.relayed && !reached, check: check}
+		latest = attempt{startedAt: startedAt, reached: reached, relayed: old.relayed && !reached}
 	}
+	// A check that failed counts also if a later attempt at the server has ended before it.
+	latest.check = check && !reached || old.check && t.failed(old)
+	t.attempts[address] = latest
 	if reached && startedAt.After(t.lastReached) {
 		t.lastReached = startedAt
 	}
