--- a/parts/reach/check_test.go
+++ b/parts/reach/check_test.go
@@ -77,6 +77,32 @@
 	}
 }
 
+// Guards against a host that is cut off and does not notice it, because requests fail at the servers
+// that are checked before the checks do.
+func TestCheckCountsBesideLaterAttempts(t *testing.T) {
+	servers := testServers(96)
+	tr := newCheckedTracker(servers)
+	now := time.Unix(1_000_000, 0)
+	for _, address := range servers[:3] {
+		tr.Record(address, false, now)
+	}
+	for _, address := range tr.DueChecks(now) {
+		tr.Record(address, false, now.Add(time.Millisecond))
+		tr.RecordCheck(address, false, now)
+	}
+	qt.Assert(t, tr.State(now), qt.Equals, reach.Isolated)
+	// One that succeeds does not count as failed.
+	tr = newCheckedTracker(servers)
+	for _, address := range servers[:3] {
+		tr.Record(address, false, now)
+	}
+	for i, address := range tr.DueChecks(now) {
+		tr.Record(address, false, now.Add(time.Millisecond))
+		tr.RecordCheck(address, i == 0, now)
+	}
+	qt.Assert(t, tr.State(now), qt.Not(qt.Equals), reach.Isolated)
+}
+
 // Guards against an isolation that ends, so that connections hang again, because a server that
 // was checked leaves or is found to be down.
 func TestOnlyAcceptedConnectionEndsIsolation(t *testing.T) {
@@ -94,6 +120,24 @@
 	qt.Assert(t, tr.State(now.Add(time.Second)), qt.Equals, reach.Reaching)
 }
 
+// Guards against the same where fewer servers are left that did not accept a connection than an
+// isolation needs, or where more servers become known.
+func TestIsolationOutlastsItsServers(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	known := 3
+	tr := &reach.Tracker{Known: func() int { return known }}
+	for _, address := range testServers(3) {
+		tr.Record(address, false, now)
+	}
+	tr.Retain(func(address string) bool { return address == "server-00" })
+	qt.Check(t, tr.State(now), qt.Equals, reach.Isolated)
+	known = 10
+	qt.Check(t, tr.Record("server-03", false, now.Add(time.Second)), qt.IsFalse)
+	qt.Check(t, tr.State(now), qt.Equals, reach.Isolated)
+	qt.Check(t, tr.Record("server-04", true, now.Add(2*time.Second)), qt.IsTrue)
+	qt.Check(t, tr.State(now.Add(2*time.Second)), qt.Equals, reach.Reaching)
+}
+
 // Guards against checks at servers that other hosts have found to be down, which show nothing,
 // and against a host that never counts as isolated because all servers are found to be down.
 func TestServersKnownToBeDownDoNotCount(t *testing.T) {
