router: cost of first servers outside the subset

Cause: a host should use the servers to which it keeps connections while they are not loaded. Change: a chain that starts outside the subset costs 0.03 s more, which is less than the 0.6 s of another failure domain.

--- a/parts/router/cost.go
+++ b/parts/router/cost.go
@@ -21,6 +21,11 @@
 	// interrupts them. The cost is low enough that requests leave a slow local domain
 	// before it is full.
 	remoteStartSeconds = 0.6
+	// beyondStartSeconds is the extra cost of starting a chain outside the subset of servers
+	// to which the entry host keeps connections. It is about the time that a response takes
+	// longer beside ten others, so that a request leaves a loaded subset before its servers
+	// are full.
+	beyondStartSeconds = 0.03
 	// crossingWeight multiplies the time of a transfer between failure domains within
 	// a chain. All chains share the link, and a partition breaks the chains that cross
 	// it, so a chain should cross only where the local domain is much slower.
@@ -140,6 +145,9 @@
 		if q.Delay != nil {
 			c.delay = q.Delay(s.ID)
 		}
+		if !q.Subset.Has(s.ID) {
+			c.delay += beyondStartSeconds
+		}
 	}
 	// Raising the cost by half for a full server spreads requests over similar
 	// servers. A steeper increase produces chains of many stages when all servers are
--- a/parts/router/router.go
+++ b/parts/router/router.go
@@ -22,6 +22,7 @@
 	"fuchsiashelf.dev/parts/domain"
 	"fuchsiashelf.dev/parts/fleet"
 	"fuchsiashelf.dev/parts/route"
+	"fuchsiashelf.dev/parts/subset"
 )
 
 // Stage is the range of layers that one server of a chain runs.
@@ -74,6 +75,9 @@
 	// Delay returns the expected cost, in seconds, of starting at a server beyond the
 	// work itself, such as waits and failures there. Nil means none.
 	Delay func(id string) float64
+	// Subset holds the servers that the entry host prefers as the first of a chain, because
+	// it keeps connections to them. Nil means all.
+	Subset *subset.Set
 	// FixedFirst is the first stage, if it must not change.
 	FixedFirst *Stage
 	// Cached holds the stages that already have the tokens of the request in memory,
