conns: bound on idle connections

Cause: a host of a large deployment may keep a connection to each server. Change: Pool.MaxIdle; above it the least recently used connections are closed. The pool tells how many connections are idle, and how long they may be reused on average. Measured: go test -race -count=5 ./conns, three times, passes.

--- a/entry/conns/conns.go
+++ b/entry/conns/conns.go
@@ -43,6 +43,9 @@
 	// idle connection may be reused, so that no request is sent while the server
 	// closes the connection.
 	idleTimeoutShare = 0.7
+	// idleTimeWeight is the weight of a new value in the mean time for which connections
+	// may be reused. The servers of different services may announce different timeouts.
+	idleTimeWeight = 0.02
 	// maxResponses limits the responses that are read for one request, including
 	// interim (1xx) responses and those to other requests, which are skipped.
 	maxResponses = 3
@@ -57,9 +60,16 @@
 	// Direct reports whether connections to a server are direct ones now, so that idle
 	// connections of the other kind are not reused; nil means always.
 	Direct func(address string) bool
+	// MaxIdle returns how many idle connections are kept now; zero means any number. Nil
+	// means zero. Above it, the least recently used connections are closed first.
+	MaxIdle func() int
 
 	mu   sync.Mutex
 	idle map[string][]*conn
+	// count is the number of idle connections.
+	count int
+	// idleTime is a moving average of the time for which an idle connection may be reused.
+	idleTime time.Duration
 }
 
 // conn is a connection to a backend server.
@@ -245,6 +255,7 @@
 	}
 	c := list[len(list)-1]
 	p.idle[address] = list[:len(list)-1]
+	p.count--
 	return c
 }
 
@@ -254,13 +265,64 @@
 		idleTimeout = defaultIdleTimeout
 	}
 	c.idleSince = time.Now()
-	c.expires = c.idleSince.Add(time.Duration(float64(idleTimeout) * idleTimeoutShare))
+	reuse := reuseTime(idleTimeout)
+	c.expires = c.idleSince.Add(reuse)
+	limit := 0
+	if p.MaxIdle != nil {
+		limit = p.MaxIdle()
+	}
+	var excess []*conn
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	if p.idle == nil {
 		p.idle = map[string][]*conn{}
 	}
+	p.idleTime = cmp.Or(p.idleTime, reuse)
+	p.idleTime += time.Duration(idleTimeWeight * float64(reuse-p.idleTime))
 	p.idle[address] = append(p.idle[address], c)
+	p.count++
+	for limit > 0 && p.count > limit {
+		excess = append(excess, p.takeOldest())
+	}
+	p.mu.Unlock()
+	for _, c := range excess {
+		c.Close()
+	}
+}
+
+// reuseTime returns how long a connection may be reused that the server keeps for the given
+// time.
+func reuseTime(idleTimeout time.Duration) time.Duration {
+	return time.Duration(float64(idleTimeout) * idleTimeoutShare)
+}
+
+// takeOldest removes the least recently used idle connection and returns it. There is one,
+// and the mutex is held.
+func (p *Pool) takeOldest() *conn {
+	var oldest *conn
+	var address string
+	for a, list := range p.idle {
+		// The connections to an address are in the order in which they became idle.
+		if len(list) > 0 && (oldest == nil || list[0].idleSince.Before(oldest.idleSince)) {
+			oldest, address = list[0], a
+		}
+	}
+	p.idle[address] = slices.Delete(p.idle[address], 0, 1)
+	p.count--
+	return oldest
+}
+
+// Idle returns the number of idle connections.
+func (p *Pool) Idle() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.count
+}
+
+// IdleTime returns how long an idle connection may be reused on average.
+func (p *Pool) IdleTime() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return cmp.Or(p.idleTime, reuseTime(defaultIdleTimeout))
 }
 
 // CloseIdle closes the idle connections to an address, for example because the server
@@ -269,6 +331,7 @@
 	p.mu.Lock()
 	list := p.idle[address]
 	delete(p.idle, address)
+	p.count -= len(list)
 	p.mu.Unlock()
 	for _, c := range list {
 		c.Close()
@@ -290,6 +353,7 @@
 			return through
 		})
 	}
+	p.count -= len(closed)
 	p.mu.Unlock()
 	for _, c := range closed {
 		c.Close()
@@ -314,6 +378,7 @@
 			delete(p.idle, address)
 		}
 	}
+	p.count -= len(expired)
 	p.mu.Unlock()
 	for _, c := range expired {
 		c.Close()
--- a/entry/conns/conns_test.go
+++ b/entry/conns/conns_test.go
@@ -289,3 +289,85 @@
 	qt.Check(t, p.Connect(context.Background(), address), qt.IsNil)
 	qt.Check(t, requests.Load(), qt.Equals, int64(0))
 }
+
+// Guards against a host of a large deployment that keeps a connection to each server, and
+// against the loss of the connections that it uses most.
+func TestMaxIdle(t *testing.T) {
+	const servers = 6
+	addresses := make([]string, servers)
+	opened := make([]atomic.Int64, servers)
+	for i := range servers {
+		addresses[i] = listen(t, func(n int, c net.Conn, br *bufio.Reader) {
+			opened[i].Store(int64(n))
+			for {
+				r, err := http.ReadRequest(br)
+				if err != nil {
+					return
+				}
+				writeResponse(c, r.Header.Get("Id"), "body")
+			}
+		})
+	}
+	for _, test := range []struct {
+		name  string
+		limit func() int
+		idle  int
+		// opened is the number of connections to each server after two requests to each, in
+		// order, with one to the first server between any two.
+		opened [servers]int64
+	}{
+		{"no limit", nil, servers, [servers]int64{1, 1, 1, 1, 1, 1}},
+		{"zero", func() int { return 0 }, servers, [servers]int64{1, 1, 1, 1, 1, 1}},
+		{"limit", func() int { return 4 }, 4, [servers]int64{1, 2, 2, 2, 2, 2}},
+		{"one", func() int { return 1 }, 1, [servers]int64{10, 2, 2, 2, 2, 2}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			p := &conns.Pool{MaxIdle: test.limit}
+			var before, got [servers]int64
+			for i := range servers {
+				before[i] = opened[i].Load()
+			}
+			for n := range 2 * servers {
+				for _, i := range []int{0, n % servers} {
+					_, err := do(t, p, addresses[i], "a", conns.Options{})
+					qt.Assert(t, err, qt.IsNil)
+					qt.Assert(t, p.Idle() <= test.idle, qt.IsTrue)
+				}
+			}
+			for i := range servers {
+				got[i] = opened[i].Load() - before[i]
+			}
+			qt.Check(t, got, qt.Equals, test.opened)
+			qt.Check(t, p.Idle(), qt.Equals, test.idle)
+			p.CloseIdle(addresses[servers-1])
+			qt.Check(t, p.Idle(), qt.Equals, test.idle-1)
+			p.CloseExpired(time.Now().Add(time.Hour))
+			qt.Check(t, p.Idle(), qt.Equals, 0)
+		})
+	}
+}
+
+// Guards against subsets whose size does not follow the idle time that servers announce.
+func TestIdleTime(t *testing.T) {
+	address := listen(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		for {
+			if _, err := http.ReadRequest(br); err != nil {
+				return
+			}
+			writeResponse(c, "a", "body")
+		}
+	})
+	var p conns.Pool
+	qt.Check(t, p.IdleTime(), qt.Equals, 2800*time.Millisecond)
+	o := conns.Options{Inspect: func(*http.Response) conns.ResponseInfo {
+		return conns.ResponseInfo{IdleTimeout: 1500 * time.Millisecond}
+	}}
+	for range 3 {
+		resp, err := p.Do(context.Background(), address, newRequest(address, "a"), o)
+		qt.Assert(t, err, qt.IsNil)
+		_, err = io.ReadAll(resp)
+		qt.Assert(t, err, qt.IsNil)
+		resp.Close()
+	}
+	qt.Check(t, p.IdleTime().Round(time.Millisecond), qt.Equals, 1050*time.Millisecond)
+}
