--- a/entry/egress/egress.go
+++ b/entry/egress/egress.go
@@ -23,6 +23,7 @@
 	"fuchsiashelf.dev/parts/fleet"
 	"fuchsiashelf.dev/parts/limit"
 	"fuchsiashelf.dev/parts/pause"
+	"fuchsiashelf.dev/parts/subset"
 )
 
 // Client sends requests to backend servers. Set the exported fields before use.
@@ -34,6 +35,8 @@
 	Pauses *pause.Tracker
 	// Broadcast sends it to other entry hosts that a server leaves.
 	Broadcast func()
+	// Subsets counts the requests of callers; nil means that they are not counted.
+	Subsets *subset.Tracker
 }
 
 // Options holds the options of one request.
@@ -76,6 +79,9 @@
 	if err := c.admit(server); err != nil {
 		return nil, call.Reply{}, err
 	}
+	if c.Subsets != nil && o.RequestID != "" {
+		c.Subsets.Record(server, time.Now())
+	}
 	var reply call.Reply
 	var sentAt time.Time
 	resp, err := c.Pool.Do(ctx, server.Address, req, conns.Options{
--- a/entry/stream/choose.go
+++ b/entry/stream/choose.go
@@ -21,6 +21,9 @@
 func (f *Forwarder) chainQuery(job *call.Job) *router.Query {
 	q := f.Monitor.chainQuery(job)
 	q.Delay = func(id string) float64 { return f.startDelay(job, id) }
+	if f.Subsets != nil {
+		q.Subset = f.Subsets.Set(job.Service.Name)
+	}
 	return q
 }
 
--- a/entry/stream/forwarder.go
+++ b/entry/stream/forwarder.go
@@ -29,6 +29,7 @@
 	"fuchsiashelf.dev/parts/limit"
 	"fuchsiashelf.dev/parts/retry"
 	"fuchsiashelf.dev/parts/router"
+	"fuchsiashelf.dev/parts/subset"
 )
 
 const (
@@ -49,14 +50,16 @@
 
 // Forwarder forwards requests. Set the exported fields before use.
 type Forwarder struct {
-	Codec       call.Codec
-	Servers     *egress.Client
-	State       *state.Local
-	Load        *router.LoadTracker
-	Monitor     *Monitor
-	Queue       *queue.Admission
-	Failures    *Failures
-	Limits      *limit.Tracker
+	Codec    call.Codec
+	Servers  *egress.Client
+	State    *state.Local
+	Load     *router.LoadTracker
+	Monitor  *Monitor
+	Queue    *queue.Admission
+	Failures *Failures
+	Limits   *limit.Tracker
+	// Subsets holds the servers to which this host keeps connections; nil means all.
+	Subsets     *subset.Tracker
 	LocalDomain domain.Name
 	Log         *slog.Logger
 	// RetryBudget returns the retry budget of a service.
--- a/entry/unary/stats.go
+++ b/entry/unary/stats.go
@@ -8,6 +8,7 @@
 	"fuchsiashelf.dev/parts/domain"
 	"fuchsiashelf.dev/parts/fleet"
 	"fuchsiashelf.dev/parts/health"
+	"fuchsiashelf.dev/parts/subset"
 )
 
 // Parameters of the choice of a server.
@@ -23,6 +24,9 @@
 	// remotePenalty is added for servers of other failure domains. It keeps requests in
 	// the local domain while its servers are about as fast.
 	remotePenalty = 8 * time.Millisecond
+	// beyondPenalty is added for servers outside the subset to which the entry host keeps
+	// connections. It is less than remotePenalty, and exceeds most differences by jitter.
+	beyondPenalty = 7 * time.Millisecond
 	// suspectPenalty is added for suspected servers, so that they rank last.
 	suspectPenalty = 10 * time.Second
 	// maxJitter limits a random addition that spreads requests over servers of about
@@ -33,6 +37,9 @@
 // Stats holds recent durations and failures of requests to the servers of plain
 // services. The zero value is ready to use.
 type Stats struct {
+	// Subsets holds the servers to which this host keeps connections; nil means all.
+	Subsets *subset.Tracker
+
 	mu      sync.Mutex
 	servers map[string]*serverStats
 }
@@ -84,6 +91,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
+	preferred := s.subset(servers)
 	var best *fleet.Server
 	var lowestCost time.Duration
 	for _, server := range servers {
@@ -91,6 +99,9 @@
 			continue
 		}
 		cost := s.cost(server, localDomain, now)
+		if !preferred.Has(server.ID) {
+			cost += beyondPenalty
+		}
 		if best == nil || cost < lowestCost {
 			best, lowestCost = server, cost
 		}
@@ -98,6 +109,14 @@
 	return best
 }
 
+// subset returns the subset of the servers of one service; nil means all.
+func (s *Stats) subset(servers []*fleet.Server) *subset.Set {
+	if s.Subsets == nil || len(servers) == 0 {
+		return nil
+	}
+	return s.Subsets.Set(servers[0].Service)
+}
+
 // cost returns the expected time until a server responds, with penalties and a random
 // jitter. The mutex is held.
 func (s *Stats) cost(server *fleet.Server, localDomain domain.Name, now time.Time) time.Duration {
