share, router, queue: what admission to small services needs

Cause: the demand for a service is in messages only while it is contended, and nothing tells whether a request waited in the queue or how long a server still counts as saturated.

--- a/entry/queue/line.go
+++ b/entry/queue/line.go
@@ -173,7 +173,7 @@
 	}
 	l.Book.Served(l.service, now)
 	l.counts.served(w.request.Class)
-	return Ticket{&taken{line: l, waiter: w, end: l.Shares.Begin(w.request.Class, w.Cost, now)}}
+	return Ticket{&taken{line: l, waiter: w, waited: waited, end: l.Shares.Begin(w.request.Class, w.Cost, now)}}
 }
 
 // release records that a request which was served has ended, or was not executed.
--- a/entry/queue/ticket.go
+++ b/entry/queue/ticket.go
@@ -12,11 +12,16 @@
 type taken struct {
 	line   *line
 	waiter *waiter
+	// waited says that the request waited for the capacity.
+	waited bool
 	// end ends the record of the request in Admission.Shares.
 	end  func()
 	once sync.Once
 }
 
+// Waited reports whether the request waited for the capacity.
+func (t Ticket) Waited() bool { return t.taken != nil && t.taken.waited }
+
 // End records that the request has ended and its capacity is free again.
 func (t Ticket) End() { t.close(false) }
 
--- a/parts/router/load.go
+++ b/parts/router/load.go
@@ -91,6 +91,13 @@
 	return list
 }
 
+// Remaining returns how much longer a server counts as saturated.
+func (l *LoadTracker) Remaining(id string, now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return max(0, l.refusals[id].until.Sub(now))
+}
+
 // RecordAccepted records that the servers of a chain accepted a request; they no
 // longer count as saturated.
 func (l *LoadTracker) RecordAccepted(c Chain) {
--- a/parts/share/rows.go
+++ b/parts/share/rows.go
@@ -7,10 +7,10 @@
 )
 
 // Rows returns the rows for the next message, with the demand of this entry host for the
-// contended services: at most 64, the largest. The rest is added up by service and rank
+// contended and the watched services: at most 64, the largest. The rest is added up by service and rank
 // under team "". The list is never nil, which would be no news.
 func (t *Tracker) Rows(now time.Time) []Row {
-	list := bounded(t.contendedDemand(now))
+	list := bounded(t.reportedDemand(now))
 	rows := make([]Row, 0, len(list))
 	for _, e := range list {
 		rows = append(rows, Row{
@@ -21,12 +21,12 @@
 	return rows
 }
 
-// contendedDemand returns the demand of this entry host for the contended services.
-func (t *Tracker) contendedDemand(now time.Time) (list []sized) {
+// reportedDemand returns the demand of this entry host for the services that messages hold.
+func (t *Tracker) reportedDemand(now time.Time) (list []sized) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, s := range t.services {
-		if !s.isContended(now) {
+		if _, watched := t.watched[s.name]; !watched && !s.isContended(now) {
 			continue
 		}
 		for _, c := range s.classes {
--- a/parts/share/tracker.go
+++ b/parts/share/tracker.go
@@ -35,6 +35,8 @@
 	// reports holds the demand of the other entry hosts by name.
 	reports map[string]*report
 	swept   time.Time
+	// watched holds when Watch was last called, by service.
+	watched map[string]time.Time
 }
 
 // Begin records that a request takes capacity until end is called.
@@ -123,6 +125,7 @@
 	}
 	t.swept = now
 	t.expire(now)
+	t.unwatch(now)
 	t.addRemote(t.factors(alive))
 	next := table{}
 	for name, s := range t.services {
