unary, node: admission to plain services with fewer slots than entry hosts

Change: while there are more hosts than slots, a call enters entry/queue and waits there for credit of its host and for a server that did not reject calls lately, at most 0.4 of the route's target. The demand is in the messages that exist; servers that rejected calls are in their Full. Rows count calls, which each host multiplies by its own estimate of their work: with the sender's estimates in the rows, queues at servers raised the demand of all, and a host with half of the calls swung between 0.1 and 9 of 18 slots.

--- /dev/null
+++ b/entry/unary/attempt.go
@@ -0,0 +1,128 @@
+package unary
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"fuchsiashelf.dev/entry/call"
+	"fuchsiashelf.dev/entry/conns"
+	"fuchsiashelf.dev/entry/egress"
+	"fuchsiashelf.dev/parts/fault"
+	"fuchsiashelf.dev/parts/fleet"
+	"fuchsiashelf.dev/parts/route"
+	"fuchsiashelf.dev/parts/stall"
+)
+
+// attempt is the outcome of one attempt of a request.
+type attempt struct {
+	server string
+	// from is the server that was asked.
+	from   *fleet.Server
+	reply  call.Reply
+	header http.Header
+	body   []byte
+	// rest reads what follows the first maxBufferedBody bytes of a response body, and
+	// release ends the attempt after that. They are nil for smaller responses.
+	rest    *conns.Response
+	release context.CancelFunc
+	err     *fault.Error
+}
+
+// paused reports whether nothing was sent, because the server has requested a pause.
+func (a *attempt) paused() bool { return a.err != nil && egress.IsPaused(a.err) }
+
+// refused reports whether the server responded that it did not run the request.
+func (a *attempt) refused() bool { return a.err != nil && a.reply.NotRun }
+
+// failed reports whether the server responded with an error.
+func (a *attempt) failed() bool { return a.reply.Status >= http.StatusInternalServerError }
+
+// send makes one attempt and records its duration and outcome. If the server did not
+// respond with a whole answer, send closes the idle connections to it and starts a probe.
+func (f *Forwarder) send(ctx context.Context, j *call.Job, server *fleet.Server, mayRetry bool) attempt {
+	done := f.Stats.Begin(server.ID)
+	start := time.Now()
+	j.Sent = start
+	a := f.exchange(ctx, j, server, mayRetry)
+	a.server = server.ID
+	if a.paused() {
+		f.Stats.Cancel(server.ID)
+		return a
+	}
+	failed := a.err != nil && !call.CallerGone(ctx) || a.err == nil && a.failed()
+	done(time.Since(start), failed)
+	if a.err != nil && (a.reply.Status == 0 || a.err.Code == fault.InvalidResponse) && ctx.Err() == nil {
+		f.Servers.Pool.CloseIdle(server.Address)
+		f.Probe(j, server, a.err.Verdict != fault.NotRun, a.err.Error())
+	}
+	return a
+}
+
+// exchange sends a request to one server and reads the response, up to maxBufferedBody.
+func (f *Forwarder) exchange(ctx context.Context, j *call.Job, server *fleet.Server, mayRetry bool) attempt {
+	attemptCtx, cancel := context.WithCancel(ctx)
+	if mayRetry && j.Route.Repeatable() && j.Route.Target > 0 {
+		cancel()
+		timeout := time.Duration(float64(j.Route.Target) * attemptTimeoutShare)
+		attemptCtx, cancel = f.Clock.WithTimeout(ctx, timeout, errAttemptTimeout)
+	}
+	a := f.exchangeWithin(attemptCtx, j, server)
+	if a.rest == nil {
+		cancel()
+		return a
+	}
+	// The caller gets the rest however long it takes.
+	stall.Stop(attemptCtx)
+	a.release = cancel
+	return a
+}
+
+// exchangeWithin is exchange for an attempt whose context ends with its timeout.
+func (f *Forwarder) exchangeWithin(ctx context.Context, j *call.Job, server *fleet.Server) attempt {
+	o := egress.Options{RequestID: j.ID, DialTimeout: connectTimeout(j.Route)}
+	if j.Route.Kind == route.AtMostOnce {
+		o.MaxIdle = maxIdleAtMostOnce
+	}
+	req := f.Codec.NewRequest(j.Request, call.SendOptions{Server: server, Timeout: j.Remaining(), Team: j.Team, Priority: j.Priority})
+	resp, reply, err := f.Servers.Do(ctx, server, req, o)
+	if err != nil {
+		return attempt{err: fault.As(err)}
+	}
+	a := attempt{from: server, reply: reply, header: resp.Header}
+	a.body, err = io.ReadAll(io.LimitReader(resp, maxBufferedBody))
+	whole := err == nil && len(a.body) < maxBufferedBody
+	if whole && resp.EndsWithConn() && f.HasEnded(server) {
+		err = errProcessEnded
+	}
+	if err != nil {
+		resp.Close()
+		a.err = &fault.Error{Code: fault.InvalidResponse, Verdict: fault.MayHaveRun, Message: "the answer broke off", Server: server.ID, Cause: err}
+		return a
+	}
+	if len(a.body) == maxBufferedBody && !reply.NotRun {
+		a.rest = resp
+	} else {
+		resp.Close()
+	}
+	if reply.NotRun {
+		a.err = &fault.Error{Code: fault.ServerRefused, Verdict: fault.NotRun, Message: "the backend server refused", Server: server.ID}
+		a.err.RetryAfter = f.retryAfter(f.State.View().Service(j.Service.Name))
+	}
+	return a
+}
+
+// connectTimeout returns the connect timeout for a route; zero means the default.
+func connectTimeout(r *route.Route) time.Duration {
+	if r.Target <= 0 {
+		return 0
+	}
+	return max(minConnectTimeout, time.Duration(connectTimeoutShare*float64(r.Target)))
+}
+
+// errProcessEnded says that a response ended with its connection because the process did.
+var errProcessEnded = errors.New("the server's process has ended")
+
+var errAttemptTimeout = errors.New("silent for too long")
--- /dev/null
+++ b/entry/unary/slots_test.go
@@ -0,0 +1,354 @@
+package unary
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"fuchsiashelf.dev/entry/call"
+	"fuchsiashelf.dev/entry/egress"
+	"fuchsiashelf.dev/entry/queue"
+	"fuchsiashelf.dev/entry/state"
+	"fuchsiashelf.dev/parts/domain"
+	"fuchsiashelf.dev/parts/fault"
+	"fuchsiashelf.dev/parts/fleet"
+	"fuchsiashelf.dev/parts/limit"
+	"fuchsiashelf.dev/parts/mirror"
+	"fuchsiashelf.dev/parts/pause"
+	"fuchsiashelf.dev/parts/poison"
+	"fuchsiashelf.dev/parts/resv"
+	"fuchsiashelf.dev/parts/retry"
+	"fuchsiashelf.dev/parts/route"
+	"fuchsiashelf.dev/parts/router"
+	"fuchsiashelf.dev/parts/share"
+)
+
+// The service of the simulation: three servers, one in each domain.
+const (
+	simSlots, simQueue = 6, 24
+	simCall            = 15 * time.Millisecond
+	simTarget          = 500 * time.Millisecond
+	simWarmUp          = 4 * time.Second
+	simTime            = 6 * time.Second
+)
+
+// simHosts is the number of entry hosts by domain.
+var simHosts = []int{41, 50, 52}
+
+// simulation runs the calls of many entry hosts without a network, in virtual time.
+type simulation struct {
+	state   *state.Local
+	servers map[string]*simServer
+	hosts   []*simHost
+	silent  bool
+	// random chooses the callers, and partners the hosts that exchange messages.
+	random, partners *rand.Rand
+
+	callers sync.WaitGroup
+	stopped atomic.Bool
+	// slots is the capacity.
+	slots float64
+
+	mu sync.Mutex
+	// measuring says that calls count.
+	measuring bool
+	// sent, served and refused count the calls of callers, and arrived, rejected and ran those
+	// at servers.
+	sent, served, refused  int
+	arrived, rejected, ran int
+	// longest is the longest wait before a call was sent.
+	longest time.Duration
+}
+
+// simServer is a server with slots and a queue.
+type simServer struct {
+	slots    chan struct{}
+	inside   int
+	queue    int
+	callTime time.Duration
+	crashed  bool
+}
+
+// simHost is an entry host.
+type simHost struct {
+	*Forwarder
+	name   string
+	domain domain.Name
+}
+
+type simDecoder map[string]fleet.Server
+
+func (simDecoder) Table([]byte) (*route.Table, error) { return nil, errors.New("no configuration") }
+
+func (d simDecoder) Server(id string, _ []byte) (fleet.Server, error) { return d[id], nil }
+
+// newSimulation returns hosts and servers that know each other.
+func newSimulation(hostsPerDomain []int, silent bool) *simulation {
+	s := &simulation{servers: map[string]*simServer{}, silent: silent, random: rand.New(rand.NewPCG(1, 2)), partners: rand.New(rand.NewPCG(3, 4))}
+	log, decoder, servers := slog.New(slog.DiscardHandler), simDecoder{}, &mirror.Mirror{Kind: "servers"}
+	var items []mirror.Object
+	alive, total := map[domain.Name]int{}, 0
+	for i, n := range hostsPerDomain {
+		d, id := domain.Name(fmt.Sprint("zone-", i)), fmt.Sprint("plain-", i)
+		alive[d] = n
+		total += n
+		decoder[id] = fleet.Server{ID: id, Service: "booking", Address: id, Domain: d, Slots: simSlots, StartedAt: time.Unix(1, 0)}
+		items = append(items, mirror.Object{Name: id, Revision: 1})
+		s.slots += simSlots
+		s.servers[id] = &simServer{slots: make(chan struct{}, simSlots), queue: simQueue, callTime: simCall}
+	}
+	servers.Replace(items, mirror.Position{Revision: 1})
+	s.state = &state.Local{Decoder: decoder, Log: log, Servers: servers}
+	s.state.ReadServers(time.Now())
+	for i, n := range hostsPerDomain {
+		for h := range n {
+			s.hosts = append(s.hosts, newSimHost(s, fmt.Sprintf("host-%d-%d", i, h), domain.Name(fmt.Sprint("zone-", i)), alive, total, log))
+		}
+	}
+	s.start()
+	return s
+}
+
+func newSimHost(s *simulation, name string, d domain.Name, alive map[domain.Name]int, total int, log *slog.Logger) *simHost {
+	shares := &share.Tracker{Self: name, Domain: d, Alive: func() map[domain.Name]int { return alive }, Log: log}
+	slots := &Slots{
+		Queue: &queue.Admission{Shares: shares, Book: &resv.Book{Log: log}, Log: log}, State: s.state, Load: &router.LoadTracker{}, Log: log,
+		Hosts: func() (int, int) {
+			if s.silent {
+				return 1, total
+			}
+			return total, total
+		},
+	}
+	budget := &retry.WindowBudget{Ratio: 0.15, MinRetries: func() float64 { return 0.35 }, Window: 10 * time.Second}
+	return &simHost{name: name, domain: d, Forwarder: &Forwarder{
+		Servers: &egress.Client{Pauses: &pause.Tracker{Log: log}}, State: s.state, Stats: &Stats{}, Limits: &limit.Tracker{Self: name, Log: log}, LocalDomain: d,
+		Crashes: &poison.Detector{Log: log}, RetryBudget: func(string) *retry.WindowBudget { return budget }, Slots: slots,
+	}}
+}
+
+// run sends calls at a rate for a while. One host sends the given share of them.
+func (s *simulation) run(perSecond, uneven float64, d time.Duration) {
+	next := time.Now()
+	for end := time.Now().Add(d); next.Before(end); {
+		next = next.Add(time.Duration(s.random.ExpFloat64() / perSecond * float64(time.Second)))
+		time.Sleep(time.Until(next))
+		host := s.hosts[s.random.IntN(len(s.hosts))]
+		if s.random.Float64() < uneven {
+			host = s.hosts[0]
+		}
+		s.callers.Go(func() { s.call(host) })
+	}
+}
+
+// call makes a call as Forwarder.Serve does.
+func (s *simulation) call(h *simHost) {
+	j := &call.Job{
+		Request: &call.Request{Method: "GET", Target: "/look"}, Route: &route.Route{Kind: route.Idempotent, Target: simTarget, Attempts: 2},
+		Service: &route.Service{Name: "booking", DistinctClasses: true}, Deadline: time.Now().Add(5 * time.Second),
+	}
+	r := &request{Forwarder: h.Forwarder, job: j, budget: h.RetryBudget(""), tried: map[string]bool{}, verdict: fault.NotRun}
+	r.budget.Record(time.Now())
+	defer func() { r.admission.ticket.End() }()
+	s.count(&s.sent)
+	for {
+		server, e := r.choose(context.Background())
+		if e != nil {
+			s.count(&s.refused)
+			return
+		}
+		a := s.send(r, server)
+		r.settle(server, a)
+		if a.err == nil {
+			s.count(&s.served)
+			return
+		}
+		if !r.retryError(context.Background(), a) {
+			return
+		}
+	}
+}
+
+// send runs a call at a server.
+func (s *simulation) send(r *request, to *fleet.Server) attempt {
+	server := s.servers[to.ID]
+	r.job.Sent = time.Now()
+	done := r.Stats.Begin(to.ID)
+	s.mu.Lock()
+	if s.measuring {
+		s.longest = max(s.longest, r.admission.waited)
+	}
+	if server.crashed {
+		s.mu.Unlock()
+		done(time.Millisecond, true)
+		return attempt{err: &fault.Error{Verdict: fault.NotRun}}
+	}
+	full := server.inside == cap(server.slots)+server.queue
+	if !full {
+		server.inside++
+	}
+	callTime := server.callTime
+	s.mu.Unlock()
+	s.count(&s.arrived)
+	r.out.Sends++
+	if full {
+		s.count(&s.rejected)
+		time.Sleep(time.Millisecond)
+		done(time.Millisecond, true)
+		return attempt{reply: call.Reply{Status: 503, NotRun: true}, err: &fault.Error{Verdict: fault.NotRun}}
+	}
+	server.slots <- struct{}{}
+	time.Sleep(callTime)
+	<-server.slots
+	s.count(&s.ran)
+	s.mu.Lock()
+	server.inside--
+	s.mu.Unlock()
+	done(time.Since(r.job.Sent), false)
+	return attempt{reply: call.Reply{Status: 200}}
+}
+
+func (s *simulation) count(n *int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.measuring {
+		*n++
+	}
+}
+
+// tick lets the hosts sweep, and exchange messages as package gossip does.
+func (s *simulation) tick(n int) {
+	now := time.Now()
+	for i, h := range s.hosts {
+		h.Slots.Queue.Shares.Sweep(now)
+		h.Slots.Load.Sweep(now)
+		h.Slots.Queue.Sweep(now)
+		h.Slots.Sweep(now)
+		if !s.silent && (n+i)%4 == 0 {
+			s.exchange(h, func(d domain.Name) bool { return d == h.domain })
+		}
+		if !s.silent && (n+i)%12 == 0 {
+			s.exchange(h, func(d domain.Name) bool { return d != h.domain })
+		}
+	}
+}
+
+// exchange exchanges messages between a host and a random one.
+func (s *simulation) exchange(h *simHost, with func(d domain.Name) bool) {
+	other := h
+	for other == h || !with(other.domain) {
+		other = s.hosts[s.partners.IntN(len(s.hosts))]
+	}
+	now := time.Now()
+	for _, pair := range [][2]*simHost{{h, other}, {other, h}} {
+		pair[0].Slots.Queue.Shares.Merge(pair[1].name, pair[1].domain, pair[1].Slots.Queue.Shares.Rows(now), now)
+		for id, left := range pair[1].Slots.Load.Saturated(now) {
+			pair[0].Slots.Load.RecordRemoteRefusal(id, left, now)
+		}
+	}
+}
+
+// start runs the ticks until stop is called.
+func (s *simulation) start() {
+	s.callers.Go(func() {
+		for n := 0; !s.stopped.Load(); n++ {
+			s.tick(n)
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+}
+
+// stop waits until the ticks and the calls have ended, and the goroutines of the queues.
+func (s *simulation) stop() {
+	s.stopped.Store(true)
+	s.callers.Wait()
+	time.Sleep(time.Second)
+}
+
+// measure runs calls at a share of the capacity, and counts them after the warm-up.
+func (s *simulation) measure(load, uneven float64) {
+	perSecond := load * s.slots / simCall.Seconds()
+	s.run(perSecond, uneven, simWarmUp)
+	s.setMeasuring(true)
+	s.run(perSecond, uneven, simTime)
+	s.setMeasuring(false)
+	s.stop()
+}
+
+func (s *simulation) setMeasuring(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.measuring = on
+}
+
+// work returns the work done as a share of the capacity.
+func (s *simulation) work() float64 {
+	return float64(s.ran) * simCall.Seconds() / s.slots / simTime.Seconds()
+}
+
+// loseServer crashes a server, which all hosts suspect a moment later.
+func (s *simulation) loseServer(id string) {
+	s.slots -= simSlots
+	s.servers[id].crashed = true
+	time.AfterFunc(300*time.Millisecond, func() { s.state.Suspect(id, time.Now().Add(time.Hour), time.Now()) })
+}
+
+// Guards against servers that reject calls of many hosts, against idle slots under overload, and
+// against calls that wait longer than they may. Without messages a host that sends half of the
+// calls has an even share, and the others send 0.75 of the capacity.
+func TestManyHosts(t *testing.T) {
+	for _, load := range []float64{0.02, 0.7, 1, 1.5} {
+		for _, test := range []struct {
+			name         string
+			uneven       float64
+			silent, lost bool
+			work         float64
+		}{
+			{"even", 0, false, false, 0.9},
+			{"one host sends half", 0.5, false, false, 0.9},
+			{"one of three servers lost", 0, false, true, 0.9},
+			{"no messages", 0, true, false, 0.9},
+			{"no messages, one host sends half", 0.5, true, false, 0.7},
+		} {
+			t.Run(fmt.Sprint(load, " ", test.name), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					s := newSimulation(simHosts, test.silent)
+					if test.lost {
+						s.loseServer("plain-0")
+					}
+					s.measure(load, test.uneven)
+					rejected := float64(s.rejected) / float64(max(1, s.arrived))
+					t.Logf("sent %d, served %d, refused %d, rejected %.3f of arrivals, work %.3f, longest wait %s", s.sent, s.served, s.refused, rejected, s.work(), s.longest)
+					qt.Check(t, rejected <= 0.05, qt.IsTrue)
+					qt.Check(t, s.longest <= simTarget*2/5, qt.IsTrue)
+					qt.Check(t, load < 1.5 || s.work() >= test.work, qt.IsTrue)
+				})
+			})
+		}
+	}
+}
+
+// Guards against a change where there are fewer hosts than slots: calls must not pass through the
+// queue, and the demand must not be in messages.
+func TestFewHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSimulation([]int{2, 2, 2}, false)
+		s.measure(1.5, 0)
+		qt.Check(t, s.rejected > 0, qt.IsTrue)
+		for _, h := range s.hosts {
+			qt.Check(t, h.Slots.Queue.Stats().Ranks, qt.Equals, queue.Stats{}.Ranks)
+			qt.Check(t, h.Slots.Stats(), qt.Equals, SlotStats{})
+			qt.Check(t, h.Slots.Queue.Shares.Rows(time.Now()), qt.HasLen, 0)
+		}
+	})
+}
--- a/stand/fakes/server.go
+++ b/stand/fakes/server.go
@@ -27,6 +27,9 @@
 type Server struct {
 	ID, Service, Zone string
 	Slots             int
+	// Queue is the number of calls that wait for a slot of a plain server, which refuses more; zero
+	// means that any number is run at once.
+	Queue int
 	// Model is nil for a plain service.
 	Model *Model
 	// Kind is the kind of accelerator, MemoryMB its memory.
@@ -79,6 +82,11 @@
 	bornMs int64
 	// callTime is how long a call takes.
 	callTime time.Duration
+	// inside is the number of calls that run and wait, and arrivals and turnedAway count those that
+	// arrived and that were refused for lack of a slot.
+	inside, arrivals, turnedAway int
+	// slots holds a value for each call that runs.
+	slots chan struct{}
 	// bodySize is the least size of the body of a response to a call and of an error.
 	bodySize int
 	// pause is what the server asks for in its next responses, pauseWindows what it has
@@ -323,6 +331,12 @@
 	if s.Model != nil && s.refuseChain(w, req.Header.Get("X-Hop-Count")) {
 		return
 	}
+	if !s.enter() {
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer s.leave()
 	s.platform.recordBadParts(req, func(b *BadPart) { b.Arrivals = append(b.Arrivals, time.Now()) })
 	s.platform.recordExecution(Execution{
 		Request: id, Server: s.ID, Service: s.Service, Team: req.Header.Get("X-Tenant"),
