--- a/entry/unary/slots_test.go
+++ b/entry/unary/slots_test.go
@@ -454,6 +454,58 @@
 	})
 }
 
+// Guards against calls that go to a server which rejected calls of this host or of another, that wait
+// although another server is free, or that do not wait although all are full; and against a suspected
+// server that gets calls because the others are full.
+func TestFullServers(t *testing.T) {
+	for name, test := range map[string]struct {
+		rejected, told []string
+		suspected      string
+		waits, fails   bool
+	}{
+		"none":                 {nil, nil, "", false, false},
+		"one":                  {[]string{"plain-0"}, nil, "", false, false},
+		"two":                  {[]string{"plain-0"}, []string{"plain-1"}, "", false, false},
+		"all":                  {[]string{"plain-0", "plain-1"}, []string{"plain-2"}, "", true, false},
+		"all that are healthy": {[]string{"plain-0", "plain-1"}, nil, "plain-2", true, false},
+		"all, tried":           {[]string{"plain-0", "plain-1", "plain-2"}, nil, "", false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSimulation(simHosts, false)
+				h := s.hosts[0]
+				s.call(h)
+				time.Sleep(time.Second)
+				service := h.Slots.service("booking")
+				qt.Assert(t, service, qt.IsNotNil)
+				if test.suspected != "" {
+					s.state.Suspect(test.suspected, time.Now().Add(time.Minute), time.Now())
+				}
+				r := h.newRequest()
+				for _, id := range test.rejected {
+					service.reject(id)
+					r.tried[id] = test.fails
+				}
+				for _, id := range test.told {
+					h.Slots.Load.RecordRemoteRefusal(id, 60*time.Millisecond, time.Now())
+				}
+				start := time.Now()
+				server, e := r.choose(t.Context())
+				qt.Check(t, e != nil, qt.Equals, test.fails)
+				waited := time.Since(start)
+				qt.Check(t, waited >= 50*time.Millisecond, qt.Equals, test.waits, qt.Commentf("%s", waited))
+				qt.Check(t, waited <= 100*time.Millisecond, qt.IsTrue, qt.Commentf("%s", waited))
+				if server != nil {
+					qt.Check(t, service.full(server.ID), qt.IsFalse)
+					qt.Check(t, server.Suspected, qt.IsFalse)
+				}
+				r.admission.ticket.End()
+				s.stop()
+			})
+		})
+	}
+}
+
 // Guards against idle slots where callers use some of the hosts only, such as those of one failure
 // domain. With an even share for each host, 41 of 143 hosts used 0.32 of the capacity.
 func TestCallersAtSomeHosts(t *testing.T) {
