--- a/entry/queue/round.go
+++ b/entry/queue/round.go
@@ -1,6 +1,7 @@
 package queue
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -37,11 +38,11 @@
 	return l.running
 }
 
-// roundDue reports whether capacity may have become free since the last round.
-func (l *line) roundDue(now time.Time) bool {
+// roundDue reports whether capacity may have become free since the last round, and when that began.
+func (l *line) roundDue(now time.Time) (due bool, last time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.queue.Len() > 0 && (l.freed || now.Sub(l.lastRound) >= minRoundInterval)
+	return l.queue.Len() > 0 && (l.freed || now.Sub(l.lastRound) >= minRoundInterval), l.lastRound
 }
 
 // round looks for capacity on behalf of the first waiters, in their order, until none finds any. It
@@ -49,6 +50,25 @@
 func (l *line) round() {
 	l.rounds.Lock()
 	defer l.rounds.Unlock()
+	l.runRound()
+}
+
+// roundIfDue runs a round if one is due. Of several callers that wait for the round before, only the
+// first one does.
+func (l *line) roundIfDue() {
+	due, last := l.roundDue(time.Now())
+	if !due {
+		return
+	}
+	l.rounds.Lock()
+	defer l.rounds.Unlock()
+	if _, latest := l.roundDue(time.Now()); latest.Equal(last) {
+		l.runRound()
+	}
+}
+
+// runRound is round while the mutex of the rounds is held.
+func (l *line) runRound() {
 	now := time.Now()
 	l.mu.Lock()
 	l.freed, l.lastRound, l.missed = false, now, l.missed[:0]
@@ -134,20 +154,43 @@
 	return l.queue.Len() == 0 || !slices.ContainsFunc(l.missed, func(m missedLook) bool { return m.cost <= w.Cost && m.headroom <= headroom })
 }
 
-// refuseOverdue refuses the waiters that cannot be served in time any more.
+// refuseOverdue refuses the waiters that cannot be served in time any more, in their order.
 func (l *line) refuseOverdue(now time.Time) {
 	l.mu.Lock()
-	var overdue []displacement
-	for ahead, waiting := range l.queue.Head(l.queue.Len()) {
-		if w := l.waiters[waiting]; w.remaining(now) <= pollInterval {
-			overdue = append(overdue, displacement{w, ahead})
-		}
-	}
-	for _, d := range overdue {
+	list := l.overdue(now)
+	for _, d := range list {
 		l.remove(d.waiter)
 	}
 	l.mu.Unlock()
-	for _, d := range overdue {
+	for _, d := range list {
 		l.refuseWaiter(d.waiter, timeoutReason, d.ahead, now)
 	}
 }
+
+// maxPlaced is the number of waiters from which it is faster to order the whole queue than to find
+// the place of each: after a stall of the process all may be overdue.
+const maxPlaced = 32
+
+// overdue returns the waiters that cannot be served in time any more, in their order. The mutex is
+// held.
+func (l *line) overdue(now time.Time) (list []displacement) {
+	for _, w := range l.waiters {
+		if w.isOverdue(now) {
+			list = append(list, displacement{waiter: w})
+		}
+	}
+	if len(list) > maxPlaced {
+		list = list[:0]
+		for ahead, waiting := range l.queue.Head(l.queue.Len()) {
+			if w := l.waiters[waiting]; w.isOverdue(now) {
+				list = append(list, displacement{w, ahead})
+			}
+		}
+		return list
+	}
+	for i, d := range list {
+		list[i].ahead = l.queue.Ahead(&d.waiter.Waiter)
+	}
+	slices.SortFunc(list, func(a, b displacement) int { return cmp.Compare(a.ahead, b.ahead) })
+	return list
+}
