gossip: results of probes, and when each host of the domain was heard

Cause: a suspicion says neither who found it nor when, so that each host has to probe. Ownership needs hosts that agree on which are alive. Older versions ignore and omit the fields. Measured: the race tests of the package pass; a listed host takes at most 40 bytes.

--- a/entry/gossip/codec_test.go
+++ b/entry/gossip/codec_test.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"fmt"
 	"math"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -58,6 +59,37 @@
 	qt.Check(t, received.Promises, qt.DeepEquals, sent.Promises)
 }
 
+// Guards against results of probes and times of hosts that are lost on the way, take up too much of a
+// message, or cannot be read from messages of older versions.
+func TestResultsAreEncoded(t *testing.T) {
+	sent, received := &Message{}, &Message{}
+	empty, err := cbor.Marshal(sent)
+	qt.Assert(t, err, qt.IsNil)
+	for i := range 50 {
+		sent.Heard = append(sent.Heard, Heard{Name: fmt.Sprintf("entry-zone-a-%02d", i), Boot: math.MaxInt64, Seq: 1 << 20, Age: time.Second + 7})
+	}
+	heard, err := cbor.Marshal(sent)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, len(heard)-len(empty) <= 50*40, qt.IsTrue, qt.Commentf("%d bytes", len(heard)-len(empty)))
+	sent.Suspects = []Suspect{{ID: "s", Left: time.Second, By: "entry-zone-a-01", Found: time.Second, Exited: true}, {ID: "older", Left: time.Second}}
+	sent.Alive = []Answer{{ID: "t", By: "entry-zone-a-01", Found: time.Second}}
+	b, err := codec{}.Marshal(sent)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, codec{}.Unmarshal(b, received), qt.IsNil)
+	qt.Check(t, received.Suspects, qt.DeepEquals, sent.Suspects)
+	qt.Check(t, received.Alive, qt.DeepEquals, sent.Alive)
+	qt.Check(t, reflect.DeepEqual(received.Heard, sent.Heard), qt.IsTrue)
+	type suspect struct {
+		ID   string
+		Left time.Duration
+	}
+	b, err = codec{}.Marshal(&struct{ Suspects []suspect }{[]suspect{{"older", time.Second}}})
+	qt.Assert(t, err, qt.IsNil)
+	old := &Message{}
+	qt.Assert(t, codec{}.Unmarshal(b, old), qt.IsNil)
+	qt.Check(t, old.Suspects, qt.DeepEquals, sent.Suspects[1:])
+}
+
 // Guards against accepting malformed messages, and small ones that exhaust memory when
 // decompressed.
 func TestInvalidMessagesAreRejected(t *testing.T) {
--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -86,6 +86,10 @@
 	// Suspects returns the suspected servers; OnSuspect handles those of other hosts.
 	Suspects  func() []Suspect
 	OnSuspect func(Suspect)
+	// Answers returns the servers that have answered after they were suspected; OnAnswer handles
+	// those of other hosts. Nil means that none are exchanged.
+	Answers  func() []Answer
+	OnAnswer func(Answer)
 	// SlowServers returns the slow servers; OnSlow handles those of other hosts.
 	SlowServers func() []SlowServer
 	OnSlow      func(SlowServer)
@@ -131,6 +135,8 @@
 	clients map[string]*client
 	// pulls holds the kinds whose changes are being pulled.
 	pulls map[string]bool
+	// notify holds the names of the hosts that take part in the next broadcast.
+	notify map[string]bool
 	// lastRemote is when Run last chose a host of another failure domain.
 	lastRemote time.Time
 	// broadcast tells Run to start a broadcast.
@@ -146,6 +152,7 @@
 		p.members = map[string]*memberState{}
 		p.clients = map[string]*client{}
 		p.pulls = map[string]bool{}
+		p.notify = map[string]bool{}
 		p.broadcast = make(chan struct{}, 1)
 		p.introduction.done = make(chan struct{})
 	})
@@ -176,6 +183,7 @@
 			return
 		case <-broadcast:
 			p.round(ctx, broadcastLocal, broadcastRemote)
+			p.notifyHosts(ctx)
 			broadcast, intervalOver = nil, time.After(minBroadcastInterval)
 		case <-intervalOver:
 			broadcast, intervalOver = p.broadcast, nil
--- a/entry/gossip/member.go
+++ b/entry/gossip/member.go
@@ -37,6 +37,10 @@
 type memberState struct {
 	Member
 	lastHeard, heardAt time.Time
+	// heardSeq is the highest Seq that a message of this member, or another one that says when it
+	// was heard, had, and heardSeqAt when the member sent it, on the clock of this process.
+	heardSeq   uint64
+	heardSeqAt time.Time
 }
 
 // remove removes an entry host that has sent no message for removeAfter. The mutex is
@@ -191,6 +195,7 @@
 		p.forgetDemand(m.Name)
 	}
 	if m.Boot > known.Boot {
+		known.heardSeq, known.heardSeqAt = 0, time.Time{}
 		p.forgetDemand(m.Name)
 	}
 	known.Member = m
--- a/entry/gossip/message.go
+++ b/entry/gossip/message.go
@@ -18,6 +18,20 @@
 	ID string
 	// Left is the time until the suspicion expires.
 	Left time.Duration
+	// By is the entry host whose last probe of the server was not answered, and Found how long
+	// ago that was. Older versions send neither.
+	By    string        `cbor:",omitempty"`
+	Found time.Duration `cbor:",omitempty"`
+	// Exited says that the probe has shown that the process has ended.
+	Exited bool `cbor:",omitempty"`
+}
+
+// Answer is a server that has answered a probe after it was reported as suspected.
+type Answer struct {
+	ID string
+	// By is the entry host that probed the server, and Found how long ago it was answered.
+	By    string
+	Found time.Duration
 }
 
 // SlowServer is a server that takes longer than usual for its work.
@@ -60,6 +74,9 @@
 	Cursors, Eras map[string]uint64
 	// Members holds a sample of the other entry hosts that the sender knows.
 	Members []Member
+	// Heard says when the other entry hosts of the sender's domain were last heard. Older versions
+	// do not send it.
+	Heard []Heard `cbor:",omitempty"`
 	// Load is the load that the sender puts on each server, by server.
 	Load map[string]router.Usage
 	// Waits is how long requests wait for their first event, by server.
@@ -68,8 +85,10 @@
 	// server.
 	Full     map[string]time.Duration
 	Suspects []Suspect
-	Slows    []SlowServer
-	Orders   []Assignment
+	// Alive holds the servers that have answered. Older versions send none.
+	Alive  []Answer `cbor:",omitempty"`
+	Slows  []SlowServer
+	Orders []Assignment
 	// Limits holds what the sender knows of the rate limits of servers, by server.
 	Limits map[string]limit.Report
 	// Demand is the demand for contended services at the sender. Older versions send none.
@@ -114,6 +133,10 @@
 		Suspects: p.Suspects(), Slows: p.SlowServers(), Orders: p.Assignments(), Evidence: p.Crashes.Evidence(time.Now()),
 		Limits: p.Limits.Reports(time.Now()), Departures: p.Departures(),
 	}
+	if p.Answers != nil {
+		m.Alive = p.Answers()
+	}
+	m.Heard = p.heard()
 	if p.Returns != nil {
 		m.Promises = p.Returns.Promises(time.Now())
 	}
@@ -212,6 +235,7 @@
 func (p *Peer) Merge(m *Message) {
 	p.init()
 	p.mergeMembers(m)
+	p.mergeHeard(m)
 	if m.From.Name != p.Self.Name {
 		p.Load.SetRemote(m.From.Name, m.Load)
 	}
@@ -255,6 +279,12 @@
 	for _, s := range m.Suspects {
 		p.OnSuspect(s)
 	}
+	if p.OnAnswer == nil {
+		return
+	}
+	for _, a := range m.Alive {
+		p.OnAnswer(a)
+	}
 }
 
 // mergeChanges merges the changes of a kind from a message into its mirror.
