stream, node: hosts rely on the owners of suspected servers

Cause: 143 hosts x probes for each suspicion (docs/design/checks.md). Change: a host probes a suspected server if it owns it, if one of its requests failed there, if one of its streams passes through it, or while requests of the service lack capacity or layers; otherwise it keeps and ends the suspicion by the owners' results. New suspicions are also sent to the owners directly. In a domain of one or two hosts all own every server, and each probes for itself as before.

--- a/entry/stream/choose.go
+++ b/entry/stream/choose.go
@@ -116,6 +116,7 @@
 	if chain := r.pickChain(q); chain != nil {
 		return chain, nil
 	}
+	r.Monitor.RecordNeed(r.job.Service.Name)
 	q.Overcommit = true
 	if q.Pick() == nil {
 		return r.findSuspectedChain(q)
--- a/entry/stream/monitor.go
+++ b/entry/stream/monitor.go
@@ -12,6 +12,7 @@
 	"fuchsiashelf.dev/entry/state"
 	"fuchsiashelf.dev/parts/domain"
 	"fuchsiashelf.dev/parts/fleet"
+	"fuchsiashelf.dev/parts/owner"
 	"fuchsiashelf.dev/parts/poison"
 	"fuchsiashelf.dev/parts/probe"
 	"fuchsiashelf.dev/parts/router"
@@ -82,6 +83,11 @@
 	Crashes *poison.Detector
 	// Broadcast sends a new suspicion or a long wait to other entry hosts.
 	Broadcast func()
+	// Owners decides which suspected servers this host probes. The zero value probes all.
+	Owners owner.Tracker
+	// ReportSuspicion sends a new suspicion of a server that this host has probed to other entry
+	// hosts, among them the owners of the server; nil means Broadcast.
+	ReportSuspicion func(id string)
 
 	// Paused returns the remaining time of the pause that a server has requested; zero if
 	// there is none. Nil means that no server has requested one.
@@ -113,6 +119,10 @@
 	exited map[string]time.Time
 	// lastDrain is when a stream was last rerouted around a draining server.
 	lastDrain time.Time
+	// needs holds when requests last lacked capacity or layers, by service, and lastSuspectSweep
+	// is when the suspected servers were last checked.
+	needs            map[string]time.Time
+	lastSuspectSweep time.Time
 }
 
 func (m *Monitor) add(job *call.Job, chain router.Chain, cancel context.CancelCauseFunc, reserveRestart func() bool) *activeStream {
@@ -156,6 +166,7 @@
 			now := time.Now()
 			m.sweep(ctx, now)
 			m.drainStreams(now)
+			m.sweepSuspects(now)
 			if m.StartLatency.ShouldBroadcast(now) {
 				m.Log.Info("watch: requests wait for their first event", "waits", m.StartLatency.Waits(now))
 				m.Broadcast()
--- a/entry/stream/probe.go
+++ b/entry/stream/probe.go
@@ -26,8 +26,9 @@
 // it: if the server crashed, that is recorded against the request.
 func (m *Monitor) ProbeFor(job *call.Job, s *fleet.Server, mayBeCause bool, reason string) {
 	m.recordFailedRequest(s, job, mayBeCause)
+	m.Owners.RecordRequest(s.ID, time.Now())
 	if m.claimProbe(s.Address) {
-		go m.probeSuspect(s.ID, s.Address, reason, link{})
+		go m.probeSuspect(s.ID, s.Address, reason, link{}, 0)
 	}
 }
 
@@ -138,11 +139,18 @@
 	if s == nil {
 		return
 	}
+	m.Owners.RecordRequest(s.ID, time.Now())
+	m.startProbes(s, reason, via, 0)
+}
+
+// startProbes starts to probe a server, of which the given number of probes in a row were not
+// answered, unless the server has answered recently or is being probed already.
+func (m *Monitor) startProbes(s *fleet.Server, reason string, via link, misses int) {
 	m.mu.Lock()
-	healthy := time.Since(m.lastAnswer[address]) < healthyProbeInterval
+	healthy := time.Since(m.lastAnswer[s.Address]) < healthyProbeInterval
 	m.mu.Unlock()
-	if !healthy && m.claimProbe(address) {
-		go m.probeSuspect(s.ID, address, reason, via)
+	if !healthy && m.claimProbe(s.Address) {
+		go m.probeSuspect(s.ID, s.Address, reason, via, misses)
 	}
 }
 
@@ -168,9 +176,10 @@
 	if s == nil {
 		return
 	}
+	m.Owners.RecordRequest(s.ID, time.Now())
 	m.markSuspected(s.ID, address, reason, err, time.Now())
 	if m.claimProbe(address) {
-		go m.probeSuspect(s.ID, address, reason, link{})
+		go m.probeSuspect(s.ID, address, reason, link{}, 0)
 	}
 }
 
@@ -186,11 +195,13 @@
 		m.resolveFailedRequests(id, true, now)
 	}
 	if s == nil || replaced {
+		m.Owners.Forget(id)
 		return false
 	}
+	m.Owners.RecordFailed(id, exited, now)
 	if m.State.Suspect(id, now.Add(state.SuspectFor), now) {
 		m.Log.Warn("servers: suspected", "server", id, "address", address, "why", reason, "error", err)
-		m.Broadcast()
+		m.reportSuspicion(id)
 	}
 	return true
 }
@@ -222,10 +233,10 @@
 	return exited
 }
 
-// probeSuspect probes a server until it answers or its entry is gone. The timeout is
-// short for the first probes, as many as must fail before the server is suspected:
-// until then requests are sent to the server, and no other server loads its layers.
-func (m *Monitor) probeSuspect(id, address, reason string, via link) {
+// probeSuspect probes a server until it answers, its entry is gone or this host relies on its
+// owners. The timeout is short for the first probes, as many as must fail before the server is
+// suspected: until then requests are sent to the server, and no other server loads its layers.
+func (m *Monitor) probeSuspect(id, address, reason string, via link, misses int) {
 	defer func() {
 		m.mu.Lock()
 		defer m.mu.Unlock()
@@ -233,16 +244,18 @@
 		// Requests that failed since the result are not laid to a later crash.
 		delete(m.failedRequests, id)
 	}()
-	misses := 0
-	for range maxSuspectProbes {
+	startedAt := time.Now()
+	for n := 0; n < maxSuspectProbes || time.Since(startedAt) < m.maxSuspectTime(address); n++ {
 		timeout := call.ReportTimeout
 		if misses < probe.FailureThreshold {
 			timeout = m.probeTimeout()
 		}
+		m.Owners.CountProbe()
 		report, err := m.probeOnce(address, timeout)
 		now := time.Now()
 		switch {
 		case err == nil && m.restarted(address, report):
+			m.Owners.Forget(id)
 			m.setExited(id, true, now)
 			m.resolveFailedRequests(id, true, now)
 			m.handleReport(address, report)
@@ -266,26 +279,43 @@
 			m.evacuate(address, probeOutcome(err))
 			delay = reprobeDelay
 		}
-		time.Sleep(delay)
+		if !m.awaitProbe(id, address, delay) {
+			return
+		}
+	}
+	m.Owners.Forget(id)
+}
+
+// maxSuspectTime returns for how long a suspected server is probed at least. Its owners probe one
+// of another failure domain more often, but not for a shorter time.
+func (m *Monitor) maxSuspectTime(address string) time.Duration {
+	if s := m.State.View().ByAddress(address); s != nil && s.Domain != m.LocalDomain && m.Owners.Hosts.Shared() {
+		return maxSuspectProbes * remoteProbeInterval
 	}
+	return 0
 }
 
-// probeInterval returns the interval between probes of a suspected server. Every
-// entry host probes the server, so one of another failure domain that serves none of
-// the streams here is probed only as often as it takes to keep it suspected.
+// probeInterval returns the interval between probes of a suspected server. One of
+// another failure domain that serves none of the streams here is probed only as often as
+// it takes to keep it suspected, unless other hosts rely on the probes of this one.
 func (m *Monitor) probeInterval(address string) time.Duration {
 	s := m.State.View().ByAddress(address)
-	if s == nil || s.Domain == m.LocalDomain {
+	if s == nil || s.Domain == m.LocalDomain || m.hasStream(address) || m.Owners.Hosts.Shared() && m.Owners.Hosts.Owns(s.ID) {
 		return suspectProbeInterval
 	}
+	return remoteProbeInterval
+}
+
+// hasStream reports whether a server is part of the chain of a stream.
+func (m *Monitor) hasStream(address string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for stream := range m.streams {
 		if stream.uses(address) {
-			return suspectProbeInterval
+			return true
 		}
 	}
-	return remoteProbeInterval
+	return false
 }
 
 // probeOnce sends one probe. A response without a report counts as an answer.
@@ -307,6 +337,9 @@
 // markHealthy ends the suspicion of a server that answered.
 func (m *Monitor) markHealthy(id, address string, now time.Time) {
 	m.State.ClearSuspicion(id, now)
+	if m.Owners.RecordAnswered(id, now) {
+		m.Broadcast()
+	}
 	m.setExited(id, false, now)
 	m.resolveFailedRequests(id, false, now)
 	m.mu.Lock()
--- a/entry/unary/unary.go
+++ b/entry/unary/unary.go
@@ -70,6 +70,8 @@
 	// Probe probes a server that did not respond to a request, which may be the cause if the
 	// server got it.
 	Probe func(j *call.Job, s *fleet.Server, mayBeCause bool, reason string)
+	// RecordNeed records that requests of a service lack servers; nil means that nobody asks.
+	RecordNeed func(service string)
 	// HasEnded reports whether the process of a server has ended.
 	HasEnded func(s *fleet.Server) bool
 	// RetryBudget returns the retry budget of a service.
@@ -123,6 +125,9 @@
 	}
 	for {
 		server := f.Stats.Pick(f.State.View().Service(j.Service.Name), f.LocalDomain, tried)
+		if f.RecordNeed != nil && (server == nil || server.Suspected) {
+			f.RecordNeed(j.Service.Name)
+		}
 		if server == nil {
 			return fail(f.noServer(skipped, refused))
 		}
