--- a/entry/stream/owners_test.go
+++ b/entry/stream/owners_test.go
@@ -9,7 +9,10 @@
 	qt "github.com/frankban/quicktest"
 
 	"fuchsiashelf.dev/entry/dialer"
+	"fuchsiashelf.dev/entry/egress"
+	"fuchsiashelf.dev/parts/limit"
 	"fuchsiashelf.dev/parts/owner"
+	"fuchsiashelf.dev/parts/pause"
 )
 
 // newRelyingMonitor returns a monitor of a host that does not own the server "middle", and the owners
@@ -107,6 +110,23 @@
 	}
 }
 
+// Guards against requests that lack capacity or layers while this host relies on others to learn that
+// the servers are back.
+func TestRequestWithoutChainIsNeed(t *testing.T) {
+	for _, suspected := range []bool{false, true} {
+		m, servers := newMonitor(&fakeEngines{}, 0)
+		job := m.addStream(servers, "r", 0).job
+		f := &Forwarder{State: m.State, Monitor: m, Limits: &limit.Tracker{}, Failures: &Failures{}, Servers: &egress.Client{Pauses: &pause.Tracker{}}}
+		if suspected {
+			m.State.Suspect("middle", time.Now().Add(time.Minute), time.Now())
+		}
+		chain, e := (&request{Forwarder: f, job: job}).findChain(0)
+		qt.Check(t, e == nil, qt.IsTrue)
+		qt.Check(t, chain, qt.HasLen, 2)
+		qt.Check(t, m.needed("assist", time.Now()), qt.Equals, suspected)
+	}
+}
+
 // Guards against an owner that does not tell the others that a server which it had reported is back.
 func TestOwnerReportsThatServerIsBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/entry/unary/unary_test.go
+++ b/entry/unary/unary_test.go
@@ -1,16 +1,21 @@
 package unary
 
 import (
+	"context"
 	"log/slog"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"fuchsiashelf.dev/entry/call"
 	"fuchsiashelf.dev/entry/egress"
+	"fuchsiashelf.dev/entry/state"
 	"fuchsiashelf.dev/parts/fleet"
 	"fuchsiashelf.dev/parts/limit"
 	"fuchsiashelf.dev/parts/pause"
+	"fuchsiashelf.dev/parts/retry"
+	"fuchsiashelf.dev/parts/route"
 )
 
 // Guards against a caller that is told to come back at the end of a long pause, because
@@ -30,3 +35,19 @@
 	wait = f.retryAfter([]*fleet.Server{&leaving, healthy})
 	qt.Assert(t, wait >= 30*time.Second, qt.IsTrue, qt.Commentf("%v", wait))
 }
+
+// Guards against a host that relies on others to learn that servers are back while its requests have
+// none.
+func TestRequestWithoutServerIsNeed(t *testing.T) {
+	needed := ""
+	f := &Forwarder{
+		State: &state.Local{}, Stats: &Stats{}, RecordNeed: func(service string) { needed = service },
+		RetryBudget: func(string) *retry.WindowBudget {
+			return &retry.WindowBudget{MinRetries: func() float64 { return 0 }, Window: time.Second}
+		},
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	f.Serve(ctx, nil, &call.Job{Service: &route.Service{Name: "look"}, Deadline: time.Now().Add(time.Second)})
+	qt.Assert(t, needed, qt.Equals, "look")
+}
