owner, gossip: rely on fresh results while requests wait, count all hosts that were heard

Cause: hosts whose requests wait probed each suspected server of the service themselves. Owners probe every 500 ms and tell at once that a server is back, so a probe of one's own finds out no sooner. Also, Alive counted 15 of 47 hosts of a domain, because a message lists a sample of members; the share tracker, the number of entry hosts and the reads of the object API took too few hosts into account. Change: a host with waiting requests relies on results younger than 1 s; the count of hosts alive uses when each was last heard.

--- a/entry/gossip/member.go
+++ b/entry/gossip/member.go
@@ -88,7 +88,10 @@
 // listened without hearing from it as its age.
 func (p *Peer) listened() []Member {
 	now := p.Clock.Now()
-	return p.list(func(m *memberState) time.Duration { return now.Sub(m.heardAt) })
+	return p.list(func(m *memberState) time.Duration {
+		_, at := m.newest()
+		return now.Sub(at)
+	})
 }
 
 // list returns the other known entry hosts with the given ages, ordered by name.
--- a/entry/stream/owners.go
+++ b/entry/stream/owners.go
@@ -17,7 +17,8 @@
 )
 
 // RecordNeed records that a request of a service lacks capacity or layers. This host then probes
-// the suspected servers of the service itself, so as to learn at once that they are back.
+// the suspected servers of the service itself unless owners have just done so, so as to learn at
+// once that they are back.
 func (m *Monitor) RecordNeed(service string) {
 	now := time.Now()
 	m.mu.Lock()
@@ -107,7 +108,7 @@
 		r.By = ""
 	}
 	now := time.Now()
-	reason := func() bool { return m.hasStream(s.Address) || m.needed(s.Service, now) }
+	reason := func() bool { return m.hasStream(s.Address) }
 	switch m.Owners.Take(r, owner.Local{Reason: reason, Suspected: s.Suspected}, now) {
 	case owner.Hint:
 		if !s.Suspected {
--- a/parts/owner/decide.go
+++ b/parts/owner/decide.go
@@ -9,6 +9,8 @@
 	// relyFor is how long a host relies on a result, from the end of the probe. The rest of
 	// ResultFor is enough for a probe of its own, which may take 300 ms, before the suspicion ends.
 	relyFor = ResultFor - 400*time.Millisecond
+	// needRelyFor is relyFor while requests wait at the host.
+	needRelyFor = time.Second
 	// HintAfter is how long a host that has received a hint waits for a result of an owner.
 	HintAfter = time.Second
 )
@@ -68,7 +70,11 @@
 		return Decision{}
 	case f.Asked:
 		return probe(now)
-	case f.Owns || f.Failed || f.Need || f.Doubt:
+	case f.Owns || f.Failed || f.Doubt:
+		return probe(next)
+	case f.Need && now.Sub(f.Result) >= needRelyFor:
+		// Owners that probe every 500 ms tell at once that the server is back. Without a
+		// fresh result they may not.
 		return probe(next)
 	case now.Before(f.Result.Add(relyFor)):
 		return Decision{Rely, f.Result.Add(relyFor).Sub(now)}
--- a/parts/owner/sim_test.go
+++ b/parts/owner/sim_test.go
@@ -272,7 +272,7 @@
 	for _, r := range m.failed {
 		i := s.index[r.Server]
 		_, suspected := h.until[i]
-		switch h.Take(r, owner.Local{Reason: func() bool { return h.streams[i] || h.need }, Suspected: suspected}, s.now) {
+		switch h.Take(r, owner.Local{Reason: func() bool { return h.streams[i] }, Suspected: suspected}, s.now) {
 		case owner.Hint:
 			if !suspected {
 				s.probeIfDue(h, i)
--- a/parts/owner/tracker.go
+++ b/parts/owner/tracker.go
@@ -164,8 +164,8 @@
 
 // Local is what this host knows about a server from elsewhere.
 type Local struct {
-	// Reason reports whether streams pass through the server, or requests wait for its service;
-	// nil means no. It must not call the Tracker.
+	// Reason reports whether streams pass through the server; nil means no. It must not call the
+	// Tracker.
 	Reason func() bool
 	// Suspected says that the host suspects the server.
 	Suspected bool
