owner: probe when the order of a result and an answer is not certain

A message in transit makes its results look newer. A result that was delayed behind the same owner's answer let all hosts of the domain suspect a live server again, and an answer that seemed some ms older than another owner's result was ignored until the owners' next probes. Both make the host probe now if they are less than an exchange timeout apart.

--- a/parts/owner/tracker.go
+++ b/parts/owner/tracker.go
@@ -16,6 +16,10 @@
 	// minNewer is how much newer a result must be to replace that of the same owner. The time that
 	// messages take makes results look newer than they are, which must not renew them.
 	minNewer = 200 * time.Millisecond
+	// orderMargin is the difference in time below which the order of a result and an answer is not
+	// certain. Messages are in transit for up to the 500 ms that an exchange may take, which makes
+	// what they say look newer than it is.
+	orderMargin = 500 * time.Millisecond
 	// failedFor is how long a request that failed is a reason to probe a server.
 	failedFor = time.Second
 	// keepFor is how long what is known about a server is kept.
@@ -189,7 +193,7 @@
 		// The server has answered since.
 		return Ignored
 	}
-	contradicted := now.Sub(r.answer.At) < answerFor && r.answer.By != res.By || now.Sub(r.answered) < answerFor
+	contradicted := now.Sub(r.answer.At) < answerFor && (r.answer.By != res.By || res.At.Sub(r.answer.At) < orderMargin) || now.Sub(r.answered) < answerFor
 	own := owned || now.Sub(r.failed) < failedFor
 	relies := r.newest(&t.Hosts, now)
 	switch {
@@ -251,15 +255,16 @@
 	owners := t.ownersOf(res.Server, r)
 	byOwner := slices.Contains(owners, res.By)
 	known := r.newest(&t.Hosts, now)
+	uncertain := !res.At.After(known) && known.Sub(res.At) < orderMargin
 	if r.probed.After(known) {
 		known = r.probed
 	}
-	if !res.At.After(known) || res.At.Sub(r.answer.At) < minNewer {
+	if !res.At.After(r.probed) || !res.At.After(known) && !uncertain || res.At.Sub(r.answer.At) < minNewer {
 		return Ignored
 	}
 	suspected := !known.IsZero()
 	switch {
-	case suspected && (!byOwner || slices.Contains(owners, t.Hosts.Self)):
+	case suspected && (uncertain || !byOwner || slices.Contains(owners, t.Hosts.Self)):
 		// An owner, and a host of another domain, may reach what others do not.
 		if res.At.Sub(r.askedFor) < minNewer {
 			return Ignored
