stream: probe until it is known whether a request crashed the server

A host whose request failed relied on the owners after a second and dropped the request. If the server only seemed unreachable at first and restarted later, the crash was not recorded against the request, which could go on to crash others. Such a host probes on, as before probes were shared.

--- a/entry/stream/owners.go
+++ b/entry/stream/owners.go
@@ -1,6 +1,7 @@
 package stream
 
 import (
+	"slices"
 	"time"
 
 	"fuchsiashelf.dev/parts/fleet"
@@ -42,7 +43,15 @@
 // decide returns what this host does about a suspected server, if probes follow each other after
 // the given interval.
 func (m *Monitor) decide(s *fleet.Server, interval time.Duration, now time.Time) owner.Decision {
-	return m.Owners.Decide(s.ID, m.hasStream(s.Address), m.needed(s.Service, now), interval, now)
+	return m.Owners.Decide(s.ID, m.hasStream(s.Address) || m.mayHaveCrashed(s.ID), m.needed(s.Service, now), interval, now)
+}
+
+// mayHaveCrashed reports whether a request failed on a server that may have crashed it. Only the
+// probes of this host show that against the request, which may be as late as the server's restart.
+func (m *Monitor) mayHaveCrashed(id string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.ContainsFunc(m.failedRequests[id], func(f failedRequest) bool { return f.mayBeCause })
 }
 
 // awaitProbe waits until the next probe of a suspected server is due. It reports false if there is
--- a/entry/stream/owners_test.go
+++ b/entry/stream/owners_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"fuchsiashelf.dev/entry/call"
 	"fuchsiashelf.dev/entry/dialer"
 	"fuchsiashelf.dev/entry/egress"
 	"fuchsiashelf.dev/parts/limit"
@@ -151,3 +153,24 @@
 		qt.Check(t, broadcasts.Load(), qt.Equals, int64(2))
 	})
 }
+
+// Guards against overlooking that a request crashed a server which first only seemed unreachable,
+// because this host relies on the owners when the server restarts.
+func TestCrashIsRecordedAlthoughOwnersReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &fakeEngines{reportErrors: map[string]error{"middle": syscall.ECONNREFUSED}}
+		m, servers, owners := newRelyingMonitor(e)
+		suspectTestCauses(m)
+		middle := servers["middle"]
+		m.ProbeFor(&call.Job{Request: &call.Request{ID: "r"}, Causes: testCauses}, &middle, true, "no answer")
+		for range 6 {
+			time.Sleep(suspectProbeInterval)
+			m.TakeResult(owner.Result{Server: "middle", By: owners[0], At: time.Now()})
+		}
+		e.mu.Lock()
+		e.reportErrors, e.startedAt = nil, map[string]time.Time{"middle": time.Now()}
+		e.mu.Unlock()
+		time.Sleep(2 * suspectProbeInterval)
+		qt.Check(t, isBlocked(m), qt.IsTrue)
+	})
+}
