--- a/entry/stream/owners_test.go
+++ b/entry/stream/owners_test.go
@@ -187,3 +187,19 @@
 	m.TakeAnswer(owner.Result{Server: "middle", By: owners[0], At: time.Now().Add(2 * time.Second)})
 	qt.Check(t, forwards, qt.Equals, 2)
 }
+
+// Guards against an owner that probes a restarted server for each message with a hint, until the entry
+// of the server is up to date.
+func TestHintsOfRestartedServerCauseFewProbes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &fakeEngines{startedAt: map[string]time.Time{"middle": time.Now()}}
+		m, _, owners := newRelyingMonitor(e)
+		m.Owners.Hosts.Self = owners[0]
+		go m.Run(t.Context())
+		for range 50 {
+			m.TakeResult(owner.Result{Server: "middle", At: time.Now()})
+			time.Sleep(20 * time.Millisecond)
+		}
+		qt.Check(t, e.probes() <= 3, qt.IsTrue, qt.Commentf("%d probes in 1 s", e.probes()))
+	})
+}
--- a/entry/stream/probe.go
+++ b/entry/stream/probe.go
@@ -258,6 +258,7 @@
 			m.Owners.Forget(id)
 			m.setExited(id, true, now)
 			m.resolveFailedRequests(id, true, now)
+			m.recordAnswer(address, now)
 			m.handleReport(address, report)
 			return
 		case err == nil:
@@ -342,6 +343,11 @@
 	}
 	m.setExited(id, false, now)
 	m.resolveFailedRequests(id, false, now)
+	m.recordAnswer(address, now)
+}
+
+// recordAnswer records that a probed server answered.
+func (m *Monitor) recordAnswer(address string, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.lastAnswer == nil {
