gossip, stream: keep the fields of Heard, name the reason of renewed probes

Heard is encoded as an array: a message with another number of fields is rejected as a whole. The log gave 'no result of an owner' as the reason of probes that owners make.

--- a/entry/gossip/codec_test.go
+++ b/entry/gossip/codec_test.go
@@ -125,3 +125,10 @@
 		qt.Assert(t, codec{}.Unmarshal(again, &Message{}), qt.IsNil)
 	})
 }
+
+// Guards against another number of fields in Heard, for which hosts of other versions reject messages.
+func TestHeardKeepsItsFields(t *testing.T) {
+	encoded, err := cbor.Marshal(Heard{Name: "a", Boot: 1, Seq: 2, Age: 3})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, encoded, qt.DeepEquals, []byte{0x84, 0x61, 'a', 1, 2, 3})
+}
--- a/entry/gossip/heard.go
+++ b/entry/gossip/heard.go
@@ -10,6 +10,8 @@
 // Heard says when an entry host was last heard. Messages list all hosts of the sender's domain in
 // this short form: the sample in Members refreshes each of 50 hosts only every few seconds, and two
 // thirds of them would not count as alive at any time.
+//
+// Fields must be neither added nor removed: hosts of other versions would reject the whole message.
 type Heard struct {
 	_    struct{} `cbor:",toarray"`
 	Name string
--- a/entry/stream/owners.go
+++ b/entry/stream/owners.go
@@ -88,7 +88,7 @@
 	view := m.State.View()
 	for _, id := range m.Owners.Known() {
 		if s := view.ByID(id); s != nil {
-			m.probeIfDue(s, "no result of an owner", now)
+			m.probeIfDue(s, "suspected before or by another entry host", now)
 		}
 	}
 }
