owner: an owner that got an answer contradicts older results of the other one

It ignored such a result. The hosts of the domain suspected the live server until the other owner's next probe and this one's answer to it, 0.5 s or more.

--- a/parts/owner/owner_test.go
+++ b/parts/owner/owner_test.go
@@ -160,6 +160,21 @@
 	}
 }
 
+// Guards against hosts that suspect a live server because one owner does not reach it: the other one
+// ignored the older result, and did not say that it had got an answer.
+func TestOwnerContradictsOlderResult(t *testing.T) {
+	tr, server, names := relyingHost()
+	tr.Hosts.Self = names["second"]
+	tr.RecordAnswered(server, start.Add(100*time.Millisecond))
+	now := start.Add(200 * time.Millisecond)
+	qt.Check(t, tr.Take(owner.Result{Server: server, By: names["neighbour"], At: start}, owner.Local{}, now), qt.Equals, owner.Ignored)
+	_, answered := tr.Results(now)
+	qt.Check(t, answered, qt.HasLen, 0)
+	qt.Check(t, tr.Take(owner.Result{Server: server, By: names["owner"], At: start}, owner.Local{}, now), qt.Equals, owner.Ignored)
+	_, answered = tr.Results(now)
+	qt.Check(t, answered, qt.DeepEquals, []owner.Result{{Server: server, By: names["second"], At: start.Add(100 * time.Millisecond)}})
+}
+
 // relyingHost returns what a host knows that does not own a server, the server, and the names of
 // hosts by role.
 func relyingHost() (tr *owner.Tracker, server string, names map[string]string) {
--- a/parts/owner/tracker.go
+++ b/parts/owner/tracker.go
@@ -190,7 +190,11 @@
 	owned := slices.Contains(owners, t.Hosts.Self)
 	byOwner := t.Hosts.Shared() && slices.Contains(owners, res.By)
 	if res.By != "" && (!r.answer.At.Before(res.At) || !r.answered.Before(res.At)) {
-		// The server has answered since.
+		// The server has answered since. Hosts that rely on the other owner do not know unless
+		// this one says so.
+		if byOwner && owned && r.answered.After(res.At) && r.answered.After(r.answer.At) {
+			r.answer = Result{Server: res.Server, By: t.Hosts.Self, At: r.answered}
+		}
 		return Ignored
 	}
 	contradicted := now.Sub(r.answer.At) < answerFor && (r.answer.By != res.By || res.At.Sub(r.answer.At) < orderMargin) || now.Sub(r.answered) < answerFor
