--- a/entry/stream/owners.go
+++ b/entry/stream/owners.go
@@ -1,6 +1,7 @@
 package stream
 
 import (
+	"slices"
 	"time"
 
 	"fuchsiashelf.dev/parts/fleet"
@@ -42,7 +43,15 @@
 // decide returns what this host does about a suspected server, if probes follow each other after
 // the given interval.
 func (m *Monitor) decide(s *fleet.Server, interval time.Duration, now time.Time) owner.Decision {
-	return m.Owners.Decide(s.ID, m.hasStream(s.Address), m.needed(s.Service, now), interval, now)
+	return m.Owners.Decide(s.ID, m.hasStream(s.Address) || m.mayHaveCrashed(s.ID), m.needed(s.Service, now), interval, now)
+}
+
+// mayHaveCrashed reports whether a request failed on a server that may have crashed it. Only the
+// probes of this host show that against the request, which may be as late as the server's restart.
+func (m *Monitor) mayHaveCrashed(id string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.ContainsFunc(m.failedRequests[id], func(f failedRequest) bool { return f.mayBeCause })
 }
 
 // awaitProbe waits until the next probe of a suspected server is due. It reports false if there is
@@ -79,7 +88,7 @@
 	view := m.State.View()
 	for _, id := range m.Owners.Known() {
 		if s := view.ByID(id); s != nil {
-			m.probeIfDue(s, "no result of an owner", now)
+			m.probeIfDue(s, "suspected before or by another entry host", now)
 		}
 	}
 }
@@ -117,7 +126,7 @@
 	case owner.Accepted, owner.Renewed:
 		if m.State.Suspect(s.ID, r.At.Add(owner.ResultFor), now) {
 			m.logResult(s, r, "suspected", now)
-			m.Broadcast()
+			m.forward()
 		}
 	case owner.Ignored:
 	}
@@ -133,7 +142,15 @@
 	m.setExited(s.ID, false, now)
 	m.State.ClearSuspicion(s.ID, now)
 	m.logResult(s, r, "alive", now)
-	m.Broadcast()
+	m.forward()
+}
+
+func (m *Monitor) forward() {
+	if m.Forward == nil {
+		m.Broadcast()
+		return
+	}
+	m.Forward()
 }
 
 // logResult logs that a suspicion starts or ends because of a result of another host.
--- a/parts/owner/owner_test.go
+++ b/parts/owner/owner_test.go
@@ -123,6 +123,10 @@
 		"other domain is cut off":   {[]event{{by: "far", want: owner.Hint}}, waits(time.Second)},
 		"partition heals":           {[]event{{by: "owner", want: owner.Accepted}, {at: 300 * ms, by: "owner", answered: true, want: owner.Accepted}}, idle},
 		"result of before the heal": {[]event{{by: "owner", answered: true, want: owner.Renewed}, {at: 50 * ms, by: "second", age: 60 * ms}}, idle},
+		"result delayed":            {[]event{{by: "owner", answered: true, want: owner.Renewed}, {at: 300 * ms, by: "owner", want: owner.Hint}}, now},
+		"server fails again":        {[]event{{by: "owner", answered: true, want: owner.Renewed}, {at: 600 * ms, by: "owner", want: owner.Accepted}}, relies(1600 * ms)},
+		"answer before result":      {[]event{{by: "second", want: owner.Accepted}, {at: 50 * ms, by: "owner", answered: true, age: 100 * ms, want: owner.Hint}}, now},
+		"answer long before result": {[]event{{by: "second", want: owner.Accepted}, {at: 50 * ms, by: "owner", answered: true, age: 700 * ms}}, relies(1550 * ms)},
 		"newer probe of its own":    {[]event{{at: 300 * ms, by: "self"}, {at: 300 * ms, by: "owner", answered: true, age: 100 * ms}}, waits(500 * ms)},
 		"older probe of its own":    {[]event{{by: "self"}, {at: 300 * ms, by: "owner", answered: true, want: owner.Accepted}}, idle},
 		"other domain answers":      {[]event{{by: "owner", want: owner.Accepted}, {at: 300 * ms, by: "far", answered: true, want: owner.Hint}}, now},
@@ -156,6 +160,21 @@
 	}
 }
 
+// Guards against hosts that suspect a live server because one owner does not reach it: the other one
+// ignored the older result, and did not say that it had got an answer.
+func TestOwnerContradictsOlderResult(t *testing.T) {
+	tr, server, names := relyingHost()
+	tr.Hosts.Self = names["second"]
+	tr.RecordAnswered(server, start.Add(100*time.Millisecond))
+	now := start.Add(200 * time.Millisecond)
+	qt.Check(t, tr.Take(owner.Result{Server: server, By: names["neighbour"], At: start}, owner.Local{}, now), qt.Equals, owner.Ignored)
+	_, answered := tr.Results(now)
+	qt.Check(t, answered, qt.HasLen, 0)
+	qt.Check(t, tr.Take(owner.Result{Server: server, By: names["owner"], At: start}, owner.Local{}, now), qt.Equals, owner.Ignored)
+	_, answered = tr.Results(now)
+	qt.Check(t, answered, qt.DeepEquals, []owner.Result{{Server: server, By: names["second"], At: start.Add(100 * time.Millisecond)}})
+}
+
 // relyingHost returns what a host knows that does not own a server, the server, and the names of
 // hosts by role.
 func relyingHost() (tr *owner.Tracker, server string, names map[string]string) {
