--- a/entry/unary/slots.go
+++ b/entry/unary/slots.go
@@ -192,20 +192,23 @@
 		return
 	}
 	if limited {
-		s.Log.Info("slots: limited", "service", s.name, "capacity", capacity, "demand", round(d.Total), "own", round(d.Own), "share", round(share), "hosts", d.Hosts)
+		s.Log.Info("slots: limited", "service", s.name, "capacity", capacity, "demand", round(d.Total()), "own", round(d.Own), "share", round(share), "hosts", d.Hosts)
 		return
 	}
-	s.Log.Info("slots: not limited", "service", s.name, "capacity", capacity, "demand", round(d.Total), "hosts", d.Hosts)
+	s.Log.Info("slots: not limited", "service", s.name, "capacity", capacity, "demand", round(d.Total()), "hosts", d.Hosts)
 }
 
 // demand returns the demand for the service. While other hosts are silent, all of them count
 // that may still send calls.
 func (s *smallService) demand(alive, known int, now time.Time) slot.Demand {
-	own, total, age := s.Queue.Shares.Demand(s.name, now)
+	own, others, age := s.Queue.Shares.Demand(s.name, now)
 	s.mu.Lock()
 	work := s.limiter.Work
 	s.mu.Unlock()
-	d := slot.Demand{Own: own * work, Total: total * work, Age: age, Hosts: alive}
+	d := slot.Demand{Own: own * work, Age: age, Hosts: alive}
+	for _, o := range others {
+		d.Others = append(d.Others, slot.HostDemand{Demand: o.Demand * work, Hosts: o.Hosts})
+	}
 	if d.Stale() {
 		d.Hosts = known
 	}
--- a/entry/unary/slots_test.go
+++ b/entry/unary/slots_test.go
@@ -1,6 +1,7 @@
 package unary
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -50,6 +51,8 @@
 	servers map[string]*simServer
 	hosts   []*simHost
 	silent  bool
+	// callersAt is the number of hosts that get calls; zero means all.
+	callersAt int
 	// random chooses the callers, and partners the hosts that exchange messages.
 	random, partners *rand.Rand
 
@@ -142,7 +145,7 @@
 	for end := time.Now().Add(d); next.Before(end); {
 		next = next.Add(time.Duration(s.random.ExpFloat64() / perSecond * float64(time.Second)))
 		time.Sleep(time.Until(next))
-		host := s.hosts[s.random.IntN(len(s.hosts))]
+		host := s.hosts[s.random.IntN(cmp.Or(s.callersAt, len(s.hosts)))]
 		if s.random.Float64() < uneven {
 			host = s.hosts[0]
 		}
@@ -352,3 +355,22 @@
 		}
 	})
 }
+
+// Guards against idle slots where callers use some of the hosts only, such as those of one failure
+// domain. With an even share for each host, 41 of 143 hosts used 0.32 of the capacity.
+func TestCallersAtSomeHosts(t *testing.T) {
+	for _, callersAt := range []int{2, 5, 20, 41} {
+		t.Run(fmt.Sprint(callersAt), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				s := newSimulation(simHosts, false)
+				s.callersAt = callersAt
+				s.measure(1.5, 0)
+				rejected := float64(s.rejected) / float64(max(1, s.arrived))
+				t.Logf("sent %d, served %d, refused %d, rejected %.3f of arrivals, work %.3f, longest wait %s", s.sent, s.served, s.refused, rejected, s.work(), s.longest)
+				qt.Check(t, rejected <= 0.05, qt.IsTrue)
+				qt.Check(t, s.work() >= 0.9, qt.IsTrue)
+			})
+		})
+	}
+}
--- a/parts/share/remote.go
+++ b/parts/share/remote.go
@@ -91,9 +91,9 @@
 	}
 }
 
-// factors returns, for each failure domain, the number of other hosts alive there over the
+// reportFactors returns, for each failure domain, the number of other hosts alive there over the
 // number heard from. The mutex is held.
-func (t *Tracker) factors(alive map[domain.Name]int) map[domain.Name]float64 {
+func (t *Tracker) reportFactors(alive map[domain.Name]int) map[domain.Name]float64 {
 	heard := map[domain.Name]int{}
 	for _, r := range t.reports {
 		heard[r.domain]++
--- a/parts/share/tracker.go
+++ b/parts/share/tracker.go
@@ -34,6 +34,8 @@
 	services map[string]*service
 	// reports holds the demand of the other entry hosts by name.
 	reports map[string]*report
+	// factors holds, by failure domain, how many hosts each report stands for as of the last sweep.
+	factors map[domain.Name]float64
 	swept   time.Time
 	// watched holds when Watch was last called, by service.
 	watched map[string]time.Time
@@ -126,7 +128,8 @@
 	t.swept = now
 	t.expire(now)
 	t.unwatch(now)
-	t.addRemote(t.factors(alive))
+	t.factors = t.reportFactors(alive)
+	t.addRemote(t.factors)
 	next := table{}
 	for name, s := range t.services {
 		s.update(elapsed, now)
--- a/parts/share/watch.go
+++ b/parts/share/watch.go
@@ -25,24 +25,38 @@
 	}
 }
 
-// Demand returns the demand for a service at this entry host and at all of them as of the last
-// sweep: the work begun or refused per second. Age is that of the latest report of another host.
-func (t *Tracker) Demand(service string, now time.Time) (own, total float64, age time.Duration) {
+// HostDemand is the demand of another entry host.
+type HostDemand struct {
+	// Demand is the work begun or refused per second.
+	Demand float64
+	// Hosts is the number of entry hosts that the host stands for: messages are heard from a
+	// sample of them.
+	Hosts float64
+}
+
+// Demand returns the demand for a service at this entry host, and at those of the others that have
+// any: the work begun or refused per second. Age is that of the latest report of another host.
+func (t *Tracker) Demand(service string, now time.Time) (own float64, others []HostDemand, age time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	age = math.MaxInt64
 	for _, r := range t.reports {
 		age = min(age, max(0, now.Sub(r.received)))
+		h := HostDemand{Hosts: t.factors[r.domain]}
+		for _, row := range r.rows {
+			if row.class.Service == service {
+				h.Demand += row.served + row.Refused
+			}
+		}
+		if h.Demand > 0 && h.Hosts > 0 {
+			others = append(others, h)
+		}
 	}
-	s := t.services[service]
-	if s == nil {
-		return 0, 0, age
-	}
-	remote := 0.0
-	for _, c := range s.classes {
-		v := c.own(now)
-		own += v.served + v.Refused
-		remote += c.remote.served + c.remote.Refused
+	if s := t.services[service]; s != nil {
+		for _, c := range s.classes {
+			v := c.own(now)
+			own += v.served + v.Refused
+		}
 	}
-	return own, own + remote, age
+	return own, others, age
 }
--- a/parts/slot/limiter.go
+++ b/parts/slot/limiter.go
@@ -11,7 +11,9 @@
 package slot
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"fuchsiashelf.dev/parts/fleet"
@@ -28,9 +30,9 @@
 	freshFor = time.Second
 	// keepFor is the age of the latest report from which the capacity is divided evenly.
 	keepFor = 3 * time.Second
-	// smoothing is the time over which the demand of the others is averaged. It comes from a
-	// sample of them; without the average only 0.85 of the capacity was used at a demand of 1.5
-	// times as much, half of it at one host.
+	// smoothing is the time over which the demand of the others is averaged, and the level. Both
+	// come from a sample of the others; without the average only 0.85 of the capacity was used at a
+	// demand of 1.5 times as much, half of it at one host.
 	smoothing = 500 * time.Millisecond
 	// burstTime is how long the unused share of a host accumulates, to burstCalls calls at most:
 	// calls arrive at random, and with a credit of two calls 13 in 100 were refused at a demand
@@ -46,14 +48,31 @@
 
 // Demand is the demand for a service, in slots.
 type Demand struct {
-	// Own is the demand at this entry host, and Total that at all.
-	Own, Total float64
+	// Own is the demand at this entry host, and Others that at the others.
+	Own    float64
+	Others []HostDemand
 	// Age is the age of the latest report of another host.
 	Age time.Duration
 	// Hosts is the number of entry hosts, including this one.
 	Hosts int
 }
 
+// HostDemand is the demand at some entry hosts, each of which has the same.
+type HostDemand struct {
+	// Demand is the demand at each, in slots, and Hosts their number. It is a fraction where the
+	// hosts are extrapolated from a sample.
+	Demand, Hosts float64
+}
+
+// Total returns the demand at all entry hosts.
+func (d Demand) Total() float64 {
+	total := max(0, d.Own)
+	for _, o := range d.Others {
+		total += max(0, o.Demand) * o.Hosts
+	}
+	return total
+}
+
 // Stale reports whether the reports are too old to determine the share.
 func (d Demand) Stale() bool { return d.Age > freshFor }
 
@@ -68,9 +87,10 @@
 	hosts    int
 	// share is the part of the capacity that this host may use.
 	share float64
-	// others is the demand of the other hosts, smoothed, as of updatedAt.
-	others    float64
-	updatedAt time.Time
+	// others is the demand of the other hosts, and level the max-min fair level, both smoothed, as
+	// of updatedAt.
+	others, level float64
+	updatedAt     time.Time
 	// limited says that calls need credit, and crowdedAt when the demand last required that.
 	limited   bool
 	crowdedAt time.Time
@@ -90,6 +110,7 @@
 	// Until the next update the share changes with the capacity.
 	if l.capacity > 0 {
 		l.share *= float64(slots) / l.capacity
+		l.level *= float64(slots) / l.capacity
 	} else {
 		l.share = float64(slots) / float64(max(l.hosts, 1))
 	}
@@ -115,9 +136,9 @@
 	l.hosts = max(d.Hosts, 1)
 	switch {
 	case !d.Stale():
-		l.smooth(d.Total-d.Own, now)
-		l.share = l.level(d.Own)
-		l.setLimited(d.Total >= limitedFrom*l.capacity, now)
+		l.smooth(d, now)
+		l.share = max(l.capacity/float64(l.hosts), l.level, l.capacity-l.others)
+		l.setLimited(d.Total() >= limitedFrom*l.capacity, now)
 	case d.Age <= keepFor && l.share > 0:
 		// The last share holds.
 	default:
@@ -127,25 +148,46 @@
 	l.credit = min(l.credit, l.burst())
 }
 
-// smooth updates the demand of the other hosts.
-func (l *Limiter) smooth(others float64, now time.Time) {
+// smooth updates the demand of the other hosts and the level. Of the level it averages the
+// reciprocal: the level is about the capacity over the number of hosts whose demand exceeds it, and
+// of that number the sample gives an unbiased estimate.
+func (l *Limiter) smooth(d Demand, now time.Time) {
 	weight := 1.0
 	if !l.updatedAt.IsZero() {
 		weight -= math.Exp(-max(0, now.Sub(l.updatedAt).Seconds()) / smoothing.Seconds())
 	}
-	l.others += weight * (max(0, others) - l.others)
 	l.updatedAt = now
+	l.others += weight * (d.Total() - max(0, d.Own) - l.others)
+	level := l.fairLevel(d)
+	if l.level > 0 && level > 0 {
+		level = 1 / ((1-weight)/l.level + weight/level)
+	}
+	l.level = level
 }
 
-// level returns the max-min fair level for this host. Of the demand of the others only the sum is
-// known: they count as equal. The level is at least an even part of the capacity.
-func (l *Limiter) level(own float64) float64 {
-	hosts := float64(l.hosts)
-	even := l.capacity / hosts
-	if own < even && own+l.others > l.capacity {
-		return max(even, (l.capacity-own)/(hosts-1))
+// fairLevel returns the max-min fair level: the demands, each limited to it, add up to the capacity.
+// If they do not reach the capacity, it is what the others leave of it.
+func (l *Limiter) fairLevel(d Demand) float64 {
+	own, total := max(0, d.Own), d.Total()
+	if total <= l.capacity {
+		return l.capacity - (total - own)
+	}
+	demands := append([]HostDemand{{Demand: own, Hosts: 1}}, d.Others...)
+	slices.SortFunc(demands, func(a, b HostDemand) int { return cmp.Compare(a.Demand, b.Demand) })
+	left, hosts := l.capacity, 0.0
+	for _, o := range demands {
+		hosts += o.Hosts
+	}
+	// Hosts with less demand than the level leave the rest of it to the others. As the total
+	// exceeds the capacity, the loop ends before the last.
+	for _, o := range demands {
+		if o.Demand*hosts >= left {
+			break
+		}
+		left -= max(0, o.Demand) * o.Hosts
+		hosts -= o.Hosts
 	}
-	return max(even, l.capacity-l.others)
+	return left / hosts
 }
 
 // setLimited begins the limit at once and ends it after a while.
--- a/parts/slot/slot_test.go
+++ b/parts/slot/slot_test.go
@@ -24,6 +24,12 @@
 	return list
 }
 
+// evenly returns the demand of some hosts, which is the same at all but one of them.
+func evenly(own, total float64, hosts int) slot.Demand {
+	others := float64(max(hosts-1, 1))
+	return slot.Demand{Own: own, Others: []slot.HostDemand{{Demand: (total - own) / others, Hosts: others}}, Hosts: hosts}
+}
+
 // newLimiter returns the limiter of a service with three servers, and calls of 15 ms.
 func newLimiter(d slot.Demand) *slot.Limiter {
 	l := &slot.Limiter{Work: 0.015}
@@ -41,16 +47,16 @@
 		active, limited bool
 		share           float64
 	}{
-		"few hosts":                 {slot.Demand{Own: 9, Total: 27, Hosts: 18}, false, false, 1},
-		"below 0.8":                 {slot.Demand{Own: 0.1, Total: 14.3, Hosts: 180}, true, false, 3.8},
-		"from 0.8 on":               {slot.Demand{Own: 0.1, Total: 14.5, Hosts: 180}, true, true, 3.6},
-		"overload":                  {slot.Demand{Own: 0.15, Total: 27, Hosts: 180}, true, true, 0.1},
-		"little demand":             {slot.Demand{Own: 0, Total: 27, Hosts: 181}, true, true, 0.1},
-		"half of the demand":        {slot.Demand{Own: 13.5, Total: 27, Hosts: 180}, true, true, 4.5},
-		"restart, without messages": {slot.Demand{Own: 0.15, Total: 0.15, Hosts: 180, Age: never}, true, true, 0.1},
-		"no messages, low demand":   {slot.Demand{Own: 0.05, Total: 0.05, Hosts: 180, Age: never}, true, false, 0.1},
-		"alone":                     {slot.Demand{Own: 30, Total: 30, Hosts: 1, Age: never}, false, false, 18},
-		"invalid":                   {slot.Demand{Own: 5, Total: -3, Hosts: 0}, false, false, 18},
+		"few hosts":                 {evenly(9, 27, 18), false, false, 1},
+		"below 0.8":                 {evenly(0.1, 14.3, 180), true, false, 3.8},
+		"from 0.8 on":               {evenly(0.1, 14.5, 180), true, true, 3.6},
+		"overload":                  {evenly(0.15, 27, 180), true, true, 0.1},
+		"little demand":             {evenly(0, 27, 181), true, true, 0.1},
+		"half of the demand":        {evenly(13.5, 27, 180), true, true, 4.5},
+		"restart, without messages": {slot.Demand{Own: 0.15, Hosts: 180, Age: never}, true, true, 0.1},
+		"no messages, low demand":   {slot.Demand{Own: 0.05, Hosts: 180, Age: never}, true, false, 0.1},
+		"alone":                     {slot.Demand{Own: 30, Hosts: 1, Age: never}, false, false, 18},
+		"invalid":                   {evenly(5, -3, 0), false, false, 18},
 	} {
 		l := newLimiter(test.demand)
 		qt.Check(t, l.Active(), qt.Equals, test.active, qt.Commentf(name))
@@ -62,12 +68,31 @@
 	}
 }
 
+// Guards against shares that leave slots idle where few hosts have all of the demand, or that count
+// hosts without demand.
+func TestShareOfUnevenDemand(t *testing.T) {
+	for name, test := range map[string]struct {
+		own    float64
+		others []slot.HostDemand
+		share  float64
+	}{
+		"three hosts":            {9, []slot.HostDemand{{Demand: 9, Hosts: 2}}, 6},
+		"some with little":       {9, []slot.HostDemand{{Demand: 30, Hosts: 1}, {Demand: 0.1, Hosts: 60}}, 6},
+		"a domain, extrapolated": {0.6, []slot.HostDemand{{Demand: 0.6, Hosts: 20}, {Demand: 0.6, Hosts: 20.5}}, 18 / 41.5},
+		"at the capacity":        {6, []slot.HostDemand{{Demand: 6, Hosts: 2}}, 6},
+	} {
+		l := newLimiter(slot.Demand{Own: test.own, Others: test.others, Hosts: 143})
+		diff := l.Share() - test.share
+		qt.Check(t, diff < 1e-9 && diff > -1e-9, qt.IsTrue, qt.Commentf("%s: %f", name, l.Share()))
+	}
+}
+
 // Guards against a share that changes while messages are late, that stays after they have
 // stopped, or that does not follow the healthy servers at once; and against calls that wait while
 // there is no server.
 func TestFailures(t *testing.T) {
-	overload := slot.Demand{Own: 13.5, Total: 27, Hosts: 180}
-	late := func(age time.Duration) slot.Demand { return slot.Demand{Own: 13.5, Total: 13.5, Hosts: 180, Age: age} }
+	overload := evenly(13.5, 27, 180)
+	late := func(age time.Duration) slot.Demand { return slot.Demand{Own: 13.5, Hosts: 180, Age: age} }
 	for name, test := range map[string]struct {
 		then    func(l *slot.Limiter)
 		share   float64
@@ -92,7 +117,7 @@
 // Guards against hosts that send more than their share, or save up more than some calls of it, and
 // against calls that did not run and count all the same.
 func TestCredit(t *testing.T) {
-	l := newLimiter(slot.Demand{Own: 0.15, Total: 27, Hosts: 180})
+	l := newLimiter(evenly(0.15, 27, 180))
 	take := func(ms int) bool { ok, _ := l.Take(at(ms)); return ok }
 	qt.Check(t, take(0), qt.IsTrue)
 	ok, wait := l.Take(at(50))
@@ -176,7 +201,7 @@
 
 // BenchmarkTake measures the decision on a call: the capacity, the credit and the estimate.
 func BenchmarkTake(b *testing.B) {
-	l, d, list := newLimiter(slot.Demand{Own: 0.15, Total: 27, Hosts: 180}), &slot.Duration{}, servers(3)
+	l, d, list := newLimiter(evenly(0.15, 27, 180)), &slot.Duration{}, servers(3)
 	now := start
 	b.ReportAllocs()
 	for b.Loop() {
@@ -189,7 +214,7 @@
 }
 
 func BenchmarkUpdate(b *testing.B) {
-	d := slot.Demand{Own: 0.15, Total: 27, Hosts: 180}
+	d := evenly(0.15, 27, 180)
 	l, now := newLimiter(d), start
 	b.ReportAllocs()
 	for b.Loop() {
