slot: no limit without demand, or where a server states no slots

With no server the threshold was 0, so calls were limited for a second once one was back. A server without stated slots counted as having none.

--- a/parts/slot/limiter.go
+++ b/parts/slot/limiter.go
@@ -82,7 +82,7 @@
 	// unknown, and permits all calls.
 	Work float64
 
-	// capacity is the number of slots of the healthy servers.
+	// capacity is the number of slots of the healthy servers; zero if it is unknown.
 	capacity float64
 	hosts    int
 	// share is the part of the capacity that this host may use.
@@ -99,13 +99,19 @@
 	creditAt time.Time
 }
 
-// Capacity sets the capacity from the servers of the service.
+// Capacity sets the capacity from the servers of the service. It is unknown, and calls are not
+// limited, if one of them states no slots.
 func (l *Limiter) Capacity(servers []*fleet.Server) {
 	slots := 0
 	for _, s := range servers {
-		if !s.Leaving && !s.Suspected {
-			slots += s.Slots
+		if s.Leaving || s.Suspected {
+			continue
 		}
+		if s.Slots <= 0 {
+			slots = 0
+			break
+		}
+		slots += s.Slots
 	}
 	// Until the next update the share changes with the capacity.
 	if l.capacity > 0 {
@@ -192,7 +198,7 @@
 
 // setLimited begins the limit at once and ends it after a while.
 func (l *Limiter) setLimited(crowded bool, now time.Time) {
-	if crowded {
+	if crowded && l.capacity > 0 {
 		if !l.limited {
 			l.limited, l.credit, l.creditAt = true, l.Work, now
 		}
--- a/parts/slot/slot_test.go
+++ b/parts/slot/slot_test.go
@@ -68,6 +68,26 @@
 	}
 }
 
+// Guards against calls that are limited for a second after the first server is back, without demand.
+func TestNotLimitedWithoutDemand(t *testing.T) {
+	l := &slot.Limiter{}
+	l.Capacity(servers(0))
+	l.Update(evenly(0, 0, 143), start)
+	l.Capacity(servers(1))
+	l.Update(evenly(0, 0, 143), at(100))
+	qt.Check(t, l.Active(), qt.IsTrue)
+	qt.Check(t, l.Limited(), qt.IsFalse)
+}
+
+// Guards against calls that are limited to the slots of some servers while another one, which states
+// none, may have room for all.
+func TestUnknownSlots(t *testing.T) {
+	l := newLimiter(evenly(13.5, 27, 143))
+	l.Capacity(append(servers(3), &fleet.Server{}))
+	qt.Check(t, l.Active(), qt.IsFalse)
+	qt.Check(t, l.Slots(), qt.Equals, 0)
+}
+
 // Guards against shares that leave slots idle where few hosts have all of the demand, or that count
 // hosts without demand.
 func TestShareOfUnevenDemand(t *testing.T) {
