unary: no wait for paused servers, no credit for calls that were not charged

A server that was skipped at the first look was not asked again while the call waited. A call that was sent before the service was limited and did not run added credit.

--- a/entry/unary/choose.go
+++ b/entry/unary/choose.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"fuchsiashelf.dev/entry/call"
@@ -36,13 +37,15 @@
 	waited time.Duration
 	// ticket is the capacity that the request has taken.
 	ticket queue.Ticket
+	// charged says that the next attempt has taken credit of service.
+	charged bool
 }
 
 // choose returns the server for the next attempt. If the service has fewer slots than there
 // are entry hosts, the request waits until this host may send it.
 func (r *request) choose(ctx context.Context) (*fleet.Server, *fault.Error) {
 	r.admission.ticket.End()
-	r.admission.ticket = queue.Ticket{}
+	r.admission.ticket, r.admission.charged = queue.Ticket{}, false
 	r.admission.service = r.Slots.service(r.job.Service.Name)
 	if r.admission.service == nil {
 		return r.pick(r.tried)
@@ -63,7 +66,7 @@
 	r.admission.waited += time.Since(start)
 	r.Slots.count(ticket, e)
 	if e == nil && ticket.Waited() && r.blockedMeanwhile() {
-		r.admission.service.giveBack()
+		r.returnCredit()
 		r.Limits.Return(server.ID)
 		ticket.Refund()
 		return nil, call.BlockedError(r.Crashes, r.job, fault.NotRun)
@@ -98,30 +101,66 @@
 // find returns a server that has not rejected calls lately, if this host may send a call now.
 // It returns neither a server nor an error if the request has to wait.
 func (r *request) find() (*fleet.Server, *fault.Error) {
-	service := r.admission.service
-	if !service.take() {
+	r.retrySkipped()
+	if !r.anyUsable() {
+		// Credit would be of no use.
+		return r.pick(maps.Clone(r.tried))
+	}
+	ok, charged := r.admission.service.take()
+	if !ok {
 		return nil, nil
 	}
+	r.admission.charged = charged
 	avoid, full := r.avoidFull()
 	server, e := r.pick(avoid)
 	if server != nil {
 		return server, nil
 	}
-	service.giveBack()
+	r.returnCredit()
 	if full {
 		return nil, nil
 	}
 	return nil, e
 }
 
+// returnCredit gives back the credit of an attempt that did not run.
+func (r *request) returnCredit() {
+	if r.admission.charged {
+		r.admission.charged = false
+		r.admission.service.giveBack()
+	}
+}
+
+// retrySkipped lets the request be sent to servers that were skipped earlier and may get requests
+// now. It asks for the wait instead of taking from the rate limit, which counts as demand.
+func (r *request) retrySkipped() {
+	now := time.Now()
+	r.skipped = slices.DeleteFunc(r.skipped, func(s *fleet.Server) bool {
+		usable := r.Servers.Paused(s, now) == 0 && r.Limits.Wait([]string{s.ID}, now) == 0
+		if usable {
+			delete(r.tried, s.Address)
+		}
+		return usable
+	})
+}
+
+// anyUsable reports whether there is a server that was neither tried nor skipped and is not paused.
+func (r *request) anyUsable() bool {
+	now := time.Now()
+	return slices.ContainsFunc(r.State.View().Service(r.job.Service.Name), func(s *fleet.Server) bool {
+		return !s.Leaving && !r.tried[s.Address] && r.Servers.Paused(s, now) == 0
+	})
+}
+
 // avoidFull returns the addresses of the servers to avoid: those that were tried and those that
-// are full. full says that there are healthy servers of the latter kind; suspected ones are
-// avoided then as well.
+// are full. full says that there are healthy servers of the latter kind that are not paused;
+// suspected ones are avoided then as well.
 func (r *request) avoidFull() (avoid map[string]bool, full bool) {
+	now := time.Now()
 	servers := r.State.View().Service(r.job.Service.Name)
 	avoid = maps.Clone(r.tried)
 	for _, s := range servers {
-		if !s.Leaving && !s.Suspected && !r.tried[s.Address] && r.admission.service.full(s.ID) {
+		if !s.Leaving && !s.Suspected && !r.tried[s.Address] && r.Servers.Paused(s, now) == 0 && r.admission.service.full(s.ID) {
 			avoid[s.Address], full = true, true
 		}
 	}
@@ -160,7 +199,7 @@
 		return
 	}
 	if a.err != nil && a.err.Verdict == fault.NotRun {
-		service.giveBack()
+		r.returnCredit()
 		r.admission.ticket.Refund()
 	}
 	switch {
--- a/entry/unary/slots.go
+++ b/entry/unary/slots.go
@@ -99,16 +99,18 @@
 	return s.limiter.Active()
 }
 
-// take reports whether a call may be sent now, and counts it.
-func (s *smallService) take() bool {
+// take reports whether a call may be sent now, and whether it was charged for: calls are not while
+// the service is not limited.
+func (s *smallService) take() (ok, charged bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.limiter.Capacity(s.State.View().Service(s.name))
-	ok, _ := s.limiter.Take(time.Now())
-	return ok
+	charged = s.limiter.Limited()
+	ok, _ = s.limiter.Take(time.Now())
+	return ok, charged && ok
 }
 
-// giveBack takes back a call that take permitted and that did not run.
+// giveBack takes back a call that take charged for and that did not run.
 func (s *smallService) giveBack() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/entry/unary/slots_test.go
+++ b/entry/unary/slots_test.go
@@ -31,6 +31,7 @@
 	"fuchsiashelf.dev/parts/route"
 	"fuchsiashelf.dev/parts/router"
 	"fuchsiashelf.dev/parts/share"
+	"fuchsiashelf.dev/parts/slot"
 )
 
 // The service of the simulation: three servers, one in each domain.
@@ -341,6 +342,82 @@
 	}
 }
 
+// newTestRequest returns a request at the first host of a simulation whose calls may be limited.
+func newTestRequest(s *simulation) *request {
+	time.Sleep(10 * time.Millisecond)
+	h := s.hosts[0]
+	h.Slots.service("booking")
+	time.Sleep(200 * time.Millisecond)
+	j := &call.Job{
+		Request: &call.Request{}, Route: &route.Route{Target: simTarget, Attempts: 2},
+		Service: &route.Service{Name: "booking"}, Deadline: time.Now().Add(5 * time.Second),
+	}
+	return &request{Forwarder: h.Forwarder, job: j, budget: h.RetryBudget(""), tried: map[string]bool{}}
+}
+
+func (r *request) pauseServer(id string, d time.Duration) {
+	r.Servers.Pauses.Add(pause.Process{Address: id, StartedAt: time.Unix(1, 0)}, d, time.Now(), time.Now())
+}
+
+// Guards against calls that wait for servers which have requested long pauses, and whose callers
+// are told to return before the end of the pauses.
+func TestPausedServersAreNotWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSimulation(simHosts, false)
+		defer s.stop()
+		r := newTestRequest(s)
+		for id := range s.servers {
+			r.pauseServer(id, 4*time.Second)
+			r.Slots.service("booking").reject(id)
+		}
+		start := time.Now()
+		_, e := r.choose(t.Context())
+		qt.Assert(t, e != nil, qt.IsTrue)
+		qt.Check(t, time.Since(start), qt.Equals, time.Duration(0))
+		qt.Check(t, e.RetryAfter >= 4*time.Second, qt.IsTrue, qt.Commentf("%s", e.RetryAfter))
+	})
+}
+
+// Guards against a call that waits while a server is idle which was paused when the wait began.
+func TestPauseEndsDuringWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSimulation(simHosts, false)
+		defer s.stop()
+		r := newTestRequest(s)
+		r.pauseServer("plain-0", 50*time.Millisecond)
+		for _, id := range []string{"plain-1", "plain-2"} {
+			r.Slots.Load.RecordRemoteRefusal(id, 400*time.Millisecond, time.Now())
+		}
+		start := time.Now()
+		server, e := r.choose(t.Context())
+		qt.Check(t, e == nil, qt.IsTrue)
+		qt.Check(t, server != nil && server.ID == "plain-0", qt.IsTrue)
+		qt.Check(t, time.Since(start) < 100*time.Millisecond, qt.IsTrue)
+		r.admission.ticket.End()
+	})
+}
+
+// Guards against credit for a call that was sent before calls needed credit, and did not run.
+func TestUnchargedCallIsNotReturned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSimulation(simHosts, false)
+		defer s.stop()
+		r := newTestRequest(s)
+		server, e := r.choose(t.Context())
+		qt.Assert(t, e == nil, qt.IsTrue)
+		service := r.admission.service
+		service.mu.Lock()
+		service.limiter.Work = 1
+		service.limiter.Update(slot.Demand{Own: 30, Hosts: 143, Others: []slot.HostDemand{{Demand: 1, Hosts: 142}}}, time.Now())
+		service.mu.Unlock()
+		ok, charged := service.take()
+		qt.Check(t, ok && charged, qt.IsTrue)
+		r.settle(server, attempt{err: &fault.Error{Verdict: fault.NotRun}})
+		ok, _ = service.take()
+		qt.Check(t, ok, qt.IsFalse)
+	})
+}
+
 // Guards against a change where there are fewer hosts than slots: calls must not pass through the
 // queue, and the demand must not be in messages.
 func TestFewHosts(t *testing.T) {
