--- a/entry/unary/stats.go
+++ b/entry/unary/stats.go
@@ -1,6 +1,7 @@
 package unary
 
 import (
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -32,6 +33,9 @@
 	// maxJitter limits a random addition that spreads requests over servers of about
 	// equal cost.
 	maxJitter = 10 * time.Millisecond
+	// statsAge is how long the statistics of a server are kept that no request could be sent to.
+	// Servers that are replaced have new IDs.
+	statsAge = 10 * time.Minute
 )
 
 // Stats holds recent durations and failures of requests to the servers of plain
@@ -40,41 +44,59 @@
 	// Subsets holds the servers to which this host keeps connections; nil means all.
 	Subsets *subset.Tracker
 
-	mu      sync.Mutex
-	servers map[string]*serverStats
+	mu        sync.Mutex
+	servers   map[string]*serverStats
+	droppedAt time.Time
 }
 
 // serverStats holds the statistics of one server.
 type serverStats struct {
+	// usedAt is when the server was last considered or used.
+	usedAt      time.Time
 	inFlight    int
 	meanTime    time.Duration
 	failureRate health.FailureRate
 }
 
-// get returns the statistics of a server. The mutex is held.
-func (s *Stats) get(id string) *serverStats {
+// get returns the statistics of a server. For a new one it drops those that are too old. The mutex
+// is held.
+func (s *Stats) get(id string, now time.Time) *serverStats {
 	if s.servers == nil {
 		s.servers = map[string]*serverStats{}
 	}
 	if s.servers[id] == nil {
+		s.drop(now)
 		s.servers[id] = &serverStats{meanTime: initialTime, failureRate: health.FailureRate{Weight: smoothing}}
 	}
+	s.servers[id].usedAt = now
 	return s.servers[id]
 }
 
+// drop drops statistics that are too old, if it has not done so lately. The mutex is held.
+func (s *Stats) drop(now time.Time) {
+	if now.Sub(s.droppedAt) < statsAge/10 {
+		return
+	}
+	s.droppedAt = now
+	maps.DeleteFunc(s.servers, func(_ string, old *serverStats) bool {
+		return old.inFlight == 0 && now.Sub(old.usedAt) > statsAge
+	})
+}
+
 // Begin records that a request is sent to a server. The caller calls done when the
 // request has ended.
 func (s *Stats) Begin(id string) (done func(took time.Duration, failed bool)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.get(id).inFlight++
+	s.get(id, time.Now()).inFlight++
 	return func(took time.Duration, failed bool) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		server := s.get(id)
+		now := time.Now()
+		server := s.get(id, now)
 		server.inFlight--
 		server.meanTime += time.Duration(smoothing * float64(took-server.meanTime))
-		server.failureRate.Record(failed, time.Now())
+		server.failureRate.Record(failed, now)
 	}
 }
 
@@ -82,7 +104,7 @@
 func (s *Stats) Cancel(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.get(id).inFlight--
+	s.get(id, time.Now()).inFlight--
 }
 
 // Pick returns the server that is expected to respond soonest, or nil if there is none.
@@ -120,7 +142,7 @@
 // cost returns the expected time until a server responds, with penalties and a random
 // jitter. The mutex is held.
 func (s *Stats) cost(server *fleet.Server, localDomain domain.Name, now time.Time) time.Duration {
-	stats := s.get(server.ID)
+	stats := s.get(server.ID, now)
 	failureRate := stats.failureRate.At(now)
 	load := float64(stats.inFlight) / float64(max(server.Slots, 1))
 	cost := time.Duration(float64(stats.meanTime)*(1+load)) + time.Duration(failureRate*float64(failurePenalty))
--- a/entry/unary/stats_test.go
+++ b/entry/unary/stats_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"log/slog"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -75,3 +76,19 @@
 		})
 	}
 }
+
+// Guards against statistics of replaced servers that are kept for ever, and against the loss of those
+// of servers with requests in flight.
+func TestStatsOfReplacedServersAreDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &Stats{}
+		done := s.Begin("busy")
+		for i := range 20 {
+			s.Pick([]*fleet.Server{{ID: fmt.Sprint(i), Address: fmt.Sprint(i)}}, "", nil)
+			time.Sleep(statsAge / 2)
+		}
+		qt.Check(t, len(s.servers) <= 4, qt.IsTrue, qt.Commentf("%d", len(s.servers)))
+		done(time.Second, false)
+		qt.Check(t, s.servers["busy"].inFlight, qt.Equals, 0)
+	})
+}
