--- a/parts/slot/limiter.go
+++ b/parts/slot/limiter.go
@@ -184,16 +184,16 @@
 	for _, o := range demands {
 		hosts += o.Hosts
 	}
-	// Hosts with less demand than the level leave the rest of it to the others. As the total
-	// exceeds the capacity, the loop ends before the last.
+	// Hosts with less demand than the level leave the rest of it to the others.
 	for _, o := range demands {
-		if o.Demand*hosts >= left {
-			break
+		if o.Hosts > 0 && o.Demand*hosts >= left {
+			return left / hosts
 		}
 		left -= max(0, o.Demand) * o.Hosts
 		hosts -= o.Hosts
 	}
-	return left / hosts
+	// Only rounding errors lead here: the total exceeds the capacity.
+	return demands[len(demands)-1].Demand
 }
 
 // setLimited begins the limit at once and ends it after a while.
--- a/parts/slot/slot_test.go
+++ b/parts/slot/slot_test.go
@@ -99,6 +99,7 @@
 		"three hosts":            {9, []slot.HostDemand{{Demand: 9, Hosts: 2}}, 6},
 		"some with little":       {9, []slot.HostDemand{{Demand: 30, Hosts: 1}, {Demand: 0.1, Hosts: 60}}, 6},
 		"a domain, extrapolated": {0.6, []slot.HostDemand{{Demand: 0.6, Hosts: 20}, {Demand: 0.6, Hosts: 20.5}}, 18 / 41.5},
+		"above it by rounding":   {0.1, []slot.HostDemand{{Demand: 17.9 + 4e-15, Hosts: 1}, {Demand: 20}}, 17.9},
 		"at the capacity":        {6, []slot.HostDemand{{Demand: 6, Hosts: 2}}, 6},
 	} {
 		l := newLimiter(slot.Demand{Own: test.own, Others: test.others, Hosts: 143})
