stream: probe once more after an owner's answer if a request may have crashed the server

The answer may be that of a new process. The probe loop ended with the owner's news, before this host had seen that the server had restarted, and the crash was not recorded against the request.

--- a/entry/stream/owners.go
+++ b/entry/stream/owners.go
@@ -65,8 +65,12 @@
 			return true
 		}
 		d := m.decide(s, delay, time.Now())
-		if d.Action != owner.Probe || d.After <= 0 {
-			return d.Action == owner.Probe
+		if d.Action != owner.Probe {
+			// A server that has answered an owner may be a new process.
+			return m.mayHaveCrashed(id)
+		}
+		if d.After <= 0 {
+			return true
 		}
 		time.Sleep(min(d.After, suspectSweepInterval))
 	}
--- a/entry/stream/owners_test.go
+++ b/entry/stream/owners_test.go
@@ -155,24 +155,32 @@
 }
 
 // Guards against overlooking that a request crashed a server which first only seemed unreachable,
-// because this host relies on the owners when the server restarts.
+// because this host relies on the owners when the server restarts, or on their news that it answers.
 func TestCrashIsRecordedAlthoughOwnersReport(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		e := &fakeEngines{reportErrors: map[string]error{"middle": syscall.ECONNREFUSED}}
-		m, servers, owners := newRelyingMonitor(e)
-		suspectTestCauses(m)
-		middle := servers["middle"]
-		m.ProbeFor(&call.Job{Request: &call.Request{ID: "r"}, Causes: testCauses}, &middle, true, "no answer")
-		for range 6 {
-			time.Sleep(suspectProbeInterval)
-			m.TakeResult(owner.Result{Server: "middle", By: owners[0], At: time.Now()})
-		}
-		e.mu.Lock()
-		e.reportErrors, e.startedAt = nil, map[string]time.Time{"middle": time.Now()}
-		e.mu.Unlock()
-		time.Sleep(2 * suspectProbeInterval)
-		qt.Check(t, isBlocked(m), qt.IsTrue)
-	})
+	for _, alive := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) { testCrashWithReports(t, alive) })
+	}
+}
+
+func testCrashWithReports(t *testing.T, alive bool) {
+	e := &fakeEngines{reportErrors: map[string]error{"middle": syscall.ECONNREFUSED}}
+	m, servers, owners := newRelyingMonitor(e)
+	suspectTestCauses(m)
+	middle := servers["middle"]
+	m.ProbeFor(&call.Job{Request: &call.Request{ID: "r"}, Causes: testCauses}, &middle, true, "no answer")
+	for range 6 {
+		time.Sleep(suspectProbeInterval)
+		m.TakeResult(owner.Result{Server: "middle", By: owners[0], At: time.Now()})
+	}
+	e.mu.Lock()
+	e.reportErrors, e.startedAt = nil, map[string]time.Time{"middle": time.Now()}
+	e.mu.Unlock()
+	if alive {
+		time.Sleep(time.Millisecond)
+		m.TakeAnswer(owner.Result{Server: "middle", By: owners[1], At: time.Now()})
+	}
+	time.Sleep(2 * suspectProbeInterval)
+	qt.Check(t, isBlocked(m), qt.IsTrue)
 }
 
 // Guards against a broadcast to many hosts by each host that accepts a suspicion or its end.
