--- a/parts/slot/limiter.go
+++ b/parts/slot/limiter.go
@@ -96,7 +96,7 @@
 	others, level float64
 	updatedAt     time.Time
 	// limited says that calls need credit, and neededAt when the demand last required that.
-	limited   bool
+	limited  bool
 	neededAt time.Time
 	// credit is the work that may be sent now, as of creditAt.
 	credit   float64
