slot: count the slots of suspected servers when deciding whether a service has few

Cause: a deployment with six hosts and two servers of four slots queued its calls once one server had crashed, although it has more slots than hosts. Change: the condition counts all servers that are not leaving; the capacity counts healthy ones. Result: TestCrashDoesNotLimitFewHosts.

--- a/parts/slot/limiter.go
+++ b/parts/slot/limiter.go
@@ -86,9 +86,10 @@
 	// unknown, and permits all calls.
 	Work float64
 
-	// capacity is the number of slots of the healthy servers; zero if it is unknown.
-	capacity float64
-	hosts    int
+	// capacity is the number of slots of the healthy servers, zero if it is unknown, and all that
+	// of the suspected ones too.
+	capacity, all float64
+	hosts         int
 	// share is the part of the capacity that this host may use.
 	share float64
 	// others is the demand of the other hosts, and level the max-min fair level, both smoothed, as
@@ -106,9 +107,13 @@
 // Capacity sets the capacity from the servers of the service. It is unknown, and calls are not
 // limited, if one of them states no slots.
 func (l *Limiter) Capacity(servers []*fleet.Server) {
-	slots := 0
+	slots, all := 0, 0
 	for _, s := range servers {
-		if s.Leaving || s.Suspected {
+		if s.Leaving {
+			continue
+		}
+		all += s.Slots
+		if s.Suspected {
 			continue
 		}
 		if s.Slots <= 0 {
@@ -117,6 +122,7 @@
 		}
 		slots += s.Slots
 	}
+	l.all = float64(all)
 	// Until the next update the share changes with the capacity.
 	if l.capacity > 0 {
 		l.share *= float64(slots) / l.capacity
@@ -130,9 +136,10 @@
 // Slots returns the capacity that was set last, in slots.
 func (l *Limiter) Slots() int { return int(l.capacity) }
 
-// Active reports whether the service has fewer slots than there are entry hosts. Without slots
-// there is nothing to divide.
-func (l *Limiter) Active() bool { return l.capacity > 0 && float64(l.hosts) > l.capacity }
+// Active reports whether the service has fewer slots than there are entry hosts, those of suspected
+// servers included: a crash does not change how a small deployment handles calls. Without healthy
+// slots there is nothing to divide.
+func (l *Limiter) Active() bool { return l.capacity > 0 && float64(l.hosts) > l.all }
 
 // Limited reports whether calls need credit.
 func (l *Limiter) Limited() bool { return l.limited && l.Active() }
--- a/parts/slot/slot_test.go
+++ b/parts/slot/slot_test.go
@@ -243,3 +243,14 @@
 		l.Update(d, now)
 	}
 }
+
+// Guards against a small deployment that queues its calls because a server has crashed.
+func TestCrashDoesNotLimitFewHosts(t *testing.T) {
+	servers := []*fleet.Server{{ID: "a", Slots: 4}, {ID: "b", Slots: 4, Suspected: true}}
+	for hosts, active := range map[int]bool{6: false, 9: true} {
+		l := &slot.Limiter{Work: 0.1}
+		l.Capacity(servers)
+		l.Update(slot.Demand{Own: 4, Hosts: hosts}, time.Unix(1, 0))
+		qt.Check(t, l.Active(), qt.Equals, active, qt.Commentf("%d hosts", hosts))
+	}
+}
