owner: wait 100 ms for the owners after a hint

Change: a host waits 100 ms, and then probes as before. Owners still save the probes that renew suspicions.

--- a/parts/owner/decide.go
+++ b/parts/owner/decide.go
@@ -11,8 +11,12 @@
 	relyFor = ResultFor - 400*time.Millisecond
 	// needRelyFor is relyFor while requests wait at the host.
 	needRelyFor = time.Second
-	// HintAfter is how long a host that has received a hint waits for a result of an owner.
-	HintAfter = time.Second
+	// HintAfter is how long a host that has received a hint waits for a result of an owner. While a
+	// domain of 30 servers is cut off, results take longer, and a host that waited for them sent
+	// its requests to servers that did not answer.
+	HintAfter = 100 * time.Millisecond
+	// answeredFor is how long an answer of another owner outweighs hints.
+	answeredFor = time.Second
 )
 
 // Action is what a host does about a server.
--- a/parts/owner/tracker.go
+++ b/parts/owner/tracker.go
@@ -226,7 +226,7 @@
 
 // answeredOther reports whether an owner other than this host has lately got an answer.
 func (r *record) answeredOther(self string, now time.Time) bool {
-	return now.Sub(r.answer.At) < HintAfter && r.answer.By != self
+	return now.Sub(r.answer.At) < answeredFor && r.answer.By != self
 }
 
 // has reports whether a result is not newer than one of the same host that was accepted.
