share, gossip: demand by failure domain

Cause: placement and chain choice need the demand of each failure domain, but rows are sent only while a service is contended.

--- a/entry/gossip/demand_test.go
+++ b/entry/gossip/demand_test.go
@@ -94,3 +94,21 @@
 		})
 	}
 }
+
+// Guards against a host that does not learn of the demand for services that are not
+// contended: what its failure domains need would be known only once requests are refused.
+func TestRatesAreExchanged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		one, other := newSharing(1), newSharing(2)
+		send(t, other, one)
+		for range 100 {
+			one.Shares.Begin(demandClass, 100, time.Now())()
+			send(t, one, other)
+			other.Shares.Sweep(time.Now())
+			time.Sleep(100 * time.Millisecond)
+		}
+		known := other.Shares.Demand("s", time.Now())[one.Self.Domain]
+		qt.Check(t, known.Max > 800 && known.Max < 1200, qt.IsTrue, qt.Commentf("%v", known))
+		qt.Check(t, other.Shares.Contended("s"), qt.IsFalse)
+	})
+}
--- a/entry/gossip/member.go
+++ b/entry/gossip/member.go
@@ -72,6 +72,7 @@
 		return
 	}
 	p.Shares.Merge(m.From.Name, m.From.Domain, m.Demand, time.Now())
+	p.Shares.MergeRates(m.From.Name, m.From.Domain, m.Rates, time.Now())
 }
 
 // Members returns the other known entry hosts, ordered by name.
--- a/entry/gossip/message.go
+++ b/entry/gossip/message.go
@@ -74,6 +74,8 @@
 	Limits map[string]limit.Report
 	// Demand is the demand for contended services at the sender. Older versions send none.
 	Demand []share.Row
+	// Rates is the demand for all services at the sender. Older versions send none.
+	Rates []share.Rate
 	// Evidence holds what the sender knows of crashes of servers that the receiver may lack.
 	Evidence poison.Evidence
 	// Departures holds the servers that get no new requests although their entries, or
@@ -118,7 +120,7 @@
 		m.Promises = p.Returns.Promises(time.Now())
 	}
 	if p.Shares != nil {
-		m.Demand = p.Shares.Rows(time.Now())
+		m.Demand, m.Rates = p.Shares.Rows(time.Now()), p.Shares.Rates(time.Now())
 	}
 	var config []byte
 	m.ConfigVersion, config = p.Config()
--- a/parts/share/remote.go
+++ b/parts/share/remote.go
@@ -65,6 +65,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.reports, host)
+	delete(t.rates, host)
 }
 
 // addRemote sums up the reports, with a factor for each failure domain. The mutex is held.
--- a/parts/share/tracker.go
+++ b/parts/share/tracker.go
@@ -34,7 +34,11 @@
 	services map[string]*service
 	// reports holds the demand of the other entry hosts by name.
 	reports map[string]*report
-	swept   time.Time
+	// rates holds the rates of the other entry hosts by name, and histories the demand by
+	// service and failure domain.
+	rates     map[string]rateReport
+	histories map[string]map[domain.Name]*history
+	swept     time.Time
 }
 
 // Begin records that a request takes capacity until end is called.
@@ -124,6 +128,7 @@
 	t.swept = now
 	t.expire(now)
 	t.addRemote(t.factors(alive))
+	t.sampleRates(alive, now)
 	next := table{}
 	for name, s := range t.services {
 		s.update(elapsed, now)
