place, placer: move servers towards the demand of their domain

Cause: copies of layers follow the servers of a failure domain, not its demand. Some layers may have much less capacity than others, which limits what the domain serves when it is cut off. Change: while the demand of a domain exceeds its standalone capacity, Plan may move one server to the layers of the least capacity, if this lowers the expected loss by more than loading costs and the rest of the planning keeps it. entry/placer permits this after 3 s of leading, while the object API responds and no server drains; at most one move per domain in 2 s, and none of a server that had an assignment in the last 10 s. A pending assignment of a server that leaves no longer keeps its domain from being balanced. Without idle servers there is no move.

--- a/entry/placer/assign.go
+++ b/entry/placer/assign.go
@@ -41,6 +41,9 @@
 	if result != call.OrderStarted {
 		return
 	}
+	if a.Room != nil {
+		p.logRoomMove(a)
+	}
 	until := now.Add(concurrentLoadFactor*loadDuration(engine, a.End-a.First) + entryLag)
 	p.setConfirmed(a.Server, a.First, a.End, until)
 	if p.State.Assign(state.Assignment{ID: a.Server.ID, First: a.First, End: a.End, Until: until}, now) {
--- a/entry/placer/placer.go
+++ b/entry/placer/placer.go
@@ -16,15 +16,18 @@
 	"log/slog"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fuchsiashelf.dev/entry/call"
+	"fuchsiashelf.dev/entry/room"
 	"fuchsiashelf.dev/entry/state"
 	"fuchsiashelf.dev/parts/domain"
 	"fuchsiashelf.dev/parts/fleet"
 	"fuchsiashelf.dev/parts/place"
 	"fuchsiashelf.dev/parts/route"
 	"fuchsiashelf.dev/parts/router"
+	"fuchsiashelf.dev/parts/share"
 )
 
 // Timeouts and intervals.
@@ -76,6 +79,15 @@
 	// Interval is the interval between decisions while nothing changes; zero means
 	// decideInterval.
 	Interval time.Duration
+	// Room reports which services lack capacity in a failure domain, Shares has the demand
+	// for them, and StoreUp reports whether the object API responds. Without Room, no server
+	// is moved for capacity.
+	Room    *room.Watch
+	Shares  *share.Tracker
+	StoreUp func() bool
+
+	// roomMoves is the number of moves for capacity that have begun.
+	roomMoves atomic.Int64
 
 	mu sync.Mutex
 	// pending holds the ranges that servers were assigned, or have reported, and
@@ -90,6 +102,14 @@
 	// lastChange is when the list of servers of a failure domain last changed.
 	lastChange map[domain.Name]time.Time
 	wasLeader  bool
+	// ledSince is when this entry host became the leader.
+	ledSince time.Time
+	// assigned holds when servers were last known to have an assignment, for keepTime.
+	assigned map[string]time.Time
+	// roomSearched is when a move for capacity was last searched, by service, and roomMoved
+	// when one was last ordered, by failure domain.
+	roomSearched map[string]time.Time
+	roomMoved    map[domain.Name]time.Time
 	// lastReturn is when a server that holds layers last joined or returned, by failure
 	// domain.
 	lastReturn map[domain.Name]time.Time
@@ -130,10 +150,11 @@
 	if table == nil {
 		return
 	}
+	p.recordAssigned(now)
 	isLeader := p.IsLeader()
 	if isLeader != p.wasLeader {
 		p.Log.Info("placer: leadership changed", "leads", isLeader)
-		p.wasLeader = isLeader
+		p.wasLeader, p.ledSince = isLeader, now
 	}
 	if !isLeader || p.State.Probing(now) {
 		return
@@ -144,7 +165,7 @@
 	}
 	for _, service := range table.Services {
 		if service.Engine != nil {
-			p.placeService(ctx, service.Engine, view.Service(service.Name), now)
+			p.placeService(ctx, service.Name, service.Engine, view.Service(service.Name), now)
 		}
 	}
 }
@@ -193,7 +214,7 @@
 }
 
 // placeService plans the assignments of one service and sends them.
-func (p *Placer) placeService(ctx context.Context, engine *route.Engine, servers []*fleet.Server, now time.Time) {
+func (p *Placer) placeService(ctx context.Context, name string, engine *route.Engine, servers []*fleet.Server, now time.Time) {
 	expected := make([]*fleet.Server, len(servers))
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -201,7 +222,7 @@
 	hasPending := map[domain.Name]bool{}
 	for i, s := range servers {
 		expected[i] = p.expected(s)
-		if _, isPending := p.pending[s.ID]; isPending {
+		if _, isPending := p.pending[s.ID]; isPending && !s.Leaving {
 			hasPending[s.Domain] = true
 		}
 	}
@@ -211,11 +232,16 @@
 		JustStarted: func(id string) bool { return now.Sub(p.firstSeen[id]) < newServerTime },
 		Reserved:    func(id string) float64 { return p.Load.Used(id).TokenLayers },
 	}
+	p.allowRoomMove(&conditions, name, servers, now)
 	for _, a := range place.Plan(engine, expected, conditions) {
 		if now.Sub(p.lastReturn[a.Server.Domain]) < returnHoldOff {
 			continue
 		}
 		p.setPending(a.Server.ID, pendingRange{first: a.First, end: a.End, until: now.Add(assignRetryDelay), startedAt: a.Server.StartedAt})
+		p.setAssigned(a.Server.ID, now)
+		if a.Room != nil {
+			p.roomMoved[a.Room.Domain] = now
+		}
 		go p.sendAssignment(ctx, engine, a)
 	}
 }
--- a/parts/place/bench_test.go
+++ b/parts/place/bench_test.go
@@ -51,3 +51,19 @@
 		place.Standalone(engine(), list)
 	}
 }
+
+// Measures the same decision while a search for a move for capacity is allowed, which is at
+// most once a second: all domains lack capacity.
+func BenchmarkPlanForRoom(b *testing.B) {
+	list := emptyServers(1000)
+	apply(place.Plan(engine(), list, stable))
+	c := conditions(true, func(string) bool { return false })
+	c.AloneShare, c.Demand = 0.1, map[domain.Name]place.Demand{}
+	for name, capacity := range place.Standalone(engine(), list) {
+		c.Demand[name] = place.Demand{Mean: 1.5 * capacity, Max: 2 * capacity}
+	}
+	c.Movable = func(*fleet.Server) bool { return true }
+	for b.Loop() {
+		place.Plan(engine(), list, c)
+	}
+}
--- a/parts/place/place.go
+++ b/parts/place/place.go
@@ -11,6 +11,9 @@
 // layers are assigned to servers whose own layers are replicated; otherwise the ranges
 // next to the gap are shifted. Entry hosts with the same view compute the same
 // assignments, so a new leader continues where the last one stopped.
+//
+// While the demand of a failure domain exceeds its standalone capacity, a server may also be
+// moved so that the domain serves more of its demand when it is cut off ([Conditions.AloneShare]).
 package place
 
 import (
@@ -31,6 +34,8 @@
 	// show a failure yet. It is empty for assignments that close a gap, which are
 	// urgent.
 	Replicas []*fleet.Server
+	// Room is set if the assignment raises the standalone capacity of a failure domain.
+	Room *RoomMove
 }
 
 const (
@@ -69,22 +74,36 @@
 	// Idle reports whether hardly any request passes through a server. A busy server
 	// must drain before it changes its layers, which takes up to ten seconds.
 	Idle func(id string) bool
+	// AloneShare is the share of the time in which a failure domain is expected to be cut
+	// off from the others. Above 0, a server may be moved so that its domain can serve more
+	// of its demand then, if nothing else is to be assigned.
+	AloneShare float64
+	// Demand is the demand of the callers of each failure domain, and Movable reports
+	// whether a server may be moved for it. Both are used only if AloneShare is above 0.
+	Demand  map[domain.Name]Demand
+	Movable func(s *fleet.Server) bool
 }
 
 // Plan returns the assignments that improve what the servers hold. Servers that are
 // leaving or suspected count as holding nothing and get no assignment.
 func Plan(e *route.Engine, servers []*fleet.Server, conditions Conditions) []Assignment {
 	var assignments []Assignment
-	for _, group := range groups(e, servers) {
+	list, complete := groups(e, servers)
+	for _, group := range list {
 		group.reserved = conditions.Reserved
 		assignments = append(assignments, group.plan(conditions)...)
 	}
+	if conditions.AloneShare > 0 && complete && len(assignments) == 0 {
+		if a := moveForRoom(list, conditions); a != nil {
+			assignments = append(assignments, *a)
+		}
+	}
 	return assignments
 }
 
 // groups returns a group for each failure domain, and one for all domains that are
-// too small. Domains that seem to be partitioned are omitted.
-func groups(e *route.Engine, servers []*fleet.Server) []*group {
+// too small. Domains that seem to be partitioned are omitted, and complete is false then.
+func groups(e *route.Engine, servers []*fleet.Server) (list []*group, complete bool) {
 	byDomain := map[domain.Name][]*fleet.Server{}
 	suspected := map[domain.Name]int{}
 	for _, s := range servers {
@@ -98,15 +117,19 @@
 		byDomain[s.Domain] = append(byDomain[s.Domain], s)
 	}
 	var names []domain.Name
+	complete = true
+	for name := range suspected {
+		complete = complete && len(byDomain[name]) > 0
+	}
 	for name, list := range byDomain {
 		all := len(list) + suspected[name]
 		if suspected[name] > 1 && float64(suspected[name]) > partitionShare*float64(all) {
+			complete = false
 			continue
 		}
 		names = append(names, name)
 	}
 	slices.Sort(names)
-	var list []*group
 	var small []*fleet.Server
 	for _, name := range names {
 		if totalMaxLayers(e, byDomain[name]) < e.Layers {
@@ -118,7 +141,7 @@
 	if len(small) > 0 {
 		list = append(list, newGroup(e, small))
 	}
-	return list
+	return list, complete
 }
 
 // totalMaxLayers returns how many layers the servers can hold together.
