router, room, stream: cost of another domain by utilization

Cause: the cost of starting a chain in another failure domain was fixed, so it did not depend on how full either domain is. Change: while a domain lacks capacity of its own, the cost is multiplied by the free share of the local domain and divided by that of the other one. Without a shortfall the cost is as before.

--- a/entry/room/room.go
+++ b/entry/room/room.go
@@ -14,6 +14,7 @@
 	"fuchsiashelf.dev/parts/fleet"
 	"fuchsiashelf.dev/parts/place"
 	"fuchsiashelf.dev/parts/route"
+	"fuchsiashelf.dev/parts/router"
 	"fuchsiashelf.dev/parts/share"
 )
 
@@ -34,10 +35,12 @@
 type Watch struct {
 	State  *state.Local
 	Shares *share.Tracker
+	Load   *router.LoadTracker
 	Log    *slog.Logger
 
 	mu       sync.Mutex
 	due      time.Time
+	measured time.Time
 	services map[string]*service
 }
 
@@ -46,15 +49,21 @@
 	short bool
 	// shortfall is the demand of all domains beyond their standalone capacities.
 	shortfall float64
+	// utilization is that of the failure domains while the service is short, and else nil.
+	utilization map[domain.Name]float64
 }
 
 // Sweep observes the services if it is due. Call it every 100 ms.
 func (w *Watch) Sweep(now time.Time) {
 	table := w.State.Table()
-	if table == nil || !w.begin(now) {
+	if table == nil {
 		return
 	}
 	view := w.State.View()
+	w.measure(table, view, now)
+	if !w.begin(now) {
+		return
+	}
 	for name, s := range table.Services {
 		if s.Engine != nil {
 			w.observe(name, s.Engine, view.Service(name), now)
--- a/entry/room/room_test.go
+++ b/entry/room/room_test.go
@@ -16,6 +16,7 @@
 	"fuchsiashelf.dev/parts/mirror"
 	"fuchsiashelf.dev/parts/place"
 	"fuchsiashelf.dev/parts/route"
+	"fuchsiashelf.dev/parts/router"
 	"fuchsiashelf.dev/parts/share"
 )
 
@@ -73,7 +74,7 @@
 			capacity := place.Standalone(engine(), servers)["a"]
 			shares := &share.Tracker{Self: "0", Domain: "b", Log: slog.New(slog.DiscardHandler), Alive: func() map[domain.Name]int { return map[domain.Name]int{"a": 1, "b": 1} }}
 			var out bytes.Buffer
-			w := &room.Watch{State: s, Shares: shares, Log: slog.New(slog.NewTextHandler(&out, nil))}
+			w := &room.Watch{State: s, Shares: shares, Load: &router.LoadTracker{}, Log: slog.New(slog.NewTextHandler(&out, nil))}
 			now := time.Unix(1000, 0)
 			var got []bool
 			for _, demand := range test.demands {
@@ -84,6 +85,11 @@
 					w.Sweep(now)
 				}
 				got = append(got, w.Short("assist"))
+				utilization := map[domain.Name]float64(nil)
+				if w.Short("assist") {
+					utilization = map[domain.Name]float64{"a": 0, "b": 0}
+				}
+				qt.Check(t, w.Utilization("assist"), qt.DeepEquals, utilization)
 				qt.Check(t, w.Shortfall() > 0, qt.Equals, w.Short("assist") && demand > 1)
 			}
 			qt.Check(t, got, qt.DeepEquals, test.want)
--- a/entry/stream/monitor.go
+++ b/entry/stream/monitor.go
@@ -86,6 +86,9 @@
 	// Paused returns the remaining time of the pause that a server has requested; zero if
 	// there is none. Nil means that no server has requested one.
 	Paused func(s *fleet.Server, now time.Time) time.Duration
+	// Utilization returns the utilizations of the failure domains for the choice of chains
+	// of a service; nil, also as its result, means that the choice does not depend on them.
+	Utilization func(service string) map[domain.Name]float64
 	// EntryHosts returns the number of entry hosts, including this one.
 	EntryHosts func() int
 	// Direct reports whether connections to an address are direct ones now; nil means always.
--- a/entry/stream/reroute.go
+++ b/entry/stream/reroute.go
@@ -166,11 +166,15 @@
 
 // chainQuery returns the query for the chain of a job.
 func (m *Monitor) chainQuery(job *call.Job) *router.Query {
-	return &router.Query{
+	q := &router.Query{
 		Engine: job.Service.Engine, Servers: m.State.View().Service(job.Service.Name), LocalDomain: m.LocalDomain,
 		PromptTokens: job.PromptTokens, ResponseTokens: job.ExpectedTokens(job.Service.Engine), Used: m.Load.Used, Partitioned: m.State.Unreachable,
 		Paused: m.paused,
 	}
+	if m.Utilization != nil {
+		q.Utilization = m.Utilization(job.Service.Name)
+	}
+	return q
 }
 
 // paused reports whether a server has requested a pause. It gets no orders then.
--- a/parts/router/cost.go
+++ b/parts/router/cost.go
@@ -19,7 +19,7 @@
 	// remoteStartSeconds is the extra cost of starting a chain in another failure
 	// domain. Only the events of the response cross the link then, but a partition
 	// interrupts them. The cost is low enough that requests leave a slow local domain
-	// before it is full.
+	// before it is full. Query.Utilization changes it.
 	remoteStartSeconds = 0.6
 	// crossingWeight multiplies the time of a transfer between failure domains within
 	// a chain. All chains share the link, and a partition breaks the chains that cross
--- a/parts/router/router.go
+++ b/parts/router/router.go
@@ -90,6 +90,9 @@
 	// Partitioned reports whether servers of one failure domain cannot reach those of
 	// another; nil means that all can.
 	Partitioned func(from, to domain.Name) bool
+	// Utilization holds the utilizations of failure domains, which change the cost of
+	// starting in another one. Nil means that the cost is fixed.
+	Utilization map[domain.Name]float64
 	// SingleDomain keeps the chain within one failure domain.
 	SingleDomain bool
 	// AllowSuspected permits servers that are suspected of having failed.
--- a/parts/router/search.go
+++ b/parts/router/search.go
@@ -41,7 +41,7 @@
 		for d, name := range domains {
 			best[0][d].cost = 0
 			if name != q.LocalDomain {
-				best[0][d].cost = remoteStartSeconds
+				best[0][d].cost = q.remoteStartCost(name)
 			}
 		}
 	}
