--- a/entry/stream/owners_test.go
+++ b/entry/stream/owners_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"fuchsiashelf.dev/entry/call"
 	"fuchsiashelf.dev/entry/dialer"
 	"fuchsiashelf.dev/entry/egress"
 	"fuchsiashelf.dev/parts/limit"
@@ -151,3 +153,61 @@
 		qt.Check(t, broadcasts.Load(), qt.Equals, int64(2))
 	})
 }
+
+// Guards against overlooking that a request crashed a server which first only seemed unreachable,
+// because this host relies on the owners when the server restarts, or on their news that it answers.
+func TestCrashIsRecordedAlthoughOwnersReport(t *testing.T) {
+	for _, alive := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) { testCrashWithReports(t, alive) })
+	}
+}
+
+func testCrashWithReports(t *testing.T, alive bool) {
+	e := &fakeEngines{reportErrors: map[string]error{"middle": syscall.ECONNREFUSED}}
+	m, servers, owners := newRelyingMonitor(e)
+	suspectTestCauses(m)
+	middle := servers["middle"]
+	m.ProbeFor(&call.Job{Request: &call.Request{ID: "r"}, Causes: testCauses}, &middle, true, "no answer")
+	for range 6 {
+		time.Sleep(suspectProbeInterval)
+		m.TakeResult(owner.Result{Server: "middle", By: owners[0], At: time.Now()})
+	}
+	e.mu.Lock()
+	e.reportErrors, e.startedAt = nil, map[string]time.Time{"middle": time.Now()}
+	e.mu.Unlock()
+	if alive {
+		time.Sleep(time.Millisecond)
+		m.TakeAnswer(owner.Result{Server: "middle", By: owners[1], At: time.Now()})
+	}
+	time.Sleep(2 * suspectProbeInterval)
+	qt.Check(t, isBlocked(m), qt.IsTrue)
+}
+
+// Guards against a broadcast to many hosts by each host that accepts a suspicion or its end.
+func TestAcceptedResultIsForwarded(t *testing.T) {
+	m, _, owners := newRelyingMonitor(&fakeEngines{})
+	var forwards int
+	m.Broadcast = func() { t.Error("broadcast") }
+	m.Forward = func() { forwards++ }
+	m.TakeResult(owner.Result{Server: "middle", By: owners[0], At: time.Now()})
+	m.TakeResult(owner.Result{Server: "middle", By: owners[0], At: time.Now().Add(time.Second)})
+	qt.Check(t, forwards, qt.Equals, 1)
+	m.TakeAnswer(owner.Result{Server: "middle", By: owners[0], At: time.Now().Add(2 * time.Second)})
+	qt.Check(t, forwards, qt.Equals, 2)
+}
+
+// Guards against an owner that probes a restarted server for each message with a hint, until the entry
+// of the server is up to date.
+func TestHintsOfRestartedServerCauseFewProbes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &fakeEngines{startedAt: map[string]time.Time{"middle": time.Now()}}
+		m, _, owners := newRelyingMonitor(e)
+		m.Owners.Hosts.Self = owners[0]
+		go m.Run(t.Context())
+		for range 50 {
+			m.TakeResult(owner.Result{Server: "middle", At: time.Now()})
+			time.Sleep(20 * time.Millisecond)
+		}
+		qt.Check(t, e.probes() <= 3, qt.IsTrue, qt.Commentf("%d probes in 1 s", e.probes()))
+	})
+}
--- a/entry/unary/slots.go
+++ b/entry/unary/slots.go
@@ -99,16 +99,18 @@
 	return s.limiter.Active()
 }
 
-// take reports whether a call may be sent now, and counts it.
-func (s *smallService) take() bool {
+// take reports whether a call may be sent now, and whether it was charged for: calls are not while
+// the service is not limited.
+func (s *smallService) take() (ok, charged bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.limiter.Capacity(s.State.View().Service(s.name))
-	ok, _ := s.limiter.Take(time.Now())
-	return ok
+	charged = s.limiter.Limited()
+	ok, _ = s.limiter.Take(time.Now())
+	return ok, charged && ok
 }
 
-// giveBack takes back a call that take permitted and that did not run.
+// giveBack takes back a call that take charged for and that did not run.
 func (s *smallService) giveBack() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -192,20 +194,23 @@
 		return
 	}
 	if limited {
-		s.Log.Info("slots: limited", "service", s.name, "capacity", capacity, "demand", round(d.Total), "own", round(d.Own), "share", round(share), "hosts", d.Hosts)
+		s.Log.Info("slots: limited", "service", s.name, "capacity", capacity, "demand", round(d.Total()), "own", round(d.Own), "share", round(share), "hosts", d.Hosts)
 		return
 	}
-	s.Log.Info("slots: not limited", "service", s.name, "capacity", capacity, "demand", round(d.Total), "hosts", d.Hosts)
+	s.Log.Info("slots: not limited", "service", s.name, "capacity", capacity, "demand", round(d.Total()), "hosts", d.Hosts)
 }
 
 // demand returns the demand for the service. While other hosts are silent, all of them count
 // that may still send calls.
 func (s *smallService) demand(alive, known int, now time.Time) slot.Demand {
-	own, total, age := s.Queue.Shares.Demand(s.name, now)
+	own, others, age := s.Queue.Shares.Demand(s.name, now)
 	s.mu.Lock()
 	work := s.limiter.Work
 	s.mu.Unlock()
-	d := slot.Demand{Own: own * work, Total: total * work, Age: age, Hosts: alive}
+	d := slot.Demand{Own: own * work, Age: age, Hosts: alive}
+	for _, o := range others {
+		d.Others = append(d.Others, slot.HostDemand{Demand: o.Demand * work, Hosts: o.Hosts})
+	}
 	if d.Stale() {
 		d.Hosts = known
 	}
