--- a/entry/front/hold_test.go
+++ b/entry/front/hold_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -106,10 +107,15 @@
 }
 
 // testForwarder records the jobs that it gets.
-type testForwarder struct{ jobs []*call.Job }
+type testForwarder struct {
+	mu   sync.Mutex
+	jobs []*call.Job
+}
 
 func (f *testForwarder) Serve(_ context.Context, w http.ResponseWriter, j *call.Job) call.Outcome {
+	f.mu.Lock()
 	f.jobs = append(f.jobs, j)
+	f.mu.Unlock()
 	w.WriteHeader(http.StatusOK)
 	return call.Outcome{Status: http.StatusOK}
 }
