stream, front: log who ended an incomplete response, and whether its server lived

From the ID of a response that broke off the log did not say whether this host or the server ended it, nor whether the server was alive. "request: ended" now has ending and byHost, "stream: server of an ended response" follows with what the server answers within 3 s, and the metrics ended.<ending> count what this host ended.

--- a/entry/call/job.go
+++ b/entry/call/job.go
@@ -64,6 +64,8 @@
 	Sends int
 	// Truncated is set if the response was cut off after its header.
 	Truncated bool
+	// Ending says why the last attempt ended, if it did so without a whole response.
+	Ending Ending
 	// TimeToFirstByte is the time until the first bytes of the response.
 	TimeToFirstByte time.Duration
 	// Events is the number of events of a stream, and LongestGap the longest time
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -236,6 +236,9 @@
 	if j != nil && len(j.PromptParts) > 0 {
 		attrs = append(attrs, "parts", j.PromptParts)
 	}
+	if out.Ending != "" {
+		attrs = append(attrs, "ending", out.Ending, "byHost", out.Ending.ByHost())
+	}
 	if out.Error != nil {
 		attrs = append(attrs, "verdict", out.Error.Verdict.String(), "after", out.Error.RetryAfter, "error", out.Error)
 	}
--- a/entry/front/meter.go
+++ b/entry/front/meter.go
@@ -22,6 +22,9 @@
 // record counts a request and records its durations.
 func (m *Meter) record(j *call.Job, out call.Outcome, took time.Duration) {
 	m.Count("requests." + outcome(out))
+	if out.Ending.ByHost() {
+		m.Count("ended." + string(out.Ending))
+	}
 	if j == nil {
 		return
 	}
--- a/entry/stream/failure.go
+++ b/entry/stream/failure.go
@@ -185,6 +185,7 @@
 	final := *e
 	final.Verdict = r.verdict.Weaken(e.Verdict)
 	r.out.Error = &final
+	r.logEndedServer()
 	if call.CallerGone(ctx) {
 		final.Code = fault.Cancelled
 		return r.out
--- a/entry/stream/forwarder.go
+++ b/entry/stream/forwarder.go
@@ -118,8 +118,10 @@
 			err = r.attempt(ctx, chain)
 		}
 		if err == nil {
+			r.out.Ending = ""
 			return r.out
 		}
+		r.recordEnding(ctx, err)
 		if err.Verdict == fault.NotRun && !r.headerSent {
 			r.ticket.Refund()
 		}
--- a/entry/stream/monitor.go
+++ b/entry/stream/monitor.go
@@ -62,6 +62,7 @@
 var (
 	// Causes for which this entry host ends an attempt.
 	errFirstServerDead = errors.New("stream: the first server does not answer")
+	errExited          = errors.New("stream: the process of the first server has ended")
 	errSilent          = errors.New("stream: silent for too long")
 	errNoChain         = errors.New("stream: no other way behind the first server")
 	errLinkCut         = errors.New("stream: the first server is alive, but the link to it is cut")
@@ -296,7 +297,10 @@
 	}
 	m.mu.Unlock()
 	for _, stream := range silent {
-		if outcome == probe.Exited || m.reserveRestart(stream, address) {
+		if outcome == probe.Exited {
+			stream.restarting.Store(true)
+			stream.cancel(errExited)
+		} else if m.reserveRestart(stream, address) {
 			stream.restarting.Store(true)
 			stream.cancel(errFirstServerDead)
 		}
