stream: keep an attempt until another one goes on

Callers lost answers in progress: where the servers of a stream were silent, the entry host ended its attempt as soon as some chain seemed possible, and found out afterwards that no chain had room, that the other server refused or was silent as well, or that no attempt was left.

An attempt whose servers are silent now stays while another one is begun beside it. Whichever delivers an event first goes on, the other is cancelled; a refusal or failure of the second one leaves the first. The second one is begun only on servers that have shown within 100 ms that they are alive, or answer a probe, and only with free capacity, an attempt of the route and the retry budget, so that work is not doubled where all servers are silent. The same check precedes orders to reroute: a silent first server would carry them out later. An attempt is ended without another one only when the process of its first server has ended, or if a server of its chain has ended and it keeps another from loading the missing layers.

TestStreamRestartsInAnotherDomain, TestLastAttemptWaitsForSilentServer and TestStreamStaysWithoutAlternativeChain asked whether an attempt is ended; it never is now, so TestStreamWithoutOtherWaySeeksAttempt asks for that, and the limits of the second attempt are in the table above and in TestReservationHonorsLimits. TestStreamBlockingALoadRestarts and TestStreamWithoutRestartStaysOnUnreachableServer also ask now that a silent server ends nothing. fakeEngines counts the timeouts of probes that fail, since servers of the next chain are probed as well.

--- a/entry/call/job.go
+++ b/entry/call/job.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"fuchsiashelf.dev/parts/fault"
@@ -34,7 +35,7 @@
 	Sent time.Time
 	// Unanswered is the number of servers that got the request and failed before they began to
 	// answer it.
-	Unanswered int
+	Unanswered atomic.Int32
 }
 
 // MaxUnanswered bounds Unanswered: the request may be what makes the servers fail.
--- a/entry/stream/active.go
+++ b/entry/stream/active.go
@@ -16,9 +16,9 @@
 type activeStream struct {
 	job    *call.Job
 	cancel context.CancelCauseFunc
-	// reserveRestart reserves an attempt of the request on another chain, and reports
-	// whether its route and the retry budget allow one. Nil means that they do not.
-	reserveRestart func() bool
+	// replace begins another attempt of the request beside this one, if it can. It may block while
+	// servers are probed.
+	replace func(replacement)
 	// clock distinguishes the silence of servers from stalls of this process.
 	clock *stall.Clock
 	// startedAt is when the attempt started.
@@ -26,9 +26,9 @@
 	// lastActivity is the time of the last event or reroute on the clock, in Unix
 	// nanoseconds, and meanGap the mean gap between two events, in nanoseconds.
 	lastActivity, meanGap atomic.Int64
-	// started is set by the first event, and restarting when the attempt has been ended
-	// because of its first server.
-	started, restarting atomic.Bool
+	// started is set by the first event, and ending when the attempt has been ended because its
+	// first server has exited.
+	started, ending atomic.Bool
 	// answered says that a server has begun to answer the request, and more followed.
 	answered atomic.Bool
 	// direct says that the request was sent on a direct connection.
@@ -39,8 +39,9 @@
 	releaseChain func()
 	rerouting    bool
 	ended        bool
-	// lastSearch is when the last search for another chain ended.
-	lastSearch time.Time
+	// lastSearch is when the last search for another chain ended, and lastReplace when the last
+	// search for another attempt began.
+	lastSearch, lastReplace time.Time
 	// drainedFrom is the address of the last server that the stream was rerouted
 	// around because the server drains or is about to load layers.
 	drainedFrom string
@@ -54,10 +55,6 @@
 	maxGapRatio = 2
 )
 
-// mayRestart reserves an attempt of the request on another chain, and reports whether
-// there is one left.
-func (s *activeStream) mayRestart() bool { return s.reserveRestart != nil && s.reserveRestart() }
-
 // recordEvent records an event and reports whether it is the first one, and whether it shows
 // that the servers survive to answer the request.
 func (s *activeStream) recordEvent() (first, answered bool) {
@@ -137,15 +134,15 @@
 	return s.chain[0].Server.Address
 }
 
-// beginSearch reports whether another chain may be searched for the stream, which happens
+// beginReplace reports whether another attempt may be sought for the stream, which happens
 // once in searchInterval.
-func (s *activeStream) beginSearch(now time.Time) bool {
+func (s *activeStream) beginReplace(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.rerouting || now.Sub(s.lastSearch) < searchInterval {
+	if now.Sub(s.lastReplace) < searchInterval {
 		return false
 	}
-	s.lastSearch = now
+	s.lastReplace = now
 	return true
 }
 
--- a/entry/stream/events.go
+++ b/entry/stream/events.go
@@ -21,6 +21,13 @@
 	skipped bool
 }
 
+// position is how much of a stream the caller has.
+type position struct {
+	// lastID is the ID of the last event, and count the number of events.
+	lastID string
+	count  int
+}
+
 var eventDelimiter = []byte("\n\n")
 
 // maxEventBytes bounds the size of an event whose end has not been read yet.
--- a/entry/stream/failure.go
+++ b/entry/stream/failure.go
@@ -1,11 +1,11 @@
 package stream
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
 	"net/http"
-	"slices"
 	"time"
 
 	"fuchsiashelf.dev/entry/call"
@@ -24,26 +24,31 @@
 
 // handleRefusal records that a server refused the request and did not run it, and
 // returns the error of the attempt.
-func (r *request) handleRefusal(firstAddress string, reply call.Reply) *fault.Error {
-	address := reply.RefusedBy
-	if address == "" {
-		address = firstAddress
-	}
-	r.avoid[address] = true
+func (a *attempt) handleRefusal(reply call.Reply) *fault.Error {
+	first := a.chain[0].Server
+	address := cmp.Or(reply.RefusedBy, first.Address)
+	a.avoidServer(address)
 	server := ""
-	if s := r.State.View().ByAddress(address); s != nil {
+	if s := a.State.View().ByAddress(address); s != nil {
 		server = s.ID
-		if r.Load.RecordRefusal(s.ID, time.Now()) {
-			r.Monitor.Broadcast()
+		if a.Load.RecordRefusal(s.ID, time.Now()) {
+			a.Monitor.Broadcast()
 		}
 	}
-	if address != firstAddress {
+	if address != first.Address {
 		// The server may be saturated or may have failed: the first server does not
 		// say which.
-		r.Monitor.Probe(address, "the first server refused a request because of this server")
+		a.Monitor.Probe(address, "the first server refused a request because of this server")
 	}
-	r.Log.Info("stream: refused by a server", "request", r.job.ID, "status", reply.Status, "server", server, "address", address, "first", r.out.Server)
-	return &fault.Error{Code: fault.ServerRefused, Verdict: fault.NotRun, Message: "a backend server refused", Server: address, RetryAfter: r.refusalRetryAfter()}
+	a.Log.Info("stream: refused by a server", "request", a.job.ID, "status", reply.Status, "server", server, "address", address, "first", first.ID)
+	return &fault.Error{Code: fault.ServerRefused, Verdict: fault.NotRun, Message: "a backend server refused", Server: address, RetryAfter: a.refusalRetryAfter()}
+}
+
+// avoidServer keeps the next attempts of the request off a server.
+func (r *request) avoidServer(address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.avoid[address] = true
 }
 
 // maxErrorBody is the largest body of an error response that is kept for the caller.
@@ -51,13 +56,15 @@
 
 // handleServerError keeps the error response of a server. It is delivered if no
 // other attempt succeeds and the caller has no header yet.
-func (r *request) handleServerError(resp *conns.Response, reply call.Reply) *fault.Error {
+func (a *attempt) handleServerError(resp *conns.Response, reply call.Reply) *fault.Error {
 	body, err := io.ReadAll(io.LimitReader(resp, maxErrorBody+1))
-	r.avoid[resp.Request.URL.Host] = true
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.avoid[resp.Request.URL.Host] = true
 	if err == nil && len(body) <= maxErrorBody && !call.StatusMeansNotRun(reply.Status) {
-		r.serverError = &errorResponse{header: resp.Header, status: reply.Status, body: body}
+		a.serverError = &errorResponse{header: resp.Header, status: reply.Status, body: body}
 	}
-	return &fault.Error{Code: fault.ServerFailed, Verdict: fault.MayHaveRun, Message: "the backend server failed", Server: r.out.Server, Cause: err}
+	return &fault.Error{Code: fault.ServerFailed, Verdict: fault.MayHaveRun, Message: "the backend server failed", Server: a.chain[0].Server.ID, Cause: err}
 }
 
 // deliverServerError sends the kept error response to the caller.
@@ -73,42 +80,42 @@
 
 // handleBrokenResponse closes the connection of a response that ended early, avoids
 // its server, and returns the error.
-func (r *request) handleBrokenResponse(ctx context.Context, resp *conns.Response, stream *activeStream, err error) *fault.Error {
+func (a *attempt) handleBrokenResponse(resp *conns.Response, err error) *fault.Error {
 	resp.Reset()
-	if r.events.skipped {
+	if a.events.skipped {
 		err = errors.New("an event is missing")
 	}
 	e := &fault.Error{
 		Code: fault.InvalidResponse, Verdict: fault.MayHaveRun, Message: "the answer broke off",
-		Server: r.out.Server, Cause: err,
+		Server: a.chain[0].Server.ID, Cause: err,
 	}
-	if cause := context.Cause(ctx); cause != nil {
+	if cause := context.Cause(a.ctx); cause != nil {
 		e.Cause = cause
 	}
-	r.avoidFailedServer(ctx, stream, e)
+	a.avoidFailedServer(e)
 	return e
 }
 
 // avoidFailedServer avoids the first server of a failed attempt, unless the caller
 // left or the deadline passed. It probes the server, unless this entry host ended the
 // attempt.
-func (r *request) avoidFailedServer(ctx context.Context, stream *activeStream, e *fault.Error) {
-	if call.CallerGone(ctx) || errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+func (a *attempt) avoidFailedServer(e *fault.Error) {
+	if call.CallerGone(a.ctx) || errors.Is(context.Cause(a.ctx), context.DeadlineExceeded) {
 		return
 	}
-	first := stream.currentChain()[0].Server
-	r.avoid[first.Address] = true
-	r.Servers.Pool.CloseIdle(first.Address)
-	if context.Cause(ctx) != nil {
+	first := a.stream.currentChain()[0].Server
+	a.avoidServer(first.Address)
+	a.Servers.Pool.CloseIdle(first.Address)
+	if context.Cause(a.ctx) != nil {
 		return
 	}
-	r.Monitor.ProbeFor(r.job, first, e.Verdict != fault.NotRun && !stream.answered.Load(), e.Error())
+	a.Monitor.probeFor(a.job, first, a.stream.startedAt, e.Verdict != fault.NotRun && !a.stream.answered.Load(), e.Error())
 }
 
 // shouldRetry reports whether the request is sent again on another chain. It
 // withdraws the retry from the retry budget, unless the monitor has reserved it.
 func (r *request) shouldRetry(ctx context.Context, e *fault.Error) bool {
-	if ctx.Err() != nil || e.Code == fault.Cancelled || e.Code == fault.Poisoned || r.job.Unanswered >= call.MaxUnanswered {
+	if ctx.Err() != nil || e.Code == fault.Cancelled || e.Code == fault.Poisoned || r.job.Unanswered.Load() >= call.MaxUnanswered {
 		return false
 	}
 	if r.job.Trial && e.Verdict != fault.NotRun {
@@ -128,31 +135,12 @@
 		return false
 	}
 	r.verdict = r.verdict.Weaken(e.Verdict)
-	allowed := r.restartReserved.Swap(false) || r.budget.Withdraw(time.Now())
+	allowed := r.budget.Withdraw(time.Now())
 	r.Log.Info("stream: tried again", "request", r.job.ID, "server", r.out.Server, "chain", r.out.Chain,
-		"allowed", allowed, "sends", r.out.Sends, "events", r.events.count, "error", e)
+		"allowed", allowed, "sends", r.out.Sends, "events", r.delivered.count, "error", e)
 	return allowed
 }
 
-// restartReservation returns a function that reserves the attempt after the one that
-// starts at the given server. The monitor calls it before it ends an attempt that
-// could still continue: without a further attempt the caller would be left with a
-// truncated response.
-func (r *request) restartReservation(first *fleet.Server) func() bool {
-	servers := append(slices.Clone(r.mayHaveRun), first)
-	sends := r.out.Sends + 1
-	return func() bool {
-		if !r.job.Route.Repeatable() || !r.canAttempt(servers, sends) {
-			return false
-		}
-		if !r.budget.Withdraw(time.Now()) {
-			return false
-		}
-		r.restartReserved.Store(true)
-		return true
-	}
-}
-
 // canAttempt reports whether a request may be sent once more after the given number
 // of sends, if the given servers may have run it.
 func (r *request) canAttempt(servers []*fleet.Server, sends int) bool {
--- a/entry/stream/forwarder.go
+++ b/entry/stream/forwarder.go
@@ -11,14 +11,12 @@
 
 import (
 	"context"
-	"io"
 	"log/slog"
 	"net/http"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"fuchsiashelf.dev/entry/call"
-	"fuchsiashelf.dev/entry/conns"
 	"fuchsiashelf.dev/entry/egress"
 	"fuchsiashelf.dev/entry/queue"
 	"fuchsiashelf.dev/entry/state"
@@ -69,10 +67,33 @@
 // request is a request in flight, with the state of all its attempts.
 type request struct {
 	*Forwarder
-	job    *call.Job
-	w      http.ResponseWriter
-	out    call.Outcome
-	events eventFilter
+	job *call.Job
+	w   http.ResponseWriter
+	// ctx ends with the request.
+	ctx    context.Context
+	budget *retry.WindowBudget
+	// key identifies what the caller asks for, and returned says whether it has returned
+	// after a refusal.
+	key      uint64
+	returned fair.Return
+	// ticket is the capacity that the request has taken in the queue, and held, if not nil,
+	// ends the reservation of a chain before its attempt.
+	ticket queue.Ticket
+	held   func()
+
+	// writing is held while events are sent to the caller, and locked before mu.
+	writing sync.Mutex
+	// lastEventAt is when the last event was sent to the caller. The mutex writing guards it.
+	lastEventAt time.Time
+
+	// mu guards the fields below, which two attempts in flight share.
+	mu  sync.Mutex
+	out call.Outcome
+	// inFlight holds the attempts in flight: one, or two while the second is to replace the
+	// first.
+	inFlight []*attempt
+	// delivered is what the caller has of the stream.
+	delivered position
 	// headerSent is set once the caller has the header of the response.
 	headerSent bool
 	// avoid holds the addresses of servers that failed or refused this request.
@@ -81,21 +102,8 @@
 	verdict fault.Verdict
 	// mayHaveRun holds the servers that may have run the request.
 	mayHaveRun []*fleet.Server
-	// restartReserved is set if the monitor has reserved the next attempt.
-	restartReserved atomic.Bool
-	budget          *retry.WindowBudget
-	// lastEventAt is when the last event was sent to the caller.
-	lastEventAt time.Time
 	// serverError is the last error response of a server.
 	serverError *errorResponse
-	// key identifies what the caller asks for, and returned says whether it has returned
-	// after a refusal.
-	key      uint64
-	returned fair.Return
-	// ticket is the capacity that the request has taken in the queue, and held, if not nil,
-	// ends the reservation of a chain before its attempt.
-	ticket queue.Ticket
-	held   func()
 }
 
 // Serve forwards a request, on several chains in turn if need be, and responds to
@@ -105,8 +113,8 @@
 	budget.Record(time.Now())
 	ctx, cancel := context.WithDeadlineCause(ctx, job.Deadline, context.DeadlineExceeded)
 	defer cancel()
-	r := &request{Forwarder: f, job: job, w: w, avoid: map[string]bool{}, verdict: fault.NotRun, budget: budget}
-	r.events.lastID = job.LastEvent
+	r := &request{Forwarder: f, job: job, w: w, ctx: ctx, avoid: map[string]bool{}, verdict: fault.NotRun, budget: budget}
+	r.delivered.lastID = job.LastEvent
 	r.arrive()
 	defer r.finish()
 	for {
@@ -115,7 +123,7 @@
 			err = r.blocked(chain)
 		}
 		if err == nil {
-			err = r.attempt(ctx, chain)
+			err = r.attempt(chain)
 		}
 		if err == nil {
 			r.out.Ending = ""
@@ -147,124 +155,3 @@
 	r.releaseHeld()
 	return call.BlockedError(r.Monitor.Crashes, r.job, fault.NotRun)
 }
-
-// attempt sends the request to one chain and forwards the response.
-func (r *request) attempt(ctx context.Context, chain router.Chain) *fault.Error {
-	first := chain[0].Server
-	attemptCtx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	stream := r.Monitor.add(r.job, chain, cancel, r.restartReservation(first))
-	defer r.Monitor.remove(stream)
-	r.releaseHeld()
-	pending := r.Monitor.StartLatency.Track(first.ID, notableWait(r.job.Route), time.Now())
-	defer r.Monitor.StartLatency.Untrack(pending)
-	req := r.Codec.NewRequest(r.job.Request, call.SendOptions{
-		Server: first, Chain: chain, Timeout: r.job.Remaining(), Team: r.job.Team,
-		Priority: r.job.Priority, LastEvent: r.events.lastID,
-	})
-	r.job.Sent = time.Now()
-	r.out.Sends++
-	r.out.Server = first.ID
-	r.out.Chain = chain.String()
-	resp, reply, err := r.Servers.Do(attemptCtx, first, req, egress.Options{RequestID: r.job.ID, MaxIdle: maxIdleReuse, OnConn: stream.direct.Store})
-	if egress.IsPaused(err) {
-		r.out.Sends--
-		r.Limits.Return(first.ID)
-		return fault.As(err)
-	}
-	if err != nil {
-		e := fault.As(err)
-		if e.Verdict != fault.NotRun {
-			r.mayHaveRun = append(r.mayHaveRun, first)
-		}
-		r.avoidFailedServer(attemptCtx, stream, e)
-		return e
-	}
-	defer resp.Close()
-	if reply.NotRun {
-		return r.handleRefusal(first.Address, reply)
-	}
-	r.mayHaveRun = append(r.mayHaveRun, first)
-	if reply.Status != http.StatusOK {
-		r.Failures.Record(first.ID, reply.Status >= http.StatusInternalServerError, time.Now())
-		return r.handleServerError(resp, reply)
-	}
-	failure := r.relayEvents(attemptCtx, resp, stream, pending)
-	if failure == nil || failure.Code == fault.InvalidResponse && context.Cause(attemptCtx) == nil {
-		r.Failures.Record(first.ID, failure != nil, time.Now())
-	}
-	return failure
-}
-
-// relayEvents forwards the events of a response until its end.
-func (r *request) relayEvents(ctx context.Context, resp *conns.Response, stream *activeStream, pending *router.PendingStart) *fault.Error {
-	r.events.resume()
-	r.sendHeader(resp)
-	controller := http.NewResponseController(r.w)
-	buffer := make([]byte, readBufferSize)
-	for {
-		n, err := resp.Read(buffer)
-		if n > 0 {
-			first, answered := stream.recordEvent()
-			if first {
-				r.Monitor.StartLatency.RecordFirstEvent(pending, time.Now())
-				r.Load.RecordAccepted(stream.currentChain())
-			}
-			if answered {
-				r.Monitor.Crashes.RecordAnswer(r.job.Causes, r.job.ID, time.Now())
-			}
-			if whole := r.events.add(buffer[:n]); len(whole) > 0 {
-				if e := r.sendEvents(whole, controller); e != nil {
-					return e
-				}
-			}
-		}
-		if err == io.EOF && !r.events.partial() && !r.events.skipped && r.isComplete(resp, stream) {
-			r.out.Status = http.StatusOK
-			return nil
-		}
-		if err != nil || r.events.skipped || len(r.events.pending) > maxEventBytes {
-			return r.handleBrokenResponse(ctx, resp, stream, err)
-		}
-	}
-}
-
-// isComplete reports whether a response that ends between two events is complete. One that ends with
-// its connection is not if it holds no event, or if the process of the server has ended.
-func (r *request) isComplete(resp *conns.Response, stream *activeStream) bool {
-	if !resp.EndsWithConn() {
-		return true
-	}
-	return stream.started.Load() && !r.Monitor.HasEnded(stream.currentChain()[0].Server)
-}
-
-// sendHeader sends the header of a response to the caller, unless an earlier attempt
-// has sent one.
-func (r *request) sendHeader(resp *conns.Response) {
-	if r.headerSent {
-		return
-	}
-	call.CopyHeader(r.w.Header(), resp.Header)
-	r.w.WriteHeader(resp.StatusCode)
-	r.headerSent = true
-}
-
-// sendEvents sends whole events to the caller.
-func (r *request) sendEvents(whole []byte, controller *http.ResponseController) *fault.Error {
-	now := time.Now()
-	if r.out.TimeToFirstByte == 0 {
-		r.out.TimeToFirstByte = now.Sub(r.job.Arrived)
-	} else {
-		r.out.LongestGap = max(r.out.LongestGap, now.Sub(r.lastEventAt))
-	}
-	r.lastEventAt = now
-	r.out.Events = r.events.count
-	_, err := r.w.Write(whole)
-	if err == nil {
-		err = controller.Flush()
-	}
-	if err != nil {
-		return &fault.Error{Code: fault.Cancelled, Verdict: fault.Ran, Message: "the caller has left", Cause: err}
-	}
-	return nil
-}
--- a/entry/stream/monitor.go
+++ b/entry/stream/monitor.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"fuchsiashelf.dev/entry/call"
 	"fuchsiashelf.dev/entry/state"
 	"fuchsiashelf.dev/parts/domain"
@@ -60,7 +62,7 @@
 )
 
 var (
-	// Causes for which this entry host ends an attempt.
+	// Causes for which this entry host ends an attempt or begins another one beside it.
 	errFirstServerDead = errors.New("stream: the first server does not answer")
 	errExited          = errors.New("stream: the process of the first server has ended")
 	errSilent          = errors.New("stream: silent for too long")
@@ -105,8 +107,15 @@
 	linkBudget router.LinkBudget
 	// probing holds the addresses of the servers that probeSuspect is probing.
 	probing map[string]bool
-	// lastAnswer holds when a probed server last answered, by address.
+	// lastAnswer holds when a suspected server last answered a probe, by address.
 	lastAnswer map[string]time.Time
+	// answered holds when servers last answered any probe, by address. alive holds the servers that
+	// were known to be alive at aliveAt.
+	answered map[string]time.Time
+	alive    map[string]bool
+	aliveAt  time.Time
+	// asking makes goroutines that ask the same server share its answer.
+	asking singleflight.Group
 	// failedRequests holds the requests that failed on a probed server, by the ID of
 	// the server, until it is known whether the server crashed.
 	failedRequests map[string][]failedRequest
@@ -116,8 +125,8 @@
 	lastDrain time.Time
 }
 
-func (m *Monitor) add(job *call.Job, chain router.Chain, cancel context.CancelCauseFunc, reserveRestart func() bool) *activeStream {
-	stream := &activeStream{job: job, startedAt: time.Now(), chain: chain, clock: m.Clock, cancel: cancel, reserveRestart: reserveRestart, releaseChain: m.Load.Reserve(chain, totalTokens(job))}
+func (m *Monitor) add(job *call.Job, chain router.Chain, cancel context.CancelCauseFunc, replace func(replacement)) *activeStream {
+	stream := &activeStream{job: job, startedAt: time.Now(), chain: chain, clock: m.Clock, cancel: cancel, replace: replace, releaseChain: m.Load.Reserve(chain, totalTokens(job))}
 	stream.recordActivity()
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -165,19 +174,19 @@
 	}
 }
 
-// sweep ends attempts that reach the restart timeout, and probes the servers of
-// silent streams.
+// sweep seeks replacements for attempts that reach the restart timeout, and probes the
+// servers of silent streams.
 func (m *Monitor) sweep(ctx context.Context, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	anyLate := false
 	for stream := range m.streams {
 		silence := stream.silence()
-		if stream.started.Load() && silence > restartTimeout(stream.job.Route) {
-			stream.cancel(errSilent)
-		}
-		if m.isCutOff(stream) && stream.beginSearch(now) {
-			go m.restartCutOff(stream)
+		switch {
+		case stream.started.Load() && silence > restartTimeout(stream.job.Route) && stream.beginReplace(now):
+			go stream.replace(replacement{cause: errSilent})
+		case m.isCutOff(stream) && stream.beginReplace(now):
+			go stream.replace(replacement{cause: errLinkCut})
 		}
 		anyLate = anyLate || silence > time.Duration(stream.meanGap.Load())
 	}
@@ -236,6 +245,10 @@
 		elapsed := m.Clock.Since(start)
 		m.mu.Lock()
 		defer m.mu.Unlock()
+		if m.answered == nil {
+			m.answered = map[string]time.Time{}
+		}
+		m.answered[address] = time.Now()
 		m.timeout.Record(elapsed, timeout <= m.timeout.Current())
 	}
 	return report, err
@@ -265,23 +278,15 @@
 // isCutOff reports whether a stream is silent on a direct connection to a first server that
 // is not reached directly now: what the server sends there does not arrive.
 func (m *Monitor) isCutOff(stream *activeStream) bool {
-	return m.Direct != nil && stream.direct.Load() && stream.silent() && !stream.restarting.Load() && !m.Direct(stream.firstAddress())
-}
-
-// restartCutOff restarts a stream whose connection to its first server is cut, if it can.
-func (m *Monitor) restartCutOff(stream *activeStream) {
-	if m.reserveRestart(stream, stream.firstAddress()) && !stream.restarting.Swap(true) {
-		m.Log.Info("watch: connection cut", "request", stream.job.ID, "silence", stream.silence())
-		stream.cancel(errLinkCut)
-	}
+	return m.Direct != nil && stream.direct.Load() && stream.silent() && !stream.ending.Load() && !m.Direct(stream.firstAddress())
 }
 
-// evacuate reroutes streams around a server that does not answer or has restarted,
-// and restarts those of which it is the first server. Streams that still get events
+// evacuate reroutes streams around a server that does not answer or has restarted, and ends or
+// replaces the attempts of which it is the first server. Streams that still get events
 // stay on a server that is unreachable from here, because its peers may still reach
 // it, and on a first server in any case, because a server that shuts down may close
-// its port before its last stream ends. Streams that cannot be restarted stay on a first
-// server that has not exited, because it may be slow.
+// its port before its last stream ends. Attempts stay on a first server that has not exited
+// until another one goes on, because it may be slow.
 func (m *Monitor) evacuate(address string, outcome probe.State) {
 	var affected, silent []*activeStream
 	m.mu.Lock()
@@ -291,18 +296,17 @@
 		}
 		if stream.firstAddress() != address {
 			affected = append(affected, stream)
-		} else if outcome.Failed() && stream.silent() && !stream.restarting.Load() {
+		} else if outcome.Failed() && stream.silent() && !stream.ending.Load() {
 			silent = append(silent, stream)
 		}
 	}
 	m.mu.Unlock()
 	for _, stream := range silent {
 		if outcome == probe.Exited {
-			stream.restarting.Store(true)
+			stream.ending.Store(true)
 			stream.cancel(errExited)
-		} else if m.reserveRestart(stream, address) {
-			stream.restarting.Store(true)
-			stream.cancel(errFirstServerDead)
+		} else {
+			go stream.replace(replacement{cause: errFirstServerDead})
 		}
 	}
 	for _, stream := range affected {
--- a/entry/stream/monitor_test.go
+++ b/entry/stream/monitor_test.go
@@ -39,14 +39,14 @@
 	rerouted map[string]router.Chain
 	// ordered receives a value for each call of Reroute.
 	ordered chan struct{}
-	// timeouts holds the timeout of each call of Report.
+	// timeouts holds the timeout of each call of Report that fails.
 	timeouts []time.Duration
 }
 
 func (e *fakeEngines) Report(ctx context.Context, address string) (call.Report, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if deadline, ok := ctx.Deadline(); ok {
+	if deadline, ok := ctx.Deadline(); ok && e.reportErrors[address] != nil {
 		e.timeouts = append(e.timeouts, time.Until(deadline))
 	}
 	return call.Report{StartedAt: e.startedAt[address]}, e.reportErrors[address]
@@ -125,7 +125,7 @@
 	first, middle := servers["first"], servers["middle"]
 	chain := router.Chain{{Server: &first, First: 0, End: 4}, {Server: &middle, First: 4, End: 12}}
 	job := &call.Job{Request: &call.Request{ID: id, PromptTokens: 10, TokensHint: 5}, Route: testRoute, Service: &route.Service{Name: "assist", Engine: engine}}
-	stream := m.add(job, chain, func(error) {}, nil)
+	stream := m.add(job, chain, func(error) {}, func(replacement) {})
 	stream.recordEvent()
 	stream.lastActivity.Store(time.Now().Add(-silence).UnixNano())
 	return stream
@@ -135,15 +135,22 @@
 // does not answer probes for a moment.
 func TestStreamWithoutRestartStaysOnUnreachableServer(t *testing.T) {
 	for _, test := range []struct {
-		outcome   probe.State
-		cancelled bool
-	}{{probe.Suspected, false}, {probe.Unreachable, false}, {probe.Exited, true}} {
+		outcome  probe.State
+		replaced bool
+		ended    error
+	}{{probe.Suspected, false, nil}, {probe.Unreachable, true, nil}, {probe.Exited, false, errExited}} {
 		m, servers := newMonitor(&fakeEngines{}, 1)
 		stream := m.addStream(servers, "silent", silentTimeout(testRoute)+time.Millisecond)
-		cancelled := false
-		stream.cancel = func(error) { cancelled = true }
+		var ended error
+		replaced := make(chan replacement, 1)
+		stream.cancel = func(cause error) { ended = cause }
+		stream.replace = func(r replacement) { replaced <- r }
 		m.evacuate("first", test.outcome)
-		qt.Check(t, cancelled, qt.Equals, test.cancelled, qt.Commentf("%v", test.outcome))
+		if test.replaced {
+			qt.Check(t, (<-replaced).cause, qt.Equals, errFirstServerDead)
+		}
+		qt.Check(t, replaced, qt.HasLen, 0)
+		qt.Check(t, ended, qt.Equals, test.ended, qt.Commentf("%v", test.outcome))
 	}
 }
 
@@ -301,13 +308,20 @@
 	stream := m.addStream(servers, "r", silentTimeout(testRoute)+time.Millisecond)
 	first, middle := servers["first"], servers["middle"]
 	stream.chain = router.Chain{{Server: &first, First: 0, End: 4}, {Server: &middle, First: 4, End: 8}, {Server: &next, First: 8, End: 12}}
-	ended := make(chan error, 1)
+	ended, replaced := make(chan error, 1), make(chan replacement, 1)
 	stream.cancel = func(cause error) { ended <- cause }
+	stream.replace = func(r replacement) { replaced <- r }
+	m.setExited("middle", true, time.Now())
 	m.rerouteStream(stream, "middle")
 	qt.Assert(t, ended, qt.HasLen, 0)
-	stream.lastSearch = time.Time{}
+	qt.Assert(t, (<-replaced).cause, qt.Equals, errNoChain)
 	m.State.Assign(state.Assignment{ID: "next", First: 4, End: 10, Until: time.Now().Add(time.Hour)}, time.Now())
-	m.rerouteStream(stream, "middle")
+	for _, exited := range []bool{false, true} {
+		m.setExited("middle", exited, time.Now())
+		stream.lastSearch = time.Time{}
+		m.rerouteStream(stream, "middle")
+		qt.Check(t, ended, qt.HasLen, map[bool]int{false: 0, true: 1}[exited], qt.Commentf("exited: %v", exited))
+	}
 	qt.Assert(t, <-ended, qt.Equals, errNoChain)
 }
 
@@ -368,12 +382,12 @@
 }
 
 // Guards against streams that wait for what does not arrive, because only this host's link to
-// their first server is cut, and against reserving an attempt for one with each sweep.
+// their first server is cut, and against seeking another attempt for one with each sweep.
 func TestStreamOnCutConnectionIsRestartedOnce(t *testing.T) {
 	for _, test := range []struct {
 		name           string
 		direct, silent bool
-		reserved       int64
+		replaced       int64
 	}{
 		{"silent on a direct connection", true, true, 1},
 		{"silent on a connection through another host", false, true, 0},
@@ -389,17 +403,17 @@
 			}
 			stream := m.addStream(servers, "r", silence)
 			stream.direct.Store(test.direct)
-			var reserved atomic.Int64
-			stream.reserveRestart = func() bool { reserved.Add(1); return false }
+			var replaced atomic.Int64
+			stream.replace = func(replacement) { replaced.Add(1) }
 			now := time.Now()
 			for i := range 5 {
 				m.sweep(t.Context(), now.Add(time.Duration(i)*sweepInterval))
 			}
-			if test.reserved > 0 {
-				waitUntil(func() bool { return reserved.Load() > 0 })
+			if test.replaced > 0 {
+				waitUntil(func() bool { return replaced.Load() > 0 })
 			}
 			time.Sleep(sweepInterval)
-			qt.Assert(t, reserved.Load(), qt.Equals, test.reserved)
+			qt.Assert(t, replaced.Load(), qt.Equals, test.replaced)
 		})
 	}
 }
--- a/entry/stream/probe.go
+++ b/entry/stream/probe.go
@@ -25,7 +25,12 @@
 // than any answer. mayBeCause says that the server got the request and had not begun to answer
 // it: if the server crashed, that is recorded against the request.
 func (m *Monitor) ProbeFor(job *call.Job, s *fleet.Server, mayBeCause bool, reason string) {
-	m.recordFailedRequest(s, job, mayBeCause)
+	m.probeFor(job, s, job.Sent, mayBeCause, reason)
+}
+
+// probeFor is ProbeFor for a request that was sent at the given time.
+func (m *Monitor) probeFor(job *call.Job, s *fleet.Server, sent time.Time, mayBeCause bool, reason string) {
+	m.recordFailedRequest(s, job, sent, mayBeCause)
 	if m.claimProbe(s.Address) {
 		go m.probeSuspect(s.ID, s.Address, reason, link{})
 	}
@@ -43,15 +48,15 @@
 
 // recordFailedRequest records a request that failed on a server until a probe shows
 // whether the server crashed.
-func (m *Monitor) recordFailedRequest(s *fleet.Server, job *call.Job, mayBeCause bool) {
+func (m *Monitor) recordFailedRequest(s *fleet.Server, job *call.Job, sent time.Time, mayBeCause bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.failedRequests == nil {
 		m.failedRequests = map[string][]failedRequest{}
 	}
-	m.failedRequests[s.ID] = append(m.failedRequests[s.ID], failedRequest{job, s, mayBeCause, job.Sent, time.Now()})
+	m.failedRequests[s.ID] = append(m.failedRequests[s.ID], failedRequest{job, s, mayBeCause, sent, time.Now()})
 	if mayBeCause {
-		job.Unanswered++
+		job.Unanswered.Add(1)
 	}
 }
 
--- a/entry/stream/probe_test.go
+++ b/entry/stream/probe_test.go
@@ -56,7 +56,7 @@
 		m, servers := newMonitor(&fakeEngines{}, 1)
 		suspectTestCauses(m)
 		middle := servers["middle"]
-		m.recordFailedRequest(&middle, &call.Job{Request: &call.Request{ID: "r"}, Causes: testCauses}, true)
+		m.recordFailedRequest(&middle, &call.Job{Request: &call.Request{ID: "r"}, Causes: testCauses}, time.Time{}, true)
 		m.markSuspected("middle", "middle", "test", err, time.Now())
 		qt.Assert(t, isBlocked(m), qt.IsFalse)
 		qt.Assert(t, m.hasExited("middle"), qt.IsFalse)
--- a/entry/stream/reroute.go
+++ b/entry/stream/reroute.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"fuchsiashelf.dev/entry/call"
@@ -50,8 +51,8 @@
 }
 
 // rerouteStream changes the chain of a stream, unless it is doing so already. If no
-// alternative chain behind the first server takes the stream, the stream restarts if
-// an attempt is left and it has not begun or has another chain. Otherwise it stays as
+// alternative chain behind the first server takes the stream, another attempt is begun beside it
+// if it has not begun or there is a chain within one failure domain. Otherwise it stays as
 // it is: the servers that it waits for are probed again soon, and by then an alternative
 // may exist.
 func (m *Monitor) rerouteStream(stream *activeStream, failed string) {
@@ -75,64 +76,76 @@
 	if m.tryReroute(stream, chain, avoid) {
 		return
 	}
-	started := stream.started.Load()
-	restart := m.blocksLoad(stream, chain) || !started && stream.mayRestart() || m.reserveSingleDomainRestart(stream, chain, avoid)
-	m.Log.Info("watch: no other way", "request", stream.job.ID, "failed", failed, "began", started, "restart", restart, "silence", stream.silence())
-	if restart {
+	started, ends := stream.started.Load(), m.blocksLoad(stream, chain, failed)
+	m.Log.Info("watch: no other way", "request", stream.job.ID, "failed", failed, "began", started, "ends", ends, "silence", stream.silence())
+	if ends {
 		stream.cancel(errNoChain)
+		return
 	}
+	// Loading the missing layers takes longer than the maximum gap of the route, and the link
+	// between domains carries few prompts in that time; reading the tokens again on a chain
+	// within one domain needs neither.
+	stream.replace(replacement{cause: errNoChain, avoid: avoid, singleDomain: started})
 }
 
 // tryReroute orders the first server of a stream to use one alternative chain after
-// another, and reports whether the stream continues on one.
+// another, and reports whether the stream continues on one. Nothing is ordered where servers are
+// silent: the first one would carry the order out later, and the others would not go on either.
 func (m *Monitor) tryReroute(stream *activeStream, chain router.Chain, avoid map[string]bool) bool {
 	for range maxReroutes {
 		next := m.alternativeChain(stream, chain, avoid)
-		if next == nil || !m.reserveTransfer(stream.job, next.Crossings()-chain.Crossings()) {
+		if next == nil {
 			return false
 		}
 		// The chain is reserved before it is ordered: many streams leave a failed
 		// server at the same moment, and would all choose the same alternative.
 		stream.switchChain(m.Load, next)
-		result, refusedBy := m.orderReroute(stream, next)
-		if result == call.OrderStarted {
-			return true
+		refusedBy := m.findSilent(next)
+		if len(refusedBy) == 0 {
+			if !m.reserveTransfer(stream.job, next.Crossings()-chain.Crossings()) {
+				stream.switchChain(m.Load, chain)
+				return false
+			}
+			result, server := m.orderReroute(stream, next)
+			if result == call.OrderStarted {
+				return true
+			}
+			if result == call.OrderConflict && server != "" {
+				refusedBy = []string{server}
+			}
 		}
 		stream.switchChain(m.Load, chain)
-		if result != call.OrderConflict || refusedBy == "" {
+		if len(refusedBy) == 0 || slices.Contains(refusedBy, chain[0].Server.Address) {
 			// The first server does not answer, or does not know the request.
 			return false
 		}
-		avoid[refusedBy] = true
+		for _, address := range refusedBy {
+			avoid[address] = true
+		}
 	}
 	return false
 }
 
-// reserveSingleDomainRestart reports whether a stream can restart on a chain within one
-// failure domain, and reserves an attempt for it. Loading the missing layers takes
-// longer than the maximum gap of the route, and the link between domains carries few
-// prompts in that time; reading the tokens again on such a chain needs neither.
-func (m *Monitor) reserveSingleDomainRestart(stream *activeStream, chain router.Chain, avoid map[string]bool) bool {
-	avoid[chain[0].Server.Address] = true
-	q := m.chainQuery(stream.job)
-	q.Avoid, q.SingleDomain = avoid, true
-	return q.Pick() != nil && stream.mayRestart()
-}
-
-// reserveRestart reports whether a stream can restart on a chain that avoids its first
-// server, and reserves an attempt for it.
-func (m *Monitor) reserveRestart(stream *activeStream, first string) bool {
-	q := m.chainQuery(stream.job)
-	q.Avoid = map[string]bool{first: true}
-	return q.Pick() != nil && stream.mayRestart()
+// blocksLoad reports whether a stream that cannot go on, because a server of its chain has ended,
+// keeps another one from loading the layers that this stream and others wait for. That server
+// starts to load once all requests that use the layers it gives up have ended, but this stream would
+// never end.
+func (m *Monitor) blocksLoad(stream *activeStream, chain router.Chain, failed string) bool {
+	view := m.State.View()
+	s := drainingServer(view, chain)
+	return s != nil && s.AwaitsReload && stream.silent() && m.hasEnded(view, chain, failed)
 }
 
-// blocksLoad reports whether a stalled stream keeps a server from loading the layers
-// that this stream and others wait for. The server starts to load once all requests
-// that use the layers it gives up have ended, but this stream would never end.
-func (m *Monitor) blocksLoad(stream *activeStream, chain router.Chain) bool {
-	s := drainingServer(m.State.View(), chain)
-	return s != nil && s.AwaitsReload && stream.silent()
+// hasEnded reports whether the process of the server of a chain with the given address is known to
+// have ended.
+func (m *Monitor) hasEnded(view *fleet.View, chain router.Chain, address string) bool {
+	for _, stage := range chain {
+		if stage.Server.Address == address {
+			current := view.ByAddress(address)
+			return m.hasExited(stage.Server.ID) || current != nil && current.ID != stage.Server.ID
+		}
+	}
+	return false
 }
 
 // reserveTransfer reserves the transfer of a request's prompt over the link between
--- a/entry/stream/reroute_test.go
+++ b/entry/stream/reroute_test.go
@@ -34,44 +34,24 @@
 }
 
 // Guards against a stream that waits a second or longer for layers to be loaded
-// although it could restart in another failure domain at once.
-func TestStreamRestartsInAnotherDomain(t *testing.T) {
-	for _, allowed := range []bool{true, false} {
+// although another attempt could go on in another failure domain at once, and against ending
+// an attempt because a server behind the first one is silent for a moment.
+func TestStreamWithoutOtherWaySeeksAttempt(t *testing.T) {
+	for _, started := range []bool{true, false} {
 		m, servers := newMonitorWithoutReplica(&fakeEngines{})
 		stream := m.addStream(servers, "r", silentTimeout(testRoute)+time.Millisecond)
-		ended := make(chan error, 1)
-		stream.cancel = func(cause error) { ended <- cause }
-		stream.reserveRestart = func() bool { return allowed }
+		stream.started.Store(started)
+		stream.cancel = func(error) { t.Error("the attempt was ended") }
+		sought := make(chan replacement, 1)
+		stream.replace = func(r replacement) { sought <- r }
 		m.rerouteStream(stream, "middle")
-		qt.Check(t, len(ended) == 1, qt.Equals, allowed)
+		r := <-sought
+		qt.Check(t, r.cause, qt.Equals, errNoChain)
+		qt.Check(t, r.avoid["middle"], qt.IsTrue)
+		qt.Check(t, r.singleDomain, qt.Equals, started)
 	}
 }
 
-// Guards against ending the last attempt because a server behind the first one is
-// silent for a moment: the stream would have begun when that server went on.
-func TestLastAttemptWaitsForSilentServer(t *testing.T) {
-	for _, allowed := range []bool{true, false} {
-		m, servers := newMonitor(&fakeEngines{}, 0)
-		stream := m.addStream(servers, "r", silentTimeout(testRoute)+time.Millisecond)
-		stream.started.Store(false)
-		ended := make(chan error, 1)
-		stream.cancel = func(cause error) { ended <- cause }
-		stream.reserveRestart = func() bool { return allowed }
-		m.rerouteStream(stream, "middle")
-		qt.Check(t, len(ended) == 1, qt.Equals, allowed)
-	}
-}
-
-// Guards against ending an attempt although there is no chain for another one: the
-// stream could have continued later.
-func TestStreamStaysWithoutAlternativeChain(t *testing.T) {
-	m, servers := newMonitor(&fakeEngines{}, 0)
-	stream := m.addStream(servers, "r", silentTimeout(testRoute)+time.Millisecond)
-	stream.cancel = func(error) { t.Error("the attempt was ended") }
-	stream.reserveRestart = func() bool { t.Error("an attempt was reserved"); return true }
-	m.rerouteStream(stream, "middle")
-}
-
 // Guards against three orders in a row, each with a timeout of half a second, to a
 // first server that answers none of them.
 func TestUnresponsiveFirstServerIsOrderedOnce(t *testing.T) {
@@ -79,17 +59,13 @@
 		e := &fakeEngines{results: map[string]call.OrderResult{"r": result}}
 		m, servers := newMonitor(e, 1)
 		stream := m.addStream(servers, "r", silentTimeout(testRoute)+time.Millisecond)
-		ended := make(chan error, 1)
-		stream.cancel = func(cause error) { ended <- cause }
-		stream.reserveRestart = func() bool { return true }
 		m.rerouteStream(stream, "middle")
 		qt.Check(t, e.ordered, qt.HasLen, 1, qt.Commentf("%v", result))
 	}
 }
 
-// Guards against attempts beyond those that the route and the retry budget allow,
-// and against ending an attempt for a restart that is then refused.
-func TestRestartReservationHonorsLimits(t *testing.T) {
+// Guards against attempts beyond those that the route and the retry budget allow.
+func TestReservationHonorsLimits(t *testing.T) {
 	m, servers := newMonitor(&fakeEngines{}, 1)
 	first, other := servers["first"], servers["other-0"]
 	chain := router.Chain{{Server: &first, First: 0, End: 4}, {Server: &other, First: 4, End: testLayers}}
@@ -99,19 +75,20 @@
 		mayHaveRun []*fleet.Server
 		sends      int
 		minRetries float64
-		allowed    bool
+		reason     string
 	}{
-		{"first of two attempts", route.Route{Kind: route.Stream, Resumable: true, Attempts: 2}, nil, 0, 1, true},
-		{"retry budget used up", route.Route{Kind: route.Stream, Resumable: true, Attempts: 2}, nil, 0, 0, false},
-		{"both attempts used", route.Route{Kind: route.Stream, Resumable: true, Attempts: 2}, []*fleet.Server{&other}, 1, 1, false},
-		{"not resumable", route.Route{Kind: route.Stream, Attempts: 2}, nil, 0, 1, false},
-		{"sent too often", route.Route{Kind: route.Stream, Resumable: true, Attempts: 9}, nil, maxResends, 1, false},
+		{"first of two attempts", route.Route{Kind: route.Stream, Resumable: true, Attempts: 2}, nil, 0, 1, ""},
+		{"retry budget used up", route.Route{Kind: route.Stream, Resumable: true, Attempts: 2}, nil, 0, 0, reasonBudget},
+		{"both attempts used", route.Route{Kind: route.Stream, Resumable: true, Attempts: 2}, []*fleet.Server{&other}, 1, 1, reasonAttempts},
+		{"not resumable", route.Route{Kind: route.Stream, Attempts: 2}, nil, 0, 1, reasonRoute},
+		{"sent too often", route.Route{Kind: route.Stream, Resumable: true, Attempts: 9}, nil, maxResends, 1, reasonAttempts},
 	} {
 		budget := &retry.WindowBudget{MinRetries: func() float64 { return test.minRetries }, Window: time.Second}
-		r := &request{Forwarder: &Forwarder{State: m.State, Monitor: m}, job: &call.Job{Request: &call.Request{}, Route: &test.route}, mayHaveRun: test.mayHaveRun, budget: budget}
-		r.out.Sends = test.sends
-		qt.Check(t, r.restartReservation(chain[0].Server)(), qt.Equals, test.allowed, qt.Commentf(test.name))
-		qt.Check(t, r.restartReserved.Load(), qt.Equals, test.allowed, qt.Commentf(test.name))
+		job := &call.Job{Request: &call.Request{}, Route: &test.route, Service: &route.Service{Engine: &route.Engine{}}}
+		r := &request{Forwarder: &Forwarder{State: m.State, Load: m.Load, Monitor: m}, job: job, ctx: t.Context(), mayHaveRun: test.mayHaveRun, budget: budget}
+		a := r.begin(chain)
+		r.out.Sends = test.sends + 1
+		qt.Check(t, a.reserve(), qt.Equals, test.reason, qt.Commentf(test.name))
 	}
 }
 
--- a/entry/unary/unary.go
+++ b/entry/unary/unary.go
@@ -173,7 +173,7 @@
 	if notSent {
 		return true
 	}
-	if r.out.Sends >= r.job.Route.Attempts || r.job.Unanswered >= call.MaxUnanswered || r.blocked(r.job) {
+	if r.out.Sends >= r.job.Route.Attempts || r.job.Unanswered.Load() >= call.MaxUnanswered || r.blocked(r.job) {
 		return false
 	}
 	if !r.job.Route.Repeatable() && a.err.Verdict != fault.NotRun {
