--- a/entry/stream/attempt.go
+++ b/entry/stream/attempt.go
@@ -166,7 +166,6 @@
 
 // relayEvents forwards the events of a response until its end.
 func (a *attempt) relayEvents(resp *conns.Response, pending *router.PendingStart) *fault.Error {
-	a.sendHeader(resp)
 	controller := http.NewResponseController(a.w)
 	buffer := make([]byte, readBufferSize)
 	for {
@@ -180,12 +179,12 @@
 			if answered {
 				a.Monitor.Crashes.RecordAnswer(a.job.Causes, a.job.ID, time.Now())
 			}
-			if e := a.deliver(buffer[:n], controller); e != nil {
+			if e := a.deliver(resp, buffer[:n], controller); e != nil {
 				return e
 			}
 		}
 		if err == io.EOF && !a.events.partial() && !a.events.skipped && a.isComplete(resp) {
-			return a.complete()
+			return a.complete(resp)
 		}
 		if err != nil || a.events.skipped || len(a.events.pending) > maxEventBytes {
 			return a.handleBrokenResponse(resp, err)
@@ -195,7 +194,7 @@
 
 // deliver sends the whole events among the bytes of a response to the caller. The first
 // attempt that has one ends the other.
-func (a *attempt) deliver(b []byte, controller *http.ResponseController) *fault.Error {
+func (a *attempt) deliver(resp *conns.Response, b []byte, controller *http.ResponseController) *fault.Error {
 	whole := a.events.add(b)
 	if len(whole) == 0 {
 		return nil
@@ -205,6 +204,7 @@
 	if !a.claim() {
 		return a.supersededError()
 	}
+	a.sendHeader(resp)
 	return a.sendEvents(whole, controller)
 }
 
@@ -229,10 +229,13 @@
 }
 
 // complete ends the response, unless another attempt delivers it.
-func (a *attempt) complete() *fault.Error {
+func (a *attempt) complete(resp *conns.Response) *fault.Error {
+	a.writing.Lock()
+	defer a.writing.Unlock()
 	if !a.claim() {
 		return a.supersededError()
 	}
+	a.sendHeader(resp)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.out.Status = http.StatusOK
@@ -257,12 +260,10 @@
 }
 
 // sendHeader sends the header of a response to the caller, unless another attempt
-// has sent one.
+// has sent one. The mutex writing is held.
 func (a *attempt) sendHeader(resp *conns.Response) {
-	a.writing.Lock()
-	defer a.writing.Unlock()
 	a.mu.Lock()
-	sent := a.headerSent || a.superseded
+	sent := a.headerSent
 	a.headerSent = true
 	a.mu.Unlock()
 	if sent {
