--- a/stand/fakes/caller.go
+++ b/stand/fakes/caller.go
@@ -1,6 +1,7 @@
 package fakes
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"strings"
@@ -106,6 +107,11 @@
 	// Model is served by /ask/ on accelerators with MemoryMB of memory.
 	Model    Model
 	MemoryMB float64
+	// Timeout is the timeout of all routes; zero means 8 seconds.
+	Timeout time.Duration
+	// MaxGap is the longest pause between two events for which a stream is on time; zero means
+	// 400 ms. Callers leave a stream after eight times as long.
+	MaxGap time.Duration
 }
 
 // Put writes the configuration into a store.
@@ -124,14 +130,24 @@
 	})
 }
 
-func (c Config) routeConfigs() []any {
-	list := []any{
+// Timeouts of routes in a Config that sets none.
+const (
+	defaultTimeout = 8 * time.Second
+	defaultMaxGap  = 400 * time.Millisecond
+)
+
+func (c Config) routeConfigs() []map[string]any {
+	list := []map[string]any{
 		routeConfig("ask", "streaming", "assist", 2, 1), routeConfig("pay", "non_idempotent", "booking", 1, 1),
 		routeConfig("look", "idempotent", "booking", 2, 1), routeConfig("open", "idempotent", "booking", 2, 1),
 	}
 	for _, s := range c.Streams {
 		list = append(list, routeConfig(s.Name, "streaming", "assist", 2, s.Priority))
 	}
+	for _, route := range list {
+		route["timeout_ms"] = cmp.Or(c.Timeout, defaultTimeout).Milliseconds()
+		route["target_gap_ms"] = cmp.Or(c.MaxGap, defaultMaxGap).Milliseconds()
+	}
 	return list
 }
 
@@ -163,7 +179,7 @@
 func routeConfig(name, kind, service string, attempts, priority int) map[string]any {
 	return map[string]any{
 		"name": name, "host": hostHeader, "path_prefix": "/" + name + "/", "kind": kind, "service": service,
-		"timeout_ms": 8000, "target_latency_ms": 500, "target_gap_ms": 400, "attempts": attempts, "priority": priority,
+		"target_latency_ms": 500, "attempts": attempts, "priority": priority,
 		"public": name == "open", "resumable": kind == "streaming",
 	}
 }
