relay, invoke, sess: test answers in progress while servers are paused

Callers lose answers of which they have tokens: an attempt is closed when its servers are silent, before another chain has taken the prompt. Where the other chain refuses or is silent too, or the budget does not pay, the request ends with server-failed although its own server goes on a second later.

--- a/entry/internal/relay/fake_test.go
+++ b/entry/internal/relay/fake_test.go
@@ -31,6 +31,11 @@
 	frozen atomic.Bool
 	// statusDelay is how long the server takes to answer status requests.
 	statusDelay atomic.Int64
+	// paused is locked while the process is paused: connections are accepted, and nothing is
+	// answered.
+	paused sync.RWMutex
+	// refusing makes the server refuse new requests as full.
+	refusing atomic.Bool
 	// calls counts the attempts, cancelled those that the client cancelled while
 	// the script ran.
 	calls, cancelled atomic.Int64
@@ -39,11 +44,13 @@
 // frameWriter writes the frames of a response.
 type frameWriter struct {
 	http.ResponseWriter
-	ctx context.Context
-	req *engine.Request
+	ctx    context.Context
+	req    *engine.Request
+	server *fakeServer
 }
 
 func (r *frameWriter) frame(f engine.Frame) {
+	r.server.waitResumed()
 	f.Request, f.Attempt = r.req.RequestID, r.req.Attempt
 	_ = json.NewEncoder(r).Encode(f)
 	r.ResponseWriter.(http.Flusher).Flush()
@@ -62,7 +69,20 @@
 	return prompt + string(rune('a'+index))
 }
 
+// pause pauses the server until the returned function is called.
+func (f *fakeServer) pause() (resume func()) {
+	f.paused.Lock()
+	return f.paused.Unlock
+}
+
+// waitResumed waits while the server is paused.
+func (f *fakeServer) waitResumed() {
+	f.paused.RLock()
+	defer f.paused.RUnlock()
+}
+
 func (f *fakeServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.waitResumed()
 	if r.URL.Path == "/v1/status" {
 		if f.frozen.Load() {
 			<-r.Context().Done()
@@ -77,7 +97,12 @@
 		return
 	}
 	f.calls.Add(1)
-	out := &frameWriter{w, r.Context(), req}
+	if f.refusing.Load() {
+		w.Header().Set(engine.NotRunHeader, "full")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	out := &frameWriter{w, r.Context(), req, f}
 	if script := f.script.Load(); script != nil && (*script)(out, req) {
 		if r.Context().Err() != nil {
 			f.cancelled.Add(1)
--- a/sess/leave_test.go
+++ b/sess/leave_test.go
@@ -8,6 +8,8 @@
 	"sync"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"fuchsiashelf.dev/parts/fault"
 )
 
 // leaveCommands are the commands for servers that are leaving and for planned
@@ -64,6 +66,14 @@
 		g.running.Wait()
 		return g.outcome(), nil
 	}),
+	// endbegun JOB: like endflow, but requests that were refused and have not run are left out.
+	"endbegun": command("endbegun", func(s *session, args []string) (string, error) {
+		g := s.streamGroups[args[0]]
+		close(g.stop)
+		g.running.Wait()
+		g.bad = slices.DeleteFunc(g.bad, func(outcome string) bool { return strings.HasSuffix(outcome, " "+fault.NotRun.String()) })
+		return g.outcome(), nil
+	}),
 }
 
 // requestCount returns how many requests an engine has received, including the
