state, place: keep the layers of servers that are silent for less than a load

Any failed probe made a server count as lost, so that the leader had other servers load its layers 0.1 s after a sound process was paused, and streams behind them were given up.

A suspicion now says whether the server is only silent. It then keeps its layers in the plan, gets no order, and nobody gives up a layer that only silent servers hold besides. After the time that a load of its layers takes, 1.5 to 3 s, or by any other evidence, it counts as lost as before.

router.Query.AllowSilent permits silent servers without lost ones.

--- a/entry/placer/assign.go
+++ b/entry/placer/assign.go
@@ -41,7 +41,7 @@
 	if result != call.OrderStarted {
 		return
 	}
-	until := now.Add(concurrentLoadFactor*loadDuration(engine, a.End-a.First) + entryLag)
+	until := now.Add(engine.MaxLoadDuration(a.End-a.First) + entryLag)
 	p.setConfirmed(a.Server, a.First, a.End, until)
 	if p.State.Assign(state.Assignment{ID: a.Server.ID, First: a.First, End: a.End, Until: until}, now) {
 		p.Broadcast()
@@ -71,7 +71,7 @@
 // that at once. The entry of the server shows the layers up to a heartbeat later, and
 // requests that need them would be refused until then.
 func (p *Placer) confirm(ctx context.Context, engine *route.Engine, a place.Assignment) {
-	wait := loadDuration(engine, a.End-a.First-overlap(a))
+	wait := engine.LoadDuration(a.End - a.First - overlap(a))
 	for range maxConfirms {
 		select {
 		case <-ctx.Done():
@@ -124,15 +124,6 @@
 	return 0, true
 }
 
-// concurrentLoadFactor is the factor by which other loads at the same time may slow a
-// load down.
-const concurrentLoadFactor = 2
-
-// loadDuration returns the time to load a number of layers while no other load runs.
-func loadDuration(engine *route.Engine, layers int) time.Duration {
-	return engine.Load * time.Duration(layers) / time.Duration(max(engine.Layers, 1))
-}
-
 func (p *Placer) setConfirmed(s *fleet.Server, first, end int, until time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/entry/placer/placer.go
+++ b/entry/placer/placer.go
@@ -81,8 +81,8 @@
 	// pending holds the ranges that servers were assigned, or have reported, and
 	// that their entries do not show yet.
 	pending map[string]pendingRange
-	// healthy holds the healthy servers, and unchangedSince is when that list last
-	// changed.
+	// healthy holds the servers that neither leave nor count as lost, and unchangedSince
+	// is when that list last changed.
 	healthy        map[string]domain.Name
 	unchangedSince time.Time
 	// firstSeen is when a healthy server was first seen, by ID.
@@ -161,7 +161,7 @@
 		p.firstSeen = map[string]time.Time{}
 	}
 	for _, s := range view.Servers {
-		if !s.Leaving && !s.Suspected {
+		if !s.Leaving && !s.Lost() {
 			healthy[s.ID] = s.Domain
 			if _, known := p.healthy[s.ID]; p.healthy != nil && !known && s.LayerCount() > 0 {
 				p.lastReturn[s.Domain] = now
--- a/entry/state/assignment.go
+++ b/entry/state/assignment.go
@@ -21,12 +21,7 @@
 // applied. It drops a suspicion that has expired, and an assignment that has expired
 // or that the entry shows.
 func (s *Local) adjusted(id string, server fleet.Server, now time.Time) *fleet.Server {
-	if until, suspected := s.suspects[id]; suspected {
-		server.Suspected = now.Before(until)
-		if !server.Suspected {
-			delete(s.suspects, id)
-		}
-	}
+	server.Suspected, server.Silent = s.suspected(id, now)
 	server.SlowdownFactor = s.slow[id].Factor
 	server.Leaving = server.Leaving || s.departed(server, now)
 	server.MemoryLayers = server.LayerCount()
--- a/entry/state/publish.go
+++ b/entry/state/publish.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -53,9 +54,7 @@
 // dropExpired drops an expired suspicion or assignment of a server that is not in the
 // view.
 func (s *Local) dropExpired(id string, now time.Time) {
-	if until, known := s.suspects[id]; known && !now.Before(until) {
-		delete(s.suspects, id)
-	}
+	s.suspected(id, now)
 	if a, known := s.assignments[id]; known && now.After(a.Until) {
 		delete(s.assignments, id)
 	}
@@ -128,11 +127,12 @@
 // and reports whether the grace period of a server with an expired entry is over. It
 // drops expired slowdowns.
 func (s *Local) staleServers(now time.Time) (ids []string, graceOver bool) {
-	for id, until := range s.suspects {
-		if !now.Before(until) {
+	for id, suspect := range s.suspects {
+		if suspect.stale(now) {
 			ids = append(ids, id)
 		}
 	}
+	maps.DeleteFunc(s.silences, func(_ string, silence silence) bool { return silence.over(now) })
 	for id, report := range s.slow {
 		if !now.Before(report.Until) {
 			delete(s.slow, id)
--- a/entry/state/state.go
+++ b/entry/state/state.go
@@ -78,8 +78,10 @@
 	expired map[string]expiredServer
 	// lastExpiry is when entries last expired.
 	lastExpiry time.Time
-	// suspects holds the end of the suspicion of each suspected server.
-	suspects map[string]time.Time
+	// suspects holds the suspicions, and silences the silences of servers that accept
+	// connections, by server ID. A silence may outlast the suspicion.
+	suspects map[string]suspicion
+	silences map[string]silence
 	// slow holds the slow servers by ID.
 	slow map[string]SlowServer
 	// assignments holds the assignments that the entries of their servers do not show
@@ -302,6 +304,7 @@
 			// does not apply to it.
 			delete(s.assignments, object.Name)
 			delete(s.suspects, object.Name)
+			delete(s.silences, object.Name)
 			s.Log.Info("servers: restarted", "server", server.ID, "address", server.Address, "revision", object.Revision)
 		}
 		s.logChanges(old.server, server, known, object.Revision)
--- a/entry/state/suspicion.go
+++ b/entry/state/suspicion.go
@@ -10,11 +10,12 @@
 )
 
 // suspectPartitioned marks all servers of a remote failure domain as suspected if many
-// of them are. It replaces them in the list, which it returns.
+// of them are. It replaces them in the list, which it returns. Silent servers are reached,
+// and do not count.
 func (s *Local) suspectPartitioned(list []*fleet.Server) []*fleet.Server {
 	suspects := map[domain.Name]int{}
 	for _, server := range list {
-		if server.Suspected && server.Domain != s.LocalDomain {
+		if server.Lost() && server.Domain != s.LocalDomain {
 			suspects[server.Domain]++
 		}
 	}
@@ -46,47 +47,6 @@
 	}
 }
 
-// Suspect marks a server as suspected until the given time. It reports whether the
-// server was not suspected before.
-func (s *Local) Suspect(id string, until, now time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.suspects == nil {
-		s.suspects = map[string]time.Time{}
-	}
-	old, suspected := s.suspects[id]
-	if suspected && !until.After(old) {
-		return false
-	}
-	s.suspects[id] = until
-	if !suspected || !now.Before(old) {
-		s.update([]string{id}, false, now)
-		return true
-	}
-	return false
-}
-
-// ClearSuspicion ends the suspicion of a server that has just answered.
-func (s *Local) ClearSuspicion(id string, now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if _, suspected := s.suspects[id]; suspected {
-		delete(s.suspects, id)
-		s.update([]string{id}, false, now)
-	}
-}
-
-// Suspects returns the end of the suspicion of each suspected server.
-func (s *Local) Suspects() map[string]time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	list := make(map[string]time.Time, len(s.suspects))
-	for id, until := range s.suspects {
-		list[id] = until
-	}
-	return list
-}
-
 // partitionTTL is how long two failure domains count as partitioned after a server of
 // one timed out on a healthy server of the other.
 const partitionTTL = 3 * time.Second
--- a/parts/fleet/fleet.go
+++ b/parts/fleet/fleet.go
@@ -49,6 +49,15 @@
 	// Suspected servers have recently failed requests and get new ones only if
 	// there is no other server.
 	Suspected bool
+	// Silent servers are suspected but accept connections, and have not answered for
+	// less than the time that a load of their layers takes. Their processes may be
+	// paused, and still hold their layers.
+	Silent bool
+}
+
+// Lost reports whether the server counts as lost with the layers that it held.
+func (s *Server) Lost() bool {
+	return s.Suspected && !s.Silent
 }
 
 // LayerCount returns the number of layers that the server holds.
--- a/parts/place/gaps.go
+++ b/parts/place/gaps.go
@@ -14,7 +14,7 @@
 	for i := len(g.servers) - 1; i >= 0 && g.missing() > 0; i-- {
 		s := g.servers[i]
 		old, known := g.held[s.ID]
-		if !known || old.len() == 0 || !g.replicated(old) || !allowed(s.ID) {
+		if !known || old.len() == 0 || s.Silent || !g.replicated(old) || !allowed(s.ID) {
 			continue
 		}
 		before := g.missing()
@@ -30,16 +30,17 @@
 // the missing layers and gives up at its other end those that it cannot hold, which
 // the next server takes. Each server can hold some layers above its target, so the gap
 // shrinks with each step. The gap is moved towards the last layer first, then towards
-// the first one. If neither closes all gaps, nothing changes.
+// the first one. If neither closes all gaps without leaving further layers to silent
+// servers alone, nothing changes.
 func (g *group) shift() {
-	held := maps.Clone(g.held)
+	held, heldBySilent := maps.Clone(g.held), g.heldBySilent()
 	for _, up := range []bool{true, false} {
 		for range g.servers {
 			if g.missing() == 0 || !g.shiftOnce(up) {
 				break
 			}
 		}
-		if g.missing() == 0 {
+		if g.missing() == 0 && g.heldBySilent() <= heldBySilent {
 			return
 		}
 		for _, s := range g.servers {
@@ -89,7 +90,7 @@
 	growth := 0
 	for _, s := range g.servers {
 		r, known := g.held[s.ID]
-		isAdjacent := known && r.len() > 0 && (up && r.first == at || !up && r.end == at)
+		isAdjacent := known && r.len() > 0 && !s.Silent && (up && r.first == at || !up && r.end == at)
 		if !isAdjacent {
 			continue
 		}
--- a/parts/place/group.go
+++ b/parts/place/group.go
@@ -20,9 +20,11 @@
 	reserved func(id string) float64
 	// held is the range of layers that each server holds or will hold, by server ID.
 	held map[string]span
-	// holders is the number of servers that hold each layer. capacities is the number
-	// of tokens that fit into these servers together.
+	// holders is the number of servers that hold each layer, and silent the number of
+	// silent ones among them. capacities is the number of tokens that fit into the
+	// holders together.
 	holders    []int
+	silent     []int
 	capacities []float64
 	// edges is the number of ranges that begin or end at each boundary.
 	edges []int
@@ -35,7 +37,7 @@
 func newGroup(e *route.Engine, servers []*fleet.Server) *group {
 	g := &group{
 		engine: e, servers: slices.Clone(servers), held: map[string]span{},
-		holders: make([]int, e.Layers), capacities: make([]float64, e.Layers), edges: make([]int, e.Layers+1),
+		holders: make([]int, e.Layers), silent: make([]int, e.Layers), capacities: make([]float64, e.Layers), edges: make([]int, e.Layers+1),
 	}
 	g.accelerators = acceleratorsOf(e, servers)
 	slices.SortFunc(g.servers, func(a, b *fleet.Server) int {
@@ -70,6 +72,9 @@
 	tokens := capacity(g.engine, s, r.len()) * float64(by)
 	for l := r.first; l < r.end; l++ {
 		g.holders[l] += by
+		if s.Silent {
+			g.silent[l] += by
+		}
 		g.capacities[l] += tokens
 	}
 	if r.len() > 0 {
@@ -107,10 +112,10 @@
 	return nil
 }
 
-// replicated reports whether other servers hold all layers of a range.
+// replicated reports whether other servers that are not silent hold all layers of a range.
 func (g *group) replicated(r span) bool {
 	for l := r.first; l < r.end; l++ {
-		if g.holders[l] < 2 {
+		if g.holders[l]-g.silent[l] < 2 {
 			return false
 		}
 	}
@@ -128,6 +133,17 @@
 	return n
 }
 
+// heldBySilent returns the number of layers that only silent servers hold.
+func (g *group) heldBySilent() int {
+	n := 0
+	for l, c := range g.holders {
+		if c > 0 && c == g.silent[l] {
+			n++
+		}
+	}
+	return n
+}
+
 // best returns the most valuable range of n layers.
 func (g *group) best(n int) span {
 	n = min(n, g.engine.Layers)
--- a/parts/place/place.go
+++ b/parts/place/place.go
@@ -37,7 +37,7 @@
 	// maxLayerFill is the share of a server's memory that layers may take where a
 	// domain cannot hold all of them otherwise.
 	maxLayerFill = 0.92
-	// partitionShare is the share of suspected servers in a domain above which a
+	// partitionShare is the share of lost servers in a domain above which a
 	// partition is more likely than so many failures. It is then unknown what these
 	// servers hold, and nothing is assigned in that domain.
 	partitionShare = 0.34
@@ -72,7 +72,9 @@
 }
 
 // Plan returns the assignments that improve what the servers hold. Servers that are
-// leaving or suspected count as holding nothing and get no assignment.
+// leaving or lost count as holding nothing and get no assignment. Silent ones count as
+// holding their layers and get none either, and no other server gives up a layer that
+// only silent ones hold besides.
 func Plan(e *route.Engine, servers []*fleet.Server, conditions Conditions) []Assignment {
 	var assignments []Assignment
 	for _, group := range groups(e, servers) {
@@ -86,21 +88,21 @@
 // too small. Domains that seem to be partitioned are omitted.
 func groups(e *route.Engine, servers []*fleet.Server) []*group {
 	byDomain := map[domain.Name][]*fleet.Server{}
-	suspected := map[domain.Name]int{}
+	lost := map[domain.Name]int{}
 	for _, s := range servers {
 		if s.Leaving || e.Accelerators[s.Accelerator].MemoryMB <= 0 {
 			continue
 		}
-		if s.Suspected {
-			suspected[s.Domain]++
+		if s.Lost() {
+			lost[s.Domain]++
 			continue
 		}
 		byDomain[s.Domain] = append(byDomain[s.Domain], s)
 	}
 	var names []domain.Name
 	for name, list := range byDomain {
-		all := len(list) + suspected[name]
-		if suspected[name] > 1 && float64(suspected[name]) > partitionShare*float64(all) {
+		all := len(list) + lost[name]
+		if lost[name] > 1 && float64(lost[name]) > partitionShare*float64(all) {
 			continue
 		}
 		names = append(names, name)
@@ -184,9 +186,10 @@
 	return assignments
 }
 
-// stable reports whether all failure domains of the group are stable.
+// stable reports whether all failure domains of the group are stable and no server of
+// them is silent.
 func (g *group) stable(conditions Conditions) bool {
-	return !slices.ContainsFunc(g.servers, func(s *fleet.Server) bool { return !conditions.Stable(s.Domain) })
+	return !slices.ContainsFunc(g.servers, func(s *fleet.Server) bool { return s.Silent || !conditions.Stable(s.Domain) })
 }
 
 // replicas returns the other servers with replicas of the layers that a server gives
@@ -209,7 +212,7 @@
 // can do without new servers for now, and those that have just started are skipped.
 func (g *group) fill(spare bool, justStarted func(id string) bool) {
 	for _, s := range g.servers {
-		if s.LayerCount() > 0 || spare && justStarted(s.ID) {
+		if s.LayerCount() > 0 || s.Silent || spare && justStarted(s.ID) {
 			continue
 		}
 		n := g.targetLayers(s)
--- a/parts/place/place_test.go
+++ b/parts/place/place_test.go
@@ -153,6 +153,56 @@
 	qt.Assert(t, place.Plan(engine(), list, unstable), qt.HasLen, 0)
 }
 
+// Guards against moving the layers of servers that are silent for a second: the loads would
+// end after the silence. Lost servers are replaced beside silent ones, which get no
+// assignments, and layers that only silent servers would hold then are not given up.
+func TestSilentServersKeepTheirLayers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := threeDomains()
+		apply(place.Plan(engine(), list, stable))
+		for range rapid.IntRange(0, 2).Draw(t, "lost") {
+			list[rapid.IntRange(0, len(list)-1).Draw(t, "which")].Suspected = true
+		}
+		current := conditions(rapid.Bool().Draw(t, "stable"), func(string) bool { return true })
+		withoutSilence := place.Plan(engine(), list, current)
+		for _, s := range list {
+			if !s.Suspected && rapid.Bool().Draw(t, "silent") {
+				s.Suspected, s.Silent = true, true
+			}
+		}
+		assignments := place.Plan(engine(), list, current)
+		if len(withoutSilence) == 0 && len(assignments) > 0 {
+			t.Fatalf("%d assignments for silences alone", len(assignments))
+		}
+		before := answering(list)
+		for _, a := range assignments {
+			if a.Server.Suspected {
+				t.Fatalf("%s is silent or lost", a.Server.ID)
+			}
+		}
+		apply(assignments)
+		after := answering(list)
+		for dom, held := range before {
+			for l := range held {
+				if !after[dom][l] {
+					t.Fatalf("domain %s: layer %d was given up", dom, l)
+				}
+			}
+		}
+	})
+}
+
+// answering returns the layers that answering servers hold, by failure domain.
+func answering(list []*fleet.Server) map[domain.Name]map[int]bool {
+	held := map[domain.Name]map[int]bool{"a": {}, "b": {}, "c": {}}
+	for _, s := range list {
+		for l := s.First; l < s.End && !s.Suspected; l++ {
+			held[s.Domain][l] = true
+		}
+	}
+	return held
+}
+
 // Guards against overloading the neighbours of a failed server while idle servers
 // hold replicas that no request uses: the neighbours would keep a third of their
 // capacity. The idle servers take the layers at once.
--- a/parts/route/service.go
+++ b/parts/route/service.go
@@ -75,6 +75,20 @@
 	Model string
 }
 
+// concurrentLoadFactor is the factor by which other loads at the same time may slow a
+// load down.
+const concurrentLoadFactor = 2
+
+// LoadDuration returns the time to load a number of layers while no other load runs.
+func (e *Engine) LoadDuration(layers int) time.Duration {
+	return e.Load * time.Duration(layers) / time.Duration(max(e.Layers, 1))
+}
+
+// MaxLoadDuration returns the time to load a number of layers while others load as well.
+func (e *Engine) MaxLoadDuration(layers int) time.Duration {
+	return concurrentLoadFactor * e.LoadDuration(layers)
+}
+
 // Accelerator is a kind of accelerator.
 type Accelerator struct {
 	// MemoryMB is the memory for layers and requests.
--- a/parts/router/cost.go
+++ b/parts/router/cost.go
@@ -93,7 +93,7 @@
 func (q *Query) candidates(index map[domain.Name]int) []candidate {
 	var list []candidate
 	for _, s := range q.Servers {
-		if s.LayerCount() <= 0 || s.Leaving || s.Suspected && !q.AllowSuspected || q.Avoid[s.Address] {
+		if s.LayerCount() <= 0 || s.Leaving || q.Avoid[s.Address] || !q.permits(s) {
 			continue
 		}
 		if q.FixedFirst != nil && s.Address == q.FixedFirst.Server.Address {
@@ -114,6 +114,11 @@
 	return list
 }
 
+// permits reports whether the query permits a server as far as it is suspected.
+func (q *Query) permits(s *fleet.Server) bool {
+	return !s.Suspected || q.AllowSuspected || s.Silent && q.AllowSilent
+}
+
 // narrowed returns a server with the layers of one stage only.
 func narrowed(s *fleet.Server, stage Stage) *fleet.Server {
 	n := *s
--- a/parts/router/router.go
+++ b/parts/router/router.go
@@ -98,6 +98,8 @@
 	SingleDomain bool
 	// AllowSuspected permits servers that are suspected of having failed.
 	AllowSuspected bool
+	// AllowSilent permits those of them that are silent but accept connections.
+	AllowSilent bool
 }
 
 // Usage is the load of a server.
--- a/parts/router/router_test.go
+++ b/parts/router/router_test.go
@@ -110,7 +110,11 @@
 	qt.Assert(t, q.Pick().String(), qt.Equals, "a2=0-40 a3=40-80")
 	q = query(a1, server("a3", "a", "small", 40, 80))
 	qt.Assert(t, q.Pick(), qt.IsNil)
-	q.AllowSuspected = true
+	q.AllowSilent = true
+	qt.Assert(t, q.Pick(), qt.IsNil)
+	a1.Silent = true
+	qt.Assert(t, q.Pick().String(), qt.Equals, "a1=0-40 a3=40-80")
+	q.AllowSuspected, q.AllowSilent = true, false
 	qt.Assert(t, q.Pick().String(), qt.Equals, "a1=0-40 a3=40-80")
 }
 
