probe, conns, stream: tell silent servers from unreachable ones

A probe without an answer said the same of a paused process and of a machine without power. The error of a request now says whether it was written on a new connection; probes after the first miss use one. That one is the evidence for a silent server, which counts as failed, but not as lost.

--- a/entry/conns/conns.go
+++ b/entry/conns/conns.go
@@ -15,6 +15,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -75,8 +76,8 @@
 type conn struct {
 	net.Conn
 	br *bufio.Reader
-	// idleSince is when the connection last became idle, and expires until when it
-	// may be reused.
+	// idleSince is when the connection last became idle, zero if it is new, and expires
+	// until when it may be reused.
 	expires   time.Time
 	idleSince time.Time
 }
@@ -158,6 +159,26 @@
 	return resp, nil
 }
 
+// NoAnswerError is the cause of the error of a request that was written and got no answer before
+// the deadline.
+type NoAnswerError struct {
+	// NewConn says that the connection was established for this request, so that the server's
+	// machine accepts connections. A reused connection does not show that.
+	NewConn bool
+	Cause   error
+}
+
+// Error implements error.
+func (e *NoAnswerError) Error() string {
+	if e.NewConn {
+		return fmt.Sprintf("no answer on a new connection: %v", e.Cause)
+	}
+	return e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *NoAnswerError) Unwrap() error { return e.Cause }
+
 // exchange writes a request and reads up to the header of its response.
 func (p *Pool) exchange(ctx context.Context, c *conn, req *http.Request, o Options) (*Response, error) {
 	// Header and body are written at once, so that they are sent in one packet if they
@@ -172,6 +193,9 @@
 	stall.Restart(ctx)
 	for range maxResponses {
 		resp, err := http.ReadResponse(c.br, req)
+		if err != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+			return nil, &NoAnswerError{NewConn: c.idleSince.IsZero(), Cause: err}
+		}
 		if err != nil {
 			return nil, err
 		}
--- a/entry/stream/monitor.go
+++ b/entry/stream/monitor.go
@@ -201,7 +201,7 @@
 	startedAt := m.Clock.Mark()
 	report, err := m.fetchReport(ctx, address, m.probeTimeout())
 	m.mu.Lock()
-	outcome := m.probes.Record(address, isAlive(err), probeOutcome(err) == probe.Exited)
+	outcome := m.probes.Record(address, probeResult(err))
 	m.mu.Unlock()
 	if err == nil {
 		m.handleReport(address, report)
--- a/entry/stream/probe.go
+++ b/entry/stream/probe.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fuchsiashelf.dev/entry/call"
+	"fuchsiashelf.dev/entry/conns"
 	"fuchsiashelf.dev/entry/dialer"
 	"fuchsiashelf.dev/entry/state"
 	"fuchsiashelf.dev/parts/fleet"
@@ -98,7 +99,7 @@
 		if err == nil {
 			return report.StartedAt.After(s.StartedAt) && s.StartedAt.Unix() > 0
 		}
-		if probeOutcome(err) == probe.Exited {
+		if probeResult(err) == probe.Refused {
 			return true
 		}
 		m.Log.Warn("servers: not known whether the process has ended", "server", s.ID, "address", s.Address, "error", err)
@@ -178,7 +179,8 @@
 // the entry of the server still exists.
 func (m *Monitor) markSuspected(id, address, reason string, err error, now time.Time) bool {
 	// A server behind a broken link does not answer either, but no request caused that.
-	exited := probeOutcome(err) == probe.Exited
+	result := probeResult(err)
+	exited := result == probe.Refused
 	s := m.State.View().ByAddress(address)
 	replaced := s != nil && s.ID != id
 	m.setExited(id, exited || replaced, now)
@@ -188,8 +190,12 @@
 	if s == nil || replaced {
 		return false
 	}
-	if m.State.Suspect(id, now.Add(state.SuspectFor), now) {
-		m.Log.Warn("servers: suspected", "server", id, "address", address, "why", reason, "error", err)
+	suspect := m.State.Suspect
+	if result == probe.NoAnswer {
+		suspect = m.State.SuspectSilent
+	}
+	if suspect(id, now.Add(state.SuspectFor), now) {
+		m.Log.Warn("servers: suspected", "server", id, "address", address, "finding", result.State().String(), "why", reason, "error", err)
 		m.Broadcast()
 	}
 	return true
@@ -235,6 +241,10 @@
 	}()
 	misses := 0
 	for range maxSuspectProbes {
+		if misses > 0 {
+			// Only a new connection shows whether the server accepts connections.
+			m.DropConns(address)
+		}
 		timeout := call.ReportTimeout
 		if misses < probe.FailureThreshold {
 			timeout = m.probeTimeout()
@@ -255,7 +265,7 @@
 			return
 		}
 		misses++
-		if misses < probe.FailureThreshold && probeOutcome(err) != probe.Exited {
+		if misses < probe.FailureThreshold && probeResult(err) != probe.Refused {
 			continue
 		}
 		if !m.markSuspected(id, address, reason, err, now) {
@@ -263,7 +273,7 @@
 		}
 		delay := m.probeInterval(address)
 		if misses <= probe.FailureThreshold {
-			m.evacuate(address, probeOutcome(err))
+			m.evacuate(address, probeResult(err).State())
 			delay = reprobeDelay
 		}
 		time.Sleep(delay)
@@ -317,12 +327,18 @@
 	m.lastAnswer[address] = now
 }
 
-// probeOutcome returns the state of a server that a failed probe indicates.
-func probeOutcome(err error) probe.State {
-	if errors.Is(err, dialer.ErrExited) {
-		return probe.Exited
+// probeResult returns the result of a probe that ended with the given error.
+func probeResult(err error) probe.Result {
+	var silent *conns.NoAnswerError
+	switch {
+	case isAlive(err):
+		return probe.Answered
+	case errors.Is(err, dialer.ErrExited):
+		return probe.Refused
+	case errors.As(err, &silent) && silent.NewConn:
+		return probe.NoAnswer
 	}
-	return probe.Unreachable
+	return probe.NoConnection
 }
 
 // isAlive reports whether a server answered a request for its report. Plain servers
--- a/parts/probe/probe.go
+++ b/parts/probe/probe.go
@@ -5,9 +5,10 @@
 // silence. The first server of the chain reports which server it waits for,
 // but these reports are too old to act on. So the servers of a silent stream
 // are probed as soon as the gap is longer than usual: the address of a process
-// that has ended refuses the connection, and a server that is cut off or
-// frozen does not answer within a short timeout. The servers with the largest
-// share of silent streams are probed first.
+// that has ended refuses the connection, a machine that is cut off or has no
+// power accepts none, and a paused process does not answer on a connection that
+// its kernel has accepted. The servers with the largest share of silent streams
+// are probed first.
 //
 // A single stream counts as silent only after several of its typical gaps. If
 // all streams of a server are silent at the same time, the failure shows much
@@ -68,9 +69,13 @@
 	// Suspected means that one probe was not answered. Silent streams avoid
 	// the server.
 	Suspected
-	// Unreachable means that several probes were not answered: the server is
-	// cut off from this entry host, frozen or without power. Its peers may
-	// still reach it.
+	// Silent means that several probes were not answered, but that the server
+	// accepted a new connection: its process may be paused, and go on with all
+	// its streams.
+	Silent
+	// Unreachable means that several probes were not answered and no connection
+	// was established: the server is cut off from this entry host or without
+	// power. Its peers may still reach it.
 	Unreachable
 	// Exited means that the process has ended: the address refuses connections.
 	Exited
@@ -83,6 +88,8 @@
 		return "alive"
 	case Suspected:
 		return "doubtful"
+	case Silent:
+		return "silent"
 	case Unreachable:
 		return "unreachable"
 	case Exited:
@@ -94,9 +101,50 @@
 // Failed reports whether a server in this state counts as failed, so that no new
 // attempt may start there.
 func (s State) Failed() bool {
+	return s == Silent || s.Lost()
+}
+
+// Lost reports whether a server in this state counts as lost with all that it
+// runs and holds. A silent one may go on.
+func (s State) Lost() bool {
 	return s == Unreachable || s == Exited
 }
 
+// Result is what one probe has found.
+type Result uint8
+
+// The results of a probe.
+const (
+	// Answered means that the server answered.
+	Answered Result = iota
+	// NoAnswer means that the server accepted a new connection and did not
+	// answer on it.
+	NoAnswer
+	// NoConnection means that there was no answer and no evidence that the server
+	// accepts connections. An older connection is none: one to a machine without
+	// power looks the same.
+	NoConnection
+	// Refused means that the address refuses connections because the process has
+	// ended.
+	Refused
+)
+
+// State returns the state of a server after several probes of which the last one
+// had this result.
+func (r Result) State() State {
+	switch r {
+	case Answered:
+		return Alive
+	case NoAnswer:
+		return Silent
+	case NoConnection:
+		return Unreachable
+	case Refused:
+		return Exited
+	}
+	return Unreachable
+}
+
 // Scheduler decides which servers to probe and keeps the state of those it has
 // probed. The zero value is ready to use. It is not safe for concurrent use.
 type Scheduler struct {
@@ -133,20 +181,17 @@
 	return addresses
 }
 
-// Record records the result of a probe: whether the server answered and, if it
-// did not, whether its address refuses connections.
-func (s *Scheduler) Record(address string, answered, refused bool) State {
+// Record records the result of a probe and returns the state of the server.
+func (s *Scheduler) Record(address string, result Result) State {
 	st := s.server(address)
 	st.inFlight = false
+	st.failures++
+	st.state = result.State()
 	switch {
-	case answered:
-		st.failures, st.state = 0, Alive
-	case refused:
-		st.failures, st.state = st.failures+1, Exited
-	case st.failures+1 < FailureThreshold:
-		st.failures, st.state = st.failures+1, Suspected
-	default:
-		st.failures, st.state = st.failures+1, Unreachable
+	case result == Answered:
+		st.failures = 0
+	case result != Refused && st.failures < FailureThreshold:
+		st.state = Suspected
 	}
 	return st.state
 }
--- a/parts/probe/probe_test.go
+++ b/parts/probe/probe_test.go
@@ -86,7 +86,7 @@
 		addresses := s.Next(streams, start.Add(time.Duration(ms)*time.Millisecond))
 		probed += len(addresses)
 		for _, address := range addresses {
-			s.Record(address, true, false)
+			s.Record(address, probe.Answered)
 		}
 	}
 	qt.Assert(t, probed <= probe.Burst+probe.MaxPerSecond*seconds, qt.IsTrue, qt.Commentf("%d probes", probed))
@@ -97,9 +97,9 @@
 	s := &probe.Scheduler{}
 	qt.Assert(t, s.Next(streams, start), qt.DeepEquals, []string{"a"})
 	qt.Assert(t, s.Next(streams, start.Add(time.Second)), qt.HasLen, 0)
-	s.Record("a", true, false)
+	s.Record("a", probe.Answered)
 	qt.Assert(t, s.Next(streams, start.Add(time.Second)), qt.DeepEquals, []string{"a"})
-	s.Record("a", true, false)
+	s.Record("a", probe.Answered)
 	qt.Assert(t, s.Next(streams, start.Add(time.Second+probe.Interval)), qt.HasLen, 0)
 }
 
@@ -116,7 +116,7 @@
 	for ms := 0; ms <= 1000; ms += 25 {
 		for _, address := range s.Next(streams, start.Add(time.Duration(ms)*time.Millisecond)) {
 			probed[address] = true
-			s.Record(address, true, false)
+			s.Record(address, probe.Answered)
 		}
 	}
 	qt.Assert(t, probed, qt.HasLen, len(streams))
@@ -128,18 +128,45 @@
 	streams := []probe.Stream{{Servers: []string{"a"}, Silent: true}}
 	s := &probe.Scheduler{}
 	s.Next(streams, start)
-	s.Record("a", false, false)
+	s.Record("a", probe.NoConnection)
 	qt.Assert(t, s.Next(streams, start.Add(probe.Interval)), qt.DeepEquals, []string{"a"})
 }
 
 func TestStates(t *testing.T) {
 	s := &probe.Scheduler{}
-	qt.Assert(t, s.Record("a", true, false), qt.Equals, probe.Alive)
-	qt.Assert(t, s.Record("a", false, true), qt.Equals, probe.Exited)
-	qt.Assert(t, s.Record("b", false, false), qt.Equals, probe.Suspected)
-	qt.Assert(t, s.Record("b", false, false), qt.Equals, probe.Unreachable)
-	qt.Assert(t, s.Record("b", true, false), qt.Equals, probe.Alive)
-	qt.Assert(t, s.Record("b", false, false), qt.Equals, probe.Suspected)
+	qt.Assert(t, s.Record("a", probe.Answered), qt.Equals, probe.Alive)
+	qt.Assert(t, s.Record("a", probe.Refused), qt.Equals, probe.Exited)
+	qt.Assert(t, s.Record("b", probe.NoConnection), qt.Equals, probe.Suspected)
+	qt.Assert(t, s.Record("b", probe.NoConnection), qt.Equals, probe.Unreachable)
+	qt.Assert(t, s.Record("b", probe.Answered), qt.Equals, probe.Alive)
+	qt.Assert(t, s.Record("b", probe.NoConnection), qt.Equals, probe.Suspected)
+}
+
+// Guards against a paused process that counts as lost, and against a lost one that
+// counts as paused: the last of several misses decides.
+func TestKindsOfEvidence(t *testing.T) {
+	const answered, silent, unreachable, refused = probe.Answered, probe.NoAnswer, probe.NoConnection, probe.Refused
+	for _, test := range []struct {
+		results      []probe.Result
+		state        probe.State
+		failed, lost bool
+	}{
+		{[]probe.Result{silent}, probe.Suspected, false, false},
+		{[]probe.Result{unreachable, silent}, probe.Silent, true, false},
+		{[]probe.Result{silent, unreachable}, probe.Unreachable, true, true},
+		{[]probe.Result{silent, silent, silent}, probe.Silent, true, false},
+		{[]probe.Result{silent, silent, refused}, probe.Exited, true, true},
+		{[]probe.Result{silent, silent, answered}, probe.Alive, false, false},
+		{[]probe.Result{silent, answered, silent}, probe.Suspected, false, false},
+	} {
+		s, state := &probe.Scheduler{}, probe.Alive
+		for _, result := range test.results {
+			state = s.Record("a", result)
+		}
+		qt.Check(t, state, qt.Equals, test.state, qt.Commentf("%v", test.results))
+		qt.Check(t, state.Failed(), qt.Equals, test.failed, qt.Commentf("%v", test.results))
+		qt.Check(t, state.Lost(), qt.Equals, test.lost, qt.Commentf("%v", test.results))
+	}
 }
 
 // Guards against counting probes that were lost an hour apart as failures in a
@@ -148,7 +175,7 @@
 	streams := []probe.Stream{{Servers: []string{"a"}, Silent: true}}
 	s := &probe.Scheduler{}
 	s.Next(streams, start)
-	qt.Assert(t, s.Record("a", false, false), qt.Equals, probe.Suspected)
+	qt.Assert(t, s.Record("a", probe.NoConnection), qt.Equals, probe.Suspected)
 	s.Next(streams, start.Add(time.Hour))
-	qt.Assert(t, s.Record("a", false, false), qt.Equals, probe.Suspected)
+	qt.Assert(t, s.Record("a", probe.NoConnection), qt.Equals, probe.Suspected)
 }
