--- a/entry/conns/conns_test.go
+++ b/entry/conns/conns_test.go
@@ -371,3 +371,45 @@
 	}
 	qt.Check(t, p.IdleTime().Round(time.Millisecond), qt.Equals, 1050*time.Millisecond)
 }
+
+// Guards against a paused process that looks like a machine without power, and the other way
+// round: only a connection that was established for the request shows that the machine is there.
+func TestNoAnswer(t *testing.T) {
+	address := listen(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		for {
+			req, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			switch id := req.Header.Get("Id"); id {
+			case "answered":
+				writeResponse(c, id, "")
+			case "closed":
+				return
+			}
+		}
+	})
+	for _, test := range []struct {
+		name, address, id string
+		o                 conns.Options
+		silent, isNew     bool
+	}{
+		{"new connection", address, "silent", conns.Options{NewConn: true}, true, true},
+		{"idle connection", address, "silent", conns.Options{}, true, false},
+		{"closed", address, "closed", conns.Options{NewConn: true}, false, false},
+		{"refused", "127.0.0.1:1", "silent", conns.Options{}, false, false},
+	} {
+		p := &conns.Pool{}
+		_, err := do(t, p, address, "answered", conns.Options{})
+		qt.Assert(t, err, qt.IsNil)
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		test.o.Inspect = func(*http.Response) conns.ResponseInfo { return conns.ResponseInfo{} }
+		_, err = p.Do(ctx, test.address, newRequest(test.address, test.id), test.o)
+		cancel()
+		var silent *conns.NoAnswerError
+		qt.Check(t, errors.As(err, &silent), qt.Equals, test.silent, qt.Commentf("%s: %v", test.name, err))
+		if silent != nil {
+			qt.Check(t, silent.NewConn, qt.Equals, test.isNew, qt.Commentf("%s", test.name))
+		}
+	}
+}
--- a/entry/state/assignment.go
+++ b/entry/state/assignment.go
@@ -21,7 +21,8 @@
 // applied. It drops a suspicion that has expired, and an assignment that has expired
 // or that the entry shows.
 func (s *Local) adjusted(id string, server fleet.Server, now time.Time) *fleet.Server {
-	server.Suspected, server.Silent = s.suspected(id, now)
+	suspect, suspected := s.suspicion(id, now)
+	server.Suspected, server.Silent = suspected, suspect.silent
 	server.SlowdownFactor = s.slow[id].Factor
 	server.Leaving = server.Leaving || s.departed(server, now)
 	server.MemoryLayers = server.LayerCount()
--- a/entry/state/publish.go
+++ b/entry/state/publish.go
@@ -54,7 +54,7 @@
 // dropExpired drops an expired suspicion or assignment of a server that is not in the
 // view.
 func (s *Local) dropExpired(id string, now time.Time) {
-	s.suspected(id, now)
+	s.suspicion(id, now)
 	if a, known := s.assignments[id]; known && now.After(a.Until) {
 		delete(s.assignments, id)
 	}
@@ -128,7 +128,7 @@
 // drops expired slowdowns.
 func (s *Local) staleServers(now time.Time) (ids []string, graceOver bool) {
 	for id, suspect := range s.suspects {
-		if suspect.stale(now) {
+		if !now.Before(suspect.until) {
 			ids = append(ids, id)
 		}
 	}
--- a/entry/state/silence.go
+++ b/entry/state/silence.go
@@ -19,15 +19,8 @@
 // suspicion is what is known of a server that has failed probes or requests.
 type suspicion struct {
 	until time.Time
-	// silentUntil is until when the server counts as silent rather than lost; zero if the
-	// evidence is of another kind. silent is what the view shows.
-	silentUntil time.Time
-	silent      bool
-}
-
-// stale reports whether the view shows another state.
-func (s suspicion) stale(now time.Time) bool {
-	return !now.Before(s.until) || s.silent && !now.Before(s.silentUntil)
+	// silent says that the server counts as silent rather than lost.
+	silent bool
 }
 
 // silence is the time in which a server accepted connections and did not answer.
@@ -41,24 +34,15 @@
 	return now.Sub(s.seen) > silenceMemory
 }
 
-// suspected reports whether a server is suspected, and whether it is only silent. It drops
-// a suspicion that has expired. The mutex is held.
-func (s *Local) suspected(id string, now time.Time) (suspected, silent bool) {
+// suspicion returns the suspicion of a server and whether it has one. It drops one that has
+// expired. The mutex is held.
+func (s *Local) suspicion(id string, now time.Time) (suspicion, bool) {
 	suspect, known := s.suspects[id]
-	if !known {
-		return false, false
-	}
-	if !now.Before(suspect.until) {
+	if known && !now.Before(suspect.until) {
 		delete(s.suspects, id)
-		return false, false
-	}
-	silent = now.Before(suspect.silentUntil)
-	if suspect.silent && !silent {
-		s.Log.Warn("servers: silent for longer than a load of its layers", "server", id, "silence", now.Sub(s.silences[id].since))
+		return suspicion{}, false
 	}
-	suspect.silent = silent
-	s.suspects[id] = suspect
-	return true, silent
+	return suspect, known
 }
 
 // Suspect marks a server as suspected until the given time, because it cannot be reached,
@@ -71,22 +55,16 @@
 	return s.setSuspicion(id, suspicion{until: until}, now)
 }
 
-// SuspectSilent is like Suspect for a server that accepts connections but does not answer.
-// It counts as lost once its silence has lasted for the time that a load of its layers
-// takes, however often that is reported, or at once if it counts as lost already.
+// SuspectSilent is like Suspect for a server that accepts connections but did not answer a
+// probe. It counts as lost if it counts so already, or if its silence has lasted for the
+// time that a load of its layers takes, which further probes do not extend.
 func (s *Local) SuspectSilent(id string, until, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	suspect := suspicion{until: until}
-	if old, known := s.suspects[id]; !known || !now.Before(old.until) || !old.silentUntil.IsZero() {
-		suspect.silentUntil = s.silenceOf(id, now).Add(s.maxSilence(id))
+	old, suspected := s.suspicion(id, now)
+	if suspected && !old.silent && s.silences[id].since.IsZero() {
+		return s.setSuspicion(id, suspicion{until: until}, now)
 	}
-	return s.setSuspicion(id, suspect, now)
-}
-
-// silenceOf records evidence of the silence of a server and returns when it began. The
-// mutex is held.
-func (s *Local) silenceOf(id string, now time.Time) time.Time {
 	if s.silences == nil {
 		s.silences = map[string]silence{}
 	}
@@ -96,7 +74,22 @@
 	}
 	current.seen = now
 	s.silences[id] = current
-	return current.since
+	silent := now.Before(current.since.Add(s.maxSilence(id)))
+	if old.silent && !silent {
+		s.Log.Warn("servers: silent for longer than a load of its layers", "server", id, "silence", now.Sub(current.since))
+	}
+	return s.setSuspicion(id, suspicion{until: until, silent: silent}, now)
+}
+
+// SilenceLimit returns when a silent server counts as lost if it does not answer then
+// either; zero if it is not silent.
+func (s *Local) SilenceLimit(id string) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.suspects[id].silent {
+		return time.Time{}
+	}
+	return s.silences[id].since.Add(s.maxSilence(id))
 }
 
 // maxSilence returns for how long a silent server counts as holding its layers. The mutex
@@ -120,15 +113,12 @@
 	if s.suspects == nil {
 		s.suspects = map[string]suspicion{}
 	}
-	old, known := s.suspects[id]
-	active := known && now.Before(old.until)
-	if active && old.until.After(suspect.until) {
+	old, suspected := s.suspicion(id, now)
+	if suspected && old.until.After(suspect.until) {
 		suspect.until = old.until
 	}
-	// The view still shows the old state.
-	suspect.silent = active && old.silent
 	s.suspects[id] = suspect
-	if active && old.silent == now.Before(suspect.silentUntil) {
+	if suspected && old.silent == suspect.silent {
 		return false
 	}
 	s.update([]string{id}, false, now)
--- a/entry/stream/probe.go
+++ b/entry/stream/probe.go
@@ -282,7 +282,8 @@
 
 // probeInterval returns the interval between probes of a suspected server. Every
 // entry host probes the server, so one of another failure domain that serves none of
-// the streams here is probed only as often as it takes to keep it suspected.
+// the streams here is probed only as often as it takes to keep it suspected, and when it
+// is decided whether it counts as lost after a silence.
 func (m *Monitor) probeInterval(address string) time.Duration {
 	s := m.State.View().ByAddress(address)
 	if s == nil || s.Domain == m.LocalDomain {
@@ -295,6 +296,9 @@
 			return suspectProbeInterval
 		}
 	}
+	if limit := m.State.SilenceLimit(s.ID); !limit.IsZero() {
+		return min(max(0, time.Until(limit)), remoteProbeInterval)
+	}
 	return remoteProbeInterval
 }
 
