--- a/entry/conns/conns_test.go
+++ b/entry/conns/conns_test.go
@@ -389,11 +389,15 @@
 			}
 		}
 	})
+	paused, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer paused.Close()
 	for _, test := range []struct {
 		name, address, id string
 		o                 conns.Options
 		silent, isNew     bool
 	}{
+		{"not accepted by the process", paused.Addr().String(), "silent", conns.Options{}, true, true},
 		{"new connection", address, "silent", conns.Options{NewConn: true}, true, true},
 		{"idle connection", address, "silent", conns.Options{}, true, false},
 		{"closed", address, "closed", conns.Options{NewConn: true}, false, false},
