--- a/entry/stream/ending.go
+++ b/entry/stream/ending.go
@@ -62,5 +62,5 @@
 	start := time.Now()
 	_, err := m.Engine.Report(ctx, s.Address)
 	m.Log.Info("stream: server of an ended response", "request", request, "server", s.ID,
-		"answers", isAlive(err), "exited", err != nil && probeOutcome(err) == probe.Exited, "took", time.Since(start))
+		"answers", isAlive(err), "exited", probeResult(err) == probe.Refused, "took", time.Since(start))
 }
