--- a/entry/stream/ending.go
+++ b/entry/stream/ending.go
@@ -12,10 +12,7 @@
 )
 
 // endings are the endings of attempts that this entry host ended, by their causes.
-var endings = map[error]call.Ending{
-	errSilent: call.EndedSilent, errFirstServerDead: call.EndedUnreachable, errExited: call.EndedExited,
-	errNoChain: call.EndedNoChain, errLinkCut: call.EndedLinkCut,
-}
+var endings = map[error]call.Ending{errExited: call.EndedExited, errNoChain: call.EndedNoChain}
 
 // endingOf returns how an attempt ended.
 func endingOf(ctx context.Context, e *fault.Error) call.Ending {
--- a/entry/stream/monitor.go
+++ b/entry/stream/monitor.go
@@ -109,11 +109,11 @@
 	probing map[string]bool
 	// lastAnswer holds when a suspected server last answered a probe, by address.
 	lastAnswer map[string]time.Time
-	// answered holds when servers last answered any probe, by address. alive holds the servers that
-	// were known to be alive at aliveAt.
-	answered map[string]time.Time
-	alive    map[string]bool
-	aliveAt  time.Time
+	// answered and missed hold when servers last answered a probe and last missed one, by address,
+	// if that is less than aliveFor ago. alive holds the servers that were known to be alive at aliveAt.
+	answered, missed map[string]time.Time
+	alive            map[string]bool
+	aliveAt          time.Time
 	// asking makes goroutines that ask the same server share its answer.
 	asking singleflight.Group
 	// failedRequests holds the requests that failed on a probed server, by the ID of
@@ -191,6 +191,9 @@
 		anyLate = anyLate || silence > time.Duration(stream.meanGap.Load())
 	}
 	maps.DeleteFunc(m.lastAnswer, func(_ string, at time.Time) bool { return now.Sub(at) > healthyProbeInterval })
+	for _, results := range []map[string]time.Time{m.answered, m.missed} {
+		maps.DeleteFunc(results, func(_ string, at time.Time) bool { return now.Sub(at) > aliveFor })
+	}
 	if !anyLate {
 		return
 	}
@@ -206,8 +209,16 @@
 }
 
 // probeSilent probes a server of a silent stream. If the server does not answer, the
-// streams that use it are rerouted or restarted.
+// streams that use it are rerouted or get other attempts.
 func (m *Monitor) probeSilent(ctx context.Context, address string) {
+	if outcome := m.probeForReport(ctx, address); outcome != probe.Alive {
+		m.evacuate(address, outcome)
+	}
+}
+
+// probeForReport probes a server, handles its report and returns its state. A server that fails is
+// suspected.
+func (m *Monitor) probeForReport(ctx context.Context, address string) probe.State {
 	startedAt := m.Clock.Mark()
 	report, err := m.fetchReport(ctx, address, m.probeTimeout())
 	m.mu.Lock()
@@ -215,17 +226,16 @@
 	m.mu.Unlock()
 	if err == nil {
 		m.handleReport(address, report)
-		return
 	}
 	if isAlive(err) {
-		return
+		return outcome
 	}
 	m.Log.Warn("watch: no report", "address", address, "finding", outcome.String(), "error", err, "delay", m.Clock.Delay(startedAt))
 	m.DropConns(address)
 	if outcome.Failed() {
 		m.suspect(address, "no report", err)
 	}
-	m.evacuate(address, outcome)
+	return outcome
 }
 
 // probeTimeout returns how long an answer to a probe may take.
@@ -241,16 +251,18 @@
 	defer cancel()
 	start := m.Clock.Mark()
 	report, err := m.Engine.Report(ctx, address)
-	if isAlive(err) {
-		elapsed := m.Clock.Since(start)
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		if m.answered == nil {
-			m.answered = map[string]time.Time{}
-		}
-		m.answered[address] = time.Now()
-		m.timeout.Record(elapsed, timeout <= m.timeout.Current())
+	elapsed := m.Clock.Since(start)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.answered == nil {
+		m.answered, m.missed = map[string]time.Time{}, map[string]time.Time{}
+	}
+	if !isAlive(err) {
+		m.missed[address] = time.Now()
+		return report, err
 	}
+	m.answered[address] = time.Now()
+	m.timeout.Record(elapsed, timeout <= m.timeout.Current())
 	return report, err
 }
 
--- a/entry/stream/replace.go
+++ b/entry/stream/replace.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fuchsiashelf.dev/entry/call"
+	"fuchsiashelf.dev/parts/probe"
 	"fuchsiashelf.dev/parts/router"
 )
 
@@ -139,7 +140,7 @@
 }
 
 // findSilent returns the addresses of the servers of some stages that do not answer. Those
-// that have shown lately that they are alive are not asked.
+// that have shown lately whether they are alive are not asked.
 func (m *Monitor) findSilent(stages []router.Stage) (silent []string) {
 	alive := m.aliveServers(time.Now())
 	var mu sync.Mutex
@@ -151,10 +152,7 @@
 		}
 		probes.Go(func() {
 			// Many streams leave a server at once and ask the same others.
-			answers, _, _ := m.asking.Do(address, func() (any, error) {
-				_, err := m.fetchReport(context.Background(), address, m.probeTimeout())
-				return isAlive(err), nil
-			})
+			answers, _, _ := m.asking.Do(address, func() (any, error) { return m.answers(address), nil })
 			if answers == true {
 				return
 			}
@@ -167,6 +165,15 @@
 	return silent
 }
 
+// answers reports whether a server answers a probe. One that has missed a probe within aliveFor is
+// not asked again.
+func (m *Monitor) answers(address string) bool {
+	m.mu.Lock()
+	missed := time.Since(m.missed[address]) < aliveFor
+	m.mu.Unlock()
+	return !missed && m.probeForReport(context.Background(), address) == probe.Alive
+}
+
 // aliveServers returns the addresses of the servers that answered a probe, or through which
 // events came, within aliveFor.
 func (m *Monitor) aliveServers(now time.Time) map[string]bool {
@@ -177,11 +184,7 @@
 	}
 	alive := map[string]bool{}
 	for address, at := range m.answered {
-		if now.Sub(at) > aliveFor {
-			delete(m.answered, address)
-			continue
-		}
-		alive[address] = true
+		alive[address] = now.Sub(at) <= aliveFor
 	}
 	for stream := range m.streams {
 		if !stream.started.Load() || stream.silence() > aliveFor {
