stream, probe: ask failing servers on new connections, and prefer silent ones to unreachable ones

A connection that was returned to the pool within 20 ms of a missed probe could be used for the second one, which then shows nothing of the server's machine. Where only suspected servers hold some layers, those that accept connections come first.

--- a/entry/stream/choose.go
+++ b/entry/stream/choose.go
@@ -253,9 +253,13 @@
 // findSuspectedChain returns a chain that may contain suspected servers. It is used
 // if no other chain holds all layers, because a suspicion may be wrong.
 func (r *request) findSuspectedChain(q *router.Query) (router.Chain, *fault.Error) {
-	q.AllowSuspected, q.Overcommit = true, false
-	if chain := r.pickWithinLimits(q); chain != nil {
-		return chain, nil
+	q.Overcommit = false
+	// A silent server may answer in a moment, one that is not reached is less likely to.
+	for _, allow := range []*bool{&q.AllowSilent, &q.AllowSuspected} {
+		*allow = true
+		if chain := r.pickWithinLimits(q); chain != nil {
+			return chain, nil
+		}
 	}
 	if e := r.pausedOrLimited(q); e != nil {
 		return nil, e
--- a/entry/stream/monitor.go
+++ b/entry/stream/monitor.go
@@ -220,6 +220,13 @@
 // suspected.
 func (m *Monitor) probeForReport(ctx context.Context, address string) probe.State {
 	startedAt := m.Clock.Mark()
+	m.mu.Lock()
+	failing := m.probes.Failing(address)
+	m.mu.Unlock()
+	if failing {
+		// Only a new connection shows whether the server accepts connections.
+		m.DropConns(address)
+	}
 	report, err := m.fetchReport(ctx, address, m.probeTimeout())
 	m.mu.Lock()
 	outcome := m.probes.Record(address, probeResult(err))
@@ -231,7 +238,6 @@
 		return outcome
 	}
 	m.Log.Warn("watch: no report", "address", address, "finding", outcome.String(), "error", err, "delay", m.Clock.Delay(startedAt))
-	m.DropConns(address)
 	if outcome.Failed() {
 		m.suspect(address, "no report", err)
 	}
--- a/parts/probe/probe.go
+++ b/parts/probe/probe.go
@@ -196,6 +196,12 @@
 	return st.state
 }
 
+// Failing reports whether the last probe of a server was not answered.
+func (s *Scheduler) Failing(address string) bool {
+	st := s.servers[address]
+	return st != nil && st.failures > 0
+}
+
 // refill adds the tokens for the time that has passed, and drops the state of
 // servers that have not been probed for forgetAfter.
 func (s *Scheduler) refill(now time.Time) {
