--- a/entry/conns/conns_test.go
+++ b/entry/conns/conns_test.go
@@ -371,3 +371,44 @@
 	}
 	qt.Check(t, p.IdleTime().Round(time.Millisecond), qt.Equals, 1050*time.Millisecond)
 }
+
+// Guards against a paused process that looks like a machine without power, and the other way
+// round: only a new connection shows that the machine is there.
+func TestNoAnswer(t *testing.T) {
+	address := listen(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		for {
+			req, err := http.ReadRequest(br)
+			if err != nil || req.Header.Get("Id") == "closed" {
+				return
+			}
+			if req.Header.Get("Id") == "answered" {
+				writeResponse(c, "answered", "")
+			}
+		}
+	})
+	// The kernel accepts connections that the process never does.
+	paused, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer paused.Close()
+	for _, test := range []struct {
+		address, id       string
+		newConn           bool
+		noAnswer, evident bool
+	}{
+		{paused.Addr().String(), "", false, true, true},
+		{address, "", true, true, true},
+		{address, "", false, true, false},
+		{address, "closed", true, false, false},
+		{"127.0.0.1:1", "", true, false, false},
+	} {
+		p := &conns.Pool{}
+		_, err := do(t, p, address, "answered", conns.Options{})
+		qt.Assert(t, err, qt.IsNil)
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		_, err = p.Do(ctx, test.address, newRequest(test.address, test.id), conns.Options{NewConn: test.newConn})
+		cancel()
+		var silent *conns.NoAnswerError
+		qt.Check(t, errors.As(err, &silent), qt.Equals, test.noAnswer, qt.Commentf("%+v: %v", test, err))
+		qt.Check(t, silent != nil && silent.NewConn, qt.Equals, test.evident, qt.Commentf("%+v", test))
+	}
+}
--- a/entry/placer/placer_test.go
+++ b/entry/placer/placer_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -52,11 +54,9 @@
 	return call.OrderRejected, "", errors.New("no streams in this test")
 }
 
-// Guards against a delayed placement after the failure of the only server of a
-// failure domain that holds some layers: every request of the domain is refused or
-// waits until another server holds them. The regular decisions are disabled, so that
-// only the failure can trigger one.
-func TestServerFailureTriggersPlacement(t *testing.T) {
+// newPlacer returns the placer of a failure domain of three servers, each of which holds a
+// third of the layers.
+func newPlacer() (*placer.Placer, fakeEngines) {
 	servers := fakeDecoder{}
 	var items []mirror.Object
 	for i, id := range []string{"one", "two", "three"} {
@@ -71,16 +71,24 @@
 	state.ReadConfig("main")
 	state.ReadServers(time.Now())
 	engines := fakeEngines{servers, make(chan [2]int, 16)}
-	p := &placer.Placer{
+	return &placer.Placer{
 		State: state, Engine: engines, Load: &router.LoadTracker{}, Broadcast: func() {}, IsLeader: func() bool { return true }, Log: log, Interval: time.Hour,
-	}
+	}, engines
+}
+
+// Guards against a delayed placement after the failure of the only server of a
+// failure domain that holds some layers: every request of the domain is refused or
+// waits until another server holds them. The regular decisions are disabled, so that
+// only the failure can trigger one.
+func TestServerFailureTriggersPlacement(t *testing.T) {
+	p, engines := newPlacer()
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		p.Run(ctx)
 	}()
-	state.Suspect("two", time.Now().Add(time.Hour), time.Now())
+	p.State.Suspect("two", time.Now().Add(time.Hour), time.Now())
 	held := map[int]bool{}
 	for len(held) < 4 {
 		assigned := <-engines.placed
@@ -92,3 +100,37 @@
 	cancel()
 	<-done
 }
+
+// Guards against loads for a silence that ends sooner, and against a delay of those for a
+// server that is lost: at once, within a silence, or after one, which is no return. Each step
+// is of the form MILLISECONDS EVENT ORDERED.
+func TestSilenceDelaysPlacement(t *testing.T) {
+	for _, steps := range []string{
+		"0 lost true",
+		"0 silence false, 1000 silence false, 1200 answer false",
+		"0 silence false, 1000 silence false, 1500 silence true",
+		"0 silence false, 100 lost true",
+		"0 silence false, 1000 answer false, 1100 lost true",
+		"0 silence false, 1000 answer false, 1100 silence false, 2500 silence false",
+	} {
+		p, _ := newPlacer()
+		start := time.Now()
+		qt.Assert(t, p.Decide(t.Context(), start), qt.Equals, 0)
+		for step := range strings.SplitSeq(steps, ", ") {
+			var at int
+			var event string
+			var ordered bool
+			fmt.Sscan(step, &at, &event, &ordered)
+			now := start.Add(time.Duration(at) * time.Millisecond)
+			switch event {
+			case "silence":
+				p.State.SuspectSilent("two", now.Add(state.SuspectFor), now)
+			case "lost":
+				p.State.Suspect("two", now.Add(state.SuspectFor), now)
+			case "answer":
+				p.State.ClearSuspicion("two", now)
+			}
+			qt.Check(t, p.Decide(t.Context(), now) > 0, qt.Equals, ordered, qt.Commentf("%s: %s", steps, step))
+		}
+	}
+}
--- a/entry/stream/ending.go
+++ b/entry/stream/ending.go
@@ -12,10 +12,7 @@
 )
 
 // endings are the endings of attempts that this entry host ended, by their causes.
-var endings = map[error]call.Ending{
-	errSilent: call.EndedSilent, errFirstServerDead: call.EndedUnreachable, errExited: call.EndedExited,
-	errNoChain: call.EndedNoChain, errLinkCut: call.EndedLinkCut,
-}
+var endings = map[error]call.Ending{errExited: call.EndedExited, errNoChain: call.EndedNoChain}
 
 // endingOf returns how an attempt ended.
 func endingOf(ctx context.Context, e *fault.Error) call.Ending {
@@ -62,5 +59,5 @@
 	start := time.Now()
 	_, err := m.Engine.Report(ctx, s.Address)
 	m.Log.Info("stream: server of an ended response", "request", request, "server", s.ID,
-		"answers", isAlive(err), "exited", err != nil && probeOutcome(err) == probe.Exited, "took", time.Since(start))
+		"answers", isAlive(err), "exited", probeResult(err) == probe.Refused, "took", time.Since(start))
 }
--- a/entry/stream/probe.go
+++ b/entry/stream/probe.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fuchsiashelf.dev/entry/call"
+	"fuchsiashelf.dev/entry/conns"
 	"fuchsiashelf.dev/entry/dialer"
 	"fuchsiashelf.dev/entry/state"
 	"fuchsiashelf.dev/parts/fleet"
@@ -25,7 +26,12 @@
 // than any answer. mayBeCause says that the server got the request and had not begun to answer
 // it: if the server crashed, that is recorded against the request.
 func (m *Monitor) ProbeFor(job *call.Job, s *fleet.Server, mayBeCause bool, reason string) {
-	m.recordFailedRequest(s, job, mayBeCause)
+	m.probeFor(job, s, job.Sent, mayBeCause, reason)
+}
+
+// probeFor is ProbeFor for a request that was sent at the given time.
+func (m *Monitor) probeFor(job *call.Job, s *fleet.Server, sent time.Time, mayBeCause bool, reason string) {
+	m.recordFailedRequest(s, job, sent, mayBeCause)
 	if m.claimProbe(s.Address) {
 		go m.probeSuspect(s.ID, s.Address, reason, link{})
 	}
@@ -43,15 +49,15 @@
 
 // recordFailedRequest records a request that failed on a server until a probe shows
 // whether the server crashed.
-func (m *Monitor) recordFailedRequest(s *fleet.Server, job *call.Job, mayBeCause bool) {
+func (m *Monitor) recordFailedRequest(s *fleet.Server, job *call.Job, sent time.Time, mayBeCause bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.failedRequests == nil {
 		m.failedRequests = map[string][]failedRequest{}
 	}
-	m.failedRequests[s.ID] = append(m.failedRequests[s.ID], failedRequest{job, s, mayBeCause, job.Sent, time.Now()})
+	m.failedRequests[s.ID] = append(m.failedRequests[s.ID], failedRequest{job, s, mayBeCause, sent, time.Now()})
 	if mayBeCause {
-		job.Unanswered++
+		job.Unanswered.Add(1)
 	}
 }
 
@@ -98,7 +104,7 @@
 		if err == nil {
 			return report.StartedAt.After(s.StartedAt) && s.StartedAt.Unix() > 0
 		}
-		if probeOutcome(err) == probe.Exited {
+		if probeResult(err) == probe.Refused {
 			return true
 		}
 		m.Log.Warn("servers: not known whether the process has ended", "server", s.ID, "address", s.Address, "error", err)
@@ -178,7 +184,8 @@
 // the entry of the server still exists.
 func (m *Monitor) markSuspected(id, address, reason string, err error, now time.Time) bool {
 	// A server behind a broken link does not answer either, but no request caused that.
-	exited := probeOutcome(err) == probe.Exited
+	result := probeResult(err)
+	exited := result == probe.Refused
 	s := m.State.View().ByAddress(address)
 	replaced := s != nil && s.ID != id
 	m.setExited(id, exited || replaced, now)
@@ -188,8 +195,12 @@
 	if s == nil || replaced {
 		return false
 	}
-	if m.State.Suspect(id, now.Add(state.SuspectFor), now) {
-		m.Log.Warn("servers: suspected", "server", id, "address", address, "why", reason, "error", err)
+	suspect := m.State.Suspect
+	if result == probe.NoAnswer {
+		suspect = m.State.SuspectSilent
+	}
+	if suspect(id, now.Add(state.SuspectFor), now) {
+		m.Log.Warn("servers: suspected", "server", id, "address", address, "finding", result.State().String(), "why", reason, "error", err)
 		m.Broadcast()
 	}
 	return true
@@ -235,6 +246,10 @@
 	}()
 	misses := 0
 	for range maxSuspectProbes {
+		if misses > 0 {
+			// Only a new connection shows whether the server accepts connections.
+			m.DropConns(address)
+		}
 		timeout := call.ReportTimeout
 		if misses < probe.FailureThreshold {
 			timeout = m.probeTimeout()
@@ -255,7 +270,7 @@
 			return
 		}
 		misses++
-		if misses < probe.FailureThreshold && probeOutcome(err) != probe.Exited {
+		if misses < probe.FailureThreshold && probeResult(err) != probe.Refused {
 			continue
 		}
 		if !m.markSuspected(id, address, reason, err, now) {
@@ -263,7 +278,7 @@
 		}
 		delay := m.probeInterval(address)
 		if misses <= probe.FailureThreshold {
-			m.evacuate(address, probeOutcome(err))
+			m.evacuate(address, probeResult(err).State())
 			delay = reprobeDelay
 		}
 		time.Sleep(delay)
@@ -272,7 +287,8 @@
 
 // probeInterval returns the interval between probes of a suspected server. Every
 // entry host probes the server, so one of another failure domain that serves none of
-// the streams here is probed only as often as it takes to keep it suspected.
+// the streams here is probed only as often as it takes to keep it suspected, and when it
+// is decided whether it counts as lost after a silence.
 func (m *Monitor) probeInterval(address string) time.Duration {
 	s := m.State.View().ByAddress(address)
 	if s == nil || s.Domain == m.LocalDomain {
@@ -285,6 +301,9 @@
 			return suspectProbeInterval
 		}
 	}
+	if limit := m.State.SilenceLimit(s.ID); !limit.IsZero() {
+		return min(max(0, time.Until(limit)), remoteProbeInterval)
+	}
 	return remoteProbeInterval
 }
 
@@ -317,12 +336,18 @@
 	m.lastAnswer[address] = now
 }
 
-// probeOutcome returns the state of a server that a failed probe indicates.
-func probeOutcome(err error) probe.State {
-	if errors.Is(err, dialer.ErrExited) {
-		return probe.Exited
+// probeResult returns the result of a probe that ended with the given error.
+func probeResult(err error) probe.Result {
+	var silent *conns.NoAnswerError
+	switch {
+	case isAlive(err):
+		return probe.Answered
+	case errors.Is(err, dialer.ErrExited):
+		return probe.Refused
+	case errors.As(err, &silent) && silent.NewConn:
+		return probe.NoAnswer
 	}
-	return probe.Unreachable
+	return probe.NoConnection
 }
 
 // isAlive reports whether a server answered a request for its report. Plain servers
--- a/entry/stream/probe_test.go
+++ b/entry/stream/probe_test.go
@@ -1,7 +1,10 @@
 package stream
 
 import (
+	"context"
+	"errors"
 	"fmt"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -9,7 +12,9 @@
 	qt "github.com/frankban/quicktest"
 
 	"fuchsiashelf.dev/entry/call"
+	"fuchsiashelf.dev/entry/conns"
 	"fuchsiashelf.dev/entry/dialer"
+	"fuchsiashelf.dev/parts/fault"
 	"fuchsiashelf.dev/parts/poison"
 )
 
@@ -56,7 +61,7 @@
 		m, servers := newMonitor(&fakeEngines{}, 1)
 		suspectTestCauses(m)
 		middle := servers["middle"]
-		m.recordFailedRequest(&middle, &call.Job{Request: &call.Request{ID: "r"}, Causes: testCauses}, true)
+		m.recordFailedRequest(&middle, &call.Job{Request: &call.Request{ID: "r"}, Causes: testCauses}, time.Time{}, true)
 		m.markSuspected("middle", "middle", "test", err, time.Now())
 		qt.Assert(t, isBlocked(m), qt.IsFalse)
 		qt.Assert(t, m.hasExited("middle"), qt.IsFalse)
@@ -106,6 +111,23 @@
 	}
 }
 
+// Guards against a paused server that counts as lost on the word of another entry host.
+func TestSuspectedServerIsSilentOrLost(t *testing.T) {
+	for err, lost := range map[error]bool{
+		&conns.NoAnswerError{NewConn: true, Cause: context.DeadlineExceeded}: false,
+		&conns.NoAnswerError{Cause: context.DeadlineExceeded}:                true,
+		syscall.ECONNREFUSED: true, dialer.ErrExited: true,
+	} {
+		m, _ := newMonitor(&fakeEngines{reportErrors: map[string]error{"middle": &fault.Error{Cause: err}}}, 1)
+		var dropped atomic.Bool
+		m.DropConns = func(string) { dropped.Store(true) }
+		m.Probe("middle", "suspected by another entry host")
+		waitUntil(func() bool { return m.State.View().ByAddress("middle").Suspected })
+		qt.Check(t, m.State.View().ByAddress("middle").Lost(), qt.Equals, lost, qt.Commentf("%#v", err))
+		qt.Check(t, dropped.Load() || errors.Is(err, dialer.ErrExited), qt.IsTrue)
+	}
+}
+
 // Guards against every entry host of all failure domains probing each failed server
 // twice a second.
 func TestRemoteServersAreProbedLessOften(t *testing.T) {
@@ -117,4 +139,7 @@
 	qt.Check(t, m.probeInterval("middle"), qt.Equals, suspectProbeInterval)
 	m.remove(stream)
 	qt.Check(t, m.probeInterval("middle"), qt.Equals, remoteProbeInterval)
+	// Whether a silent server is lost is decided by a probe.
+	m.State.SuspectSilent("middle", time.Now().Add(time.Minute), time.Now())
+	qt.Check(t, m.probeInterval("middle") < remoteProbeInterval, qt.IsTrue)
 }
