--- a/entry/stream/probe.go
+++ b/entry/stream/probe.go
@@ -196,7 +196,8 @@
 		return false
 	}
 	suspect := m.State.Suspect
-	if result == probe.NoAnswer {
+	if result == probe.NoAnswer || result == probe.NoConnection && !m.State.SilenceLimit(id).IsZero() {
+		// A paused process accepts nothing either once its kernel's queue of connections is full.
 		suspect = m.State.SuspectSilent
 	}
 	if suspect(id, now.Add(state.SuspectFor), now) {
--- a/entry/stream/reroute.go
+++ b/entry/stream/reroute.go
@@ -126,23 +126,23 @@
 	return false
 }
 
-// blocksLoad reports whether a stream that cannot go on, because a server of its chain has ended,
+// blocksLoad reports whether a stream that cannot go on, because a server of its chain is lost,
 // keeps another one from loading the layers that this stream and others wait for. That server
 // starts to load once all requests that use the layers it gives up have ended, but this stream would
 // never end.
 func (m *Monitor) blocksLoad(stream *activeStream, chain router.Chain, failed string) bool {
 	view := m.State.View()
 	s := drainingServer(view, chain)
-	return s != nil && s.AwaitsReload && stream.silent() && m.hasEnded(view, chain, failed)
+	return s != nil && s.AwaitsReload && stream.silent() && m.isLost(view, chain, failed)
 }
 
-// hasEnded reports whether the process of the server of a chain with the given address is known to
-// have ended.
-func (m *Monitor) hasEnded(view *fleet.View, chain router.Chain, address string) bool {
+// isLost reports whether the server of a chain with the given address has ended, or is not reached.
+// A server that accepts connections and is silent may go on.
+func (m *Monitor) isLost(view *fleet.View, chain router.Chain, address string) bool {
 	for _, stage := range chain {
 		if stage.Server.Address == address {
 			current := view.ByAddress(address)
-			return m.hasExited(stage.Server.ID) || current != nil && current.ID != stage.Server.ID
+			return m.hasExited(stage.Server.ID) || current != nil && (current.ID != stage.Server.ID || current.Lost())
 		}
 	}
 	return false
