entry/unary: keep the attempt at a silent server until another one has answered

Cause: an attempt of a call that may be repeated was ended after 0.6 of the target, counted from its start, before another server had taken the call, and also where no other server, attempt or budget was left. Change: after that time of silence, counted from the last bytes, another attempt starts beside the first one, within the attempts of the route, the retry budget and MaxUnanswered. The first whole answer is used and the other attempt cancelled, which closes its connection; an attempt that is refused or fails leaves the other; errors and verdicts are combined as before. The second attempt goes to no server that is suspected, or has sent this host nothing for three mean times (at most half the timeout) while calls are in flight there; a server that answers again after a silence gets the timeout anew for its backlog. For services with few slots it takes capacity only if it is free and no request waits (queue.TryEnter), and both attempts have their own ticket and credit. A silent server is probed as soon as before, but the call counts as the possible cause of a crash only when the attempt fails. All records belong to the goroutine of the request. Calls that may run once are never timed out. Ended attempts and calls have a log line (calls: attempt ended, calls: ended without a response) with cause, silence and servers, and count in ended.<cause>. Ruled out: silence of a server as a price for first attempts: a call in flight that takes long by itself would move load away from a sound server.

--- a/entry/queue/queue.go
+++ b/entry/queue/queue.go
@@ -74,6 +74,19 @@
 	return l.wait(ctx, w)
 }
 
+// TryEnter looks for capacity once, if no request waits. It neither waits nor refuses.
+func (a *Admission) TryEnter(r Request, find Find) (ticket Ticket, found bool) {
+	l := a.line(r.Class.Service)
+	if l.length() > 0 {
+		return Ticket{}, false
+	}
+	w := newWaiter(r, find, time.Now())
+	if found, _ = l.look(w); !found {
+		return Ticket{}, false
+	}
+	return l.serve(w, time.Now()), true
+}
+
 // Sweep charges the teams for what they got at other hosts, and removes expired state. Call it
 // every 100 ms.
 func (a *Admission) Sweep(now time.Time) {
--- a/entry/unary/attempt.go
+++ b/entry/unary/attempt.go
@@ -13,12 +13,13 @@
 	"fuchsiashelf.dev/parts/fault"
 	"fuchsiashelf.dev/parts/fleet"
 	"fuchsiashelf.dev/parts/route"
-	"fuchsiashelf.dev/parts/stall"
 )
 
 // attempt is the outcome of one attempt of a request.
 type attempt struct {
 	server string
+	// sentAt is when the attempt began.
+	sentAt time.Time
 	// from is the server that was asked.
 	from   *fleet.Server
 	reply  call.Reply
@@ -40,48 +41,20 @@
 // failed reports whether the server responded with an error.
 func (a *attempt) failed() bool { return a.reply.Status >= http.StatusInternalServerError }
 
-// send makes one attempt and records its duration and outcome. If the server did not
-// respond with a whole answer, send closes the idle connections to it and starts a probe.
-func (f *Forwarder) send(ctx context.Context, j *call.Job, server *fleet.Server, mayRetry bool) attempt {
-	done := f.Stats.Begin(server.ID)
-	start := time.Now()
-	j.Sent = start
-	a := f.exchange(ctx, j, server, mayRetry)
-	a.server = server.ID
-	if a.paused() {
-		f.Stats.Cancel(server.ID)
-		return a
-	}
-	failed := a.err != nil && !call.CallerGone(ctx) || a.err == nil && a.failed()
-	done(time.Since(start), failed)
-	if a.err != nil && (a.reply.Status == 0 || a.err.Code == fault.InvalidResponse) && ctx.Err() == nil {
-		f.Servers.Pool.CloseIdle(server.Address)
-		f.Probe(j, server, a.err.Verdict != fault.NotRun, a.err.Error())
-	}
-	return a
-}
-
-// exchange sends a request to one server and reads the response, up to maxBufferedBody.
-func (f *Forwarder) exchange(ctx context.Context, j *call.Job, server *fleet.Server, mayRetry bool) attempt {
-	attemptCtx, cancel := context.WithCancel(ctx)
-	if mayRetry && j.Route.Repeatable() && j.Route.Target > 0 {
-		cancel()
-		timeout := time.Duration(float64(j.Route.Target) * attemptTimeoutShare)
-		attemptCtx, cancel = f.Clock.WithTimeout(ctx, timeout, errAttemptTimeout)
-	}
-	a := f.exchangeWithin(attemptCtx, j, server)
-	if a.rest == nil {
-		cancel()
-		return a
+// exchange sends a request to one server and reads the response, up to maxBufferedBody. It runs in
+// the goroutine of the attempt.
+func (f *Forwarder) exchange(ctx context.Context, j *call.Job, t *flight) attempt {
+	a := f.readResponse(ctx, j, t)
+	a.server, a.sentAt = t.server.ID, t.sentAt
+	if a.rest != nil {
+		a.release = t.cancel
 	}
-	// The caller gets the rest however long it takes.
-	stall.Stop(attemptCtx)
-	a.release = cancel
 	return a
 }
 
-// exchangeWithin is exchange for an attempt whose context ends with its timeout.
-func (f *Forwarder) exchangeWithin(ctx context.Context, j *call.Job, server *fleet.Server) attempt {
+// readResponse is exchange without what is known before.
+func (f *Forwarder) readResponse(ctx context.Context, j *call.Job, t *flight) attempt {
+	server := t.server
 	o := egress.Options{RequestID: j.ID, DialTimeout: connectTimeout(j.Route)}
 	if j.Route.Kind == route.AtMostOnce {
 		o.MaxIdle = maxIdleAtMostOnce
@@ -91,8 +64,9 @@
 	if err != nil {
 		return attempt{err: fault.As(err)}
 	}
+	t.recordBytes()
 	a := attempt{from: server, reply: reply, header: resp.Header}
-	a.body, err = io.ReadAll(io.LimitReader(resp, maxBufferedBody))
+	a.body, err = io.ReadAll(io.LimitReader(recordingReader{resp, t}, maxBufferedBody))
 	whole := err == nil && len(a.body) < maxBufferedBody
 	if whole && resp.EndsWithConn() && f.HasEnded(server) {
 		err = errProcessEnded
@@ -125,4 +99,5 @@
 // errProcessEnded says that a response ended with its connection because the process did.
 var errProcessEnded = errors.New("the server's process has ended")
 
-var errAttemptTimeout = errors.New("silent for too long")
+// errSilent is why a server is probed that has sent nothing for a while.
+var errSilent = errors.New("silent for too long")
--- a/entry/unary/choose.go
+++ b/entry/unary/choose.go
@@ -26,8 +26,8 @@
 
 // admission is the state of a request to a service with few slots.
 type admission struct {
-	// service limits the next attempt; nil if that is not limited.
-	service *smallService
+	// grant is that of the next attempt.
+	grant
 	// key identifies what the caller asks for, and returned says whether it has returned after a
 	// refusal. They are set if arrived is.
 	key      uint64
@@ -35,18 +35,54 @@
 	arrived  bool
 	// waited is the time that the request has waited for capacity, before all attempts together.
 	waited time.Duration
-	// ticket is the capacity that the request has taken.
-	ticket queue.Ticket
-	// charged says that the next attempt has taken credit of service.
+}
+
+// grant is the capacity of a service with few slots that an attempt takes. The zero value is that of
+// an attempt that is not limited.
+type grant struct {
+	// service limits the attempt; nil if that is not limited.
+	service *smallService
+	ticket  queue.Ticket
+	// charged says that the attempt has taken credit of service.
 	charged bool
 }
 
+// returnCredit gives back the credit of an attempt that did not run.
+func (g *grant) returnCredit() {
+	if g.charged {
+		g.charged = false
+		g.service.giveBack()
+	}
+}
+
+// refund gives back all that was taken for an attempt that did not run.
+func (g *grant) refund() {
+	g.returnCredit()
+	g.ticket.Refund()
+}
+
+// settle gives back the capacity that an attempt did not use, and records what its outcome says
+// of the server.
+func (g *grant) settle(server *fleet.Server, a attempt) {
+	if g.service == nil {
+		return
+	}
+	if a.err != nil && a.err.Verdict == fault.NotRun {
+		g.refund()
+	}
+	switch {
+	case a.refused() && !a.reply.Misdirected && !a.reply.Leaving:
+		g.service.reject(server.ID)
+	case a.err == nil && !a.failed():
+		g.service.accept(server.ID, a.sentAt)
+	}
+}
+
 // choose returns the server for the next attempt. If the service has fewer slots than there
 // are entry hosts, the request waits until this host may send it.
 func (r *request) choose(ctx context.Context) (*fleet.Server, *fault.Error) {
 	r.admission.ticket.End()
-	r.admission.ticket, r.admission.charged = queue.Ticket{}, false
-	r.admission.service = r.Slots.service(r.job.Service.Name)
+	r.admission.grant = grant{service: r.Slots.service(r.job.Service.Name)}
 	if r.admission.service == nil {
 		return r.pick(r.tried)
 	}
@@ -66,9 +102,8 @@
 	r.admission.waited += time.Since(start)
 	r.Slots.count(ticket, e)
 	if e == nil && ticket.Waited() && r.blockedMeanwhile() {
-		r.returnCredit()
+		r.admission.refund()
 		r.Limits.Return(server.ID)
-		ticket.Refund()
 		return nil, call.BlockedError(r.Crashes, r.job, fault.NotRun)
 	}
 	return server, e
@@ -116,21 +151,13 @@
 	if server != nil {
 		return server, nil
 	}
-	r.returnCredit()
+	r.admission.returnCredit()
 	if full {
 		return nil, nil
 	}
 	return nil, e
 }
 
-// returnCredit gives back the credit of an attempt that did not run.
-func (r *request) returnCredit() {
-	if r.admission.charged {
-		r.admission.charged = false
-		r.admission.service.giveBack()
-	}
-}
-
 // retrySkipped lets the request be sent to servers that were skipped earlier and may get requests
 // now. It asks for the wait instead of taking from the rate limit, which counts as demand.
 func (r *request) retrySkipped() {
@@ -188,21 +215,51 @@
 	}
 }
 
-// settle gives back the capacity that an attempt did not use, and records what its outcome says
-// of the server.
-func (r *request) settle(server *fleet.Server, a attempt) {
-	service := r.admission.service
+// chooseBeside returns a server for an attempt beside those in flight, or nil if there is none now.
+// It does not wait: the attempts in flight hold capacity that those who wait may need, and requests
+// without an attempt go first.
+func (r *request) chooseBeside() *fleet.Server {
+	service := r.Slots.service(r.job.Service.Name)
+	r.admission.grant = grant{service: service}
 	if service == nil {
-		return
+		return r.pickBeside(maps.Clone(r.tried))
 	}
-	if a.err != nil && a.err.Verdict == fault.NotRun {
-		r.returnCredit()
-		r.admission.ticket.Refund()
+	var server *fleet.Server
+	r.admission.ticket, _ = r.Slots.Queue.TryEnter(r.queueRequest(), func(float64) (bool, *fault.Error) {
+		ok, charged := service.take()
+		if !ok {
+			return false, nil
+		}
+		r.admission.charged = charged
+		avoid, _ := r.avoidFull()
+		server = r.pickBeside(avoid)
+		if server == nil {
+			r.admission.returnCredit()
+		}
+		return server != nil, nil
+	})
+	return server
+}
+
+// pickBeside is pick for an attempt beside those in flight. It leaves out servers that are suspected
+// or silent themselves: an attempt there would add load, but hardly answer sooner.
+func (r *request) pickBeside(avoid map[string]bool) *fleet.Server {
+	now := time.Now()
+	servers := r.State.View().Service(r.job.Service.Name)
+	for _, s := range servers {
+		if s.Suspected || r.Servers.Paused(s, now) > 0 || r.Limits.Wait([]string{s.ID}, now) > 0 || r.Stats.Silent(s.ID, r.silenceTimeout(), now) {
+			avoid[s.Address] = true
+		}
 	}
-	switch {
-	case a.refused() && !a.reply.Misdirected && !a.reply.Leaving:
-		service.reject(server.ID)
-	case a.err == nil && !a.failed():
-		service.accept(server.ID, r.job.Sent)
+	for {
+		server := r.Stats.Pick(servers, r.LocalDomain, avoid)
+		if server == nil {
+			return nil
+		}
+		avoid[server.Address] = true
+		if r.Limits.Take(server.ID, now) {
+			r.tried[server.Address] = true
+			return server
+		}
 	}
 }
--- a/entry/unary/silence_test.go
+++ b/entry/unary/silence_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/url"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -19,15 +20,20 @@
 	"fuchsiashelf.dev/entry/call"
 	"fuchsiashelf.dev/entry/conns"
 	"fuchsiashelf.dev/entry/egress"
+	"fuchsiashelf.dev/entry/queue"
 	"fuchsiashelf.dev/entry/state"
 	"fuchsiashelf.dev/parts/domain"
+	"fuchsiashelf.dev/parts/fault"
 	"fuchsiashelf.dev/parts/fleet"
 	"fuchsiashelf.dev/parts/limit"
 	"fuchsiashelf.dev/parts/mirror"
 	"fuchsiashelf.dev/parts/pause"
 	"fuchsiashelf.dev/parts/poison"
+	"fuchsiashelf.dev/parts/resv"
 	"fuchsiashelf.dev/parts/retry"
 	"fuchsiashelf.dev/parts/route"
+	"fuchsiashelf.dev/parts/router"
+	"fuchsiashelf.dev/parts/share"
 	"fuchsiashelf.dev/parts/stall"
 )
 
@@ -38,8 +44,9 @@
 	status int
 	// notRun says that the server refuses the call.
 	notRun bool
-	// pieces is the number of pieces in which the body is sent, one before each wait.
-	pieces int
+	// pieces is the number of pieces in which the body is sent, one after each wait. The first has
+	// the given size in bytes at least.
+	pieces, size int
 }
 
 // testServers are the servers of a service, over connections without a network.
@@ -47,6 +54,8 @@
 	// steps are what the servers do with the calls, in the order in which these arrive. The last one
 	// applies to all later ones.
 	steps []step
+	// pausedUntil is when all servers go on that are paused before.
+	pausedUntil time.Time
 
 	mu sync.Mutex
 	// arrived counts the calls by their IDs, and at holds those by server. ended counts the calls
@@ -102,20 +111,26 @@
 // answer writes a response. It reports false if the connection was closed before.
 func (s *testServers) answer(c net.Conn, next step, id string, closed <-chan struct{}) bool {
 	const piece = "piece of the answer\n"
-	header := fmt.Sprintf("HTTP/1.1 %d status\r\nId: %s\r\nConnection: close\r\nContent-Length: %d\r\n", next.status, id, len(piece)*next.pieces)
+	first := piece + strings.Repeat(".", max(0, next.size-len(piece)))
+	length := min(1, next.pieces)*len(first) + max(0, next.pieces-1)*len(piece)
+	header := fmt.Sprintf("HTTP/1.1 %d status\r\nId: %s\r\nConnection: close\r\nContent-Length: %d\r\n", next.status, id, length)
 	if next.notRun {
 		header += "Not-Run: 1\r\n"
 	}
 	if next.pieces > 0 {
 		fmt.Fprintf(c, "%s\r\n", header)
 	}
-	for range max(1, next.pieces) {
+	for n := range max(1, next.pieces) {
 		select {
 		case <-closed:
 			return false
-		case <-time.After(next.wait):
+		case <-time.After(max(next.wait, time.Until(s.pausedUntil))):
 		}
-		if next.pieces > 0 {
+		switch {
+		case next.pieces == 0:
+		case n == 0:
+			fmt.Fprint(c, first)
+		default:
 			fmt.Fprint(c, piece)
 		}
 	}
@@ -215,6 +230,7 @@
 		{"at most once", 2, []step{{wait: silence, status: ok}}, route.AtMostOnce, 2, 9, ok, 1, 0, silence},
 		{"response in progress", 2, []step{{wait: simTarget / 2, status: ok, pieces: 5}}, route.Idempotent, 2, 9, ok, 1, 0, 5 * simTarget / 2},
 		{"response stops", 2, []step{{wait: silence, status: ok, pieces: 2}, {wait: moment, status: ok}}, route.Idempotent, 2, 9, ok, 2, 1, simTarget},
+		{"large response", 2, []step{{wait: silence, status: ok}, {wait: moment, status: ok, pieces: 5, size: 3 << 20}}, route.Idempotent, 2, 9, ok, 2, 1, simTarget},
 		{"no answer in time", 2, []step{{wait: time.Minute, status: ok}}, route.Idempotent, 2, 9, http.StatusGatewayTimeout, 2, 2, 3 * time.Second},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -241,8 +257,8 @@
 // Guards against load that doubles because all servers are silent at the same time.
 func TestCallsAreNotDoubledWhenAllServersAreSilent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const calls, interval, silence = 30, 10 * time.Millisecond, time.Second
-		s := &testServers{steps: []step{{wait: silence, status: http.StatusOK}}}
+		const calls, interval, silence = 30, 10 * time.Millisecond, 1005 * time.Millisecond
+		s := &testServers{steps: []step{{status: http.StatusOK}}, pausedUntil: time.Now().Add(silence)}
 		f := newSilenceForwarder(s, 3, calls)
 		var callers sync.WaitGroup
 		for n := range calls {
@@ -253,6 +269,90 @@
 			time.Sleep(interval)
 		}
 		callers.Wait()
+		synctest.Wait()
 		qt.Check(t, s.total, qt.Equals, calls)
 	})
 }
+
+// Guards against calls that are charged with crashes of servers which are only silent, against servers
+// that are not probed as soon as they are silent, and against ends that an operator cannot explain.
+func TestSilenceIsProbedAndCounted(t *testing.T) {
+	const silence, moment = time.Second, 20 * time.Millisecond
+	ok := http.StatusOK
+	for _, test := range []struct {
+		name  string
+		steps []step
+		// probes are when servers are probed, and whether the call may be the cause.
+		probes []string
+		causes []Cause
+	}{
+		{"second answers", []step{{wait: silence, status: ok}, {wait: moment, status: ok}}, []string{"300ms false"}, []Cause{Silent}},
+		{"first answers", []step{{wait: silence, status: ok}, {wait: moment}}, []string{"300ms false", "320ms true"}, nil},
+		{"both break off", []step{{wait: silence}, {wait: moment}}, []string{"300ms false", "320ms true", "1s true"}, []Cause{Broken}},
+		{"refused", []step{{wait: silence}, {status: http.StatusServiceUnavailable, notRun: true}}, []string{"300ms false", "1s true"}, []Cause{Broken}},
+		{"late", []step{{wait: time.Minute}}, []string{"300ms false"}, []Cause{Deadline}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newSilenceForwarder(&testServers{steps: test.steps}, 2, 9)
+				start := time.Now()
+				var probes []string
+				var causes []Cause
+				f.Probe = func(j *call.Job, _ *fleet.Server, mayBeCause bool, _ string) {
+					probes = append(probes, fmt.Sprint(time.Since(start), " ", mayBeCause))
+					if mayBeCause {
+						j.Unanswered++
+					}
+				}
+				f.Ended = func(c Cause) { causes = append(causes, c) }
+				serveCall(f, "call", route.Idempotent, 2, 3*time.Second)
+				qt.Check(t, probes, qt.DeepEquals, test.probes)
+				qt.Check(t, causes, qt.DeepEquals, test.causes)
+			})
+		})
+	}
+}
+
+// Guards against capacity of a service with few slots that is not freed after two attempts at once,
+// and against second attempts that take it before calls which wait for their first.
+func TestSilentServerOfSmallService(t *testing.T) {
+	for _, waiting := range []bool{false, true} {
+		t.Run(fmt.Sprint("others wait ", waiting), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const silence, hosts = time.Second, 100
+				s := &testServers{steps: []step{{wait: silence, status: http.StatusOK}, {status: http.StatusOK}}}
+				f := newSilenceForwarder(s, 2, 9)
+				log := slog.New(slog.DiscardHandler)
+				shares := &share.Tracker{Self: "host-0", Alive: func() map[domain.Name]int { return nil }, Log: log}
+				f.Slots = &Slots{
+					Queue: &queue.Admission{Shares: shares, Book: &resv.Book{Log: log}, Log: log}, State: f.State, Load: &router.LoadTracker{}, Log: log,
+					Hosts: func() (int, int) { return hosts, hosts },
+				}
+				f.Slots.service("booking")
+				f.Slots.Sweep(time.Now())
+				qt.Assert(t, f.Slots.service("booking"), qt.IsNotNil)
+				ctx, leave := context.WithCancel(t.Context())
+				if waiting {
+					time.AfterFunc(100*time.Millisecond, func() {
+						_, _ = f.Slots.Queue.Enter(ctx, queue.Request{
+							Class: share.Class{Service: "booking"}, Cost: 1, MaxWait: time.Minute, Deadline: time.Now().Add(time.Hour),
+						}, func(float64) (bool, *fault.Error) { return false, nil })
+					})
+				}
+				w, out := serveCall(f, "call", route.Idempotent, 2, 3*time.Second)
+				leave()
+				time.Sleep(time.Second)
+				qt.Check(t, w.Code, qt.Equals, http.StatusOK)
+				runs := 2
+				if waiting {
+					runs = 1
+				}
+				qt.Check(t, out.Sends, qt.Equals, runs)
+				qt.Check(t, s.arrived["call"], qt.Equals, runs)
+				for _, row := range shares.Rows(time.Now()) {
+					qt.Check(t, row.Running, qt.Equals, float64(0))
+				}
+			})
+		})
+	}
+}
--- a/entry/unary/slots_test.go
+++ b/entry/unary/slots_test.go
@@ -176,7 +176,7 @@
 			return
 		}
 		a := s.send(r, server)
-		r.settle(server, a)
+		r.admission.settle(server, a)
 		if a.err == nil {
 			s.count(&s.served)
 			return
@@ -223,7 +223,7 @@
 	server.inside--
 	s.mu.Unlock()
 	done(time.Since(r.job.Sent), false)
-	return attempt{reply: call.Reply{Status: 200}}
+	return attempt{reply: call.Reply{Status: 200}, sentAt: r.job.Sent}
 }
 
 func (s *simulation) count(n *int) {
@@ -433,7 +433,7 @@
 		service.mu.Unlock()
 		ok, charged := service.take()
 		qt.Check(t, ok && charged, qt.IsTrue)
-		r.settle(server, attempt{err: &fault.Error{Verdict: fault.NotRun}})
+		r.admission.settle(server, attempt{err: &fault.Error{Verdict: fault.NotRun}})
 		ok, _ = service.take()
 		qt.Check(t, ok, qt.IsFalse)
 	})
--- a/entry/unary/stats.go
+++ b/entry/unary/stats.go
@@ -33,6 +33,9 @@
 	// maxJitter limits a random addition that spreads requests over servers of about
 	// equal cost.
 	maxJitter = 10 * time.Millisecond
+	// silentTimes is the number of mean times after which a server with requests in flight counts as
+	// silent. Durations vary by less while a server is not overloaded.
+	silentTimes = 3
 	// statsAge is how long the statistics of a server are kept that no request could be sent to.
 	// Servers that are replaced have new IDs.
 	statsAge = 10 * time.Minute
@@ -52,8 +55,13 @@
 // serverStats holds the statistics of one server.
 type serverStats struct {
 	// usedAt is when the server was last considered or used.
-	usedAt      time.Time
-	inFlight    int
+	usedAt   time.Time
+	inFlight int
+	// quietSince is when the last bytes of a response arrived, or when the first of the requests in
+	// flight was sent.
+	quietSince time.Time
+	// recoveredAt is when the server last sent bytes after a silence.
+	recoveredAt time.Time
 	meanTime    time.Duration
 	failureRate health.FailureRate
 }
@@ -88,19 +96,59 @@
 func (s *Stats) Begin(id string) (done func(took time.Duration, failed bool)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.get(id, time.Now()).inFlight++
+	now := time.Now()
+	server := s.get(id, now)
+	if server.inFlight == 0 {
+		server.quietSince = now
+	}
+	server.inFlight++
 	return func(took time.Duration, failed bool) {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		now := time.Now()
-		server := s.get(id, now)
-		server.inFlight--
-		server.meanTime += time.Duration(smoothing * float64(took-server.meanTime))
-		server.failureRate.Record(failed, now)
+		s.Cancel(id)
+		s.Record(id, took, failed)
 	}
 }
 
-// Cancel records that a request for which Begin was called was not sent.
+// Record records the duration and the outcome of a request.
+func (s *Stats) Record(id string, took time.Duration, failed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	server := s.get(id, now)
+	server.meanTime += time.Duration(smoothing * float64(took-server.meanTime))
+	server.failureRate.Record(failed, now)
+}
+
+// Heard records that bytes of a response of a server have arrived. If it had sent nothing for the
+// given time before, its silence has ended.
+func (s *Stats) Heard(id string, silence time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	server := s.get(id, now)
+	if silence > 0 && now.Sub(server.quietSince) >= silence {
+		server.recoveredAt = now
+	}
+	server.quietSince = now
+}
+
+// RecoveredAt returns when a silence of a server last ended.
+func (s *Stats) RecoveredAt(id string) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.get(id, time.Now()).recoveredAt
+}
+
+// Silent reports whether a server has sent nothing for silentTimes its mean time, or for half of the
+// timeout if that is less, although requests are in flight.
+func (s *Stats) Silent(id string, timeout time.Duration, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	server := s.get(id, now)
+	return server.inFlight > 0 && now.Sub(server.quietSince) >= min(timeout/2, silentTimes*server.meanTime)
+}
+
+// Cancel records that a request for which Begin was called is not in flight any more, without an
+// outcome.
 func (s *Stats) Cancel(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/entry/unary/unary.go
+++ b/entry/unary/unary.go
@@ -1,8 +1,9 @@
 // Package unary forwards requests to the backend servers of plain services, each of
 // which returns one whole response.
 //
-// An idempotent request that fails or times out is retried on another server while the
-// retry budget allows it. A request that is not idempotent is retried only if it has
+// An idempotent request that fails is retried on another server while the retry budget
+// allows it. If a server is silent, the request is sent to another one as well, and the
+// first whole response is used. A request that is not idempotent is retried only if it has
 // certainly not run; if it is unknown whether it ran, the response says so. A response
 // is buffered, up to maxBufferedBody, before any of it is forwarded, so that a
 // truncated one can be retried.
@@ -10,6 +11,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net/http"
 	"time"
 
@@ -37,10 +39,10 @@
 	// the error says otherwise: queues of a plain service empty within some tens of
 	// milliseconds.
 	refusalRetryAfter = 200 * time.Millisecond
-	// attemptTimeoutShare is the timeout of an attempt of an idempotent request, as a
-	// fraction of the route's target, if another attempt may follow. The rest is
-	// enough for a second attempt of average duration.
-	attemptTimeoutShare = 0.6
+	// silenceShare is how long an attempt of an idempotent request may be silent before another
+	// one starts beside it, as a fraction of the route's target. The rest is enough for a
+	// second attempt of average duration.
+	silenceShare = 0.6
 	// connectTimeoutShare is the connect timeout as a fraction of the route's target.
 	// Nothing has been sent before that, so any request may go to another server.
 	connectTimeoutShare = 0.4
@@ -69,6 +71,9 @@
 	RetryBudget func(service string) *retry.WindowBudget
 	// Slots limits the calls to services with few slots; nil limits none.
 	Slots *Slots
+	Log   *slog.Logger
+	// Ended is called for each attempt, and each request, that ends without a response; nil counts none.
+	Ended func(Cause)
 }
 
 // request is a request in flight, with the state of all its attempts.
@@ -92,6 +97,11 @@
 	failure *attempt
 	// admission is the state of a request to a service with few slots.
 	admission admission
+	// flights holds the attempts in flight, and ended receives those that end.
+	flights []*flight
+	ended   chan *flight
+	// last is the last attempt that has ended.
+	last *flight
 }
 
 // Serve forwards a request and writes the response to the caller.
@@ -100,66 +110,58 @@
 	budget.Record(time.Now())
 	ctx, cancel := context.WithDeadlineCause(ctx, j.Deadline, context.DeadlineExceeded)
 	defer cancel()
-	r := &request{Forwarder: f, job: j, w: w, budget: budget, tried: map[string]bool{}, verdict: fault.NotRun}
+	r := &request{Forwarder: f, job: j, w: w, budget: budget, tried: map[string]bool{}, verdict: fault.NotRun, ended: make(chan *flight)}
 	defer func() { r.admission.ticket.End() }()
 	for {
 		server, e := r.choose(ctx)
 		if e != nil {
 			return r.fail(ctx, e)
 		}
-		a, sent := r.attempt(ctx, server)
+		r.start(ctx, server)
+		if out, done := r.await(ctx); done {
+			return out
+		}
+	}
+}
+
+// await waits for the attempts in flight and writes the response to the caller. It reports false if
+// none of them had one and the request is to be sent again.
+func (r *request) await(ctx context.Context) (out call.Outcome, done bool) {
+	for len(r.flights) > 0 {
+		t := r.next(ctx)
+		a, sent := r.conclude(ctx, t)
+		last := len(r.flights) == 0
 		switch {
 		case !sent:
-		case a.err == nil && !r.retryResponse(a):
-			return f.writeResponse(w, r.out, j, a)
+		case a.err == nil && (a.rest != nil || !a.failed() || last && !r.retryResponse(a)):
+			return r.use(t, a), true
 		case a.err == nil:
 			r.failure = &a
-		case !r.retryError(ctx, a):
-			return r.fail(ctx, a.err)
+		case last && !r.retryError(ctx, a):
+			return r.fail(ctx, a.err), true
+		}
+		if !last {
+			// The attempts that are left may need another one beside them.
+			r.checkSilence(ctx)
 		}
 	}
+	return call.Outcome{}, false
 }
 
-// attempt sends the request to a server and records what follows from the outcome. It
-// reports whether anything was sent: a server that requests a pause is skipped.
-func (r *request) attempt(ctx context.Context, server *fleet.Server) (a attempt, sent bool) {
-	r.out.Server = server.ID
-	a = r.send(ctx, r.job, server, r.mayRetry())
-	r.settle(server, a)
-	if a.paused() {
-		r.Limits.Return(server.ID)
-		r.skipped = append(r.skipped, server)
-		return a, false
-	}
-	if a.err == nil || a.err.Verdict != fault.NotRun || a.reply.Status != 0 {
-		r.out.Sends++
-	}
-	if a.err != nil {
-		r.verdict = r.verdict.Weaken(a.err.Verdict)
-	}
-	if a.refused() {
-		r.refused = append(r.refused, server)
-	}
-	return a, true
-}
-
-// mayRetry reports whether another attempt may follow the next one.
-func (r *request) mayRetry() bool { return r.out.Sends+1 < r.job.Route.Attempts }
-
 // fail ends the request with the last error response of a server, or an error.
 func (r *request) fail(ctx context.Context, e *fault.Error) call.Outcome {
 	if r.failure != nil && !call.CallerGone(ctx) {
 		return r.writeResponse(r.w, r.out, r.job, *r.failure)
 	}
+	r.logFailure(ctx)
 	return r.writeError(ctx, r.w, r.out, r.verdict, e)
 }
 
-// retryResponse reports whether the request is retried after a response, which requires
-// that the response is an error, that the request may run again, and that the retry
-// budget allows it.
+// retryResponse reports whether the request is retried after an error response, which requires
+// that the request may run again, and that the retry budget allows it.
 func (r *request) retryResponse(a attempt) bool {
 	mayRetry := r.out.Sends < r.job.Route.Attempts
-	return a.failed() && mayRetry && a.rest == nil && r.job.Route.Repeatable() && !r.blocked(r.job) && r.budget.Withdraw(time.Now())
+	return mayRetry && r.job.Route.Repeatable() && !r.blocked(r.job) && r.budget.Withdraw(time.Now())
 }
 
 // retryError reports whether the request is retried after an attempt without a response
