entry/unary: test backlogs, suspected servers and the end of replaced attempts

Cause: leaving out the check for suspected servers or MaxUnanswered, the time that a recovered server gets, or the cancellation of the replaced attempt failed no test. Change: a row with a backlog, and two tests.

--- a/entry/unary/silence_test.go
+++ b/entry/unary/silence_test.go
@@ -56,6 +56,8 @@
 	steps []step
 	// pausedUntil is when all servers go on that are paused before.
 	pausedUntil time.Time
+	// backlog is how much later a server answers all calls but its first.
+	backlog time.Duration
 
 	mu sync.Mutex
 	// arrived counts the calls by their IDs, and at holds those by server. ended counts the calls
@@ -64,6 +66,8 @@
 	at      map[string]int
 	total   int
 	ended   int
+	// endedAt is when a connection was last closed before its response.
+	endedAt time.Time
 }
 
 // dial connects to a server.
@@ -91,6 +95,7 @@
 	if !s.answer(c, next, id, closed) {
 		s.mu.Lock()
 		s.ended++
+		s.endedAt = time.Now()
 		s.mu.Unlock()
 	}
 	c.Close()
@@ -105,7 +110,12 @@
 	s.total++
 	s.arrived[id]++
 	s.at[address]++
-	return s.steps[min(n, len(s.steps)-1)]
+	next := s.steps[min(n, len(s.steps)-1)]
+	next.wait = max(next.wait, time.Until(s.pausedUntil))
+	if s.at[address] > 1 {
+		next.wait += s.backlog
+	}
+	return next
 }
 
 // answer writes a response. It reports false if the connection was closed before.
@@ -124,7 +134,7 @@
 		select {
 		case <-closed:
 			return false
-		case <-time.After(max(next.wait, time.Until(s.pausedUntil))):
+		case <-time.After(next.wait):
 		}
 		switch {
 		case next.pieces == 0:
@@ -185,14 +195,18 @@
 	}
 }
 
-// serveCall forwards a call.
-func serveCall(f *Forwarder, id string, kind route.Kind, attempts int, timeout time.Duration) (*httptest.ResponseRecorder, call.Outcome) {
-	j := &call.Job{
+// newTestCall returns a call.
+func newTestCall(id string, kind route.Kind, attempts int, timeout time.Duration) *call.Job {
+	return &call.Job{
 		Request: &call.Request{ID: id, Method: http.MethodGet, Arrived: time.Now()}, Route: &route.Route{Kind: kind, Target: simTarget, Attempts: attempts},
 		Service: &route.Service{Name: "booking"}, Deadline: time.Now().Add(timeout),
 	}
+}
+
+// serveCall forwards a call.
+func serveCall(f *Forwarder, id string, kind route.Kind, attempts int, timeout time.Duration) (*httptest.ResponseRecorder, call.Outcome) {
 	w := httptest.NewRecorder()
-	return w, f.Serve(context.Background(), w, j)
+	return w, f.Serve(context.Background(), w, newTestCall(id, kind, attempts, timeout))
 }
 
 // Guards against answers that are lost because an attempt at a sound server which is silent for a
@@ -254,23 +268,65 @@
 	}
 }
 
-// Guards against load that doubles because all servers are silent at the same time.
+// Guards against load that doubles because all servers are silent at the same time, or have a backlog
+// after that.
 func TestCallsAreNotDoubledWhenAllServersAreSilent(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		const calls, interval, silence = 30, 10 * time.Millisecond, 1005 * time.Millisecond
-		s := &testServers{steps: []step{{status: http.StatusOK}}, pausedUntil: time.Now().Add(silence)}
-		f := newSilenceForwarder(s, 3, calls)
-		var callers sync.WaitGroup
-		for n := range calls {
-			callers.Go(func() {
-				w, _ := serveCall(f, fmt.Sprint(n), route.Idempotent, 2, 3*time.Second)
-				qt.Check(t, w.Code, qt.Equals, http.StatusOK, qt.Commentf("%s", w.Body))
+	for _, backlog := range []time.Duration{0, 200 * time.Millisecond} {
+		t.Run(fmt.Sprint("backlog ", backlog), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const calls, interval, silence = 30, 10 * time.Millisecond, 1005 * time.Millisecond
+				s := &testServers{steps: []step{{status: http.StatusOK}}, pausedUntil: time.Now().Add(silence), backlog: backlog}
+				f := newSilenceForwarder(s, 3, calls)
+				var callers sync.WaitGroup
+				for n := range calls {
+					callers.Go(func() {
+						w, _ := serveCall(f, fmt.Sprint(n), route.Idempotent, 2, 3*time.Second)
+						qt.Check(t, w.Code, qt.Equals, http.StatusOK, qt.Commentf("%s", w.Body))
+					})
+					time.Sleep(interval)
+				}
+				callers.Wait()
+				synctest.Wait()
+				qt.Check(t, s.total, qt.Equals, calls)
 			})
-			time.Sleep(interval)
-		}
-		callers.Wait()
+		})
+	}
+}
+
+// Guards against a second attempt at a server that is suspected, and against one of a call that may
+// be why two servers do not answer.
+func TestSilentServerIsOnlyOne(t *testing.T) {
+	for name, prepare := range map[string]func(f *Forwarder, j *call.Job){
+		"the other is suspected": func(f *Forwarder, _ *call.Job) {
+			f.State.Suspect("plain-1", time.Now().Add(time.Hour), time.Now())
+		},
+		"another has failed": func(_ *Forwarder, j *call.Job) { j.Unanswered = call.MaxUnanswered - 1 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &testServers{steps: []step{{wait: time.Second, status: http.StatusOK}}}
+				f, j := newSilenceForwarder(s, 2, 9), newTestCall("call", route.Idempotent, 2, 3*time.Second)
+				prepare(f, j)
+				w := httptest.NewRecorder()
+				f.Serve(t.Context(), w, j)
+				synctest.Wait()
+				qt.Check(t, w.Code, qt.Equals, http.StatusOK)
+				qt.Check(t, s.total, qt.Equals, 1)
+			})
+		})
+	}
+}
+
+// Guards against servers that go on with a call while the response of another one is written.
+func TestReplacedAttemptIsEndedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &testServers{steps: []step{{wait: time.Minute}, {wait: 20 * time.Millisecond, status: http.StatusOK, pieces: 50, size: 3 << 20}}}
+		start := time.Now()
+		w, _ := serveCall(newSilenceForwarder(s, 2, 9), "call", route.Idempotent, 2, 3*time.Second)
 		synctest.Wait()
-		qt.Check(t, s.total, qt.Equals, calls)
+		qt.Check(t, w.Code, qt.Equals, http.StatusOK)
+		qt.Check(t, s.endedAt.Sub(start) < simTarget, qt.IsTrue, qt.Commentf("%s", s.endedAt.Sub(start)))
+		qt.Check(t, time.Since(start) > simTarget, qt.IsTrue)
 	})
 }
 
