entry/conns: allow servers a pause while they read a long request

Cause: a request that does not fit into the receive buffer of a server leaves its window at zero while the process is paused. The kernel counts what waits as unacknowledged and ends the connection after TCP_USER_TIMEOUT, 1.5 s, although the kernel of the server answers each probe of the window. Change: for requests of more than 32 KB the timeout is 10 s, and 1.5 s again for the next request. A machine that is gone without a reset is suspected by probes as soon as before; calls that may be repeated start another attempt after their silence, and one that may run once waits for its deadline or 10 s.

--- a/entry/conns/conns.go
+++ b/entry/conns/conns.go
@@ -35,6 +35,11 @@
 	// userTimeout is how long sent bytes may stay unacknowledged before the kernel
 	// closes the connection. A network partition sends no reset.
 	userTimeout = 1500 * time.Millisecond
+	// longUserTimeout is userTimeout while a request of more than longRequest bytes is in flight. Such
+	// a request may not fit into the receive buffer of a server whose process is paused for
+	// seconds, and the kernel counts bytes that wait for room there as unacknowledged.
+	longUserTimeout = 10 * time.Second
+	longRequest     = 32 << 10
 	// defaultIdleTimeout is the idle timeout of a backend server that does not
 	// announce one.
 	defaultIdleTimeout = 4 * time.Second
@@ -79,6 +84,8 @@
 	// may be reused.
 	expires   time.Time
 	idleSince time.Time
+	// long says that longUserTimeout applies.
+	long bool
 }
 
 // tunnel reports whether the connection goes through another entry host.
@@ -160,6 +167,9 @@
 
 // exchange writes a request and reads up to the header of its response.
 func (p *Pool) exchange(ctx context.Context, c *conn, req *http.Request, o Options) (*Response, error) {
+	if err := c.setLong(req.ContentLength > longRequest); err != nil {
+		return nil, err
+	}
 	// Header and body are written at once, so that they are sent in one packet if they
 	// fit.
 	bw := bufio.NewWriterSize(c.Conn, 2048+int(min(req.ContentLength, 32<<10)))
--- a/entry/conns/dial.go
+++ b/entry/conns/dial.go
@@ -48,13 +48,34 @@
 // SetUserTimeout makes the kernel close a connection whose sent bytes stay
 // unacknowledged for userTimeout. It is a [net.Dialer.Control] function.
 func SetUserTimeout(_, _ string, raw syscall.RawConn) error {
+	return setUserTimeout(raw, userTimeout)
+}
+
+func setUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
 	var optErr error
 	err := raw.Control(func(fd uintptr) {
-		optErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
+		optErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(timeout.Milliseconds()))
 	})
 	return errors.Join(err, optErr)
 }
 
+// setLong makes longUserTimeout apply to the connection, or userTimeout again.
+func (c *conn) setLong(long bool) error {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok || c.long == long {
+		return nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	c.long = long
+	if long {
+		return setUserTimeout(raw, longUserTimeout)
+	}
+	return setUserTimeout(raw, userTimeout)
+}
+
 // reusable reports whether an idle connection is open and has no unread bytes.
 func reusable(c net.Conn) bool {
 	if t, ok := c.(*tunnel.Conn); ok {
