entry/tunnel: count a tunnel whose server has yet to answer as in use

Cause: a tunnel counts as in use for 2 s after bytes have passed. A host of the own interface that stops ends those not in use, also one on which a request waits for a server that is silent for longer. Change: a tunnel is in use until its server has answered the last bytes sent to it, within the grace period of the stop as before. The platform waits for all open tunnels and is not affected.

--- a/entry/tunnel/server.go
+++ b/entry/tunnel/server.go
@@ -35,11 +35,30 @@
 	active   atomic.Int64
 
 	mu sync.Mutex
-	// usedAt holds when bytes last passed through each tunnel.
-	usedAt map[*atomic.Int64]struct{}
+	// uses holds the use of each tunnel.
+	uses map[*use]struct{}
 }
 
-// busyFor is how long a tunnel counts as in use after bytes have passed through it.
+// use is the use of a tunnel.
+type use struct {
+	// usedAt is when bytes last passed, in Unix nanoseconds.
+	usedAt atomic.Int64
+	// awaits says that the last bytes went to the server, which has not answered them yet.
+	awaits atomic.Bool
+}
+
+// record records that bytes pass, to the server or from it.
+func (u *use) record(toServer bool) {
+	u.usedAt.Store(time.Now().UnixNano())
+	u.awaits.Store(toServer)
+}
+
+// busy reports whether the tunnel is in use.
+func (u *use) busy() bool {
+	return u.awaits.Load() || time.Since(time.Unix(0, u.usedAt.Load())) < busyFor
+}
+
+// busyFor is how long a tunnel counts as in use after bytes have come from its server.
 const busyFor = 2 * time.Second
 
 var (
@@ -55,36 +74,34 @@
 // Stop makes the server open no more tunnels, because this host is about to stop.
 func (s *Server) Stop() { s.stopping.Store(true) }
 
-// Busy returns the number of tunnels through which bytes have passed lately. The others may
-// be idle connections of the hosts that opened them.
+// Busy returns the number of tunnels whose servers have yet to answer, or have sent bytes lately. The
+// others may be idle connections of the hosts that opened them.
 func (s *Server) Busy() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := 0
-	for at := range s.usedAt {
-		if time.Since(time.Unix(0, at.Load())) < busyFor {
+	for u := range s.uses {
+		if u.busy() {
 			n++
 		}
 	}
 	return n
 }
 
-// track adds a tunnel, and returns a function that records that bytes pass through it and
-// one that removes it.
-func (s *Server) track() (use, remove func()) {
-	at := &atomic.Int64{}
-	use = func() { at.Store(time.Now().UnixNano()) }
-	use()
+// track adds a tunnel until remove is called.
+func (s *Server) track() (u *use, remove func()) {
+	u = &use{}
+	u.record(false)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.usedAt == nil {
-		s.usedAt = map[*atomic.Int64]struct{}{}
+	if s.uses == nil {
+		s.uses = map[*use]struct{}{}
 	}
-	s.usedAt[at] = struct{}{}
-	return use, func() {
+	s.uses[u] = struct{}{}
+	return u, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		delete(s.usedAt, at)
+		delete(s.uses, u)
 	}
 }
 
@@ -114,9 +131,9 @@
 	if err := stream.MsgSend(&message{kind: kindOpened}, encoding{}); err != nil {
 		return err
 	}
-	use, remove := s.track()
+	u, remove := s.track()
 	defer remove()
-	return relay(stream, server, use)
+	return relay(stream, server, u)
 }
 
 // check returns an error if a tunnel is not allowed. n is the number of tunnels with it.
@@ -150,16 +167,15 @@
 }
 
 // relay copies bytes in both directions until either side ends. The server's connection is
-// closed as soon as the host that opened the tunnel has left, so that the server stops. use
-// is called when bytes pass.
-func relay(stream drpc.Stream, server net.Conn, use func()) error {
+// closed as soon as the host that opened the tunnel has left, so that the server stops.
+func relay(stream drpc.Stream, server net.Conn, u *use) error {
 	stop := context.AfterFunc(stream.Context(), func() { server.Close() })
 	defer stop()
-	go copyToServer(stream, server, use)
+	go copyToServer(stream, server, u)
 	buffer := make([]byte, maxData)
 	for {
 		n, err := server.Read(buffer)
-		use()
+		u.record(false)
 		if n > 0 {
 			if err := stream.MsgSend(&message{kind: kindData, body: buffer[:n]}, encoding{}); err != nil {
 				return err
@@ -175,11 +191,11 @@
 }
 
 // copyToServer copies the bytes for a server until the tunnel ends.
-func copyToServer(stream drpc.Stream, server net.Conn, use func()) {
+func copyToServer(stream drpc.Stream, server net.Conn, u *use) {
 	for {
 		var m message
 		err := stream.MsgRecv(&m, encoding{})
-		use()
+		u.record(true)
 		if err == nil && m.kind == kindData {
 			_, err = server.Write(m.body)
 		}
