--- a/entry/unary/flight.go
+++ b/entry/unary/flight.go
@@ -148,7 +148,7 @@
 		}
 	}
 	// A silent server may be about to fail, as those counted in Unanswered have.
-	if silent < len(r.flights) || !r.mayAdd() || r.job.Unanswered+silent >= call.MaxUnanswered || r.blocked(r.job) {
+	if silent < len(r.flights) || !r.mayAdd() || int(r.job.Unanswered.Load())+silent >= call.MaxUnanswered || r.blocked(r.job) {
 		return
 	}
 	server := r.chooseBeside()
--- a/entry/unary/silence_test.go
+++ b/entry/unary/silence_test.go
@@ -300,7 +300,7 @@
 		"the other is suspected": func(f *Forwarder, _ *call.Job) {
 			f.State.Suspect("plain-1", time.Now().Add(time.Hour), time.Now())
 		},
-		"another has failed": func(_ *Forwarder, j *call.Job) { j.Unanswered = call.MaxUnanswered - 1 },
+		"another has failed": func(_ *Forwarder, j *call.Job) { j.Unanswered.Store(call.MaxUnanswered - 1) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -357,7 +357,7 @@
 				f.Probe = func(j *call.Job, _ *fleet.Server, mayBeCause bool, _ string) {
 					probes = append(probes, fmt.Sprint(time.Since(start), " ", mayBeCause))
 					if mayBeCause {
-						j.Unanswered++
+						j.Unanswered.Add(1)
 					}
 				}
 				f.Ended = func(c Cause) { causes = append(causes, c) }
