stream: findings of the review of attempts that stay

- A stream that leaves a draining server still gets events, and the next one ended the attempt that was to take its place, so that the answer was cut when the server closed it.
Such an attempt now takes over with its first event, and a failed try may be repeated.
- A search for other chains recorded its probes as those of the scheduler: two at one moment, on idle connections, made a paused server count as lost.
It starts a probe of its own now.
- blocksLoad did not see a server whose entry has expired, that has restarted under its ID, or that is not reached: the stream blocked the load until its caller left.
- Chains that turned out silent used up the link between domains.
- A request that has not begun on a chain whose server has ended waited for room without a place in the queue.
It ends and queues again.
- When all streams fall silent, failed searches are limited to 20 in 100 ms a host, and a silent server is waited for on one connection, since each further one fills the queue of its kernel.

--- a/entry/call/ending.go
+++ b/entry/call/ending.go
@@ -5,17 +5,13 @@
 
 // The endings. The first ones are decisions of this entry host, the others are not.
 const (
-	// EndedSilent means that the server was silent for too long.
+	// EndedSilent means that the server was silent, and that another one has answered.
 	EndedSilent Ending = "silent"
-	// EndedUnreachable means that the server did not answer probes.
-	EndedUnreachable Ending = "unreachable"
 	// EndedExited means that the server's process had ended.
 	EndedExited Ending = "exited"
-	// EndedNoChain means that a server behind the first one did not answer, and that no
+	// EndedNoChain means that a server behind the first one was lost, and that no
 	// other chain began at the first one.
 	EndedNoChain Ending = "no-chain"
-	// EndedLinkCut means that the server was not reached directly any more.
-	EndedLinkCut Ending = "link-cut"
 	// EndedDeadline means that the time of the caller or of the route was over.
 	EndedDeadline Ending = "deadline"
 
@@ -30,7 +26,7 @@
 // ByHost reports whether this entry host decided to end the response.
 func (e Ending) ByHost() bool {
 	switch e {
-	case EndedSilent, EndedUnreachable, EndedExited, EndedNoChain, EndedLinkCut, EndedDeadline:
+	case EndedSilent, EndedExited, EndedNoChain, EndedDeadline:
 		return true
 	case EndedBroken, EndedRefused, EndedCaller:
 	}
--- a/entry/stream/active.go
+++ b/entry/stream/active.go
@@ -16,9 +16,9 @@
 type activeStream struct {
 	job    *call.Job
 	cancel context.CancelCauseFunc
-	// replace begins another attempt of the request beside this one, if it can. It may block while
-	// servers are probed.
-	replace func(replacement)
+	// replace begins another attempt of the request beside this one, if it can, and reports false if
+	// a later try may succeed. It may block while servers are probed.
+	replace func(replacement) (done bool)
 	// clock distinguishes the silence of servers from stalls of this process.
 	clock *stall.Clock
 	// startedAt is when the attempt started.
--- a/entry/stream/attempt.go
+++ b/entry/stream/attempt.go
@@ -28,7 +28,10 @@
 	cancel context.CancelCauseFunc
 	stream *activeStream
 	events eventFilter
-	// superseded is set once another attempt has delivered an event. The request's mu guards it.
+	// takesOver says that this attempt replaces one that still gets events, because a server of that
+	// one is about to leave its chain. It goes on as soon as it has an event.
+	takesOver bool
+	// superseded is set once another attempt goes on instead. The request's mu guards it.
 	superseded bool
 	// done is closed when the attempt has ended, with err as its outcome.
 	done chan struct{}
@@ -39,7 +42,7 @@
 func (r *request) begin(chain router.Chain) *attempt {
 	a := &attempt{request: r, chain: chain, done: make(chan struct{})}
 	a.ctx, a.cancel = context.WithCancelCause(r.ctx)
-	a.events = eventFilter{lastID: r.delivered.lastID, count: r.delivered.count}
+	a.events.sync(r.delivered)
 	a.events.resume()
 	a.stream = r.Monitor.add(r.job, chain, a.cancel, a.replace)
 	r.inFlight = append(r.inFlight, a)
@@ -85,13 +88,13 @@
 	return r.inFlight[0]
 }
 
-// run sends the request and forwards the response.
+// run sends the request, forwards the response and sets the outcome.
 func (a *attempt) run() {
+	defer close(a.done)
 	a.err = a.exchange()
 	a.cancel(nil)
 	a.Monitor.remove(a.stream)
 	a.leave()
-	close(a.done)
 }
 
 // leave removes an attempt that failed while another one is in flight, whose outcome is that of
@@ -106,7 +109,7 @@
 	a.inFlight = slices.DeleteFunc(a.inFlight, func(b *attempt) bool { return a == b })
 }
 
-// exchange is run without its cleanup.
+// exchange sends the request and forwards the response.
 func (a *attempt) exchange() *fault.Error {
 	first := a.chain[0].Server
 	pending := a.Monitor.StartLatency.Track(first.ID, notableWait(a.job.Route), time.Now())
@@ -195,22 +198,30 @@
 // deliver sends the whole events among the bytes of a response to the caller. The first
 // attempt that has one ends the other.
 func (a *attempt) deliver(resp *conns.Response, b []byte, controller *http.ResponseController) *fault.Error {
+	a.writing.Lock()
+	defer a.writing.Unlock()
+	a.mu.Lock()
+	a.events.sync(a.delivered)
+	a.mu.Unlock()
+	seen := a.events.seen
 	whole := a.events.add(b)
-	if len(whole) == 0 {
+	if len(whole) == 0 && (!a.takesOver || a.events.seen == seen) {
 		return nil
 	}
-	a.writing.Lock()
-	defer a.writing.Unlock()
-	if !a.claim() {
+	if !a.claim(false) {
 		return a.supersededError()
 	}
+	if len(whole) == 0 {
+		return nil
+	}
 	a.sendHeader(resp)
 	return a.sendEvents(whole, controller)
 }
 
-// claim makes this attempt the one that delivers the response, and ends the other one. It
-// reports false if another attempt has done so.
-func (a *attempt) claim() bool {
+// claim makes this attempt the one that delivers the response, and ends the other one, unless that
+// one is to take over before the end. It reports false if another attempt goes on. The mutex writing
+// is held.
+func (a *attempt) claim(atEnd bool) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.superseded {
@@ -218,13 +229,15 @@
 	}
 	a.delivered = position{lastID: a.events.lastID, count: a.events.count}
 	for _, other := range a.inFlight {
-		if other != a && !other.superseded {
-			other.superseded = true
-			other.cancel(errSuperseded)
-			a.Log.Info("stream: one of two attempts goes on", "request", a.job.ID, "chain", a.stream.currentChain().String(),
-				"ended", other.stream.currentChain().String(), "silence", other.stream.silence(), "events", a.events.count)
+		if other == a || other.superseded || other.takesOver && !atEnd {
+			continue
 		}
+		other.superseded = true
+		other.cancel(errSuperseded)
+		a.Log.Info("stream: one of two attempts goes on", "request", a.job.ID, "chain", a.stream.currentChain().String(),
+			"ended", other.stream.currentChain().String(), "silence", other.stream.silence(), "events", a.events.count)
 	}
+	a.takesOver = false
 	return true
 }
 
@@ -232,7 +245,7 @@
 func (a *attempt) complete(resp *conns.Response) *fault.Error {
 	a.writing.Lock()
 	defer a.writing.Unlock()
-	if !a.claim() {
+	if !a.claim(true) {
 		return a.supersededError()
 	}
 	a.sendHeader(resp)
--- a/entry/stream/events.go
+++ b/entry/stream/events.go
@@ -14,6 +14,8 @@
 	lastID string
 	// count is the number of forwarded events.
 	count int
+	// seen is the number of whole events, also of those that the caller had already.
+	seen int
 	// resumed is set if the stream continues after lastID. Events up to there are
 	// dropped, because the caller already has them.
 	resumed bool
@@ -57,6 +59,7 @@
 		end := bytes.Index(whole, eventDelimiter) + len(eventDelimiter)
 		event := whole[:end]
 		whole = whole[end:]
+		e.seen++
 		id := eventID(event)
 		if e.delivered(id) {
 			continue
@@ -98,6 +101,11 @@
 	e.resumed = e.lastID != ""
 }
 
+// sync continues after what the caller has.
+func (e *eventFilter) sync(p position) {
+	e.lastID, e.count = p.lastID, p.count
+}
+
 // partial reports whether an event has started and not ended.
 func (e *eventFilter) partial() bool {
 	return len(bytes.TrimSpace(e.pending)) > 0
--- a/entry/stream/failure.go
+++ b/entry/stream/failure.go
@@ -113,7 +113,7 @@
 }
 
 // shouldRetry reports whether the request is sent again on another chain. It
-// withdraws the retry from the retry budget, unless the monitor has reserved it.
+// withdraws the retry from the retry budget, unless that has been done.
 func (r *request) shouldRetry(ctx context.Context, e *fault.Error) bool {
 	if ctx.Err() != nil || e.Code == fault.Cancelled || e.Code == fault.Poisoned || r.job.Unanswered.Load() >= call.MaxUnanswered {
 		return false
@@ -135,7 +135,8 @@
 		return false
 	}
 	r.verdict = r.verdict.Weaken(e.Verdict)
-	allowed := r.budget.Withdraw(time.Now())
+	allowed := r.reserved || r.budget.Withdraw(time.Now())
+	r.reserved = false
 	r.Log.Info("stream: tried again", "request", r.job.ID, "server", r.out.Server, "chain", r.out.Chain,
 		"allowed", allowed, "sends", r.out.Sends, "events", r.delivered.count, "error", e)
 	return allowed
--- a/entry/stream/forwarder.go
+++ b/entry/stream/forwarder.go
@@ -104,6 +104,8 @@
 	mayHaveRun []*fleet.Server
 	// serverError is the last error response of a server.
 	serverError *errorResponse
+	// reserved says that the next attempt has been withdrawn from the retry budget.
+	reserved bool
 }
 
 // Serve forwards a request, on several chains in turn if need be, and responds to
--- a/entry/stream/monitor.go
+++ b/entry/stream/monitor.go
@@ -116,6 +116,9 @@
 	aliveAt          time.Time
 	// asking makes goroutines that ask the same server share its answer.
 	asking singleflight.Group
+	// failedSearches counts the searches for other attempts that have failed since searchesSince.
+	failedSearches int
+	searchesSince  time.Time
 	// failedRequests holds the requests that failed on a probed server, by the ID of
 	// the server, until it is known whether the server crashed.
 	failedRequests map[string][]failedRequest
@@ -125,7 +128,7 @@
 	lastDrain time.Time
 }
 
-func (m *Monitor) add(job *call.Job, chain router.Chain, cancel context.CancelCauseFunc, replace func(replacement)) *activeStream {
+func (m *Monitor) add(job *call.Job, chain router.Chain, cancel context.CancelCauseFunc, replace func(replacement) bool) *activeStream {
 	stream := &activeStream{job: job, startedAt: time.Now(), chain: chain, clock: m.Clock, cancel: cancel, replace: replace, releaseChain: m.Load.Reserve(chain, totalTokens(job))}
 	stream.recordActivity()
 	m.mu.Lock()
@@ -204,6 +207,13 @@
 		})
 	}
 	for _, address := range m.probes.Next(streams, now) {
+		if m.probing[address] && m.isSilent(address) {
+			// A probe waits for its answer already. Each further connection would fill the
+			// queue of the server's kernel.
+			m.probes.Record(address, probe.NoAnswer)
+			go m.evacuate(address, probe.Silent)
+			continue
+		}
 		go m.probeSilent(ctx, address)
 	}
 }
@@ -211,14 +221,6 @@
 // probeSilent probes a server of a silent stream. If the server does not answer, the
 // streams that use it are rerouted or get other attempts.
 func (m *Monitor) probeSilent(ctx context.Context, address string) {
-	if outcome := m.probeForReport(ctx, address); outcome != probe.Alive {
-		m.evacuate(address, outcome)
-	}
-}
-
-// probeForReport probes a server, handles its report and returns its state. A server that fails is
-// suspected.
-func (m *Monitor) probeForReport(ctx context.Context, address string) probe.State {
 	startedAt := m.Clock.Mark()
 	m.mu.Lock()
 	failing := m.probes.Failing(address)
@@ -233,15 +235,22 @@
 	m.mu.Unlock()
 	if err == nil {
 		m.handleReport(address, report)
+		return
 	}
 	if isAlive(err) {
-		return outcome
+		return
 	}
 	m.Log.Warn("watch: no report", "address", address, "finding", outcome.String(), "error", err, "delay", m.Clock.Delay(startedAt))
 	if outcome.Failed() {
 		m.suspect(address, "no report", err)
 	}
-	return outcome
+	m.evacuate(address, outcome)
+}
+
+// isSilent reports whether a server is suspected, but accepts connections.
+func (m *Monitor) isSilent(address string) bool {
+	s := m.State.View().ByAddress(address)
+	return s != nil && s.Silent
 }
 
 // probeTimeout returns how long an answer to a probe may take.
@@ -268,7 +277,9 @@
 		return report, err
 	}
 	m.answered[address] = time.Now()
-	m.timeout.Record(elapsed, timeout <= m.timeout.Current())
+	if timeout <= call.ReportTimeout {
+		m.timeout.Record(elapsed, timeout <= m.timeout.Current())
+	}
 	return report, err
 }
 
--- a/entry/stream/monitor_test.go
+++ b/entry/stream/monitor_test.go
@@ -125,7 +125,7 @@
 	first, middle := servers["first"], servers["middle"]
 	chain := router.Chain{{Server: &first, First: 0, End: 4}, {Server: &middle, First: 4, End: 12}}
 	job := &call.Job{Request: &call.Request{ID: id, PromptTokens: 10, TokensHint: 5}, Route: testRoute, Service: &route.Service{Name: "assist", Engine: engine}}
-	stream := m.add(job, chain, func(error) {}, func(replacement) {})
+	stream := m.add(job, chain, func(error) {}, func(replacement) bool { return true })
 	stream.recordEvent()
 	stream.lastActivity.Store(time.Now().Add(-silence).UnixNano())
 	return stream
@@ -144,7 +144,7 @@
 		var ended error
 		replaced := make(chan replacement, 1)
 		stream.cancel = func(cause error) { ended = cause }
-		stream.replace = func(r replacement) { replaced <- r }
+		stream.replace = func(r replacement) bool { replaced <- r; return true }
 		m.evacuate("first", test.outcome)
 		if test.replaced {
 			qt.Check(t, (<-replaced).cause, qt.Equals, errFirstServerDead)
@@ -310,7 +310,7 @@
 	stream.chain = router.Chain{{Server: &first, First: 0, End: 4}, {Server: &middle, First: 4, End: 8}, {Server: &next, First: 8, End: 12}}
 	ended, replaced := make(chan error, 1), make(chan replacement, 1)
 	stream.cancel = func(cause error) { ended <- cause }
-	stream.replace = func(r replacement) { replaced <- r }
+	stream.replace = func(r replacement) bool { replaced <- r; return true }
 	m.setExited("middle", true, time.Now())
 	m.rerouteStream(stream, "middle")
 	qt.Assert(t, ended, qt.HasLen, 0)
@@ -404,7 +404,7 @@
 			stream := m.addStream(servers, "r", silence)
 			stream.direct.Store(test.direct)
 			var replaced atomic.Int64
-			stream.replace = func(replacement) { replaced.Add(1) }
+			stream.replace = func(replacement) bool { replaced.Add(1); return true }
 			now := time.Now()
 			for i := range 5 {
 				m.sweep(t.Context(), now.Add(time.Duration(i)*sweepInterval))
--- a/entry/stream/probe.go
+++ b/entry/stream/probe.go
@@ -33,7 +33,7 @@
 func (m *Monitor) probeFor(job *call.Job, s *fleet.Server, sent time.Time, mayBeCause bool, reason string) {
 	m.recordFailedRequest(s, job, sent, mayBeCause)
 	if m.claimProbe(s.Address) {
-		go m.probeSuspect(s.ID, s.Address, reason, link{})
+		go m.probeSuspect(s.ID, s.Address, reason, link{}, 0)
 	}
 }
 
@@ -148,7 +148,7 @@
 	healthy := time.Since(m.lastAnswer[address]) < healthyProbeInterval
 	m.mu.Unlock()
 	if !healthy && m.claimProbe(address) {
-		go m.probeSuspect(s.ID, address, reason, via)
+		go m.probeSuspect(s.ID, address, reason, via, 0)
 	}
 }
 
@@ -176,7 +176,7 @@
 	}
 	m.markSuspected(s.ID, address, reason, err, time.Now())
 	if m.claimProbe(address) {
-		go m.probeSuspect(s.ID, address, reason, link{})
+		go m.probeSuspect(s.ID, address, reason, link{}, probe.FailureThreshold)
 	}
 }
 
@@ -236,8 +236,9 @@
 
 // probeSuspect probes a server until it answers or its entry is gone. The timeout is
 // short for the first probes, as many as must fail before the server is suspected:
-// until then requests are sent to the server, and no other server loads its layers.
-func (m *Monitor) probeSuspect(id, address, reason string, via link) {
+// until then requests are sent to the server, and no other server loads its layers. misses is the
+// number of probes that have failed already.
+func (m *Monitor) probeSuspect(id, address, reason string, via link, misses int) {
 	defer func() {
 		m.mu.Lock()
 		defer m.mu.Unlock()
@@ -245,13 +246,12 @@
 		// Requests that failed since the result are not laid to a later crash.
 		delete(m.failedRequests, id)
 	}()
-	misses := 0
 	for range maxSuspectProbes {
 		if misses > 0 {
 			// Only a new connection shows whether the server accepts connections.
 			m.DropConns(address)
 		}
-		timeout := call.ReportTimeout
+		timeout := m.suspectTimeout(id)
 		if misses < probe.FailureThreshold {
 			timeout = m.probeTimeout()
 		}
@@ -286,6 +286,15 @@
 	}
 }
 
+// suspectTimeout returns how long a suspected server may take to answer. A silent one is waited for
+// on one connection: each further one would fill the queue of its kernel, which then accepts none.
+func (m *Monitor) suspectTimeout(id string) time.Duration {
+	if limit := m.State.SilenceLimit(id); !limit.IsZero() {
+		return min(max(call.ReportTimeout, time.Until(limit)), remoteProbeInterval)
+	}
+	return call.ReportTimeout
+}
+
 // probeInterval returns the interval between probes of a suspected server. Every
 // entry host probes the server, so one of another failure domain that serves none of
 // the streams here is probed only as often as it takes to keep it suspected, and when it
--- a/entry/stream/replace.go
+++ b/entry/stream/replace.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"fuchsiashelf.dev/entry/call"
-	"fuchsiashelf.dev/parts/probe"
 	"fuchsiashelf.dev/parts/router"
 )
 
@@ -23,6 +22,11 @@
 	avoid map[string]bool
 	// singleDomain keeps the new chain within one failure domain.
 	singleDomain bool
+	// takeOver says that the attempt still gets events, and is ended as soon as the new one has one.
+	takeOver bool
+	// ended says that the attempt cannot go on. If it has not begun, it is ended, so that the
+	// request is queued for another one.
+	ended bool
 }
 
 // Reasons why no attempt is begun beside another one.
@@ -34,22 +38,40 @@
 	reasonAttempts = "the attempts of the route are used up"
 	reasonBudget   = "the retry budget is used up"
 	reasonNoChain  = "no chain has free capacity"
+	reasonBusy     = "too many searches have failed"
 	reasonSilent   = "the servers of the other chains are silent as well"
 )
 
 // replace begins another attempt beside this one, if the route, the retry budget and the servers
 // allow one. The servers of this attempt may go on: it ends when the other one has delivered an
-// event, and the other one ends if this one delivers an event before.
-func (a *attempt) replace(wanted replacement) {
+// event, and the other one ends if this one delivers an event before. It reports false if a later try
+// may succeed.
+func (a *attempt) replace(wanted replacement) (done bool) {
+	if wanted.ended && a.endUnbegun(wanted.cause) {
+		return true
+	}
 	reason := a.tryReplace(wanted)
 	if reason == "" || reason == reasonEnded || reason == reasonInFlight {
-		return
+		return true
 	}
 	a.Log.Info("stream: no other attempt", "request", a.job.ID, "cause", wanted.cause.Error(), "reason", reason,
 		"chain", a.stream.currentChain().String(), "silence", a.stream.silence())
+	return reason != reasonNoChain && reason != reasonSilent && reason != reasonBusy
 }
 
-// tryReplace is replace. It returns why no attempt was begun; empty if one was.
+// endUnbegun ends an attempt that has not begun and cannot go on, if the request may be sent again.
+func (a *attempt) endUnbegun(cause error) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.stream.started.Load() || a.delivered.count > 0 || a.reserve() != "" {
+		return false
+	}
+	a.reserved = true
+	a.cancel(cause)
+	return true
+}
+
+// tryReplace begins another attempt, or returns why it does not.
 func (a *attempt) tryReplace(wanted replacement) (reason string) {
 	chain, release, reason := a.findReplacement(wanted)
 	if chain == nil {
@@ -64,7 +86,9 @@
 	}
 	a.Log.Info("stream: another attempt", "request", a.job.ID, "cause", wanted.cause.Error(), "silence", a.stream.silence(),
 		"chain", a.stream.currentChain().String(), "next", chain.String(), "sends", a.out.Sends, "events", a.delivered.count)
-	go a.begin(chain).run()
+	next := a.begin(chain)
+	next.takesOver = wanted.takeOver
+	go next.run()
 	return ""
 }
 
@@ -109,36 +133,67 @@
 	a.mu.Lock()
 	reason = a.mayReplace()
 	q := a.chainQuery(a.job)
-	q.Avoid = maps.Clone(a.avoid)
+	q.Avoid, q.SingleDomain = maps.Clone(a.avoid), wanted.singleDomain
 	a.mu.Unlock()
 	if reason != "" {
 		return nil, nil, reason
 	}
+	if !a.Monitor.maySearch() {
+		return nil, nil, reasonBusy
+	}
 	maps.Copy(q.Avoid, wanted.avoid)
 	q.Avoid[a.stream.firstAddress()] = true
 	reason = reasonNoChain
 	for range maxReroutes {
-		q.SingleDomain = wanted.singleDomain
-		chain := a.pickChain(q)
+		chain := a.pickWithinLimits(q)
 		if chain == nil {
-			return nil, nil, reason
+			break
 		}
 		// The chain is reserved before its servers are asked, so that others choose other ones.
 		release := a.Load.Reserve(chain, totalTokens(a.job))
 		silent := a.Monitor.findSilent(chain)
-		if len(silent) == 0 {
+		if len(silent) == 0 && a.Monitor.reserveTransfer(a.job, chain.Crossings()) {
 			return chain, release, ""
 		}
 		release()
 		a.Limits.Return(chain[0].Server.ID)
+		if len(silent) == 0 {
+			q.SingleDomain = true
+			continue
+		}
 		reason = reasonSilent
 		for _, address := range silent {
 			q.Avoid[address] = true
 		}
 	}
+	a.Monitor.recordFailedSearch()
 	return nil, nil, reason
 }
 
+// searchWindow is the interval in which up to maxFailedSearches of this host may fail. All streams
+// of a host may fall silent at once, and each search costs processor time in proportion to the servers.
+const (
+	searchWindow      = 100 * time.Millisecond
+	maxFailedSearches = 20
+)
+
+// maySearch reports whether a chain may be sought for another attempt now.
+func (m *Monitor) maySearch() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if now := time.Now(); now.Sub(m.searchesSince) > searchWindow {
+		m.searchesSince, m.failedSearches = now, 0
+	}
+	return m.failedSearches < maxFailedSearches
+}
+
+// recordFailedSearch records that no chain was found for another attempt.
+func (m *Monitor) recordFailedSearch() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.failedSearches++
+}
+
 // findSilent returns the addresses of the servers of some stages that do not answer. Those
 // that have shown lately whether they are alive are not asked.
 func (m *Monitor) findSilent(stages []router.Stage) (silent []string) {
@@ -166,12 +221,19 @@
 }
 
 // answers reports whether a server answers a probe. One that has missed a probe within aliveFor is
-// not asked again.
+// not asked again; whether it has failed is decided by other probes.
 func (m *Monitor) answers(address string) bool {
 	m.mu.Lock()
 	missed := time.Since(m.missed[address]) < aliveFor
 	m.mu.Unlock()
-	return !missed && m.probeForReport(context.Background(), address) == probe.Alive
+	if missed {
+		return false
+	}
+	_, err := m.fetchReport(context.Background(), address, m.probeTimeout())
+	if !isAlive(err) {
+		m.Probe(address, "it did not answer when another chain was sought")
+	}
+	return isAlive(err)
 }
 
 // aliveServers returns the addresses of the servers that answered a probe, or through which
--- a/entry/stream/replace_test.go
+++ b/entry/stream/replace_test.go
@@ -60,6 +60,8 @@
 // its client has closed the connection in the silence.
 type pausing struct {
 	resume, left chan struct{}
+	// then is the last event that it sends after that.
+	then int
 }
 
 func (p *pausing) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -67,10 +69,14 @@
 	select {
 	case <-p.resume:
 		r.Header.Set("Last", "1")
-		sendEventsAfter(w, r, streamEvents)
+		sendEventsAfter(w, r, p.then)
+		if p.then == streamEvents {
+			return
+		}
+		<-r.Context().Done()
 	case <-r.Context().Done():
-		close(p.left)
 	}
+	close(p.left)
 }
 
 // replaceTest is a request in flight at a server that has sent one event and is silent, beside a
@@ -92,7 +98,7 @@
 	addServer(m, servers, fleet.Server{ID: "spare", Service: "assist", Address: "spare", Domain: "a", Accelerator: "card", First: 0, End: testLayers, StartedAt: time.Unix(1, 0)})
 	job := m.addStream(servers, "r", 0).job
 	job.Route, job.Deadline = &r, time.Now().Add(time.Minute)
-	test := &replaceTest{first: &pausing{make(chan struct{}), make(chan struct{})}, asked: make(chan struct{}), body: httptest.NewRecorder(), engine: e, ended: make(chan *fault.Error, 1)}
+	test := &replaceTest{first: &pausing{make(chan struct{}), make(chan struct{}), streamEvents}, asked: make(chan struct{}), body: httptest.NewRecorder(), engine: e, ended: make(chan *fault.Error, 1)}
 	listeners := map[string]string{"first": listenAndServe(t, test.first), "spare": listenAndServe(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		close(test.asked)
 		spare(w, r)
--- a/entry/stream/reroute.go
+++ b/entry/stream/reroute.go
@@ -56,13 +56,19 @@
 // it is: the servers that it waits for are probed again soon, and by then an alternative
 // may exist.
 func (m *Monitor) rerouteStream(stream *activeStream, failed string) {
+	m.leaveServer(stream, failed, false)
+}
+
+// leaveServer is rerouteStream for a server that has failed, or that is about to leave the chain of a
+// stream which still gets events. It reports whether the server may be left later.
+func (m *Monitor) leaveServer(stream *activeStream, failed string, leaving bool) (later bool) {
 	stream.mu.Lock()
 	chain := stream.chain
 	if stream.rerouting || !chain.Has(failed) || time.Since(stream.lastSearch) < searchInterval {
 		// The stream is being rerouted, has another chain already, or found none a
 		// moment ago.
 		stream.mu.Unlock()
-		return
+		return true
 	}
 	stream.rerouting = true
 	stream.mu.Unlock()
@@ -74,18 +80,22 @@
 	}()
 	avoid := map[string]bool{failed: true}
 	if m.tryReroute(stream, chain, avoid) {
-		return
+		return false
 	}
-	started, ends := stream.started.Load(), m.blocksLoad(stream, chain, failed)
+	view := m.State.View()
+	started, ends := stream.started.Load(), m.blocksLoad(view, stream, chain, failed)
 	m.Log.Info("watch: no other way", "request", stream.job.ID, "failed", failed, "began", started, "ends", ends, "silence", stream.silence())
 	if ends {
 		stream.cancel(errNoChain)
-		return
+		return false
 	}
 	// Loading the missing layers takes longer than the maximum gap of the route, and the link
 	// between domains carries few prompts in that time; reading the tokens again on a chain
 	// within one domain needs neither.
-	stream.replace(replacement{cause: errNoChain, avoid: avoid, singleDomain: started})
+	return !stream.replace(replacement{
+		cause: errNoChain, avoid: avoid, singleDomain: started,
+		takeOver: leaving, ended: m.hasEndedAt(view, chain, failed),
+	})
 }
 
 // tryReroute orders the first server of a stream to use one alternative chain after
@@ -130,8 +140,7 @@
 // keeps another one from loading the layers that this stream and others wait for. That server
 // starts to load once all requests that use the layers it gives up have ended, but this stream would
 // never end.
-func (m *Monitor) blocksLoad(stream *activeStream, chain router.Chain, failed string) bool {
-	view := m.State.View()
+func (m *Monitor) blocksLoad(view *fleet.View, stream *activeStream, chain router.Chain, failed string) bool {
 	s := drainingServer(view, chain)
 	return s != nil && s.AwaitsReload && stream.silent() && m.isLost(view, chain, failed)
 }
@@ -139,10 +148,17 @@
 // isLost reports whether the server of a chain with the given address has ended, or is not reached.
 // A server that accepts connections and is silent may go on.
 func (m *Monitor) isLost(view *fleet.View, chain router.Chain, address string) bool {
+	current := view.ByAddress(address)
+	return m.hasEndedAt(view, chain, address) || current != nil && current.Lost()
+}
+
+// hasEndedAt reports whether the process of the server of a chain with the given address has ended,
+// or has no entry any more.
+func (m *Monitor) hasEndedAt(view *fleet.View, chain router.Chain, address string) bool {
 	for _, stage := range chain {
-		if stage.Server.Address == address {
+		if s := stage.Server; s.Address == address {
 			current := view.ByAddress(address)
-			return m.hasExited(stage.Server.ID) || current != nil && (current.ID != stage.Server.ID || current.Lost())
+			return current == nil || current.ID != s.ID || !current.StartedAt.Equal(s.StartedAt) || m.hasExited(s.ID)
 		}
 	}
 	return false
@@ -222,12 +238,21 @@
 		stream.mu.Unlock()
 		if due {
 			m.lastDrain = now
-			go m.rerouteStream(stream, s.Address)
+			go m.drainStream(stream, s.Address)
 			return
 		}
 	}
 }
 
+// drainStream moves a stream off a draining server, or lets that be tried again.
+func (m *Monitor) drainStream(stream *activeStream, address string) {
+	if m.leaveServer(stream, address, true) {
+		stream.mu.Lock()
+		stream.drainedFrom = ""
+		stream.mu.Unlock()
+	}
+}
+
 // drainIntervalFor returns the interval before the next stream is rerouted around a
 // server.
 func drainIntervalFor(s *fleet.Server) time.Duration {
--- a/entry/stream/reroute_test.go
+++ b/entry/stream/reroute_test.go
@@ -43,7 +43,7 @@
 		stream.started.Store(started)
 		stream.cancel = func(error) { t.Error("the attempt was ended") }
 		sought := make(chan replacement, 1)
-		stream.replace = func(r replacement) { sought <- r }
+		stream.replace = func(r replacement) bool { sought <- r; return true }
 		m.rerouteStream(stream, "middle")
 		r := <-sought
 		qt.Check(t, r.cause, qt.Equals, errNoChain)
--- a/entry/stream/timeouts.go
+++ b/entry/stream/timeouts.go
@@ -32,9 +32,8 @@
 	// broke off, as a fraction of the caller timeout. The rest is left for the first
 	// event of the new chain.
 	restartSearchFraction = 0.8
-	// restartFraction is the time without an event after which a stream restarts on
-	// another chain regardless of the state of its first server, as a fraction of
-	// the caller timeout.
+	// restartFraction is the time without an event after which another attempt is
+	// sought regardless of the state of the servers, as a fraction of the caller timeout.
 	restartFraction = 0.65
 )
 
--- a/entry/unary/ended.go
+++ b/entry/unary/ended.go
@@ -10,27 +10,9 @@
 	"fuchsiashelf.dev/parts/fleet"
 )
 
-// Cause is why an attempt or a request ended without a response.
-type Cause string
-
-// The causes.
-const (
-	// Silent means that this host ended an attempt whose server sent nothing for too long, after
-	// another server had responded.
-	Silent Cause = "silent"
-	// Exited means that the process of the server has ended.
-	Exited Cause = "exited"
-	// Refused means that the last server refused the request.
-	Refused Cause = "refused"
-	// Broken means that the server, or the connection to it, broke off.
-	Broken Cause = "broken"
-	// Deadline means that the time of the caller or of the route was up.
-	Deadline Cause = "deadline"
-)
-
 // logReplaced logs that this host ends an attempt because another one has a response.
 func (r *request) logReplaced(t, used *flight) {
-	r.logEnd("calls: attempt ended", t, Silent, "host", "used", used.server.ID)
+	r.logEnd("calls: attempt ended", t, call.EndedSilent, "host", "used", used.server.ID)
 }
 
 // logFailure logs that a request which may have run ends without a response of a server, while its
@@ -43,18 +25,18 @@
 	e := t.outcome.err
 	switch {
 	case ctx.Err() != nil:
-		r.logEnd("calls: ended without a response", t, Deadline, "host", "error", e)
+		r.logEnd("calls: ended without a response", t, call.EndedDeadline, "host", "error", e)
 	case errors.Is(e, errProcessEnded):
-		r.logEnd("calls: ended without a response", t, Exited, "server", "error", e)
+		r.logEnd("calls: ended without a response", t, call.EndedExited, "server", "error", e)
 	case t.outcome.refused():
-		r.logEnd("calls: ended without a response", t, Refused, "server", "error", e)
+		r.logEnd("calls: ended without a response", t, call.EndedRefused, "server", "error", e)
 	default:
-		r.logEnd("calls: ended without a response", t, Broken, "server", "error", e)
+		r.logEnd("calls: ended without a response", t, call.EndedBroken, "server", "error", e)
 	}
 }
 
 // logEnd logs and counts the end of an attempt or of a request, and what it is based on.
-func (r *request) logEnd(message string, t *flight, cause Cause, by string, attrs ...any) {
+func (r *request) logEnd(message string, t *flight, cause call.Ending, by string, attrs ...any) {
 	if r.Ended != nil {
 		r.Ended(cause)
 	}
--- a/entry/unary/silence_test.go
+++ b/entry/unary/silence_test.go
@@ -340,27 +340,27 @@
 		steps []step
 		// probes are when servers are probed, and whether the call may be the cause.
 		probes []string
-		causes []Cause
+		causes []call.Ending
 	}{
-		{"second answers", []step{{wait: silence, status: ok}, {wait: moment, status: ok}}, []string{"300ms false"}, []Cause{Silent}},
+		{"second answers", []step{{wait: silence, status: ok}, {wait: moment, status: ok}}, []string{"300ms false"}, []call.Ending{call.EndedSilent}},
 		{"first answers", []step{{wait: silence, status: ok}, {wait: moment}}, []string{"300ms false", "320ms true"}, nil},
-		{"both break off", []step{{wait: silence}, {wait: moment}}, []string{"300ms false", "320ms true", "1s true"}, []Cause{Broken}},
-		{"refused", []step{{wait: silence}, {status: http.StatusServiceUnavailable, notRun: true}}, []string{"300ms false", "1s true"}, []Cause{Broken}},
-		{"late", []step{{wait: time.Minute}}, []string{"300ms false"}, []Cause{Deadline}},
+		{"both break off", []step{{wait: silence}, {wait: moment}}, []string{"300ms false", "320ms true", "1s true"}, []call.Ending{call.EndedBroken}},
+		{"refused", []step{{wait: silence}, {status: http.StatusServiceUnavailable, notRun: true}}, []string{"300ms false", "1s true"}, []call.Ending{call.EndedBroken}},
+		{"late", []step{{wait: time.Minute}}, []string{"300ms false"}, []call.Ending{call.EndedDeadline}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := newSilenceForwarder(&testServers{steps: test.steps}, 2, 9)
 				start := time.Now()
 				var probes []string
-				var causes []Cause
+				var causes []call.Ending
 				f.Probe = func(j *call.Job, _ *fleet.Server, mayBeCause bool, _ string) {
 					probes = append(probes, fmt.Sprint(time.Since(start), " ", mayBeCause))
 					if mayBeCause {
 						j.Unanswered.Add(1)
 					}
 				}
-				f.Ended = func(c Cause) { causes = append(causes, c) }
+				f.Ended = func(c call.Ending) { causes = append(causes, c) }
 				serveCall(f, "call", route.Idempotent, 2, 3*time.Second)
 				qt.Check(t, probes, qt.DeepEquals, test.probes)
 				qt.Check(t, causes, qt.DeepEquals, test.causes)
--- a/entry/unary/unary.go
+++ b/entry/unary/unary.go
@@ -73,7 +73,7 @@
 	Slots *Slots
 	Log   *slog.Logger
 	// Ended is called for each attempt, and each request, that ends without a response; nil counts none.
-	Ended func(Cause)
+	Ended func(call.Ending)
 }
 
 // request is a request in flight, with the state of all its attempts.
