relay: keep a silent attempt until another one has sent a token

Callers lost answers whose servers were only paused: the relay closed an attempt after 250 to 400 ms of silence and began anew. Where the next chain refused or was silent too, or attempts or the budget were spent, the request ended with server-failed, although its own server went on a second later.

A silent attempt is now kept. The next one begins beside it, on servers that are known to be alive, and the first to send a token closes the other. A refusal or failure of the second leaves the first. It ends when the server breaks off, a process of its chain has ended, a silent server accepts no connections, or the caller's time is up. Requests without a token keep their bound. Limits, budget, number of attempts and suspicions stay as they were; the guard counts processes that have ended, not silences, and takes the start of the attempt that failed. Also mended: a timer that fired after the end of its attempt was set again.

--- a/entry/internal/crash/tracker.go
+++ b/entry/internal/crash/tracker.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"sync"
 	"syscall"
 	"time"
 
@@ -17,10 +18,12 @@
 	"fuchsiashelf.dev/parts/wire"
 )
 
-// RequestTracker tracks the crashes of servers under one copy of a request. Only
-// the goroutine that runs the request may use it.
+// RequestTracker tracks the crashes of servers under one copy of a request. It is safe
+// for concurrent use.
 type RequestTracker struct {
-	guard     *Guard
+	guard *Guard
+	// mu guards the fields below. It is not held while a request waits for permission.
+	mu        sync.Mutex
 	requestID string
 	team      string
 	pool      string
@@ -94,28 +97,9 @@
 func (t *RequestTracker) Admit(ctx context.Context, choose func() ([]string, *fault.Error)) *fault.Error {
 	end := time.Now().Add(permissionTimeout)
 	for {
-		t.attemptStart = time.Now()
-		servers, e := choose()
-		if e != nil || !t.restricted {
+		if admitted, e := t.tryAdmit(ctx, choose); admitted || e != nil {
 			return e
 		}
-		reply := t.query(ctx, &wire.PoisonAsk{Step: uint32(stepAcquire), Servers: servers})
-		if reply.Cause != "" {
-			return t.guard.blockPart(t.requestID, reply, fault.NotRun)
-		}
-		// A token speaks for parts that are suspected.
-		t.suspected = true
-		switch poison.Outcome(reply.Outcome) {
-		case poison.Allowed:
-			t.restricted = false
-			return nil
-		case poison.Isolated:
-			t.guard.Trace.Record("guard", t.requestID, "suspect tried alone")
-			return nil
-		case poison.Blocked:
-			return t.guard.block(t.requestID, t.fingerprint())
-		case poison.Wait:
-		}
 		if ctx.Err() != nil || time.Now().After(end) {
 			e := poisonedError(time.Now().Add(suspectRetryAfter), fault.NotRun)
 			e.Message = "this request is suspected of crashing backend servers, and could not be tried alone in time"
@@ -125,13 +109,47 @@
 	}
 }
 
+// tryAdmit calls choose, and reports whether the request may run on the servers that it
+// returned.
+func (t *RequestTracker) tryAdmit(ctx context.Context, choose func() ([]string, *fault.Error)) (bool, *fault.Error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.attemptStart = time.Now()
+	servers, e := choose()
+	if e != nil || !t.restricted {
+		return true, e
+	}
+	reply := t.query(ctx, &wire.PoisonAsk{Step: uint32(stepAcquire), Servers: servers})
+	if reply.Cause != "" {
+		return false, t.guard.blockPart(t.requestID, reply, fault.NotRun)
+	}
+	// A token speaks for parts that are suspected.
+	t.suspected = true
+	switch poison.Outcome(reply.Outcome) {
+	case poison.Allowed:
+		t.restricted = false
+		return true, nil
+	case poison.Isolated:
+		t.guard.Trace.Record("guard", t.requestID, "suspect tried alone")
+		return true, nil
+	case poison.Blocked:
+		return false, t.guard.block(t.requestID, t.fingerprint())
+	case poison.Wait:
+	}
+	return false, nil
+}
+
 // AttemptFailed records that an attempt failed at a server, if that server has
 // crashed. Progressed says that the attempt had received a token. A non-nil error
 // is final: the request must not be retried.
-func (t *RequestTracker) AttemptFailed(ctx context.Context, server, address string, progressed bool) *fault.Error {
+func (t *RequestTracker) AttemptFailed(ctx context.Context, server, address string, startedAt time.Time, progressed bool) *fault.Error {
 	if t.guard == nil || address == "" || !t.guard.isDead(ctx, address) {
 		return nil
 	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	// Another attempt may have begun since.
+	t.attemptStart = startedAt
 	if t.guard.foundDeadBefore(server, t.attemptStart) {
 		return nil
 	}
@@ -163,6 +181,8 @@
 // Progressed records that the request received a token, which clears it of
 // suspicion.
 func (t *RequestTracker) Progressed() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	if t.guard != nil && !t.answered && len(t.parts) > 0 {
 		t.guard.recordAnswered(t.parts)
 	}
@@ -178,6 +198,8 @@
 // Close ends the tracking. If a run in isolation ended without a result, it
 // allows the next one.
 func (t *RequestTracker) Close() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	if t.suspected && t.restricted {
 		t.query(context.Background(), &wire.PoisonAsk{Step: uint32(stepRelease)})
 	}
--- a/entry/internal/relay/monitor.go
+++ b/entry/internal/relay/monitor.go
@@ -1,8 +1,6 @@
 package relay
 
 import (
-	"context"
-	"errors"
 	"math"
 	"slices"
 	"sync"
@@ -10,23 +8,19 @@
 	"time"
 
 	"fuchsiashelf.dev/parts/engine"
-	"fuchsiashelf.dev/parts/pick"
 	"fuchsiashelf.dev/parts/retry"
 	"fuchsiashelf.dev/parts/stall"
 )
 
-// errSilent cancels an attempt whose chain has sent nothing for too long.
-var errSilent = errors.New("relay: the chain is silent")
-
-// monitor cancels one attempt if its chain stays silent for too long. The stream
+// monitor notices when the chain of one attempt is silent for too long. The stream
 // only stores the time of its last token, and a timer checks it periodically, so
 // that tokens do not reset the timer.
 type monitor struct {
 	forwarder *Forwarder
 	stages    []engine.Stage
-	hops      []pick.Hop
-	cancel    context.CancelCauseFunc
-	timer     *time.Timer
+	// onSilent is called when the chain is silent, and again while it stays so.
+	onSilent func()
+	timer    *time.Timer
 	// started is the start of the attempt, and lastToken how long this process ran from
 	// then to the last token, in nanoseconds, or paused.
 	started   stall.Mark
@@ -40,28 +34,39 @@
 	// probes are the probes of the chain's servers since it became late, nil if
 	// there are none.
 	probes atomic.Pointer[[]*probe]
-	// hasAlternative reports whether another chain avoids the given servers.
-	hasAlternative func(servers []string) bool
-	// maxSilence is how long a chain without an alternative may be silent.
+	// maxSilence is how long a chain may be silent that is not replaced, if no token has
+	// been sent to the caller.
 	maxSilence time.Duration
-	// exhausted is set if the chain was silent for that long.
-	exhausted atomic.Bool
+	// silent says that the chain is silent, and blamed that this has been acted upon.
+	silent, blamed atomic.Bool
+	// finding is what was found when the chain was last found silent.
+	finding atomic.Pointer[finding]
 	// gaps are the gaps between the chain's tokens. Only the stream uses them.
 	gaps retry.Gaps
 }
 
+// finding is what the probes of a silent chain have shown.
+type finding struct {
+	at time.Time
+	// servers are those that did not answer, and probedAt is when the last probe began.
+	servers  []string
+	probedAt time.Time
+	// first says that the chain was not silent before.
+	first bool
+}
+
 // paused is the value of lastToken while a token is written to the caller: a time
 // in the far future.
 const paused = math.MaxInt64 / 2
 
 // startMonitor starts a monitor of an attempt.
-func (d *delivery) startMonitor(cancel context.CancelCauseFunc) *monitor {
-	timeouts := d.firstTokenTimeouts()
+func (a *attempt) startMonitor(inputLength int) *monitor {
+	timeouts := a.pool.baseline.FirstToken(inputLength)
 	m := &monitor{
-		forwarder: d.Forwarder, stages: d.stages, hops: d.hops, cancel: cancel,
-		started: d.startedAt, gaps: d.pool.baseline.Gaps(), hasAlternative: d.alternatives(),
+		forwarder: a.Forwarder, stages: a.stages, onSilent: a.wake,
+		started: a.startedAt, gaps: a.pool.baseline.Gaps(),
 	}
-	m.maxSilence = time.Duration(retry.MaxAttempts-d.attemptNumber+1) * (timeouts.Probe + retry.ProbeTimeout)
+	m.maxSilence = retry.MaxAttempts * (timeouts.Probe + retry.ProbeTimeout)
 	m.setTimeouts(timeouts)
 	// The timer starts only after the field is set, because check uses it.
 	m.timer = time.AfterFunc(math.MaxInt64, m.check)
@@ -73,6 +78,42 @@
 func (m *monitor) recordToken() {
 	m.setTimeouts(m.gaps.Timeouts())
 	m.lastToken.Store(int64(m.forwarder.Clock.Since(m.started)))
+	if m.silent.Load() {
+		m.endSilence()
+	}
+}
+
+// endSilence records that the chain no longer counts as silent.
+func (m *monitor) endSilence() {
+	m.silent.Store(false)
+	m.blamed.Store(false)
+	m.finding.Store(nil)
+}
+
+// idle returns how long the chain has been silent.
+func (m *monitor) idle() time.Duration {
+	last := m.lastToken.Load()
+	if last == paused {
+		return 0
+	}
+	return m.forwarder.Clock.Since(m.started) - time.Duration(last)
+}
+
+// silentNames returns the servers that did not answer probes when the chain was last found
+// silent.
+func (m *monitor) silentNames() []string {
+	if f := m.finding.Load(); f != nil && m.silent.Load() {
+		return f.servers
+	}
+	return nil
+}
+
+// observeGap adds a gap to the estimate. The silence of servers that answered no probes says
+// nothing about the usual gaps.
+func (m *monitor) observeGap(gap time.Duration) {
+	if len(m.silentNames()) == 0 {
+		m.gaps.Observe(gap)
+	}
 }
 
 func (m *monitor) setTimeouts(t retry.Timeouts) {
@@ -92,27 +133,49 @@
 }
 
 // check runs when the timer fires or a probe ends. It probes the servers of a chain
-// that is late, cancels the attempt if the chain has failed, and resets the timer.
+// that is late, reports one that is silent for too long, and resets the timer.
 func (m *monitor) check() {
 	failed, wait := m.hasFailed()
 	if !failed {
-		m.timer.Reset(wait)
+		m.reset(wait)
 		return
 	}
 	// A token may have arrived that this process has not read yet.
 	m.forwarder.Clock.AfterReads(func() {
 		failed, wait := m.hasFailed()
-		if !failed {
-			m.timer.Reset(wait)
-			return
-		}
-		if !m.stopped.Load() {
-			silentChains.Inc(1)
-			m.cancel(errSilent)
+		if failed && !m.stopped.Load() {
+			m.reportSilence()
+			wait = retry.ProbeTimeout
 		}
+		m.reset(wait)
 	})
 }
 
+// reset has the chain checked again after a while.
+func (m *monitor) reset(wait time.Duration) {
+	if !m.stopped.Load() {
+		m.timer.Reset(wait)
+	}
+}
+
+// reportSilence reports that the chain is silent, and probes its servers again.
+func (m *monitor) reportSilence() {
+	m.mu.Lock()
+	f := &finding{at: time.Now(), servers: m.unresponsive()}
+	if probes := m.probes.Load(); probes != nil {
+		for _, p := range *probes {
+			if p.startedAt.After(f.probedAt) {
+				f.probedAt = p.startedAt
+			}
+		}
+	}
+	f.first = !m.silent.Swap(true)
+	m.finding.Store(f)
+	m.probeServers()
+	m.mu.Unlock()
+	m.onSilent()
+}
+
 // hasFailed reports whether the chain has failed, and otherwise how long to wait before
 // the next check. It probes the servers of a chain that is late.
 func (m *monitor) hasFailed() (failed bool, wait time.Duration) {
@@ -129,7 +192,7 @@
 		m.probes.Store(nil)
 		return false, timeouts.Probe
 	}
-	idle := m.forwarder.Clock.Since(m.started) - time.Duration(last)
+	idle := m.idle()
 	phase, wait := timeouts.Next(idle, len(m.unresponsive()) == 0)
 	switch phase {
 	case retry.Healthy:
@@ -144,7 +207,14 @@
 			// The end of the last probe starts the next check.
 			return false, retry.ProbeTimeout
 		}
-		if m.probes.Load() != nil && !m.shouldWait(idle) {
+		if m.probes.Load() != nil {
+			if len(m.silentNames()) > 0 && len(m.unresponsive()) == 0 && m.direct() {
+				// The servers answer again: the chain has the time of any other to go on.
+				m.lastToken.CompareAndSwap(last, int64(m.forwarder.Clock.Since(m.started)))
+				m.endSilence()
+				m.probes.Store(nil)
+				return false, timeouts.Probe
+			}
 			return true, 0
 		}
 		// If there are no probes yet, the timer fired late. The servers are still probed
@@ -155,24 +225,17 @@
 	return false, max(wait, time.Millisecond)
 }
 
-// shouldWait reports whether to keep the attempt although servers of its chain do not
-// answer. If there is no alternative to them, another attempt would only repeat their
-// work. The attempt is kept for as long as the remaining ones would have taken.
-func (m *monitor) shouldWait(idle time.Duration) bool {
-	unresponsive := m.unresponsive()
-	if len(unresponsive) == 0 || m.hasAlternative(unresponsive) {
-		return false
-	}
-	m.exhausted.Store(idle >= m.maxSilence)
-	m.forwarder.markSuspected(m.stages, m.hops, unresponsive, m.forwarder.Clock.Delay(m.started))
-	return idle < m.maxSilence
+// direct reports whether connections to the first server are direct ones, like that of the
+// attempt. Otherwise an answer to a probe shows nothing of the attempt's connection.
+func (m *monitor) direct() bool {
+	return m.forwarder.Direct == nil || m.forwarder.Direct(m.stages[0].Address)
 }
 
 func (m *monitor) probeServers() {
 	var probes []*probe
 	for _, s := range m.stages {
 		p := m.forwarder.probe(s.Server, s.Address)
-		p.notify(func() { m.timer.Reset(0) })
+		p.notify(func() { m.reset(0) })
 		probes = append(probes, p)
 	}
 	m.probes.Store(&probes)
@@ -184,6 +247,18 @@
 	return probes != nil && slices.ContainsFunc(*probes, func(p *probe) bool { return !p.finished.Load() })
 }
 
+// exited returns a server whose process has ended, or "".
+func (m *monitor) exited() string {
+	if probes := m.probes.Load(); probes != nil {
+		for _, p := range *probes {
+			if p.exited.Load() {
+				return p.server
+			}
+		}
+	}
+	return ""
+}
+
 // unresponsive returns the servers that did not answer their probe.
 func (m *monitor) unresponsive() []string {
 	probes := m.probes.Load()
--- a/entry/internal/relay/probe.go
+++ b/entry/internal/relay/probe.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"fuchsiashelf.dev/entry/dialer"
 	"fuchsiashelf.dev/parts/retry"
 )
 
@@ -23,6 +25,8 @@
 	// finished is set when the probe has ended, and then failed if the server did not
 	// answer.
 	finished, failed atomic.Bool
+	// exited is set before if the server's process has ended.
+	exited atomic.Bool
 
 	mu sync.Mutex
 	// onFinish holds what is called when the probe has ended.
@@ -72,6 +76,7 @@
 		defer cancel()
 		// Only a valid status counts as an answer.
 		_, err := f.Engine.Status(ctx, address)
+		p.exited.Store(errors.Is(err, dialer.ErrExited))
 		p.finish(err != nil)
 	}
 	if f.ProbePool == nil {
--- a/entry/internal/relay/relay.go
+++ b/entry/internal/relay/relay.go
@@ -4,12 +4,16 @@
 // The caller's stream continues across such a failure: the next chain gets the
 // prompt and the tokens that the caller already has, and continues with the
 // token that follows them.
+//
+// A chain that is silent may go on, so its attempt is kept while the next one begins.
+// The first of them to send a token serves the caller, and the others are cancelled.
 package relay
 
 import (
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"slices"
 	"sync"
 	"time"
@@ -45,6 +49,8 @@
 	Direct func(address string) bool
 	// ProbePool runs probes of servers; nil means a goroutine for each.
 	ProbePool *ants.Pool
+	// Dial connects to a server; nil means TCP connections.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 	// pools holds the *poolState of each pool by its name.
 	pools  sync.Map
@@ -95,29 +101,11 @@
 	defer tracker.Close()
 	d := &delivery{
 		Forwarder: f, req: req, sink: sink, crashTracker: tracker,
-		pool: f.stateOf(req.Pool.Name), verdict: fault.NotRun,
-	}
-	for d.attemptNumber = 1; ; d.attemptNumber++ {
-		e := d.attempt(ctx)
-		if e == nil {
-			return len(d.sent), nil
-		}
-		d.verdict = d.verdict.Weaken(e.Verdict)
-		failure := retry.Failure{
-			Error: e, Attempt: d.attemptNumber, Remaining: time.Until(req.Deadline),
-			CallerConnected: caller.Err() == nil, Sent: len(d.sent),
-		}
-		if d.exhausted {
-			failure.Attempt = retry.MaxAttempts
-		}
-		if !d.allowRetry(failure) {
-			givenUp.Inc(1)
-			final := failure.Final(d.verdict)
-			f.Trace.Record("relay", req.ID, "given up: "+final.Error())
-			return len(d.sent), final
-		}
-		f.Trace.Record("relay", req.ID, "attempt failed: "+e.Error())
+		pool: f.stateOf(req.Pool.Name), verdict: fault.NotRun, caller: caller,
+		ended: make(chan *attempt), silent: make(chan struct{}, 1),
 	}
+	e = d.run(ctx)
+	return len(d.sent), e
 }
 
 // delivery is the state of one request across its attempts.
@@ -125,29 +113,163 @@
 	*Forwarder
 	req  *Request
 	sink Sink
+	// caller ends when the caller disconnects.
+	caller context.Context
 	// crashTracker tracks for the guard whether this request crashes servers.
 	crashTracker *crash.RequestTracker
 	pool         *poolState
-	// attemptNumber is the number of the current attempt, from 1.
-	attemptNumber int
+	// started is the number of attempts so far.
+	started int
 	// exhausted says that the only chains were silent for as long as further attempts
 	// would have taken.
 	exhausted bool
-	// startedAt is when the current attempt started.
-	startedAt stall.Mark
-	// sent holds the tokens forwarded to the caller.
-	sent []string
 	// verdict covers all attempts so far.
 	verdict fault.Verdict
-	// failedAt is when an attempt first failed since the last token, zero if none
-	// has.
-	failedAt time.Time
 	// avoided holds the servers that this request avoids besides the suspected
 	// ones, the most recent one last.
 	avoided []string
-	// hops and stages describe the chain of the current attempt.
-	hops   []pick.Hop
-	stages []engine.Stage
+	// last is the attempt that failed last; nil if none has.
+	last *attempt
+	// events are the events of the request so far, for the log.
+	events []string
+	// candidate is the chain that is probed before it replaces a silent one; nil if none is.
+	candidate *candidate
+
+	// active is the number of attempts that have not been received from ended.
+	active int
+	// ended receives each attempt that has ended.
+	ended chan *attempt
+	// silent is sent to when a chain is silent or a candidate has been probed.
+	silent chan struct{}
+
+	// mu guards the fields below.
+	mu sync.Mutex
+	// running holds the attempts in progress, oldest first. There is more than one only
+	// while all but the last are silent.
+	running []*attempt
+	// sent holds the tokens forwarded to the caller.
+	sent []string
+	// failedAt is when an attempt first failed or fell silent since the last token, zero
+	// if none has.
+	failedAt time.Time
+}
+
+// run makes attempts until one completes the response or no further one may help.
+func (d *delivery) run(ctx context.Context) *fault.Error {
+	defer d.endAll()
+	e := d.start(ctx, nil)
+	for {
+		if e != nil {
+			if final := d.afterFailure(ctx, e); final != nil {
+				return final
+			}
+			e = nil
+		}
+		select {
+		case a := <-d.ended:
+			d.active--
+			switch replaced := d.remove(a); {
+			case replaced:
+			case a.err == nil:
+				return nil
+			default:
+				e = a.fail(ctx)
+			}
+			a.cancel(nil)
+		case <-d.silent:
+			d.handleSilence(ctx)
+		}
+	}
+}
+
+// afterFailure starts the next attempt after one has failed, unless another is in progress.
+// It returns the error for the caller if none is left.
+func (d *delivery) afterFailure(ctx context.Context, e *fault.Error) *fault.Error {
+	for {
+		d.verdict = d.verdict.Weaken(e.Verdict)
+		kept := d.attempts()
+		if len(kept) > 0 && e.Code != fault.Poisoned {
+			d.record("attempt failed: " + e.Error() + "; " + kept[0].String() + " is kept")
+			d.startBeside(ctx, e)
+			return nil
+		}
+		failure := d.failure(e)
+		if e.Code == fault.Poisoned || !d.allowRetry(failure) {
+			givenUp.Inc(1)
+			final := failure.Final(d.verdict)
+			message := "given up: " + final.Error()
+			if d.last != nil {
+				message += "; " + d.last.String() + ", " + d.last.monitor.evidence()
+			}
+			d.record(message)
+			d.logEnd(final)
+			return final
+		}
+		d.record("attempt failed: " + e.Error())
+		if e = d.start(ctx, nil); e == nil {
+			return nil
+		}
+	}
+}
+
+// record adds an event of the request to the timeline.
+func (d *delivery) record(message string) {
+	d.events = append(d.events, message)
+	d.Trace.Record("relay", d.req.ID, message)
+}
+
+// logEnd logs why a request ends without its whole response.
+func (d *delivery) logEnd(final *fault.Error) {
+	level := slog.LevelInfo
+	if d.sentCount() > 0 {
+		level = slog.LevelWarn
+	}
+	d.Log.Log(context.Background(), level, "relay: request ended", "request", d.req.ID, "pool", d.req.Pool.Name,
+		"tokens", d.sentCount(), "attempts", d.started, "verdict", final.Verdict, "cause", EndCause(final), "events", d.events)
+}
+
+// failure describes a failed attempt.
+func (d *delivery) failure(e *fault.Error) retry.Failure {
+	failure := retry.Failure{
+		Error: e, Attempt: d.started, Remaining: time.Until(d.req.Deadline),
+		CallerConnected: d.caller.Err() == nil, Sent: d.sentCount(),
+	}
+	if d.exhausted {
+		failure.Attempt = retry.MaxAttempts
+	}
+	return failure
+}
+
+// attempts returns the attempts in progress, oldest first.
+func (d *delivery) attempts() []*attempt {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.running)
+}
+
+func (d *delivery) sentCount() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.sent)
+}
+
+// remove removes an attempt that has ended, and reports whether another has replaced it.
+func (d *delivery) remove(a *attempt) (replaced bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.running = slices.DeleteFunc(d.running, func(other *attempt) bool { return other == a })
+	return a.replaced
+}
+
+// endAll cancels the attempts in progress and waits until all have ended.
+func (d *delivery) endAll() {
+	for _, a := range d.attempts() {
+		a.cancel(errReplaced)
+	}
+	for d.active > 0 {
+		<-d.ended
+		d.active--
+	}
 }
 
 // allowRetry reports whether another chain may be tried, and withdraws from the
@@ -158,7 +280,7 @@
 		overBudget.Inc(1)
 		return false
 	}
-	if retryable && len(d.sent) > 0 {
+	if retryable && failure.Sent > 0 {
 		resumed.Inc(1)
 	}
 	return retryable
@@ -179,35 +301,21 @@
 	})
 }
 
-// alternatives returns a function that reports whether a chain exists that avoids the
-// given servers, besides those that the request avoids now.
-func (d *delivery) alternatives() func(servers []string) bool {
-	avoided := slices.Clone(d.avoided)
-	return func(servers []string) bool {
-		other := &delivery{Forwarder: d.Forwarder, req: d.req, pool: d.pool, avoided: append(slices.Clone(avoided), servers...)}
-		if e := other.pickChain(d.View.Load(), time.Now()); e != nil {
-			return false
-		}
-		return !slices.ContainsFunc(other.stages, func(s engine.Stage) bool { return slices.Contains(servers, s.Server) })
-	}
-}
-
 // typicalStages is the number of stages that few chains exceed.
 const typicalStages = 8
 
-// pickChain picks the chain of the next attempt and sets d.hops and d.stages.
-func (d *delivery) pickChain(snap *view.Snapshot, now time.Time) *fault.Error {
+// pickChain picks the chain of an attempt and sets its hops and stages.
+func (a *attempt) pickChain(snap *view.Snapshot, now time.Time) *fault.Error {
+	d := a.delivery
 	table, e := d.pool.table(snap, &d.req.Pool, now)
 	if e != nil {
 		return e
 	}
 	picker := pick.ChainPicker{Policy: d.Policy, Rand: rand.Uint64, Now: now.UnixNano(), Avoid: d.avoidedServers(snap)}
-	// The monitor of the previous attempt may still read its stages, so each
-	// attempt gets its own slices.
-	d.hops = picker.Pick(table, make([]pick.Hop, 0, typicalStages))
-	d.stages = make([]engine.Stage, 0, len(d.hops))
-	for i := range d.hops {
-		d.stages = append(d.stages, table.Graph.Stage(d.hops[i].Hop))
+	a.hops = picker.Pick(table, make([]pick.Hop, 0, typicalStages))
+	a.stages = make([]engine.Stage, 0, len(a.hops))
+	for i := range a.hops {
+		a.stages = append(a.stages, table.Graph.Stage(a.hops[i].Hop))
 	}
 	return nil
 }
--- a/entry/internal/relay/relay_test.go
+++ b/entry/internal/relay/relay_test.go
@@ -166,12 +166,12 @@
 	c := quicktest.New(t)
 	cl := newCluster(t, "a1", "a2", "b1", "b2", "b3")
 	cl.splitLayers(0, 0, 1, 1, 1)
-	failSilently := func() *delivery {
-		d := &delivery{Forwarder: cl.forwarder, req: cl.request("q", 5), pool: cl.forwarder.stateOf("lake")}
+	failSilently := func() *attempt {
+		d := &attempt{delivery: &delivery{Forwarder: cl.forwarder, req: cl.request("q", 5), pool: cl.forwarder.stateOf("lake")}}
 		for len(d.stages) == 0 || d.stages[0].Server != "a1" {
 			c.Assert(d.pickChain(cl.forwarder.View.Load(), time.Now()) == nil, quicktest.IsTrue)
 		}
-		d.handleSilence()
+		d.suspectLinks()
 		return d
 	}
 	// The request avoids all servers of the chain.
--- a/entry/internal/relay/silence_test.go
+++ b/entry/internal/relay/silence_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -14,6 +15,7 @@
 	"fuchsiashelf.dev/parts/engine"
 	"fuchsiashelf.dev/parts/fault"
 	"fuchsiashelf.dev/parts/pool"
+	"fuchsiashelf.dev/parts/trace"
 	"fuchsiashelf.dev/parts/view"
 	"fuchsiashelf.dev/parts/wait"
 )
@@ -170,3 +172,43 @@
 	c.Assert(e.Code, quicktest.Equals, fault.Deadline)
 	c.Assert(e.Verdict, quicktest.Equals, fault.MayHaveRun)
 }
+
+// From the timeline of an ended answer it could not be told who ended it, on what evidence.
+func TestEndIsExplained(t *testing.T) {
+	c := quicktest.New(t)
+	cl := newCluster(t, "a1", "a2")
+	cl.forwarder.Trace = &trace.Recorder{Process: "e1"}
+	cl.slowly()
+	var resume func()
+	got := &recordingSink{onToken: func(index int) error {
+		if index != pausedAt {
+			return nil
+		}
+		for _, f := range cl.servers {
+			if f.calls.Load() > 0 {
+				resume = f.pause()
+			} else {
+				f.refusing.Store(true)
+			}
+		}
+		return nil
+	}}
+	req := cl.request("q", pausedTotal)
+	req.Deadline = time.Now().Add(2 * time.Second)
+	_, e := cl.forwarder.Do(context.Background(), req, got)
+	resume()
+	c.Assert(EndCause(e), quicktest.Equals, "deadline")
+	var events []string
+	for _, event := range cl.forwarder.Trace.Find(req.ID) {
+		events = append(events, event.Message)
+	}
+	all := strings.Join(events, "\n")
+	for _, want := range []string{
+		`attempt 1 on a[12] is silent for .*, no answer to probes from a[12]`,
+		`attempt 2 on a[12] begins beside the silent ones`,
+		`attempt failed: server-refused: full; attempt 1 on a[12] is kept`,
+		`given up: deadline: .*; attempt 1 on a[12], no answer to probes from a[12]`,
+	} {
+		c.Check(all, quicktest.Matches, "(?s).*"+want+".*")
+	}
+}
--- a/entry/prog/prog.go
+++ b/entry/prog/prog.go
@@ -116,6 +116,7 @@
 		return err
 	}
 	defer models.release()
+	models.forwarder.Dial = servers.Dial
 	models.forwarder.Guard = d.newGuard(publisher, recorder, peers, engines)
 	calls := d.newForwarder(publisher, recorder, api, peers, servers.Dial)
 	servers.OnChange = func() {
