edge: count answers ended by this host by cause

gate.refusals counts by code, from which an answer that was ended because its server's process or machine is gone cannot be told from other failures.

--- a/entry/internal/edge/handler.go
+++ b/entry/internal/edge/handler.go
@@ -224,6 +224,7 @@
 	}, stream)
 	if e != nil && stream.count > 0 {
 		countRefusal(e.Code)
+		countEnded(e)
 	}
 	stream.end(count, e)
 }
--- a/entry/internal/edge/metrics.go
+++ b/entry/internal/edge/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"fuchsiashelf.dev/entry/internal/relay"
 	"fuchsiashelf.dev/parts/admit"
 	"fuchsiashelf.dev/parts/fault"
 )
@@ -24,6 +25,11 @@
 	metrics.GetOrRegisterCounter("gate.refusals."+string(code), nil).Inc(1)
 }
 
+// countEnded counts a response that was ended after its first token, by cause.
+func countEnded(e *fault.Error) {
+	metrics.GetOrRegisterCounter("gate.ended."+relay.EndCause(e), nil).Inc(1)
+}
+
 // registerGauges registers gauges of the state of a pool's controller.
 func registerGauges(pool string, ctrl *admit.Controller) {
 	for name, stat := range map[string]func(admit.Stats) float64{
