--- a/entry/internal/relay/silence_test.go
+++ b/entry/internal/relay/silence_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -11,6 +12,7 @@
 
 	"github.com/frankban/quicktest"
 
+	"fuchsiashelf.dev/entry/dialer"
 	"fuchsiashelf.dev/parts/conf"
 	"fuchsiashelf.dev/parts/engine"
 	"fuchsiashelf.dev/parts/fault"
@@ -173,6 +175,45 @@
 	c.Assert(e.Verdict, quicktest.Equals, fault.MayHaveRun)
 }
 
+// Callers of a silent server waited until their deadline although its process or its machine was gone.
+func TestSilentAnswerEndsWithItsServer(t *testing.T) {
+	var gone atomic.Bool
+	dial := func(failure error) func(context.Context, string, string) (net.Conn, error) {
+		return func(ctx context.Context, network, address string) (net.Conn, error) {
+			if gone.Load() {
+				return nil, failure
+			}
+			return (&net.Dialer{}).DialContext(ctx, network, address)
+		}
+	}
+	for want, change := range map[string]func(f *Forwarder){
+		"exited": func(f *Forwarder) {
+			f.Engine = &engine.Client{HTTP: engine.NewHTTP(dial(&dialer.Error{Exited: true}))}
+		},
+		"unreachable": func(f *Forwarder) { f.Dial = dial(context.DeadlineExceeded) },
+	} {
+		t.Run(want, func(t *testing.T) {
+			c := quicktest.New(t)
+			gone.Store(false)
+			cl := newCluster(t, "a1")
+			cl.slowly()
+			change(cl.forwarder)
+			var resume func()
+			got := &recordingSink{onToken: func(index int) error {
+				if index == pausedAt {
+					resume = cl.servers[0].pause()
+					gone.Store(true)
+				}
+				return nil
+			}}
+			_, e := cl.forwarder.Do(context.Background(), cl.request("q", pausedTotal), got)
+			resume()
+			c.Assert(EndCause(e), quicktest.Equals, want)
+			c.Assert(got.tokens, quicktest.DeepEquals, wantTokens("q", pausedAt+1))
+		})
+	}
+}
+
 // From the timeline of an ended answer it could not be told who ended it, on what evidence.
 func TestEndIsExplained(t *testing.T) {
 	c := quicktest.New(t)
