links: wait at a stop for tunnels whose server owes an answer

A host that stops ended after 2 s without a byte through the tunnels of others, although a call was at work or its server paused: its caller lost the answer, and a call that may not be repeated was lost for good. The connection of a tunnel to its server now records whether the last bytes went to the server; such a tunnel is in use, within the grace period.

A response that pauses for 2 s in its middle is still cut (docs/design/cut.md).

--- a/entry/internal/links/links.go
+++ b/entry/internal/links/links.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -46,6 +47,8 @@
 	reach   *reach.Tracker
 	dialer  *dialer.Dialer
 	tunnels *tunnel.Server
+	// unanswered counts the tunnels of other hosts whose server owes an answer.
+	unanswered atomic.Int64
 }
 
 // Init prepares the links. Call it once after the fields are set, before any other method.
@@ -57,7 +60,7 @@
 	}
 	l.tunnels = &tunnel.Server{
 		Known:      func(address string) bool { return slices.Contains(l.servers(), address) },
-		Dial:       l.dialer.DialDirect,
+		Dial:       l.dialServer,
 		Authorized: func(secret string) bool { return peer.SecretsEqual(secret, l.Secret) },
 	}
 	l.registerGauges()
@@ -99,12 +102,13 @@
 const drainInterval = 20 * time.Millisecond
 
 // Drain opens no more tunnels for other hosts, and waits until none is in use or the
-// context ends.
+// context ends. A tunnel is in use while bytes pass, or while its server has sent nothing
+// since the last bytes for it: however long that takes, it may be at work.
 func (l *Links) Drain(ctx context.Context) {
 	l.tunnels.Stop()
 	tick := time.NewTicker(drainInterval)
 	defer tick.Stop()
-	for l.tunnels.Busy() > 0 {
+	for l.tunnels.Busy() > 0 || l.unanswered.Load() > 0 {
 		select {
 		case <-ctx.Done():
 			return
