--- a/entry/internal/relay/silence_test.go
+++ b/entry/internal/relay/silence_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -10,10 +12,12 @@
 
 	"github.com/frankban/quicktest"
 
+	"fuchsiashelf.dev/entry/dialer"
 	"fuchsiashelf.dev/parts/conf"
 	"fuchsiashelf.dev/parts/engine"
 	"fuchsiashelf.dev/parts/fault"
 	"fuchsiashelf.dev/parts/pool"
+	"fuchsiashelf.dev/parts/trace"
 	"fuchsiashelf.dev/parts/view"
 	"fuchsiashelf.dev/parts/wait"
 )
@@ -170,3 +174,82 @@
 	c.Assert(e.Code, quicktest.Equals, fault.Deadline)
 	c.Assert(e.Verdict, quicktest.Equals, fault.MayHaveRun)
 }
+
+// Callers of a silent server waited until their deadline although its process or its machine was gone.
+func TestSilentAnswerEndsWithItsServer(t *testing.T) {
+	var gone atomic.Bool
+	dial := func(failure error) func(context.Context, string, string) (net.Conn, error) {
+		return func(ctx context.Context, network, address string) (net.Conn, error) {
+			if gone.Load() {
+				return nil, failure
+			}
+			return (&net.Dialer{}).DialContext(ctx, network, address)
+		}
+	}
+	for want, change := range map[string]func(f *Forwarder){
+		"exited": func(f *Forwarder) {
+			f.Engine = &engine.Client{HTTP: engine.NewHTTP(dial(&dialer.Error{Exited: true}))}
+		},
+		"unreachable": func(f *Forwarder) { f.Dial = dial(context.DeadlineExceeded) },
+	} {
+		t.Run(want, func(t *testing.T) {
+			c := quicktest.New(t)
+			gone.Store(false)
+			cl := newCluster(t, "a1")
+			cl.slowly()
+			change(cl.forwarder)
+			var resume func()
+			got := &recordingSink{onToken: func(index int) error {
+				if index == pausedAt {
+					resume = cl.servers[0].pause()
+					gone.Store(true)
+				}
+				return nil
+			}}
+			_, e := cl.forwarder.Do(context.Background(), cl.request("q", pausedTotal), got)
+			resume()
+			c.Assert(EndCause(e), quicktest.Equals, want)
+			c.Assert(got.tokens, quicktest.DeepEquals, wantTokens("q", pausedAt+1))
+		})
+	}
+}
+
+// From the timeline of an ended answer it could not be told who ended it, on what evidence.
+func TestEndIsExplained(t *testing.T) {
+	c := quicktest.New(t)
+	cl := newCluster(t, "a1", "a2")
+	cl.forwarder.Trace = &trace.Recorder{Process: "e1"}
+	cl.slowly()
+	var resume func()
+	got := &recordingSink{onToken: func(index int) error {
+		if index != pausedAt {
+			return nil
+		}
+		for _, f := range cl.servers {
+			if f.calls.Load() > 0 {
+				resume = f.pause()
+			} else {
+				f.refusing.Store(true)
+			}
+		}
+		return nil
+	}}
+	req := cl.request("q", pausedTotal)
+	req.Deadline = time.Now().Add(2 * time.Second)
+	_, e := cl.forwarder.Do(context.Background(), req, got)
+	resume()
+	c.Assert(EndCause(e), quicktest.Equals, "deadline")
+	var events []string
+	for _, event := range cl.forwarder.Trace.Find(req.ID) {
+		events = append(events, event.Message)
+	}
+	all := strings.Join(events, "\n")
+	for _, want := range []string{
+		`attempt 1 on a[12] is silent for .*, no answer to probes from a[12]`,
+		`attempt 2 on a[12] begins beside the silent ones`,
+		`attempt failed: server-refused: full; attempt 1 on a[12] is kept`,
+		`given up: deadline: .*; attempt 1 on a[12], no answer to probes from a[12]`,
+	} {
+		c.Check(all, quicktest.Matches, "(?s).*"+want+".*")
+	}
+}
