fakes: begin large bodies at once

Cause: a stand-in built a body of 16 MB before it wrote any of it. Change: bodies are written in pieces of 64 KB.

--- a/stand/fakes/server.go
+++ b/stand/fakes/server.go
@@ -1,6 +1,7 @@
 package fakes
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -219,13 +220,21 @@
 	s.bodySize = n
 }
 
+// filler fills bodies up. It is written in pieces, so that a large body begins at once.
+var filler = bytes.Repeat([]byte("."), 64<<10)
+
 // writeBody writes a body and fills it up to the size that SetBodySize gave.
 func (s *Server) writeBody(w io.Writer, text string) {
 	s.mu.Lock()
 	missing := s.bodySize - len(text)
 	s.mu.Unlock()
-	// The client may have left.
-	_, _ = io.WriteString(w, text+strings.Repeat(".", max(0, missing)))
+	_, err := io.WriteString(w, text)
+	for missing > 0 && err == nil {
+		var n int
+		n, err = w.Write(filler[:min(missing, len(filler))])
+		missing -= n
+	}
+	// The client may have left, which is no error here.
 }
 
 // writeCall writes the response to a call, in two pieces.
