soak: servers that fall silent

Cause: no fault of the soak makes servers silent that live, and no check asks whether an answer in progress is ended by an entry host, so that the soak could not show LOST.

Change: with -silences one, six in ten or all servers of a service are silent for 0.5 to 1.5 s beside the other faults, with random numbers of their own; after the faults six in ten and then all model servers while streams run and configurations change; and all in the planned stop. The stand-in records where requests are passed on, also by changes of their chains, and which answers it breaks off itself. A request that ends with a broken connection or 502 within 4.2 s, and within 2 s of its last event, is a violation if a server of it was silent. Excused are crashes and broken answers of its servers, disturbed links to them, and entry hosts that were killed, paused, cut off, or in the last sixth of their grace period. 503 and 504 are not counted. SIGHUP is not sent.

--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -30,6 +30,10 @@
 	layers = 12
 	// callerTimeout limits one request of a caller.
 	callerTimeout = 6 * time.Second
+	// grace is the grace period of entry hosts, and drainTime how long they may not cut off a
+	// request in it.
+	grace     = 6 * time.Second
+	drainTime = grace * 5 / 6
 	// serverRestart is how long servers that crash under a part of a prompt are away.
 	serverRestart = 1500 * time.Millisecond
 )
@@ -45,6 +49,8 @@
 	serverProxies []*proxy.Proxy
 
 	disturbances disturbances
+	// interruptions records when entry hosts may have ended answers in progress.
+	interruptions disturbances
 
 	mu            sync.Mutex
 	configVersion int
@@ -81,7 +87,7 @@
 	c := &cluster{Settings: s, client: &http.Client{Timeout: callerTimeout + time.Second, Transport: transport}}
 	c.platform.Excused = func(s *fakes.Server, h fakes.Host, since time.Time) bool {
 		// Reports and orders do not identify the host that a pause was requested from.
-		return h == "" && c.EntryHosts > 1 || c.disturbances.any(since, s.Address(), string(h))
+		return h == "" && c.EntryHosts > 1 || s.SilentSince(since.Add(-disturbanceSlack)) || c.disturbances.any(since, s.Address(), string(h))
 	}
 	if err := c.platform.Start(); err != nil {
 		return nil, err
@@ -172,6 +178,9 @@
 	config := fakes.Config{
 		Version: c.configVersion, Keys: keys, Model: fakes.Model{Layers: layers, LayerMB: 1000}, MemoryMB: 6000,
 	}
+	if c.Silences {
+		config.MaxGap = silencesMaxGap
+	}
 	if c.Teams {
 		addTeams(&config)
 	}
@@ -206,7 +215,7 @@
 func (e *entryHost) start() error {
 	file := filepath.Join(e.cluster.Dir, e.name+".yaml")
 	text := fakes.Settings{
-		Name: e.name, Zone: e.zone, Callers: e.callerAddr, Ops: e.opsAddr, Peers: e.peerAddr, Seed: e.seedAddr, Source: e.source.String(), Store: e.storeProxy.Address(), GraceSeconds: 6,
+		Name: e.name, Zone: e.zone, Callers: e.callerAddr, Ops: e.opsAddr, Peers: e.peerAddr, Seed: e.seedAddr, Source: e.source.String(), Store: e.storeProxy.Address(), GraceSeconds: int(grace.Seconds()),
 	}.YAML()
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return err
@@ -262,6 +271,11 @@
 // it has exited.
 func (e *entryHost) shutDown() {
 	e.signal(syscall.SIGTERM)
+	atEnd := time.AfterFunc(drainTime, func() {
+		defer e.cluster.interruptions.begin(e.name)()
+		e.wait()
+	})
+	defer atEnd.Stop()
 	e.wait()
 }
 
@@ -375,6 +389,24 @@
 	status int
 	body   string
 	err    error
+	// start is when the request was sent, took how long it took to the end of the response, and
+	// pause how long nothing had arrived then.
+	start       time.Time
+	took, pause time.Duration
+}
+
+// timedReader records when something was last read.
+type timedReader struct {
+	io.Reader
+	last time.Time
+}
+
+func (r *timedReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if n > 0 {
+		r.last = time.Now()
+	}
+	return n, err
 }
 
 // send sends a request to entry host e, without retries. events is zero for a
@@ -386,11 +418,13 @@
 	if err != nil {
 		return reply{err: err}
 	}
+	start := time.Now()
 	resp, err := c.client.Do(req)
 	if err != nil {
-		return reply{err: err}
+		return reply{err: err, start: start, took: time.Since(start), pause: time.Since(start)}
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	return reply{status: resp.StatusCode, body: string(body), err: err}
+	reader := &timedReader{Reader: resp.Body, last: time.Now()}
+	body, err := io.ReadAll(reader)
+	return reply{status: resp.StatusCode, body: string(body), err: err, start: start, took: time.Since(start), pause: time.Since(reader.last)}
 }
--- a/soak/cmd/fssoak/main.go
+++ b/soak/cmd/fssoak/main.go
@@ -31,6 +31,7 @@
 	notices := fs.Bool("notices", false, "servers request pauses and say that they leave, and entry hosts keep to it")
 	cuts := fs.Bool("cuts", false, "entry hosts are cut off from all backend servers, and serve their callers")
 	crashes := fs.Bool("crashes", false, "parts of prompts crash servers, and entry hosts block them")
+	silences := fs.Bool("silences", false, "servers fall silent, and entry hosts end no answers in progress")
 	teams := fs.Bool("teams", false, "crowds of a second team, and the first team is served beside them")
 	dir := fs.String("dir", "", "where settings and logs are kept; a new folder if empty")
 	if err := ff.Parse(fs, os.Args[1:], ff.WithEnvVarPrefix("FSSOAK")); err != nil {
@@ -41,7 +42,7 @@
 	failed := 0
 	for n := range *seeds {
 		s := soak.Settings{
-			Seed: *seed + uint64(n), FaultDuration: *duration, Series: *series, Restores: *restores, Limits: *limits, Notices: *notices, Cuts: *cuts, Crashes: *crashes, Teams: *teams, EntryHosts: *entries, Callers: *callers, Program: *program, Dir: *dir, OnStart: started.add,
+			Seed: *seed + uint64(n), FaultDuration: *duration, Series: *series, Restores: *restores, Limits: *limits, Notices: *notices, Cuts: *cuts, Crashes: *crashes, Silences: *silences, Teams: *teams, EntryHosts: *entries, Callers: *callers, Program: *program, Dir: *dir, OnStart: started.add,
 		}
 		if s.Dir == "" {
 			s.Dir, _ = os.MkdirTemp("", "fssoak-")
--- a/soak/cuts.go
+++ b/soak/cuts.go
@@ -70,6 +70,7 @@
 	r.activeFaults.Go(func() {
 		for _, e := range hosts {
 			defer r.cluster.disturbances.begin(e.name)()
+			defer r.cluster.interruptions.begin(e.name)()
 		}
 		r.cutOff(hosts, mode)
 		time.Sleep(lasts)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -28,6 +28,9 @@
 	if r.Series {
 		series.Go(func() { r.runSeries(rand.New(rand.NewPCG(r.Seed, seriesStream)), stopSeries) })
 	}
+	if r.Silences {
+		series.Go(func() { r.runSilences(rand.New(rand.NewPCG(r.Seed, silenceStream)), stopSeries) })
+	}
 	// Restarts count as active faults, because a process that started after the
 	// end of the run would never be killed.
 	defer func() {
@@ -71,13 +74,15 @@
 		return r.degradeLink()
 	case 3:
 		e.signal(syscall.SIGSTOP)
-		end := r.cluster.disturbances.begin(e.name)
+		end, endInterruption := r.cluster.disturbances.begin(e.name), r.cluster.interruptions.begin(e.name)
 		return e.name + ": paused", func() {
 			e.signal(syscall.SIGCONT)
 			end()
+			endInterruption()
 		}, nil
 	case 4:
 		return r.restartEntryHost(e, ": killed and restarted", func() {
+			defer r.cluster.interruptions.begin(e.name)()
 			e.signal(syscall.SIGCONT)
 			e.signal(syscall.SIGKILL)
 			e.wait()
--- a/soak/series.go
+++ b/soak/series.go
@@ -28,9 +28,10 @@
 	limitTime  = 2 * time.Second
 	namedLimit = 3
 	// seriesStream is the stream of random numbers of the series, crowdStream that of the crowd
-	// after the faults.
-	seriesStream = 1 << 32
-	crowdStream  = 1 << 33
+	// after the faults, and silenceStream that of the silences.
+	seriesStream  = 1 << 32
+	crowdStream   = 1 << 33
+	silenceStream = 1 << 34
 )
 
 // runSeries makes series of changes until stop is closed. They overlap with each other
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -40,6 +40,10 @@
 	// the series and after the faults, and checks that they are blocked and that requests that
 	// share their other parts are served.
 	Crashes bool
+	// Silences makes one, many or all servers of a service silent, beside the faults, after
+	// them and in the planned stop, and checks that no entry host ends an answer in progress for
+	// that.
+	Silences bool
 	// Teams configures a second team and a second streaming route of a less urgent priority. Crowds
 	// of callers of the second team come in the series and after the faults, and the run checks that
 	// the first team's requests are served beside them.
@@ -136,9 +140,20 @@
 	return fakes.RequestID(fmt.Sprintf("%s-%d", kind, r.requestCount), r.cluster.entries[e].host())
 }
 
+// The largest number of events of a caller's stream: without silences, and with them, where
+// streams last longer than a silence.
+const (
+	shortStream = 40
+	longStream  = 240
+)
+
 // runCaller sends requests of all kinds through random entry hosts until stop is
 // closed.
 func (r *run) runCaller(rng *rand.Rand, stop chan struct{}) {
+	events := shortStream
+	if r.Silences {
+		events = longStream
+	}
 	for {
 		select {
 		case <-stop:
@@ -152,7 +167,7 @@
 		case 1:
 			r.sendLookup(e)
 		default:
-			r.sendStream(e, 1+rng.IntN(40))
+			r.sendStream(e, 1+rng.IntN(events))
 		}
 	}
 }
@@ -171,7 +186,7 @@
 // It reports whether the request succeeded.
 func (r *run) sendPayment(e int) bool {
 	id := r.newID("pay", e)
-	resp := r.cluster.send(e, id, "/pay/1", currentKey, 0)
+	resp := r.send(e, id, "/pay/1", currentKey, 0)
 	ok := resp.status == 200 && resp.err == nil
 	r.countRequest(ok)
 	if ok && resp.body != fmt.Sprintf("POST /pay/1 4 bytes for %s\n", id) {
@@ -190,7 +205,7 @@
 // reports whether the request succeeded.
 func (r *run) sendLookup(e int) bool {
 	id := r.newID("look", e)
-	resp := r.cluster.send(e, id, "/look/1", currentKey, 0)
+	resp := r.send(e, id, "/look/1", currentKey, 0)
 	ok := resp.status == 200 && resp.err == nil
 	r.countRequest(ok)
 	if ok && resp.body != fmt.Sprintf("POST /look/1 4 bytes for %s\n", id) {
@@ -216,7 +231,7 @@
 // sendOn sends a streaming request on a path, with a key, and checks its response. It reports
 // whether the request succeeded.
 func (r *run) sendOn(id string, e int, path, key string, events int, parts ...string) bool {
-	resp := r.cluster.send(e, id, path, key, events, parts...)
+	resp := r.send(e, id, path, key, events, parts...)
 	ok := resp.status == 200 && resp.err == nil
 	r.countRequest(ok)
 	if ok && resp.body != fakes.StreamBody(id, events) {
@@ -244,6 +259,10 @@
 	if r.Cuts {
 		r.checkCuts()
 	}
+	if r.Silences {
+		r.checkSilences()
+		r.awaitRecovery()
+	}
 	if r.Crashes {
 		r.checkCrashes()
 		r.awaitRecovery()
@@ -304,6 +323,9 @@
 	unanswered := make(chan []string, 1)
 	go func() { unanswered <- r.sendPaymentsUntil(ended) }()
 	time.Sleep(150 * time.Millisecond)
+	if r.Silences {
+		silence(r.cluster.serversOf("assist"), maxSilence)
+	}
 	r.cluster.entries[0].shutDown()
 	close(ended)
 	if resp := <-done; resp.err != nil || resp.body != fakes.StreamBody(id, events) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -77,3 +77,8 @@
 func TestTeams(t *testing.T) {
 	runSeed(t, soak.Settings{Seed: 31, FaultDuration: 4 * time.Second, Series: true, Teams: true, EntryHosts: 4, Callers: 8, Program: build(t)})
 }
+
+// Guards against answers in progress that entry hosts end because servers are silent.
+func TestSilences(t *testing.T) {
+	runSeed(t, soak.Settings{Seed: 2, FaultDuration: 5 * time.Second, Series: true, Silences: true, EntryHosts: 4, Callers: 8, Program: build(t)})
+}
--- a/stand/fakes/order.go
+++ b/stand/fakes/order.go
@@ -162,6 +162,9 @@
 // checkChain records a violation if a chain does not run each layer exactly once
 // and in order.
 func (s *Server) checkChain(id, path string, stages []stage) {
+	for _, st := range stages {
+		s.platform.recordPassed(id, st.address)
+	}
 	next := 0
 	for _, st := range stages {
 		if st.first != next {
--- a/stand/fakes/platform.go
+++ b/stand/fakes/platform.go
@@ -43,6 +43,8 @@
 	// streams holds the stages of each stream, by its first server and its request.
 	streams map[string][]stage
 	stops   []func()
+	// passed holds where each request was passed on to, by ID.
+	passed map[string]*passedRequest
 	// badParts holds the parts of prompts that crash engines, by ID.
 	badParts map[string]*BadPart
 	// ending is how the next response to a request ends.
--- a/stand/fakes/server.go
+++ b/stand/fakes/server.go
@@ -284,6 +284,9 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	if id := req.Header.Get("X-Attempt-Id"); id != "" {
+		s.platform.recordPassed(id, s.address)
+	}
 	s.waitFrozen()
 	now, host := time.Now(), hostOf(req)
 	control := req.URL.Path == "/report" || req.URL.Path == "/order"
@@ -347,6 +350,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if s.consume(&s.dropNext) {
+		s.platform.recordBrokenOff(id)
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("X-Server-Signature", "sig-"+id)
--- a/stand/fakes/stream.go
+++ b/stand/fakes/stream.go
@@ -50,6 +50,7 @@
 			return
 		}
 		if s.truncates(n) {
+			s.platform.recordBrokenOff(id)
 			fmt.Fprintf(w, "id: %d\nda", n)
 			_ = controller.Flush()
 			panic(http.ErrAbortHandler)
