relay: two failed connections before a silent server counts as unreachable

A lost SYN is repeated after a second, so that one connection that is not established within 500 ms says little of a server that is silent; the answer in progress was ended by it (found in review by reading). All of entry/internal/relay with -race passes.

--- a/entry/internal/relay/attempt.go
+++ b/entry/internal/relay/attempt.go
@@ -7,6 +7,7 @@
 	"io"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"fuchsiashelf.dev/parts/engine"
@@ -37,6 +38,8 @@
 	replaced bool
 	// reachedAt is when connections to the servers were last tried.
 	reachedAt time.Time
+	// unreached counts the connections to each silent server that have failed in a row.
+	unreached map[string]*atomic.Int32
 	// err is the error of the attempt after its end.
 	err *fault.Error
 }
--- a/entry/internal/relay/replace.go
+++ b/entry/internal/relay/replace.go
@@ -6,6 +6,7 @@
 	"net"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"fuchsiashelf.dev/entry/dialer"
@@ -51,6 +52,9 @@
 	// silent are tried, and reachTimeout limits an attempt.
 	reachInterval = time.Second
 	reachTimeout  = 500 * time.Millisecond
+	// maxUnreached is the number of connections in a row that must fail before a server counts as
+	// unreachable: a lost packet delays one by a second.
+	maxUnreached = 2
 )
 
 // candidate is a chain that may replace a silent one.
@@ -248,12 +252,15 @@
 	}
 }
 
-// checkReach cancels an attempt if a server of its silent chain accepts no connections.
+// checkReach cancels an attempt if servers of its silent chain accept no connections.
 func (a *attempt) checkReach() {
 	if time.Since(a.reachedAt) < reachInterval {
 		return
 	}
 	a.reachedAt = time.Now()
+	if a.unreached == nil {
+		a.unreached = map[string]*atomic.Int32{}
+	}
 	dial := a.Dial
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
@@ -263,15 +270,21 @@
 		if !slices.Contains(silent, s.Server) {
 			continue
 		}
+		failed := a.unreached[s.Server]
+		if failed == nil {
+			failed = &atomic.Int32{}
+			a.unreached[s.Server] = failed
+		}
 		go func() {
 			ctx, cancel := a.Clock.WithTimeout(a.ctx, reachTimeout, nil)
 			defer cancel()
 			conn, err := dial(ctx, "tcp", s.Address)
 			if err == nil {
 				_ = conn.Close()
+				failed.Store(0)
 				return
 			}
-			if a.monitor.silent.Load() {
+			if failed.Add(1) >= maxUnreached && a.monitor.silent.Load() {
 				a.Log.Warn("relay: server of a silent chain is unreachable", "request", a.req.ID, "server", s.Server, "err", err)
 				a.cancel(errUnreachable)
 			}
