--- a/entry/conns/conns.go
+++ b/entry/conns/conns.go
@@ -15,7 +15,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -166,66 +165,6 @@
 	return resp, nil
 }
 
-// NoAnswerError is the cause of the error of a request that was written and got no answer before
-// the deadline.
-type NoAnswerError struct {
-	// NewConn says that the connection was established for this request, so that the server's
-	// machine accepts connections. A reused connection does not show that.
-	NewConn bool
-	Cause   error
-}
-
-// Error implements error.
-func (e *NoAnswerError) Error() string {
-	if e.NewConn {
-		return fmt.Sprintf("no answer on a new connection: %v", e.Cause)
-	}
-	return e.Cause.Error()
-}
-
-// Unwrap returns the cause.
-func (e *NoAnswerError) Unwrap() error { return e.Cause }
-
-// exchange writes a request and reads up to the header of its response.
-func (p *Pool) exchange(ctx context.Context, c *conn, req *http.Request, o Options) (*Response, error) {
-	if err := c.setLong(req.ContentLength > longRequest); err != nil {
-		return nil, err
-	}
-	// Header and body are written at once, so that they are sent in one packet if they
-	// fit.
-	bw := bufio.NewWriterSize(c.Conn, 2048+int(min(req.ContentLength, 32<<10)))
-	if err := req.Write(bw); err != nil {
-		return nil, err
-	}
-	if err := bw.Flush(); err != nil {
-		return nil, err
-	}
-	stall.Restart(ctx)
-	for range maxResponses {
-		resp, err := http.ReadResponse(c.br, req)
-		if err != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
-			return nil, &NoAnswerError{NewConn: c.idleSince.IsZero(), Cause: err}
-		}
-		if err != nil {
-			return nil, err
-		}
-		if resp.StatusCode < http.StatusOK {
-			continue
-		}
-		info := o.Inspect(resp)
-		if !info.OtherRequest {
-			return &Response{Response: resp, conn: c, info: info}, nil
-		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-			return nil, err
-		}
-		if resp.Close {
-			return nil, io.ErrUnexpectedEOF
-		}
-	}
-	return nil, errors.New("only answers to other requests")
-}
-
 // Read reads the body. The connection may be reused only if the body is read to its end.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.Body.Read(b)
