--- a/entry/conns/exchange.go
+++ b/entry/conns/exchange.go
@@ -70,4 +70,3 @@
 	}
 	return nil, errors.New("only answers to other requests")
 }
-
