roster: count hosts as absent on evidence, not on silence

Cause: an entry host counted as alive if it was heard of in the last 2 s, and was removed after 15 s. What a host hears does not grow with the fleet, so at 143 hosts each counted a quarter of the others, at 986 a fiftieth. Everything that divides by the hosts or chooses among them follows: limits handed out many times over, 20 watchers of the object API where 10 are meant, four owners of one crash, subsets that move all the time.

Change: parts/roster. A host is absent once a contact with it failed, three hosts that were asked to contact it did not reach it either, and nothing that it sent later arrived. Suspicions and what refutes them are told as news, ten times by each host. A failed contact counts only while others of its failure domain are heard of; if none is, the domain is silent and its hosts are absent until one is heard of, so a cut leaves no suspicions behind. Digests of the lists differ where news was missed; then a whole list is fetched. One contact in three goes to the next host by name, so that no dead host is missed by chance. Lists are immutable and derived when they change.

Ruled out: longer limits of silence or larger samples move the size at which this breaks, and cost bytes or the time until a death is known. Ages of all members in one byte each grow with the fleet (986 bytes a message).

Measured, TestHostsOfLargeFleetAreKnown (143 hosts): before, 20 watchers and four owners, red; now 142 of 142 alive at each host, 10 watchers, one owner. At rest the members take 2.0, 4.1, 4.3 and 5.2 KB a second of a host (4, 33, 143, 986 hosts, 45 bytes a member assumed).

--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -26,6 +26,7 @@
 	"fuchsiashelf.dev/parts/poison"
 	"fuchsiashelf.dev/parts/reach"
 	"fuchsiashelf.dev/parts/resv"
+	"fuchsiashelf.dev/parts/roster"
 	"fuchsiashelf.dev/parts/router"
 	"fuchsiashelf.dev/parts/share"
 	"fuchsiashelf.dev/parts/stall"
@@ -58,10 +59,6 @@
 	pullDelay = 150 * time.Millisecond
 	// exchangeTimeout limits one exchange.
 	exchangeTimeout = 500 * time.Millisecond
-	// aliveFor is how long an entry host counts as alive after its last message.
-	aliveFor = 2 * time.Second
-	// removeAfter is how long after its last message an entry host is removed.
-	removeAfter = 15 * time.Second
 )
 
 // Peer exchanges the state of this entry host with others. Set the exported fields
@@ -127,8 +124,11 @@
 	// member has sent it a list of members.
 	started time.Time
 	settled bool
-	members map[string]*memberState
-	clients map[string]*client
+	// roster is the list of the other entry hosts, and asksForMembers says that the next
+	// request asks for all of them.
+	roster         roster.Table
+	asksForMembers bool
+	clients        map[string]*client
 	// pulls holds the kinds whose changes are being pulled.
 	pulls map[string]bool
 	// lastRemote is when Run last chose a host of another failure domain.
@@ -143,7 +143,8 @@
 func (p *Peer) init() {
 	p.once.Do(func() {
 		p.started = p.Clock.Now()
-		p.members = map[string]*memberState{}
+		p.roster = roster.Table{Self: p.Self.Name, Domain: p.Self.Domain, Boot: p.Self.Boot, Clock: p.Clock, Random: p.random}
+		p.asksForMembers = true
 		p.clients = map[string]*client{}
 		p.pulls = map[string]bool{}
 		p.broadcast = make(chan struct{}, 1)
@@ -220,32 +221,17 @@
 	}()
 }
 
-// partners returns the addresses of random entry hosts for a round, and sometimes that
-// of a seed: without it, groups that started from different seeds would stay
-// partitioned, each with its own leader. It also removes hosts that have sent no
-// message for removeAfter.
+// partners returns the addresses of entry hosts for a round, and sometimes that of a seed:
+// without it, groups that started from different seeds would stay partitioned, each with its
+// own leader. It also removes hosts that left or became absent a while ago.
 func (p *Peer) partners(local, remote int) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := p.Clock.Now()
-	var localHosts, remoteHosts []string
-	for name, m := range p.members {
-		switch {
-		case now.Sub(m.heardAt) > removeAfter:
-			p.remove(name, m.Address)
-		case m.Domain == p.Self.Domain:
-			localHosts = append(localHosts, m.Address)
-		default:
-			remoteHosts = append(remoteHosts, m.Address)
-		}
-	}
-	if len(localHosts) == 0 {
-		// A host that is alone in its failure domain contacts remote hosts as often
-		// as others contact local ones.
-		remote = max(remote, local)
-	}
-	list := append(p.pick(localHosts, local), p.pick(remoteHosts, remote)...)
-	if len(p.Seeds) == 0 || p.random(seedChanceScale) >= int(p.seedChance(len(localHosts)+len(remoteHosts), now)*seedChanceScale) {
+	now := time.Now()
+	p.sweepMembers(now)
+	list := p.roster.Partners(local, remote, now)
+	known := len(p.roster.Current(now).Members)
+	if len(p.Seeds) == 0 || p.random(seedChanceScale) >= int(p.seedChance(known, p.Clock.Now())*seedChanceScale) {
 		return list
 	}
 	seed := p.Seeds[p.random(len(p.Seeds))]
@@ -270,20 +256,6 @@
 	return chance
 }
 
-// pick returns at most n of the addresses, chosen at random. It reorders the addresses.
-func (p *Peer) pick(addresses []string, n int) []string {
-	slices.Sort(addresses)
-	p.shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	return addresses[:min(n, len(addresses))]
-}
-
-// shuffle works like rand.Shuffle, but takes its numbers from p.random.
-func (p *Peer) shuffle(n int, swap func(i, j int)) {
-	for i := n - 1; i > 0; i-- {
-		swap(i, p.random(i+1))
-	}
-}
-
 // random returns a number in [0, n).
 func (p *Peer) random(n int) int {
 	if p.Random == nil {
@@ -309,16 +281,17 @@
 // nil if there is none.
 func (p *Peer) exchange(ctx context.Context, c *client, brief bool) *Message {
 	startedAt := p.Clock.Mark()
-	ctx, cancel := p.Clock.WithIdleTimeout(ctx, exchangeTimeout, nil)
+	callCtx, cancel := p.Clock.WithIdleTimeout(ctx, exchangeTimeout, nil)
 	defer cancel()
 	sent := p.message(nil)
-	sent.Brief = brief
+	sent.Brief, sent.WantMembers = brief, p.wantsMembers()
 	received := &Message{}
-	if err := c.call(ctx, sent, received); err != nil {
+	if err := c.call(callCtx, sent, received); err != nil {
 		if !c.failing {
 			p.Log.Warn("peers: no answer", "address", c.address, "error", err, "delay", p.Clock.Delay(startedAt))
 		}
 		c.failing = true
+		go p.verify(ctx, c.address, startedAt.At)
 		return nil
 	}
 	c.failing = false
--- a/entry/gossip/leader.go
+++ b/entry/gossip/leader.go
@@ -2,16 +2,16 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"fuchsiashelf.dev/parts/reach"
+	"fuchsiashelf.dev/parts/roster"
 )
 
 // settleTime is how long a new entry host listens before it treats hosts that it does
 // not know as absent. A live host can go unheard for that long.
-const settleTime = aliveFor
+const settleTime = roster.AbsentAfter
 
 // Settled reports whether this entry host has listened long enough to know which hosts
 // are absent, or has a list of members from a settled one. Until then it takes no
@@ -34,7 +34,7 @@
 	self := p.Self
 	self.Store, self.Reach = p.StoreUp(), p.reach()
 	for _, m := range p.Alive() {
-		if leadsBefore(m, self) {
+		if leadsBefore(m, &self) {
 			return false
 		}
 	}
@@ -42,7 +42,7 @@
 }
 
 // leadsBefore reports whether a member precedes another as leader.
-func leadsBefore(a, b Member) bool {
+func leadsBefore(a, b *Member) bool {
 	if isolated := a.Reach == reach.Isolated; isolated != (b.Reach == reach.Isolated) {
 		return !isolated
 	}
@@ -52,10 +52,6 @@
 	return a.Name < b.Name
 }
 
-// maxWatcherAge is the age of its last message from which a host no longer counts as
-// a watcher of the object API.
-const maxWatcherAge = 1200 * time.Millisecond
-
 // WatcherRank returns how many entry hosts of the failure domain precede this one in
 // the order in which they watch the object API. Hosts that the object API does not
 // answer count only while it does not answer this one either: then the first hosts
@@ -63,8 +59,8 @@
 func (p *Peer) WatcherRank() int {
 	storeUp := p.StoreUp()
 	rank := 0
-	for _, m := range p.Alive() {
-		if m.Domain == p.Self.Domain && (m.Store || !storeUp) && m.Age < maxWatcherAge && m.Name < p.Self.Name {
+	for _, m := range p.list().Responsive {
+		if m.Domain == p.Self.Domain && (m.Store || !storeUp) && m.Name < p.Self.Name {
 			rank++
 		}
 	}
@@ -79,5 +75,5 @@
 	}
 	weight := func(host string) uint64 { return xxhash.Sum64String(name + "\x00" + host) }
 	own := weight(p.Self.Name)
-	return !slices.ContainsFunc(p.Alive(), func(m Member) bool { return weight(m.Name) > own })
+	return !slices.ContainsFunc(p.Alive(), func(m *Member) bool { return weight(m.Name) > own })
 }
--- a/entry/gossip/member.go
+++ b/entry/gossip/member.go
@@ -1,56 +1,17 @@
 package gossip
 
 import (
+	"context"
 	"slices"
-	"strings"
+	"sync"
 	"time"
 
 	"fuchsiashelf.dev/parts/domain"
-	"fuchsiashelf.dev/parts/reach"
+	"fuchsiashelf.dev/parts/roster"
 )
 
 // Member is the state of an entry host.
-type Member struct {
-	Name    string
-	Address string
-	Domain  domain.Name
-	// Boot orders the incarnations of an entry host.
-	Boot int64
-	// Seq numbers the messages of one incarnation. Of two states of a member the one
-	// with the higher Seq wins, regardless of the order in which they arrive.
-	Seq uint64
-	// Age is the time since the member's last message to any entry host.
-	Age time.Duration
-	// Store says that the object API answers the member.
-	Store bool
-	// Reach says whether the member reaches backend servers.
-	Reach reach.State
-	// Leaving says that the member is about to stop.
-	Leaving bool
-	// Settled says that the member has listened long enough to know which hosts are
-	// absent.
-	Settled bool
-}
-
-// memberState holds a member's last known state and when the member sent it: in real time,
-// and on the clock of this process, which does not count its stalls.
-type memberState struct {
-	Member
-	lastHeard, heardAt time.Time
-}
-
-// remove removes an entry host that has sent no message for removeAfter. The mutex is
-// held.
-func (p *Peer) remove(name, address string) {
-	delete(p.members, name)
-	if c := p.clients[address]; c != nil {
-		c.close()
-		delete(p.clients, address)
-	}
-	p.Load.SetRemote(name, nil)
-	p.forgetDemand(name)
-	p.Log.Info("peers: removed", "peer", name, "address", address)
-}
+type Member = roster.Member
 
 // forgetDemand drops what is known of the demand at an entry host.
 func (p *Peer) forgetDemand(name string) {
@@ -67,93 +28,36 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	known := p.members[m.From.Name]
-	if known == nil || known.Leaving || known.Boot != m.From.Boot {
+	if known, exists := p.roster.State(m.From.Name, time.Now()); !exists || known.Leaving || known.Boot != m.From.Boot {
 		return
 	}
 	p.Shares.Merge(m.From.Name, m.From.Domain, m.Demand, time.Now())
 }
 
-// Members returns the other known entry hosts, ordered by name.
-func (p *Peer) Members() []Member {
-	now := time.Now()
-	return p.list(func(m *memberState) time.Duration { return now.Sub(m.lastHeard) })
-}
-
-// listened returns the same hosts, but each with the time for which this process has
-// listened without hearing from it as its age.
-func (p *Peer) listened() []Member {
-	now := p.Clock.Now()
-	return p.list(func(m *memberState) time.Duration { return now.Sub(m.heardAt) })
-}
-
-// list returns the other known entry hosts with the given ages, ordered by name.
-func (p *Peer) list(age func(m *memberState) time.Duration) []Member {
+// list returns the current list of the other entry hosts.
+func (p *Peer) list() *roster.List {
 	p.init()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := make([]Member, 0, len(p.members))
-	for _, known := range p.members {
-		member := known.Member
-		member.Age = age(known)
-		list = append(list, member)
-	}
-	slices.SortFunc(list, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
-	return list
+	return p.roster.Current(time.Now())
 }
 
-// To limit its size, a message lists only some members: the first samplePerDomain by
-// name of each failure domain, from which the leader and the watchers of the object
-// API are chosen, and sampleOthers of the others, chosen at random.
-const (
-	samplePerDomain = 4
-	sampleOthers    = 8
-)
-
-// sample returns the members to list in a message.
-func (p *Peer) sample() []Member {
-	var list, rest []Member
-	listed := map[domain.Name]int{}
-	for _, m := range p.Members() {
-		alive := m.Age <= aliveFor && !m.Leaving
-		if alive && listed[m.Domain] < samplePerDomain {
-			listed[m.Domain]++
-			list = append(list, m)
-			continue
-		}
-		rest = append(rest, m)
-	}
-	p.shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
-	return append(list, rest[:min(sampleOthers, len(rest))]...)
-}
+// Members returns the other known entry hosts, ordered by name. The result must not be
+// modified.
+func (p *Peer) Members() []*Member { return p.list().Members }
 
-// Alive returns the other entry hosts that have sent a message within aliveFor and are
-// not leaving.
-func (p *Peer) Alive() []Member {
-	return slices.DeleteFunc(p.listened(), func(m Member) bool { return m.Age > aliveFor || m.Leaving })
-}
+// Alive returns the other entry hosts that are neither absent nor leaving, ordered by name.
+// The result must not be modified.
+func (p *Peer) Alive() []*Member { return p.list().Present }
 
 // AliveByDomain returns the number of entry hosts alive by failure domain, including this
-// one.
-func (p *Peer) AliveByDomain() map[domain.Name]int {
-	alive := map[domain.Name]int{p.Self.Domain: 1}
-	for _, m := range p.Alive() {
-		alive[m.Domain]++
-	}
-	return alive
-}
+// one. The result must not be modified.
+func (p *Peer) AliveByDomain() map[domain.Name]int { return p.list().ByDomain }
 
-// Senders returns the names of the other entry hosts that may send requests to servers.
-// A host that sends no messages counts until it is removed: it may be cut off from this
-// one only. complete says that no others exist.
-func (p *Peer) Senders() (names []string, complete bool) {
-	for _, m := range p.listened() {
-		if !m.Leaving || m.Age <= aliveFor {
-			names = append(names, m.Name)
-		}
-	}
-	return names, p.Settled()
-}
+// Senders returns the names of the other entry hosts that may send requests to servers. An
+// absent host counts until it is removed: it may be cut off from this one only. complete
+// says that no others exist. The names must not be modified.
+func (p *Peer) Senders() (names []string, complete bool) { return p.list().Senders, p.Settled() }
 
 // mergeMembers merges the states of the sender and of the members that a message lists.
 func (p *Peer) mergeMembers(m *Message) {
@@ -161,43 +65,146 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	sender := m.From
-	sender.Age = 0
-	// A settled sender knows which hosts are absent, and its message lists the first
-	// hosts of each failure domain, from which the leader is chosen.
-	p.settled = p.settled || sender.Settled
+	sender.Age, sender.Suspected = 0, 0
+	// A settled sender knows which hosts are absent. Older versions send no digest, and
+	// always list the first hosts of each failure domain, from which the leader is chosen.
+	p.settled = p.settled || sender.Settled && (m.AllMembers || m.Digest == 0)
 	p.mergeMember(sender, now)
-	for _, other := range m.Members {
-		p.mergeMember(other, now)
+	p.roster.MergeDomains(m.Domains, now)
+	if m.AllMembers && p.asksForMembers {
+		p.asksForMembers = false
+		if added := p.roster.MergeWhole(m.Members, now); len(added) > 0 {
+			p.Log.Info("peers: list received", "from", m.From.Name, "hosts", len(m.Members), "new", len(added))
+		}
+	} else {
+		for _, other := range m.Members {
+			p.mergeMember(other, now)
+		}
+	}
+	if m.Digest != 0 {
+		p.roster.Compare(m.Digest, now)
 	}
 }
 
-// mergeMember replaces the known state of a member if m is newer. The mutex is held.
+// mergeMember merges the state of a member. The mutex is held.
 func (p *Peer) mergeMember(m Member, now time.Time) {
-	if m.Name == p.Self.Name || m.Age > removeAfter {
+	switch p.roster.Merge(m, now) {
+	case roster.Added:
+		p.Log.Info("peers: new", "peer", m.Name, "address", m.Address, "domain", m.Domain)
+	case roster.Left:
+		p.Load.SetRemote(m.Name, nil)
+		p.forgetDemand(m.Name)
+	case roster.Restarted:
+		p.forgetDemand(m.Name)
+	case roster.None:
+	}
+}
+
+// sweepMembers removes the entry hosts that left or became absent a while ago. The mutex is
+// held.
+func (p *Peer) sweepMembers(now time.Time) {
+	for _, m := range p.roster.Sweep(now) {
+		if c := p.clients[m.Address]; c != nil {
+			c.close()
+			delete(p.clients, m.Address)
+		}
+		p.Load.SetRemote(m.Name, nil)
+		p.forgetDemand(m.Name)
+		p.Log.Info("peers: removed", "peer", m.Name, "address", m.Address)
+	}
+}
+
+// verify asks other entry hosts to contact one with which an exchange failed that began at
+// the given time. If they do not reach it either, it is suspected.
+func (p *Peer) verify(ctx context.Context, address string, failedAt time.Time) {
+	p.mu.Lock()
+	name := p.roster.ByAddress(address)
+	checkers, check := p.roster.BeginCheck(name, failedAt)
+	p.mu.Unlock()
+	if !check {
 		return
 	}
-	lastHeard, heardAt := now.Add(-m.Age), p.Clock.Now().Add(-m.Age)
-	known := p.members[m.Name]
-	if known == nil {
-		p.Log.Info("peers: new", "peer", m.Name, "address", m.Address, "domain", m.Domain)
-		p.members[m.Name] = &memberState{Member: m, lastHeard: lastHeard, heardAt: heardAt}
+	var asking sync.WaitGroup
+	for _, checker := range checkers {
+		asking.Go(func() { p.ask(ctx, checker, name) })
+	}
+	asking.Wait()
+	p.mu.Lock()
+	suspected := p.roster.EndCheck(name, failedAt)
+	p.mu.Unlock()
+	if suspected {
+		p.Log.Warn("peers: suspected", "peer", name, "address", address, "asked", len(checkers))
+		p.Broadcast()
+	}
+}
+
+// ask asks an entry host to contact another one, and merges what it knows of it then.
+func (p *Peer) ask(ctx context.Context, checker, name string) {
+	ctx, cancel := p.Clock.WithIdleTimeout(ctx, 2*exchangeTimeout, nil)
+	defer cancel()
+	c := p.client(checker)
+	if !c.acquire() {
+		c = &client{address: checker}
+		defer c.close()
+	} else {
+		defer c.release()
+	}
+	sent, received := p.message(nil), &Message{}
+	sent.Brief, sent.Check = true, name
+	if err := c.call(ctx, sent, received); err != nil {
+		p.Log.Debug("peers: no answer about another host", "address", checker, "peer", name, "error", err)
 		return
 	}
-	if precedes(m, known.Member) || m.Boot == known.Boot && m.Seq == known.Seq && lastHeard.Before(known.lastHeard) {
+	p.Merge(received)
+}
+
+// check contacts a member on behalf of another entry host, on a connection of its own: an
+// open one may have been lost.
+func (p *Peer) check(name string) {
+	p.mu.Lock()
+	m, known := p.roster.State(name, time.Now())
+	p.mu.Unlock()
+	if !known {
 		return
 	}
-	if m.Leaving && !known.Leaving {
-		p.Load.SetRemote(m.Name, nil)
-		p.forgetDemand(m.Name)
+	c := &client{address: m.Address}
+	defer c.close()
+	p.exchange(context.Background(), c, true)
+}
+
+// sample returns the members to list in a message, and reports whether they are all that
+// are known. The response to a message that asks for all lists them, and that to one that
+// asks for a check the member in question.
+func (p *Peer) sample(to *Message, toNew bool) (members []Member, all bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	if to != nil && to.WantMembers {
+		return p.roster.Whole(now), true
 	}
-	if m.Boot > known.Boot {
-		p.forgetDemand(m.Name)
+	members, all = p.roster.Sample(toNew, now)
+	if to != nil && to.Check != "" {
+		if m, known := p.roster.State(to.Check, now); known {
+			members = append(slices.DeleteFunc(members, func(other Member) bool { return other.Name == m.Name }), m)
+		}
 	}
-	known.Member = m
-	known.lastHeard, known.heardAt = lastHeard, heardAt
+	return members, all
+}
+
+// wantsMembers reports whether the next request asks for all members: until a list has
+// arrived after the start, and if the lists of others differ for long.
+func (p *Peer) wantsMembers() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.asksForMembers = p.roster.TakeWhole(time.Now()) || p.asksForMembers
+	return p.asksForMembers
 }
 
-// precedes reports whether m was sent before other, a state of the same member.
-func precedes(m, other Member) bool {
-	return m.Boot < other.Boot || m.Boot == other.Boot && m.Seq < other.Seq
+// domains returns what a message says of the failure domains, and the digest of the list of
+// entry hosts.
+func (p *Peer) domains() (ages map[domain.Name]time.Duration, digest uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	return p.roster.Domains(now), p.roster.Current(now).Digest
 }
--- a/entry/gossip/message.go
+++ b/entry/gossip/message.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"fuchsiashelf.dev/parts/domain"
 	"fuchsiashelf.dev/parts/limit"
 	"fuchsiashelf.dev/parts/mirror"
 	"fuchsiashelf.dev/parts/poison"
@@ -58,8 +59,19 @@
 	// Cursors holds the revision of each of the sender's mirrors, and Eras its era, by
 	// kind. Older versions send no eras.
 	Cursors, Eras map[string]uint64
-	// Members holds a sample of the other entry hosts that the sender knows.
-	Members []Member
+	// Members holds a sample of the other entry hosts that the sender knows, or all of them
+	// if AllMembers is set.
+	Members    []Member
+	AllMembers bool
+	// Domains is the time since a member of each failure domain sent the last message that
+	// the sender knows of. Older versions send none.
+	Domains map[domain.Name]time.Duration
+	// Digest is a hash of the sender's list of entry hosts. Older versions send none.
+	Digest uint64
+	// WantMembers asks for a response with all members.
+	WantMembers bool
+	// Check is the name of an entry host that the receiver is to contact before it responds.
+	Check string
 	// Load is the load that the sender puts on each server, by server.
 	Load map[string]router.Usage
 	// Waits is how long requests wait for their first event, by server.
@@ -109,11 +121,14 @@
 // lacks. Nil means that no changes are included.
 func (p *Peer) message(to *Message) *Message {
 	m := &Message{
-		From: p.self(), Cursors: map[string]uint64{}, Eras: map[string]uint64{}, Members: p.sample(),
+		From: p.self(), Cursors: map[string]uint64{}, Eras: map[string]uint64{},
 		Load: p.Load.Local(), Waits: p.StartLatency.Waits(time.Now()), Full: p.Load.Saturated(time.Now()),
 		Suspects: p.Suspects(), Slows: p.SlowServers(), Orders: p.Assignments(), Evidence: p.Crashes.Evidence(time.Now()),
 		Limits: p.Limits.Reports(time.Now()), Departures: p.Departures(),
 	}
+	toNew := to != nil && !to.From.Settled
+	m.Members, m.AllMembers = p.sample(to, toNew)
+	m.Domains, m.Digest = p.domains()
 	if p.Returns != nil {
 		m.Promises = p.Returns.Promises(time.Now())
 	}
@@ -122,13 +137,14 @@
 	}
 	var config []byte
 	m.ConfigVersion, config = p.Config()
-	if to != nil && to.ConfigVersion < m.ConfigVersion {
+	changes := to != nil && !to.Brief
+	if changes && to.ConfigVersion < m.ConfigVersion {
 		m.Config = config
 	}
 	for _, local := range p.Mirrors {
 		cursor := local.Cursor()
 		m.Cursors[local.Kind], m.Eras[local.Kind] = cursor.Revision, cursor.Era
-		if to == nil {
+		if !changes {
 			continue
 		}
 		known := to.cursor(local)
@@ -151,14 +167,14 @@
 // lacks. Changes that are missing here are pulled from the sender.
 func (p *Peer) Respond(m *Message) *Message {
 	p.Merge(m)
+	if m.Check != "" {
+		p.check(m.Check)
+	}
 	for _, local := range p.Mirrors {
 		if cursor := m.cursor(local); cursor.After(local.Cursor()) {
 			p.pull(m.From.Address, local, cursor)
 		}
 	}
-	if m.Brief {
-		return p.message(nil)
-	}
 	return p.message(m)
 }
 
