roster: bound the list, and do not tell of hosts that rest

Cause: whether a host has connected to a server lately was part of what counts as news. A list of hosts had no bound, and ages from messages none either.

Change: only isolation, leaving, the object API, a new process and a new address are news. At most 8,192 hosts are kept, others are refused with a log line; ages are bounded.

--- a/entry/gossip/member.go
+++ b/entry/gossip/member.go
@@ -96,6 +96,8 @@
 		p.forgetDemand(m.Name)
 	case roster.Restarted:
 		p.forgetDemand(m.Name)
+	case roster.Refused:
+		p.Log.Warn("peers: refused, too many hosts", "peer", m.Name, "address", m.Address)
 	case roster.None:
 	}
 }
--- a/parts/roster/roster.go
+++ b/parts/roster/roster.go
@@ -61,10 +61,11 @@
 	return m.Boot < other.Boot || m.Boot == other.Boot && m.Seq < other.Seq
 }
 
-// sameState reports whether two states of a member differ only in when they were sent.
-func (m *Member) sameState(other *Member) bool {
-	return m.Boot == other.Boot && m.Address == other.Address && m.Store == other.Store && m.Reach == other.Reach &&
-		m.Leaving == other.Leaving && m.Settled == other.Settled
+// isNews reports whether a state of a member tells others more than when it was sent. That a
+// member has not connected to a server lately does not: it happens all the time.
+func (m *Member) isNews(old *Member) bool {
+	return m.Boot != old.Boot || m.Address != old.Address || m.Store != old.Store || m.Leaving != old.Leaving ||
+		(m.Reach == reach.Isolated) != (old.Reach == reach.Isolated)
 }
 
 // Timeouts.
@@ -88,6 +89,13 @@
 	refreshInterval = 100 * time.Millisecond
 )
 
+const (
+	// maxMembers bounds the members that are kept, several times those of the largest fleet.
+	maxMembers = 8192
+	// maxAge bounds the ages that are read from messages.
+	maxAge = 24 * time.Hour
+)
+
 // Change is what a merged state changed.
 type Change uint8
 
@@ -101,6 +109,8 @@
 	Left
 	// Restarted means that the member's process is a new one.
 	Restarted
+	// Refused means that the member is not known, and more are known than any fleet has.
+	Refused
 )
 
 // Table is the list of the other entry hosts as one host knows it. Set the exported fields
@@ -179,7 +189,7 @@
 	if m.Name == t.Self || m.Name == "" {
 		return None
 	}
-	m.Age, m.Suspected = max(0, m.Age), max(0, m.Suspected)
+	m.Age, m.Suspected = min(max(0, m.Age), maxAge), min(max(0, m.Suspected), maxAge)
 	e := t.entries[m.Name]
 	if e == nil {
 		return t.add(m, now)
@@ -207,6 +217,9 @@
 	if m.Leaving && m.Age > RemoveAfter || m.Suspected > RemoveAfter {
 		return None
 	}
+	if len(t.entries) >= maxMembers {
+		return Refused
+	}
 	e := &entry{Member: &m, domain: t.domainState(m.Domain), digest: digest(m.Name, m.Boot)}
 	t.entries[m.Name], t.byAddress[m.Address] = e, e
 	at, _ := slices.BinarySearchFunc(t.order, e, func(a, b *entry) int { return strings.Compare(a.Name, b.Name) })
@@ -238,7 +251,7 @@
 		e.suspectedAt, e.lastHeard, e.heardAt = time.Time{}, time.Time{}, time.Time{}
 	}
 	t.hear(e, now.Add(-m.Age), t.Clock.Now().Add(-m.Age))
-	if !old.sameState(&m) {
+	if m.isNews(old) {
 		t.tell(e)
 	}
 	switch {
--- a/parts/roster/sim_test.go
+++ b/parts/roster/sim_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"fuchsiashelf.dev/parts/domain"
+	"fuchsiashelf.dev/parts/reach"
 	"fuchsiashelf.dev/parts/roster"
 )
 
@@ -96,6 +97,8 @@
 
 func (f *fleet) deliver(to, from *host, members []roster.Member) {
 	from.self.Seq++
+	// Hosts with few requests have mostly not connected to a server lately.
+	from.self.Reach = reach.State(from.self.Seq / 16 % 2)
 	to.table.Merge(from.self, time.Now())
 	for _, m := range members {
 		to.table.Merge(m, time.Now())
