roster: tell the last message of a failure domain by its number

Cause, found in reading: messages carried the age of the last message from each failure domain. Each host that passes an age on makes it younger by the time that the message takes, and ages went round among hosts many times a second. On hosts that need tens of milliseconds a message, a failure domain that is cut off would never fall silent.

Change: messages carry the member, the incarnation and the number of the last message; only a higher number is news, so an age passes each host once. Likewise a state says which later message of the member is known of, and a suspicion from a host that knows of no earlier message is taken. Suspicions that may be due to a partition are left out of whole lists too.

--- a/entry/gossip/member.go
+++ b/entry/gossip/member.go
@@ -70,7 +70,7 @@
 	// always list the first hosts of each failure domain, from which the leader is chosen.
 	p.settled = p.settled || sender.Settled && (m.AllMembers || m.Digest == 0)
 	p.mergeMember(sender, now)
-	p.roster.MergeDomains(m.Domains, now)
+	p.roster.MergeBeats(m.Beats, now)
 	if m.AllMembers && p.asksForMembers {
 		p.asksForMembers = false
 		if added := p.roster.MergeWhole(m.Members, now); len(added) > 0 {
@@ -202,11 +202,11 @@
 	return p.asksForMembers
 }
 
-// domains returns what a message says of the failure domains, and the digest of the list of
+// beats returns the last messages of other failure domains, and the digest of the list of
 // entry hosts.
-func (p *Peer) domains() (ages map[domain.Name]time.Duration, digest uint64) {
+func (p *Peer) beats() (beats []roster.Beat, digest uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	return p.roster.Domains(now), p.roster.Current(now).Digest
+	return p.roster.Beats(now), p.roster.Current(now).Digest
 }
--- a/entry/gossip/message.go
+++ b/entry/gossip/message.go
@@ -4,12 +4,12 @@
 	"context"
 	"time"
 
-	"fuchsiashelf.dev/parts/domain"
 	"fuchsiashelf.dev/parts/limit"
 	"fuchsiashelf.dev/parts/mirror"
 	"fuchsiashelf.dev/parts/poison"
 	"fuchsiashelf.dev/parts/reach"
 	"fuchsiashelf.dev/parts/resv"
+	"fuchsiashelf.dev/parts/roster"
 	"fuchsiashelf.dev/parts/router"
 	"fuchsiashelf.dev/parts/share"
 )
@@ -63,9 +63,9 @@
 	// if AllMembers is set.
 	Members    []Member
 	AllMembers bool
-	// Domains is the time since a member of each failure domain sent the last message that
-	// the sender knows of. Older versions send none.
-	Domains map[domain.Name]time.Duration
+	// Beats holds the last message from each other failure domain that the sender knows of.
+	// Older versions send none.
+	Beats []roster.Beat
 	// Digest is a hash of the sender's list of entry hosts. Older versions send none.
 	Digest uint64
 	// WantMembers asks for a response with all members.
@@ -128,7 +128,7 @@
 	toNew := to != nil && !to.From.Settled
 	p.facts.add(m, p, toNew)
 	m.Members, m.AllMembers = p.sample(to, toNew)
-	m.Domains, m.Digest = p.domains()
+	m.Beats, m.Digest = p.beats()
 	if p.Returns != nil {
 		m.Promises = p.Returns.Promises(time.Now())
 	}
--- a/parts/roster/absent.go
+++ b/parts/roster/absent.go
@@ -90,27 +90,27 @@
 		return
 	}
 	if m.Suspected == 0 {
-		if t.confirmed(e) && m.Seq <= e.Seq {
+		if t.confirmed(e) && max(m.Seq, m.Heard) <= e.heard {
 			t.tellAgain(e)
 		}
 		return
 	}
-	t.suspect(e, now.Add(-m.Suspected))
+	t.suspect(e, max(m.Seq, m.Heard), now.Add(-m.Suspected))
 }
 
 // suspect records that a contact with a member failed, unless a later message of the member
-// is known.
-func (t *Table) suspect(e *entry, at time.Time) {
-	if e.lastHeard.After(at.Add(transitTolerance)) {
+// is known than the one with the given number, which the host knows that found out.
+func (t *Table) suspect(e *entry, known uint64, at time.Time) {
+	if e.heard > known && e.lastHeard.After(at.Add(transitTolerance)) {
 		t.tellAgain(e)
 		return
 	}
 	if e.suspected() && !at.Before(e.suspectedAt) {
 		return
 	}
-	known := e.suspected()
+	suspected := e.suspected()
 	e.suspectedAt = at
-	if !known {
+	if !suspected {
 		t.tell(e)
 	}
 }
@@ -158,7 +158,7 @@
 	if e.lastHeard.After(failedAt) {
 		return false
 	}
-	t.suspect(e, failedAt)
+	t.suspect(e, e.heard, failedAt)
 	return e.suspected()
 }
 
--- a/parts/roster/roster.go
+++ b/parts/roster/roster.go
@@ -40,8 +40,10 @@
 	// Seq numbers the messages of one incarnation. Of two states of a member the one
 	// with the higher Seq wins, regardless of the order in which they arrive.
 	Seq uint64
-	// Age is the time since the member sent its last known message, to any entry host.
-	Age time.Duration
+	// Heard is the Seq of the last message of the member that is known of, if it is later than
+	// that of this state. Age is the time since that message was sent, to any entry host.
+	Heard uint64 `cbor:",omitempty"`
+	Age   time.Duration
 	// Suspected is the time since a contact with the member failed; zero if none has since
 	// its last known message.
 	Suspected time.Duration `cbor:",omitempty"`
@@ -56,6 +58,15 @@
 	Settled bool
 }
 
+// Beat is the last known message of a member.
+type Beat struct {
+	Name string
+	Boot int64
+	Seq  uint64
+	// Age is the time since the message was sent.
+	Age time.Duration
+}
+
 // precedes reports whether m was sent before other, a state of the same member.
 func (m *Member) precedes(other *Member) bool {
 	return m.Boot < other.Boot || m.Boot == other.Boot && m.Seq < other.Seq
@@ -151,6 +162,8 @@
 	*Member
 	domain *domainState
 	digest uint64
+	// heard is the Seq of the last message that is known of.
+	heard uint64
 	// lastHeard is when the member sent its last known message, in real time, and heardAt
 	// the same on the clock of this process, which does not count its stalls.
 	lastHeard, heardAt time.Time
@@ -168,8 +181,9 @@
 
 // domainState is what is known of a failure domain.
 type domainState struct {
-	// lastHeard and heardAt are when a member of the failure domain sent the last message
-	// that is known of.
+	// freshest is the member that sent the last message that is known of, and lastHeard and
+	// heardAt are when it did.
+	freshest           *entry
 	lastHeard, heardAt time.Time
 	// silent and unresponsive say that nothing was heard of the failure domain for
 	// AbsentAfter and unresponsiveAfter, as of the last assessment.
@@ -224,7 +238,7 @@
 	t.entries[m.Name], t.byAddress[m.Address] = e, e
 	at, _ := slices.BinarySearchFunc(t.order, e, func(a, b *entry) int { return strings.Compare(a.Name, b.Name) })
 	t.order = slices.Insert(t.order, at, e)
-	t.hear(e, now.Add(-m.Age), t.Clock.Now().Add(-m.Age))
+	t.hear(e, max(m.Seq, m.Heard), m.Age, now)
 	if m.Suspected > 0 {
 		e.suspectedAt = now.Add(-m.Suspected)
 	}
@@ -234,6 +248,9 @@
 
 // update replaces the state of a member if m is newer.
 func (t *Table) update(e *entry, m Member, now time.Time) Change {
+	if m.Boot == e.Boot {
+		t.hear(e, max(m.Seq, m.Heard), m.Age, now)
+	}
 	if m.precedes(e.Member) || m.Boot == e.Boot && m.Seq == e.Seq {
 		return None
 	}
@@ -248,9 +265,9 @@
 	}
 	if m.Boot > old.Boot {
 		// Whatever failed was the process before.
-		e.suspectedAt, e.lastHeard, e.heardAt = time.Time{}, time.Time{}, time.Time{}
+		e.suspectedAt, e.heard = time.Time{}, 0
+		t.hear(e, max(m.Seq, m.Heard), m.Age, now)
 	}
-	t.hear(e, now.Add(-m.Age), t.Clock.Now().Add(-m.Age))
 	if m.isNews(old) {
 		t.tell(e)
 	}
@@ -263,17 +280,26 @@
 	return None
 }
 
-// hear records when a member sent its last known message.
-func (t *Table) hear(e *entry, lastHeard, heardAt time.Time) {
-	if lastHeard.After(e.lastHeard) {
-		e.lastHeard, e.heardAt = lastHeard, heardAt
+// hear records that a member sent a message some time ago. The number of the message decides
+// whether it is news: ages grow younger by the time that each host needs to pass them on. A
+// message of age zero comes from the member itself.
+func (t *Table) hear(e *entry, seq uint64, age time.Duration, now time.Time) {
+	if seq <= e.heard {
+		return
 	}
-	// A message of the member itself, of age zero, needs no tolerance.
-	if e.suspected() && (e.Age == 0 || e.lastHeard.After(e.suspectedAt.Add(transitTolerance))) {
+	e.heard, e.lastHeard, e.heardAt = seq, now.Add(-age), t.Clock.Now().Add(-age)
+	if e.suspected() && (age == 0 || e.lastHeard.After(e.suspectedAt.Add(transitTolerance))) {
 		e.suspectedAt = time.Time{}
 		t.tell(e)
 	}
-	t.hearDomain(e.Domain, e.lastHeard, e.heardAt)
+	d := e.domain
+	if !e.lastHeard.After(d.lastHeard) {
+		return
+	}
+	if e.heardAt.Sub(d.heardAt) > AbsentAfter {
+		t.dropSuspicions(e.Domain, d.lastHeard)
+	}
+	d.freshest, d.lastHeard, d.heardAt = e, e.lastHeard, e.heardAt
 }
 
 // domainState returns what is known of a failure domain, adding it if needed.
@@ -286,33 +312,23 @@
 	return d
 }
 
-// hearDomain records when a member of a failure domain sent a message.
-func (t *Table) hearDomain(name domain.Name, lastHeard, heardAt time.Time) {
-	d := t.domainState(name)
-	if !lastHeard.After(d.lastHeard) {
-		return
-	}
-	if heardAt.Sub(d.heardAt) > AbsentAfter {
-		t.dropSuspicions(name, d.lastHeard)
-	}
-	d.lastHeard, d.heardAt = lastHeard, heardAt
-}
-
-// Domains returns the time since a member of each other failure domain sent the last message
-// that is known of, to be sent to other hosts.
-func (t *Table) Domains(now time.Time) map[domain.Name]time.Duration {
-	ages := make(map[domain.Name]time.Duration, len(t.domains))
+// Beats returns the last message that is known of from each other failure domain, to be sent
+// to other hosts: without one for a while the failure domain is silent.
+func (t *Table) Beats(now time.Time) []Beat {
+	var beats []Beat
 	for name, d := range t.domains {
-		ages[name] = max(0, now.Sub(d.lastHeard))
+		if e := d.freshest; e != nil && name != t.Domain {
+			beats = append(beats, Beat{Name: e.Name, Boot: e.Boot, Seq: e.heard, Age: max(1, now.Sub(e.lastHeard))})
+		}
 	}
-	return ages
+	return beats
 }
 
-// MergeDomains merges what another host has sent of Domains.
-func (t *Table) MergeDomains(ages map[domain.Name]time.Duration, now time.Time) {
-	for name, age := range ages {
-		if t.domains[name] != nil {
-			t.hearDomain(name, now.Add(-max(0, age)), t.Clock.Now().Add(-max(0, age)))
+// MergeBeats merges the beats of another host's message.
+func (t *Table) MergeBeats(beats []Beat, now time.Time) {
+	for _, b := range beats {
+		if e := t.entries[b.Name]; e != nil && e.Boot == b.Boot {
+			t.hear(e, b.Seq, min(max(1, b.Age), maxAge), now)
 		}
 	}
 }
@@ -371,5 +387,8 @@
 	}
 	t.order = slices.DeleteFunc(t.order, func(other *entry) bool { return other == e })
 	t.news = slices.DeleteFunc(t.news, func(other *entry) bool { return other == e })
+	if e.domain.freshest == e {
+		e.domain.freshest = nil
+	}
 	t.list = nil
 }
--- a/parts/roster/sim_test.go
+++ b/parts/roster/sim_test.go
@@ -20,6 +20,8 @@
 	localSteps   = 4
 	remoteSteps  = 12
 	timeoutSteps = 5
+	// transit is how much younger ages seem because of the time that a message takes.
+	transit = 50 * time.Millisecond
 )
 
 // host is an entry host of a simulated fleet.
@@ -78,8 +80,6 @@
 	now := time.Now()
 	toB, _ := a.table.Sample(false, now)
 	f.deliver(b, a, toB)
-	b.table.MergeDomains(a.table.Domains(now), now)
-	a.table.MergeDomains(b.table.Domains(now), now)
 	toA, _ := b.table.Sample(false, now)
 	f.deliver(a, b, toA)
 	a.table.Compare(b.table.Current(now).Digest, now)
@@ -101,8 +101,14 @@
 	from.self.Reach = reach.State(from.self.Seq / 16 % 2)
 	to.table.Merge(from.self, time.Now())
 	for _, m := range members {
+		m.Age, m.Suspected = max(1, m.Age-transit), max(min(1, m.Suspected), m.Suspected-transit)
 		to.table.Merge(m, time.Now())
 	}
+	beats := from.table.Beats(time.Now())
+	for i := range beats {
+		beats[i].Age -= transit
+	}
+	to.table.MergeBeats(beats, time.Now())
 	to.bytes += memberBytes * (1 + len(members))
 	from.bytes += memberBytes * (1 + len(members))
 }
--- a/parts/roster/tell.go
+++ b/parts/roster/tell.go
@@ -32,7 +32,7 @@
 // that they are all members.
 func (t *Table) Sample(toNew bool, now time.Time) (members []Member, whole bool) {
 	t.init()
-	s := &sample{now: now, listed: map[*entry]bool{}}
+	s := &sample{table: t, now: now, listed: map[*entry]bool{}}
 	if toNew {
 		counts := map[domain.Name]int{}
 		for _, m := range t.Current(now).Present {
@@ -52,6 +52,7 @@
 
 // sample collects the members of a message.
 type sample struct {
+	table   *Table
 	now     time.Time
 	members []Member
 	listed  map[*entry]bool
@@ -63,21 +64,25 @@
 		return
 	}
 	s.listed[e] = true
-	s.members = append(s.members, e.state(s.now))
+	s.members = append(s.members, s.table.state(e, s.now))
 }
 
-// state returns the state of a member to send.
-func (e *entry) state(now time.Time) Member {
+// state returns the state of a member to send. A suspicion that may be due to a partition is
+// left out.
+func (t *Table) state(e *entry, now time.Time) Member {
 	m := *e.Member
-	m.Age, m.Suspected = max(1, now.Sub(e.lastHeard)), 0
-	if e.suspected() {
+	m.Age, m.Suspected, m.Heard = max(1, now.Sub(e.lastHeard)), 0, 0
+	if e.heard > m.Seq {
+		m.Heard = e.heard
+	}
+	if t.confirmed(e) {
 		m.Suspected = max(1, now.Sub(e.suspectedAt))
 	}
 	return m
 }
 
-// addNews adds the members of which there is news, those that waited longest first, and
-// drops those that were told often enough. A suspicion that may be due to a partition
+// addNews adds the members of which there is news, the latest first, and drops those that
+// were told often enough. A suspicion that may be due to a partition
 // waits.
 func (t *Table) addNews(s *sample) {
 	n := min(maxNews, len(t.news))
@@ -101,7 +106,7 @@
 	members := make([]Member, 0, len(t.order))
 	for _, e := range t.order {
 		if !e.removed {
-			members = append(members, e.state(now))
+			members = append(members, t.state(e, now))
 		}
 	}
 	return members
@@ -113,7 +118,7 @@
 	if e == nil {
 		return Member{}, false
 	}
-	return e.state(now), true
+	return t.state(e, now), true
 }
 
 // Compare records the digest of another host's list.
