--- a/parts/roster/tell.go
+++ b/parts/roster/tell.go
@@ -27,6 +27,23 @@
 	listInterval = 5 * time.Second
 )
 
+// tell marks a member as news.
+func (t *Table) tell(e *entry) {
+	t.list = nil
+	e.told = 0
+	if at := slices.Index(t.news, e); at >= 0 {
+		t.news = slices.Delete(t.news, at, at+1)
+	}
+	t.news = slices.Insert(t.news, 0, e)
+}
+
+// tellAgain tells once more of a member to hosts that lack the news.
+func (t *Table) tellAgain(e *entry) {
+	if e.told >= maxTold {
+		t.tell(e)
+	}
+}
+
 // Sample returns the members to list in a message: those of which there is news, and a few
 // others. To a new host it begins with the first ones of each failure domain. whole says
 // that they are all members.
