state: list assignments of servers without layers again

Cause: left them out until they are done, "since nothing depends on it at other hosts". That was wrong: entry/stream tells a refused caller when the layers that it lacks are loaded, by the assignments, also by those of other hosts. Callers were told the pauses of the servers that have loaded (30 s) in place of the rest of a load.

--- a/entry/state/assignment.go
+++ b/entry/state/assignment.go
@@ -67,17 +67,14 @@
 	return true
 }
 
-// Assignments returns the assignments that the entries of their servers do not show yet.
-// One of a server without layers is left out until it is done: until then nothing depends
-// on it.
+// Assignments returns the assignments that the entries of their servers do not show
+// yet.
 func (s *Local) Assignments() []Assignment {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	list := make([]Assignment, 0, len(s.assignments))
-	for id, a := range s.assignments {
-		if e, known := s.entry(id); a.Done || !known || e.LayerCount() > 0 {
-			list = append(list, a)
-		}
+	for _, a := range s.assignments {
+		list = append(list, a)
 	}
 	return list
 }
