gossip: play the first rounds of a large fleet on a fake clock

Cause: TestFirstMembersAreKnownSoon lets 200 hosts exchange messages for eight rounds that are meant to take no time, in real time. Beside load, with the race detector, they took 2.9 s; a failure domain of which nothing is heard for 2 s is silent, so its first host did not count as alive.

Change: the same rounds and assertions in a synctest bubble, where time stands still.

--- a/entry/gossip/gossip_test.go
+++ b/entry/gossip/gossip_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -38,39 +39,41 @@
 // learn of: with hundreds of entry hosts a message lists only some members, yet each
 // host must soon know the first of each failure domain, and later nearly all.
 func TestFirstMembersAreKnownSoon(t *testing.T) {
-	random := rand.New(rand.NewPCG(1, 1))
-	const n = 200
-	peers := make([]*gossip.Peer, n)
-	for i := range peers {
-		peers[i] = newPeer(i)
-		peers[i].Merge(&gossip.Message{From: newPeer(0).Self})
-	}
-	round := func() {
-		for i, p := range peers {
-			other := peers[random.IntN(n)]
-			if other != p {
-				p.Merge(other.Respond(&gossip.Message{From: peers[i].Self}))
+	synctest.Test(t, func(t *testing.T) {
+		random := rand.New(rand.NewPCG(1, 1))
+		const n = 200
+		peers := make([]*gossip.Peer, n)
+		for i := range peers {
+			peers[i] = newPeer(i)
+			peers[i].Merge(&gossip.Message{From: newPeer(0).Self})
+		}
+		round := func() {
+			for i, p := range peers {
+				other := peers[random.IntN(n)]
+				if other != p {
+					p.Merge(other.Respond(&gossip.Message{From: peers[i].Self}))
+				}
 			}
 		}
-	}
-	for range 8 {
-		round()
-	}
-	for _, p := range peers {
-		known := map[string]bool{p.Self.Name: true}
-		for _, m := range p.Alive() {
-			known[m.Name] = true
+		for range 8 {
+			round()
 		}
-		for i := range 5 {
-			qt.Assert(t, known[fmt.Sprintf("entry-%03d", i)], qt.IsTrue, qt.Commentf("%s does not know entry-%03d", p.Self.Name, i))
+		for _, p := range peers {
+			known := map[string]bool{p.Self.Name: true}
+			for _, m := range p.Alive() {
+				known[m.Name] = true
+			}
+			for i := range 5 {
+				qt.Assert(t, known[fmt.Sprintf("entry-%03d", i)], qt.IsTrue, qt.Commentf("%s does not know entry-%03d", p.Self.Name, i))
+			}
 		}
-	}
-	for range 60 {
-		round()
-	}
-	for _, p := range peers {
-		qt.Assert(t, len(p.Members()) > n*9/10, qt.IsTrue, qt.Commentf("%s knows %d", p.Self.Name, len(p.Members())))
-	}
+		for range 60 {
+			round()
+		}
+		for _, p := range peers {
+			qt.Assert(t, len(p.Members()) > n*9/10, qt.IsTrue, qt.Commentf("%s knows %d", p.Self.Name, len(p.Members())))
+		}
+	})
 }
 
 // Guards against changes that do not reach a host which the object API does not
