--- a/entry/gossip/facts.go
+++ b/entry/gossip/facts.go
@@ -7,7 +7,7 @@
 	"fuchsiashelf.dev/parts/news"
 )
 
-// facts chooses what a message tells of servers where there is much to tell.
+// facts limits what a message reports about servers after many of them have changed.
 type facts struct {
 	suspects, slows, assignments, departures news.Queue
 }
--- a/parts/news/news.go
+++ b/parts/news/news.go
@@ -1,10 +1,10 @@
-// Package news chooses which facts a message tells of.
+// Package news chooses which facts a message contains.
 //
 // A host passes on what it and others have found: suspected servers, ranges of layers that
 // were ordered, servers that leave. While there are few such facts, each message holds all of
 // them until they expire, which costs little. After a start of the whole fleet, or the loss of
 // a failure domain, there are thousands, and messages that hold all of them cost hosts x facts
-// each round. Then a host tells of a fact a few times after it learned of it: if each host
+// each round. Then a host sends a fact a few times after it received it: if each host
 // passes it on to that many others, hardly any host misses it.
 //
 // A [Queue] chooses; it does no I/O.
@@ -17,7 +17,7 @@
 	AlwaysTold = 64
 	// MaxFacts is the number of facts in one message.
 	MaxFacts = 256
-	// maxTold is the number of messages that tell of a fact where there are more than
+	// maxTold is the number of messages that contain a fact if there are more than
 	// AlwaysTold: of a thousand hosts about two miss it.
 	maxTold = 6
 )
--- a/parts/roster/roster.go
+++ b/parts/roster/roster.go
@@ -1,7 +1,7 @@
 // Package roster maintains the list of entry hosts, and which of them are absent.
 //
 // A host that has sent nothing for a while is not absent: with hundreds of hosts each
-// hears of most others once in minutes. A host is absent on evidence: a contact with it
+// receives a message of most others once in minutes. A host is absent on evidence: a contact with it
 // failed, the hosts that were asked to contact it did not reach it either, and nothing
 // that it sent later has arrived from anywhere. Such a suspicion is passed on, and so is
 // the message that refutes it. The cost of a [Table] in messages does not depend on the
--- a/parts/roster/tell.go
+++ b/parts/roster/tell.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// maxTold is the number of messages in which a host tells of a change. If each host
+	// maxTold is the number of messages in which a host sends a change. If each host
 	// passes a change on to that many others, one in twenty thousand misses it.
 	maxTold = 10
 	// maxNews is the number of changes in one message. After a start of all hosts each of
