--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -220,17 +220,28 @@
 		return err == nil
 	}
 	for n := after + 1; n <= events; n++ {
-		time.Sleep(eventGap)
-		text := eventText(id, n)
-		if strings.Contains(body, crashBody) && n == after+2 {
-			// The engine crashes in the middle of its second event.
-			_ = write(text[:len(text)/2])
-			fmt.Printf("engine %s: crashes under %s\n", e.id, id)
-			os.Exit(3)
+		// An event holds two tokens, each of which is sent when it is made. The events of an answer
+		// without a length are sent whole.
+		pieces := []string{eventText(id, n)}
+		if !unframed {
+			first, second, _ := strings.Cut(pieces[0], " piece")
+			pieces = []string{first, " piece" + second}
 		}
-		if !write(text) {
-			fmt.Printf("engine %s: the channel of %s was closed before event %d\n", e.id, id, n)
-			return false
+		for i, piece := range pieces {
+			time.Sleep(eventGap / time.Duration(len(pieces)))
+			crashes := strings.Contains(body, crashBody) && i == 1
+			if crashes {
+				// The engine crashes before the end of the first event that it sends.
+				piece = strings.TrimRight(piece, "\n")
+			}
+			if !write(piece) {
+				fmt.Printf("engine %s: the channel of %s was closed before event %d\n", e.id, id, n)
+				return false
+			}
+			if crashes {
+				fmt.Printf("engine %s: crashes under %s\n", e.id, id)
+				os.Exit(3)
+			}
 		}
 	}
 	fmt.Printf("engine %s: has sent all %d events of %s\n", e.id, events, id)
