--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -23,10 +23,6 @@
 	tokensPerEvent = 2
 	// loadTime is how long an engine takes to load layers.
 	loadTime = 300 * time.Millisecond
-	// drainTime is the bound drain_ms. An engine serves on for it once the store has accepted that it
-	// drains, and for drainExtra, and then exits.
-	drainTime  = 2 * time.Second
-	drainExtra = 300 * time.Millisecond
 	// unframedMark ends the IDs of the requests whose answers have neither a length nor chunks.
 	unframedMark = "u"
 	// crashBody is in the bodies of requests that crash the engine that runs them.
@@ -67,7 +63,7 @@
 	}
 }
 
-// awaitNotice makes the engine drain and exit once it gets SIGTERM.
+// awaitNotice makes the engine drain once it gets SIGTERM. It serves on until it is killed.
 func (e *engine) awaitNotice() {
 	notice := make(chan os.Signal, 1)
 	signal.Notify(notice, syscall.SIGTERM)
@@ -77,9 +73,6 @@
 	e.mu.Unlock()
 	e.write()
 	fmt.Printf("engine %s: the store has accepted that it drains\n", e.id)
-	time.Sleep(drainTime + drainExtra)
-	fmt.Printf("engine %s: exits\n", e.id)
-	os.Exit(0)
 }
 
 func (e *engine) heartbeat() {
--- a/review/rig/half.go
+++ b/review/rig/half.go
@@ -18,12 +18,15 @@
 	halfUnframed = 2
 	// halfEvents is the number of events of a stream, which takes about four seconds.
 	halfEvents = 100
-	// noticeAfter is how long after the start of an unframed stream its engine gets SIGTERM.
+	// noticeAfter is how long after the start of an unframed stream its engine gets the notice that
+	// it is reclaimed, and goneAfter how long after that it is gone.
 	noticeAfter = 700 * time.Millisecond
+	goneAfter   = 2 * time.Second
+	// entryExpiry is how long the entry of an engine that has ended stays: three heartbeats.
+	entryExpiry = 3600 * time.Millisecond
 )
 
-// runHalf plays the case in which an engine is shut down as planned while it sends a stream without a
-// length.
+// runHalf plays the case in which an engine is reclaimed while it sends a stream without a length.
 func runHalf(s setup) (broken bool, err error) {
 	list, err := s.startEngines(halfEngines)
 	if err != nil {
@@ -41,7 +44,7 @@
 	time.Sleep(2 * time.Second)
 	var mu sync.Mutex
 	var callers sync.WaitGroup
-	var stopped string
+	var reclaimed string
 	for i := range halfStreams {
 		id := fmt.Sprintf("%08x%02d", rand.Uint32(), i)
 		if i%(halfStreams/halfUnframed) == halfStreams/halfUnframed-1 {
@@ -59,31 +62,36 @@
 			}
 		})
 		time.Sleep(50 * time.Millisecond)
-		if stopped == "" && strings.HasSuffix(id, unframedMark) {
+		if reclaimed == "" && strings.HasSuffix(id, unframedMark) {
 			time.Sleep(100 * time.Millisecond)
 			if ran := list.runsOf(id); len(ran) > 0 {
-				stopped = ran[0].engine
-				go list.shutDown(stopped)
+				reclaimed = ran[0].engine
+				go list.reclaim(reclaimed)
 			}
 		}
 	}
 	callers.Wait()
-	if stopped == "" {
+	if reclaimed == "" {
 		return false, fmt.Errorf("no unframed stream ran")
 	}
 	return broken, nil
 }
 
-// shutDown shuts an engine down as planned. Without the disruption it serves on.
-func (s *engines) shutDown(id string) {
+// reclaim gives an engine notice, upon which it drains, and kills it goneAfter later. Without the
+// disruption it serves on.
+func (s *engines) reclaim(id string) {
 	if !s.trouble {
 		return
 	}
 	e := s.byID(id)
 	time.Sleep(noticeAfter)
-	s.rec.printf("SIGTERM to engine %s", id)
+	s.rec.printf("notice to engine %s", id)
 	_ = e.cmd.Process.Signal(syscall.SIGTERM)
+	time.Sleep(goneAfter)
+	s.rec.printf("engine %s is killed", id)
+	_ = e.cmd.Process.Kill()
 	<-e.exited
+	time.Sleep(entryExpiry)
 	s.store.remove("servers", id)
 }
 
