--- a/review/rig/caller.go
+++ b/review/rig/caller.go
@@ -34,8 +34,8 @@
 	if a.status == 0 {
 		return fmt.Sprintf("no answer after %s: %v", a.took.Round(time.Millisecond), a.err)
 	}
-	return fmt.Sprintf("%d after %s, X-Attempt-Id %q, X-Server-Signature %q, whole %v, %d bytes %.90q",
-		a.status, a.took.Round(time.Millisecond), a.header.Get("X-Attempt-Id"), a.signature, a.whole, len(a.body), a.body)
+	return fmt.Sprintf("%d after %s, "+names.ID+" %q, "+names.Signature+" %q, whole %v, %d bytes %.90q",
+		a.status, a.took.Round(time.Millisecond), a.header.Get(names.ID), a.signature, a.whole, len(a.body), a.body)
 }
 
 // channel is a caller's connection to an entry host, used for one request after the other.
@@ -75,7 +75,7 @@
 		return answer{err: err}
 	}
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Token %s\r\n", k.method, k.target, routeHost, k.id, k.timeout.Milliseconds(), apiKey)
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n"+names.ID+": %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Token %s\r\n", k.method, k.target, routeHost, k.id, k.timeout.Milliseconds(), apiKey)
 	for name, value := range k.header {
 		fmt.Fprintf(&b, "%s: %s\r\n", name, value)
 	}
@@ -95,7 +95,7 @@
 		resp.Header.Set("Connection", "close")
 	}
 	return answer{
-		status: resp.StatusCode, header: resp.Header, signature: resp.Header.Get("X-Server-Signature"), body: string(body),
+		status: resp.StatusCode, header: resp.Header, signature: resp.Header.Get(names.Signature), body: string(body),
 		whole: err == nil, err: err,
 	}
 }
--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -188,17 +188,17 @@
 
 // stream serves a request for a stream, and reports whether the connection stays open.
 func (e *engine) stream(c net.Conn, req *http.Request, body string) (open bool) {
-	id := req.Header.Get("X-Attempt-Id")
+	id := req.Header.Get(names.ID)
 	if refusal := e.refusal(req); refusal != "" {
 		fmt.Printf("engine %s: refuses %s: %s\n", e.id, id, refusal)
-		_, err := c.Write(respond(refusal, "X-Attempt-Id: "+id+"\r\nX-Not-Executed: 1\r\nAt-Server: "+e.address+"\r\n", ""))
+		_, err := c.Write(respond(refusal, names.ID+": "+id+"\r\n"+names.NotRun+": 1\r\n"+names.RefusedBy+": "+e.address+"\r\n", ""))
 		return err == nil
 	}
-	events := eventCount(req.Header.Get("X-Token-Counts"))
+	events := eventCount(req.Header.Get(names.TokenCounts))
 	after, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
 	fmt.Printf("engine %s: runs %s after event %d\n", e.id, id, after)
 	unframed := strings.HasSuffix(id, unframedMark)
-	head := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: " + id + "\r\nX-Server-Signature: " + signature(e.id, id) + "\r\nX-Weight-Versions: 1\r\n"
+	head := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + names.ID + ": " + id + "\r\n" + names.Signature + ": " + signature(e.id, id) + "\r\nX-Weight-Versions: 1\r\n"
 	if unframed {
 		head += "Connection: close\r\n\r\n"
 	} else {
@@ -254,7 +254,7 @@
 		return "421 Misdirected Request"
 	}
 	// Each engine holds all layers, so a chain has one stage.
-	chain := req.Header.Get("X-Hop-Count")
+	chain := req.Header.Get(names.Chain)
 	if chain != "" && chain != fmt.Sprintf("%s=0-%d", e.address, modelLayers) || e.first != 0 || e.end != modelLayers {
 		return "421 Misdirected Request"
 	}
--- a/review/rig/engines.go
+++ b/review/rig/engines.go
@@ -153,7 +153,7 @@
 	return call{
 		id: id, method: "POST", target: streamPath, body: body, timeout: 20 * time.Second,
 		header: map[string]string{
-			"X-Model": modelName, "X-Token-Counts": fmt.Sprintf("760,%d", events*tokensPerEvent), "X-Prompt-Prefix": "5c1e07a2:40," + body[:min(8, len(body))] + ":720",
+			"X-Model": modelName, names.TokenCounts: fmt.Sprintf("760,%d", events*tokensPerEvent), names.PromptParts: "5c1e07a2:40," + body[:min(8, len(body))] + ":720",
 			"X-Length-Hint": fmt.Sprint(events * tokensPerEvent),
 		},
 	}
--- a/review/rig/entries.go
+++ b/review/rig/entries.go
@@ -155,7 +155,7 @@
 	}
 	e.cmd = exec.Command("target/fsplat")
 	e.cmd.Dir, e.cmd.Stdout, e.cmd.Stderr = root, out, out
-	e.cmd.Env = append(os.Environ(), "FUCHSIASHELF_NODE_FILE="+path)
+	e.cmd.Env = append(os.Environ(), names.SettingsFile+"="+path)
 	e.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := e.cmd.Start(); err != nil {
 		return err
--- a/review/rig/plain.go
+++ b/review/rig/plain.go
@@ -13,7 +13,7 @@
 )
 
 // plainServer is a stand-in for a server of the plain service. It answers one request at a time on
-// a connection, echoes X-Attempt-Id and signs what it ran.
+// a connection, echoes the ID and signs what it ran.
 type plainServer struct {
 	id, zone, address string
 	rec               *record
@@ -92,7 +92,7 @@
 		}
 		response := s.answer(req, body)
 		if _, err := c.Write(response); err != nil {
-			s.rec.printf("server %s could not write its answer to %s: %v", s.id, req.Header.Get("X-Attempt-Id"), err)
+			s.rec.printf("server %s could not write its answer to %s: %v", s.id, req.Header.Get(names.ID), err)
 			return
 		}
 		s.mu.Lock()
@@ -106,15 +106,15 @@
 
 // answer runs a request and returns the bytes of the response.
 func (s *plainServer) answer(req *http.Request, body []byte) []byte {
-	id := req.Header.Get("X-Attempt-Id")
+	id := req.Header.Get(names.ID)
 	if req.URL.Path == "/report" {
 		return s.report()
 	}
 	if expected := req.Header.Get("X-Expect-Instance"); expected != "" && expected != s.id {
-		return respond("421 Misdirected Request", "X-Attempt-Id: "+id+"\r\nX-Instance-Id: "+s.id+"\r\n", "")
+		return respond("421 Misdirected Request", names.ID+": "+id+"\r\nX-Instance-Id: "+s.id+"\r\n", "")
 	}
 	if id == "" {
-		return respond("400 Bad Request", "X-Not-Executed: 1\r\n", "")
+		return respond("400 Bad Request", names.NotRun+": 1\r\n", "")
 	}
 	s.mu.Lock()
 	s.ran[id]++
@@ -124,7 +124,7 @@
 	s.mu.Unlock()
 	s.rec.printf("server %s runs %s (%s %s)", s.id, id, req.Method, req.RequestURI)
 	time.Sleep(s.work(id))
-	return respond("200 OK", "Content-Type: text/plain\r\nX-Attempt-Id: "+id+"\r\nX-Server-Signature: "+signature(s.id, id)+"\r\nKeep-Alive: timeout=10\r\n", text)
+	return respond("200 OK", "Content-Type: text/plain\r\n"+names.ID+": "+id+"\r\n"+names.Signature+": "+signature(s.id, id)+"\r\nKeep-Alive: timeout=10\r\n", text)
 }
 
 // report answers the request for the state of the server. Like the request, the answer has no ID.
