caller: record when callers leave and when the work for them ends

The logs told neither when a host noticed that nor what it did meanwhile.

A Watch asks the kernel for the state of a caller's connection (closed, reset; bytes that nobody has read do not hide it) and records the steps of a request with their ages. The line 'request: caller left' shows them, with the age at which the caller was last known to be connected, that at which its departure was noticed, by whom, and how often the request was sent although the kernel knew better.

No decision changes.

--- a/entry/call/call.go
+++ b/entry/call/call.go
@@ -115,6 +115,8 @@
 	// ParseRequest parses a caller's request, except for its body. An error is a
 	// *fault.Error with the status that the caller gets.
 	ParseRequest(r *http.Request) (*Request, error)
+	// RequestID returns the ID of a caller's request; empty if it has none.
+	RequestID(r *http.Request) string
 	// NewRequest builds the request that is sent to a backend server.
 	NewRequest(req *Request, options SendOptions) *http.Request
 	// ParseReply parses the head of a backend server's response.
--- a/entry/call/job.go
+++ b/entry/call/job.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"fuchsiashelf.dev/entry/caller"
 	"fuchsiashelf.dev/parts/fault"
 	"fuchsiashelf.dev/parts/poison"
 	"fuchsiashelf.dev/parts/route"
@@ -33,6 +34,8 @@
 	Trial bool
 	// Sent is when the request was last sent to a server.
 	Sent time.Time
+	// Caller watches the caller; nil watches nothing.
+	Caller *caller.Watch
 	// Unanswered is the number of servers that got the request and failed before they began to
 	// answer it.
 	Unanswered atomic.Int32
--- /dev/null
+++ b/entry/caller/state.go
@@ -0,0 +1,61 @@
+package caller
+
+import (
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// State is the state of a connection as the kernel knows it.
+type State string
+
+// The states.
+const (
+	// Connected means that the other side has not ended the connection.
+	Connected State = "connected"
+	// Closed means that the other side has closed its sending direction.
+	Closed State = "closed"
+	// Reset means that the connection was reset or has failed.
+	Reset State = "reset"
+	// Unknown means that the kernel cannot be asked.
+	Unknown State = "unknown"
+)
+
+// StateOf returns the state of a connection, or of the one below it if it is encrypted. Bytes that
+// have arrived and have not been read do not hide its end.
+func StateOf(c net.Conn) State {
+	if over, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = over.NetConn()
+	}
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return Unknown
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return Reset
+	}
+	return stateOf(raw)
+}
+
+func stateOf(raw syscall.RawConn) State {
+	state := Connected
+	err := raw.Control(func(fd uintptr) {
+		polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		if _, err := unix.Poll(polled, 0); err != nil {
+			return
+		}
+		switch events := polled[0].Revents; {
+		case events&(unix.POLLERR|unix.POLLHUP|unix.POLLNVAL) != 0:
+			state = Reset
+		case events&unix.POLLRDHUP != 0:
+			state = Closed
+		}
+	})
+	if err != nil {
+		// This process has closed the connection.
+		return Reset
+	}
+	return state
+}
--- a/entry/conns/conns.go
+++ b/entry/conns/conns.go
@@ -20,6 +20,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fuchsiashelf.dev/entry/tunnel"
@@ -68,6 +69,9 @@
 	// means zero. Above it, the least recently used connections are closed first.
 	MaxIdle func() int
 
+	// dials counts the connections that were begun.
+	dials atomic.Int64
+
 	mu   sync.Mutex
 	idle map[string][]*conn
 	// count is the number of idle connections.
@@ -290,6 +294,9 @@
 	return p.count
 }
 
+// Dials returns the number of connections that were begun.
+func (p *Pool) Dials() int64 { return p.dials.Load() }
+
 // IdleTime returns how long an idle connection may be reused on average.
 func (p *Pool) IdleTime() time.Duration {
 	p.mu.Lock()
--- a/entry/conns/dial.go
+++ b/entry/conns/dial.go
@@ -22,6 +22,7 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
+	p.dials.Add(1)
 	ctx, cancel := p.Clock.WithTimeout(ctx, timeout, errDialTimeout)
 	defer cancel()
 	dial := p.Dial
--- a/entry/egress/egress.go
+++ b/entry/egress/egress.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"fuchsiashelf.dev/entry/call"
+	"fuchsiashelf.dev/entry/caller"
 	"fuchsiashelf.dev/entry/conns"
 	"fuchsiashelf.dev/entry/state"
 	"fuchsiashelf.dev/parts/fault"
@@ -51,6 +52,8 @@
 	// OnConn, if not nil, is called when a connection is available, directly or through
 	// another entry host.
 	OnConn func(direct bool)
+	// Caller watches the caller of the request; nil if there is none.
+	Caller *caller.Watch
 }
 
 // PausedError is the cause of the error of a request that was not sent, because its
@@ -91,7 +94,11 @@
 			if o.OnConn != nil {
 				o.OnConn(direct)
 			}
-			return c.admit(server)
+			if err := c.admit(server); err != nil {
+				return err
+			}
+			o.Caller.Sent(server.ID)
+			return nil
 		},
 		Inspect: func(r *http.Response) conns.ResponseInfo {
 			reply = c.Codec.ParseReply(r)
--- /dev/null
+++ b/entry/front/departure_test.go
@@ -0,0 +1,82 @@
+package front
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"fuchsiashelf.dev/entry/call"
+	"fuchsiashelf.dev/entry/caller"
+)
+
+// waitingForwarder waits until its requests end.
+type waitingForwarder struct{ waiting chan struct{} }
+
+func (f *waitingForwarder) Serve(ctx context.Context, _ http.ResponseWriter, j *call.Job) call.Outcome {
+	j.Caller.Add(caller.AttemptBegun, "engine-1")
+	f.waiting <- struct{}{}
+	<-ctx.Done()
+	j.Caller.Add(caller.AttemptEnded, "engine-1")
+	return call.Outcome{}
+}
+
+// newConfiguredHandler returns a handler with a configuration, and its forwarder.
+func newConfiguredHandler() (*Handler, *testForwarder) {
+	h, forwarder := newHeldHandler()
+	h.State.MergeConfig([]byte{1})
+	return h, forwarder
+}
+
+// writeRequest writes a request without a body.
+func writeRequest(w io.Writer) error {
+	_, err := fmt.Fprint(w, "GET /look/1 HTTP/1.1\r\nHost: town.example\r\n\r\n")
+	return err
+}
+
+// Guards against a log and metrics that do not tell when a caller left and when its work ended.
+func TestDepartureIsLogged(t *testing.T) {
+	h, _ := newConfiguredHandler()
+	forwarder := &waitingForwarder{waiting: make(chan struct{})}
+	h.Plain, h.Lost = forwarder, func() float64 { return 0.5 }
+	var log bytes.Buffer
+	h.Log = slog.New(slog.NewJSONHandler(&log, nil))
+	ended := make(chan struct{})
+	address := startServer(t, &Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h.ServeHTTP(w, r)
+		close(ended)
+	})})
+	c, err := net.Dial("tcp", address)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, writeRequest(c), qt.IsNil)
+	<-forwarder.waiting
+	qt.Assert(t, c.Close(), qt.IsNil)
+	<-ended
+	var line struct {
+		Message  string `json:"msg"`
+		Request  string `json:"request"`
+		By, How  string
+		Noticed  int64
+		Ended    int64
+		SentLate int `json:"sentLate"`
+		Lost     float64
+		Steps    []string
+	}
+	for l := range bytes.Lines(log.Bytes()) {
+		if bytes.Contains(l, []byte("caller left")) {
+			qt.Assert(t, json.Unmarshal(l, &line), qt.IsNil)
+		}
+	}
+	qt.Assert(t, []any{line.Message, line.Request, line.By, line.How, line.SentLate, line.Lost}, qt.DeepEquals,
+		[]any{"request: caller left", "r", "server", "closed", 0, 0.5})
+	qt.Assert(t, line.Noticed > 0 && line.Noticed <= line.Ended, qt.IsTrue)
+	qt.Assert(t, line.Steps, qt.HasLen, 3)
+	qt.Assert(t, counter(h.Meter, "caller.left.server"), qt.Equals, int64(1))
+}
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"fuchsiashelf.dev/entry/call"
+	"fuchsiashelf.dev/entry/caller"
 	"fuchsiashelf.dev/entry/state"
 	"fuchsiashelf.dev/parts/fault"
 	"fuchsiashelf.dev/parts/poison"
@@ -54,6 +55,9 @@
 	Admit func(inFlight int, kept bool) bool
 	// Hold keeps requests that arrive before the first configuration is in force.
 	Hold *Hold
+	// Lost returns the share of its time for which this host lacks processor time; nil if that is
+	// not measured.
+	Lost func() float64
 
 	inFlight atomic.Int64
 }
@@ -75,6 +79,10 @@
 		w.Header().Set("Connection", "close")
 	}
 	start := time.Now()
+	watch := &caller.Watch{Conn: connOf(r.Context()), Begun: start, OnLate: func(s caller.Step) { h.recordLate(r, s) }}
+	r = r.WithContext(watch.Begin(r.Context()))
+	defer watch.End()
+	defer h.recordDeparture(watch, r)
 	var j *call.Job
 	err := h.admit(r, inFlight)
 	if err == nil {
@@ -88,6 +96,8 @@
 		h.record(j, r, out, start)
 		return
 	}
+	j.Caller = watch
+	watch.Add(caller.Read, "")
 	forwarder := h.Plain
 	if j.Service.Engine != nil {
 		forwarder = h.Streams
--- a/entry/front/hold_test.go
+++ b/entry/front/hold_test.go
@@ -88,6 +88,8 @@
 	return &call.Request{ID: "r", Method: r.Method, Path: r.URL.Path, Timeout: timeout}, nil
 }
 
+func (testCodec) RequestID(*http.Request) string { return "r" }
+
 func (testCodec) SetRetryAfter(h http.Header, after time.Duration) {
 	h.Set("Retry-After", after.String())
 }
--- a/entry/front/server.go
+++ b/entry/front/server.go
@@ -150,11 +150,14 @@
 // connKey is the key of the *connUse in the context of a request.
 type connKey struct{}
 
-// connUse counts the requests on a connection. Requests on one connection follow each other.
-type connUse struct{ requests int }
+// connUse holds a connection and counts the requests on it. Requests on one connection follow each other.
+type connUse struct {
+	conn     net.Conn
+	requests int
+}
 
-func withConn(ctx context.Context, _ net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, &connUse{})
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, &connUse{conn: c})
 }
 
 // isKept counts a request on its connection, and reports whether it is not the first one.
@@ -167,6 +170,15 @@
 	return use.requests > 1
 }
 
+// connOf returns the connection of a request; nil if it is unknown.
+func connOf(ctx context.Context) net.Conn {
+	use, ok := ctx.Value(connKey{}).(*connUse)
+	if !ok {
+		return nil
+	}
+	return use.conn
+}
+
 // trackState records when a connection becomes idle, and removes the record when it is
 // no longer idle. It also records from which connections no request has been read.
 func (s *Server) trackState(c net.Conn, state http.ConnState) {
--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -119,6 +119,9 @@
 	facts facts
 	// lastSeq is the Seq of the last message.
 	lastSeq atomic.Uint64
+	// exchanges counts the exchanges that this host began, and responses those of others that it
+	// answered.
+	exchanges, responses atomic.Int64
 
 	mu sync.Mutex
 	// started is when this entry host began to listen. settled says that a settled
@@ -153,6 +156,10 @@
 	})
 }
 
+// Exchanges returns how many exchanges this entry host has begun, and how many of others it has
+// answered.
+func (p *Peer) Exchanges() (begun, answered int64) { return p.exchanges.Load(), p.responses.Load() }
+
 // Broadcast sends the local state to other entry hosts at once.
 func (p *Peer) Broadcast() {
 	p.init()
@@ -281,6 +288,7 @@
 // response, which contains no changes either if brief is set. It returns the response, or
 // nil if there is none.
 func (p *Peer) exchange(ctx context.Context, c *client, brief bool) *Message {
+	p.exchanges.Add(1)
 	startedAt := p.Clock.Mark()
 	callCtx, cancel := p.Clock.WithIdleTimeout(ctx, exchangeTimeout, nil)
 	defer cancel()
--- a/entry/gossip/message.go
+++ b/entry/gossip/message.go
@@ -166,6 +166,7 @@
 // Respond merges a message and returns the response with the changes that the sender
 // lacks. Changes that are missing here are pulled from the sender.
 func (p *Peer) Respond(m *Message) *Message {
+	p.responses.Add(1)
 	p.Merge(m)
 	if m.Check != "" {
 		p.check(m.Check)
--- a/entry/stream/attempt.go
+++ b/entry/stream/attempt.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"fuchsiashelf.dev/entry/call"
+	"fuchsiashelf.dev/entry/caller"
 	"fuchsiashelf.dev/entry/conns"
 	"fuchsiashelf.dev/entry/egress"
 	"fuchsiashelf.dev/parts/fault"
@@ -46,6 +47,7 @@
 	a.events.resume()
 	a.stream = r.Monitor.add(r.job, chain, a.cancel, a.replace)
 	r.inFlight = append(r.inFlight, a)
+	r.job.Caller.Add(caller.AttemptBegun, chain[0].Server.ID)
 	return a
 }
 
@@ -93,6 +95,7 @@
 	defer close(a.done)
 	a.err = a.exchange()
 	a.cancel(nil)
+	a.job.Caller.Add(caller.AttemptEnded, a.chain[0].Server.ID)
 	a.Monitor.remove(a.stream)
 	a.leave()
 }
@@ -157,7 +160,7 @@
 	a.out.Server = first.ID
 	a.out.Chain = a.chain.String()
 	a.mu.Unlock()
-	return a.Servers.Do(a.ctx, first, req, egress.Options{RequestID: a.job.ID, MaxIdle: maxIdleReuse, OnConn: a.stream.direct.Store})
+	return a.Servers.Do(a.ctx, first, req, egress.Options{RequestID: a.job.ID, MaxIdle: maxIdleReuse, OnConn: a.stream.direct.Store, Caller: a.job.Caller})
 }
 
 // recordRun records a server that may have run the request.
@@ -303,6 +306,7 @@
 		err = controller.Flush()
 	}
 	if err != nil {
+		a.job.Caller.WriteFailed()
 		return &fault.Error{Code: fault.Cancelled, Verdict: fault.Ran, Message: "the caller has left", Cause: err}
 	}
 	return nil
--- a/entry/stream/choose.go
+++ b/entry/stream/choose.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"fuchsiashelf.dev/entry/call"
+	"fuchsiashelf.dev/entry/caller"
 	"fuchsiashelf.dev/entry/queue"
 	"fuchsiashelf.dev/entry/state"
 	"fuchsiashelf.dev/parts/fault"
@@ -40,6 +41,7 @@
 		return r.chooseRestartChain(ctx)
 	}
 	r.ticket.End()
+	r.job.Caller.Add(caller.Queued, "")
 	var chain router.Chain
 	ticket, e := r.Queue.Enter(ctx, r.admission(), func(headroom float64) (bool, *fault.Error) {
 		var e *fault.Error
@@ -49,6 +51,7 @@
 		return chain != nil, e
 	})
 	r.ticket = ticket
+	r.job.Caller.Add(caller.Unqueued, "")
 	return chain, e
 }
 
--- a/entry/stream/monitor.go
+++ b/entry/stream/monitor.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/singleflight"
@@ -97,6 +98,9 @@
 	// without a reset would make a live server seem not to answer.
 	DropConns func(address string)
 
+	// checks counts the reports that were asked for.
+	checks atomic.Int64
+
 	mu      sync.Mutex
 	streams map[*activeStream]struct{}
 	// probes decides which servers of silent streams are probed, and timeout how
@@ -157,6 +161,9 @@
 	return len(m.streams)
 }
 
+// Checks returns how many reports servers were asked for.
+func (m *Monitor) Checks() int64 { return m.checks.Load() }
+
 // Run monitors the streams until the context ends.
 func (m *Monitor) Run(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
@@ -264,6 +271,7 @@
 func (m *Monitor) fetchReport(ctx context.Context, address string, timeout time.Duration) (call.Report, error) {
 	ctx, cancel := m.Clock.WithIdleTimeout(ctx, timeout, nil)
 	defer cancel()
+	m.checks.Add(1)
 	start := m.Clock.Mark()
 	report, err := m.Engine.Report(ctx, address)
 	elapsed := m.Clock.Since(start)
--- a/entry/stream/replace.go
+++ b/entry/stream/replace.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fuchsiashelf.dev/entry/call"
+	"fuchsiashelf.dev/entry/caller"
 	"fuchsiashelf.dev/parts/router"
 )
 
@@ -50,7 +51,9 @@
 	if wanted.ended && a.endUnbegun(wanted.cause) {
 		return true
 	}
+	a.job.Caller.Add(caller.SearchBegun, "")
 	reason := a.tryReplace(wanted)
+	a.job.Caller.Add(caller.SearchEnded, reason)
 	if reason == "" || reason == reasonEnded || reason == reasonInFlight {
 		return true
 	}
--- a/entry/stream/reroute.go
+++ b/entry/stream/reroute.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"fuchsiashelf.dev/entry/call"
+	"fuchsiashelf.dev/entry/caller"
 	"fuchsiashelf.dev/parts/domain"
 	"fuchsiashelf.dev/parts/fleet"
 	"fuchsiashelf.dev/parts/router"
@@ -213,7 +214,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), call.OrderTimeout)
 	defer cancel()
 	silence := stream.silence()
+	stream.job.Caller.Add(caller.OrderBegun, next[0].Server.ID)
 	result, refusedBy, err := m.Engine.Reroute(ctx, stream.job.ID, next)
+	stream.job.Caller.Add(caller.OrderEnded, result.String())
 	m.Log.Info("watch: rerouted", "request", stream.job.ID, "chain", next.String(), "taken", result.String(), "at", refusedBy, "silence", silence, "error", err)
 	if result == call.OrderStarted {
 		stream.recordActivity()
--- a/entry/unary/attempt.go
+++ b/entry/unary/attempt.go
@@ -55,7 +55,7 @@
 // readResponse is exchange without what is known before.
 func (f *Forwarder) readResponse(ctx context.Context, j *call.Job, t *flight) attempt {
 	server := t.server
-	o := egress.Options{RequestID: j.ID, DialTimeout: connectTimeout(j.Route)}
+	o := egress.Options{RequestID: j.ID, DialTimeout: connectTimeout(j.Route), Caller: j.Caller}
 	if j.Route.Kind == route.AtMostOnce {
 		o.MaxIdle = maxIdleAtMostOnce
 	}
--- a/entry/unary/choose.go
+++ b/entry/unary/choose.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fuchsiashelf.dev/entry/call"
+	"fuchsiashelf.dev/entry/caller"
 	"fuchsiashelf.dev/entry/queue"
 	"fuchsiashelf.dev/parts/fair"
 	"fuchsiashelf.dev/parts/fault"
@@ -93,11 +94,13 @@
 func (r *request) wait(ctx context.Context) (*fleet.Server, *fault.Error) {
 	var server *fleet.Server
 	start := time.Now()
+	r.job.Caller.Add(caller.Queued, "")
 	ticket, e := r.Slots.Queue.Enter(ctx, r.queueRequest(), func(float64) (bool, *fault.Error) {
 		var e *fault.Error
 		server, e = r.find()
 		return server != nil, e
 	})
+	r.job.Caller.Add(caller.Unqueued, "")
 	r.admission.ticket = ticket
 	r.admission.waited += time.Since(start)
 	r.Slots.count(ticket, e)
--- a/entry/unary/flight.go
+++ b/entry/unary/flight.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"fuchsiashelf.dev/entry/call"
+	"fuchsiashelf.dev/entry/caller"
 	"fuchsiashelf.dev/parts/fault"
 	"fuchsiashelf.dev/parts/fleet"
 	"fuchsiashelf.dev/parts/stall"
@@ -80,8 +81,10 @@
 	r.admission.grant = grant{}
 	r.flights = append(r.flights, t)
 	f, j, ended := r.Forwarder, r.job, r.ended
+	j.Caller.Add(caller.AttemptBegun, server.ID)
 	go func() {
 		t.outcome = f.exchange(ctx, j, t)
+		j.Caller.Add(caller.AttemptEnded, server.ID)
 		ended <- t
 	}()
 }
