caller: do not send on requests whose callers have left

Cause: net/http hands a request to its handler before the goroutine that notices the end of the connection runs, and notices nothing once a byte follows the request. A host that lacks processor time reads a request and its end at the same time, and sent it on; callers that left behind a stray byte went unnoticed until a write failed.

A request that is kept back is not run, and takes nothing from rate limits.

TestCallerLeavesAfterStrayByte did not end before. TestRequestOfCallerThatLeftIsNotSent is new with the check that it tests.

--- a/entry/caller/caller.go
+++ b/entry/caller/caller.go
@@ -37,7 +37,6 @@
 	departure *Departure
 	steps     []Step
 	dropped   int
-	sentLate  int
 	ended     bool
 }
 
@@ -87,30 +86,15 @@
 	w.ended = true
 }
 
-// Sent records that the request is about to be sent to a server.
-func (w *Watch) Sent(server string) {
-	if w == nil {
-		return
-	}
-	state := Connected
-	if w.raw != nil {
-		state = stateOf(w.raw)
-	}
-	if state == Connected {
-		w.Add(Sent, server)
-		return
+// MaySend records that the request is about to be sent to a server. It reports false if the caller
+// has left; the request must not be sent then.
+func (w *Watch) MaySend(server string) bool {
+	if w.Left() {
+		w.Add(Unsent, server)
+		return false
 	}
-	w.mu.Lock()
-	w.sentLate++
-	w.mu.Unlock()
-	w.Add(Sent, server+", caller "+string(state))
-}
-
-// SentLate returns how often the request was sent to a server after its caller had left.
-func (w *Watch) SentLate() int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.sentLate
+	w.Add(Sent, server)
+	return true
 }
 
 // Left reports whether the caller has left, as the kernel knows it now. If so, the context of the
@@ -123,7 +107,7 @@
 		return true
 	}
 	age := time.Since(w.Begun)
-	if w.raw == nil || stateOf(w.raw) == Connected {
+	if w.raw == nil || !stateOf(w.raw).Ended() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		w.connected = max(w.connected, age)
@@ -146,6 +130,10 @@
 	if w.raw != nil {
 		how = stateOf(w.raw)
 	}
+	if by == ByServer && how == Connected {
+		// The server has ended the request, for example because a read timed out.
+		return
+	}
 	w.mu.Lock()
 	if w.departure == nil {
 		w.departure = &Departure{By: by, How: how, Connected: w.connected, Noticed: time.Since(w.Begun)}
--- a/entry/caller/caller_test.go
+++ b/entry/caller/caller_test.go
@@ -80,14 +80,13 @@
 	w := &caller.Watch{Conn: near, Begun: time.Now(), OnLate: func(s caller.Step) { late <- s }}
 	ctx := w.Begin(context.Background())
 	w.Add(caller.Read, "")
-	w.Sent("engine-1")
+	qt.Assert(t, w.MaySend("engine-1"), qt.IsTrue)
 	qt.Assert(t, w.Left(), qt.IsFalse)
 	qt.Assert(t, w.Departure(), qt.IsNil)
 	qt.Assert(t, far.Close(), qt.IsNil)
 	awaitEnd(t, near)
 	qt.Assert(t, ctx.Err(), qt.IsNil)
-	w.Sent("engine-2")
-	qt.Assert(t, w.SentLate(), qt.Equals, 1)
+	qt.Assert(t, w.MaySend("engine-2"), qt.IsFalse)
 	qt.Assert(t, w.Left(), qt.IsTrue)
 	qt.Assert(t, ctx.Err(), qt.Equals, context.Canceled)
 	d := w.Departure()
@@ -98,7 +97,7 @@
 	for _, s := range steps {
 		texts = append(texts, string(s.What)+" "+s.Detail)
 	}
-	qt.Assert(t, texts, qt.DeepEquals, []string{"read ", "sent engine-1", "sent engine-2, caller closed"})
+	qt.Assert(t, texts, qt.DeepEquals, []string{"read ", "sent engine-1", "not sent engine-2"})
 	qt.Assert(t, omitted, qt.Equals, 0)
 	w.End()
 	w.Add(caller.OrderEnded, "begun")
--- a/entry/caller/state.go
+++ b/entry/caller/state.go
@@ -22,6 +22,9 @@
 	Unknown State = "unknown"
 )
 
+// Ended reports whether the other side is known to have ended the connection.
+func (s State) Ended() bool { return s == Closed || s == Reset }
+
 // StateOf returns the state of a connection, or of the one below it if it is encrypted. Bytes that
 // have arrived and have not been read do not hide its end.
 func StateOf(c net.Conn) State {
--- a/entry/caller/steps.go
+++ b/entry/caller/steps.go
@@ -32,6 +32,8 @@
 	AttemptEnded Event = "attempt ended"
 	// Sent means that the attempt has a connection and that the request is written to it.
 	Sent Event = "sent"
+	// Unsent means that it is not written, because the caller has left.
+	Unsent Event = "not sent"
 	// SearchBegun and SearchEnded are those of a search for a second attempt.
 	SearchBegun Event = "search"
 	SearchEnded Event = "search ended"
--- a/entry/egress/egress.go
+++ b/entry/egress/egress.go
@@ -69,6 +69,17 @@
 	return fmt.Sprintf("server %s has requested a pause, which ends in %s", e.Address, e.Remaining.Round(time.Millisecond))
 }
 
+// errCallerLeft returns the error of a request that was not sent, because its caller has left.
+func errCallerLeft(s *fleet.Server) *fault.Error {
+	return &fault.Error{Code: fault.Cancelled, Verdict: fault.NotRun, Message: "not sent: the caller has left", Server: s.ID}
+}
+
+// WasNotSent reports whether nothing was sent, because the server has requested a pause or the
+// caller has left.
+func WasNotSent(err error) bool {
+	return IsPaused(err) || fault.As(err).Code == fault.Cancelled && fault.As(err).Verdict == fault.NotRun
+}
+
 // IsPaused reports whether a request was not sent because its server has requested a
 // pause.
 func IsPaused(err error) bool {
@@ -79,6 +90,9 @@
 // Do sends a request to a server and reads the header of the response. An error is a
 // *fault.Error, whose verdict is NotRun if nothing was written.
 func (c *Client) Do(ctx context.Context, server *fleet.Server, req *http.Request, o Options) (*conns.Response, call.Reply, error) {
+	if o.Caller.Left() {
+		return nil, call.Reply{}, errCallerLeft(server)
+	}
 	if err := c.admit(server); err != nil {
 		return nil, call.Reply{}, err
 	}
@@ -97,7 +111,9 @@
 			if err := c.admit(server); err != nil {
 				return err
 			}
-			o.Caller.Sent(server.ID)
+			if !o.Caller.MaySend(server.ID) {
+				return errCallerLeft(server)
+			}
 			return nil
 		},
 		Inspect: func(r *http.Response) conns.ResponseInfo {
--- a/entry/egress/egress_test.go
+++ b/entry/egress/egress_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/url"
@@ -14,6 +16,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"fuchsiashelf.dev/entry/call"
+	"fuchsiashelf.dev/entry/caller"
 	"fuchsiashelf.dev/entry/conns"
 	"fuchsiashelf.dev/entry/egress"
 	"fuchsiashelf.dev/entry/state"
@@ -75,11 +78,16 @@
 
 // send sends a request for the given path.
 func send(c *egress.Client, address, path, id string) error {
+	return sendFor(c, nil, address, path, id)
+}
+
+// sendFor is send for a request whose caller is watched.
+func sendFor(c *egress.Client, w *caller.Watch, address, path, id string) error {
 	req := &http.Request{
 		Method: http.MethodGet, Host: address, Header: http.Header{}, ProtoMajor: 1, ProtoMinor: 1,
 		URL: &url.URL{Scheme: "http", Host: address, Path: "/" + path}, Body: http.NoBody,
 	}
-	resp, _, err := c.Do(context.Background(), c.Server(address), req, egress.Options{RequestID: id})
+	resp, _, err := c.Do(context.Background(), c.Server(address), req, egress.Options{RequestID: id, Caller: w})
 	if err == nil {
 		resp.Close()
 	}
@@ -151,3 +159,49 @@
 	c.State.ReadServers(time.Now())
 	qt.Check(t, c.State.View().ByID("a").Leaving, qt.IsTrue)
 }
+
+// leavingCaller returns the watch of a caller, and a function that makes it leave and waits until
+// the kernel knows.
+func leavingCaller(t *testing.T) (w *caller.Watch, leave func()) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer l.Close()
+	far, err := net.Dial("tcp", l.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	near, err := l.Accept()
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { near.Close() })
+	w = &caller.Watch{Conn: near, Begun: time.Now()}
+	w.Begin(context.Background())
+	t.Cleanup(w.End)
+	return w, func() {
+		qt.Check(t, far.Close(), qt.IsNil)
+		_, err := near.Read(make([]byte, 1))
+		qt.Check(t, err, qt.Equals, io.EOF)
+	}
+}
+
+// Guards against requests that are sent after their callers have left: on an idle connection, and on
+// one that took long to establish.
+func TestRequestOfCallerThatLeftIsNotSent(t *testing.T) {
+	address, requests := testServer(t)
+	c := newClient(address)
+	for _, leavesDuringDial := range []bool{false, true} {
+		w, leave := leavingCaller(t)
+		if !leavesDuringDial {
+			leave()
+		}
+		c.Pool.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			leave()
+			return (&net.Dialer{}).DialContext(ctx, network, address)
+		}
+		err := fault.As(sendFor(c, w, address, "", "r1"))
+		qt.Check(t, []any{err.Code, err.Verdict}, qt.DeepEquals, []any{fault.Cancelled, fault.NotRun})
+		qt.Check(t, egress.WasNotSent(err), qt.IsTrue)
+	}
+	qt.Assert(t, requests.Load(), qt.Equals, int64(0))
+	w, _ := leavingCaller(t)
+	c.Pool.Dial = nil
+	qt.Assert(t, sendFor(c, w, address, "", "r2"), qt.IsNil)
+	qt.Assert(t, requests.Load(), qt.Equals, int64(1))
+}
--- a/entry/front/departure.go
+++ b/entry/front/departure.go
@@ -18,10 +18,6 @@
 	h.Meter.Count("caller.left." + string(d.By))
 	h.Meter.Observe("caller.left.unnoticed", d.Noticed-d.Connected)
 	h.Meter.Observe("caller.left.working", ended-d.Noticed)
-	late := watch.SentLate()
-	if late > 0 {
-		h.Meter.Count("caller.left.sent")
-	}
 	steps, omitted := watch.Steps()
 	texts := make([]string, len(steps))
 	for i, s := range steps {
@@ -32,7 +28,7 @@
 		lost = h.Lost()
 	}
 	h.Log.Info("request: caller left", "request", h.Codec.RequestID(r), "by", d.By, "how", d.How, "connected", d.Connected, "noticed", d.Noticed,
-		"ended", ended, "sentLate", late, "lost", lost, "steps", texts, "omitted", omitted)
+		"ended", ended, "lost", lost, "steps", texts, "omitted", omitted)
 }
 
 // recordLate logs a step of a request that has ended.
--- a/entry/front/departure_test.go
+++ b/entry/front/departure_test.go
@@ -60,23 +60,89 @@
 	qt.Assert(t, c.Close(), qt.IsNil)
 	<-ended
 	var line struct {
-		Message  string `json:"msg"`
-		Request  string `json:"request"`
-		By, How  string
-		Noticed  int64
-		Ended    int64
-		SentLate int `json:"sentLate"`
-		Lost     float64
-		Steps    []string
+		Message string `json:"msg"`
+		Request string `json:"request"`
+		By, How string
+		Noticed int64
+		Ended   int64
+		Lost    float64
+		Steps   []string
 	}
 	for l := range bytes.Lines(log.Bytes()) {
 		if bytes.Contains(l, []byte("caller left")) {
 			qt.Assert(t, json.Unmarshal(l, &line), qt.IsNil)
 		}
 	}
-	qt.Assert(t, []any{line.Message, line.Request, line.By, line.How, line.SentLate, line.Lost}, qt.DeepEquals,
-		[]any{"request: caller left", "r", "server", "closed", 0, 0.5})
+	qt.Assert(t, []any{line.Message, line.Request, line.By, line.How, line.Lost}, qt.DeepEquals,
+		[]any{"request: caller left", "r", "server", "closed", 0.5})
 	qt.Assert(t, line.Noticed > 0 && line.Noticed <= line.Ended, qt.IsTrue)
 	qt.Assert(t, line.Steps, qt.HasLen, 3)
 	qt.Assert(t, counter(h.Meter, "caller.left.server"), qt.Equals, int64(1))
 }
+
+// Guards against requests that are forwarded although their callers left before they were read, by a
+// host that reads late.
+func TestRequestOfCallerThatLeftIsNotForwarded(t *testing.T) {
+	const callers = 50
+	for _, reset := range []bool{false, true} {
+		h, forwarder := newConfiguredHandler()
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		qt.Assert(t, err, qt.IsNil)
+		for range callers {
+			c, err := net.Dial("tcp", l.Addr().String())
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, writeRequest(c), qt.IsNil)
+			if reset {
+				qt.Assert(t, c.(*net.TCPConn).SetLinger(0), qt.IsNil)
+			}
+			qt.Assert(t, c.Close(), qt.IsNil)
+		}
+		// The server accepts connections in their order, so that all have been read when the last one has.
+		last := make(chan struct{})
+		handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/last" {
+				close(last)
+				return
+			}
+			h.ServeHTTP(w, r)
+		})
+		s := &Server{Listener: l, Handler: handler, Log: slog.New(slog.DiscardHandler)}
+		go s.Run()
+		resp, err := http.Get("http://" + l.Addr().String() + "/last")
+		qt.Assert(t, err, qt.IsNil)
+		resp.Body.Close()
+		<-last
+		s.Stop(context.Background())
+		forwarder.mu.Lock()
+		qt.Check(t, len(forwarder.jobs), qt.Equals, 0, qt.Commentf("reset: %v", reset))
+		forwarder.mu.Unlock()
+	}
+}
+
+// Guards against callers that leave unnoticed because a byte follows their request, which net/http
+// reads in place of the end of the connection.
+func TestCallerLeavesAfterStrayByte(t *testing.T) {
+	h, _ := newConfiguredHandler()
+	forwarder := &waitingForwarder{waiting: make(chan struct{})}
+	h.Plain = forwarder
+	ended := make(chan struct{})
+	address := startServer(t, &Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h.ServeHTTP(w, r)
+		close(ended)
+	})})
+	c, err := net.Dial("tcp", address)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, writeRequest(c), qt.IsNil)
+	_, err = c.Write([]byte("\r\n"))
+	qt.Assert(t, err, qt.IsNil)
+	<-forwarder.waiting
+	qt.Assert(t, c.Close(), qt.IsNil)
+	for {
+		h.CheckCallers()
+		select {
+		case <-ended:
+			return
+		default:
+		}
+	}
+}
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -60,6 +60,8 @@
 	Lost func() float64
 
 	inFlight atomic.Int64
+	// callers holds the watches of the requests in flight.
+	callers caller.Registry
 }
 
 // maxRequestTime limits requests for which neither the caller nor the route sets a
@@ -71,6 +73,10 @@
 	return int(h.inFlight.Load())
 }
 
+// CheckCallers ends the requests whose callers have left. Call it at intervals: net/http does not
+// notice that once a byte follows the request.
+func (h *Handler) CheckCallers() { h.callers.Check() }
+
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	inFlight := h.inFlight.Add(1)
@@ -82,12 +88,16 @@
 	watch := &caller.Watch{Conn: connOf(r.Context()), Begun: start, OnLate: func(s caller.Step) { h.recordLate(r, s) }}
 	r = r.WithContext(watch.Begin(r.Context()))
 	defer watch.End()
+	defer h.callers.Add(watch)()
 	defer h.recordDeparture(watch, r)
 	var j *call.Job
 	err := h.admit(r, inFlight)
 	if err == nil {
 		j, err = h.newJob(w, r, start)
 	}
+	if watch.Left() {
+		err = &fault.Error{Code: fault.Cancelled, Verdict: fault.NotRun, Message: "the caller left before its request was read"}
+	}
 	if err != nil {
 		out := call.Outcome{Error: fault.As(err)}
 		if out.Error.Code != fault.Cancelled {
--- a/entry/stream/attempt.go
+++ b/entry/stream/attempt.go
@@ -118,7 +118,7 @@
 	pending := a.Monitor.StartLatency.Track(first.ID, notableWait(a.job.Route), time.Now())
 	defer a.Monitor.StartLatency.Untrack(pending)
 	resp, reply, err := a.send(first)
-	if egress.IsPaused(err) {
+	if err != nil && egress.WasNotSent(err) {
 		a.mu.Lock()
 		a.out.Sends--
 		a.mu.Unlock()
--- a/entry/stream/failure.go
+++ b/entry/stream/failure.go
@@ -166,6 +166,14 @@
 	return n
 }
 
+// leftEarly returns the error of a request whose caller has left before another attempt.
+func (r *request) leftEarly() *fault.Error {
+	if !r.job.Caller.Left() {
+		return nil
+	}
+	return &fault.Error{Code: fault.Cancelled, Verdict: fault.NotRun, Message: "the caller has left"}
+}
+
 // maxResends bounds how often one request is sent again, also after refusals.
 const maxResends = 3
 
--- a/entry/stream/forwarder.go
+++ b/entry/stream/forwarder.go
@@ -120,6 +120,9 @@
 	r.arrive()
 	defer r.finish()
 	for {
+		if e := r.leftEarly(); e != nil {
+			return r.finishFailed(ctx, e)
+		}
 		chain, err := r.chooseChain(ctx)
 		if err == nil {
 			err = r.blocked(chain)
--- a/entry/stream/replace.go
+++ b/entry/stream/replace.go
@@ -48,6 +48,9 @@
 // event, and the other one ends if this one delivers an event before. It reports false if a later try
 // may succeed.
 func (a *attempt) replace(wanted replacement) (done bool) {
+	if a.job.Caller.Left() {
+		return true
+	}
 	if wanted.ended && a.endUnbegun(wanted.cause) {
 		return true
 	}
--- a/entry/unary/attempt.go
+++ b/entry/unary/attempt.go
@@ -32,8 +32,9 @@
 	err     *fault.Error
 }
 
-// paused reports whether nothing was sent, because the server has requested a pause.
-func (a *attempt) paused() bool { return a.err != nil && egress.IsPaused(a.err) }
+// unsent reports whether nothing was sent, because the server has requested a pause or the caller
+// has left.
+func (a *attempt) unsent() bool { return a.err != nil && egress.WasNotSent(a.err) }
 
 // refused reports whether the server responded that it did not run the request.
 func (a *attempt) refused() bool { return a.err != nil && a.reply.NotRun }
--- a/entry/unary/flight.go
+++ b/entry/unary/flight.go
@@ -136,7 +136,7 @@
 // checkSilence records the attempts that are silent for too long. If all are, it starts another one,
 // if that is allowed and a server is likely to answer.
 func (r *request) checkSilence(ctx context.Context) {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || r.job.Caller.Left() {
 		return
 	}
 	silent := 0
@@ -186,7 +186,7 @@
 	if a.err != nil || a.failed() {
 		t.grant.ticket.End()
 	}
-	if a.paused() {
+	if a.unsent() {
 		r.Stats.Cancel(t.server.ID)
 		r.Limits.Return(t.server.ID)
 		r.skipped = append(r.skipped, t.server)
@@ -257,7 +257,7 @@
 		a.rest.Close()
 		a.release()
 	}
-	if a.paused() {
+	if a.unsent() {
 		f.Limits.Return(t.server.ID)
 	}
 	t.grant.settle(t.server, a)
--- a/entry/unary/unary.go
+++ b/entry/unary/unary.go
@@ -113,6 +113,9 @@
 	r := &request{Forwarder: f, job: j, w: w, budget: budget, tried: map[string]bool{}, verdict: fault.NotRun, ended: make(chan *flight)}
 	defer func() { r.admission.ticket.End() }()
 	for {
+		if j.Caller.Left() {
+			return r.fail(ctx, &fault.Error{Code: fault.Cancelled, Verdict: fault.NotRun, Message: "the caller has left"})
+		}
 		server, e := r.choose(ctx)
 		if e != nil {
 			return r.fail(ctx, e)
