gossip: bound the exchanges that news of failures starts

Cause: each suspicion, of servers and of hosts, is news, which went to 14 hosts at once, up to 20 times a second, by every host that noticed it, which all do when a domain is cut off. Half of the hosts told were in the domain that was cut off, and each contact with them that failed was checked by three others, which is news again.

Change: broadcasts start at most 20 exchanges a second, after a burst of 42. What cannot be told now waits and is told with what came meanwhile. News goes to hosts that are present only; the exchanges at intervals find out whether others are back. Fleets as small as four hosts tell all others as before.

--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -19,6 +19,7 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
 	"storj.io/drpc"
 
 	"fuchsiashelf.dev/parts/limit"
@@ -138,7 +139,9 @@
 	// lastRemote is when Run last chose a host of another failure domain.
 	lastRemote time.Time
 	// broadcast tells Run to start a broadcast.
-	broadcast    chan struct{}
+	broadcast chan struct{}
+	// budget limits the exchanges that broadcasts start.
+	budget       *rate.Limiter
 	introduction introduction
 	once         sync.Once
 }
@@ -152,6 +155,7 @@
 		p.clients = map[string]*client{}
 		p.pulls = map[string]bool{}
 		p.broadcast = make(chan struct{}, 1)
+		p.budget = newBroadcastBudget()
 		p.introduction.done = make(chan struct{})
 	})
 }
@@ -179,15 +183,21 @@
 	p.round(ctx, broadcastLocal, broadcastRemote)
 	broadcast := p.broadcast
 	var intervalOver <-chan time.Time
+	// untold is the number of hosts that the last broadcast has yet to reach.
+	untold := 0
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-broadcast:
-			p.round(ctx, broadcastLocal, broadcastRemote)
+			untold = p.announce(ctx, broadcastFanout, time.Now())
 			broadcast, intervalOver = nil, time.After(minBroadcastInterval)
 		case <-intervalOver:
 			broadcast, intervalOver = p.broadcast, nil
+			if untold > 0 {
+				untold = p.announce(ctx, untold, time.Now())
+				intervalOver = time.After(minBroadcastInterval)
+			}
 		case now := <-tick.C:
 			local, remote := p.fanout(now)
 			p.round(ctx, local, remote)
--- a/parts/roster/partner.go
+++ b/parts/roster/partner.go
@@ -45,3 +45,26 @@
 	}
 	return next
 }
+
+// Audience returns the addresses of members to tell news: up to the given numbers of those of the own
+// failure domain and of others, in random order. None is absent or leaving.
+func (t *Table) Audience(local, remote int, now time.Time) []string {
+	t.init()
+	var own, others []string
+	for _, m := range t.Current(now).Present {
+		if m.Domain == t.Domain {
+			own = append(own, m.Address)
+		} else {
+			others = append(others, m.Address)
+		}
+	}
+	if len(own) == 0 {
+		remote = max(remote, local)
+	}
+	list := append(pick(own, local, t.Random), pick(others, remote, t.Random)...)
+	for i := len(list) - 1; i > 0; i-- {
+		j := t.Random(i + 1)
+		list[i], list[j] = list[j], list[i]
+	}
+	return list
+}
--- a/parts/roster/roster_test.go
+++ b/parts/roster/roster_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -56,6 +57,8 @@
 				present = present || m.Name == "x"
 			}
 			qt.Check(t, present, qt.Equals, test.present, qt.Commentf(test.name))
+			told := slices.Contains(table.Audience(1, 2, time.Now()), "x:1")
+			qt.Check(t, told, qt.Equals, test.present, qt.Commentf("%s: told of news", test.name))
 		})
 	}
 }
