stream: end orders and searches with their attempt

Cause: orders to reroute a stream had a timeout of their own, 500 ms each and up to three in a row with probes in between, and the search for another attempt went on, whether or not the caller was still there.

Change: an attempt carries the context that ends with it. An order ends with it, and neither another order nor a search begins once it has ended or the kernel says that the caller has left.

Shown: TestNoOrderForEndedAttempt and TestOrderEndsWithAttempt fail without the change (one order is sent; an order ends by its own timeout).

--- a/entry/stream/active.go
+++ b/entry/stream/active.go
@@ -14,7 +14,9 @@
 
 // activeStream is a stream in progress.
 type activeStream struct {
-	job    *call.Job
+	job *call.Job
+	// ctx ends with the attempt, and with it all that is done for the attempt.
+	ctx    context.Context
 	cancel context.CancelCauseFunc
 	// replace begins another attempt of the request beside this one, if it can, and reports false if
 	// a later try may succeed. It may block while servers are probed.
@@ -121,6 +123,9 @@
 	return s.chain
 }
 
+// left reports whether the attempt has ended or its caller has left.
+func (s *activeStream) left() bool { return s.job.Caller.Left() || s.ctx.Err() != nil }
+
 // uses reports whether a server is part of the chain.
 func (s *activeStream) uses(address string) bool {
 	s.mu.Lock()
--- a/entry/stream/active_test.go
+++ b/entry/stream/active_test.go
@@ -20,8 +20,8 @@
 	m := &Monitor{Load: load}
 	chain := router.Chain{{Server: &fleet.Server{ID: "i-1"}, First: 0, End: 4}}
 	j := &call.Job{Request: &call.Request{PromptTokens: 10, TokensHint: 5}, Route: testRoute, Service: &route.Service{Engine: &route.Engine{}}}
-	_, cancel := context.WithCancelCause(context.Background())
-	stream := m.add(j, chain, cancel, nil)
+	ctx, cancel := context.WithCancelCause(context.Background())
+	stream := m.add(ctx, j, chain, cancel, nil)
 	qt.Assert(t, load.Used("i-1"), qt.Equals, router.Usage{TokenLayers: 60, Requests: 1, Starts: 1})
 	m.remove(stream)
 	stream.switchChain(load, chain)
--- a/entry/stream/attempt.go
+++ b/entry/stream/attempt.go
@@ -45,7 +45,7 @@
 	a.ctx, a.cancel = context.WithCancelCause(r.ctx)
 	a.events.sync(r.delivered)
 	a.events.resume()
-	a.stream = r.Monitor.add(r.job, chain, a.cancel, a.replace)
+	a.stream = r.Monitor.add(a.ctx, r.job, chain, a.cancel, a.replace)
 	r.inFlight = append(r.inFlight, a)
 	r.job.Caller.Add(caller.AttemptBegun, chain[0].Server.ID)
 	return a
--- a/entry/stream/monitor.go
+++ b/entry/stream/monitor.go
@@ -132,8 +132,8 @@
 	lastDrain time.Time
 }
 
-func (m *Monitor) add(job *call.Job, chain router.Chain, cancel context.CancelCauseFunc, replace func(replacement) bool) *activeStream {
-	stream := &activeStream{job: job, startedAt: time.Now(), chain: chain, clock: m.Clock, cancel: cancel, replace: replace, releaseChain: m.Load.Reserve(chain, totalTokens(job))}
+func (m *Monitor) add(ctx context.Context, job *call.Job, chain router.Chain, cancel context.CancelCauseFunc, replace func(replacement) bool) *activeStream {
+	stream := &activeStream{job: job, ctx: ctx, startedAt: time.Now(), chain: chain, clock: m.Clock, cancel: cancel, replace: replace, releaseChain: m.Load.Reserve(chain, totalTokens(job))}
 	stream.recordActivity()
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/entry/stream/monitor_test.go
+++ b/entry/stream/monitor_test.go
@@ -125,7 +125,7 @@
 	first, middle := servers["first"], servers["middle"]
 	chain := router.Chain{{Server: &first, First: 0, End: 4}, {Server: &middle, First: 4, End: 12}}
 	job := &call.Job{Request: &call.Request{ID: id, PromptTokens: 10, TokensHint: 5}, Route: testRoute, Service: &route.Service{Name: "assist", Engine: engine}}
-	stream := m.add(job, chain, func(error) {}, func(replacement) bool { return true })
+	stream := m.add(context.Background(), job, chain, func(error) {}, func(replacement) bool { return true })
 	stream.recordEvent()
 	stream.lastActivity.Store(time.Now().Add(-silence).UnixNano())
 	return stream
--- a/entry/stream/reroute.go
+++ b/entry/stream/reroute.go
@@ -80,7 +80,7 @@
 		stream.mu.Unlock()
 	}()
 	avoid := map[string]bool{failed: true}
-	if m.tryReroute(stream, chain, avoid) {
+	if m.tryReroute(stream, chain, avoid) || stream.left() {
 		return false
 	}
 	view := m.State.View()
@@ -105,7 +105,7 @@
 func (m *Monitor) tryReroute(stream *activeStream, chain router.Chain, avoid map[string]bool) bool {
 	for range maxReroutes {
 		next := m.alternativeChain(stream, chain, avoid)
-		if next == nil {
+		if next == nil || stream.left() {
 			return false
 		}
 		// The chain is reserved before it is ordered: many streams leave a failed
@@ -113,7 +113,7 @@
 		stream.switchChain(m.Load, next)
 		refusedBy := m.findSilent(next)
 		if len(refusedBy) == 0 {
-			if !m.reserveTransfer(stream.job, next.Crossings()-chain.Crossings()) {
+			if stream.left() || !m.reserveTransfer(stream.job, next.Crossings()-chain.Crossings()) {
 				stream.switchChain(m.Load, chain)
 				return false
 			}
@@ -211,7 +211,7 @@
 // orderReroute orders the first server of a stream to use another chain. If a server
 // of that chain refuses to take part, refusedBy is its address.
 func (m *Monitor) orderReroute(stream *activeStream, next router.Chain) (result call.OrderResult, refusedBy string) {
-	ctx, cancel := context.WithTimeout(context.Background(), call.OrderTimeout)
+	ctx, cancel := context.WithTimeout(stream.ctx, call.OrderTimeout)
 	defer cancel()
 	silence := stream.silence()
 	stream.job.Caller.Add(caller.OrderBegun, next[0].Server.ID)
--- a/entry/stream/reroute_test.go
+++ b/entry/stream/reroute_test.go
@@ -1,6 +1,7 @@
 package stream
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -108,3 +109,45 @@
 	qt.Assert(t, e, qt.IsNotNil)
 	qt.Assert(t, e.Code, qt.Equals, fault.Overloaded)
 }
+
+// Guards against orders to servers, and searches for other attempts, on behalf of requests whose callers
+// have left.
+func TestNoOrderForEndedAttempt(t *testing.T) {
+	e := &fakeEngines{}
+	m, servers := newMonitor(e, 1)
+	stream := m.addStream(servers, "r", silentTimeout(testRoute)+time.Millisecond)
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	stream.ctx = ended
+	stream.replace = func(replacement) bool { t.Error("another attempt was sought"); return true }
+	m.rerouteStream(stream, "middle")
+	qt.Assert(t, e.ordered, qt.HasLen, 0)
+}
+
+// Guards against an order that goes on after its request has ended.
+func TestOrderEndsWithAttempt(t *testing.T) {
+	e := &fakeEngines{}
+	m, servers := newMonitor(e, 1)
+	stream := m.addStream(servers, "r", silentTimeout(testRoute)+time.Millisecond)
+	var cancel context.CancelFunc
+	stream.ctx, cancel = context.WithCancel(t.Context())
+	orders := make(chan context.Context, 1)
+	m.Engine = &waitingEngines{fakeEngines: e, orders: orders}
+	go m.rerouteStream(stream, "middle")
+	order := <-orders
+	cancel()
+	<-order.Done()
+	qt.Assert(t, order.Err(), qt.Equals, context.Canceled)
+}
+
+// waitingEngines answer no order.
+type waitingEngines struct {
+	*fakeEngines
+	orders chan context.Context
+}
+
+func (e *waitingEngines) Reroute(ctx context.Context, _ string, _ router.Chain) (call.OrderResult, string, error) {
+	e.orders <- ctx
+	<-ctx.Done()
+	return call.OrderUnknown, "", ctx.Err()
+}
