tunnel: send nothing on for a host that has left

Cause: the host that carries a tunnel for another one reads its bytes in their order. If it reads late, it finds the request for the server before the end of the connection, dials the server and sends the request on, although the host that opened the tunnel has given up.

Change: before it dials, and before it writes to the server, it asks the kernel whether the other host is still connected, below TLS as well.

--- a/entry/caller/state.go
+++ b/entry/caller/state.go
@@ -25,10 +25,15 @@
 // Ended reports whether the other side is known to have ended the connection.
 func (s State) Ended() bool { return s == Closed || s == Reset }
 
-// StateOf returns the state of a connection, or of the one below it if it is encrypted. Bytes that
+// StateOf returns the state of a connection, or of the one below it if it has the method NetConn, as a
+// TLS connection does. Bytes that
 // have arrived and have not been read do not hide its end.
 func StateOf(c net.Conn) State {
-	if over, ok := c.(interface{ NetConn() net.Conn }); ok {
+	for {
+		over, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
 		c = over.NetConn()
 	}
 	sc, ok := c.(syscall.Conn)
--- a/entry/gossip/drpc.go
+++ b/entry/gossip/drpc.go
@@ -9,7 +9,6 @@
 
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
-	"storj.io/drpc/drpcserver"
 
 	"fuchsiashelf.dev/entry/tunnel"
 	"fuchsiashelf.dev/parts/stall"
@@ -34,7 +33,7 @@
 }
 
 func (p *Peer) serve(ctx context.Context, l net.Listener) {
-	err := drpcserver.New(p).Serve(ctx, l)
+	err := tunnel.Serve(ctx, l, p)
 	if err != nil && ctx.Err() == nil {
 		p.Log.Error("peers: server stopped", "error", err)
 	}
--- a/entry/internal/mesh/mesh.go
+++ b/entry/internal/mesh/mesh.go
@@ -15,7 +15,6 @@
 
 	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
-	"storj.io/drpc/drpcserver"
 
 	"fuchsiashelf.dev/entry/tunnel"
 	"fuchsiashelf.dev/parts/domain"
@@ -81,7 +80,7 @@
 	}
 	served := make(chan error, 1)
 	go func() {
-		served <- drpcserver.New(&handler{Handler: mux, tunnels: m.Tunnels}).Serve(ctx, peer.Listener{Listener: listener})
+		served <- tunnel.Serve(ctx, peer.Listener{Listener: listener}, &handler{Handler: mux, tunnels: m.Tunnels})
 	}()
 	go m.syncLoop(ctx)
 	err := m.peer.Run(ctx)
--- a/entry/tunnel/server.go
+++ b/entry/tunnel/server.go
@@ -66,6 +66,7 @@
 	errTooMany       = errors.New("tunnel: too many tunnels")
 	errStopping      = errors.New("tunnel: the entry host is about to stop")
 	errUnauthorized  = errors.New("tunnel: wrong secret")
+	errLeft          = errors.New("tunnel: the host that opened it has left")
 )
 
 // Active returns the number of open tunnels.
@@ -118,6 +119,9 @@
 	if err := first.decode(kindOpen, &open); err != nil {
 		return err
 	}
+	if left(stream.Context()) {
+		return errLeft
+	}
 	n := s.active.Add(1)
 	defer s.active.Add(-1)
 	if err := s.check(open, n); err != nil {
@@ -196,6 +200,9 @@
 		var m message
 		err := stream.MsgRecv(&m, encoding{})
 		u.record(true)
+		if err == nil && left(stream.Context()) {
+			err = errLeft
+		}
 		if err == nil && m.kind == kindData {
 			_, err = server.Write(m.body)
 		}
--- a/entry/tunnel/tunnel_test.go
+++ b/entry/tunnel/tunnel_test.go
@@ -12,7 +12,6 @@
 	qt "github.com/frankban/quicktest"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
-	"storj.io/drpc/drpcserver"
 
 	"fuchsiashelf.dev/entry/tunnel"
 )
@@ -48,7 +47,7 @@
 	accepted := make(chan net.Conn, 64)
 	ctx, cancel := context.WithCancel(context.Background())
 	served := make(chan error, 1)
-	go func() { served <- drpcserver.New(s).Serve(ctx, recorder{l, accepted}) }()
+	go func() { served <- tunnel.Serve(ctx, recorder{l, accepted}, s) }()
 	t.Cleanup(func() {
 		cancel()
 		<-served
--- a/parts/peer/counting.go
+++ b/parts/peer/counting.go
@@ -18,6 +18,9 @@
 	in, out metrics.Counter
 }
 
+// NetConn returns the connection below.
+func (c *countingConn) NetConn() net.Conn { return c.Conn }
+
 // Read implements [net.Conn].
 func (c *countingConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
