--- a/entry/stream/attempt.go
+++ b/entry/stream/attempt.go
@@ -45,7 +45,7 @@
 	a.ctx, a.cancel = context.WithCancelCause(r.ctx)
 	a.events.sync(r.delivered)
 	a.events.resume()
-	a.stream = r.Monitor.add(r.job, chain, a.cancel, a.replace)
+	a.stream = r.Monitor.add(a.ctx, r.job, chain, a.cancel, a.replace)
 	r.inFlight = append(r.inFlight, a)
 	r.job.Caller.Add(caller.AttemptBegun, chain[0].Server.ID)
 	return a
@@ -118,7 +118,7 @@
 	pending := a.Monitor.StartLatency.Track(first.ID, notableWait(a.job.Route), time.Now())
 	defer a.Monitor.StartLatency.Untrack(pending)
 	resp, reply, err := a.send(first)
-	if egress.IsPaused(err) {
+	if err != nil && egress.WasNotSent(err) {
 		a.mu.Lock()
 		a.out.Sends--
 		a.mu.Unlock()
