conns: bound the bytes that a server sends in place of an answer

Cause: the head of a response, and the body of a response to another request, were read without a bound, for as long as the caller's deadline allowed; reports and statuses of the own interface likewise; an error, and with it a log line, quoted a status line of any length; and bytes without an event counted as signs of life of a stream.

Change: 64 KiB for a head, 1 MiB for a skipped body, a status or a report; beyond that the connection is closed, and the attempt has failed and may have run. Causes of errors are cut at 512 bytes. Only whole events show that the servers of a stream answer. The end of an event is sought in new bytes only.

--- a/entry/conns/conns.go
+++ b/entry/conns/conns.go
@@ -84,6 +84,8 @@
 type conn struct {
 	net.Conn
 	br *bufio.Reader
+	// received is what br reads from.
+	received *boundedReader
 	// idleSince is when the connection last became idle, zero if it is new, and expires
 	// until when it may be reused.
 	expires   time.Time
--- a/entry/conns/dial.go
+++ b/entry/conns/dial.go
@@ -36,7 +36,8 @@
 		}
 		return nil, err
 	}
-	return &conn{Conn: c, br: bufio.NewReader(c)}, nil
+	received := &boundedReader{Reader: c, allowance: unbounded}
+	return &conn{Conn: c, br: bufio.NewReader(received), received: received}, nil
 }
 
 // errDialTimeout says that a server did not accept a connection in time.
--- a/entry/conns/exchange.go
+++ b/entry/conns/exchange.go
@@ -47,7 +47,9 @@
 	}
 	stall.Restart(ctx)
 	for range maxResponses {
+		c.received.allowance = maxHead
 		resp, err := http.ReadResponse(c.br, req)
+		c.received.allowance = unbounded
 		if err != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 			return nil, &NoAnswerError{NewConn: c.idleSince.IsZero(), Cause: err}
 		}
@@ -61,7 +63,7 @@
 		if !info.OtherRequest {
 			return &Response{Response: resp, conn: c, info: info}, nil
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		if err := skip(resp.Body); err != nil {
 			return nil, err
 		}
 		if resp.Close {
--- a/entry/internal/invoke/send.go
+++ b/entry/internal/invoke/send.go
@@ -29,6 +29,9 @@
 // maxResponseBytes bounds the body of a response.
 const maxResponseBytes = 16 << 20
 
+// maxHead bounds the head of a response.
+const maxHead = 64 << 10
+
 // maxIdle bounds the idle connections per backend server.
 const maxIdle = 64
 
@@ -48,6 +51,8 @@
 			},
 			MaxIdleConnsPerHost: maxIdle,
 			DisableCompression:  true,
+			// A server in trouble may send bytes without end.
+			MaxResponseHeaderBytes: maxHead,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/entry/stream/attempt.go
+++ b/entry/stream/attempt.go
@@ -177,15 +177,7 @@
 	for {
 		n, err := resp.Read(buffer)
 		if n > 0 {
-			first, answered := a.stream.recordEvent()
-			if first {
-				a.Monitor.StartLatency.RecordFirstEvent(pending, time.Now())
-				a.Load.RecordAccepted(a.stream.currentChain())
-			}
-			if answered {
-				a.Monitor.Crashes.RecordAnswer(a.job.Causes, a.job.ID, time.Now())
-			}
-			if e := a.deliver(resp, buffer[:n], controller); e != nil {
+			if e := a.deliver(resp, buffer[:n], controller, pending); e != nil {
 				return e
 			}
 		}
@@ -200,7 +192,7 @@
 
 // deliver sends the whole events among the bytes of a response to the caller. The first
 // attempt that has one ends the other.
-func (a *attempt) deliver(resp *conns.Response, b []byte, controller *http.ResponseController) *fault.Error {
+func (a *attempt) deliver(resp *conns.Response, b []byte, controller *http.ResponseController, pending *router.PendingStart) *fault.Error {
 	a.writing.Lock()
 	defer a.writing.Unlock()
 	a.mu.Lock()
@@ -208,6 +200,9 @@
 	a.mu.Unlock()
 	seen := a.events.seen
 	whole := a.events.add(b)
+	if a.events.seen > seen {
+		a.recordEvents(pending)
+	}
 	if len(whole) == 0 && (!a.takesOver || a.events.seen == seen) {
 		return nil
 	}
@@ -221,6 +216,18 @@
 	return a.sendEvents(whole, controller)
 }
 
+// recordEvents records that whole events have arrived. Bytes that are none show nothing of the servers.
+func (a *attempt) recordEvents(pending *router.PendingStart) {
+	first, answered := a.stream.recordEvent()
+	if first {
+		a.Monitor.StartLatency.RecordFirstEvent(pending, time.Now())
+		a.Load.RecordAccepted(a.stream.currentChain())
+	}
+	if answered {
+		a.Monitor.Crashes.RecordAnswer(a.job.Causes, a.job.ID, time.Now())
+	}
+}
+
 // claim makes this attempt the one that delivers the response, and ends the other one, unless that
 // one is to take over before the end. It reports false if another attempt goes on. The mutex writing
 // is held.
--- a/entry/stream/events.go
+++ b/entry/stream/events.go
@@ -38,12 +38,13 @@
 // add appends bytes of the stream and returns the whole events in them that the
 // caller does not have. The result is valid until the next call.
 func (e *eventFilter) add(b []byte) []byte {
+	searched := max(0, len(e.pending)-len(eventDelimiter)+1)
 	e.pending = append(e.pending, b...)
-	end := bytes.LastIndex(e.pending, eventDelimiter)
+	end := bytes.LastIndex(e.pending[searched:], eventDelimiter)
 	if end < 0 {
 		return nil
 	}
-	end += len(eventDelimiter)
+	end += searched + len(eventDelimiter)
 	whole := e.pending[:end]
 	kept := e.filter(whole)
 	rest := append([]byte(nil), e.pending[end:]...)
--- a/parts/engine/client.go
+++ b/parts/engine/client.go
@@ -35,12 +35,21 @@
 // maxIdle bounds the idle connections per engine.
 const maxIdle = 256
 
+const (
+	// maxHead bounds the head of a response, and maxStatus the status that an engine reports. An engine in
+	// trouble may send bytes without end.
+	maxHead   = 64 << 10
+	maxStatus = 1 << 20
+)
+
 // defaultClient is used by Clients without an HTTP client of their own.
 var defaultClient = NewHTTP((&net.Dialer{Timeout: dialTimeout}).DialContext)
 
 // NewHTTP returns a client for Client.HTTP that connects with the given function.
 func NewHTTP(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Client {
-	return &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdle, DisableCompression: true}}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dial, MaxIdleConnsPerHost: maxIdle, DisableCompression: true, MaxResponseHeaderBytes: maxHead,
+	}}
 }
 
 func (c *Client) http() *http.Client {
@@ -147,5 +156,5 @@
 	if resp.StatusCode != http.StatusOK {
 		return s, responseError(resp, address)
 	}
-	return s, json.NewDecoder(resp.Body).Decode(&s)
+	return s, json.NewDecoder(io.LimitReader(resp.Body, maxStatus)).Decode(&s)
 }
--- a/parts/engine/client_test.go
+++ b/parts/engine/client_test.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"encoding/json"
 	"io"
+	"net"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -69,3 +71,41 @@
 		}
 	})
 }
+
+// Guards against engines that send bytes without end in place of an answer, in its head or its body.
+func TestBytesWithoutEnd(t *testing.T) {
+	for _, begin := range []string{"", "HTTP/1.1 200 OK\r\nX: ", "HTTP/1.1 200 OK\r\n\r\n{\"name\":\"", "HTTP/1.1 200 OK\r\n\r\n"} {
+		c := quicktest.New(t)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		c.Assert(err, quicktest.IsNil)
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+				return
+			}
+			_, err = io.WriteString(conn, begin)
+			for piece := []byte(strings.Repeat("x", 16<<10)); err == nil; {
+				_, err = conn.Write(piece)
+			}
+		}()
+		client := &Client{HTTP: NewHTTP((&net.Dialer{}).DialContext)}
+		if begin == "HTTP/1.1 200 OK\r\n\r\n" {
+			stream, err := client.Generate(t.Context(), &Request{Chain: []Stage{{Address: l.Addr().String()}}})
+			c.Assert(err, quicktest.IsNil)
+			_, err = stream.Next()
+			c.Check(err, quicktest.ErrorIs, bufio.ErrTooLong)
+			c.Check(stream.Close(), quicktest.IsNil)
+		} else {
+			_, err = client.Status(t.Context(), l.Addr().String())
+			c.Check(err, quicktest.IsNotNil)
+		}
+		<-ended
+		c.Check(l.Close(), quicktest.IsNil)
+	}
+}
--- a/parts/engine/order.go
+++ b/parts/engine/order.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 
 	"fuchsiashelf.dev/parts/fault"
@@ -49,5 +50,5 @@
 		return nil, responseError(resp, address)
 	}
 	var orders []Order
-	return orders, json.NewDecoder(resp.Body).Decode(&orders)
+	return orders, json.NewDecoder(io.LimitReader(resp.Body, maxStatus)).Decode(&orders)
 }
--- a/parts/fault/error.go
+++ b/parts/fault/error.go
@@ -55,7 +55,10 @@
 	Cause error
 }
 
-// Error returns the code, the field, the message and the cause in one line.
+// maxCause bounds the text of a cause in bytes: it may quote what a server in trouble has sent.
+const maxCause = 512
+
+// Error returns the code, the field, the message and the cause in one line. A long cause is cut short.
 func (e *Error) Error() string {
 	var b strings.Builder
 	b.WriteString(string(e.Code))
@@ -69,7 +72,8 @@
 	}
 	if e.Cause != nil {
 		b.WriteString(": ")
-		b.WriteString(e.Cause.Error())
+		cause := e.Cause.Error()
+		b.WriteString(cause[:min(len(cause), maxCause)])
 	}
 	return b.String()
 }
--- a/stand/fakes/server.go
+++ b/stand/fakes/server.go
@@ -67,8 +67,13 @@
 	stalled            map[string]string
 	chainUpdates       map[string]chan []stage
 	dropNext           int
-	refuseNext         int
-	failNext           int
+	// floodNext is how many requests the server answers with bytes without end, in floodPart of the
+	// response, floods the number of such responses in progress, and flooded their bytes.
+	floodNext, floods int
+	floodPart         FloodPart
+	flooded           int
+	refuseNext        int
+	failNext          int
 	// frozenUntil is until when the server is silent.
 	frozenUntil time.Time
 	// closeEvery is after how many responses a connection is closed, zero for never, and
@@ -362,6 +367,10 @@
 		s.platform.recordBrokenOff(id)
 		panic(http.ErrAbortHandler)
 	}
+	if s.flood(w) {
+		s.platform.recordBrokenOff(id)
+		return
+	}
 	w.Header().Set("X-Server-Signature", "sig-"+id)
 	if s.consume(&s.failNext) {
 		w.WriteHeader(http.StatusInternalServerError)
