soak: callers that leave, and servers that send bytes without end

Callers close, reset, or close behind a stray byte, at a random time; two seconds later no server may have got their request, or worked on it, for over half a second after they left. Hosts and links that a fault disturbed meanwhile are left out, and the lag of the soak's own process is added. Servers answer with a line, a head or a body without end.

--- a/soak/series.go
+++ b/soak/series.go
@@ -28,10 +28,12 @@
 	limitTime  = 2 * time.Second
 	namedLimit = 3
 	// seriesStream is the stream of random numbers of the series, crowdStream that of the crowd
-	// after the faults, and silenceStream that of the silences.
+	// after the faults, silenceStream that of the silences, and leaverStream that of the callers that leave
+	// after the faults.
 	seriesStream  = 1 << 32
 	crowdStream   = 1 << 33
 	silenceStream = 1 << 34
+	leaverStream  = 1 << 35
 )
 
 // runSeries makes series of changes until stop is closed. They overlap with each other
@@ -67,6 +69,9 @@
 	if r.Teams {
 		kinds = append(kinds, r.startCrowd)
 	}
+	if r.Floods {
+		kinds = append(kinds, r.startFlood)
+	}
 	return kinds[rng.IntN(len(kinds))](rng)
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -48,6 +48,11 @@
 	// of callers of the second team come in the series and after the faults, and the run checks that
 	// the first team's requests are served beside them.
 	Teams bool
+	// Leavers makes some callers leave before their answer is whole, and checks that no server works on
+	// for them.
+	Leavers bool
+	// Floods makes servers answer with bytes without end, in the series.
+	Floods bool
 	// EntryHosts and Callers are the numbers of entry hosts and callers.
 	EntryHosts, Callers int
 	// Program is the path of the fsplat binary.
@@ -166,6 +171,12 @@
 			r.sendPayment(e)
 		case 1:
 			r.sendLookup(e)
+		case 2:
+			if r.Leavers {
+				r.sendAndLeave(e, rng)
+				continue
+			}
+			r.sendStream(e, 1+rng.IntN(events))
 		default:
 			r.sendStream(e, 1+rng.IntN(events))
 		}
@@ -267,6 +278,9 @@
 		r.checkCrashes()
 		r.awaitRecovery()
 	}
+	if r.Leavers {
+		r.checkLeavers()
+	}
 	if r.Teams {
 		r.checkTeams()
 		r.awaitRecovery()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -82,3 +82,16 @@
 func TestSilences(t *testing.T) {
 	runSeed(t, soak.Settings{Seed: 2, FaultDuration: 5 * time.Second, Series: true, Silences: true, EntryHosts: 4, Callers: 8, Program: build(t)})
 }
+
+// Guards against work for callers that have left, and against servers that send bytes without end,
+// while hosts are restarted and configurations change.
+func TestLeavers(t *testing.T) {
+	runSeed(t, soak.Settings{Seed: 4, FaultDuration: 5 * time.Second, Series: true, Leavers: true, Floods: true, EntryHosts: 4, Callers: 8, Program: build(t)})
+}
+
+// Guards against a host that sends on what it reads late, although the callers have left meanwhile.
+func TestPausedHostSendsNothingForThoseThatLeft(t *testing.T) {
+	sent, err := soak.PausedHost(soak.Settings{Seed: 1, EntryHosts: 1, Program: build(t), Dir: t.TempDir()}, 60)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, sent, qt.Equals, 0)
+}
--- a/stand/fakes/flood.go
+++ b/stand/fakes/flood.go
@@ -22,7 +22,7 @@
 var FloodParts = []FloodPart{FloodLine, FloodHead, FloodBody}
 
 // floodInterval is the interval of the writes of a flood, which limits what it costs this machine.
-const floodInterval = time.Millisecond
+const floodInterval = 10 * time.Millisecond
 
 // texts returns what a flood begins with and what it goes on with.
 func (p FloodPart) texts() (begin, repeated string) {
--- a/stand/fakes/passed.go
+++ b/stand/fakes/passed.go
@@ -9,6 +9,41 @@
 type passedRequest struct {
 	servers  []*Server
 	brokeOff bool
+	work     Work
+}
+
+// Work is what servers have done for a request.
+type Work struct {
+	// Arrived is when the request last reached a server, and Ended when a server last ceased to work
+	// on it.
+	Arrived, Ended time.Time
+	// Active is the number of servers that work on it.
+	Active int
+}
+
+// Work returns what servers have done for a request until now.
+func (p *Platform) Work(request string) Work {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r := p.passed[request]; r != nil {
+		return r.work
+	}
+	return Work{}
+}
+
+// beginWork records that a request has reached a server, until end is called.
+func (p *Platform) beginWork(request string) (end func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	work := &p.passedRequest(request).work
+	work.Arrived = time.Now()
+	work.Active++
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		work.Ended = time.Now()
+		work.Active--
+	}
 }
 
 // Passed returns the servers that a request was passed on to, those of its chains among them,
--- a/stand/fakes/server.go
+++ b/stand/fakes/server.go
@@ -300,6 +300,7 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	if id := req.Header.Get("X-Attempt-Id"); id != "" {
 		s.platform.recordPassed(id, s.address)
+		defer s.platform.beginWork(id)()
 	}
 	s.waitFrozen()
 	now, host := time.Now(), hostOf(req)
