own interface: do nothing for callers that left before they were read

Change: the shared HTTP server asks the kernel before the handler; attempts of model requests and calls that may be repeated, and calls without an id, are not sent once the kernel says that the caller has left. A call with an id or a ticket still is: others may wait for its outcome. The state of a connection moves to parts/sock, which both interfaces use.

--- a/entry/caller/caller.go
+++ b/entry/caller/caller.go
@@ -15,6 +15,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"fuchsiashelf.dev/parts/sock"
 )
 
 // Watch watches the caller of one request. Set the exported fields before Begin. It is safe for
@@ -44,7 +46,7 @@
 type Departure struct {
 	// By is who noticed it, and How is what the kernel says of the connection.
 	By  Source
-	How State
+	How sock.State
 	// Connected is the age of the request at which the caller was last known to be connected, and
 	// Noticed the age at which it was noticed that it is not.
 	Connected, Noticed time.Duration
@@ -107,7 +109,7 @@
 		return true
 	}
 	age := time.Since(w.Begun)
-	if w.raw == nil || !stateOf(w.raw).Ended() {
+	if w.raw == nil || !sock.StateOfRaw(w.raw).Ended() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		w.connected = max(w.connected, age)
@@ -126,11 +128,11 @@
 
 // notice records that the caller has left, and ends the context of the request.
 func (w *Watch) notice(by Source) {
-	how := Unknown
+	how := sock.Unknown
 	if w.raw != nil {
-		how = stateOf(w.raw)
+		how = sock.StateOfRaw(w.raw)
 	}
-	if by == ByServer && how == Connected {
+	if by == ByServer && how == sock.Connected {
 		// The server has ended the request, for example because a read timed out.
 		return
 	}
--- a/entry/caller/caller_test.go
+++ b/entry/caller/caller_test.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sys/unix"
 
 	"fuchsiashelf.dev/entry/caller"
+	"fuchsiashelf.dev/parts/sock"
 )
 
 // connect returns both ends of a connection.
@@ -39,39 +40,6 @@
 	qt.Assert(t, err, qt.IsNil)
 }
 
-// Guards against callers that leave in one of these ways unnoticed, also behind bytes that nobody
-// has read.
-func TestStateOf(t *testing.T) {
-	for _, c := range []struct {
-		name  string
-		leave func(far *net.TCPConn) error
-		want  caller.State
-	}{
-		{"stays", func(*net.TCPConn) error { return nil }, caller.Connected},
-		{"closes", (*net.TCPConn).Close, caller.Closed},
-		{"closes one direction", (*net.TCPConn).CloseWrite, caller.Closed},
-		{"resets", func(far *net.TCPConn) error {
-			if err := far.SetLinger(0); err != nil {
-				return err
-			}
-			return far.Close()
-		}, caller.Reset},
-	} {
-		for _, unread := range []string{"", "unread"} {
-			near, far := connect(t)
-			_, err := far.Write([]byte(unread))
-			qt.Assert(t, err, qt.IsNil)
-			qt.Assert(t, c.leave(far), qt.IsNil)
-			if c.want != caller.Connected {
-				awaitEnd(t, near)
-			}
-			qt.Check(t, caller.StateOf(near), qt.Equals, c.want, qt.Commentf("%s %s", c.name, unread))
-		}
-	}
-	pipe, _ := net.Pipe()
-	qt.Check(t, caller.StateOf(pipe), qt.Equals, caller.Unknown)
-}
-
 // Guards against a log that does not tell when a caller was last known to be there, when it was
 // noticed that it had left, and what its request did before.
 func TestDeparture(t *testing.T) {
@@ -90,7 +58,7 @@
 	qt.Assert(t, w.Left(), qt.IsTrue)
 	qt.Assert(t, ctx.Err(), qt.Equals, context.Canceled)
 	d := w.Departure()
-	qt.Assert(t, []any{d.By, d.How}, qt.DeepEquals, []any{caller.ByCheck, caller.Closed})
+	qt.Assert(t, []any{d.By, d.How}, qt.DeepEquals, []any{caller.ByCheck, sock.Closed})
 	qt.Assert(t, d.Connected > 0 && d.Connected < d.Noticed, qt.IsTrue)
 	steps, omitted := w.Steps()
 	var texts []string
--- a/entry/internal/invoke/attempt.go
+++ b/entry/internal/invoke/attempt.go
@@ -10,6 +10,7 @@
 	"fuchsiashelf.dev/parts/fault"
 	"fuchsiashelf.dev/parts/health"
 	"fuchsiashelf.dev/parts/host"
+	"fuchsiashelf.dev/parts/httpd"
 	"fuchsiashelf.dev/parts/pick"
 	"fuchsiashelf.dev/parts/pool"
 	"fuchsiashelf.dev/parts/retry"
@@ -29,7 +30,7 @@
 // that did not run is free, since it adds almost no load.
 func (f *Forwarder) callRetryable(ctx context.Context, call *Call) (*Response, *fault.Error) {
 	budget := f.budget(call.Pool.Name)
-	response, e := f.sendWithRetries(ctx, call, func() bool { return ctx.Err() == nil }, func(e *fault.Error) bool {
+	response, e := f.sendWithRetries(ctx, call, func() bool { return !httpd.ClientLeft(ctx) }, func(e *fault.Error) bool {
 		return ctx.Err() == nil && (e.Verdict == fault.NotRun || budget.Withdraw())
 	})
 	if e == nil {
--- a/entry/internal/invoke/forwarder.go
+++ b/entry/internal/invoke/forwarder.go
@@ -18,6 +18,7 @@
 
 	"fuchsiashelf.dev/parts/claim"
 	"fuchsiashelf.dev/parts/fault"
+	"fuchsiashelf.dev/parts/httpd"
 	"fuchsiashelf.dev/parts/pool"
 	"fuchsiashelf.dev/parts/rule"
 	"fuchsiashelf.dev/parts/ticket"
@@ -172,7 +173,9 @@
 	case call.ID != "":
 		return f.callWithClaim(ctx, callCtx, call)
 	case call.Service.OptionalID:
-		return f.callOnce(callCtx, call, func() bool { return time.Now().Before(call.Deadline) })
+		// Nobody else waits for the outcome of a call without an id, so it is not sent once its caller
+		// has left.
+		return f.callOnce(callCtx, call, func() bool { return !httpd.ClientLeft(ctx) && time.Now().Before(call.Deadline) })
 	}
 	return nil, &fault.Error{
 		Code: fault.IDNeeded, Verdict: fault.NotRun, Field: IDHeader,
--- a/entry/internal/relay/attempt.go
+++ b/entry/internal/relay/attempt.go
@@ -13,6 +13,7 @@
 	"fuchsiashelf.dev/parts/engine"
 	"fuchsiashelf.dev/parts/fault"
 	"fuchsiashelf.dev/parts/frame"
+	"fuchsiashelf.dev/parts/httpd"
 	"fuchsiashelf.dev/parts/pick"
 	"fuchsiashelf.dev/parts/stall"
 )
@@ -51,6 +52,9 @@
 
 // start starts an attempt, on the chain of a candidate if there is one.
 func (d *delivery) start(ctx context.Context, c *candidate) *fault.Error {
+	if httpd.ClientLeft(d.caller) {
+		return &fault.Error{Code: fault.Cancelled, Verdict: fault.NotRun, Message: "the caller has left"}
+	}
 	d.started++
 	attempts.Inc(1)
 	a := &attempt{delivery: d, number: d.started}
--- a/entry/internal/relay/relay.go
+++ b/entry/internal/relay/relay.go
@@ -24,6 +24,7 @@
 	"fuchsiashelf.dev/entry/internal/crash"
 	"fuchsiashelf.dev/parts/engine"
 	"fuchsiashelf.dev/parts/fault"
+	"fuchsiashelf.dev/parts/httpd"
 	"fuchsiashelf.dev/parts/pick"
 	"fuchsiashelf.dev/parts/pool"
 	"fuchsiashelf.dev/parts/retry"
@@ -232,7 +233,7 @@
 func (d *delivery) failure(e *fault.Error) retry.Failure {
 	failure := retry.Failure{
 		Error: e, Attempt: d.started, Remaining: time.Until(d.req.Deadline),
-		CallerConnected: d.caller.Err() == nil, Sent: d.sentCount(),
+		CallerConnected: !httpd.ClientLeft(d.caller), Sent: d.sentCount(),
 	}
 	if d.exhausted {
 		failure.Attempt = retry.MaxAttempts
--- a/entry/tunnel/serve.go
+++ b/entry/tunnel/serve.go
@@ -10,7 +10,7 @@
 	"storj.io/drpc"
 	"storj.io/drpc/drpcserver"
 
-	"fuchsiashelf.dev/entry/caller"
+	"fuchsiashelf.dev/parts/sock"
 )
 
 // acceptBackoff is the pause after an accept that failed, for example because the process has no
@@ -49,5 +49,5 @@
 // it now. A host that reads late finds the bytes for the server before the end.
 func left(ctx context.Context) bool {
 	conn, ok := ctx.Value(connKey{}).(net.Conn)
-	return ok && caller.StateOf(conn).Ended()
+	return ok && sock.StateOf(conn).Ended()
 }
--- a/parts/httpd/httpd.go
+++ b/parts/httpd/httpd.go
@@ -59,7 +59,7 @@
 		server.WithStreamBody(true),
 	}
 	s.Hertz = server.New(append(options, extra...)...)
-	s.Hertz.Use(s.trackRequest, s.limitBody)
+	s.Hertz.Use(s.trackRequest, dropLeft, s.limitBody)
 }
 
 // limitBody reads the request body, and rejects a request whose body is too
