roster: bound the checks of hosts that do not answer

Cause: each host that failed to contact another one asked three others to contact it, each of which tried on a connection of its own. When a failure domain is cut off, all hosts fail to contact all hosts of that domain: hosts x hosts checks.

Change: a host checks two others at once at most, and none of a failure domain that has been silent for 1.2 s: that the domain is silent shows more. News goes to hosts of failure domains that answer only.

--- a/parts/roster/absent.go
+++ b/parts/roster/absent.go
@@ -115,18 +115,27 @@
 	}
 }
 
-// checkers is the number of other hosts that are asked to contact a member.
-const checkers = 3
+const (
+	// checkers is the number of other hosts that are asked to contact a member.
+	checkers = 3
+	// maxChecks is the number of members that are checked at once. If more fail at once, a failure
+	// domain is silent, which shows more than checks of each of its members by each other host.
+	maxChecks = 2
+)
 
 // BeginCheck returns the addresses of other hosts that are to contact a member with which
 // a contact has failed. check is false if nothing is to be done: the member is unknown,
-// suspected, or being checked.
+// suspected, or being checked, its failure domain is silent, or enough others are being checked.
 func (t *Table) BeginCheck(name string, now time.Time) (addresses []string, check bool) {
 	e := t.entries[name]
-	if e == nil || e.suspected() || e.checking || e.Leaving {
+	if e == nil || e.suspected() || e.checking || e.Leaving || t.checks >= maxChecks {
+		return nil, false
+	}
+	if t.assess(now); e.domain.unresponsive {
 		return nil, false
 	}
 	e.checking = true
+	t.checks++
 	// Hosts of several failure domains are asked, because links between two of them may be cut.
 	var own, same, others []string
 	for _, m := range t.Current(now).Present {
@@ -147,9 +156,10 @@
 	return append(addresses, pick(rest, checkers-len(addresses), t.Random)...), true
 }
 
-// EndCheck records that neither this host, at the given time, nor those that it asked have
+// EndCheck ends a check that BeginCheck began. It records that neither this host, at the given time, nor those that it asked have
 // reached a member. It reports whether the member is suspected now.
 func (t *Table) EndCheck(name string, failedAt time.Time) bool {
+	t.checks--
 	e := t.entries[name]
 	if e == nil {
 		return false
--- a/parts/roster/partner.go
+++ b/parts/roster/partner.go
@@ -47,11 +47,11 @@
 }
 
 // Audience returns the addresses of members to tell news: up to the given numbers of those of the own
-// failure domain and of others, in random order. None is absent or leaving.
+// failure domain and of others, in random order. None is absent, leaving, or of a silent failure domain.
 func (t *Table) Audience(local, remote int, now time.Time) []string {
 	t.init()
 	var own, others []string
-	for _, m := range t.Current(now).Present {
+	for _, m := range t.Current(now).Responsive {
 		if m.Domain == t.Domain {
 			own = append(own, m.Address)
 		} else {
--- a/parts/roster/roster.go
+++ b/parts/roster/roster.go
@@ -149,6 +149,8 @@
 	listUntil time.Time
 	// agreedAt is when a message last showed the same digest.
 	agreedAt time.Time
+	// checks is the number of members that are being checked.
+	checks int
 	// rounds is the number of calls of Partners.
 	rounds int
 	// wholeAt is when a whole list was last asked for.
--- a/parts/roster/roster_test.go
+++ b/parts/roster/roster_test.go
@@ -75,3 +75,33 @@
 	qt.Check(t, refused > 0, qt.IsTrue)
 	qt.Check(t, len(table.Current(time.Now()).Members), qt.Equals, 10000-refused)
 }
+
+// Guards against hosts that are busy with checks of each other: each check occupies several hosts, and
+// all hosts have the same reason when a failure domain is cut off.
+func TestChecksAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &roster.Table{Self: "self", Domain: "a", Random: rand.IntN}
+		for i := range 60 {
+			table.Merge(member(fmt.Sprintf("x%d", i), 1, 1, 0, 0), time.Now())
+		}
+		begin := func() (begun []string) {
+			for i := range 60 {
+				name := fmt.Sprintf("x%d", i)
+				if _, check := table.BeginCheck(name, time.Now()); check {
+					begun = append(begun, name)
+				}
+			}
+			return begun
+		}
+		begun := begin()
+		qt.Assert(t, begun, qt.HasLen, 2)
+		qt.Assert(t, begin(), qt.HasLen, 0)
+		failedAt := time.Now()
+		time.Sleep(time.Millisecond)
+		qt.Assert(t, table.EndCheck(begun[0], failedAt), qt.IsTrue)
+		qt.Assert(t, begin(), qt.HasLen, 1)
+		table.EndCheck(begun[1], failedAt)
+		time.Sleep(2 * time.Second)
+		qt.Assert(t, begin(), qt.HasLen, 0, qt.Commentf("the failure domain is silent"))
+	})
+}
