gossip: share checks of a host that is slow to answer

Cause: a host that gets no answer within half a second asks three others to contact the same host; each does so on a connection of its own, and on failure asks three others in turn. A host that is slow because of that stays slow after the reason is gone.

Change: hosts that ask the same host about a third one at the same time share one contact, and a contact on behalf of others starts no further checks.

--- a/entry/gossip/budget_test.go
+++ b/entry/gossip/budget_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"net"
+	"runtime"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -67,3 +71,42 @@
 		qt.Assert(t, p.announce(ctx, broadcastFanout, now), qt.Equals, 0)
 	}
 }
+
+// Guards against a slow host that all others keep slow, because each that gets no answer in time asks
+// three others, which contact it as well.
+func TestChecksOfOneHostAreShared(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer l.Close()
+	p, slow := newFleetPeer(10), newPeer(20)
+	slow.Self.Address = l.Addr().String()
+	p.Merge(slow.message(nil))
+	accepted := make(chan net.Conn)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- c
+		}
+	}()
+	var asking sync.WaitGroup
+	var asked atomic.Int64
+	for i := range 10 {
+		asking.Go(func() {
+			m := newPeer(i + 1).message(nil)
+			m.Brief, m.Check = true, slow.Self.Name
+			asked.Add(1)
+			p.Respond(m)
+		})
+	}
+	c := <-accepted
+	for asked.Load() < 10 {
+		runtime.Gosched()
+	}
+	asking.Wait()
+	c.Close()
+	begun, _ := p.Exchanges()
+	qt.Assert(t, begun <= 2, qt.IsTrue, qt.Commentf("%d contacts for 10 hosts that ask", begun))
+}
--- a/entry/gossip/gossip.go
+++ b/entry/gossip/gossip.go
@@ -19,6 +19,7 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/singleflight"
 	"golang.org/x/time/rate"
 	"storj.io/drpc"
 
@@ -120,6 +121,8 @@
 	facts facts
 	// lastSeq is the Seq of the last message.
 	lastSeq atomic.Uint64
+	// checks makes hosts that ask about the same member share the answer.
+	checks singleflight.Group
 	// exchanges counts the exchanges that this host began, and responses those of others that it
 	// answered.
 	exchanges, responses atomic.Int64
@@ -296,8 +299,18 @@
 
 // exchange sends the local state, without changes, to one entry host and merges the
 // response, which contains no changes either if brief is set. It returns the response, or
-// nil if there is none.
+// nil if there is none; then it finds out whether the host is absent.
 func (p *Peer) exchange(ctx context.Context, c *client, brief bool) *Message {
+	startedAt := time.Now()
+	received := p.contact(ctx, c, brief)
+	if received == nil {
+		go p.verify(ctx, c.address, startedAt)
+	}
+	return received
+}
+
+// contact is exchange without a check of a host that does not answer.
+func (p *Peer) contact(ctx context.Context, c *client, brief bool) *Message {
 	p.exchanges.Add(1)
 	startedAt := p.Clock.Mark()
 	callCtx, cancel := p.Clock.WithIdleTimeout(ctx, exchangeTimeout, nil)
@@ -310,7 +323,6 @@
 			p.Log.Warn("peers: no answer", "address", c.address, "error", err, "delay", p.Clock.Delay(startedAt))
 		}
 		c.failing = true
-		go p.verify(ctx, c.address, startedAt.At)
 		return nil
 	}
 	c.failing = false
--- a/entry/gossip/member.go
+++ b/entry/gossip/member.go
@@ -160,8 +160,9 @@
 	p.Merge(received)
 }
 
-// check contacts a member on behalf of another entry host, on a connection of its own: an
-// open one may have been lost.
+// check contacts a member on behalf of other entry hosts, on a connection of its own: an
+// open one may have been lost. Those that ask meanwhile share the outcome: a host that is slow to
+// answer would only get slower.
 func (p *Peer) check(name string) {
 	p.mu.Lock()
 	m, known := p.roster.State(name, time.Now())
@@ -169,9 +170,12 @@
 	if !known {
 		return
 	}
-	c := &client{address: m.Address}
-	defer c.close()
-	p.exchange(context.Background(), c, true)
+	p.checks.Do(m.Address, func() (any, error) {
+		c := &client{address: m.Address}
+		defer c.close()
+		p.contact(context.Background(), c, true)
+		return nil, nil
+	})
 }
 
 // sample returns the members to list in a message, and reports whether they are all that
