--- a/entry/caller/caller.go
+++ b/entry/caller/caller.go
@@ -29,7 +29,9 @@
 	// OnLate is called with each step after End; nil ignores them.
 	OnLate func(Step)
 
-	raw    syscall.RawConn
+	raw syscall.RawConn
+	// server is the context that the HTTP server ends.
+	server context.Context
 	cancel context.CancelFunc
 	stop   func() bool
 
@@ -74,7 +76,7 @@
 		}
 	}
 	watched, cancel := context.WithCancel(ctx)
-	w.cancel = cancel
+	w.server, w.cancel = ctx, cancel
 	w.stop = context.AfterFunc(ctx, func() { w.notice(ByServer) })
 	return watched
 }
@@ -146,6 +148,10 @@
 
 // Departure returns how it was noticed that the caller has left; nil if it was not.
 func (w *Watch) Departure() *Departure {
+	if w.server != nil && w.server.Err() != nil {
+		// The goroutine that records it may not have run yet.
+		w.notice(ByServer)
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.departure
