--- a/entry/stream/replace.go
+++ b/entry/stream/replace.go
@@ -48,7 +48,7 @@
 // event, and the other one ends if this one delivers an event before. It reports false if a later try
 // may succeed.
 func (a *attempt) replace(wanted replacement) (done bool) {
-	if a.job.Caller.Left() {
+	if a.stream.left() {
 		return true
 	}
 	if wanted.ended && a.endUnbegun(wanted.cause) {
