--- a/entry/caller/caller.go
+++ b/entry/caller/caller.go
@@ -24,7 +24,7 @@
 type Watch struct {
 	// Conn is the caller's connection; nil if it is unknown.
 	Conn net.Conn
-	// Begun is when the request had been read; the ages of a request count from then.
+	// Begun is when the head of the request had been read; the ages of a request count from then.
 	Begun time.Time
 	// OnLate is called with each step after End; nil ignores them.
 	OnLate func(Step)
--- a/entry/caller/steps.go
+++ b/entry/caller/steps.go
@@ -69,7 +69,7 @@
 	return slices.Clone(w.steps), w.dropped
 }
 
-// String returns the step as the log shows it, with the age in milliseconds.
+// String returns the step as the log shows it, with the age to a tenth of a millisecond.
 func (s Step) String() string {
 	text := s.Age.Round(time.Millisecond/10).String() + " " + string(s.What)
 	if s.Detail != "" {
