--- a/entry/stream/ending.go
+++ b/entry/stream/ending.go
@@ -52,7 +52,7 @@
 const endedServerTimeout = 3 * time.Second
 
 // logServerOf asks a server whether it is alive and logs the answer for a request that this
-// entry host has ended there.
+// entry host has ended there. It does nothing for the request, and ends after endedServerTimeout.
 func (m *Monitor) logServerOf(request string, s *fleet.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), endedServerTimeout)
 	defer cancel()
--- a/entry/tunnel/conn.go
+++ b/entry/tunnel/conn.go
@@ -57,7 +57,7 @@
 }
 
 func open(ctx context.Context, carrier drpc.Conn, peer, server, secret string) (*Conn, error) {
-	// The tunnel outlives the attempt to open it.
+	// The tunnel outlives the attempt to open it; Close ends it.
 	stream, err := carrier.NewStream(context.WithoutCancel(ctx), Call, encoding{})
 	if err != nil {
 		return nil, err
