--- a/entry/front/departure_test.go
+++ b/entry/front/departure_test.go
@@ -41,14 +41,9 @@
 	return err
 }
 
-// Guards against a log and metrics that do not tell when a caller left and when its work ended.
-func TestDepartureIsLogged(t *testing.T) {
-	h, _ := newConfiguredHandler()
-	forwarder := &waitingForwarder{waiting: make(chan struct{})}
-	h.Plain, h.Lost = forwarder, func() float64 { return 0.5 }
-	var log bytes.Buffer
-	h.Log = slog.New(slog.NewJSONHandler(&log, nil))
-	ended := make(chan struct{})
+// startRequest starts a server and sends it a request, whose end closes ended.
+func startRequest(t *testing.T, h *Handler) (c net.Conn, ended chan struct{}) {
+	ended = make(chan struct{})
 	address := startServer(t, &Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		h.ServeHTTP(w, r)
 		close(ended)
@@ -56,6 +51,17 @@
 	c, err := net.Dial("tcp", address)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, writeRequest(c), qt.IsNil)
+	return c, ended
+}
+
+// Guards against a log and metrics that do not tell when a caller left and when its work ended.
+func TestDepartureIsLogged(t *testing.T) {
+	h, _ := newConfiguredHandler()
+	forwarder := &waitingForwarder{waiting: make(chan struct{})}
+	h.Plain, h.Lost = forwarder, func() float64 { return 0.5 }
+	var log bytes.Buffer
+	h.Log = slog.New(slog.NewJSONHandler(&log, nil))
+	c, ended := startRequest(t, h)
 	<-forwarder.waiting
 	qt.Assert(t, c.Close(), qt.IsNil)
 	<-ended
@@ -125,15 +131,8 @@
 	h, _ := newConfiguredHandler()
 	forwarder := &waitingForwarder{waiting: make(chan struct{})}
 	h.Plain = forwarder
-	ended := make(chan struct{})
-	address := startServer(t, &Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		h.ServeHTTP(w, r)
-		close(ended)
-	})})
-	c, err := net.Dial("tcp", address)
-	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, writeRequest(c), qt.IsNil)
-	_, err = c.Write([]byte("\r\n"))
+	c, ended := startRequest(t, h)
+	_, err := c.Write([]byte("\r\n"))
 	qt.Assert(t, err, qt.IsNil)
 	<-forwarder.waiting
 	qt.Assert(t, c.Close(), qt.IsNil)
--- a/stand/fakes/server.go
+++ b/stand/fakes/server.go
@@ -360,6 +360,11 @@
 		Request: id, Server: s.ID, Service: s.Service, Team: req.Header.Get("X-Tenant"),
 		Resumed: req.Header.Get("Last-Event-Id"), Chain: req.Header.Get("X-Hop-Count"),
 	})
+	s.run(w, req, id, body)
+}
+
+// run runs a request that the server has taken.
+func (s *Server) run(w http.ResponseWriter, req *http.Request, id string, body []byte) {
 	if strings.Contains(string(body), CrashBody) {
 		s.Crash()
 		panic(http.ErrAbortHandler)
