soak: wait until the process of a paused host has stopped

A stop takes effect when the thread that gets the signal is scheduled; until then the other threads run on. On a busy machine the first callers can be read, and served, while they are still connected. The test now waits until all threads are stopped before the first caller connects, which leaves it as strict.

--- a/soak/leavers.go
+++ b/soak/leavers.go
@@ -1,10 +1,14 @@
 package soak
 
 import (
+	"bytes"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"sync"
 	"syscall"
 	"time"
@@ -176,6 +180,44 @@
 	return l.most
 }
 
+// pauseInterval is the interval at which it is checked whether a process has stopped.
+const pauseInterval = time.Millisecond
+
+// pause stops the process, and waits until all its threads have stopped: on a busy machine some run on
+// for a while after the signal.
+func (e *entryHost) pause() error {
+	e.signal(syscall.SIGSTOP)
+	e.mu.Lock()
+	pid := e.cmd.Process.Pid
+	e.mu.Unlock()
+	for {
+		stopped, err := allStopped(pid)
+		if stopped || err != nil {
+			return err
+		}
+		time.Sleep(pauseInterval)
+	}
+}
+
+// allStopped reports whether all threads of a process are stopped.
+func allStopped(pid int) (bool, error) {
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	if err != nil || len(files) == 0 {
+		return false, errors.Join(err, os.ErrProcessDone)
+	}
+	for _, file := range files {
+		stat, err := os.ReadFile(file)
+		if err != nil {
+			return false, err
+		}
+		// The state follows the name, which is in parentheses and may contain any character.
+		if end := bytes.LastIndexByte(stat, ')'); end < 0 || !bytes.HasPrefix(stat[end:], []byte(") T")) {
+			return false, nil
+		}
+	}
+	return true, nil
+}
+
 // PausedHost starts an entry host, pauses its process while the given number of callers send requests
 // and leave, and returns how many of these requests reached a server after that.
 func PausedHost(s Settings, callers int) (sent int, err error) {
@@ -191,7 +233,9 @@
 			warm++
 		}
 	}
-	c.entries[0].signal(syscall.SIGSTOP)
+	if err := c.entries[0].pause(); err != nil {
+		return 0, err
+	}
 	var ids []string
 	for i := range callers {
 		id := fmt.Sprintf("left-%d", i)
