--- a/entry/conns/bounds.go
+++ b/entry/conns/bounds.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// maxHead bounds the head of a response, with the interim ones before it.
+	// maxHead bounds the head of a response, and of each interim one before it.
 	maxHead = 64 << 10
 	// maxSkipped bounds the body of a response to another request, which is read so that the
 	// connection can be used for the one that follows.
