soak: report the requests of a paused host with its log, and bound the waits

TestPausedHostSendsNothingForThoseThatLeft counted the requests that reached a server and showed none of them. It returns them now, with the time since all callers had left and the lines of the host's log. The request that shows that all connections have been accepted came on a kept connection, which shows nothing of new ones; it opens one of its own now.

--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -56,6 +56,8 @@
 	configVersion int
 	servers       []*fakes.Server
 	serversAdded  int
+	// warmed is the number of requests that warm has sent.
+	warmed int
 }
 
 // entryHost is the process of an entry host, with the proxy through which it
--- a/soak/leavers.go
+++ b/soak/leavers.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -190,13 +192,13 @@
 	e.mu.Lock()
 	pid := e.cmd.Process.Pid
 	e.mu.Unlock()
-	for {
+	for deadline := time.Now().Add(recoveryTimeout); time.Now().Before(deadline); time.Sleep(pauseInterval) {
 		stopped, err := allStopped(pid)
 		if stopped || err != nil {
 			return err
 		}
-		time.Sleep(pauseInterval)
 	}
+	return fmt.Errorf("%s did not stop within %s", e.name, recoveryTimeout)
 }
 
 // allStopped reports whether all threads of a process are stopped.
@@ -219,22 +221,19 @@
 }
 
 // PausedHost starts an entry host, pauses its process while the given number of callers send requests
-// and leave, and returns how many of these requests reached a server after that.
-func PausedHost(s Settings, callers int) (sent int, err error) {
+// and leave, and returns those of their requests that reached a server after that, with what the log of
+// the host says of them.
+func PausedHost(s Settings, callers int) (sent []string, err error) {
 	c, err := newCluster(s)
 	if err != nil {
-		return 0, err
+		return nil, err
 	}
 	defer func() { _ = c.close() }()
-	warm := 0
-	// Connections to servers are open before the pause.
-	for deadline := time.Now().Add(recoveryTimeout); warm < callers && time.Now().Before(deadline); {
-		if reply := c.send(0, fmt.Sprintf("warm-%d", warm), []string{"/ask/1", "/look/1"}[warm%2], currentKey, 1-warm%2); reply.status == http.StatusOK {
-			warm++
-		}
+	if err := c.warm(callers); err != nil {
+		return nil, err
 	}
 	if err := c.entries[0].pause(); err != nil {
-		return 0, err
+		return nil, err
 	}
 	var ids []string
 	for i := range callers {
@@ -242,26 +241,60 @@
 		ids = append(ids, id)
 		conn, err := c.sendOnly(0, id, []string{"/ask/1", "/look/1"}[i%2], leftEvents*(1-i%2))
 		if err != nil {
-			return 0, err
+			return nil, err
 		}
 		if departure(i%int(departures)) == resets {
 			if err := conn.(*net.TCPConn).SetLinger(0); err != nil {
-				return 0, err
+				return nil, err
 			}
 		}
 		if err := conn.Close(); err != nil {
-			return 0, err
+			return nil, err
 		}
 	}
+	left := time.Now()
 	c.entries[0].signal(syscall.SIGCONT)
-	// The host has accepted the connections of those that left when it serves one that came later.
-	for c.send(0, "last", "/look/1", currentKey, 0).err != nil {
+	// The host has accepted the connections of those that left when it serves a request on a new one.
+	c.client.CloseIdleConnections()
+	if err := c.warm(1); err != nil {
+		return nil, err
 	}
 	time.Sleep(leftTime)
 	for _, id := range ids {
-		if !c.platform.Work(id).Arrived.IsZero() {
-			sent++
+		if work := c.platform.Work(id); !work.Arrived.IsZero() {
+			sent = append(sent, fmt.Sprintf("%s: reached a server %s after all callers had left: %s", id, work.Arrived.Sub(left), c.entries[0].logOf(id)))
 		}
 	}
 	return sent, nil
 }
+
+// warm waits until the first entry host has served the given number of requests, streams and calls in
+// turn.
+func (c *cluster) warm(requests int) error {
+	served := 0
+	for deadline := time.Now().Add(recoveryTimeout); served < requests; {
+		if time.Now().After(deadline) {
+			return fmt.Errorf("only %d of %d requests served within %s", served, requests, recoveryTimeout)
+		}
+		c.warmed++
+		if reply := c.send(0, fmt.Sprintf("warm-%d", c.warmed), []string{"/ask/1", "/look/1"}[served%2], currentKey, 1-served%2); reply.status == http.StatusOK {
+			served++
+		}
+	}
+	return nil
+}
+
+// logOf returns the lines of the log of the host that name a request.
+func (e *entryHost) logOf(request string) string {
+	log, err := os.ReadFile(filepath.Join(e.cluster.Dir, e.name+".log"))
+	if err != nil {
+		return err.Error()
+	}
+	var found []string
+	for line := range strings.Lines(string(log)) {
+		if strings.Contains(line, strconv.Quote(request)) {
+			found = append(found, line)
+		}
+	}
+	return strings.Join(found, "")
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -93,5 +93,5 @@
 func TestPausedHostSendsNothingForThoseThatLeft(t *testing.T) {
 	sent, err := soak.PausedHost(soak.Settings{Seed: 1, EntryHosts: 1, Program: build(t), Dir: t.TempDir()}, 60)
 	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, sent, qt.Equals, 0)
+	qt.Assert(t, sent, qt.HasLen, 0)
 }
