soak: a process that ends by itself breaks a promise

The soak runs the real program and did not look at how its processes ended: the exit status was ignored, and a process that had ended was missed only by callers, until the next restart. So the one thing that the users saw on machines of their own could not be found by the run that comes nearest to it. An end without SIGTERM or SIGKILL, or with another status than 0 after SIGTERM, is a violation now, with the status and the time since the start.

--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -58,6 +59,8 @@
 	serversAdded  int
 	// warmed is the number of requests that warm has sent.
 	warmed int
+	// exits describes the processes that have ended by themselves.
+	exits []string
 }
 
 // entryHost is the process of an entry host, with the proxy through which it
@@ -76,9 +79,17 @@
 	// cluster guards it.
 	cut sever.Mode
 
-	mu     sync.Mutex
-	cmd    *exec.Cmd
-	exited chan struct{}
+	mu      sync.Mutex
+	process *process
+}
+
+// process is a process of an entry host.
+type process struct {
+	cmd       *exec.Cmd
+	startedAt time.Time
+	exited    chan struct{}
+	// stopped and killed say that it was sent SIGTERM and SIGKILL.
+	stopped, killed atomic.Bool
 }
 
 // newCluster starts the platform, eight backend servers for assist, four for
@@ -227,45 +238,66 @@
 		return err
 	}
 	defer log.Close()
-	cmd := exec.Command(e.cluster.Program)
-	cmd.Env = append(os.Environ(), fakes.FileVariable+"="+file)
-	cmd.Stdout, cmd.Stderr = log, log
-	if err := cmd.Start(); err != nil {
+	p := &process{cmd: exec.Command(e.cluster.Program), startedAt: time.Now(), exited: make(chan struct{})}
+	p.cmd.Env = append(os.Environ(), fakes.FileVariable+"="+file)
+	p.cmd.Stdout, p.cmd.Stderr = log, log
+	if err := p.cmd.Start(); err != nil {
 		return err
 	}
 	if e.cluster.OnStart != nil {
-		e.cluster.OnStart(cmd.Process)
-	}
-	exited := make(chan struct{})
-	go func() {
-		// The exit status is ignored; callers detect a crash by their checks.
-		_ = cmd.Wait()
-		close(exited)
-	}()
+		e.cluster.OnStart(p.cmd.Process)
+	}
+	go e.await(p)
 	e.mu.Lock()
-	e.cmd, e.exited = cmd, exited
+	e.process = p
 	e.mu.Unlock()
 	return nil
 }
 
-// signal sends a signal to the process, if it has been started.
-func (e *entryHost) signal(s syscall.Signal) {
+// await waits until a process has ended, and records it if it was not to end, or not in this way.
+func (e *entryHost) await(p *process) {
+	defer close(p.exited)
+	err := p.cmd.Wait()
+	if p.killed.Load() || p.stopped.Load() && err == nil {
+		return
+	}
+	how := "status 0"
+	if err != nil {
+		how = err.Error()
+	}
+	c := e.cluster
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.exits = append(c.exits, fmt.Sprintf("%s: process %d ended by itself, %s, %s after its start", e.name, p.cmd.Process.Pid, how, time.Since(p.startedAt).Round(time.Millisecond)))
+}
+
+// running returns the process; nil if none has been started.
+func (e *entryHost) running() *process {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.cmd == nil {
+	return e.process
+}
+
+// signal sends a signal to the process, if it has been started.
+func (e *entryHost) signal(s syscall.Signal) {
+	p := e.running()
+	if p == nil {
 		return
 	}
+	switch s {
+	case syscall.SIGTERM:
+		p.stopped.Store(true)
+	case syscall.SIGKILL:
+		p.killed.Store(true)
+	}
 	// The process may have exited already.
-	_ = e.cmd.Process.Signal(s)
+	_ = p.cmd.Process.Signal(s)
 }
 
 // wait waits until the process has exited.
 func (e *entryHost) wait() {
-	e.mu.Lock()
-	exited := e.exited
-	e.mu.Unlock()
-	if exited != nil {
-		<-exited
+	if p := e.running(); p != nil {
+		<-p.exited
 	}
 }
 
--- a/soak/leavers.go
+++ b/soak/leavers.go
@@ -189,9 +189,7 @@
 // for a while after the signal.
 func (e *entryHost) pause() error {
 	e.signal(syscall.SIGSTOP)
-	e.mu.Lock()
-	pid := e.cmd.Process.Pid
-	e.mu.Unlock()
+	pid := e.running().cmd.Process.Pid
 	for deadline := time.Now().Add(recoveryTimeout); time.Now().Before(deadline); time.Sleep(pauseInterval) {
 		stopped, err := allStopped(pid)
 		if stopped || err != nil {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -119,9 +119,20 @@
 	}
 	r.checkRecovery()
 	r.checkExecutions()
+	r.checkExits()
 	return r.report, nil
 }
 
+// checkExits checks that no process has ended by itself.
+func (r *run) checkExits() {
+	r.cluster.mu.Lock()
+	exits := r.cluster.exits
+	r.cluster.mu.Unlock()
+	for _, exit := range exits {
+		r.addViolation("%s", exit)
+	}
+}
+
 // addFault adds a fault, with the time since the start, to the report.
 func (r *run) addFault(description string) {
 	r.mu.Lock()
