--- a/parts/place/group.go
+++ b/parts/place/group.go
@@ -34,6 +34,12 @@
 
 func (r span) len() int { return r.end - r.first }
 
+// spanOf returns the layers of the model that a server says it holds.
+func spanOf(e *route.Engine, s *fleet.Server) span {
+	first := min(max(0, s.First), e.Layers)
+	return span{first, max(first, min(s.End, e.Layers))}
+}
+
 func newGroup(e *route.Engine, servers []*fleet.Server) *group {
 	g := &group{
 		engine: e, servers: slices.Clone(servers), held: map[string]span{},
@@ -47,7 +53,7 @@
 	g.targetTokens = g.targetCapacity()
 	for _, s := range g.servers {
 		if s.LayerCount() > 0 {
-			g.set(s, span{max(0, s.First), min(s.End, e.Layers)})
+			g.set(s, spanOf(e, s))
 		}
 	}
 	return g
--- a/parts/place/place.go
+++ b/parts/place/place.go
@@ -196,9 +196,10 @@
 // up.
 func (g *group) replicas(s *fleet.Server, r span) []*fleet.Server {
 	var list []*fleet.Server
+	given := spanOf(g.engine, s)
 	for _, other := range g.servers {
 		held := g.held[other.ID]
-		for l := s.First; l < s.End && other != s; l++ {
+		for l := given.first; l < given.end && other != s; l++ {
 			if (l < r.first || l >= r.end) && l >= held.first && l < held.end {
 				list = append(list, other)
 				break
--- a/parts/place/place_test.go
+++ b/parts/place/place_test.go
@@ -506,3 +506,17 @@
 		qt.Check(t, free >= 159*meanTokens, qt.IsTrue, qt.Commentf("%s: capacity for %.0f requests", s.ID, free/meanTokens))
 	}
 }
+
+// Guards against a leader that never ends its plan, or ends with a panic, because a server says that it
+// holds layers which the model does not have.
+func TestLayersThatTheModelDoesNotHave(t *testing.T) {
+	for _, held := range [][2]int{{0, math.MaxInt}, {40, math.MaxInt}, {math.MaxInt - 4, math.MaxInt}, {81, 90}, {200, 210}} {
+		servers := threeDomains()
+		apply(place.Plan(engine(), servers, stable))
+		odd := &fleet.Server{ID: "odd", Domain: "a", Accelerator: "l4", First: held[0], End: held[1]}
+		assignments := place.Plan(engine(), append(servers, odd), stable)
+		for _, a := range assignments {
+			qt.Check(t, a.First >= 0 && a.First <= a.End && a.End <= engine().Layers, qt.IsTrue, qt.Commentf("%v: %+v", held, a))
+		}
+	}
+}
