--- a/stand/fakes/store.go
+++ b/stand/fakes/store.go
@@ -72,6 +72,7 @@
 	muteCounts map[string]int
 	// longestWaits holds the longest wait that a watch of each kind requested.
 	longestWaits map[string]time.Duration
+	raw          rawSpecs
 }
 
 // firstEra is the era of a store that was never restored.
@@ -193,6 +194,7 @@
 	mode := s.failureMode
 	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
 	s.mu.Unlock()
+	w = &rawWriter{ResponseWriter: w, specs: &s.raw}
 	switch mode {
 	case Unavailable:
 		w.WriteHeader(http.StatusServiceUnavailable)
