boot: serve on when nobody reads the output, and from the start on SIGHUP

What users would see: processes of a machine that end at the same moment, and again at their first line after each restart. A Go program ends by SIGPIPE when it writes to a standard output whose reader is gone, and the log is written all the time. The own router had no handler of SIGHUP; the one on the platform installed it after its settings had been read, in a goroutine of its own.

--- a/parts/boot/boot.go
+++ b/parts/boot/boot.go
@@ -36,6 +36,14 @@
 // the program is done, with the exit status.
 type Main func(ctx context.Context, args []string, stdin io.Reader, stdout, stderr io.Writer) int
 
+// Serve is Run for a program that serves until it is told to stop. The end of a terminal, or of the
+// process that reads its output, does not end it: SIGHUP is ignored, and writing to an output that
+// nobody reads fails.
+func Serve(main Main) {
+	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
+	Run(main)
+}
+
 // Run runs a program and exits with its status.
 func Run(main Main) {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
