sock: wait for an address that is not available yet

What users would see: a system that does not start, or hosts that end again after each restart. A process ended with status 1 if one of its addresses was in use, or not there yet. On a machine of one's own that lasts: a connection of another program that has the port as its local one keeps it for as long as it is open, and the platform starts the process again within seconds.

Before: five of five cases ended with status 1 (a listener on each of the three addresses, a connection with the port, an address that the machine did not have).

--- a/entry/prog/prog.go
+++ b/entry/prog/prog.go
@@ -21,6 +21,7 @@
 	"fuchsiashelf.dev/parts/boot"
 	"fuchsiashelf.dev/parts/engine"
 	"fuchsiashelf.dev/parts/httpd"
+	"fuchsiashelf.dev/parts/sock"
 	"fuchsiashelf.dev/parts/stall"
 	"fuchsiashelf.dev/parts/store"
 	"fuchsiashelf.dev/parts/trace"
@@ -75,8 +76,9 @@
 	callers, peers, desk, ops net.Listener
 }
 
-// listen opens the listeners, with TLS where it is configured.
-func (d *daemon) listen() error {
+// listen opens the listeners, with TLS where it is configured. It waits until their addresses are
+// available.
+func (d *daemon) listen(ctx context.Context) error {
 	for _, l := range []struct {
 		flag, address string
 		listener      *net.Listener
@@ -86,7 +88,7 @@
 		{"desk", d.settings.Desk, &d.desk},
 		{"ops", d.settings.Ops, &d.ops},
 	} {
-		opened, err := net.Listen("tcp", l.address)
+		opened, err := sock.Listen(ctx, l.address, d.log)
 		if err != nil {
 			return fmt.Errorf("-%s: %w", l.flag, err)
 		}
@@ -98,7 +100,11 @@
 // run runs the components. When the context ends, it stops accepting callers,
 // waits for requests in flight (see serveCallers), and then stops the components.
 func (d *daemon) run(ctx context.Context) error {
-	if err := d.listen(); err != nil {
+	if err := d.listen(ctx); err != nil {
+		if ctx.Err() != nil {
+			d.log.Info("prog: stopped while it waited for its addresses")
+			return nil
+		}
 		return err
 	}
 	publisher := view.New(d.settings.Name, d.settings.LocalDomain())
