conns: take no response for an answer whose status no answer has

What callers saw: on the own interface a call got a response with the status 000 as its answer. On the platform 000 to 099 and 101 counted as interim responses, so that the caller waited for another one until its time was over, and 600 to 999 were handed on.

A final response has a status of 200 to 599; an interim one has one of 1xx but 101, which answers requests that nobody here sends. Anything else ends the connection, and the attempt is judged as one without an answer: it may have run. Both routers; engines of the own interface may answer with 200 only, as before.

Before: TestStatusThatNoAnswerHas does not end within 20 s in entry/conns, and gets an answer with the status 000 in entry/internal/invoke. After: both pass, 2 runs each with the race detector.

--- a/entry/conns/exchange.go
+++ b/entry/conns/exchange.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 
+	"fuchsiashelf.dev/parts/fault"
 	"fuchsiashelf.dev/parts/stall"
 )
 
@@ -31,6 +32,15 @@
 // Unwrap returns the cause.
 func (e *NoAnswerError) Unwrap() error { return e.Cause }
 
+// StatusError is the cause of the error of a request whose server sent a response with a status that no
+// answer has.
+type StatusError struct{ Status int }
+
+// Error implements error.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("conns: no answer has the status %03d", e.Status)
+}
+
 // exchange writes a request and reads up to the header of its response.
 func (p *Pool) exchange(ctx context.Context, c *conn, req *http.Request, o Options) (*Response, error) {
 	if err := c.setLong(req.ContentLength > longRequest); err != nil {
@@ -56,8 +66,11 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode < http.StatusOK {
+		switch interim := resp.StatusCode/100 == 1 && resp.StatusCode != http.StatusSwitchingProtocols; {
+		case interim:
 			continue
+		case !fault.IsFinalStatus(resp.StatusCode):
+			return nil, &StatusError{Status: resp.StatusCode}
 		}
 		info := o.Inspect(resp)
 		if !info.OtherRequest {
--- a/entry/conns/flood_test.go
+++ b/entry/conns/flood_test.go
@@ -84,3 +84,26 @@
 		}
 	}
 }
+
+// Guards against responses with a status that no answer has, which are handed to a caller or waited for.
+func TestStatusThatNoAnswerHas(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "101", "600", "999"} {
+		closed := make(chan struct{})
+		address := listen(t, func(_ int, c net.Conn, br *bufio.Reader) {
+			defer close(closed)
+			if _, err := http.ReadRequest(br); err != nil {
+				return
+			}
+			_, err := io.WriteString(c, "HTTP/1.1 "+status+" OK\r\nId: r1\r\nContent-Length: 0\r\n\r\n")
+			qt.Check(t, err, qt.IsNil)
+			_, err = br.ReadByte()
+			qt.Check(t, err, qt.IsNotNil)
+		})
+		_, err := do(t, &conns.Pool{}, address, "r1", conns.Options{})
+		e := fault.As(err)
+		qt.Check(t, []any{e.Code, e.Verdict}, qt.DeepEquals, []any{fault.ServerFailed, fault.MayHaveRun}, qt.Commentf(status))
+		var other *conns.StatusError
+		qt.Check(t, errors.As(err, &other), qt.IsTrue, qt.Commentf("%s: %v", status, err))
+		<-closed
+	}
+}
--- a/entry/internal/invoke/send.go
+++ b/entry/internal/invoke/send.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -127,6 +128,9 @@
 		return nil, sendError(ctx, s.verdict(), to, err)
 	}
 	defer resp.Body.Close()
+	if !fault.IsFinalStatus(resp.StatusCode) {
+		return nil, &fault.Error{Code: fault.InvalidResponse, Verdict: fault.MayHaveRun, Server: to.Name, Message: fmt.Sprintf("no answer has the status %03d", resp.StatusCode)}
+	}
 	if reason := resp.Header.Get(engine.NotRunHeader); reason != "" && resp.StatusCode == http.StatusServiceUnavailable {
 		return nil, &fault.Error{
 			Code: fault.ServerRefused, Verdict: fault.NotRun, Server: to.Name, Message: reason,
--- a/entry/internal/invoke/send_test.go
+++ b/entry/internal/invoke/send_test.go
@@ -136,3 +136,26 @@
 	qt.Assert(t, e.Verdict, qt.Equals, fault.NotRun)
 	qt.Assert(t, e.Code, qt.Equals, fault.Cancelled)
 }
+
+// Guards against responses with a status that no answer has, which are handed to a caller.
+func TestStatusThatNoAnswerHas(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "600"} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		qt.Assert(t, err, qt.IsNil)
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = io.WriteString(c, "HTTP/1.1 "+status+" OK\r\nContent-Length: 2\r\n\r\nok")
+			}
+		}()
+		call := newCall("POST", "r1", "x")
+		_, e := send(t.Context(), testClient, call, host.Host{Name: "p1", Address: l.Addr().String()}, always)
+		qt.Assert(t, e != nil, qt.IsTrue, qt.Commentf(status))
+		qt.Check(t, []any{e.Code, e.Verdict}, qt.DeepEquals, []any{fault.InvalidResponse, fault.MayHaveRun}, qt.Commentf(status))
+		l.Close()
+	}
+}
