stop: refuse late requests that may outlast the process

What callers saw: calls that were taken late in a planned stop, also ones that may not be repeated, and cut off without an answer at its end (LOST). Calls of plain services were taken until 2.2 s before the end, whatever their time limit: the constant held for the routes of some sites only.

Once the balancer has noticed the stop, a request is taken if its time limit ends before the process does, and refused with Retry-After otherwise, streams and calls alike. Before that all are taken, as before.

TestPlainCallsAreServedDuringStop sent a payment with a limit of 6 s when 5.7 s were left, and required that it is taken, which is this fault.

--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -43,10 +43,11 @@
 	// CloseConns is set when the process is about to stop: connections are closed
 	// after their responses.
 	CloseConns atomic.Bool
-	// RefuseStreams is set when new streams would not end before the process stops.
-	// They are refused, so that their callers go to another entry host at once instead
-	// of getting a truncated response. RefuseAll is the same for all requests.
-	RefuseStreams, RefuseAll atomic.Bool
+	// End is set when the process stops: requests that may last longer are refused, so
+	// that their callers go to another entry host at once instead of getting a truncated
+	// response. RefuseAll is set when all requests are refused.
+	End       atomic.Pointer[time.Time]
+	RefuseAll atomic.Bool
 	// RetryAfter returns how long a caller refused in this way should wait before it
 	// retries: by then another entry host is likely to accept the request.
 	RetryAfter func() time.Duration
@@ -169,10 +170,10 @@
 		return nil, &fault.Error{Code: fault.NoServer, Verdict: fault.NotRun, Message: "the route's service is unknown", RetryAfter: time.Second}
 	}
 	j.Service = &service
-	if service.Engine != nil && h.RefuseStreams.Load() {
+	j.Deadline = start.Add(requestTimeout(req, matched))
+	if end := h.End.Load(); end != nil && j.Deadline.After(*end) {
 		return j, h.draining()
 	}
-	j.Deadline = start.Add(requestTimeout(req, matched))
 	req.Body, err = readBody(w, r, table.Limits, j.Deadline)
 	req.Arrived = start
 	if err != nil {
