soak: put obstacles in the way of processes

The soak had no signals but those that stop or end a process, and its processes found their addresses free, their settings whole and their output read. With -obstacles hosts meet ten SIGHUPs in series, an address that another socket has, settings of which a part has been written, an output whose reader goes away, and entries that no server would write, beside all other faults. TestObstacles puts each in the way three times; after each the host must serve.

--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -224,13 +224,23 @@
 // host identifies the entry host in the IDs of requests.
 func (e *entryHost) host() fakes.Host { return fakes.Host(e.name) }
 
-// start writes the settings file of an entry host and starts its process.
-func (e *entryHost) start() error {
-	file := filepath.Join(e.cluster.Dir, e.name+".yaml")
-	text := fakes.Settings{
+// settings returns the settings of the entry host.
+func (e *entryHost) settings() string {
+	return fakes.Settings{
 		Name: e.name, Zone: e.zone, Callers: e.callerAddr, Ops: e.opsAddr, Peers: e.peerAddr, Seed: e.seedAddr, Source: e.source.String(), Store: e.storeProxy.Address(), GraceSeconds: int(grace.Seconds()),
 	}.YAML()
-	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+}
+
+// settingsFile returns the path of the settings file.
+func (e *entryHost) settingsFile() string { return filepath.Join(e.cluster.Dir, e.name+".yaml") }
+
+// start starts the process of an entry host.
+func (e *entryHost) start() error { return e.launch(e.settings(), nil) }
+
+// launch writes a settings file with the given text and starts the process. The log goes to output, or
+// into a file if that is nil.
+func (e *entryHost) launch(settings string, output *os.File) error {
+	if err := os.WriteFile(e.settingsFile(), []byte(settings), 0o600); err != nil {
 		return err
 	}
 	log, err := os.OpenFile(filepath.Join(e.cluster.Dir, e.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -239,8 +249,11 @@
 	}
 	defer log.Close()
 	p := &process{cmd: exec.Command(e.cluster.Program), startedAt: time.Now(), exited: make(chan struct{})}
-	p.cmd.Env = append(os.Environ(), fakes.FileVariable+"="+file)
+	p.cmd.Env = append(os.Environ(), fakes.FileVariable+"="+e.settingsFile())
 	p.cmd.Stdout, p.cmd.Stderr = log, log
+	if output != nil {
+		p.cmd.Stdout = output
+	}
 	if err := p.cmd.Start(); err != nil {
 		return err
 	}
--- a/soak/cmd/fssoak/main.go
+++ b/soak/cmd/fssoak/main.go
@@ -35,6 +35,7 @@
 	teams := fs.Bool("teams", false, "crowds of a second team, and the first team is served beside them")
 	leavers := fs.Bool("leavers", false, "callers leave before their answer is whole, and no server works on for them")
 	floods := fs.Bool("floods", false, "servers answer with bytes without end")
+	obstacles := fs.Bool("obstacles", false, "processes meet hangups, taken addresses, torn settings, a lost output and odd entries, and none ends")
 	dir := fs.String("dir", "", "where settings and logs are kept; a new folder if empty")
 	if err := ff.Parse(fs, os.Args[1:], ff.WithEnvVarPrefix("FSSOAK")); err != nil {
 		os.Exit(boot.ExitUsage)
@@ -44,7 +45,7 @@
 	failed := 0
 	for n := range *seeds {
 		s := soak.Settings{
-			Seed: *seed + uint64(n), FaultDuration: *duration, Series: *series, Restores: *restores, Limits: *limits, Notices: *notices, Cuts: *cuts, Crashes: *crashes, Silences: *silences, Teams: *teams, Leavers: *leavers, Floods: *floods, EntryHosts: *entries, Callers: *callers, Program: *program, Dir: *dir, OnStart: started.add,
+			Seed: *seed + uint64(n), FaultDuration: *duration, Series: *series, Restores: *restores, Limits: *limits, Notices: *notices, Cuts: *cuts, Crashes: *crashes, Silences: *silences, Teams: *teams, Leavers: *leavers, Floods: *floods, Obstacles: *obstacles, EntryHosts: *entries, Callers: *callers, Program: *program, Dir: *dir, OnStart: started.add,
 		}
 		if s.Dir == "" {
 			s.Dir, _ = os.MkdirTemp("", "fssoak-")
--- a/soak/series.go
+++ b/soak/series.go
@@ -72,6 +72,9 @@
 	if r.Floods {
 		kinds = append(kinds, r.startFlood)
 	}
+	if r.Obstacles {
+		kinds = append(kinds, r.startObstacle)
+	}
 	return kinds[rng.IntN(len(kinds))](rng)
 }
 
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -53,6 +53,8 @@
 	Leavers bool
 	// Floods makes servers answer with bytes without end, in the series.
 	Floods bool
+	// Obstacles puts obstacles in the way of processes, in the series.
+	Obstacles bool
 	// EntryHosts and Callers are the numbers of entry hosts and callers.
 	EntryHosts, Callers int
 	// Program is the path of the fsplat binary.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -95,3 +95,17 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, sent, qt.HasLen, 0)
 }
+
+// Guards against processes that end, or do not start, because of what a machine, an operator or another
+// writer does.
+func TestObstacles(t *testing.T) {
+	program := build(t)
+	for _, o := range soak.Obstacles {
+		t.Run(o.String(), func(t *testing.T) {
+			t.Parallel()
+			exits, err := soak.Obstruct(soak.Settings{Seed: 1, EntryHosts: 2, Callers: 1, Program: program, Dir: t.TempDir()}, o)
+			qt.Check(t, exits, qt.HasLen, 0)
+			qt.Check(t, err, qt.IsNil)
+		})
+	}
+}
