front: give a caller that counts as gone no answer in place of an empty one

What callers saw: one that closes its sending direction after its request and goes on reading got "200 OK" with an empty body, also for a transfer that had not run. Such a caller counts as gone; the handler returned without a response, and net/http then writes an empty 200.

A request of a caller that counts as gone ends like a truncated response: its connection is closed, which promises nothing. Callers that have left do not notice.

Before: both rows of TestCallerThatLeftGetsNoAnswer got the 200. After: no byte.

--- a/entry/front/departure_test.go
+++ b/entry/front/departure_test.go
@@ -15,6 +15,7 @@
 
 	"fuchsiashelf.dev/entry/call"
 	"fuchsiashelf.dev/entry/caller"
+	"fuchsiashelf.dev/parts/fault"
 )
 
 // waitingForwarder waits until its requests end.
@@ -45,8 +46,8 @@
 func startRequest(t *testing.T, h *Handler) (c net.Conn, ended chan struct{}) {
 	ended = make(chan struct{})
 	address := startServer(t, &Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer close(ended)
 		h.ServeHTTP(w, r)
-		close(ended)
 	})})
 	c, err := net.Dial("tcp", address)
 	qt.Assert(t, err, qt.IsNil)
@@ -145,3 +146,32 @@
 		}
 	}
 }
+
+// failingForwarder waits until its requests end and returns the error of a caller that has left.
+type failingForwarder struct{ waitingForwarder }
+
+func (f *failingForwarder) Serve(ctx context.Context, w http.ResponseWriter, j *call.Job) call.Outcome {
+	out := f.waitingForwarder.Serve(ctx, w, j)
+	out.Error = &fault.Error{Code: fault.Cancelled, Verdict: fault.NotRun}
+	return out
+}
+
+// Guards against callers that close their sending direction only and get a response of net/http, which
+// says 200, in place of none.
+func TestCallerThatLeftGetsNoAnswer(t *testing.T) {
+	for _, early := range []bool{false, true} {
+		h, _ := newConfiguredHandler()
+		forwarder := &failingForwarder{waitingForwarder: waitingForwarder{waiting: make(chan struct{}, 1)}}
+		h.Plain = forwarder
+		address := startServer(t, &Server{Handler: h})
+		c, err := net.Dial("tcp", address)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, writeRequest(c), qt.IsNil)
+		if !early {
+			<-forwarder.waiting
+		}
+		qt.Assert(t, c.(*net.TCPConn).CloseWrite(), qt.IsNil)
+		got, _ := io.ReadAll(c)
+		qt.Check(t, string(got), qt.Equals, "")
+	}
+}
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -105,6 +105,7 @@
 			out.Status = call.WriteError(w, h.Codec, out.Error)
 		}
 		h.record(j, r, out, start)
+		abortUnanswered(out)
 		return
 	}
 	j.Caller = watch
@@ -121,9 +122,14 @@
 		h.Crashes.Close(j.Causes, j.ID)
 	}
 	h.record(j, r, out, start)
-	if out.Truncated {
-		// This closes the connection, so that the caller notices that the response
-		// is truncated.
+	abortUnanswered(out)
+}
+
+// abortUnanswered closes the connection of a request whose response is truncated, or that got none
+// because its caller left. The caller notices that; net/http would end the response as a whole one,
+// and answer 200 in place of none to a caller that has closed its sending direction only.
+func abortUnanswered(out call.Outcome) {
+	if out.Truncated || out.Error != nil && out.Error.Code == fault.Cancelled {
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/entry/front/hold_test.go
+++ b/entry/front/hold_test.go
@@ -139,8 +139,14 @@
 		r := httptest.NewRequestWithContext(ctx, http.MethodGet, "/look/1", nil)
 		r.Header.Set("Timeout", timeout)
 		w := httptest.NewRecorder()
+		defer func() {
+			// The HTTP server recovers from this panic as well.
+			if cause := recover(); cause != nil && cause != http.ErrAbortHandler {
+				panic(cause)
+			}
+			done <- w
+		}()
 		h.ServeHTTP(w, r)
-		done <- w
 	}()
 	return done
 }
