front: log panics of requests

net/http recovers from a panic of a handler and writes it to the log of the server, which is discarded here because it mostly tells of broken connections. So a fault of the program in one request showed as a closed connection without a line. It is logged with the ID of the request and the stack, and counted in requests.panics.

TestPanicIsLogged fails without it. A panic in another goroutine still ends the process, with a trace on standard error.

--- a/entry/front/departure_test.go
+++ b/entry/front/departure_test.go
@@ -147,10 +147,16 @@
 	}
 }
 
-// failingForwarder waits until its requests end and returns the error of a caller that has left.
-type failingForwarder struct{ waitingForwarder }
+// failingForwarder waits until its requests end and returns the error of a caller that has left, or panics.
+type failingForwarder struct {
+	waitingForwarder
+	panics bool
+}
 
 func (f *failingForwarder) Serve(ctx context.Context, w http.ResponseWriter, j *call.Job) call.Outcome {
+	if f.panics {
+		panic("no such layer")
+	}
 	out := f.waitingForwarder.Serve(ctx, w, j)
 	out.Error = &fault.Error{Code: fault.Cancelled, Verdict: fault.NotRun}
 	return out
@@ -175,3 +181,17 @@
 		qt.Check(t, string(got), qt.Equals, "")
 	}
 }
+
+// Guards against panics of requests that nobody learns of, or that end more than the request.
+func TestPanicIsLogged(t *testing.T) {
+	h, _ := newConfiguredHandler()
+	h.Plain = &failingForwarder{panics: true}
+	var log bytes.Buffer
+	h.Log = slog.New(slog.NewJSONHandler(&log, nil))
+	c, ended := startRequest(t, h)
+	<-ended
+	got, _ := io.ReadAll(c)
+	qt.Check(t, string(got), qt.Equals, "")
+	qt.Check(t, log.String(), qt.Contains, `"msg":"request: panic","request":"r","panic":"no such layer","stack":"goroutine`)
+	qt.Check(t, counter(h.Meter, "requests.panics"), qt.Equals, int64(1))
+}
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -82,6 +82,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	inFlight := h.inFlight.Add(1)
 	defer h.inFlight.Add(-1)
+	defer h.reportPanic(r)
 	if h.CloseConns.Load() {
 		w.Header().Set("Connection", "close")
 	}
