logs: the own interface does not wait for readers of its log

What operators would see: an entry host whose standard error is a pipe that nobody reads stops serving once the pipe is full, since each line of the log was written by the goroutine that logs, and it does not stop on SIGTERM.

--- a/entry/prog/prog.go
+++ b/entry/prog/prog.go
@@ -21,6 +21,7 @@
 	"fuchsiashelf.dev/parts/boot"
 	"fuchsiashelf.dev/parts/engine"
 	"fuchsiashelf.dev/parts/httpd"
+	"fuchsiashelf.dev/parts/logs"
 	"fuchsiashelf.dev/parts/sock"
 	"fuchsiashelf.dev/parts/stall"
 	"fuchsiashelf.dev/parts/store"
@@ -42,7 +43,9 @@
 		return boot.ExitUsage
 	}
 	d := &daemon{settings: settings, stdout: stdout}
-	d.log = slog.New(slog.NewTextHandler(stderr, nil)).With("entry", settings.Name)
+	writer, closeLog := logs.Open(stderr)
+	defer closeLog()
+	d.log = slog.New(slog.NewTextHandler(writer, nil)).With("entry", settings.Name)
 	d.clock = &stall.Clock{OnStall: func(delay time.Duration) { hostStalls.Update(delay) }}
 	if err := d.run(ctx); err != nil {
 		d.log.Error("prog: failed", "err", err)
--- a/parts/logs/logs.go
+++ b/parts/logs/logs.go
@@ -45,6 +45,24 @@
 	})
 }
 
+// flushTime is how long the last lines may take.
+const flushTime = 200 * time.Millisecond
+
+// Open returns a writer that writes to an output until closeLog is called. closeLog writes out the lines
+// that are still queued, unless the output takes longer than a moment for that.
+func Open(output io.Writer) (w *Writer, closeLog func()) {
+	w = &Writer{Out: output}
+	ctx, cancel := context.WithCancel(context.Background())
+	go w.Run(ctx)
+	return w, func() {
+		cancel()
+		select {
+		case <-w.Done():
+		case <-time.After(flushTime):
+		}
+	}
+}
+
 // Write queues a line. It never blocks and never fails.
 func (w *Writer) Write(line []byte) (int, error) {
 	w.init()
