--- a/entry/prog/prog.go
+++ b/entry/prog/prog.go
@@ -47,7 +47,12 @@
 	defer closeLog()
 	d.log = slog.New(slog.NewTextHandler(writer, nil)).With("entry", settings.Name)
 	d.clock = &stall.Clock{OnStall: func(delay time.Duration) { hostStalls.Update(delay) }}
-	if err := d.run(ctx); err != nil {
+	err = d.run(ctx)
+	if errors.Is(err, errStopped) {
+		d.log.Info("prog: stopped while it waited for its addresses")
+		return 0
+	}
+	if err != nil {
 		d.log.Error("prog: failed", "err", err)
 		return boot.ExitFailed
 	}
@@ -79,6 +84,9 @@
 	callers, peers, desk, ops net.Listener
 }
 
+// errStopped says that the process was told to stop before it served.
+var errStopped = errors.New("prog: stopped before it served")
+
 // listen opens the listeners, with TLS where it is configured. It waits until their addresses are
 // available.
 func (d *daemon) listen(ctx context.Context) error {
@@ -92,6 +100,9 @@
 		{"ops", d.settings.Ops, &d.ops},
 	} {
 		opened, err := sock.Listen(ctx, l.address, d.log)
+		if err != nil && ctx.Err() != nil {
+			return errStopped
+		}
 		if err != nil {
 			return fmt.Errorf("-%s: %w", l.flag, err)
 		}
@@ -104,10 +115,6 @@
 // waits for requests in flight (see serveCallers), and then stops the components.
 func (d *daemon) run(ctx context.Context) error {
 	if err := d.listen(ctx); err != nil {
-		if ctx.Err() != nil {
-			d.log.Info("prog: stopped while it waited for its addresses")
-			return nil
-		}
 		return err
 	}
 	publisher := view.New(d.settings.Name, d.settings.LocalDomain())
--- a/parts/boot/boot.go
+++ b/parts/boot/boot.go
@@ -37,8 +37,8 @@
 type Main func(ctx context.Context, args []string, stdin io.Reader, stdout, stderr io.Writer) int
 
 // Serve is Run for a program that serves until it is told to stop. The end of a terminal, or of the
-// process that reads its output, does not end it: SIGHUP is ignored, and writing to an output that
-// nobody reads fails.
+// process that reads its output, does not end it: SIGHUP is ignored, and writing to an output without a
+// reader fails.
 func Serve(main Main) {
 	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
 	Run(main)
--- a/soak/ends.go
+++ b/soak/ends.go
@@ -23,7 +23,7 @@
 	TakenAddress
 	// TornSettings means that the settings are being written when the process starts.
 	TornSettings
-	// LostOutput means that nobody reads the output of the process any more.
+	// LostOutput means that the reader of the output of the process has gone.
 	LostOutput
 	// Odd means that another writer leaves an entry among those of the servers that no server would write.
 	Odd
